--- /dev/null
+++ b/src/main/java/copperbeam/program/Node.java
@@ -0,0 +1,100 @@
+package copperbeam.program;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import kelpgw.Api.ListKind;
+import copperbeam.protocol.discovery.DiscoveryWatch;
+import copperbeam.protocol.platform.PlatformFront;
+import copperbeam.routing.ListActor;
+import copperbeam.routing.MembershipSource;
+import copperbeam.routing.ModuleActor;
+import copperbeam.routing.ModuleTime;
+import copperbeam.routing.PeerActor;
+import copperbeam.routing.ReleaseActor;
+import copperbeam.transport.ClientReactor;
+import copperbeam.transport.HttpFrontServer;
+import copperbeam.transport.PlainHttpClient;
+import copperbeam.transport.ServerConnector;
+
+/** One running conductor: its actors, its fronts and its reactors. */
+public final class Node implements AutoCloseable {
+    private static final double IDLE_SHARE = 0.5; // of the servers' limit for which we keep idle connections
+    private static final Duration KEEP_ACCEPTING = Duration.ofMillis(800); // after a stop is asked for
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(60);
+
+    private final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1,
+            task -> new Thread(task, "actors"));
+    private final ClientReactor reactor = new ClientReactor();
+    private final ModuleActor module;
+    private final ReleaseActor releases;
+    private final MembershipSource source;
+    private final HttpFrontServer server;
+    private final AtomicBoolean listed = new AtomicBoolean();
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final InetSocketAddress address;
+
+    public Node(Config config) throws IOException, InterruptedException {
+        turns.setRemoveOnCancelPolicy(true);
+        Clock clock = ModuleTime.steadyClock();
+        Duration releaseWithin = ModuleTime.span(Math.max(0.2, config.settings().rules().releaseS()));
+        releases = new ReleaseActor(turns, clock, releaseWithin.multipliedBy(2));
+        module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases);
+        PeerActor.Setup setup = new PeerActor.Setup(clock, new ServerConnector(reactor), config.connectTimeout(),
+                Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
+                config.connectTimeout(), module, releases);
+        ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases);
+        if (config.known() != null) {
+            list.tell(config.known().change(ListKind.CACHED));
+        }
+        source = new DiscoveryWatch(turns, new PlainHttpClient(reactor), config.discovery());
+        source.start(change -> {
+            list.tell(change);
+            listed.set(true);
+        });
+        server = new HttpFrontServer(new PlatformFront(config.classNames(), module, this::healthy), clock);
+        address = server.listen(config.listen());
+        if (config.known() != null) {
+            // with discovery down, the list last known has to do
+            turns.schedule(() -> listed.set(true), 2, TimeUnit.SECONDS);
+        }
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    private boolean healthy() {
+        return listed.get() && !stopping.get();
+    }
+
+    /** Answers what was taken and what still comes for a while, lets go of what is held, and returns. */
+    public void stop() throws InterruptedException {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        server.drain();
+        Thread.sleep(KEEP_ACCEPTING.toMillis());
+        long until = System.nanoTime() + LONGEST_STOP.toNanos();
+        do {
+            CountDownLatch quiet = new CountDownLatch(1);
+            module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(quiet::countDown))));
+            quiet.await(LONGEST_STOP.toMillis(), TimeUnit.MILLISECONDS);
+            server.closeIdle();
+            Thread.sleep(50);
+        } while (server.busy() && System.nanoTime() < until);
+    }
+
+    @Override
+    public void close() throws IOException {
+        source.stop();
+        server.close();
+        reactor.close();
+        turns.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/protocol/BadRequest.java
@@ -0,0 +1,16 @@
+package copperbeam.protocol;
+
+/** What a client got wrong; answered with a plain 4xx before anything is attempted. */
+public final class BadRequest extends Exception {
+    private static final long serialVersionUID = 1L;
+    private final int status;
+
+    public BadRequest(int status, String what) {
+        super(what);
+        this.status = status;
+    }
+
+    public int status() {
+        return status;
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/protocol/HttpCall.java
@@ -0,0 +1,24 @@
+package copperbeam.protocol;
+
+import java.time.Instant;
+import java.util.Map;
+import copperbeam.routing.Ask;
+
+/**
+ * A whole HTTP request as it came from a client.
+ *
+ * @param headers by names in lower case
+ * @param arrived when its first byte was read
+ */
+public record HttpCall(String method, String target, Map<String, String> headers, byte[] body, Instant arrived)
+        implements Ask.Payload {
+
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    public String header(String name) {
+        return headers.get(name);
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -0,0 +1,113 @@
+package copperbeam.protocol.discovery;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Logger;
+import kelpgw.Api.ListKind;
+import copperbeam.protocol.HttpClient;
+import copperbeam.routing.Actor;
+import copperbeam.routing.MembershipSource;
+
+/**
+ * The platform's discovery: the whole list once, then one watch after another, each at once after the last
+ * answer so that no change in between is lost.
+ */
+public final class DiscoveryWatch implements MembershipSource {
+    private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
+    private static final Duration HOLD = Duration.ofSeconds(3); // a silent agent is noticed soon after it
+    private static final Duration SILENCE = HOLD.plusSeconds(2);
+    private static final Duration AGAIN = Duration.ofMillis(100); // below the 200 ms after which a watch is new
+
+    private sealed interface Message permits Start, Answered, Again, Stop {}
+
+    private record Start(Sink sink) implements Message {}
+
+    private record Answered(int call, int status, byte[] body) implements Message {}
+
+    private record Again() implements Message {}
+
+    private record Stop() implements Message {}
+
+    private final class Watcher extends Actor<Message> {
+        private Sink sink;
+        private boolean stopped;
+        private boolean listed;
+        private long version;
+        private int call;
+        private Runnable cancel = () -> {};
+
+        Watcher(ScheduledExecutorService turns) {
+            super(turns);
+        }
+
+        @Override
+        protected void receive(Message m) {
+            if (m instanceof Start e) {
+                sink = e.sink();
+                ask();
+            } else if (m instanceof Stop) {
+                stopped = true;
+                cancel.run();
+            } else if (!stopped && m instanceof Again) {
+                ask();
+            } else if (!stopped && m instanceof Answered e && e.call() == call) {
+                answered(e);
+            }
+        }
+
+        private void ask() {
+            int mine = ++call;
+            String target = listed ? "/v1/servers?from=" + version + "&hold_ms=" + HOLD.toMillis() : "/v1/servers";
+            cancel = client.whole(agent, "GET", target, null, SILENCE,
+                    (status, body) -> tell(new Answered(mine, status, body)));
+        }
+
+        private void answered(Answered e) {
+            try {
+                if (e.status() != 200) {
+                    // a version that the agent no longer takes is asked for no more
+                    listed &= e.status() == 0 || e.status() >= 500;
+                    throw new IllegalArgumentException(e.status() == 0 ? "no answer" : "status " + e.status());
+                }
+                ServerList list = ServerList.parse(new String(e.body(), StandardCharsets.UTF_8));
+                Change change = list.change(list.full() ? ListKind.FULL : ListKind.DELTA);
+                if (!list.full() && (!listed || list.version() < version)) {
+                    // discovery began anew: changes against a list that we do not hold say nothing
+                    listed = false;
+                } else {
+                    listed = true;
+                    version = list.version();
+                    if (list.full() || !change.entries().isEmpty()) {
+                        sink.changed(change);
+                    }
+                }
+                ask();
+            } catch (IllegalArgumentException problem) {
+                LOG.fine(() -> "discovery: " + problem.getMessage());
+                tellLater(AGAIN, new Again());
+            }
+        }
+    }
+
+    private final HttpClient client;
+    private final InetSocketAddress agent;
+    private final Watcher watcher;
+
+    public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, InetSocketAddress agent) {
+        this.client = client;
+        this.agent = agent;
+        watcher = new Watcher(turns);
+    }
+
+    @Override
+    public void start(Sink sink) {
+        watcher.tell(new Start(sink));
+    }
+
+    @Override
+    public void stop() {
+        watcher.tell(new Stop());
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -0,0 +1,111 @@
+package copperbeam.protocol.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import copperbeam.protocol.BadRequest;
+import copperbeam.protocol.Front;
+import copperbeam.protocol.HttpCall;
+import copperbeam.protocol.HttpReply;
+import copperbeam.protocol.Json;
+import copperbeam.routing.Answer;
+import copperbeam.routing.Ask;
+import copperbeam.routing.ModuleActor;
+
+/** The platform's protocol: its headers in, a server's events out as they come. */
+public final class PlatformFront implements Front {
+    static final Duration MARGIN = Duration.ofMillis(20); // for an answer's way back to the client
+
+    private final Set<String> classes;
+    private final ModuleActor module;
+    private final BooleanSupplier healthy;
+
+    public PlatformFront(Set<String> classes, ModuleActor module, BooleanSupplier healthy) {
+        this.classes = classes;
+        this.module = module;
+        this.healthy = healthy;
+    }
+
+    @Override
+    public Runnable accept(HttpCall call, HttpReply reply) {
+        if (call.path().equals("/healthz")) {
+            text(reply, healthy.getAsBoolean() ? 200 : 503, healthy.getAsBoolean() ? "ok" : "not ready");
+            return () -> {};
+        }
+        try {
+            Ask ask = ask(call);
+            Answer answer = new PlatformAnswer(reply);
+            module.tell(new ModuleActor.Arrive(ask, answer));
+            return () -> module.tell(new ModuleActor.Left(answer));
+        } catch (BadRequest e) {
+            text(reply, e.status(), e.getMessage());
+            return () -> {};
+        }
+    }
+
+    private Ask ask(HttpCall call) throws BadRequest {
+        if (!call.path().equals("/v1/chat/completions")) {
+            throw new BadRequest(404, "no such path");
+        }
+        if (!call.method().equals("POST")) {
+            throw new BadRequest(405, "only POST");
+        }
+        String id = call.header("x-request-id");
+        if (id == null || id.isBlank() || id.contains("/") || !id.chars().allMatch(c -> c > 32 && c < 127)) {
+            throw new BadRequest(400, "X-Request-ID is missing or no name");
+        }
+        String requestClass = call.header("x-priority-class");
+        if (requestClass == null || !classes.contains(requestClass)) {
+            throw new BadRequest(400, "X-Priority-Class names no class of this service");
+        }
+        Duration timeout = PlatformHeaders.timeout(call.header("x-timeout"));
+        PlatformHeaders.Attrs attrs = PlatformHeaders.attrs(call.header("x-attrs"));
+        if (!Json.isObject(call.body())) {
+            throw new BadRequest(400, "the body is not a JSON object");
+        }
+        return new Ask(id, requestClass, call.header("x-route-key"), attrs.prefix(), attrs.promptTokens(),
+                attrs.prefixTokens(), attrs.maxAnswerTokens(), call.arrived().plus(timeout).minus(MARGIN), call);
+    }
+
+    private static void text(HttpReply reply, int status, String text) {
+        reply.whole(status, "text/plain", Map.of(), (text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private record PlatformAnswer(HttpReply reply) implements Answer {
+        @Override
+        public void begin() {
+            reply.begin("text/event-stream", Map.of());
+        }
+
+        @Override
+        public boolean event(byte[] raw, Runnable drained) {
+            reply.write(raw, drained);
+            return true;
+        }
+
+        @Override
+        public void end() {
+            reply.end();
+        }
+
+        @Override
+        public void broken() {
+            reply.abort();
+        }
+
+        @Override
+        public void refuse(Duration retryAfter) {
+            Map<String, String> advice = retryAfter.isZero() ? Map.of() : Map.of("Retry-After",
+                    String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / 1000.0));
+            reply.whole(503, "text/plain", advice, "refused\n".getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void fail(Failure why) {
+            text(reply, why == Failure.TOO_LATE ? 504 : 502, "failed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
@@ -0,0 +1,92 @@
+package copperbeam.protocol.platform;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import kelpgw.Api.Report;
+import copperbeam.protocol.BadRequest;
+
+/** Reads and writes the values of the platform's own headers. */
+public final class PlatformHeaders {
+    private static final long MOST_MICROS = 3_600_000_000L; // an hour; longer is no client's patience
+
+    private PlatformHeaders() {}
+
+    public record Attrs(String prefix, double promptTokens, double prefixTokens, double maxAnswerTokens) {}
+
+    /** A number and {@code m} for milliseconds or {@code u} for microseconds. */
+    public static Duration timeout(String value) throws BadRequest {
+        String text = value == null ? "" : value.strip();
+        long unit = text.endsWith("m") ? 1000 : text.endsWith("u") ? 1 : 0;
+        try {
+            long micros = unit == 0 ? 0 : Math.multiplyExact(count(text.substring(0, text.length() - 1)), unit);
+            if (micros > 0 && micros <= MOST_MICROS) {
+                return Duration.ofNanos(micros * 1000);
+            }
+        } catch (NumberFormatException | ArithmeticException e) {
+            // answered below like any other value that is none
+        }
+        throw new BadRequest(400, "X-Timeout is not a span");
+    }
+
+    public static String timeout(Duration span) {
+        return Math.max(1, span.toMillis()) + "m";
+    }
+
+    /** {@code name=value} pairs parted by commas; unknown names are passed over. */
+    public static Attrs attrs(String value) throws BadRequest {
+        Map<String, String> pairs = new HashMap<>();
+        for (String pair : (value == null ? "" : value).split(",")) {
+            int equals = pair.indexOf('=');
+            if (equals <= 0 && !pair.isBlank()) {
+                throw new BadRequest(400, "X-Attrs holds something that is no pair");
+            } else if (equals > 0) {
+                pairs.put(pair.substring(0, equals).strip(), pair.substring(equals + 1).strip());
+            }
+        }
+        String prefix = pairs.get("prefix");
+        return new Attrs(prefix == null || prefix.isEmpty() ? null : prefix, tokens(pairs, "prompt_len"),
+                tokens(pairs, "prefix_len"), tokens(pairs, "max_out"));
+    }
+
+    private static double tokens(Map<String, String> pairs, String name) throws BadRequest {
+        try {
+            return count(pairs.getOrDefault(name, "0"));
+        } catch (NumberFormatException e) {
+            throw new BadRequest(400, "X-Attrs: " + name + " is not a count of tokens");
+        }
+    }
+
+    private static long count(String digits) {
+        if (digits.isEmpty() || digits.length() > 15 || !digits.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            throw new NumberFormatException(digits);
+        }
+        return Long.parseLong(digits);
+    }
+
+    /** A load report, with the settings' names or the platform's; null where it holds no figure. */
+    public static Report report(String value) {
+        Map<String, Double> figures = new HashMap<>();
+        for (String pair : (value == null ? "" : value).split(",")) {
+            int equals = pair.indexOf('=');
+            try {
+                if (equals > 0) {
+                    figures.put(pair.substring(0, equals).strip(), Double.valueOf(pair.substring(equals + 1).strip()));
+                }
+            } catch (NumberFormatException e) {
+                // a figure that is none is as one that is not told
+            }
+        }
+        Report report = new Report(figure(figures, "util", "cpu"), figure(figures, "queue", "waiting"),
+                figure(figures, "inflight", "active"), figure(figures, "x0", "x0"), figure(figures, "x1", "x1"));
+        boolean empty = Double.isNaN(report.slotShare() + 0) && Double.isNaN(report.waitingRequests())
+                && Double.isNaN(report.heldRequests()) && Double.isNaN(report.memoryShare())
+                && Double.isNaN(report.waitingThousandTokens());
+        return empty ? null : report;
+    }
+
+    private static double figure(Map<String, Double> figures, String name, String other) {
+        double value = figures.getOrDefault(name, figures.getOrDefault(other, Double.NaN));
+        return Double.isFinite(value) ? value : Double.NaN;
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/routing/Actor.java
@@ -0,0 +1,64 @@
+package copperbeam.routing;
+
+import java.time.Duration;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Owns its state and changes it only by the messages of its mailbox, one at a time and in the order in which
+ * they came. A message is bounded work and blocks on nothing.
+ */
+public abstract class Actor<M> {
+    private static final Logger LOG = Logger.getLogger(Actor.class.getName());
+    private static final int TURN = 32; // messages until other actors have their turn
+
+    private final ConcurrentLinkedQueue<M> mailbox = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger waiting = new AtomicInteger();
+    private final ScheduledExecutorService turns;
+
+    protected Actor(ScheduledExecutorService turns) {
+        this.turns = turns;
+    }
+
+    /** From any thread. */
+    public final void tell(M message) {
+        mailbox.add(message);
+        if (waiting.getAndIncrement() == 0) {
+            turn(turns);
+        }
+    }
+
+    public final void tellLater(Duration after, M message) {
+        turns.schedule(() -> tell(message), Math.max(0, after.toNanos()), TimeUnit.NANOSECONDS);
+    }
+
+    private void turn(Executor executor) {
+        executor.execute(this::run);
+    }
+
+    private void run() {
+        int done = 0;
+        for (; done < TURN; done++) {
+            M message = mailbox.poll();
+            if (message == null) {
+                break;
+            }
+            try {
+                receive(message);
+            } catch (RuntimeException e) {
+                // one faulty message must not end the actor, and with it every request that it serves
+                LOG.log(Level.SEVERE, getClass().getSimpleName() + " failed on " + message.getClass().getSimpleName(), e);
+            }
+        }
+        if (waiting.addAndGet(-done) > 0) {
+            turn(turns);
+        }
+    }
+
+    protected abstract void receive(M message);
+}
--- /dev/null
+++ b/src/main/java/copperbeam/routing/Ask.java
@@ -0,0 +1,17 @@
+package copperbeam.routing;
+
+import java.time.Instant;
+
+/**
+ * One client's request, whatever wire it came by. {@code payload} is for the transport alone to read.
+ *
+ * @param id the request's name towards servers
+ * @param prefix the beginning shared with other sessions, or null
+ * @param deadline when the client stops waiting for a first token
+ */
+public record Ask(String id, String requestClass, String session, String prefix, double promptTokens,
+        double prefixTokens, double maxAnswerTokens, Instant deadline, Payload payload) {
+
+    /** What is passed on to a server unchanged. */
+    public interface Payload {}
+}
--- /dev/null
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -0,0 +1,58 @@
+package copperbeam.routing;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import kelpgw.Api.Report;
+
+/** Outgoing connections, as the transport makes them. */
+public interface Connector {
+    /** Calls exactly one of the watcher's first two, then {@code closed} once for a connection that was up. */
+    void connect(InetSocketAddress to, Duration timeout, Watcher watcher);
+
+    interface Watcher {
+        void up(Connection connection);
+
+        void failed();
+
+        void closed(Connection connection);
+    }
+
+    /** Carries one call at a time. */
+    interface Connection {
+        boolean isOpen();
+
+        void call(Call call, Listener listener);
+
+        /** Lets the server send so many bytes more. */
+        void grant(int bytes);
+
+        void close();
+    }
+
+    sealed interface Call permits AttemptCall, ProbeCall, ReleaseCall {}
+
+    /** {@code patience}: how long we shall wait, as the server is told. */
+    record AttemptCall(Ask ask, Duration patience) implements Call {}
+
+    record ProbeCall() implements Call {}
+
+    record ReleaseCall(String id) implements Call {}
+
+    /** What a server's answer means. */
+    enum Word { STREAM, READ, TURNED_AWAY, STATE_MISSING, ERROR, HEARD }
+
+    /** Called by the transport, in order; the last is {@code end} or {@code broken}. */
+    interface Listener {
+        /** {@code report} may be null. */
+        void word(Word word, Report report);
+
+        /** One whole event of a stream, its closing blank line included. */
+        void event(byte[] raw);
+
+        /** The answer is whole; {@code reusable}: the connection can carry another call. */
+        void end(boolean reusable);
+
+        /** {@code written}: the request's last byte may have left. */
+        void broken(boolean written);
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/routing/MembershipSource.java
@@ -0,0 +1,22 @@
+package copperbeam.routing;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import kelpgw.Api.ListKind;
+import kelpgw.Api.Member;
+
+/** Where the list of servers comes from. */
+public interface MembershipSource {
+    record Entry(Member member, InetSocketAddress address) {}
+
+    record Change(ListKind kind, List<Entry> entries) {}
+
+    interface Sink {
+        void changed(Change change);
+    }
+
+    /** Tells the sink of the whole list and then of each change, until stopped; mends itself. */
+    void start(Sink sink);
+
+    void stop();
+}
--- /dev/null
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -0,0 +1,309 @@
+package copperbeam.routing;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Logger;
+import kelpgw.Api;
+import kelpgw.Api.AttemptEnded;
+import kelpgw.Api.ListKind;
+import kelpgw.Api.Outcome;
+import kelpgw.Api.Report;
+import kelpgw.Brain;
+
+/**
+ * Alone owns the decision module, its timers and the requests that it knows. Turns what happens into the
+ * module's events and its actions into messages; decides nothing that the module decides.
+ */
+public final class ModuleActor extends Actor<ModuleActor.Message> {
+    public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
+            Drain {}
+
+    public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers)
+            implements Message {}
+
+    public record Arrive(Ask ask, Answer answer) implements Message {}
+
+    /** The client has gone away; an answer that is unknown or over is passed over. */
+    public record Left(Answer answer) implements Message {}
+
+    public record FirstEvent(long request, int number, String server, byte[] raw, Duration after, Runnable drained)
+            implements Message {}
+
+    public record Ended(long request, int number, String server, Outcome outcome, Duration after,
+            boolean stateMissing, Report report) implements Message {}
+
+    public record ProbeDone(String server, Outcome outcome, Duration after, Report report) implements Message {}
+
+    /** Runs {@code idle} as soon as no request is open. */
+    public record Drain(Runnable idle) implements Message {}
+
+    private record Fired(String tag) implements Message {}
+
+    private record Pinned(long request, int attempts) implements Message {}
+
+    private enum Phase { OPEN, STREAMING, OVER }
+
+    /** From arrival until the final answer is given and no attempt is out. */
+    private static final class Request {
+        final long key;
+        final Ask ask;
+        final Answer answer;
+        Phase phase = Phase.OPEN;
+        int attempts;
+        boolean out;
+        PeerActor at;
+        String lastReader;
+        boolean mayHold;             // a read may have left a state that the module was not told of
+        boolean releaseWanted;
+
+        Request(long key, Ask ask, Answer answer) {
+            this.key = key;
+            this.ask = ask;
+            this.answer = answer;
+        }
+    }
+
+    private static final Logger LOG = Logger.getLogger(ModuleActor.class.getName());
+
+    private final Clock clock;
+    private final Brain brain;
+    private final Api.Settings settings;
+    private final ReleaseActor releases;
+    private final Map<Long, Request> requests = new HashMap<>();
+    private final Map<Answer, Request> byAnswer = new IdentityHashMap<>();
+    private final Map<String, Api.Role> roles = new HashMap<>();
+    private final List<Request> closing = new ArrayList<>();
+    private Map<String, PeerActor> peers = Map.of();
+    private long keys;
+    private Runnable idle;
+
+    public ModuleActor(ScheduledExecutorService turns, Clock clock, Api.Settings settings, long seed,
+            ReleaseActor releases) {
+        super(turns);
+        this.clock = clock;
+        this.settings = settings;
+        this.releases = releases;
+        brain = new Brain(settings, seed);
+    }
+
+    @Override
+    protected void receive(Message m) {
+        if (m instanceof Listed e) {
+            listed(e);
+        } else if (m instanceof Arrive e) {
+            arrive(e);
+        } else if (m instanceof Left e) {
+            left(e);
+        } else if (m instanceof FirstEvent e) {
+            firstEvent(e);
+        } else if (m instanceof Ended e) {
+            ended(e);
+        } else if (m instanceof ProbeDone e) {
+            feed(new Api.Probed(e.server(), e.outcome(), ModuleTime.seconds(e.after()), e.report()));
+        } else if (m instanceof Fired e) {
+            feed(new Api.TimerFired(e.tag()));
+        } else if (m instanceof Pinned e) {
+            pinned(e);
+        } else if (m instanceof Drain e) {
+            idle = e.idle();
+        }
+        if (idle != null && requests.isEmpty()) {
+            idle.run();
+            idle = null;
+        }
+    }
+
+    private void feed(Api.Event event) {
+        for (Api.Action action : brain.on(ModuleTime.seconds(clock.instant()), event)) {
+            act(action);
+        }
+        // not before all actions are done: a release may follow the final answer of the same request
+        closing.forEach(this::forget);
+        closing.clear();
+    }
+
+    // ---- what happens --------------------------------------------------------------------------
+
+    private void listed(Listed e) {
+        peers = e.peers();
+        for (Api.Member member : e.members()) {
+            settings.kinds().stream().filter(k -> k.name().equals(member.kind())).findFirst()
+                    .ifPresent(k -> roles.put(member.server(), k.role()));
+        }
+        feed(new Api.Members(e.kind(), e.members()));
+    }
+
+    private void arrive(Arrive e) {
+        Request r = new Request(++keys, e.ask(), e.answer());
+        requests.put(r.key, r);
+        byAnswer.put(r.answer, r);
+        Ask a = r.ask;
+        feed(new Api.Arrival(r.key, a.requestClass(), null, a.session(), a.prefix(), a.promptTokens(),
+                a.prefixTokens(), a.maxAnswerTokens(), ModuleTime.seconds(a.deadline())));
+    }
+
+    private void left(Left e) {
+        Request r = byAnswer.get(e.answer());
+        if (r == null || r.phase == Phase.OVER) {
+            return;
+        }
+        boolean streaming = r.phase == Phase.STREAMING;
+        over(r);
+        feed(new Api.ClientLeft(r.key));
+        if (streaming && r.out) {
+            // nobody reads it: its connection is closed, which ends it at the server
+            r.at.tell(new PeerActor.Stop(r.key, r.attempts - 1));
+        }
+        forget(r);
+    }
+
+    private void firstEvent(FirstEvent e) {
+        Request r = requests.get(e.request());
+        PeerActor peer = peers.get(e.server());
+        boolean current = r != null && r.out && r.attempts - 1 == e.number();
+        if (!current || r.phase != Phase.OPEN) {
+            // ended while the event was on its way: its stream is nobody's
+            peer.tell(new PeerActor.Stop(e.request(), e.number()));
+            return;
+        }
+        r.phase = Phase.STREAMING;
+        r.mayHold = false;
+        r.answer.begin();
+        boolean passed = r.answer.event(e.raw(), e.drained());
+        feed(new Api.StreamStarted(r.key, e.number(), e.server(), ModuleTime.seconds(e.after())));
+        peer.tell(passed ? new PeerActor.Proceed(r.key, e.number()) : new PeerActor.Stop(r.key, e.number()));
+    }
+
+    private void ended(Ended e) {
+        Request r = requests.get(e.request());
+        if (r == null || !r.out || r.attempts - 1 != e.number()) {
+            return;
+        }
+        r.out = false;
+        boolean reading = roles.get(e.server()) == Api.Role.READER;
+        boolean unsure = reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
+                || e.outcome() == Outcome.RESET || e.outcome() == Outcome.ERROR);
+        r.mayHold |= unsure;
+        if (r.phase == Phase.STREAMING) {
+            r.phase = Phase.OVER;
+            if (e.outcome() == Outcome.OK) {
+                r.answer.end();
+            } else {
+                r.answer.broken();
+            }
+        }
+        boolean over = r.phase == Phase.OVER;
+        feed(new AttemptEnded(r.key, e.number(), e.server(), e.outcome(), ModuleTime.seconds(e.after()), over,
+                e.stateMissing(), e.report()));
+        if (r.releaseWanted && !r.out) {
+            release(r);
+        }
+        if (unsure && !r.out && r.phase == Phase.OPEN) {
+            tellLater(ModuleTime.span(settings.rules().releaseS() / 2), new Pinned(r.key, r.attempts));
+        }
+        forget(r);
+    }
+
+    /**
+     * Guards against a read that ended well just as its connection closed: its state is held though the module
+     * was told otherwise, and while no attempt is out it counts as pinned.
+     */
+    private void pinned(Pinned e) {
+        Request r = requests.get(e.request());
+        if (r != null && r.phase == Phase.OPEN && !r.out && r.attempts == e.attempts() && r.mayHold) {
+            release(r);
+        }
+    }
+
+    // ---- what the module asks ------------------------------------------------------------------
+
+    private void act(Api.Action action) {
+        if (action instanceof Api.Attempt a) {
+            attempt(a);
+        } else if (action instanceof Api.Refuse a) {
+            finish(a.request(), r -> r.answer.refuse(ModuleTime.span(a.retryAfterS())));
+        } else if (action instanceof Api.Fail a) {
+            finish(a.request(), r -> r.answer.fail(clock.instant().plusMillis(100).isAfter(r.ask.deadline())
+                    ? Answer.Failure.TOO_LATE : Answer.Failure.SERVERS_FAILED));
+        } else if (action instanceof Api.Cancel a) {
+            Request r = requests.get(a.request());
+            if (r != null && r.out && r.attempts - 1 == a.attempt()) {
+                r.at.tell(new PeerActor.Stop(a.request(), a.attempt()));
+            }
+        } else if (action instanceof Api.Transfer a) {
+            transfer(requests.get(a.request()));
+        } else if (action instanceof Api.Release a) {
+            Request r = requests.get(a.request());
+            if (r != null) {
+                r.releaseWanted = true;
+                if (!r.out) {
+                    release(r);
+                }
+            }
+        } else if (action instanceof Api.Probe a) {
+            peers.get(a.server()).tell(new PeerActor.Probe());
+        } else if (action instanceof Api.Timer a) {
+            tellLater(ModuleTime.span(a.afterS()), new Fired(a.tag()));
+        } else if (action instanceof Api.Remark a) {
+            LOG.info(a.text());
+        }
+    }
+
+    private void attempt(Api.Attempt a) {
+        Request r = requests.get(a.request());
+        PeerActor peer = peers.get(a.server());
+        if (r == null || r.phase != Phase.OPEN || r.out || r.attempts >= settings.limits().maxAttempts()) {
+            throw new IllegalStateException("an attempt that the rules forbid");
+        }
+        r.out = true;
+        r.at = peer;
+        r.releaseWanted = false;
+        if (roles.get(a.server()) == Api.Role.READER) {
+            r.lastReader = a.server();
+        }
+        peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until())));
+    }
+
+    private void finish(long key, java.util.function.Consumer<Request> answer) {
+        Request r = requests.get(key);
+        if (r != null && r.phase == Phase.OPEN) {
+            over(r);
+            answer.accept(r);
+            closing.add(r);
+        }
+    }
+
+    private void transfer(Request r) {
+        if (r != null && r.phase == Phase.STREAMING) {
+            over(r);
+            r.answer.broken();
+            r.at.tell(new PeerActor.Stop(r.key, r.attempts - 1));
+        }
+    }
+
+    private void over(Request r) {
+        r.phase = Phase.OVER;
+    }
+
+    private void release(Request r) {
+        releases.tell(new ReleaseActor.Release(r.ask.id(), r.lastReader, r.mayHold));
+        r.releaseWanted = false;
+        r.mayHold = false;
+    }
+
+    /** A request that is over is kept while an attempt of it is out. */
+    private void forget(Request r) {
+        if (r.phase == Phase.OVER) {
+            byAnswer.remove(r.answer);
+            if (!r.out && !r.releaseWanted) {
+                requests.remove(r.key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/routing/ModuleTime.java
@@ -0,0 +1,51 @@
+package copperbeam.routing;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+
+/** The one place where the module's double seconds meet the program's durations and instants. */
+public final class ModuleTime {
+    private static final double NANOS = 1e9;
+
+    private ModuleTime() {}
+
+    public static double seconds(Duration span) {
+        return span.getSeconds() + span.getNano() / NANOS;
+    }
+
+    public static double seconds(Instant time) {
+        return time.getEpochSecond() + time.getNano() / NANOS;
+    }
+
+    public static Duration span(double seconds) {
+        return Duration.ofNanos(Math.round(seconds * NANOS));
+    }
+
+    public static Instant time(double seconds) {
+        return Instant.EPOCH.plus(span(seconds));
+    }
+
+    /** Wall time that never goes back: the start by the system's clock, and what has passed by the steady one. */
+    public static Clock steadyClock() {
+        return new Clock() {
+            private final Instant start = Instant.now();
+            private final long from = System.nanoTime();
+
+            @Override
+            public Instant instant() {
+                return start.plusNanos(System.nanoTime() - from);
+            }
+
+            @Override
+            public java.time.ZoneId getZone() {
+                return java.time.ZoneOffset.UTC;
+            }
+
+            @Override
+            public Clock withZone(java.time.ZoneId zone) {
+                return Clock.system(zone);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -0,0 +1,389 @@
+package copperbeam.routing;
+
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import kelpgw.Api.Outcome;
+import kelpgw.Api.Report;
+import copperbeam.routing.Connector.Connection;
+import copperbeam.routing.Connector.Word;
+
+/** Owns one server's connections and the attempts, probes and releases that are out at it. */
+public final class PeerActor extends Actor<PeerActor.Message> {
+    public sealed interface Message permits Located, Gone, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
+            Said, Event, Ended, Broken, Expired, Tidy {}
+
+    public record Located(InetSocketAddress address) implements Message {}
+
+    /** No longer listed: what is out may end, nothing is kept idle. */
+    public record Gone() implements Message {}
+
+    public record Send(long request, int number, Ask ask, Answer answer, Instant until) implements Message {}
+
+    /** Closes the connection of an attempt, whatever it does. */
+    public record Stop(long request, int number) implements Message {}
+
+    /** The module's side has taken the first event. */
+    public record Proceed(long request, int number) implements Message {}
+
+    public record Probe() implements Message {}
+
+    public record Release(long ticket, String id) implements Message {}
+
+    private record Up(Work work, Connection connection) implements Message {}
+
+    private record NotUp(Work work) implements Message {}
+
+    private record Closed(Connection connection) implements Message {}
+
+    private record Said(Work work, Word word, Report report) implements Message {}
+
+    private record Event(Work work, byte[] raw) implements Message {}
+
+    private record Ended(Work work, boolean reusable) implements Message {}
+
+    private record Broken(Work work, boolean written) implements Message {}
+
+    private record Expired(Work work) implements Message {}
+
+    private record Tidy() implements Message {}
+
+    /** One call, from its wait for a connection to its end. */
+    private static final class Work {
+        final Message order;
+        final Instant began;
+        Instant until;
+        Connection connection;
+        boolean reused;
+        boolean done;
+        boolean offered;             // the first event went to the module
+        boolean proceeding;
+        boolean whole;               // ended well while the first event was still with the module
+        boolean cut;                 // the same, but broken
+        Word word;
+        Report report;
+        final Deque<byte[]> held = new ArrayDeque<>();
+
+        Work(Message order, Instant began) {
+            this.order = order;
+            this.began = began;
+        }
+
+        Send send() {
+            return order instanceof Send s ? s : null;
+        }
+    }
+
+    private record Idle(Connection connection, Instant since) {}
+
+    /** What all peers share and none of them changes. */
+    public record Setup(Clock clock, Connector connector, Duration connectTimeout, Duration idle,
+            Duration callTimeout, ModuleActor module, ReleaseActor releases) {}
+
+    private final String id;
+    private final Setup setup;
+    private final Map<Long, Work> attempts = new HashMap<>();
+    private final Deque<Idle> idle = new ArrayDeque<>();
+    private InetSocketAddress address;
+    private boolean gone;
+    private boolean tidying;
+
+    public PeerActor(ScheduledExecutorService turns, String id, InetSocketAddress address, Setup setup) {
+        super(turns);
+        this.id = id;
+        this.address = address;
+        this.setup = setup;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    @Override
+    protected void receive(Message m) {
+        if (m instanceof Located e) {
+            if (!e.address().equals(address)) {
+                dropIdle();
+                address = e.address();
+            }
+            gone = false;
+        } else if (m instanceof Gone) {
+            gone = true;
+            dropIdle();
+        } else if (m instanceof Send e) {
+            Work work = new Work(e, setup.clock().instant());
+            attempts.put(e.request(), work);
+            begin(work, e.until());
+        } else if (m instanceof Probe || m instanceof Release) {
+            Work work = new Work(m, setup.clock().instant());
+            begin(work, work.began.plus(setup.callTimeout()));
+        } else if (m instanceof Stop e) {
+            Work work = out(e.request(), e.number());
+            if (work != null) {
+                finish(work, Outcome.CANCELLED);
+            }
+        } else if (m instanceof Proceed e) {
+            Work work = out(e.request(), e.number());
+            if (work != null) {
+                proceed(work);
+            }
+        } else if (m instanceof Up e) {
+            up(e.work(), e.connection());
+        } else if (m instanceof NotUp e) {
+            finish(e.work(), Outcome.CONNECT_FAILED);
+        } else if (m instanceof Closed e) {
+            idle.removeIf(i -> i.connection() == e.connection());
+        } else if (m instanceof Said e) {
+            e.work().word = e.word();
+            e.work().report = e.report();
+        } else if (m instanceof Event e) {
+            event(e.work(), e.raw());
+        } else if (m instanceof Ended e) {
+            ended(e.work(), e.reusable());
+        } else if (m instanceof Broken e) {
+            broken(e.work(), e.written());
+        } else if (m instanceof Expired e) {
+            expired(e.work());
+        } else if (m instanceof Tidy) {
+            tidy();
+        }
+    }
+
+    private Work out(long request, int number) {
+        Work work = attempts.get(request);
+        return work == null || work.send().number() != number ? null : work;
+    }
+
+    // ---- connections ---------------------------------------------------------------------------
+
+    private void begin(Work work, Instant until) {
+        work.until = until;
+        tellLater(Duration.between(work.began, until), new Expired(work));
+        Instant stale = setup.clock().instant().minus(setup.idle());
+        while (!idle.isEmpty()) {
+            Idle last = idle.pollLast();
+            // never written on when the server may be closing it: what was written would count as a reset
+            if (last.connection().isOpen() && last.since().isAfter(stale)) {
+                work.reused = true;
+                use(work, last.connection());
+                return;
+            }
+            last.connection().close();
+        }
+        connect(work);
+    }
+
+    private void connect(Work work) {
+        work.reused = false;
+        setup.connector().connect(address, setup.connectTimeout(), new Connector.Watcher() {
+            @Override
+            public void up(Connection connection) {
+                tell(new Up(work, connection));
+            }
+
+            @Override
+            public void failed() {
+                tell(new NotUp(work));
+            }
+
+            @Override
+            public void closed(Connection connection) {
+                tell(new Closed(connection));
+            }
+        });
+    }
+
+    private void up(Work work, Connection connection) {
+        if (work.done) {
+            keep(connection);
+        } else {
+            use(work, connection);
+        }
+    }
+
+    private void use(Work work, Connection connection) {
+        work.connection = connection;
+        Connector.Call call;
+        if (work.order instanceof Send s) {
+            Duration patience = Duration.between(setup.clock().instant(), s.until());
+            call = new Connector.AttemptCall(s.ask(), patience.isNegative() ? Duration.ZERO : patience);
+        } else if (work.order instanceof Release r) {
+            call = new Connector.ReleaseCall(r.id());
+        } else {
+            call = new Connector.ProbeCall();
+        }
+        connection.call(call, new Connector.Listener() {
+            @Override
+            public void word(Word word, Report report) {
+                tell(new Said(work, word, report));
+            }
+
+            @Override
+            public void event(byte[] raw) {
+                tell(new Event(work, raw));
+            }
+
+            @Override
+            public void end(boolean reusable) {
+                tell(new Ended(work, reusable));
+            }
+
+            @Override
+            public void broken(boolean written) {
+                tell(new Broken(work, written));
+            }
+        });
+    }
+
+    private void keep(Connection connection) {
+        if (gone || !connection.isOpen()) {
+            connection.close();
+            return;
+        }
+        idle.add(new Idle(connection, setup.clock().instant()));
+        if (!tidying) {
+            tidying = true;
+            tellLater(setup.idle(), new Tidy());
+        }
+    }
+
+    /** Closes what has stood idle, well before the server would. */
+    private void tidy() {
+        Instant stale = setup.clock().instant().minus(setup.idle());
+        for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
+            Idle next = i.next();
+            if (!next.since().isAfter(stale)) {
+                i.remove();
+                next.connection().close();
+            }
+        }
+        tidying = !idle.isEmpty();
+        if (tidying) {
+            tellLater(setup.idle().dividedBy(4), new Tidy());
+        }
+    }
+
+    private void dropIdle() {
+        idle.forEach(i -> i.connection().close());
+        idle.clear();
+    }
+
+    // ---- what comes back -----------------------------------------------------------------------
+
+    private void event(Work work, byte[] raw) {
+        if (work.done || work.send() == null) {
+            return;
+        }
+        if (work.proceeding) {
+            pass(work, raw);
+        } else if (work.offered) {
+            work.held.add(raw);
+        } else if (work.word == Word.STREAM) {
+            work.offered = true;
+            setup.module().tell(new ModuleActor.FirstEvent(work.send().request(), work.send().number(), id, raw,
+                    since(work), granting(work, raw)));
+        }
+    }
+
+    private Runnable granting(Work work, byte[] raw) {
+        Connection connection = work.connection;
+        return () -> connection.grant(raw.length);
+    }
+
+    private void proceed(Work work) {
+        work.proceeding = true;
+        while (!work.held.isEmpty() && !work.done) {
+            pass(work, work.held.poll());
+        }
+        if (!work.done && (work.whole || work.cut)) {
+            settle(work, work.whole ? Outcome.OK : Outcome.RESET);
+        }
+    }
+
+    private void pass(Work work, byte[] raw) {
+        if (!work.send().answer().event(raw, granting(work, raw))) {
+            finish(work, Outcome.RESET);
+        }
+    }
+
+    private void ended(Work work, boolean reusable) {
+        if (work.done) {
+            return;
+        }
+        Connection connection = work.connection;
+        if (reusable) {
+            keep(connection);
+        } else {
+            connection.close();
+        }
+        work.connection = null;
+        if (work.offered && !work.proceeding) {
+            work.whole = true;
+            return;
+        }
+        settle(work, switch (work.word == null ? Word.ERROR : work.word) {
+            case STREAM -> work.proceeding ? Outcome.OK : Outcome.ERROR;
+            case READ -> Outcome.READ;
+            case HEARD -> Outcome.OK;
+            case TURNED_AWAY, STATE_MISSING -> Outcome.FULL;
+            case ERROR -> Outcome.ERROR;
+        });
+    }
+
+    private void broken(Work work, boolean written) {
+        if (work.done) {
+            return;
+        }
+        if (!written && work.reused) {
+            // the server closed an idle connection as we took it: nothing was sent, so a new one may be tried
+            connect(work);
+        } else if (work.offered && !work.proceeding) {
+            work.cut = true;
+        } else {
+            finish(work, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        }
+    }
+
+    private void expired(Work work) {
+        if (work.done || work.offered) {
+            return;
+        }
+        // a connection that never came up proves that nothing ran
+        finish(work, work.connection == null ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT);
+    }
+
+    /** Ends a call and its connection, so that no attempt is left out there. */
+    private void finish(Work work, Outcome outcome) {
+        if (!work.done) {
+            if (work.connection != null) {
+                work.connection.close();
+            }
+            settle(work, outcome);
+        }
+    }
+
+    private Duration since(Work work) {
+        return Duration.between(work.began, setup.clock().instant());
+    }
+
+    private void settle(Work work, Outcome outcome) {
+        work.done = true;
+        work.held.clear();
+        if (work.order instanceof Send s) {
+            attempts.remove(s.request(), work);
+            setup.module().tell(new ModuleActor.Ended(s.request(), s.number(), id, outcome, since(work),
+                    work.word == Word.STATE_MISSING, work.report));
+        } else if (work.order instanceof Release r) {
+            setup.releases().tell(new ReleaseActor.Tried(r.ticket(), outcome == Outcome.OK));
+        } else {
+            setup.module().tell(new ModuleActor.ProbeDone(id, outcome, since(work), work.report));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -0,0 +1,133 @@
+package copperbeam.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/** One request out and its answer back. Runs on the reactor's thread but for {@link #grant}. */
+abstract class ClientExchange implements AsyncClientExchangeHandler {
+    private final HttpRequest request;
+    private final ByteBuffer body;
+    private volatile CapacityChannel capacity;
+    private boolean written;
+    private boolean over;
+    private boolean closing;
+
+    /** {@code body} may be null. */
+    ClientExchange(HttpRequest request, byte[] body) {
+        this.request = request;
+        this.body = body == null ? null : ByteBuffer.wrap(body);
+    }
+
+    abstract void head(HttpResponse response);
+
+    /** The bytes are to be granted again once they are used up. */
+    abstract void data(ByteBuffer bytes) throws IOException;
+
+    abstract void whole(boolean reusable);
+
+    /** {@code mayHaveRun}: the last byte was handed to the connection. */
+    abstract void broken(boolean mayHaveRun);
+
+    final void grant(int bytes) {
+        CapacityChannel channel = capacity;
+        if (channel != null) {
+            try {
+                channel.update(bytes);
+            } catch (IOException e) {
+                // the connection is gone, which the exchange hears of by itself
+            }
+        }
+    }
+
+    @Override
+    public final void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        // set before the last byte can leave: what is not known to have stayed may have run
+        written = body == null;
+        channel.sendRequest(request, body == null ? null : new BasicEntityDetails(body.remaining(), null), context);
+    }
+
+    @Override
+    public final int available() {
+        return body == null ? 0 : body.remaining();
+    }
+
+    @Override
+    public final void produce(DataStreamChannel channel) throws IOException {
+        if (body == null || written) {
+            return;
+        }
+        if (body.hasRemaining()) {
+            channel.write(body);
+        }
+        if (!body.hasRemaining()) {
+            written = true;
+            channel.endStream(null);
+        }
+    }
+
+    @Override
+    public final void consumeInformation(HttpResponse response, HttpContext context) {}
+
+    @Override
+    public final void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+        Header connection = response.getFirstHeader("Connection");
+        closing = connection != null && connection.getValue().equalsIgnoreCase("close");
+        head(response);
+        if (entity == null) {
+            finish();
+        }
+    }
+
+    @Override
+    public final void updateCapacity(CapacityChannel channel) {
+        capacity = channel;
+    }
+
+    @Override
+    public final void consume(ByteBuffer bytes) throws IOException {
+        data(bytes);
+    }
+
+    @Override
+    public final void streamEnd(List<? extends Header> trailers) {
+        finish();
+    }
+
+    private void finish() {
+        if (!over) {
+            over = true;
+            // an answer that came before the request was out leaves the rest of it on the connection
+            whole(!closing && written);
+        }
+    }
+
+    @Override
+    public final void failed(Exception cause) {
+        if (!over) {
+            over = true;
+            broken(written);
+        }
+    }
+
+    @Override
+    public final void cancel() {
+        failed(null);
+    }
+
+    @Override
+    public final void releaseResources() {
+        failed(null);
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/transport/PlainHttpClient.java
@@ -0,0 +1,136 @@
+package copperbeam.transport;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
+import copperbeam.protocol.HttpClient;
+
+/** Calls to services beside the servers; keeps one idle connection to each. */
+public final class PlainHttpClient implements HttpClient {
+    private static final Duration CONNECT = Duration.ofSeconds(1);
+
+    private final ClientReactor reactor;
+    private final ConcurrentHashMap<InetSocketAddress, IOSession> kept = new ConcurrentHashMap<>();
+
+    public PlainHttpClient(ClientReactor reactor) {
+        this.reactor = reactor;
+    }
+
+    private final class Call {
+        final InetSocketAddress to;
+        final Duration silence;
+        final Response response;
+        final AtomicBoolean over = new AtomicBoolean();
+        final AtomicReference<IOSession> session = new AtomicReference<>();
+
+        Call(InetSocketAddress to, Duration silence, Response response) {
+            this.to = to;
+            this.silence = silence;
+            this.response = response;
+        }
+
+        void fail() {
+            if (over.compareAndSet(false, true)) {
+                response.failed();
+            }
+        }
+
+        void stop() {
+            over.set(true);
+            IOSession current = session.get();
+            if (current != null) {
+                current.close(CloseMode.IMMEDIATE);
+            }
+        }
+    }
+
+    @Override
+    public Runnable send(InetSocketAddress to, String method, String target, byte[] body, Duration silence,
+            Response response) {
+        Call call = new Call(to, silence, response);
+        IOSession idle = kept.remove(to);
+        if (idle != null && idle.isOpen()) {
+            run(call, idle, method, target, body, true);
+        } else {
+            connect(call, method, target, body);
+        }
+        return call::stop;
+    }
+
+    private void connect(Call call, String method, String target, byte[] body) {
+        reactor.connect(call.to, CONNECT, new ClientReactor.Life() {
+            private final AtomicBoolean was = new AtomicBoolean();
+
+            @Override
+            public void up(IOSession session) {
+                was.set(true);
+                run(call, session, method, target, body, false);
+            }
+
+            @Override
+            public void down() {
+                if (!was.get()) {
+                    call.fail();
+                }
+            }
+        });
+    }
+
+    private void run(Call call, IOSession session, String method, String target, byte[] body, boolean reused) {
+        call.session.set(session);
+        if (call.over.get()) {
+            session.close(CloseMode.IMMEDIATE);
+            return;
+        }
+        session.setSocketTimeout(Timeout.of(call.silence));
+        BasicHttpRequest request = new BasicHttpRequest(method, new HttpHost(call.to.getAddress(), call.to.getPort()),
+                target);
+        if (body != null) {
+            request.setHeader("Content-Type", ContentType.APPLICATION_JSON.getMimeType());
+        }
+        ClientReactor.execute(session, new ClientExchange(request, body) {
+            @Override
+            void head(HttpResponse answer) {
+                call.response.head(answer.getCode());
+            }
+
+            @Override
+            void data(ByteBuffer bytes) {
+                byte[] copy = new byte[bytes.remaining()];
+                bytes.get(copy);
+                grant(copy.length);
+                call.response.data(copy);
+            }
+
+            @Override
+            void whole(boolean reusable) {
+                IOSession other = reusable ? kept.put(call.to, session) : session;
+                if (other != null && other != session || !reusable) {
+                    other.close(CloseMode.GRACEFUL);
+                }
+                if (call.over.compareAndSet(false, true)) {
+                    call.response.end();
+                }
+            }
+
+            @Override
+            void broken(boolean mayHaveRun) {
+                if (reused && !mayHaveRun && !call.over.get()) {
+                    connect(call, method, target, body);
+                } else {
+                    call.fail();
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -0,0 +1,217 @@
+package copperbeam.transport;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import kelpgw.Api.Report;
+import copperbeam.protocol.EventSplitter;
+import copperbeam.protocol.HttpCall;
+import copperbeam.protocol.platform.PlatformHeaders;
+import copperbeam.protocol.platform.PlatformWords;
+import copperbeam.routing.Connector;
+
+/** The platform's protocol towards servers. */
+public final class ServerConnector implements Connector {
+    private static final String[] PASSED = {"X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Attrs",
+        "X-Retried", "Content-Type", "Accept"};
+
+    private final ClientReactor reactor;
+
+    public ServerConnector(ClientReactor reactor) {
+        this.reactor = reactor;
+    }
+
+    @Override
+    public void connect(InetSocketAddress to, Duration timeout, Watcher watcher) {
+        reactor.connect(to, timeout, new ClientReactor.Life() {
+            private final AtomicBoolean told = new AtomicBoolean();
+            private volatile ServerConnection connection;
+
+            @Override
+            public void up(IOSession session) {
+                if (told.compareAndSet(false, true)) {
+                    connection = new ServerConnection(session, to);
+                    watcher.up(connection);
+                }
+            }
+
+            @Override
+            public void down() {
+                if (told.compareAndSet(false, true)) {
+                    watcher.failed();
+                } else if (connection != null) {
+                    watcher.closed(connection);
+                }
+            }
+        });
+    }
+
+    private static final class ServerConnection implements Connection {
+        private final IOSession session;
+        private final HttpHost host;
+        private volatile ClientExchange exchange;
+
+        ServerConnection(IOSession session, InetSocketAddress to) {
+            this.session = session;
+            host = new HttpHost(to.getAddress(), to.getPort());
+        }
+
+        @Override
+        public boolean isOpen() {
+            return session.isOpen();
+        }
+
+        @Override
+        public void call(Call call, Listener listener) {
+            ClientExchange next = exchange(call, listener);
+            exchange = next;
+            ClientReactor.execute(session, next);
+        }
+
+        @Override
+        public void grant(int bytes) {
+            ClientExchange current = exchange;
+            if (current != null) {
+                current.grant(bytes);
+            }
+        }
+
+        @Override
+        public void close() {
+            session.close(CloseMode.GRACEFUL);
+        }
+
+        private ClientExchange exchange(Call call, Listener listener) {
+            if (call instanceof AttemptCall a) {
+                return attempt(a, listener);
+            }
+            return call instanceof ReleaseCall r
+                    ? new ShortExchange(request("DELETE", "/state/" + r.id()), listener, false)
+                    : new ShortExchange(request("GET", "/load"), listener, true);
+        }
+
+        private HttpRequest request(String method, String target) {
+            BasicHttpRequest request = new BasicHttpRequest(method, host, target);
+            return request;
+        }
+
+        private ClientExchange attempt(AttemptCall a, Listener listener) {
+            HttpCall call = (HttpCall) a.ask().payload();
+            HttpRequest request = request(call.method(), call.target());
+            for (String name : PASSED) {
+                String value = call.header(name.toLowerCase(java.util.Locale.ROOT));
+                if (value != null) {
+                    request.setHeader(name, value);
+                }
+            }
+            request.setHeader("X-Request-ID", a.ask().id());
+            request.setHeader("X-Timeout", PlatformHeaders.timeout(a.patience()));
+            return new AttemptExchange(request, call.body(), listener);
+        }
+    }
+
+    private static String value(HttpResponse response, String name) {
+        Header header = response.getFirstHeader(name);
+        return header == null ? null : header.getValue();
+    }
+
+    private static final class AttemptExchange extends ClientExchange {
+        private final Listener listener;
+        private final EventSplitter events = new EventSplitter();
+        private boolean stream;
+
+        AttemptExchange(HttpRequest request, byte[] body, Listener listener) {
+            super(request, body);
+            this.listener = listener;
+        }
+
+        @Override
+        void head(HttpResponse response) {
+            Word word = PlatformWords.attempt(response.getCode(), "1".equals(value(response, "X-Not-Processed")));
+            stream = word == Word.STREAM;
+            listener.word(word, PlatformHeaders.report(value(response, "X-Server-Load")));
+        }
+
+        @Override
+        void data(ByteBuffer bytes) throws IOException {
+            if (!stream) {
+                grant(bytes.remaining());
+                bytes.position(bytes.limit());
+            } else if (!events.take(bytes, listener::event)) {
+                throw new IOException("an event without end");
+            }
+        }
+
+        @Override
+        void whole(boolean reusable) {
+            if (stream) {
+                events.end(listener::event);
+            }
+            listener.end(reusable);
+        }
+
+        @Override
+        void broken(boolean mayHaveRun) {
+            listener.broken(mayHaveRun);
+        }
+    }
+
+    /** A probe or a release. */
+    private static final class ShortExchange extends ClientExchange {
+        private static final int MOST = 4096;
+        private final Listener listener;
+        private final boolean probe;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private Word word;
+        private Report report;
+
+        ShortExchange(HttpRequest request, Listener listener, boolean probe) {
+            super(request, null);
+            this.listener = listener;
+            this.probe = probe;
+        }
+
+        @Override
+        void head(HttpResponse response) {
+            int status = response.getCode();
+            word = probe ? PlatformWords.probe(status) : PlatformWords.release(status);
+            report = PlatformHeaders.report(value(response, "X-Server-Load"));
+        }
+
+        @Override
+        void data(ByteBuffer bytes) {
+            grant(bytes.remaining());
+            while (bytes.hasRemaining() && body.size() < MOST) {
+                body.write(bytes.get());
+            }
+            bytes.position(bytes.limit());
+        }
+
+        @Override
+        void whole(boolean reusable) {
+            if (probe && word == Word.HEARD) {
+                Report told = PlatformHeaders.report(body.toString(StandardCharsets.US_ASCII)
+                        .replaceFirst("(?i)^\\s*X-Server-Load:", "").strip());
+                report = told == null ? report : told;
+            }
+            listener.word(word, report);
+            listener.end(reusable);
+        }
+
+        @Override
+        void broken(boolean mayHaveRun) {
+            listener.broken(mayHaveRun);
+        }
+    }
+}
--- a/src/main/java/kelpgw/simhost/Decoder.java
+++ b/src/main/java/kelpgw/simhost/Decoder.java
@@ -15,12 +15,12 @@
 import kelpgw.Api.*;
 
 /** Turns wire messages into the module's settings and events: names for names, units for units. */
-final class Decoder {
+public final class Decoder {
     private static final double US = 1e-6;
 
     private Decoder() {}
 
-    static Settings settings(Map<String, Object> c) throws Wire.Malformed {
+    public static Settings settings(Map<String, Object> c) throws Wire.Malformed {
         Map<String, Object> extra = part(c, "extra");
         Map<String, Object> limits = part(c, "limits");
         Map<String, Object> rules = part(c, "rules");
--- a/src/main/java/kelpgw/simhost/Wire.java
+++ b/src/main/java/kelpgw/simhost/Wire.java
@@ -10,13 +10,13 @@
 import java.util.Map;
 
 /** Reads one line of the wire into plain maps, and takes typed fields out of them. */
-final class Wire {
+public final class Wire {
     private static final JsonFactory JSON = new JsonFactory();
 
     private Wire() {}
 
     /** What is wrong with a line. */
-    static final class Malformed extends IOException {
+    public static final class Malformed extends IOException {
         private static final long serialVersionUID = 1L;
 
         Malformed(String what) {
