--- a/src/main/java/kelpgw/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -1,4 +1,4 @@
-package kelpgw;
+package copperbeam;
 
 import java.util.List;
 
--- a/src/main/java/kelpgw/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -1,5 +1,5 @@
 // Types, events and actions stand in Api.java.
-package kelpgw;
+package copperbeam;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import kelpgw.Api.*;
-import kelpgw.State.*;
+import copperbeam.Api.*;
+import copperbeam.State.*;
 
 /**
  * All decisions of one node. Low-worth requests are refused at the door with a chance that grows as the
--- a/src/main/java/kelpgw/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -1,11 +1,11 @@
-package kelpgw;
+package copperbeam;
 
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.TreeMap;
-import kelpgw.Api.*;
+import copperbeam.Api.*;
 
 /** What the module remembers: records and counters, no decision. */
 final class State {
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -9,12 +9,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import kelpgw.Api.Settings;
+import copperbeam.Api.Settings;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
 import copperbeam.routing.ModuleTime;
-import kelpgw.simhost.Decoder;
-import kelpgw.simhost.Wire;
+import copperbeam.simhost.Decoder;
+import copperbeam.simhost.Wire;
 
 /**
  * All that the program is told at its start. Here and nowhere else it is read, checked and given defaults.
--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -8,7 +8,7 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import kelpgw.simhost.SimHost;
+import copperbeam.simhost.SimHost;
 
 /** The command line. */
 public final class Main {
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import kelpgw.Api.ListKind;
+import copperbeam.Api.ListKind;
 import copperbeam.protocol.discovery.DiscoveryWatch;
 import copperbeam.protocol.platform.PlatformFront;
 import copperbeam.routing.ListActor;
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
-import kelpgw.Api.ListKind;
+import copperbeam.Api.ListKind;
 import copperbeam.protocol.HttpClient;
 import copperbeam.routing.Actor;
 import copperbeam.routing.MembershipSource;
--- a/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import kelpgw.Api.Report;
+import copperbeam.Api.Report;
 import copperbeam.protocol.BadRequest;
 
 /** Reads and writes the values of the platform's own headers. */
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -2,7 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import kelpgw.Api.Report;
+import copperbeam.Api.Report;
 
 /** Outgoing connections, as the transport makes them. */
 public interface Connector {
--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BiFunction;
-import kelpgw.Api.ListKind;
-import kelpgw.Api.ServerState;
+import copperbeam.Api.ListKind;
+import copperbeam.Api.ServerState;
 
 /** Owns the list of servers and one {@link PeerActor} for each of them that was ever listed. */
 public final class ListActor extends Actor<MembershipSource.Change> {
@@ -35,7 +35,7 @@
         if (whole) {
             present.clear();
         }
-        List<kelpgw.Api.Member> members = new ArrayList<>();
+        List<copperbeam.Api.Member> members = new ArrayList<>();
         for (MembershipSource.Entry e : change.entries()) {
             String id = e.member().server();
             members.add(e.member());
--- a/src/main/java/copperbeam/routing/MembershipSource.java
+++ b/src/main/java/copperbeam/routing/MembershipSource.java
@@ -2,8 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import kelpgw.Api.ListKind;
-import kelpgw.Api.Member;
+import copperbeam.Api.ListKind;
+import copperbeam.Api.Member;
 
 /** Where the list of servers comes from. */
 public interface MembershipSource {
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -9,12 +9,12 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
-import kelpgw.Api;
-import kelpgw.Api.AttemptEnded;
-import kelpgw.Api.ListKind;
-import kelpgw.Api.Outcome;
-import kelpgw.Api.Report;
-import kelpgw.Brain;
+import copperbeam.Api;
+import copperbeam.Api.AttemptEnded;
+import copperbeam.Api.ListKind;
+import copperbeam.Api.Outcome;
+import copperbeam.Api.Report;
+import copperbeam.Brain;
 
 /**
  * Alone owns the decision module, its timers and the requests that it knows. Turns what happens into the
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -10,8 +10,8 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
-import kelpgw.Api.Outcome;
-import kelpgw.Api.Report;
+import copperbeam.Api.Outcome;
+import copperbeam.Api.Report;
 import copperbeam.routing.Connector.Connection;
 import copperbeam.routing.Connector.Word;
 
--- a/src/main/java/kelpgw/simhost/Decoder.java
+++ b/src/main/java/copperbeam/simhost/Decoder.java
@@ -1,18 +1,18 @@
-package kelpgw.simhost;
+package copperbeam.simhost;
 
-import static kelpgw.simhost.Wire.flag;
-import static kelpgw.simhost.Wire.list;
-import static kelpgw.simhost.Wire.number;
-import static kelpgw.simhost.Wire.objects;
-import static kelpgw.simhost.Wire.part;
-import static kelpgw.simhost.Wire.text;
-import static kelpgw.simhost.Wire.textOrNull;
-import static kelpgw.simhost.Wire.whole;
+import static copperbeam.simhost.Wire.flag;
+import static copperbeam.simhost.Wire.list;
+import static copperbeam.simhost.Wire.number;
+import static copperbeam.simhost.Wire.objects;
+import static copperbeam.simhost.Wire.part;
+import static copperbeam.simhost.Wire.text;
+import static copperbeam.simhost.Wire.textOrNull;
+import static copperbeam.simhost.Wire.whole;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import kelpgw.Api.*;
+import copperbeam.Api.*;
 
 /** Turns wire messages into the module's settings and events: names for names, units for units. */
 public final class Decoder {
--- a/src/main/java/kelpgw/simhost/SimHost.java
+++ b/src/main/java/copperbeam/simhost/SimHost.java
@@ -1,4 +1,4 @@
-package kelpgw.simhost;
+package copperbeam.simhost;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -12,8 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import kelpgw.Api.*;
-import kelpgw.Brain;
+import copperbeam.Api.*;
+import copperbeam.Brain;
 
 /** Hosts one {@link Brain} for each instance on the simulator's wire. Translates, decides nothing. */
 public final class SimHost {
@@ -41,7 +41,7 @@
                     host.reply.getBuffer().setLength(0);
                 }
             } catch (Wire.Malformed e) {
-                err.println("kelpgw simhost: line " + number + ": " + e.getMessage());
+                err.println("copperbeam simhost: line " + number + ": " + e.getMessage());
                 return 1;
             }
         }
--- a/src/main/java/kelpgw/simhost/Wire.java
+++ b/src/main/java/copperbeam/simhost/Wire.java
@@ -1,4 +1,4 @@
-package kelpgw.simhost;
+package copperbeam.simhost;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -14,7 +14,7 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
-import kelpgw.Api.Report;
+import copperbeam.Api.Report;
 import copperbeam.protocol.EventSplitter;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.platform.PlatformHeaders;
--- a/src/test/java/kelpgw/Bench.java
+++ b/src/test/java/copperbeam/Bench.java
@@ -1,8 +1,8 @@
-package kelpgw;
+package copperbeam;
 
 import java.util.ArrayList;
 import java.util.List;
-import kelpgw.Api.*;
+import copperbeam.Api.*;
 
 /** Settings and short ways of writing events for the tests. */
 final class Bench {
--- a/src/test/java/kelpgw/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -1,6 +1,6 @@
-package kelpgw;
+package copperbeam;
 
-import static kelpgw.Bench.*;
+import static copperbeam.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.nio.file.Files;
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import kelpgw.Api.*;
+import copperbeam.Api.*;
 import org.junit.jupiter.api.Test;
 
 /** Scripted events in, actions out. */
@@ -462,7 +462,7 @@
 
     @Test
     void theModuleStaysShort() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/kelpgw/Brain.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/copperbeam/Brain.java"));
         assertTrue(lines.get(0).contains("Api.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
--- a/src/test/java/kelpgw/EmbeddingTest.java
+++ b/src/test/java/copperbeam/EmbeddingTest.java
@@ -1,10 +1,10 @@
-package kelpgw;
+package copperbeam;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.List;
-import kelpgw.Api.*;
+import copperbeam.Api.*;
 import org.junit.jupiter.api.Test;
 
 /** The README's node. */
--- a/src/test/java/kelpgw/RulesTest.java
+++ b/src/test/java/copperbeam/RulesTest.java
@@ -1,6 +1,6 @@
-package kelpgw;
+package copperbeam;
 
-import static kelpgw.Bench.*;
+import static copperbeam.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import kelpgw.Api.*;
+import copperbeam.Api.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/src/test/java/kelpgw/simhost/SimHostTest.java
+++ b/src/test/java/copperbeam/simhost/SimHostTest.java
@@ -1,4 +1,4 @@
-package kelpgw.simhost;
+package copperbeam.simhost;
 
 import static org.junit.jupiter.api.Assertions.*;
 
