--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -60,6 +60,7 @@
 
     private static Options options() {
         Options options = new Options();
+        options.addOption("o", "operator", true, "the operator's file: chat API, list, plug-ins");
         options.addOption("h", "help", false, "print this");
         return options;
     }
@@ -78,7 +79,7 @@
     /** Null, with the reason told, where the configuration is not valid. */
     private static Config config(CommandLine line) {
         try {
-            return Config.read(System.getenv());
+            return Config.read(System.getenv(), line.getOptionValue("operator"));
         } catch (Config.Invalid e) {
             System.err.println("copperbeam: " + e.getMessage());
             return null;
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -4,12 +4,14 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import copperbeam.Api.ListKind;
 import copperbeam.protocol.discovery.DiscoveryWatch;
+import copperbeam.protocol.openai.OpenAiFront;
 import copperbeam.protocol.platform.PlatformFront;
 import copperbeam.routing.ListActor;
 import copperbeam.routing.MembershipSource;
@@ -38,6 +40,8 @@
     private final AtomicBoolean listed = new AtomicBoolean();
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final InetSocketAddress address;
+    private HttpFrontServer chat;
+    private InetSocketAddress chatAddress;
 
     public Node(Config config) throws IOException, InterruptedException {
         turns.setRemoveOnCancelPolicy(true);
@@ -59,6 +63,11 @@
         });
         server = new HttpFrontServer(new PlatformFront(config.classNames(), module, this::healthy), clock);
         address = server.listen(config.listen());
+        if (config.operator().chat() != null) {
+            chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), module, this::healthy,
+                    clock.instant()), clock);
+            chatAddress = chat.listen(config.operator().chatListen());
+        }
         if (config.known() != null) {
             // with discovery down, the list last known has to do
             turns.schedule(() -> listed.set(true), 2, TimeUnit.SECONDS);
@@ -69,6 +78,15 @@
         return address;
     }
 
+    /** Null where the chat API is off. */
+    public InetSocketAddress chatAddress() {
+        return chatAddress;
+    }
+
+    private List<HttpFrontServer> servers() {
+        return chat == null ? List.of(server) : List.of(server, chat);
+    }
+
     private boolean healthy() {
         return listed.get() && !stopping.get();
     }
@@ -78,22 +96,22 @@
         if (!stopping.compareAndSet(false, true)) {
             return;
         }
-        server.drain();
+        servers().forEach(HttpFrontServer::drain);
         Thread.sleep(KEEP_ACCEPTING.toMillis());
         long until = System.nanoTime() + LONGEST_STOP.toNanos();
         do {
             CountDownLatch quiet = new CountDownLatch(1);
             module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(quiet::countDown))));
             quiet.await(LONGEST_STOP.toMillis(), TimeUnit.MILLISECONDS);
-            server.closeIdle();
+            servers().forEach(HttpFrontServer::closeIdle);
             Thread.sleep(50);
-        } while (server.busy() && System.nanoTime() < until);
+        } while (servers().stream().anyMatch(HttpFrontServer::busy) && System.nanoTime() < until);
     }
 
     @Override
     public void close() throws IOException {
         source.stop();
-        server.close();
+        servers().forEach(HttpFrontServer::close);
         reactor.close();
         turns.shutdownNow();
     }
--- /dev/null
+++ b/src/main/java/copperbeam/program/Section.java
@@ -0,0 +1,139 @@
+package copperbeam.program;
+
+import com.google.gson.JsonParseException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import copperbeam.protocol.Json;
+import copperbeam.protocol.discovery.ServerList;
+import copperbeam.routing.ModuleTime;
+
+/** One object of a configuration file; what it throws names the key at fault by its whole path. */
+final class Section {
+    private final String path;
+    private final Map<String, Object> values;
+
+    private Section(String path, Map<String, Object> values) {
+        this.path = path;
+        this.values = values;
+    }
+
+    static Section file(String what, String path) throws Config.Invalid {
+        try {
+            return of(Json.GSON.fromJson(Files.readString(Path.of(path)), Object.class), "");
+        } catch (IOException e) {
+            throw new Config.Invalid(what, "cannot read " + path + ": " + e);
+        } catch (JsonParseException e) {
+            throw new Config.Invalid(what, path + " is not JSON: " + e.getMessage());
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Section of(Object value, String path) throws Config.Invalid {
+        if (!(value instanceof Map<?, ?>)) {
+            throw new Config.Invalid(path.isEmpty() ? "the file" : path, "is not an object");
+        }
+        return new Section(path, (Map<String, Object>) value);
+    }
+
+    private String at(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    Config.Invalid invalid(String key, String what) {
+        return new Config.Invalid(at(key), what);
+    }
+
+    Map<String, Object> raw() {
+        return values;
+    }
+
+    Set<String> keys() {
+        return values.keySet();
+    }
+
+    boolean has(String key) {
+        return values.get(key) != null;
+    }
+
+    /** In a file that people write, a key that nobody reads is a slip. */
+    void only(Set<String> keys) throws Config.Invalid {
+        for (String key : values.keySet()) {
+            if (!keys.contains(key)) {
+                throw invalid(key, "is not a key that is known here; these are: " + String.join(", ", keys));
+            }
+        }
+    }
+
+    private Object present(String key) throws Config.Invalid {
+        Object value = values.get(key);
+        if (value == null) {
+            throw invalid(key, "is missing");
+        }
+        return value;
+    }
+
+    Section section(String key) throws Config.Invalid {
+        return of(present(key), at(key));
+    }
+
+    List<Section> sections(String key) throws Config.Invalid {
+        if (!(present(key) instanceof List<?> list)) {
+            throw invalid(key, "is not a list");
+        }
+        List<Section> sections = new ArrayList<>();
+        for (Object value : list) {
+            sections.add(of(value, at(key) + "[" + sections.size() + "]"));
+        }
+        return sections;
+    }
+
+    Object get(String key) {
+        return values.get(key);
+    }
+
+    String text(String key) throws Config.Invalid {
+        if (!(present(key) instanceof String text) || text.isEmpty()) {
+            throw invalid(key, "is not a text");
+        }
+        return text;
+    }
+
+    String text(String key, String absent) throws Config.Invalid {
+        return has(key) ? text(key) : absent;
+    }
+
+    InetSocketAddress address(String key) throws Config.Invalid {
+        try {
+            return ServerList.address(text(key));
+        } catch (IllegalArgumentException e) {
+            throw invalid(key, e.getMessage());
+        }
+    }
+
+    /** A span above 0, in seconds unless the key's name says otherwise. */
+    Duration span(String key, double absent) throws Config.Invalid {
+        Object value = values.getOrDefault(key, absent);
+        if (!(value instanceof Number n) || !(n.doubleValue() > 0) || n.doubleValue() > 1e6) {
+            throw invalid(key, "is not a span of seconds above 0");
+        }
+        return ModuleTime.span(n.doubleValue());
+    }
+
+    int count(String key, int absent, int least, int most) throws Config.Invalid {
+        Object value = values.get(key);
+        if (value == null) {
+            return absent;
+        }
+        if (!(value instanceof Long n) || n < least || n > most) {
+            throw invalid(key, "is not a whole number from " + least + " to " + most);
+        }
+        return n.intValue();
+    }
+}
--- a/src/main/java/copperbeam/protocol/Json.java
+++ b/src/main/java/copperbeam/protocol/Json.java
@@ -15,7 +15,7 @@
 public final class Json {
     /** Whole numbers stay whole, as the settings' decoder wants them. */
     public static final Gson GSON = new GsonBuilder().setObjectToNumberStrategy(ToNumberPolicy.LONG_OR_DOUBLE)
-            .disableHtmlEscaping().create();
+            .disableHtmlEscaping().serializeNulls().create();
 
     private Json() {}
 
--- /dev/null
+++ b/src/main/java/copperbeam/protocol/openai/ChatRequest.java
@@ -0,0 +1,175 @@
+package copperbeam.protocol.openai;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import copperbeam.protocol.Json;
+
+/**
+ * A chat request, and what the core wants to know of it: session, shared beginning and lengths are drawn from
+ * its messages, as this API names none of them.
+ */
+record ChatRequest(String model, boolean stream, boolean includeUsage, int maxTokens, String session, String prefix,
+        int promptTokens, int prefixTokens, JsonObject json) {
+    private static final int CHARS_A_TOKEN = 4;
+    private static final int MOST_TOKENS = 1_000_000;
+
+    private record Message(String role, String text) {
+        int tokens() {
+            return (text.length() + CHARS_A_TOKEN - 1) / CHARS_A_TOKEN;
+        }
+    }
+
+    /** {@code maxTokens} is 0 where the client leaves it open. */
+    static ChatRequest parse(byte[] body) throws ApiError {
+        if (!Json.isObject(body)) {
+            throw ApiError.invalid(null, "The body is not a JSON object.");
+        }
+        JsonObject json;
+        try {
+            json = JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject();
+        } catch (JsonParseException | IllegalStateException e) {
+            throw ApiError.invalid(null, "The body is not a JSON object.");
+        }
+        String model = text(json, "model");
+        if (model == null) {
+            throw ApiError.invalid("model", "You must name a model.");
+        }
+        List<Message> messages = messages(json.get("messages"));
+        if (count(json, "n", 1) != 1) {
+            throw ApiError.invalid("n", "Only one choice is made for a request.");
+        }
+        int most = count(json, "max_completion_tokens", count(json, "max_tokens", 0));
+        Message first = messages.get(0);
+        boolean opening = messages.size() > 1 && (first.role.equals("system") || first.role.equals("developer"));
+        JsonElement options = json.get("stream_options");
+        boolean usage = options != null && options.isJsonObject() && flag(options.getAsJsonObject(), "include_usage");
+        return new ChatRequest(model, flag(json, "stream"), usage, most, session(text(json, "user"), messages),
+                opening ? hash(first.role, first.text) : null, messages.stream().mapToInt(Message::tokens).sum(),
+                opening ? first.tokens() : 0, json);
+    }
+
+    /** What a server gets: the client's body, but always as a stream. */
+    byte[] forServers(byte[] asCame) {
+        if (stream) {
+            return asCame;
+        }
+        JsonObject copy = json.deepCopy();
+        copy.addProperty("stream", true);
+        return Json.GSON.toJson(copy).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static List<Message> messages(JsonElement value) throws ApiError {
+        if (value == null || !value.isJsonArray() || value.getAsJsonArray().isEmpty()) {
+            throw ApiError.invalid("messages", "'messages' must be a list that is not empty.");
+        }
+        List<Message> messages = new ArrayList<>();
+        for (JsonElement element : value.getAsJsonArray()) {
+            String at = "messages[" + messages.size() + "]";
+            if (!element.isJsonObject()) {
+                throw ApiError.invalid(at, "A message must be an object.");
+            }
+            String role = text(element.getAsJsonObject(), "role");
+            if (role == null) {
+                throw ApiError.invalid(at + ".role", "A message must have a role.");
+            }
+            messages.add(new Message(role, content(element.getAsJsonObject().get("content"), at + ".content")));
+        }
+        return messages;
+    }
+
+    /** A text, or a list of parts of which the texts count. */
+    private static String content(JsonElement content, String at) throws ApiError {
+        if (content == null || content.isJsonNull()) {
+            return "";
+        }
+        if (content.isJsonPrimitive() && content.getAsJsonPrimitive().isString()) {
+            return content.getAsString();
+        }
+        if (!content.isJsonArray()) {
+            throw ApiError.invalid(at, "Content must be a text or a list of parts.");
+        }
+        StringBuilder all = new StringBuilder();
+        JsonArray parts = content.getAsJsonArray();
+        for (JsonElement part : parts) {
+            String text = part.isJsonObject() ? text(part.getAsJsonObject(), "text") : null;
+            if (text == null) {
+                throw ApiError.invalid(at, "Only parts with a text are understood.");
+            }
+            all.append(text);
+        }
+        return all.toString();
+    }
+
+    private static String text(JsonObject in, String key) throws ApiError {
+        JsonElement value = in.get(key);
+        if (value == null || value.isJsonNull()) {
+            return null;
+        }
+        if (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString()) {
+            throw ApiError.invalid(key, "'" + key + "' must be a text.");
+        }
+        return value.getAsString();
+    }
+
+    private static boolean flag(JsonObject in, String key) throws ApiError {
+        JsonElement value = in.get(key);
+        if (value == null || value.isJsonNull()) {
+            return false;
+        }
+        if (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isBoolean()) {
+            throw ApiError.invalid(key, "'" + key + "' must be true or false.");
+        }
+        return value.getAsBoolean();
+    }
+
+    private static int count(JsonObject in, String key, int absent) throws ApiError {
+        JsonElement value = in.get(key);
+        if (value == null || value.isJsonNull()) {
+            return absent;
+        }
+        try {
+            double number = value.getAsDouble();
+            if (number >= 1 && number <= MOST_TOKENS && number == Math.rint(number)) {
+                return (int) number;
+            }
+        } catch (UnsupportedOperationException | NumberFormatException | IllegalStateException e) {
+            // told below like a number out of range
+        }
+        throw ApiError.invalid(key, "'" + key + "' must be a whole number from 1.");
+    }
+
+    /** All turns of a conversation begin alike up to the first question, whatever has been answered since. */
+    private static String session(String user, List<Message> messages) {
+        List<String> parts = new ArrayList<>(List.of(String.valueOf(user)));
+        for (Message message : messages) {
+            parts.add(message.role);
+            parts.add(message.text);
+            if (message.role.equals("user")) {
+                break;
+            }
+        }
+        return hash(parts.toArray(String[]::new));
+    }
+
+    private static String hash(String... parts) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            for (String part : parts) {
+                digest.update(part.getBytes(StandardCharsets.UTF_8));
+                digest.update((byte) 0);
+            }
+            return HexFormat.of().formatHex(digest.digest(), 0, 8);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+}
--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -13,39 +13,43 @@
 import copperbeam.protocol.Json;
 import copperbeam.routing.Answer;
 import copperbeam.routing.Ask;
-import copperbeam.routing.ModuleActor;
+import copperbeam.routing.Intake;
 
 /** The platform's protocol: its headers in, a server's events out as they come. */
 public final class PlatformFront implements Front {
-    static final Duration MARGIN = Duration.ofMillis(20); // for an answer's way back to the client
+    public static final Duration MARGIN = Duration.ofMillis(20); // for an answer's way back to the client
 
     private final Set<String> classes;
-    private final ModuleActor module;
+    private final Intake intake;
     private final BooleanSupplier healthy;
 
-    public PlatformFront(Set<String> classes, ModuleActor module, BooleanSupplier healthy) {
+    public PlatformFront(Set<String> classes, Intake intake, BooleanSupplier healthy) {
         this.classes = classes;
-        this.module = module;
+        this.intake = intake;
         this.healthy = healthy;
     }
 
     @Override
     public Runnable accept(HttpCall call, HttpReply reply) {
         if (call.path().equals("/healthz")) {
-            text(reply, healthy.getAsBoolean() ? 200 : 503, healthy.getAsBoolean() ? "ok" : "not ready");
-            return () -> {};
+            return health(reply, healthy.getAsBoolean());
         }
         try {
             Ask ask = ask(call);
             Answer answer = new PlatformAnswer(reply);
-            module.tell(new ModuleActor.Arrive(ask, answer));
-            return () -> module.tell(new ModuleActor.Left(answer));
+            intake.arrive(ask, answer);
+            return () -> intake.left(answer);
         } catch (BadRequest e) {
             text(reply, e.status(), e.getMessage());
             return () -> {};
         }
     }
 
+    public static Runnable health(HttpReply reply, boolean healthy) {
+        text(reply, healthy ? 200 : 503, healthy ? "ok" : "not ready");
+        return () -> {};
+    }
+
     private Ask ask(HttpCall call) throws BadRequest {
         if (!call.path().equals("/v1/chat/completions")) {
             throw new BadRequest(404, "no such path");
@@ -97,10 +101,10 @@
         }
 
         @Override
-        public void refuse(Duration retryAfter) {
+        public void refuse(Duration retryAfter, boolean tried) {
             Map<String, String> advice = retryAfter.isZero() ? Map.of() : Map.of("Retry-After",
                     String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / 1000.0));
-            reply.whole(503, "text/plain", advice, "refused\n".getBytes(StandardCharsets.UTF_8));
+            reply.whole(tried ? 503 : 429, "text/plain", advice, "refused\n".getBytes(StandardCharsets.UTF_8));
         }
 
         @Override
--- a/src/main/java/copperbeam/routing/Answer.java
+++ b/src/main/java/copperbeam/routing/Answer.java
@@ -24,8 +24,8 @@
     /** The stream ends before it is whole. */
     void broken();
 
-    /** Nothing was done; {@code retryAfter} zero: no advice. */
-    void refuse(Duration retryAfter);
+    /** Trying again is harmless; {@code retryAfter} zero: no advice; {@code tried}: a server was sent to. */
+    void refuse(Duration retryAfter, boolean tried);
 
     void fail(Failure why);
 }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -20,7 +20,7 @@
  * Alone owns the decision module, its timers and the requests that it knows. Turns what happens into the
  * module's events and its actions into messages; decides nothing that the module decides.
  */
-public final class ModuleActor extends Actor<ModuleActor.Message> {
+public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
     public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
             Drain {}
 
@@ -119,6 +119,16 @@
         }
     }
 
+    @Override
+    public void arrive(Ask ask, Answer answer) {
+        tell(new Arrive(ask, answer));
+    }
+
+    @Override
+    public void left(Answer answer) {
+        tell(new Left(answer));
+    }
+
     private void feed(Api.Event event) {
         for (Api.Action action : brain.on(ModuleTime.seconds(clock.instant()), event)) {
             act(action);
@@ -227,7 +237,7 @@
         if (action instanceof Api.Attempt a) {
             attempt(a);
         } else if (action instanceof Api.Refuse a) {
-            finish(a.request(), r -> r.answer.refuse(ModuleTime.span(a.retryAfterS())));
+            finish(a.request(), r -> r.answer.refuse(ModuleTime.span(a.retryAfterS()), r.attempts > 0));
         } else if (action instanceof Api.Fail a) {
             finish(a.request(), r -> r.answer.fail(clock.instant().plusMillis(100).isAfter(r.ask.deadline())
                     ? Answer.Failure.TOO_LATE : Answer.Failure.SERVERS_FAILED));
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -294,7 +294,8 @@
 
     private Runnable granting(Work work, byte[] raw) {
         Connection connection = work.connection;
-        return () -> connection.grant(raw.length);
+        // none any more where the stream was whole before its first event was taken
+        return connection == null ? () -> { } : () -> connection.grant(raw.length);
     }
 
     private void proceed(Work work) {
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -19,6 +20,7 @@
 abstract class ClientExchange implements AsyncClientExchangeHandler {
     private final HttpRequest request;
     private final ByteBuffer body;
+    private final AtomicInteger owed = new AtomicInteger();
     private volatile CapacityChannel capacity;
     private boolean written;
     private boolean over;
@@ -41,10 +43,11 @@
     abstract void broken(boolean mayHaveRun);
 
     final void grant(int bytes) {
+        owed.addAndGet(bytes);
         CapacityChannel channel = capacity;
         if (channel != null) {
             try {
-                channel.update(bytes);
+                channel.update(owed.getAndSet(0));
             } catch (IOException e) {
                 // the connection is gone, which the exchange hears of by itself
             }
@@ -92,7 +95,9 @@
 
     @Override
     public final void updateCapacity(CapacityChannel channel) {
+        // comes only once the window is used up; what was granted before it must not be lost, or the stream stalls
         capacity = channel;
+        grant(0);
     }
 
     @Override
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
 import java.time.Clock;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -59,6 +61,16 @@
                 Http1Config.custom().setBufferSize(4096).setMaxLineLength(16 * 1024).setMaxHeaderCount(100).build(),
                 CharCodingConfig.DEFAULT, null, null);
         return new ServerHttp1IOEventHandler(duplexers.create("http", session)) {
+            @Override
+            public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
+                super.inputReady(open, bytes);
+                // HttpCore takes a client's end of sending for a wish to close once it is answered, and stops
+                // reading; here it is a client that has gone, and its attempt must not run on unread
+                if (client.busy && (open.getEventMask() & SelectionKey.OP_READ) == 0) {
+                    open.close(CloseMode.IMMEDIATE);
+                }
+            }
+
             @Override
             public void disconnected(IOSession closed) {
                 clients.remove(client);
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/OpenAiFrontTest.java
@@ -0,0 +1,203 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.await;
+import static copperbeam.sockets.Site.chat;
+import static copperbeam.sockets.Site.post;
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The chat API on real sockets, on the same core as the platform's protocol. */
+public class OpenAiFrontTest {
+    private static JsonObject json(String text) {
+        return JsonParser.parseString(text).getAsJsonObject();
+    }
+
+    private static List<String> data(String text) {
+        List<String> data = new ArrayList<>();
+        for (String event : text.split("\n\n")) {
+            data.add(event.substring("data: ".length()));
+        }
+        return data;
+    }
+
+    @Test
+    public void streamsChunksInTheApisForm() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
+            Line.Message answer = client.send(chat("m-ask", true, "")).read();
+            assertEquals(answer.status(), 200);
+            assertEquals(answer.header("Content-Type"), "text/event-stream");
+            List<String> data = data(answer.text());
+            assertEquals(data.size(), 3); // usage was not asked for
+            assertEquals(data.get(2), "[DONE]");
+            JsonObject first = json(data.get(0));
+            assertEquals(first.get("object").getAsString(), "chat.completion.chunk");
+            assertEquals(first.get("model").getAsString(), "m-ask");
+            JsonObject delta = first.getAsJsonArray("choices").get(0).getAsJsonObject().getAsJsonObject("delta");
+            assertEquals(delta.get("role").getAsString(), "assistant");
+            assertEquals(delta.get("content").getAsString(), "ab");
+            assertEquals(json(data.get(1)).get("id"), first.get("id"));
+
+            Line.Message usage = client.send(chat("m-ask", true, ",\"stream_options\":{\"include_usage\":true}")).read();
+            assertEquals(data(usage.text()).size(), 4);
+            assertNotEquals(json(data(usage.text()).get(0)).get("id"), first.get("id"));
+
+            Line.Message passed = site.readers.get(0).seen.get(0);
+            assertEquals(passed.header("X-Priority-Class"), "ask");
+            assertTrue(passed.header("X-Attrs").endsWith(",prompt_len=3,prefix_len=2,max_out=100"));
+            assertEquals(passed.header("X-Route-Key"), site.readers.get(0).seen.get(1).header("X-Route-Key"));
+        }
+    }
+
+    @Test
+    public void gathersACompletion() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
+            JsonObject answer = json(client.send(chat("m-send", false, ",\"max_tokens\":7")).read().text());
+            assertEquals(answer.get("object").getAsString(), "chat.completion");
+            JsonObject choice = answer.getAsJsonArray("choices").get(0).getAsJsonObject();
+            assertEquals(choice.getAsJsonObject("message").get("content").getAsString(), "abc\u00e8");
+            assertEquals(choice.get("finish_reason").getAsString(), "stop");
+            assertEquals(answer.getAsJsonObject("usage").get("completion_tokens").getAsInt(), 2);
+            Line.Message passed = site.writers.get(0).seen.get(0);
+            assertTrue(json(passed.text()).get("stream").getAsBoolean());
+            assertTrue(passed.header("X-Attrs").endsWith("max_out=7"));
+        }
+    }
+
+    @Test
+    public void listsModels() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
+            JsonObject list = json(client.send("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n").read().text());
+            assertEquals(list.getAsJsonArray("data").size(), 2);
+            JsonObject one = json(client.send("GET /v1/models/m-ask HTTP/1.1\r\nHost: x\r\n\r\n").read().text());
+            assertEquals(one.get("id").getAsString(), "m-ask");
+        }
+    }
+
+    @DataProvider
+    public Object[][] faulty() {
+        return new Object[][] {
+            {post("{"), 400, null},
+            {post("{\"model\":\"m-ask\"}"), 400, "messages"},
+            {post("{\"model\":\"m-ask\",\"messages\":[]}"), 400, "messages"},
+            {post("{\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"), 400, "model"},
+            {post("{\"model\":\"m-ask\",\"messages\":[{\"role\":\"user\",\"content\":5}]}"), 400, "messages[0].content"},
+            {chat("m-ask", true, ",\"n\":2"), 400, "n"},
+            {chat("m-ask", true, ",\"max_tokens\":-1"), 400, "max_tokens"},
+            {chat("m-none", true, ""), 404, "model"},
+            {"GET /v1/models/m-none HTTP/1.1\r\nHost: x\r\n\r\n", 404, "model"},
+            {"GET /v1/nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404, null},
+        };
+    }
+
+    @Test(dataProvider = "faulty")
+    public void faultsAreTheApisErrorObjects(String text, int status, String param) throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
+            Line.Message answer = client.send(text).read();
+            assertEquals(answer.status(), status);
+            JsonObject error = json(answer.text()).getAsJsonObject("error");
+            assertEquals(error.get("type").getAsString(), "invalid_request_error");
+            assertEquals(error.get("param").isJsonNull() ? null : error.get("param").getAsString(), param);
+            assertEquals(site.attempts(site.readers), 0);
+        }
+    }
+
+    @Test
+    public void aTimeOutIs504AndARefusalCarriesRetryAfter() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
+            site.writers.get(0).script = attempts((m, line) -> { });
+            Line.Message late = client.send(chat("m-send", true, "")).read();
+            assertEquals(late.status(), 504);
+            assertEquals(json(late.text()).getAsJsonObject("error").get("code").getAsString(), "timeout");
+            site.readers.get(0).script = attempts((m, line) -> line.answer(503, "", "X-Not-Processed: 1\r\n"));
+            Line.Message refused = client.send(chat("m-send", true, "")).read();
+            assertEquals(refused.status(), 503);
+            assertEquals(refused.header("Retry-After"), "1");
+        }
+    }
+
+    @Test
+    public void aClientThatLeavesBetweenTwoEventsOfASendEndsItOnce() throws Exception {
+        try (Site site = new Site(2, 2)) {
+            site.writers.forEach(w -> w.script = attempts((m, line) -> line.beginStream()
+                    .chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n")));
+            try (Line client = site.chatClient()) {
+                client.send(chat("m-send", true, "")).head();
+                assertTrue(client.readChunk().contains("\"a\""));
+            }
+            StandIn ran = site.writers.stream().filter(w -> w.attempts() > 0).findFirst().orElseThrow();
+            await("closed", () -> ran.lines.get(0).ended);
+            // the core is as it was: the next request is served, and nothing of the first was sent again
+            site.writers.forEach(w -> w.script = Site::write);
+            try (Line client = site.chatClient()) {
+                assertEquals(client.send(chat("m-send", false, "")).read().status(), 200);
+            }
+            assertEquals(site.attempts(site.writers), 2);
+        }
+    }
+
+    @Test
+    public void aMalformedEventEndsTheStreamAsBroken() throws Exception {
+        try (Site site = new Site(1, 2); Line client = site.chatClient()) {
+            site.writers.forEach(w -> w.script = attempts((m, line) -> line.beginStream()
+                    .chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n")
+                    .chunk("data: {\"choices\":[{\n\n")));
+            Line.Message answer = client.send(chat("m-send", true, "")).read();
+            assertFalse(answer.whole());
+            List<String> data = data(answer.text());
+            assertEquals(data.size(), 2);
+            assertEquals(json(data.get(1)).getAsJsonObject("error").get("code").getAsString(), "stream_broken");
+            assertEquals(site.attempts(site.writers), 1);
+        }
+    }
+
+    /** The same requests in both dialects, some against writers that fail: equal service, no send twice. */
+    @Test
+    public void bothDialectsAreServedAlike() throws Exception {
+        List<List<Integer>> served = new ArrayList<>();
+        for (boolean openAi : new boolean[] {false, true}) {
+            List<Integer> statuses = new ArrayList<>();
+            try (Site site = new Site(2, 2)) {
+                site.writers.forEach(w -> w.script = attempts((m, line) -> {
+                    if (site.attempts(site.writers) % 5 == 0) {
+                        line.reset();
+                    } else {
+                        Site.write(m, line);
+                    }
+                }));
+                for (int i = 0; i < 40; i++) {
+                    boolean send = i % 3 == 0;
+                    try (Line client = openAi ? site.chatClient() : site.client()) {
+                        client.send(openAi ? chat(send ? "m-send" : "m-ask", true, "")
+                                : request(send ? "send" : "ask", 2000));
+                        statuses.add(client.read().status());
+                    }
+                }
+                Set<String> sends = new HashSet<>();
+                for (StandIn writer : site.writers) {
+                    for (Line.Message m : writer.seen) {
+                        if (m.method().equals("POST") && m.header("X-Priority-Class").equals("send")) {
+                            assertTrue(sends.add(m.header("X-Request-ID")), "a send ran twice");
+                        }
+                    }
+                }
+                await("idle", () -> site.get("/healthz").status() == 200);
+            }
+            served.add(statuses);
+        }
+        assertEquals(served.get(1), served.get(0));
+        assertTrue(served.get(0).contains(502) && served.get(0).contains(200));
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -0,0 +1,356 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.EVENTS;
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.await;
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Each rule once, on real sockets. */
+public class RulesOnSocketsTest {
+    private static final StandIn.Script SILENT = attempts((m, line) -> { });
+
+    @Test
+    public void eventsAreRelayedUnchangedAndConnectionsKept() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            for (int i = 0; i < 2; i++) {
+                Line.Message answer = client.send(request("id" + i, "ask", "5000m", "prefix=p,prompt_len=40", "{\"a\":1}"))
+                        .read();
+                assertEquals(answer.status(), 200);
+                assertEquals(answer.text(), EVENTS);
+            }
+            Line.Message passed = site.writers.get(0).seen.get(1);
+            assertEquals(passed.header("X-Request-ID"), "id1");
+            assertEquals(passed.text(), "{\"a\":1}");
+            assertEquals(passed.header("X-Attrs"), "prefix=p,prompt_len=40");
+            assertTrue(Integer.parseInt(passed.header("X-Timeout").replace("m", "")) < 5000);
+            assertEquals(site.readers.get(0).lines.size(), 1);
+            assertEquals(site.writers.get(0).lines.size(), 1);
+        }
+    }
+
+    @Test
+    public void eachEventIsPassedOnAtOnce() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.beginStream().chunk("data: 1\n\n");
+                seen.await();
+                line.chunk("data: 2\n\n").lastChunk();
+            });
+            client.send(request("ask", 5000)).head();
+            assertEquals(client.readChunk(), "data: 1\n\n");
+            seen.countDown();
+            assertEquals(client.readChunk(), "data: 2\n\n");
+            assertNull(client.readChunk());
+        }
+    }
+
+    /** Rule 1: silence everywhere still ends in one answer before the client gives up. */
+    @Test
+    public void aSilentWriterIsAnsweredForInTime() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            site.writers.get(0).script = SILENT;
+            long from = System.nanoTime();
+            assertEquals(client.send(request("send", 700)).read().status(), 504);
+            assertTrue(System.nanoTime() - from < 700_000_000L);
+            await("closed", () -> site.writers.get(0).lines.get(0).ended);
+        }
+    }
+
+    @DataProvider
+    public Object[][] writersThatFail() {
+        StandIn.Script reset = attempts((m, line) -> line.reset());
+        return new Object[][] {
+            // class, what the first writer does, the client's status, attempts at writers
+            {"send", reset, 502, 1},
+            {"send", attempts((m, line) -> line.answer(500, "")), 502, 1},
+            {"send", attempts((m, line) -> line.answer(503, "")), 502, 1},
+            {"send", attempts((m, line) -> line.answer(503, "", "X-Not-Processed: 1\r\n")), 200, 2},
+            {"send", attempts((m, line) -> line.answer(410, "", "X-Not-Processed: 1\r\n")), 200, 2},
+            {"send", attempts((m, line) -> { line.beginStream(); line.reset(); }), 502, 1},
+            {"ask", reset, 200, 2},
+            {"ask", attempts((m, line) -> line.answer(504, "")), 200, 2},
+            {"ask", attempts((m, line) -> line.answer(504, "", "X-Not-Processed: 1\r\n")), 200, 2},
+        };
+    }
+
+    /** Rule 2: what may have run is sent again only where the class allows it. */
+    @Test(dataProvider = "writersThatFail")
+    public void onlyWhatIsHarmlessIsSentAgain(String requestClass, StandIn.Script first, int status, int writes)
+            throws Exception {
+        try (Site site = new Site(1, 2); Line client = site.client()) {
+            AtomicInteger turn = new AtomicInteger();
+            StandIn.Script script = (m, line) -> {
+                boolean fails = m.method().equals("POST") && turn.getAndIncrement() == 0;
+                (fails ? first : (StandIn.Script) Site::write).run(m, line);
+            };
+            site.writers.forEach(w -> w.script = script);
+            assertEquals(client.send(request(requestClass, 4000)).read().status(), status);
+            assertEquals(site.attempts(site.writers), writes);
+        }
+    }
+
+    /** A connection that is refused proves that nothing ran, so that even a send goes on. */
+    @Test
+    public void aRefusedConnectionIsTriedElsewhere() throws Exception {
+        try (Site site = new Site(1, 2)) {
+            site.writers.get(0).close();
+            for (int i = 0; i < 4; i++) {
+                try (Line client = site.client()) {
+                    assertEquals(client.send(request("send", 4000)).read().status(), 200);
+                }
+            }
+            assertEquals(site.attempts(site.writers), 4);
+        }
+    }
+
+    /** Guards against a second copy: the next attempt comes after the first one's connection is closed. */
+    @Test
+    public void neverTwoAttemptsAtOnce() throws Exception {
+        try (Site site = new Site(1, 2); Line client = site.client()) {
+            AtomicInteger open = new AtomicInteger();
+            AtomicInteger most = new AtomicInteger();
+            AtomicInteger turn = new AtomicInteger();
+            StandIn.Script script = attempts((m, line) -> {
+                most.accumulateAndGet(open.incrementAndGet(), Math::max);
+                try {
+                    if (turn.getAndIncrement() == 0) {
+                        line.awaitClosed();
+                    } else {
+                        Site.write(m, line);
+                    }
+                } finally {
+                    open.decrementAndGet();
+                }
+            });
+            site.writers.forEach(w -> w.script = script);
+            assertEquals(client.send(request("ask", 8000).replace("Host: x", "Host: x\r\nConnection: close")).read().status(),
+                    200);
+            assertEquals(site.attempts(site.writers), 2);
+            assertEquals(most.get(), 1);
+        }
+    }
+
+    /** Rule 3, at once and not only after a second. */
+    @Test
+    public void aDrainingServerGetsNothingNew() throws Exception {
+        try (Site site = new Site(2, 1)) {
+            site.changes.add(Site.entry(site.readers.get(0), "prefill", "leaving"));
+            await("next watch", () -> site.discovery.count(m -> m.path().contains("from=2&")) > 0);
+            long before = site.readers.get(0).attempts();
+            for (int i = 0; i < 6; i++) {
+                try (Line client = site.client()) {
+                    assertEquals(client.send(request("ask", 4000)).read().status(), 200);
+                }
+            }
+            assertEquals(site.readers.get(0).attempts(), before);
+            assertEquals(site.readers.get(1).attempts(), 6);
+        }
+    }
+
+    /**
+     * Rule 5. The release comes in the same reply of the module as the final answer and after it; it was once
+     * lost as the request had already been forgotten.
+     */
+    @Test
+    public void aStateIsLetGoWhenItsRequestFails() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> line.answer(500, ""));
+            assertEquals(client.send(request("r1", "send", "4000m", "", "{}")).read().status(), 502);
+            await("released", () -> site.releases() > 0);
+            assertEquals(site.readers.get(0).seen.get(1).path(), "/state/r1");
+        }
+    }
+
+    /** A release is tried elsewhere where the server asked first does not answer. */
+    @Test
+    public void aReleaseIsTakenElsewhere() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            StandIn reader = site.readers.get(0);
+            reader.script = (m, line) -> {
+                if (m.method().equals("POST")) {
+                    Site.read(m, line);
+                }
+            };
+            site.writers.get(0).script = attempts((m, line) -> line.answer(500, ""));
+            assertEquals(client.send(request("send", 4000)).read().status(), 502);
+            await("released at the writer", () -> site.writers.get(0).releases() > 0);
+        }
+    }
+
+    @Test
+    public void aClientThatLeavesWhileWaitingEndsItsAttempt() throws Exception {
+        try (Site site = new Site(1, 1)) {
+            site.readers.get(0).script = SILENT;
+            try (Line client = site.client()) {
+                client.send(request("ask", 60_000));
+                await("read", () -> site.readers.get(0).attempts() == 1);
+            }
+            await("closed", () -> site.readers.get(0).lines.get(0).ended);
+            // the read may have ended well as its connection closed
+            await("released twice", () -> site.releases() >= 2);
+            assertEquals(site.attempts(site.writers), 0);
+        }
+    }
+
+    @Test
+    public void aClientThatLeavesAStreamEndsIt() throws Exception {
+        try (Site site = new Site(1, 1)) {
+            site.writers.get(0).script = attempts((m, line) -> line.beginStream().chunk("data: 1\n\n"));
+            try (Line client = site.client()) {
+                client.send(request("send", 8000)).head();
+                assertEquals(client.readChunk(), "data: 1\n\n");
+            }
+            await("closed", () -> site.writers.get(0).lines.get(0).ended);
+            assertEquals(site.attempts(site.writers), 1);
+        }
+    }
+
+    @Test
+    public void aBrokenStreamEndsWithoutTheLastChunk() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.beginStream().chunk("data: 1\n\n");
+                seen.await();
+                line.close();
+            });
+            client.send(request("ask", 8000)).head();
+            assertEquals(client.readChunk(), "data: 1\n\n");
+            seen.countDown();
+            assertEquals(client.readChunk(), "");
+            assertEquals(site.attempts(site.writers), 1);
+        }
+    }
+
+    /** Guards against a queue without bounds: a client that does not read stops its server's stream. */
+    @Test
+    public void aSlowClientHoldsItsServerBack() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            String event = "data: " + "x".repeat(8000) + "\n\n";
+            AtomicInteger sent = new AtomicInteger();
+            int all = 4000;
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.beginStream();
+                while (sent.incrementAndGet() < all) {
+                    line.chunk(event);
+                }
+                line.lastChunk();
+            });
+            client.send(request("ask", 8000)).head();
+            int[] last = {-1};
+            await("standstill", () -> {
+                boolean still = last[0] == sent.get();
+                last[0] = sent.get();
+                pause();
+                return still;
+            });
+            assertTrue(sent.get() < all);
+            String chunk = client.readChunk();
+            while (chunk != null && !chunk.isEmpty()) {
+                chunk = client.readChunk();
+            }
+            assertNull(chunk);
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(150);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Guards against writing on a connection as its server closes it: kept for half of the limit only. */
+    @Test
+    public void idleConnectionsAreClosedEarly() throws Exception {
+        try (Site site = new Site(1, 1, 1); Line client = site.client()) {
+            assertEquals(client.send(request("send", 4000)).read().status(), 200);
+            long from = System.nanoTime();
+            await("closed", () -> site.readers.get(0).lines.get(0).ended);
+            assertTrue(System.nanoTime() - from < 900_000_000L);
+        }
+    }
+
+    @DataProvider
+    public Object[][] malformed() {
+        String ok = "prompt_len=4";
+        return new Object[][] {
+            {request("a", "nobody", "100m", ok, "{}"), 400},
+            {request("", "ask", "100m", ok, "{}"), 400},
+            {request("a/b", "ask", "100m", ok, "{}"), 400},
+            {request("a", "ask", "soon", ok, "{}"), 400},
+            {request("a", "ask", "100m", "prompt_len=many", "{}"), 400},
+            {request("a", "ask", "100m", ok, "{"), 400},
+            {request("a", "ask", "100m", ok, "[]"), 400},
+            {request("a", "ask", "100m", ok, "{} {}"), 400},
+            {request("a", "ask", "100m", ok, "{\"a\":\"" + "x".repeat(256 * 1024) + "\"}"), 413},
+            {request("a", "ask", "100m", ok, "{}").replace("POST", "PUT"), 405},
+            {request("a", "ask", "100m", ok, "{}").replace("/v1/chat", "/v2/chat"), 404},
+            {"POST / HTTP/1.1\r\nno colon here\r\n\r\n", 400},
+            {"nonsense\r\n\r\n", 400},
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void malformedInputIsAPlain4xxAndNoAttempt(String text, int status) throws Exception {
+        try (Site site = new Site(1, 1)) {
+            try (Line client = site.client()) {
+                Line.Message answer = client.send(text).read();
+                assertNotNull(answer);
+                assertEquals(answer.status(), status);
+            }
+            assertEquals(site.get("/healthz").status(), 200);
+            assertEquals(site.attempts(site.readers), 0);
+        }
+    }
+
+    /** SIGTERM's work: what was taken is answered, connections close, and what comes for a while is taken too. */
+    @Test
+    public void aStopAnswersWhatWasTaken() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Site site = new Site(1, 1); Line first = site.client(); Line idle = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                go.await();
+                Site.write(m, line);
+            });
+            first.send(request("ask", 8000));
+            await("written", () -> site.attempts(site.writers) == 1);
+            Thread stop = new Thread(() -> {
+                try {
+                    site.node.stop();
+                } catch (InterruptedException e) {
+                    throw new AssertionError(e);
+                }
+            });
+            stop.start();
+            await("not healthy", () -> site.get("/healthz").status() == 503);
+            try (Line late = site.client()) {
+                late.send(request("ask", 8000));
+                await("late one written", () -> site.attempts(site.writers) == 2);
+                go.countDown();
+                for (Line client : List.of(first, late)) {
+                    Line.Message answer = client.read();
+                    assertEquals(answer.text(), EVENTS);
+                    assertEquals(answer.header("Connection"), "close");
+                    assertTrue(client.awaitClosed());
+                }
+            }
+            stop.join(Line.PATIENCE_MS);
+            assertFalse(stop.isAlive());
+            assertTrue(idle.awaitClosed());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -0,0 +1,196 @@
+package copperbeam.sockets;
+
+import copperbeam.program.Config;
+import copperbeam.program.Node;
+import copperbeam.protocol.Json;
+import copperbeam.protocol.openai.ChatModels;
+import copperbeam.simhost.Decoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** A conductor between stand-ins: discovery, readers that read and writers that write, unless a test rescripts them. */
+final class Site implements AutoCloseable {
+    static final String EVENTS = """
+            data: {"choices":[{"index":0,"delta":{"content":"ab"},"finish_reason":null}]}
+
+            : a comment
+
+            data: {"choices":[{"index":0,"delta":{"content":"c\u00e8"},"finish_reason":"stop"}]}
+
+            data: {"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}}
+
+            data: [DONE]
+
+            """;
+    static final String SETTINGS = """
+            {"balancers":1,"kinds":["prefill","decode"],
+             "services":[{"name":"ask","promise_s":1.5,"semantics":"safe","worth":3},
+                         {"name":"send","promise_s":3,"semantics":"unsafe","worth":2}],
+             "limits":{"send_cap":4,"cancel":true,"probing":false,"retry_after":true,"max_retry_after_s":2,
+                       "conn_idle_s":%s,"connect_timeout_s":0.25},
+             "rules":{"cold_from":0.28,"warm_within_s":13,"fall_multiple":3,"fall_s":2},
+             "report":{"via":"on_probe"},"extra":{"role_by_kind":["read","write"],"release_s":1,"resume":true}}
+            """;
+
+    final List<StandIn> readers = new ArrayList<>();
+    final List<StandIn> writers = new ArrayList<>();
+    final LinkedBlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    final StandIn discovery = new StandIn(this::discover);
+    final Node node;
+    private volatile long version = 1;
+    private boolean closed;
+
+    Site(int readerCount, int writerCount) throws Exception {
+        this(readerCount, writerCount, 30);
+    }
+
+    Site(int readerCount, int writerCount, double idleS) throws Exception {
+        for (int i = 0; i < readerCount; i++) {
+            readers.add(new StandIn(Site::read));
+        }
+        for (int i = 0; i < writerCount; i++) {
+            writers.add(new StandIn(Site::write));
+        }
+        Map<?, ?> settings = Json.GSON.fromJson(String.format(SETTINGS, idleS), Map.class);
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        ChatModels models = new ChatModels(Map.of("m-ask", new ChatModels.Model("ask", Duration.ofSeconds(2), 100),
+                "m-send", new ChatModels.Model("send", Duration.ofSeconds(2), 100)));
+        node = new Node(new Config("n0", any, discovery.address(), 7, Decoder.settings(cast(settings)), null,
+                Duration.ofMillis(250), Duration.ofMillis((long) (idleS * 1000)), new Config.Operator(any, models)));
+        await("healthy", () -> get("/healthz").status() == 200);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> cast(Map<?, ?> map) {
+        return (Map<String, Object>) map;
+    }
+
+    static void read(Line.Message m, Line line) throws Exception {
+        if (m.method().equals("DELETE")) {
+            line.answer(204, "");
+        } else {
+            line.answer(202, "{\"cached_tokens\":0}");
+        }
+    }
+
+    static void write(Line.Message m, Line line) throws Exception {
+        if (m.method().equals("DELETE")) {
+            line.answer(204, "");
+        } else {
+            line.beginStream().chunk(EVENTS).lastChunk();
+        }
+    }
+
+    /** A release is heard, anything else goes by the script. */
+    static StandIn.Script attempts(StandIn.Script script) {
+        return (m, line) -> {
+            if (m.method().equals("DELETE")) {
+                line.answer(204, "");
+            } else {
+                script.run(m, line);
+            }
+        };
+    }
+
+    private void discover(Line.Message m, Line line) throws Exception {
+        if (!m.path().contains("from=")) {
+            line.answer(200, list(true));
+            return;
+        }
+        String change = changes.poll(3, TimeUnit.SECONDS);
+        if (change != null) {
+            version++;
+        }
+        line.answer(200, "{\"version\":" + version + ",\"full\":false,\"servers\":[" + (change == null ? "" : change)
+                + "]}");
+    }
+
+    private String list(boolean full) {
+        List<String> entries = new ArrayList<>();
+        readers.forEach(s -> entries.add(entry(s, "prefill", "active")));
+        writers.forEach(s -> entries.add(entry(s, "decode", "active")));
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", entries) + "]}";
+    }
+
+    static String entry(StandIn server, String kind, String state) {
+        return String.format("{\"id\":\"s%d\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"%s\",\"cell\":0,"
+                + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":0}", server.address().getPort(), server.host(), kind,
+                state);
+    }
+
+    Line.Message get(String path) {
+        try (Line line = new Line(node.address())) {
+            return line.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    static String request(String requestClass, int timeoutMs) {
+        return request("id" + System.nanoTime(), requestClass, timeoutMs + "m", "prompt_len=40,max_out=9", "{}");
+    }
+
+    static String request(String id, String requestClass, String timeout, String attrs, String body) {
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: "
+                + requestClass + "\r\nX-Route-Key: k\r\nX-Timeout: " + timeout + "\r\nX-Attrs: " + attrs
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static String chat(String model, boolean stream, String more) {
+        String body = "{\"model\":\"" + model + "\",\"stream\":" + stream + more
+                + ",\"messages\":[{\"role\":\"system\",\"content\":\"be kind\"},{\"role\":\"user\",\"content\":\"hi\"}]}";
+        return post(body);
+    }
+
+    static String post(String body) {
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    Line client() throws Exception {
+        return new Line(node.address());
+    }
+
+    Line chatClient() throws Exception {
+        return new Line(node.chatAddress());
+    }
+
+    long attempts(List<StandIn> at) {
+        return at.stream().mapToLong(StandIn::attempts).sum();
+    }
+
+    long releases() {
+        return readers.stream().mapToLong(StandIn::releases).sum()
+                + writers.stream().mapToLong(StandIn::releases).sum();
+    }
+
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + Line.PATIENCE_MS * 1_000_000L;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("never: " + what);
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (!closed) {
+            closed = true;
+            node.close();
+            discovery.close();
+            for (StandIn s : readers) {
+                s.close();
+            }
+            for (StandIn s : writers) {
+                s.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/StandIn.java
@@ -0,0 +1,100 @@
+package copperbeam.sockets;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Predicate;
+
+/** A server of the other side, by its published protocol: it does what the test's script says and notes the rest. */
+final class StandIn implements AutoCloseable {
+    /** Answers one request; what it throws ends the connection. */
+    interface Script {
+        void run(Line.Message request, Line line) throws Exception;
+    }
+
+    private final ServerSocket socket;
+    final List<Line.Message> seen = new CopyOnWriteArrayList<>();
+    final List<Line> lines = new CopyOnWriteArrayList<>();
+    volatile Script script;
+
+    StandIn(Script script) throws IOException {
+        this.script = script;
+        socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        start(this::accept);
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "stand-in");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket next = socket.accept();
+                start(() -> serve(next));
+            }
+        } catch (IOException e) {
+            // closed
+        }
+    }
+
+    private void serve(Socket next) {
+        Line line = null;
+        try {
+            line = new Line(next);
+            next.setSoTimeout(0);
+            lines.add(line);
+            for (Line.Message request = line.read(); request != null; request = line.read()) {
+                seen.add(request);
+                script.run(request, line);
+            }
+        } catch (Exception e) {
+            // the script or the other side has ended it
+        } finally {
+            close(line);
+        }
+    }
+
+    private static void close(Line line) {
+        try {
+            line.close();
+        } catch (IOException e) {
+            // as good as closed
+        }
+        line.ended = true;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
+    String host() {
+        return "127.0.0.1:" + address().getPort();
+    }
+
+    long count(Predicate<Line.Message> which) {
+        return seen.stream().filter(which).count();
+    }
+
+    long attempts() {
+        return count(m -> m.method().equals("POST"));
+    }
+
+    long releases() {
+        return count(m -> m.method().equals("DELETE"));
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+        for (Line line : lines) {
+            line.close();
+        }
+    }
+}
