--- /dev/null
+++ b/src/main/java/copperbeam/plugins/WasmHook.java
@@ -0,0 +1,119 @@
+package copperbeam.plugins;
+
+import com.dylibso.chicory.runtime.Instance;
+import com.dylibso.chicory.wasm.ChicoryException;
+import com.dylibso.chicory.wasm.Parser;
+import com.dylibso.chicory.wasm.WasmModule;
+import com.dylibso.chicory.wasm.types.FunctionType;
+import com.dylibso.chicory.wasm.types.MemoryLimits;
+import com.dylibso.chicory.wasm.types.ValueType;
+import java.time.Duration;
+import java.util.List;
+import copperbeam.routing.Ask;
+import copperbeam.routing.RequestHook;
+
+/**
+ * A WebAssembly module that exports {@code on_request(class, prompt_tokens, prefix_tokens, max_answer_tokens:
+ * i32, session, prefix: i64) -> i32}. Classes are numbered from 0 in the settings' order; session and prefix
+ * come as hashes, 0 for none. It returns 0 to let the request pass, -n to refuse it for n milliseconds, and
+ * k + 1 to give it class k. It gets no imports, so it reaches nothing but its own memory.
+ */
+public final class WasmHook implements RequestHook {
+    private static final List<ValueType> TAKES = List.of(ValueType.I32, ValueType.I32, ValueType.I32, ValueType.I32,
+            ValueType.I64, ValueType.I64);
+    private static final int LOOK_EVERY = 256; // instructions between looks at the clock
+    private static final int LONGEST_REFUSAL_MS = 60_000;
+
+    /** Thrown out of the interpreter. */
+    private static final class TooSlow extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        TooSlow() {
+            super("its time was up", null, false, false);
+        }
+    }
+
+    private final String name;
+    private final WasmModule module;
+    private final List<String> classes;
+    private final Duration time;
+    private final int pages;
+    private Instance instance;
+    private int steps;
+    private long until;
+
+    /** Throws {@link IllegalArgumentException} with what is wrong with the module. */
+    public WasmHook(String name, byte[] wasm, List<String> classes, Duration time, int memoryPages) {
+        this.name = name;
+        this.classes = List.copyOf(classes);
+        this.time = time;
+        pages = memoryPages;
+        try {
+            module = Parser.parse(wasm);
+            if (module.importSection().importCount() > 0) {
+                throw new IllegalArgumentException("it asks for imports, and there are none");
+            }
+            start();
+            FunctionType type = instance.exportType("on_request");
+            if (!type.params().equals(TAKES) || !type.returns().equals(List.of(ValueType.I32))) {
+                throw new IllegalArgumentException("on_request has another form: " + type);
+            }
+        } catch (ChicoryException | TooSlow e) {
+            throw new IllegalArgumentException("it does not load: " + e.getMessage(), e);
+        }
+    }
+
+    private void start() {
+        until = System.nanoTime() + time.toNanos();
+        instance = null;
+        Instance.Builder builder = Instance.builder(module).withUnsafeExecutionListener((instruction, stack) -> {
+            if (++steps % LOOK_EVERY == 0 && System.nanoTime() > until) {
+                throw new TooSlow();
+            }
+        });
+        module.memorySection().ifPresent(section -> {
+            int first = section.getMemory(0).limits().initialPages();
+            if (first > pages) {
+                throw new IllegalArgumentException("it wants " + first + " pages of memory; " + pages + " are allowed");
+            }
+            builder.withMemoryLimits(new MemoryLimits(first, pages));
+        });
+        instance = builder.build();
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public Verdict onRequest(Ask ask) {
+        try {
+            if (instance == null) {
+                start();
+            }
+            until = System.nanoTime() + time.toNanos();
+            int verdict = (int) instance.export("on_request").apply(classes.indexOf(ask.requestClass()),
+                    (long) ask.promptTokens(), (long) ask.prefixTokens(), (long) ask.maxAnswerTokens(),
+                    hash(ask.session()), hash(ask.prefix()))[0];
+            if (verdict < 0) {
+                return new Verdict(Duration.ofMillis(Math.min(-(long) verdict, LONGEST_REFUSAL_MS)), null);
+            }
+            if (verdict > classes.size()) {
+                throw new IllegalStateException("it names class " + (verdict - 1) + ", which there is not");
+            }
+            return verdict == 0 ? Verdict.PASS : new Verdict(null, classes.get(verdict - 1));
+        } catch (RuntimeException e) {
+            instance = null; // its memory may be half changed
+            throw e;
+        }
+    }
+
+    private static long hash(String text) {
+        long hash = text == null ? 0 : 0xCBF29CE484222325L; // FNV-1a
+        for (int i = 0; text != null && i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * 0x100000001B3L;
+        }
+        return hash;
+    }
+}
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -1,15 +1,24 @@
 package copperbeam.program;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import copperbeam.Api.ListKind;
+import copperbeam.Api.RequestClass;
 import copperbeam.Api.Settings;
+import copperbeam.plugins.WasmHook;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
 import copperbeam.protocol.openai.ChatModels;
+import copperbeam.routing.RequestHook;
 import copperbeam.simhost.Decoder;
 import copperbeam.simhost.Wire;
 
@@ -23,11 +32,14 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         Settings settings, ServerList known, Duration connectTimeout, Duration connectionIdle, Operator operator) {
 
-    /** {@code chat} and its {@code listen} may be null: then there is no such front. */
-    public record Operator(InetSocketAddress chatListen, ChatModels chat) {
-        public static final Operator NONE = new Operator(null, null);
+    /** {@code chat} and its address may be null: then there is no such front. So may {@code etcd}. */
+    public record Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks) {
+        public static final Operator NONE = new Operator(null, null, null, List.of());
     }
 
+    /** Where the list comes from in place of the platform's discovery; {@code prefix} ends in a slash. */
+    public record Etcd(InetSocketAddress endpoint, String prefix) {}
+
     /** What is wrong, by the key at fault. */
     public static final class Invalid extends Exception {
         private static final long serialVersionUID = 1L;
@@ -51,9 +63,10 @@
         Section limits = raw.section("limits");
         Settings settings = settings(raw);
         Operator operator = operatorFile == null ? Operator.NONE
-                : operator(Section.file("--operator", operatorFile), classNames(settings));
+                : operator(Section.file("--operator", operatorFile), Path.of(operatorFile), settings);
         String name = file.text("name", "conductor");
-        return new Config(name, file.address("listen"), file.address("discovery"), seed(file, name), settings,
+        return new Config(name, file.address("listen"),
+                operator.etcd() == null ? file.address("discovery") : null, seed(file, name), settings,
                 known(file), limits.span("connect_timeout_s", 0.25), limits.span("conn_idle_s", 30), operator);
     }
 
@@ -81,7 +94,11 @@
 
     private static ServerList known(Section file) throws Invalid {
         try {
-            return file.has("known") ? ServerList.parse(Json.GSON.toJson(file.get("known"))) : null;
+            ServerList known = file.has("known") ? ServerList.parse(Json.GSON.toJson(file.get("known"))) : null;
+            if (known != null) {
+                known.change(ListKind.CACHED); // throws what is wrong with an entry
+            }
+            return known;
         } catch (IllegalArgumentException e) {
             throw file.invalid("known", e.getMessage());
         }
@@ -99,12 +116,44 @@
         }
     }
 
-    private static Operator operator(Section file, Set<String> classes) throws Invalid {
-        file.only(Set.of("openai"));
-        if (!file.has("openai")) {
-            return Operator.NONE;
+    private static Operator operator(Section file, Path at, Settings settings) throws Invalid {
+        file.only(Set.of("openai", "etcd", "plugins"));
+        Section chat = file.has("openai") ? file.section("openai") : null;
+        return new Operator(chat == null ? null : chat.address("listen"),
+                chat == null ? null : models(chat, classNames(settings)),
+                file.has("etcd") ? etcd(file.section("etcd")) : null,
+                file.has("plugins") ? hooks(file, at, settings) : List.of());
+    }
+
+    private static Etcd etcd(Section etcd) throws Invalid {
+        etcd.only(Set.of("endpoint", "prefix"));
+        String prefix = etcd.text("prefix", "/copperbeam/servers/");
+        if (!prefix.endsWith("/")) {
+            throw etcd.invalid("prefix", "does not end in a slash");
+        }
+        return new Etcd(etcd.address("endpoint"), prefix);
+    }
+
+    private static List<RequestHook> hooks(Section file, Path at, Settings settings) throws Invalid {
+        List<RequestHook> hooks = new ArrayList<>();
+        for (Section plugin : file.sections("plugins")) {
+            plugin.only(Set.of("file", "time_ms", "memory_pages"));
+            Path wasm = at.toAbsolutePath().resolveSibling(plugin.text("file"));
+            try {
+                hooks.add(new WasmHook(plugin.text("file"), Files.readAllBytes(wasm),
+                        settings.classes().stream().map(RequestClass::name).toList(),
+                        Duration.ofMillis(plugin.count("time_ms", 5, 1, 1000)),
+                        plugin.count("memory_pages", 16, 1, 256)));
+            } catch (IOException e) {
+                throw plugin.invalid("file", "cannot read " + wasm + ": " + e);
+            } catch (IllegalArgumentException e) {
+                throw plugin.invalid("file", e.getMessage());
+            }
         }
-        Section chat = file.section("openai");
+        return hooks;
+    }
+
+    private static ChatModels models(Section chat, Set<String> classes) throws Invalid {
         chat.only(Set.of("listen", "models"));
         Section models = chat.section("models");
         Map<String, ChatModels.Model> byName = new LinkedHashMap<>();
@@ -120,7 +169,7 @@
         if (byName.isEmpty()) {
             throw chat.invalid("models", "names no model");
         }
-        return new Operator(chat.address("listen"), new ChatModels(byName));
+        return new ChatModels(byName);
     }
 
     private static Set<String> classNames(Settings settings) {
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -10,9 +10,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import copperbeam.Api.ListKind;
+import copperbeam.protocol.HttpClient;
 import copperbeam.protocol.discovery.DiscoveryWatch;
+import copperbeam.protocol.etcd.EtcdMembership;
 import copperbeam.protocol.openai.OpenAiFront;
 import copperbeam.protocol.platform.PlatformFront;
+import copperbeam.routing.HookActor;
+import copperbeam.routing.Intake;
 import copperbeam.routing.ListActor;
 import copperbeam.routing.MembershipSource;
 import copperbeam.routing.ModuleActor;
@@ -38,8 +42,10 @@
     private final MembershipSource source;
     private final HttpFrontServer server;
     private final AtomicBoolean listed = new AtomicBoolean();
+    private final AtomicBoolean warm = new AtomicBoolean();
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final InetSocketAddress address;
+    private ScheduledThreadPoolExecutor hookTurns;
     private HttpFrontServer chat;
     private InetSocketAddress chatAddress;
 
@@ -56,18 +62,27 @@
         if (config.known() != null) {
             list.tell(config.known().change(ListKind.CACHED));
         }
-        source = new DiscoveryWatch(turns, new PlainHttpClient(reactor), config.discovery());
+        HttpClient client = new PlainHttpClient(reactor);
+        Config.Etcd etcd = config.operator().etcd();
+        source = etcd == null ? new DiscoveryWatch(turns, client, config.discovery())
+                : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             list.tell(change);
             listed.set(true);
         });
-        server = new HttpFrontServer(new PlatformFront(config.classNames(), module, this::healthy), clock);
+        Intake intake = module;
+        if (!config.operator().hooks().isEmpty()) {
+            hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
+            intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), module);
+        }
+        server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock);
         address = server.listen(config.listen());
         if (config.operator().chat() != null) {
-            chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), module, this::healthy,
+            chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), intake, this::healthy,
                     clock.instant()), clock);
             chatAddress = chat.listen(config.operator().chatListen());
         }
+        WarmUp.start(config.settings(), client, address, () -> warm.set(true));
         if (config.known() != null) {
             // with discovery down, the list last known has to do
             turns.schedule(() -> listed.set(true), 2, TimeUnit.SECONDS);
@@ -88,7 +103,7 @@
     }
 
     private boolean healthy() {
-        return listed.get() && !stopping.get();
+        return listed.get() && warm.get() && !stopping.get();
     }
 
     /** Answers what was taken and what still comes for a while, lets go of what is held, and returns. */
@@ -113,6 +128,9 @@
         source.stop();
         servers().forEach(HttpFrontServer::close);
         reactor.close();
+        if (hookTurns != null) {
+            hookTurns.shutdownNow();
+        }
         turns.shutdownNow();
     }
 }
--- /dev/null
+++ b/src/main/java/copperbeam/program/WarmUp.java
@@ -0,0 +1,84 @@
+package copperbeam.program;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import copperbeam.Api;
+import copperbeam.Brain;
+import copperbeam.protocol.HttpClient;
+
+/**
+ * Runs the hot path before the first client comes: a throw-away module through a few hundred requests, and
+ * calls to our own listener that end before the core. Guards against a first second of late answers while
+ * classes load and code is compiled on one core.
+ */
+final class WarmUp {
+    private static final int REQUESTS = 400;
+    private static final int CALLS = 60;
+    private static final Duration SILENCE = Duration.ofSeconds(1);
+
+    private WarmUp() {}
+
+    /** {@code warm} runs once all is done, whatever the calls were answered. */
+    static void start(Api.Settings settings, HttpClient client, InetSocketAddress self, Runnable warm) {
+        module(settings);
+        call(client, self, new AtomicInteger(), warm);
+    }
+
+    private static void call(HttpClient client, InetSocketAddress self, AtomicInteger done, Runnable warm) {
+        int number = done.getAndIncrement();
+        if (number >= CALLS) {
+            warm.run();
+            return;
+        }
+        // without an id a request is answered 400 by the front, and no attempt is made
+        byte[] body = number % 2 == 0 ? null : "{\"stream\":true}".getBytes(StandardCharsets.UTF_8);
+        client.whole(self, body == null ? "GET" : "POST", body == null ? "/healthz" : "/v1/chat/completions", body,
+                SILENCE, (status, answer) -> call(client, self, done, warm));
+    }
+
+    private static void module(Api.Settings settings) {
+        Brain brain = new Brain(settings, 1);
+        List<Api.Member> members = new ArrayList<>();
+        for (Api.Kind kind : settings.kinds()) {
+            for (int i = 0; i < 6; i++) {
+                members.add(new Api.Member(kind.name() + i, "zone", kind.name(), i % 2, Api.ServerState.READY, 1, 0));
+            }
+        }
+        double now = 1;
+        brain.on(now, new Api.Members(Api.ListKind.FULL, members));
+        for (int i = 0; i < REQUESTS; i++, now += 0.05) {
+            String requestClass = settings.classes().get(i % settings.classes().size()).name();
+            List<Api.Action> actions = brain.on(now, new Api.Arrival(i, requestClass, null, "s" + i % 40, "p" + i % 7,
+                    2000, 1000, 200, now + 5));
+            for (int attempt = 0; attempt < settings.limits().maxAttempts(); attempt++) {
+                actions = step(brain, now, i, attempt, actions);
+            }
+        }
+    }
+
+    /** Answers what the module asks for: a probe, a look again, a read, and then a whole stream. */
+    private static List<Api.Action> step(Brain brain, double now, long request, int attempt,
+            List<Api.Action> actions) {
+        List<Api.Action> next = new ArrayList<>();
+        for (Api.Action action : actions) {
+            if (action instanceof Api.Probe p) {
+                next.addAll(brain.on(now + 0.002, new Api.Probed(p.server(), Api.Outcome.OK, 0.002,
+                        new Api.Report(Double.NaN, Double.NaN, 3, 0.2, Double.NaN))));
+            } else if (action instanceof Api.Timer t && t.afterS() < 0.1) {
+                next.addAll(brain.on(now + t.afterS(), new Api.TimerFired(t.tag())));
+            } else if (action instanceof Api.Attempt a) {
+                boolean read = attempt % 2 == 0;
+                if (!read) {
+                    brain.on(now + 0.03, new Api.StreamStarted(request, attempt, a.server(), 0.03));
+                }
+                next.addAll(brain.on(now + 0.04, new Api.AttemptEnded(request, attempt, a.server(),
+                        read ? Api.Outcome.READ : Api.Outcome.OK, 0.04, !read, false, null)));
+            }
+        }
+        return next;
+    }
+}
--- /dev/null
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdMembership.java
@@ -0,0 +1,176 @@
+package copperbeam.protocol.etcd;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Logger;
+import copperbeam.Api.ListKind;
+import copperbeam.protocol.HttpClient;
+import copperbeam.routing.Actor;
+import copperbeam.routing.MembershipSource;
+
+/**
+ * The list of servers from etcd: a range for the whole of it, then a watch from the revision after. A watch
+ * that breaks goes on from the revision after the last seen; one that etcd has compacted away begins anew
+ * with a range.
+ */
+public final class EtcdMembership implements MembershipSource {
+    private static final Logger LOG = Logger.getLogger(EtcdMembership.class.getName());
+    private static final Duration RANGE_SILENCE = Duration.ofSeconds(3);
+    private static final Duration WATCH_SILENCE = Duration.ofSeconds(30); // then asked anew: it may be cut off
+    private static final Duration AGAIN = Duration.ofMillis(200);
+
+    private sealed interface Message permits Start, Listed, Data, Ended, Again, Stop {}
+
+    private record Start(Sink sink) implements Message {}
+
+    private record Listed(int call, int status, byte[] body) implements Message {}
+
+    private record Data(int call, byte[] bytes) implements Message {}
+
+    private record Ended(int call) implements Message {}
+
+    private record Again() implements Message {}
+
+    private record Stop() implements Message {}
+
+    private final class Watcher extends Actor<Message> {
+        private Sink sink;
+        private boolean listed;
+        private boolean stopped;
+        private long revision;
+        private int call;
+        private EtcdWire.Lines lines;
+        private Runnable cancel = () -> { };
+
+        Watcher(ScheduledExecutorService turns) {
+            super(turns);
+        }
+
+        @Override
+        protected void receive(Message m) {
+            if (m instanceof Stop) {
+                stopped = true;
+                cancel.run();
+            } else if (stopped) {
+                return;
+            } else if (m instanceof Start e) {
+                sink = e.sink();
+                ask();
+            } else if (m instanceof Again) {
+                ask();
+            } else if (m instanceof Listed e && e.call() == call) {
+                guarded(() -> listed(e));
+            } else if (m instanceof Data e && e.call() == call) {
+                guarded(() -> lines.add(e.bytes()).forEach(this::line));
+            } else if (m instanceof Ended e && e.call() == call) {
+                later();
+            }
+        }
+
+        /** What can't be read ends the call; the list so far stays. */
+        private void guarded(Runnable step) {
+            try {
+                step.run();
+            } catch (IllegalArgumentException e) {
+                LOG.warning("etcd: " + e.getMessage());
+                listed = false;
+                later();
+            }
+        }
+
+        private void later() {
+            call++;
+            cancel.run();
+            tellLater(AGAIN, new Again());
+        }
+
+        private void ask() {
+            int mine = ++call;
+            if (!listed) {
+                cancel = client.whole(endpoint, "POST", "/v3/kv/range", EtcdWire.range(prefix), RANGE_SILENCE,
+                        (status, body) -> tell(new Listed(mine, status, body)));
+                return;
+            }
+            lines = new EtcdWire.Lines();
+            cancel = client.send(endpoint, "POST", "/v3/watch", EtcdWire.watch(prefix, revision + 1), WATCH_SILENCE,
+                    new HttpClient.Response() {
+                        @Override
+                        public void head(int status) {
+                            if (status != 200) {
+                                tell(new Ended(mine));
+                            }
+                        }
+
+                        @Override
+                        public void data(byte[] bytes) {
+                            tell(new Data(mine, bytes));
+                        }
+
+                        @Override
+                        public void end() {
+                            tell(new Ended(mine));
+                        }
+
+                        @Override
+                        public void failed() {
+                            tell(new Ended(mine));
+                        }
+                    });
+        }
+
+        private void listed(Listed e) {
+            if (e.status() != 200) {
+                throw new IllegalArgumentException(e.status() == 0 ? "no answer" : "status " + e.status());
+            }
+            EtcdWire.Listing listing = EtcdWire.listing(prefix, e.body());
+            listed = true;
+            revision = listing.revision();
+            sink.changed(new Change(ListKind.FULL, listing.entries()));
+            ask();
+        }
+
+        private void line(byte[] line) {
+            if (line.length == 0) {
+                return;
+            }
+            EtcdWire.Change change = EtcdWire.change(prefix, line);
+            if (change.over()) {
+                // compacted: what happened in between can't be told any more
+                listed = false;
+                later();
+                return;
+            }
+            List<Entry> entries = change.entries();
+            if (!entries.isEmpty()) {
+                revision = Math.max(revision, change.revision());
+                sink.changed(new Change(ListKind.DELTA, entries));
+            }
+        }
+    }
+
+    private final HttpClient client;
+    private final InetSocketAddress endpoint;
+    private final String prefix;
+    private final Watcher watcher;
+
+    /** {@code prefix} ends in a slash. */
+    public EtcdMembership(ScheduledExecutorService turns, HttpClient client, InetSocketAddress endpoint,
+            String prefix) {
+        this.client = client;
+        this.endpoint = endpoint;
+        this.prefix = prefix;
+        watcher = new Watcher(turns);
+    }
+
+    @Override
+    public void start(Sink sink) {
+        watcher.tell(new Start(sink));
+    }
+
+    @Override
+    public void stop() {
+        watcher.tell(new Stop());
+    }
+}
--- a/src/main/java/copperbeam/routing/Actor.java
+++ b/src/main/java/copperbeam/routing/Actor.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -34,11 +35,19 @@
     }
 
     public final void tellLater(Duration after, M message) {
-        turns.schedule(() -> tell(message), Math.max(0, after.toNanos()), TimeUnit.NANOSECONDS);
+        try {
+            turns.schedule(() -> tell(message), Math.max(0, after.toNanos()), TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.finest("asked for a message after the end");
+        }
     }
 
     private void turn(Executor executor) {
-        executor.execute(this::run);
+        try {
+            executor.execute(this::run);
+        } catch (RejectedExecutionException e) {
+            LOG.finest("told after the end");
+        }
     }
 
     private void run() {
--- /dev/null
+++ b/src/main/java/copperbeam/routing/HookActor.java
@@ -0,0 +1,85 @@
+package copperbeam.routing;
+
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Logger;
+import copperbeam.Api.Effect;
+import copperbeam.Api.RequestClass;
+import copperbeam.Api.Settings;
+
+/**
+ * Runs the hooks on a thread of their own, one request after another, and hands on to the module what they
+ * let pass. They may refuse and may change a class; the rules stay as they are.
+ */
+public final class HookActor extends Actor<HookActor.Message> implements Intake {
+    public sealed interface Message permits Arrive, Left {}
+
+    private record Arrive(Ask ask, Answer answer) implements Message {}
+
+    private record Left(Answer answer) implements Message {}
+
+    private static final Logger LOG = Logger.getLogger(HookActor.class.getName());
+
+    private final List<RequestHook> hooks;
+    private final Settings settings;
+    private final Intake next;
+
+    public HookActor(ScheduledExecutorService own, List<RequestHook> hooks, Settings settings, Intake next) {
+        super(own);
+        this.hooks = List.copyOf(hooks);
+        this.settings = settings;
+        this.next = next;
+    }
+
+    @Override
+    public void arrive(Ask ask, Answer answer) {
+        tell(new Arrive(ask, answer));
+    }
+
+    @Override
+    public void left(Answer answer) {
+        tell(new Left(answer));
+    }
+
+    @Override
+    protected void receive(Message m) {
+        if (m instanceof Left e) {
+            next.left(e.answer());
+            return;
+        }
+        Arrive e = (Arrive) m;
+        Ask ask = e.ask();
+        for (RequestHook hook : hooks) {
+            RequestHook.Verdict verdict = RequestHook.Verdict.PASS;
+            try {
+                verdict = hook.onRequest(ask);
+            } catch (Exception failure) {
+                LOG.warning("plug-in " + hook.name() + " is passed over: " + failure.getMessage());
+            }
+            if (verdict.refuseFor() != null) {
+                e.answer().refuse(verdict.refuseFor(), false);
+                return;
+            }
+            if (verdict.requestClass() != null) {
+                ask = changed(hook, ask, verdict.requestClass());
+            }
+        }
+        next.arrive(ask, e.answer());
+    }
+
+    /** Guards the once-only rule: a request keeps a class that may be repeated less than the one it would get. */
+    private Ask changed(RequestHook hook, Ask ask, String name) {
+        Effect effect = effect(name);
+        if (effect == null || effect(ask.requestClass()) != Effect.SAFE && effect != Effect.UNSAFE) {
+            LOG.warning("plug-in " + hook.name() + " may not turn " + ask.requestClass() + " into " + name);
+            return ask;
+        }
+        return new Ask(ask.id(), name, ask.session(), ask.prefix(), ask.promptTokens(), ask.prefixTokens(),
+                ask.maxAnswerTokens(), ask.deadline(), ask.payload());
+    }
+
+    private Effect effect(String name) {
+        return settings.classes().stream().filter(c -> c.name().equals(name)).map(RequestClass::effect).findFirst()
+                .orElse(null);
+    }
+}
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -23,7 +23,7 @@
 
 /** The platform's protocol towards servers. */
 public final class ServerConnector implements Connector {
-    private static final String[] PASSED = {"X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Attrs",
+    private static final String[] PASSED = {"X-Route-Key", "X-Attrs",
         "X-Retried", "Content-Type", "Accept"};
 
     private final ClientReactor reactor;
@@ -116,6 +116,7 @@
                 }
             }
             request.setHeader("X-Request-ID", a.ask().id());
+            request.setHeader("X-Priority-Class", a.ask().requestClass());
             request.setHeader("X-Timeout", PlatformHeaders.timeout(a.patience()));
             return new AttemptExchange(request, call.body(), listener);
         }
--- /dev/null
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -0,0 +1,84 @@
+package copperbeam.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What is wrong in a configuration is told by its key. */
+public class ConfigTest {
+    private static final String GOOD = """
+            {"name":"n3","listen":"127.0.0.4:3000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+             "known":{"version":41,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","kind":"d"}]},
+             "settings":{"balancers":2,"kinds":["d"],"services":[{"name":"ask","promise_s":1,"semantics":"safe"}],
+               "limits":{"send_cap":4,"conn_idle_s":12},"rules":{},"extra":{}}}
+            """;
+    private static final String OPERATOR = """
+            {"openai":{"listen":"127.0.0.1:0","models":{"m":{"class":"ask"}}}}
+            """;
+
+    private static Config read(String config, String operator, Map<String, String> more) throws Exception {
+        Path folder = Files.createTempDirectory("config");
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        Path other = operator == null ? null : Files.writeString(folder.resolve("operator.json"), operator);
+        Map<String, String> environment = new java.util.HashMap<>(more);
+        environment.put("GW_CONFIG", file.toString());
+        return Config.read(environment, other == null ? null : other.toString());
+    }
+
+    @Test
+    public void readsAndGivesDefaults() throws Exception {
+        Config c = read(GOOD, OPERATOR, Map.of("GW_LISTEN", "127.0.0.9:77"));
+        assertEquals(c.listen().getPort(), 77);
+        assertEquals(c.discovery().getPort(), 8500);
+        assertEquals(c.seed(), 0x8c1f30d27a5be964L);
+        assertEquals(c.connectTimeout(), Duration.ofMillis(250));
+        assertEquals(c.connectionIdle(), Duration.ofSeconds(12));
+        assertEquals(c.known().version(), 41);
+        assertEquals(c.operator().chat().models().get("m").timeout(), Duration.ofSeconds(15));
+        assertEquals(read(GOOD, null, Map.of()).operator().chat(), null);
+    }
+
+    @DataProvider
+    public Object[][] faulty() {
+        return new Object[][] {
+            {"", null, "the file: "}, {"{", null, "GW_CONFIG: "}, {GOOD.replace("\"settings\"", "\"x\""), null, "settings: "},
+            {GOOD.replace("127.0.0.4:3000", "here"), null, "listen: "},
+            {GOOD.replace("\"discovery\"", "\"x\""), null, "discovery: "},
+            {GOOD.replace("8c1f30d27a5be964", "xyz"), null, "seed: "},
+            {GOOD.replace("\"conn_idle_s\":12", "\"conn_idle_s\":0"), null, "settings.limits.conn_idle_s: "},
+            {GOOD.replace("\"send_cap\":4", "\"send_cap\":0"), null, "settings.limits.send_cap: "},
+            {GOOD.replace("\"safe\"", "\"odd\""), null, "settings: unknown semantics 'odd'"},
+            {GOOD.replace("\"id\":\"s\"", "\"no\":1"), null, "known: "},
+            {GOOD, "{\"opnai\":{}}", "opnai: "},
+            {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"none\""), "openai.models.m.class: "},
+            {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"ask\",\"max_tokens\":0"),
+                "openai.models.m.max_tokens: "},
+            {GOOD, "{\"etcd\":{\"endpoint\":\"127.0.0.1:1\",\"prefix\":\"x\"}}", "etcd.prefix: "},
+            {GOOD, "{\"plugins\":[{\"file\":\"none.wasm\"}]}", "plugins[0].file: "},
+        };
+    }
+
+    @Test(dataProvider = "faulty")
+    public void namesTheFaultyKey(String config, String operator, String told) {
+        Config.Invalid e = expectThrows(Config.Invalid.class, () -> read(config, operator, Map.of()));
+        assertTrue(e.getMessage().startsWith(told), e.getMessage());
+    }
+
+    /** The operator's example in the repository is one that loads. */
+    @Test
+    public void theExampleLoads() throws Exception {
+        String settings = GOOD.replace("\"semantics\":\"safe\"}", "\"semantics\":\"safe\"},{\"name\":\"send\","
+                + "\"promise_s\":3,\"semantics\":\"unsafe\"}");
+        Path file = Files.writeString(Files.createTempFile("config", ".json"), settings);
+        Config c = Config.read(Map.of("GW_CONFIG", file.toString()), "deploy/operator.example.json");
+        assertEquals(c.operator().hooks().size(), 1);
+        assertEquals(c.discovery(), null);
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -0,0 +1,133 @@
+package copperbeam.protocol;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import copperbeam.Api.Report;
+import copperbeam.protocol.discovery.ServerList;
+import copperbeam.protocol.platform.PlatformHeaders;
+import copperbeam.protocol.platform.PlatformHeaders.Attrs;
+import copperbeam.protocol.platform.PlatformWords;
+import copperbeam.routing.Connector.Word;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tables of cases for what is read from the wires. */
+public class ParsersTest {
+    @DataProvider
+    public Object[][] timeouts() {
+        return new Object[][] {
+            {"4800m", Duration.ofMillis(4800)}, {"250u", Duration.ofNanos(250_000)}, {" 1m ", Duration.ofMillis(1)},
+            {null, null}, {"", null}, {"m", null}, {"12", null}, {"-5m", null}, {"0m", null}, {"1.5m", null},
+            {"99999999999999999999m", null}, {"999999999999m", null}, {"5s", null}, {"\u0665m", null},
+        };
+    }
+
+    @Test(dataProvider = "timeouts")
+    public void timeout(String value, Duration expected) throws Exception {
+        if (expected == null) {
+            assertThrows(BadRequest.class, () -> PlatformHeaders.timeout(value));
+        } else {
+            assertEquals(PlatformHeaders.timeout(value), expected);
+        }
+    }
+
+    @DataProvider
+    public Object[][] attrs() {
+        return new Object[][] {
+            {"prefix=5c,prompt_len=5120,prefix_len=2048,max_out=800", new Attrs("5c", 5120, 2048, 800)},
+            {" max_out = 7 , other=x", new Attrs(null, 0, 0, 7)},
+            {null, new Attrs(null, 0, 0, 0)}, {"", new Attrs(null, 0, 0, 0)}, {"prefix=", new Attrs(null, 0, 0, 0)},
+            {"prompt_len", null}, {"prompt_len=-1", null}, {"max_out=1e3", null}, {"=5", null},
+        };
+    }
+
+    @Test(dataProvider = "attrs")
+    public void attrs(String value, Attrs expected) throws Exception {
+        if (expected == null) {
+            assertThrows(BadRequest.class, () -> PlatformHeaders.attrs(value));
+        } else {
+            assertEquals(PlatformHeaders.attrs(value), expected);
+        }
+    }
+
+    @DataProvider
+    public Object[][] reports() {
+        double no = Double.NaN;
+        return new Object[][] {
+            {"inflight=7,queue=2,util=0.61", new Report(0.61, 2, 7, no, no)},
+            {"active=3,x0=0.5", new Report(no, no, 3, 0.5, no)},
+            {"x1=4, inflight=junk, x0=NaN", new Report(no, no, no, no, 4)},
+            {"", null}, {null, null}, {"inflight", null}, {"other=5", null},
+        };
+    }
+
+    @Test(dataProvider = "reports")
+    public void report(String value, Report expected) {
+        assertEquals(PlatformHeaders.report(value), expected);
+    }
+
+    @DataProvider
+    public Object[][] words() {
+        return new Object[][] {
+            {200, false, Word.STREAM}, {202, false, Word.READ}, {410, true, Word.STATE_MISSING},
+            {410, false, Word.ERROR}, {503, true, Word.TURNED_AWAY}, {504, true, Word.TURNED_AWAY},
+            {503, false, Word.ERROR}, {504, false, Word.ERROR}, {500, true, Word.ERROR}, {404, false, Word.ERROR},
+        };
+    }
+
+    @Test(dataProvider = "words")
+    public void words(int status, boolean notProcessed, Word expected) {
+        assertEquals(PlatformWords.attempt(status, notProcessed), expected);
+    }
+
+    @DataProvider
+    public Object[][] streams() {
+        return new Object[][] {
+            {"data: 1\n\ndata: 2\n\n", List.of("data: 1\n\n", "data: 2\n\n")},
+            {"data: 1\r\n\r\nrest", List.of("data: 1\r\n\r\n", "rest")},
+            {": note\n\ndata: a\ndata: b\n\n", List.of(": note\n\n", "data: a\ndata: b\n\n")},
+            {"", List.of()},
+        };
+    }
+
+    /** Events are the same however the stream was cut on its way. */
+    @Test(dataProvider = "streams")
+    public void events(String stream, List<String> expected) {
+        byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
+        for (int cut = 0; cut <= bytes.length; cut++) {
+            List<String> events = new ArrayList<>();
+            EventSplitter splitter = new EventSplitter();
+            splitter.take(ByteBuffer.wrap(bytes, 0, cut), e -> events.add(new String(e, StandardCharsets.UTF_8)));
+            splitter.take(ByteBuffer.wrap(bytes, cut, bytes.length - cut),
+                    e -> events.add(new String(e, StandardCharsets.UTF_8)));
+            splitter.end(e -> events.add(new String(e, StandardCharsets.UTF_8)));
+            assertEquals(events, expected);
+        }
+    }
+
+    @DataProvider
+    public Object[][] faultyLists() {
+        String server = "{\"version\":1,\"servers\":[%s]}";
+        return new Object[][] {
+            {"", "names no servers"}, {"{}", "names no servers"}, {"[", "form"}, {"{\"version\":\"x\"}", "form"},
+            {String.format(server, "{}"), "without an id"},
+            {String.format(server, "{\"id\":\"a\",\"state\":\"active\"}"), "no addr"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"nowhere\"}"), "host:port"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:99999\"}"), "host:port"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"state\":\"odd\"}"), "unknown state"},
+        };
+    }
+
+    @Test(dataProvider = "faultyLists")
+    public void faultyList(String json, String told) {
+        IllegalArgumentException e = org.testng.Assert.expectThrows(IllegalArgumentException.class,
+                () -> ServerList.parse(json).change(copperbeam.Api.ListKind.FULL));
+        assertEquals(e.getMessage().contains(told), true, e.getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/PluginTest.java
@@ -0,0 +1,86 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import copperbeam.plugins.WasmHook;
+import java.io.ByteArrayOutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Plug-ins in WebAssembly before a running conductor. Class 0 is ask, which may be repeated; class 1 is send. */
+public class PluginTest {
+    private static final byte[] FOREVER = {0x03, 0x40, 0x0c, 0x00, 0x0b, 0x41, 0x00, 0x0b};
+    private static final byte[] TRAP = {0x00, 0x0b};
+
+    private static byte[] constant(int verdict) {
+        return new byte[] {0x41, (byte) (verdict & 0x7f), 0x0b};
+    }
+
+    private static byte[] module(byte[] code, int pages) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(new byte[] {0, 'a', 's', 'm', 1, 0, 0, 0});
+        out.writeBytes(new byte[] {1, 11, 1, 0x60, 6, 0x7f, 0x7f, 0x7f, 0x7f, 0x7e, 0x7e, 1, 0x7f, 3, 2, 1, 0});
+        out.writeBytes(new byte[] {5, 3, 1, 0, (byte) pages, 7, 14, 1, 10});
+        out.writeBytes("on_request".getBytes());
+        out.writeBytes(new byte[] {0, 0, 10, (byte) (code.length + 3), 1, (byte) (code.length + 1), 0});
+        out.writeBytes(code);
+        return out.toByteArray();
+    }
+
+    private static WasmHook hook(byte[] wasm) {
+        return new WasmHook("test", wasm, List.of("ask", "send"), Duration.ofMillis(50), 16);
+    }
+
+    @DataProvider
+    public Object[][] verdicts() {
+        return new Object[][] {
+            // code, class asked for, status, class that the server sees
+            {constant(0), "ask", 200, "ask"},
+            {constant(-5), "ask", 429, null},
+            {constant(2), "ask", 200, "send"},
+            {constant(1), "send", 200, "send"}, // may not become one that is repeated
+            {constant(3), "ask", 200, "ask"},   // there is no such class
+            {FOREVER, "ask", 200, "ask"},
+            {TRAP, "send", 200, "send"},
+        };
+    }
+
+    @Test(dataProvider = "verdicts")
+    public void aPluginRefusesOrReclassesAndNeverStopsTheService(byte[] code, String asked, int status, String seen)
+            throws Exception {
+        try (Site site = new Site(1, 1, 30, null, List.of(hook(module(code, 1)))); Line client = site.client()) {
+            for (int i = 0; i < 2; i++) {
+                Line.Message answer = client.send(request(asked, 5000)).read();
+                assertEquals(answer.status(), status);
+                assertEquals(answer.header("Retry-After"), status == 429 ? "0.005" : null);
+            }
+            assertEquals(site.attempts(site.readers), status == 200 ? 2 : 0);
+            if (seen != null) {
+                assertEquals(site.writers.get(0).seen.get(0).header("X-Priority-Class"), seen);
+            }
+        }
+    }
+
+    @Test
+    public void aModuleThatWantsTooMuchDoesNotLoad() {
+        expectThrows(IllegalArgumentException.class, () -> hook(module(constant(0), 17)));
+        expectThrows(IllegalArgumentException.class, () -> hook(new byte[] {1, 2, 3}));
+    }
+
+    @Test
+    public void theExampleRefusesLongPrompts() throws Exception {
+        WasmHook hook = hook(Files.readAllBytes(Path.of("deploy/plugins/refuse-long.wasm")));
+        try (Site site = new Site(1, 1, 30, null, List.of(hook)); Line client = site.client()) {
+            assertEquals(client.send(request("a", "ask", "5000m", "prompt_len=16000", "{}")).read().status(), 200);
+            Line.Message refused = client.send(request("b", "ask", "5000m", "prompt_len=16001", "{}")).read();
+            assertEquals(refused.status(), 429);
+            assertEquals(refused.header("Retry-After"), "2.000");
+        }
+    }
+}
--- a/src/test/java/copperbeam/sockets/Site.java
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -4,6 +4,7 @@
 import copperbeam.program.Node;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.openai.ChatModels;
+import copperbeam.routing.RequestHook;
 import copperbeam.simhost.Decoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -51,6 +52,12 @@
     }
 
     Site(int readerCount, int writerCount, double idleS) throws Exception {
+        this(readerCount, writerCount, idleS, null, List.of());
+    }
+
+    /** {@code etcd} null: the list comes by the platform's discovery. */
+    Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks)
+            throws Exception {
         for (int i = 0; i < readerCount; i++) {
             readers.add(new StandIn(Site::read));
         }
@@ -62,8 +69,11 @@
         ChatModels models = new ChatModels(Map.of("m-ask", new ChatModels.Model("ask", Duration.ofSeconds(2), 100),
                 "m-send", new ChatModels.Model("send", Duration.ofSeconds(2), 100)));
         node = new Node(new Config("n0", any, discovery.address(), 7, Decoder.settings(cast(settings)), null,
-                Duration.ofMillis(250), Duration.ofMillis((long) (idleS * 1000)), new Config.Operator(any, models)));
-        await("healthy", () -> get("/healthz").status() == 200);
+                Duration.ofMillis(250), Duration.ofMillis((long) (idleS * 1000)), new Config.Operator(any, models, etcd,
+                hooks)));
+        if (etcd == null) {
+            await("healthy", () -> get("/healthz").status() == 200);
+        }
     }
 
     @SuppressWarnings("unchecked")
