Keep descriptors within the limit: capped client and idle server connections

Checked by a test with a limit of 2: a new client beyond it closes the connection idle longest; with none idle its request is refused with Retry-After. A closed one counted until the reactor had cleaned it up, which refused the newcomer that it had made room for; it is now taken off the set at once. Ruled out: a race with the stop, which closes idle connections the same way.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -75,11 +75,12 @@
             hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
             intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), module);
         }
-        server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock);
+        server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock,
+                HttpFrontServer.MOST_CLIENTS);
         address = server.listen(config.listen());
         if (config.operator().chat() != null) {
             chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), intake, this::healthy,
-                    clock.instant()), clock);
+                    clock.instant()), clock, HttpFrontServer.MOST_CLIENTS);
             chatAddress = chat.listen(config.operator().chatListen());
         }
         WarmUp.start(config.settings(), client, address, () -> warm.set(true));
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -87,6 +87,8 @@
     public record Setup(Clock clock, Connector connector, Duration connectTimeout, Duration idle,
             Duration callTimeout, ModuleActor module, ReleaseActor releases) {}
 
+    private static final int MOST_IDLE = 16; // of the descriptors that all servers together may take
+
     private final String id;
     private final Setup setup;
     private final Map<Long, Work> attempts = new HashMap<>();
@@ -248,6 +250,9 @@
             return;
         }
         idle.add(new Idle(connection, setup.clock().instant()));
+        if (idle.size() > MOST_IDLE) {
+            idle.pollFirst().connection().close();
+        }
         if (!tidying) {
             tidying = true;
             tellLater(setup.idle(), new Tidy());
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -4,7 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -22,6 +26,8 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
 import copperbeam.protocol.Front;
+import copperbeam.protocol.HttpCall;
+import copperbeam.protocol.HttpReply;
 
 /** Listens on one address and hands each request to a front. */
 public final class HttpFrontServer implements AutoCloseable {
@@ -29,20 +35,33 @@
     static final class Client {
         final IOSession session;
         volatile boolean busy;
+        volatile Instant since;
 
-        Client(IOSession session) {
+        Client(IOSession session, Instant since) {
             this.session = session;
+            this.since = since;
+        }
+
+        void idle(Instant now) {
+            since = now;
+            busy = false;
         }
     }
 
+    /** Of 1,024 descriptors: two for each client's request, some idle ones to servers, and the program's own. */
+    public static final int MOST_CLIENTS = 370;
+
     private final DefaultListeningIOReactor reactor;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
     private final Front front;
     private final Clock clock;
+    private final int mostClients;
     private volatile boolean draining;
     private volatile ListenerEndpoint endpoint;
 
-    public HttpFrontServer(Front front, Clock clock) {
+    /** {@code mostClients}: beyond so many connections an idle one is closed, and with none idle a request refused. */
+    public HttpFrontServer(Front front, Clock clock, int mostClients) {
+        this.mostClients = mostClients;
         this.front = front;
         this.clock = clock;
         IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
@@ -54,10 +73,18 @@
     }
 
     private ServerHttp1IOEventHandler handler(ProtocolIOSession session) {
-        Client client = new Client(session);
+        Client client = new Client(session, clock.instant());
+        if (clients.size() >= mostClients) {
+            // a client may be cut off between two requests; it sends again what crosses that
+            clients.stream().filter(c -> !c.busy).min(Comparator.comparing(c -> c.since)).ifPresent(c -> {
+                clients.remove(c);
+                c.session.close(CloseMode.GRACEFUL);
+            });
+        }
         clients.add(client);
         ServerHttp1StreamDuplexerFactory duplexers = new ServerHttp1StreamDuplexerFactory(HttpProcessors.server(),
-                (request, context) -> new ServerExchange(client, front, clock, () -> draining),
+                (request, context) -> new ServerExchange(client, full() ? HttpFrontServer::refuse : front, clock,
+                        () -> draining),
                 Http1Config.custom().setBufferSize(4096).setMaxLineLength(16 * 1024).setMaxHeaderCount(100).build(),
                 CharCodingConfig.DEFAULT, null, null);
         return new ServerHttp1IOEventHandler(duplexers.create("http", session)) {
@@ -79,6 +106,16 @@
         };
     }
 
+    private boolean full() {
+        return clients.size() > mostClients;
+    }
+
+    private static Runnable refuse(HttpCall call, HttpReply reply) {
+        reply.whole(503, "text/plain", Map.of("Retry-After", "1", "Connection", "close"),
+                "too many connections\n".getBytes(StandardCharsets.US_ASCII));
+        return () -> { };
+    }
+
     /** The address it has got, of use where port 0 was asked for. */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
         try {
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -216,7 +216,7 @@
             piece = pieces.peek();
         }
         if (state == Last.WHOLE && over.compareAndSet(false, true)) {
-            client.busy = false;
+            client.idle(clock.instant());
             channel.endStream(null);
         } else if (state == Last.CUT) {
             if (cutSeen) {
@@ -233,7 +233,7 @@
     @Override
     public void failed(Exception cause) {
         if (over.compareAndSet(false, true)) {
-            client.busy = false;
+            client.idle(clock.instant());
             gone.run();
         }
     }
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -10,7 +10,11 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.transport.HttpFrontServer;
+import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
@@ -284,6 +288,52 @@
         }
     }
 
+    /** Guards the limit on descriptors: an idle connection makes room, and without one a request is refused. */
+    @Test
+    public void clientsBeyondTheLimitMakeRoomOrAreRefused() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        AtomicInteger slowOnes = new AtomicInteger();
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
+            if (call.path().equals("/slow")) {
+                slowOnes.incrementAndGet();
+                new Thread(() -> {
+                    hold(go);
+                    reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                }).start();
+            } else {
+                reply.whole(200, "text/plain", Map.of(), new byte[0]);
+            }
+            return () -> { };
+        }, Clock.systemUTC(), 2)) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+            String slow = "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n";
+            try (Line idle = new Line(at); Line first = new Line(at)) {
+                assertEquals(idle.send(slow.replace("slow", "")).read().status(), 200);
+                assertEquals(first.send(slow.replace("slow", "")).read().status(), 200);
+                first.send(slow);
+                try (Line second = new Line(at)) {
+                    assertTrue(idle.awaitClosed());
+                    second.send(slow);
+                    await("both busy", () -> slowOnes.get() == 2);
+                    Line third = new Line(at);
+                    Line.Message refused = third.send(slow).read();
+                    assertEquals(refused.status(), 503);
+                    assertEquals(refused.header("Retry-After"), "1");
+                    go.countDown();
+                    assertEquals(first.read().status(), 200);
+                }
+            }
+        }
+    }
+
+    private static void hold(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     @DataProvider
     public Object[][] malformed() {
         String ok = "prompt_len=4";
