--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -43,6 +43,16 @@
         }
     }
 
+    /** Above HttpCore's first window and within the limit. */
+    @Test
+    public void aLargeBodyIsPassedOnWhole() throws Exception {
+        String body = "{\"a\":\"" + "x".repeat(250 * 1024) + "\"}";
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            assertEquals(client.send(request("id", "send", "5000m", "prompt_len=9", body)).read().status(), 200);
+            assertEquals(site.writers.get(0).seen.get(0).text(), body);
+        }
+    }
+
     @Test
     public void eachEventIsPassedOnAtOnce() throws Exception {
         CountDownLatch seen = new CountDownLatch(1);
