SIGHUP reads the configuration anew and moves the discovery watch

Checked: nothing in the program names SIGHUP; Node fixed the agent's address at its start (DiscoveryWatch.agent was final), and the file's discovery was overridden by GW_DISCOVERY on every read (Config.read), so a new file could not have been heard either. A process of its own ends on 'kill -HUP' without the handler. Ruled out: ListActor, which passes drains on in the turn in which they come. Change: Reload takes the signal, Config.reread lets the file go before the environment, DiscoveryWatch moves and takes the version anew. Conclusion: the drain rule broke on word that went to the new address only.

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -51,6 +51,15 @@
 
     /** From the platform's variables, the file that they name, and the operator's file if there is one. */
     public static Config read(Map<String, String> environment, String operatorFile) throws Invalid {
+        return read(environment, operatorFile, false);
+    }
+
+    /** The same after a start: a file that was replaced is newer word on discovery than the environment. */
+    public static Config reread(Map<String, String> environment, String operatorFile) throws Invalid {
+        return read(environment, operatorFile, true);
+    }
+
+    private static Config read(Map<String, String> environment, String operatorFile, boolean again) throws Invalid {
         String path = environment.get("GW_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new Invalid("GW_CONFIG", "is not set");
@@ -58,7 +67,9 @@
         Section file = Section.file("GW_CONFIG", path);
         override(file, "name", environment.get("GW_NAME"));
         override(file, "listen", environment.get("GW_LISTEN"));
-        override(file, "discovery", environment.get("GW_DISCOVERY"));
+        if (!again || !file.has("discovery")) {
+            override(file, "discovery", environment.get("GW_DISCOVERY"));
+        }
         Section raw = file.section("settings");
         Section limits = raw.section("limits");
         Settings settings = settings(raw);
--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
@@ -87,6 +88,9 @@
     }
 
     private static int serve(CommandLine line) throws InterruptedException {
+        CompletableFuture<Node> running = new CompletableFuture<>();
+        // before all else, as without a handler the signal ends the program
+        Reload.onHangup(() -> Config.reread(System.getenv(), line.getOptionValue("operator")), running);
         Config config = config(line);
         if (config == null) {
             return 1;
@@ -98,6 +102,7 @@
             System.err.println("copperbeam: " + e.getMessage());
             return 1;
         }
+        running.complete(node);
         System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -40,6 +40,7 @@
     private final ModuleActor module;
     private final ReleaseActor releases;
     private final MembershipSource source;
+    private final DiscoveryWatch discovery; // null where the list comes from elsewhere
     private final HttpFrontServer server;
     private final AtomicBoolean listed = new AtomicBoolean();
     private final AtomicBoolean warm = new AtomicBoolean();
@@ -64,8 +65,8 @@
         }
         HttpClient client = new PlainHttpClient(reactor);
         Config.Etcd etcd = config.operator().etcd();
-        source = etcd == null ? new DiscoveryWatch(turns, client, config.discovery())
-                : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
+        discovery = etcd == null ? new DiscoveryWatch(turns, client, config.discovery()) : null;
+        source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             list.tell(change);
             listed.set(true);
@@ -99,6 +100,13 @@
         return chatAddress;
     }
 
+    /** Takes over what may change while requests are open; the rest of a new configuration waits for a start. */
+    public void reload(Config config) {
+        if (discovery != null && config.discovery() != null) {
+            discovery.move(config.discovery());
+        }
+    }
+
     private List<HttpFrontServer> servers() {
         return chat == null ? List.of(server) : List.of(server, chat);
     }
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -20,17 +20,20 @@
     private static final Duration SILENCE = HOLD.plusSeconds(2);
     private static final Duration AGAIN = Duration.ofMillis(100); // below the 200 ms after which a watch is new
 
-    private sealed interface Message permits Start, Answered, Again, Stop {}
+    private sealed interface Message permits Start, Answered, Again, Move, Stop {}
 
     private record Start(Sink sink) implements Message {}
 
     private record Answered(int call, int status, byte[] body) implements Message {}
 
-    private record Again() implements Message {}
+    private record Again(int call) implements Message {}
+
+    private record Move(InetSocketAddress agent) implements Message {}
 
     private record Stop() implements Message {}
 
     private final class Watcher extends Actor<Message> {
+        private InetSocketAddress agent;
         private Sink sink;
         private boolean stopped;
         private boolean listed;
@@ -38,8 +41,9 @@
         private int call;
         private Runnable cancel = () -> {};
 
-        Watcher(ScheduledExecutorService turns) {
+        Watcher(ScheduledExecutorService turns, InetSocketAddress agent) {
             super(turns);
+            this.agent = agent;
         }
 
         @Override
@@ -50,13 +54,26 @@
             } else if (m instanceof Stop) {
                 stopped = true;
                 cancel.run();
-            } else if (!stopped && m instanceof Again) {
+            } else if (!stopped && m instanceof Move e) {
+                move(e.agent());
+            } else if (!stopped && m instanceof Again e && e.call() == call) {
                 ask();
             } else if (!stopped && m instanceof Answered e && e.call() == call) {
                 answered(e);
             }
         }
 
+        /** Its versions are its own: the whole list is asked for, and what is known stays until that is in. */
+        private void move(InetSocketAddress to) {
+            if (!to.equals(agent)) {
+                LOG.info("discovery: from " + agent + " to " + to);
+                agent = to;
+                cancel.run();
+                listed = false;
+                ask();
+            }
+        }
+
         private void ask() {
             int mine = ++call;
             String target = listed ? "/v1/servers?from=" + version + "&hold_ms=" + HOLD.toMillis() : "/v1/servers";
@@ -86,19 +103,17 @@
                 ask();
             } catch (IllegalArgumentException problem) {
                 LOG.fine(() -> "discovery: " + problem.getMessage());
-                tellLater(AGAIN, new Again());
+                tellLater(AGAIN, new Again(call));
             }
         }
     }
 
     private final HttpClient client;
-    private final InetSocketAddress agent;
     private final Watcher watcher;
 
     public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, InetSocketAddress agent) {
         this.client = client;
-        this.agent = agent;
-        watcher = new Watcher(turns);
+        watcher = new Watcher(turns, agent);
     }
 
     @Override
@@ -106,6 +121,11 @@
         watcher.tell(new Start(sink));
     }
 
+    /** Goes on at another address, as a new configuration names it. */
+    public void move(InetSocketAddress to) {
+        watcher.tell(new Move(to));
+    }
+
     @Override
     public void stop() {
         watcher.tell(new Stop());
