Answers that can't be read end at once, and silent streams after 4 s

SpoiltAnswersTest plays each spoilt opening and middle: of the untouched sources' cases the endless head, the silent stream, the oversized chunk that goes on and the chunk size eaten as text hang or are passed on, with either front. Checked in HttpCore 5.3.4: Http1Config of ClientReactor set no bound on lines or headers; ChunkDecoder takes any signed size (a negative one reads its buffer backwards) and throws away a chunk in hand when the line behind it is bad or the connection ends; a session closed on an IOException is never reported as disconnected (InternalDataChannel.close(IMMEDIATE)), so Life.down did not come. PeerActor had no clock on a stream. Ruled out: 1xx answers and load reports, which were read well before. Change: BoundedParser, Chunks, stricter EventSplitter, whole answers told once all input is read, PeerActor.quiet. Conclusion: clients waited on streams whose servers had lost count, as guessed.

--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -26,6 +26,9 @@
         /** Lets the server send so many bytes more. */
         void grant(int bytes);
 
+        /** The server has sent all that it may, as what it sent has not been taken. */
+        boolean heldBack();
+
         void close();
     }
 
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -18,7 +18,7 @@
 /** Owns one server's connections and the attempts, probes and releases that are out at it. */
 public final class PeerActor extends Actor<PeerActor.Message> {
     public sealed interface Message permits Located, Gone, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
-            Said, Event, Ended, Broken, Expired, Tidy {}
+            Said, Event, Ended, Broken, Expired, Quiet, Tidy {}
 
     public record Located(InetSocketAddress address) implements Message {}
 
@@ -53,6 +53,8 @@
 
     private record Expired(Work work) implements Message {}
 
+    private record Quiet(Work work) implements Message {}
+
     private record Tidy() implements Message {}
 
     /** One call, from its wait for a connection to its end. */
@@ -60,6 +62,7 @@
         final Message order;
         final Instant began;
         Instant until;
+        Instant heard;               // when the last event came
         Connection connection;
         boolean reused;
         boolean done;
@@ -87,6 +90,7 @@
     public record Setup(Clock clock, Connector connector, Duration connectTimeout, Duration idle,
             Duration callTimeout, ModuleActor module, ReleaseActor releases) {}
 
+    private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
     private static final int MOST_IDLE = 16; // of the descriptors that all servers together may take
 
     private final String id;
@@ -153,6 +157,8 @@
             broken(e.work(), e.written());
         } else if (m instanceof Expired e) {
             expired(e.work());
+        } else if (m instanceof Quiet e) {
+            quiet(e.work());
         } else if (m instanceof Tidy) {
             tidy();
         }
@@ -286,6 +292,7 @@
         if (work.done || work.send() == null) {
             return;
         }
+        work.heard = setup.clock().instant();
         if (work.proceeding) {
             pass(work, raw);
         } else if (work.offered) {
@@ -311,6 +318,28 @@
         if (!work.done && (work.whole || work.cut)) {
             settle(work, work.whole ? Outcome.OK : Outcome.RESET);
         }
+        if (!work.done) {
+            tellLater(SILENCE, new Quiet(work));
+        }
+    }
+
+    /**
+     * Guards against a stream that stops without its connection closing, as where the server has lost its
+     * count of a chunk: its client would wait for good. A client that takes nothing is no silence.
+     */
+    private void quiet(Work work) {
+        if (work.done) {
+            return;
+        }
+        Duration silent = Duration.between(work.heard, setup.clock().instant());
+        if (work.connection != null && work.connection.heldBack()) {
+            work.heard = setup.clock().instant();
+            tellLater(SILENCE, new Quiet(work));
+        } else if (silent.compareTo(SILENCE) < 0) {
+            tellLater(SILENCE.minus(silent), new Quiet(work));
+        } else {
+            finish(work, Outcome.RESET);
+        }
     }
 
     private void pass(Work work, byte[] raw) {
--- /dev/null
+++ b/src/main/java/copperbeam/transport/BufferView.java
@@ -0,0 +1,62 @@
+package copperbeam.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/** A connection's input buffer as a reader sees it whose lines are looked at. */
+abstract class BufferView implements SessionInputBuffer {
+    private final SessionInputBuffer buffer;
+
+    BufferView(SessionInputBuffer buffer) {
+        this.buffer = buffer;
+    }
+
+    @Override
+    public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
+        return buffer.readLine(line, endOfStream);
+    }
+
+    @Override
+    public final boolean hasData() {
+        return buffer.hasData();
+    }
+
+    @Override
+    public final int length() {
+        return buffer.length();
+    }
+
+    @Override
+    public final int fill(ReadableByteChannel from) throws IOException {
+        return buffer.fill(from);
+    }
+
+    @Override
+    public final int read() {
+        return buffer.read();
+    }
+
+    @Override
+    public final int read(ByteBuffer to, int most) {
+        return buffer.read(to, most);
+    }
+
+    @Override
+    public final int read(ByteBuffer to) {
+        return buffer.read(to);
+    }
+
+    @Override
+    public final int read(WritableByteChannel to, int most) throws IOException {
+        return buffer.read(to, most);
+    }
+
+    @Override
+    public final int read(WritableByteChannel to) throws IOException {
+        return buffer.read(to);
+    }
+}
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -18,12 +18,16 @@
 
 /** One request out and its answer back. Runs on the reactor's thread but for {@link #grant}. */
 abstract class ClientExchange implements AsyncClientExchangeHandler {
+    private static final int WINDOW = 65_535; // HttpCore's, until more is granted
+
     private final HttpRequest request;
     private final ByteBuffer body;
     private final AtomicInteger owed = new AtomicInteger();
     private volatile CapacityChannel capacity;
     private boolean written;
-    private boolean over;
+    private final AtomicInteger held = new AtomicInteger(); // taken in and not granted again
+    private volatile boolean over;
+    private boolean whole;
     private boolean closing;
 
     /** {@code body} may be null. */
@@ -32,7 +36,7 @@
         this.body = body == null ? null : ByteBuffer.wrap(body);
     }
 
-    abstract void head(HttpResponse response);
+    abstract void head(HttpResponse response) throws HttpException;
 
     /** The bytes are to be granted again once they are used up. */
     abstract void data(ByteBuffer bytes) throws IOException;
@@ -42,7 +46,13 @@
     /** {@code mayHaveRun}: the last byte was handed to the connection. */
     abstract void broken(boolean mayHaveRun);
 
+    /** The other side has sent about all that it may: who should take it is slow. */
+    final boolean windowUsed() {
+        return held.get() > WINDOW / 2;
+    }
+
     final void grant(int bytes) {
+        held.addAndGet(-bytes);
         owed.addAndGet(bytes);
         CapacityChannel channel = capacity;
         if (channel != null) {
@@ -84,7 +94,8 @@
     public final void consumeInformation(HttpResponse response, HttpContext context) {}
 
     @Override
-    public final void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+    public final void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
+            throws HttpException {
         Header connection = response.getFirstHeader("Connection");
         closing = connection != null && connection.getValue().equalsIgnoreCase("close");
         head(response);
@@ -102,6 +113,7 @@
 
     @Override
     public final void consume(ByteBuffer bytes) throws IOException {
+        held.addAndGet(bytes.remaining());
         data(bytes);
     }
 
@@ -112,9 +124,20 @@
 
     private void finish() {
         if (!over) {
+            whole = true;
             over = true;
+        }
+    }
+
+    final boolean ended() {
+        return over;
+    }
+
+    /** After the last byte at hand was read; {@code open}: the connection lives on. */
+    final void settle(boolean open) {
+        if (whole) {
             // an answer that came before the request was out leaves the rest of it on the connection
-            whole(!closing && written);
+            whole(open && !closing && written);
         }
     }
 
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -2,13 +2,23 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.time.Duration;
+import java.time.Instant;
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -23,9 +33,13 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
-/** Outgoing HTTP/1.1 connections, one exchange at a time on each. Sends nothing twice: it knows no retry. */
+/**
+ * Outgoing HTTP/1.1 connections, one exchange at a time on each. Sends nothing twice: it knows no retry. What
+ * comes back is bounded: heads in size and in time, chunks in size.
+ */
 public final class ClientReactor implements AutoCloseable {
     /** Told of one connection's life; {@code down} comes once, also for one that never came up. */
     interface Life {
@@ -34,29 +48,152 @@
         void down();
     }
 
+    private static final int MOST_CHUNK = 1 << 20;
+    private static final Duration HEAD_TIME = Duration.ofMillis(800); // servers write a head in one piece
+    private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8 * 1024)
+            .setMaxHeaderCount(100).build();
+    private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create()
+            .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl()).build();
+
     private final DefaultConnectingIOReactor reactor;
 
     public ClientReactor() {
-        HttpProcessor processor = HttpProcessorBuilder.create()
-                .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl()).build();
-        ClientHttp1StreamDuplexerFactory duplexers = new ClientHttp1StreamDuplexerFactory(processor,
-                Http1Config.custom().setBufferSize(4096).build(), CharCodingConfig.DEFAULT);
         IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                .setSoTimeout(Timeout.DISABLED).build();
-        reactor = new DefaultConnectingIOReactor((session, life) -> handler(duplexers, session, (Life) life), config,
+                .setSoTimeout(Timeout.DISABLED).setSelectInterval(TimeValue.ofMilliseconds(250)).build();
+        reactor = new DefaultConnectingIOReactor((session, life) -> handler(session, (Life) life), config,
                 task -> new Thread(task, "to-servers"), null, Problems::report, null, null);
         reactor.start();
     }
 
-    private static ClientHttp1IOEventHandler handler(ClientHttp1StreamDuplexerFactory duplexers,
-            ProtocolIOSession session, Life life) {
-        return new ClientHttp1IOEventHandler(duplexers.create(session)) {
-            @Override
-            public void disconnected(IOSession closed) {
-                super.disconnected(closed);
+    private static Handler handler(ProtocolIOSession session, Life life) {
+        BoundedParser<HttpResponse> parser = new BoundedParser<>(new DefaultHttpResponseParserFactory(CONFIG).create(),
+                false);
+        return new Handler(new Duplexer(session, parser), parser, session, life);
+    }
+
+    private static final class Duplexer extends ClientHttp1StreamDuplexer {
+        private Chunks.Decoder chunks;
+
+        Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser) {
+            super(session, PROCESSOR, CONFIG, CharCodingConfig.DEFAULT, null, parser,
+                    DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null);
+        }
+
+        @Override
+        protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+                SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+            if (length != ContentLengthStrategy.CHUNKED) {
+                return super.createContentDecoder(length, channel, buffer, metrics);
+            }
+            chunks = Chunks.decoder(channel, buffer, CONFIG, metrics, MOST_CHUNK);
+            return chunks;
+        }
+
+        IOException late() {
+            return chunks == null ? null : chunks.late();
+        }
+    }
+
+    /** One connection's events; all but {@link #begin} on the reactor's thread. */
+    private static final class Handler extends ClientHttp1IOEventHandler {
+        private final Duplexer duplexer;
+        private final BoundedParser<HttpResponse> parser;
+        private final ProtocolIOSession session;
+        private final Life life;
+        private volatile ClientExchange exchange;
+        private Instant headSince;
+        private Timeout usual;
+        private boolean down;
+
+        Handler(Duplexer duplexer, BoundedParser<HttpResponse> parser, ProtocolIOSession session,
+                Life life) {
+            super(duplexer);
+            this.duplexer = duplexer;
+            this.parser = parser;
+            this.session = session;
+            this.life = life;
+        }
+
+        void begin(ClientExchange next) {
+            exchange = next;
+        }
+
+        @Override
+        public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
+            try {
+                super.inputReady(open, bytes);
+                if (duplexer.late() != null) {
+                    throw duplexer.late();
+                }
+                headTime();
+            } finally {
+                settle();
+            }
+        }
+
+        @Override
+        public void outputReady(IOSession open) throws IOException {
+            try {
+                super.outputReady(open);
+            } finally {
+                settle();
+            }
+        }
+
+        @Override
+        public void timeout(IOSession open, Timeout timeout) throws IOException {
+            try {
+                super.timeout(open, timeout);
+            } finally {
+                settle();
+            }
+        }
+
+        @Override
+        public void exception(IOSession open, Exception cause) {
+            super.exception(open, cause);
+            settle();
+        }
+
+        @Override
+        public void disconnected(IOSession closed) {
+            super.disconnected(closed);
+            settle();
+        }
+
+        /** Guards against a head that does not end: its attempt would wait for as long as its client. */
+        private void headTime() {
+            if (!parser.partial()) {
+                if (headSince != null) {
+                    headSince = null;
+                    session.setSocketTimeout(usual);
+                }
+            } else if (headSince == null) {
+                headSince = Instant.now();
+                usual = session.getSocketTimeout();
+                session.setSocketTimeout(Timeout.of(HEAD_TIME));
+            } else if (headSince.plus(HEAD_TIME).isBefore(Instant.now())) {
+                exception(session, new IOException("a head that does not end"));
+            }
+        }
+
+        /**
+         * Tells of what has ended only now that all input at hand is read: more than the answer makes HttpCore
+         * close the connection, which must not be used again. A connection closed by a reset is not told of by
+         * HttpCore, so that it is looked for here.
+         */
+        private void settle() {
+            boolean open = session.isOpen();
+            ClientExchange last = exchange;
+            if (last != null && last.ended()) {
+                exchange = null;
+                last.settle(open);
+            }
+            if (!open && !down) {
+                down = true;
                 life.down();
             }
-        };
+        }
     }
 
     void connect(InetSocketAddress to, Duration timeout, Life life) {
@@ -89,7 +226,8 @@
         });
     }
 
-    static void execute(IOSession session, AsyncClientExchangeHandler exchange) {
+    static void execute(IOSession session, ClientExchange exchange) {
+        ((Handler) session.getHandler()).begin(exchange);
         session.enqueue(new RequestExecutionCommand(exchange, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -8,9 +8,11 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
@@ -87,6 +89,12 @@
             }
         }
 
+        @Override
+        public boolean heldBack() {
+            ClientExchange current = exchange;
+            return current != null && current.windowUsed();
+        }
+
         @Override
         public void close() {
             session.close(CloseMode.GRACEFUL);
@@ -138,9 +146,12 @@
         }
 
         @Override
-        void head(HttpResponse response) {
+        void head(HttpResponse response) throws HttpException {
             Word word = PlatformWords.attempt(response.getCode(), "1".equals(value(response, "X-Not-Processed")));
             stream = word == Word.STREAM;
+            if (stream && !response.containsHeader("Transfer-Encoding") && !response.containsHeader("Content-Length")) {
+                throw new ProtocolException("a stream whose end can't be told from a break");
+            }
             listener.word(word, PlatformHeaders.report(value(response, "X-Server-Load")));
         }
 
@@ -150,16 +161,17 @@
                 grant(bytes.remaining());
                 bytes.position(bytes.limit());
             } else if (!events.take(bytes, listener::event)) {
-                throw new IOException("an event without end");
+                throw new IOException("what comes is no stream of events");
             }
         }
 
         @Override
         void whole(boolean reusable) {
-            if (stream) {
-                events.end(listener::event);
+            if (stream && !events.end(listener::event)) {
+                listener.broken(true);
+            } else {
+                listener.end(reusable);
             }
-            listener.end(reusable);
         }
 
         @Override
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -1,6 +1,7 @@
 package copperbeam.protocol;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
 
 import copperbeam.Api.Report;
@@ -90,7 +91,9 @@
     public Object[][] streams() {
         return new Object[][] {
             {"data: 1\n\ndata: 2\n\n", List.of("data: 1\n\n", "data: 2\n\n")},
-            {"data: 1\r\n\r\nrest", List.of("data: 1\r\n\r\n", "rest")},
+            {"data: 1\r\n\r\ndata", List.of("data: 1\r\n\r\n", "data")},
+            {"data: 1\n\n\r\n\nid: 2\n\n", List.of("data: 1\n\n", "\r\n\nid: 2\n\n")},
+            {"event: a\nretry\n\n\n", List.of("event: a\nretry\n\n", "\n")},
             {": note\n\ndata: a\ndata: b\n\n", List.of(": note\n\n", "data: a\ndata: b\n\n")},
             {"", List.of()},
         };
@@ -111,6 +114,22 @@
         }
     }
 
+    @DataProvider
+    public Object[][] noEvents() {
+        return new Object[][] {{"what\n"}, {"data: 1\n2f\r\n"}, {"\r\n2f\r\n"}, {"dat: 1\n"}, {"events: 1\n"},
+            {"data: " + "x".repeat(40_000)}, {" data: 1\n"}, {"dat"}};
+    }
+
+    /** Where a server has lost its count, what it takes for an event is handed on by nobody. */
+    @Test(dataProvider = "noEvents")
+    public void whatIsNoEventEndsTheStream(String text) {
+        EventSplitter splitter = new EventSplitter();
+        List<byte[]> events = new ArrayList<>();
+        boolean taken = splitter.take(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), events::add);
+        assertFalse(taken && splitter.end(events::add));
+        assertEquals(events.size(), 0);
+    }
+
     @DataProvider
     public Object[][] faultyLists() {
         String server = "{\"version\":1,\"servers\":[%s]}";
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -0,0 +1,150 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.EVENTS;
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.await;
+import static copperbeam.sockets.Site.chat;
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Servers whose answers can't be read, or bring more than belongs to them. Their connections stay open. */
+public class SpoiltAnswersTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    private static final String FIRST = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"}}]}\n\n";
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** Each with either front. */
+    private static Object[][] withFronts(Object[]... cases) {
+        List<Object[]> all = new ArrayList<>();
+        for (Object[] one : cases) {
+            for (boolean chat : new boolean[] {false, true}) {
+                all.add(new Object[] {one[0], one[1], chat});
+            }
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    private static Line send(Site site, String requestClass, boolean chat) throws Exception {
+        Line client = chat ? site.chatClient() : site.client();
+        return client.send(chat ? chat("m-" + requestClass, true, "") : request(requestClass, 4000));
+    }
+
+    @DataProvider
+    public Object[][] openings() {
+        return withFronts(new Object[][] {
+            {"noise", "\u0001\u0002 what\r\nis this\r\n\r\n"},
+            {"a head without end", HEAD + "X-More: "},
+            {"a line without end", HEAD + "X: " + "x".repeat(20_000)},
+            {"headers without end", HEAD + "X: y\r\n".repeat(200)},
+            {"no length", "HTTP/1.1 200 OK\r\n\r\n" + FIRST},
+            {"noise for a size", HEAD + "\r\nzz\r\n"},
+            {"a negative size", HEAD + "\r\n-5\r\n" + FIRST},
+            {"gigabytes", HEAD + "\r\nC0000000\r\n" + "x".repeat(1000)},
+            {"noise for an event", HEAD + "\r\n" + chunk("what\n\n")},
+        });
+    }
+
+    /** Spoilt before the first event: an attempt that failed and may have run. */
+    @Test(dataProvider = "openings")
+    public void aSpoiltOpeningIsAFailedAttempt(String name, String opening, boolean chat) throws Exception {
+        try (Site site = new Site(1, 2)) {
+            for (String requestClass : List.of("ask", "send")) {
+                AtomicInteger turn = new AtomicInteger();
+                List<Line> spoilt = new ArrayList<>();
+                long before = site.attempts(site.writers);
+                site.writers.forEach(w -> w.script = attempts((m, line) -> {
+                    if (turn.getAndIncrement() == 0) {
+                        spoilt.add(line);
+                        line.send(opening);
+                    } else {
+                        Site.write(m, line);
+                    }
+                }));
+                try (Line client = send(site, requestClass, chat)) {
+                    assertEquals(client.read().status(), requestClass.equals("ask") ? 200 : 502);
+                }
+                assertEquals(site.attempts(site.writers) - before, requestClass.equals("ask") ? 2 : 1);
+                await("its connection is closed", () -> spoilt.get(0).ended);
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] middles() {
+        return withFronts(new Object[][] {
+            {"noise for a size", "zz\r\n"}, {"a negative size", "-5\r\n" + FIRST},
+            {"gigabytes", "C0000000\r\ndata: x\n\n"}, {"a size too small", "3\r\n" + FIRST + "\r\n"},
+            {"a size too large", "60\r\n" + FIRST + "\r\n" + chunk(FIRST)},
+            {"an event without end", chunk("data: " + "x".repeat(40_000))},
+            {"silence", ""},
+        });
+    }
+
+    /** Spoilt later: the client's connection ends, without the last chunk and without what no server sent. */
+    @Test(dataProvider = "middles")
+    public void aStreamSpoiltLaterEndsItsClientsConnection(String name, String middle, boolean chat) throws Exception {
+        try (Site site = new Site(1, 1)) {
+            site.writers.get(0).script = attempts((m, line) -> line.send(HEAD + "\r\n" + chunk(FIRST) + middle));
+            try (Line client = send(site, "ask", chat)) {
+                Line.Message answer = client.read();
+                assertEquals(answer.status(), 200);
+                assertFalse(answer.whole());
+                assertTrue(answer.text().startsWith("data: "));
+                assertFalse(answer.text().contains("\r"));
+            }
+            await("closed", () -> site.writers.get(0).lines.get(0).ended);
+            assertEquals(site.attempts(site.writers), 1);
+        }
+    }
+
+    @DataProvider
+    public Object[][] good() {
+        String stream = chunk(EVENTS.replace("\u00e8", "e")) + "0\r\n\r\n";
+        return withFronts(new Object[][] {
+            {"ahead", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + HEAD + "\r\n" + stream},
+            {"report", HEAD + "X-Server-Load: inflight=\u0001,=,x0=-7\r\n\r\n" + stream},
+            {"behind", HEAD + "\r\n" + stream + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"},
+        });
+    }
+
+    /** More than belongs to an answer does no harm, and what follows one is taken for no other. */
+    @Test(dataProvider = "good")
+    public void aGoodStreamWithMoreAroundItIsServed(String name, String answer, boolean chat) throws Exception {
+        try (Site site = new Site(1, 1)) {
+            site.writers.get(0).script = attempts((m, line) -> line.send(answer));
+            for (int i = 0; i < 3; i++) {
+                try (Line client = send(site, "send", chat)) {
+                    Line.Message served = client.read();
+                    assertEquals(served.status(), 200);
+                    assertTrue(served.whole() && served.text().contains("[DONE]"));
+                }
+            }
+            assertEquals(site.writers.get(0).lines.size(), name.equals("behind") ? 3 : 1);
+        }
+    }
+
+    /** Guards against an event lost beside the break of its stream, and with it a stream taken for none. */
+    @Test
+    public void anEventBesideABreakIsPassedOn() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.send(HEAD + "\r\n" + chunk(FIRST));
+                line.close();
+            });
+            Line.Message answer = client.send(request("send", 4000)).read();
+            assertEquals(answer.text(), FIRST);
+            assertFalse(answer.whole());
+        }
+    }
+}
