Tell lost answers from queues: redo reads sooner, and refuse nobody for them

Lines at fault: Brain.delay took the oldest attempt's age for a queue without end, which nothing sent could correct as nothing was sent any more; checkSilence cancelled only two patiences after and only if a send one patience later was answered. Change: Brain.lost, used by both. BrainTest.lostAnswersAreNoQueue and the changed anAttemptThatLaterOnesHavePassed fail without it.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -49,7 +49,8 @@
     private static final int MOST_BEGINNINGS = 2000; // counted at a time
     private static final double SPILL_GAIN = 0.5; // of a home's load that makes another worth it
     private static final double ROOM_MEMORY = 0.88; // share held from which a writer has no room
-    private static final double OVERTAKEN = 2; // patiences until an attempt that later ones passed is lost
+    private static final double OVERTAKEN_BY = 1; // patiences by which a write must be passed to count as lost
+    private static final double OVERDUE = 3; // patiences after which an answer is lost though none passed it
     private static final double LAST = 1e-4; // part of the weight of a server used where there is no other
     private static final double HOLD_S = 0.1; // s until a request without a server looks again
     private static final double STATE_HOLD_SHARE = 0.5; // of the time in which a read state must be let go
@@ -269,17 +270,35 @@
         return (reader == null ? 0 : expected(reader, readDelay)) + (count == 0 ? 0 : sum / count);
     }
 
-    /** What attempts wait: lately seen, or the oldest's age since the newest answered send. */
-    private double delay(Server s) {
-        double oldest = s.waiting.isEmpty() ? 0
-                : now - Math.max(s.waiting.iterator().next().sentAt, s.answeredSentAt);
-        return Math.max(oldest, s.delay.at(now));
+    /**
+     * What attempts wait: lately seen, or the oldest's age since the newest answered send. One whose answer
+     * seems lost tells nothing of a queue. A server where nothing is met is as the rest of its stage.
+     */
+    private double expected(Server s, Fading stage) {
+        Try oldest = null;
+        for (Try t : s.waiting) {
+            if (!lost(t)) {
+                oldest = t;
+                break;
+            }
+        }
+        if (oldest == null && now - s.delay.seenAt >= DELAY_FADE_S) {
+            return stage.at(now);
+        }
+        double age = oldest == null ? 0 : now - Math.max(oldest.sentAt, s.answeredSentAt);
+        return Math.max(age, s.delay.at(now));
     }
 
-    /** A server where this node has met nothing lately is as the rest of its stage. */
-    private double expected(Server s, Fading stage) {
-        boolean met = !s.waiting.isEmpty() || now - s.delay.seenAt < DELAY_FADE_S;
-        return met ? delay(s) : stage.at(now);
+    /**
+     * Whether an answer seems lost on its way: later sends were answered, or its server gives word and far
+     * more time has passed than answers take. A reader works in the order in which it is sent to.
+     */
+    private boolean lost(Try t) {
+        double age = now - t.sentAt;
+        double patience = patience(t);
+        boolean overtaken = t.server.answeredSentAt > t.sentAt + (t.reading ? 0 : OVERTAKEN_BY * patience);
+        boolean heard = t.server.lastWord > t.sentAt + patience;
+        return overtaken && age >= patience || heard && age >= OVERDUE * patience;
     }
 
     private void sawDelay(Try t, double latency) {
@@ -616,7 +635,7 @@
             return;
         }
         boolean silent = t.server.lastWord <= t.sentAt;
-        if (t.server.answeredSentAt > t.sentAt + patience(t) && now > t.sentAt + OVERTAKEN * patience(t)) {
+        if (lost(t)) {
             cancel(t);
         } else if (silent && settings.limits().probes() && t.server.lastProbe <= t.sentAt) {
             probe(t.server);
@@ -626,7 +645,7 @@
             strike(t.server, settings.limits().probes());
             cancel(t);
         } else {
-            timer(patience(t), 's', r, number);
+            timer(patience(t) / 4, 's', r, number);
         }
     }
 
