--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -49,7 +49,7 @@
     private static final int MOST_BEGINNINGS = 2000; // counted at a time
     private static final double SPILL_GAIN = 0.5; // of a home's load that makes another worth it
     private static final double ROOM_MEMORY = 0.88; // share held from which a writer has no room
-    private static final double OVERTAKEN_BY = 1; // patiences by which a write must be passed to count as lost
+    private static final double OVERTAKEN_BY = 1; // patiences by which a lost write was passed
     private static final double OVERDUE = 3; // patiences after which an answer is lost though none passed it
     private static final double LAST = 1e-4; // part of the weight of a server used where there is no other
     private static final double HOLD_S = 0.1; // s until a request without a server looks again
