--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -115,6 +115,11 @@
         }
     }
 
+    /** Servers and requests that it remembers. */
+    int records() {
+        return servers.size() + requests.size();
+    }
+
     /** Takes one event; the actions to carry out, in order. */
     public List<Action> on(double clock, Event event) {
         now = clock;
@@ -188,6 +193,9 @@
         for (Member e : m.members()) {
             member(e);
         }
+        // one that has left is forgotten once nothing is out there: new ones come under ever new ids
+        servers.values().removeIf(s -> s.out.isEmpty()
+                && (s.listed == null || s.listed.state() == ServerState.GONE));
         readers.clear();
         writers.clear();
         reading.clear();
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -30,13 +30,35 @@
  * @param operator what the operator's file adds; nothing of it on the platform
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        Settings settings, ServerList known, Duration connectTimeout, Duration connectionIdle, Operator operator) {
+        Settings settings, ServerList known, Duration connectTimeout, Duration connectionIdle, Limits limits,
+        Operator operator) {
 
     /** {@code chat} and its address may be null: then there is no such front. So may {@code etcd}. */
     public record Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks) {
         public static final Operator NONE = new Operator(null, null, null, List.of());
     }
 
+    /** What the platform lets this process have. */
+    public record Limits(int memoryMb, int sockets) {
+        public static final Limits USUAL = new Limits(192, 1024);
+        private static final int OWN = 64; // descriptors: files, selectors, listeners, discovery, probes
+
+        /** A third: as many go to servers for their requests. */
+        public int clients() {
+            return sockets / 3;
+        }
+
+        /** Connections that may stand idle at all servers together. */
+        public int idle() {
+            return sockets - 2 * clients() - OWN;
+        }
+
+        /** Bytes of requests that wait here; a part of the heap. */
+        public long bodies() {
+            return Math.min(Runtime.getRuntime().maxMemory() / 3, memoryMb * 1024L * 1024 / 4);
+        }
+    }
+
     /** Where the list comes from in place of the platform's discovery; {@code prefix} ends in a slash. */
     public record Etcd(InetSocketAddress endpoint, String prefix) {}
 
@@ -78,7 +100,8 @@
         String name = file.text("name", "conductor");
         return new Config(name, file.address("listen"),
                 operator.etcd() == null ? file.address("discovery") : null, seed(file, name), settings,
-                known(file), limits.span("connect_timeout_s", 0.25), limits.span("conn_idle_s", 30), operator);
+                known(file), limits.span("connect_timeout_s", 0.25), limits.span("conn_idle_s", 30), limits(file),
+                operator);
     }
 
     private static void override(Section file, String key, String value) {
@@ -87,6 +110,15 @@
         }
     }
 
+    private static Limits limits(Section file) throws Invalid {
+        if (!file.has("limits")) {
+            return Limits.USUAL;
+        }
+        Section limits = file.section("limits");
+        return new Limits(limits.count("memory_mb", Limits.USUAL.memoryMb(), 16, 1 << 20),
+                limits.count("sockets", Limits.USUAL.sockets(), 256, 1 << 20));
+    }
+
     private static Settings settings(Section raw) throws Invalid {
         Settings settings;
         try {
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -24,6 +24,7 @@
 import copperbeam.routing.PeerActor;
 import copperbeam.routing.ReleaseActor;
 import copperbeam.transport.ClientReactor;
+import copperbeam.transport.ClientRoom;
 import copperbeam.transport.HttpFrontServer;
 import copperbeam.transport.PlainHttpClient;
 import copperbeam.transport.ServerConnector;
@@ -32,6 +33,8 @@
 public final class Node implements AutoCloseable {
     private static final double IDLE_SHARE = 0.5; // of the servers' limit for which we keep idle connections
     private static final Duration KEEP_ACCEPTING = Duration.ofMillis(800); // after a stop is asked for
+    // both after that; the platform may kill a conductor 3.7 s after it asked for the stop
+    private static final Duration HAND_OVER = Duration.ofMillis(1700);
     private static final Duration LONGEST_STOP = Duration.ofSeconds(60);
 
     private final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1,
@@ -59,7 +62,9 @@
         PeerActor.Setup setup = new PeerActor.Setup(clock, new ServerConnector(reactor), config.connectTimeout(),
                 Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
                 config.connectTimeout(), module, releases);
-        ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases);
+        ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
+                config.limits().idle());
+        ClientRoom room = new ClientRoom(config.limits().clients(), config.limits().bodies());
         if (config.known() != null) {
             list.tell(config.known().change(ListKind.CACHED));
         }
@@ -77,11 +82,11 @@
             intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), module);
         }
         server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock,
-                HttpFrontServer.MOST_CLIENTS);
+                room);
         address = server.listen(config.listen());
         if (config.operator().chat() != null) {
             chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), intake, this::healthy,
-                    clock.instant()), clock, HttpFrontServer.MOST_CLIENTS);
+                    clock.instant()), clock, room);
             chatAddress = chat.listen(config.operator().chatListen());
         }
         WarmUp.start(config.settings(), client, address, () -> warm.set(true));
@@ -122,6 +127,8 @@
         }
         servers().forEach(HttpFrontServer::drain);
         Thread.sleep(KEEP_ACCEPTING.toMillis());
+        servers().forEach(HttpFrontServer::closeIdle);
+        module.tellLater(HAND_OVER, new ModuleActor.HandOver());
         long until = System.nanoTime() + LONGEST_STOP.toNanos();
         do {
             CountDownLatch quiet = new CountDownLatch(1);
--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -109,7 +109,11 @@
 
         @Override
         public void fail(Failure why) {
-            text(reply, why == Failure.TOO_LATE ? 504 : 502, "failed");
+            text(reply, switch (why) {
+                case TOO_LATE -> 504;
+                case ID_IN_USE -> 409;
+                default -> 502;
+            }, why == Failure.ID_IN_USE ? "X-Request-ID is that of an open request" : "failed");
         }
     }
 }
--- a/src/main/java/copperbeam/routing/Actor.java
+++ b/src/main/java/copperbeam/routing/Actor.java
@@ -1,8 +1,10 @@
 package copperbeam.routing;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -34,11 +36,13 @@
         }
     }
 
-    public final void tellLater(Duration after, M message) {
+    /** What it returns takes the message back. */
+    public final Future<?> tellLater(Duration after, M message) {
         try {
-            turns.schedule(() -> tell(message), Math.max(0, after.toNanos()), TimeUnit.NANOSECONDS);
+            return turns.schedule(() -> tell(message), Math.max(0, after.toNanos()), TimeUnit.NANOSECONDS);
         } catch (RejectedExecutionException e) {
             LOG.finest("asked for a message after the end");
+            return CompletableFuture.completedFuture(null);
         }
     }
 
--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,52 +13,60 @@
 import copperbeam.Api.ListKind;
 import copperbeam.Api.ServerState;
 
-/** Owns the list of servers and one {@link PeerActor} for each of them that was ever listed. */
+/**
+ * Owns the list of servers and one {@link PeerActor} for each of them. One that has left is forgotten here: what
+ * is still out there has its peer by itself. Guards against a day on which servers come under ever new ids.
+ */
 public final class ListActor extends Actor<MembershipSource.Change> {
+    private static final int MOST_IDLE = 16; // connections to one server
+
     private final Map<String, PeerActor> peers = new HashMap<>();
-    private final Set<String> present = new HashSet<>();
     private final BiFunction<String, InetSocketAddress, PeerActor> newPeer;
     private final ModuleActor module;
     private final ReleaseActor releases;
+    private final int idle;
 
+    /** {@code idle}: connections that may stand idle at all servers together. */
     public ListActor(ScheduledExecutorService turns, BiFunction<String, InetSocketAddress, PeerActor> newPeer,
-            ModuleActor module, ReleaseActor releases) {
+            ModuleActor module, ReleaseActor releases, int idle) {
         super(turns);
         this.newPeer = newPeer;
         this.module = module;
         this.releases = releases;
+        this.idle = idle;
     }
 
     @Override
     protected void receive(MembershipSource.Change change) {
         boolean whole = change.kind() == ListKind.FULL || change.kind() == ListKind.CACHED;
-        Set<String> before = Set.copyOf(present);
-        if (whole) {
-            present.clear();
-        }
+        Set<String> left = whole ? new HashSet<>(peers.keySet()) : new HashSet<>();
         List<copperbeam.Api.Member> members = new ArrayList<>();
         for (MembershipSource.Entry e : change.entries()) {
             String id = e.member().server();
             members.add(e.member());
-            if (e.address() != null) {
-                PeerActor peer = peers.computeIfAbsent(id, n -> newPeer.apply(n, e.address()));
-                peer.tell(new PeerActor.Located(e.address()));
-            }
             if (e.member().state() == ServerState.GONE) {
-                present.remove(id);
+                left.add(id);
             } else {
-                present.add(id);
+                left.remove(id);
+                peers.computeIfAbsent(id, n -> newPeer.apply(n, e.address())).tell(new PeerActor.Located(e.address()));
             }
         }
-        for (String id : before) {
-            if (!present.contains(id) && peers.containsKey(id)) {
-                peers.get(id).tell(new PeerActor.Gone());
+        for (Iterator<Map.Entry<String, PeerActor>> i = peers.entrySet().iterator(); i.hasNext();) {
+            Map.Entry<String, PeerActor> next = i.next();
+            if (left.contains(next.getKey())) {
+                next.getValue().tell(new PeerActor.Gone());
+                i.remove();
             }
         }
+        share();
         Map<String, PeerActor> known = Map.copyOf(peers);
-        Map<String, PeerActor> live = new HashMap<>(known);
-        live.keySet().retainAll(present);
         module.tell(new ModuleActor.Listed(change.kind(), members, known));
-        releases.tell(new ReleaseActor.Listed(Map.copyOf(live)));
+        releases.tell(new ReleaseActor.Listed(known));
+    }
+
+    /** Each server may have as many idle connections as all together can. */
+    private void share() {
+        PeerActor.Room share = new PeerActor.Room(Math.max(1, Math.min(MOST_IDLE, idle / Math.max(1, peers.size()))));
+        peers.values().forEach(p -> p.tell(share));
     }
 }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
 import copperbeam.Api;
@@ -22,7 +24,7 @@
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
     public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
-            Drain {}
+            Drain, HandOver {}
 
     public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers)
             implements Message {}
@@ -32,7 +34,8 @@
     /** The client has gone away; an answer that is unknown or over is passed over. */
     public record Left(Answer answer) implements Message {}
 
-    public record FirstEvent(long request, int number, String server, byte[] raw, Duration after, Runnable drained)
+    public record FirstEvent(long request, int number, String server, byte[] raw, Duration after, Runnable drained,
+            PeerActor at)
             implements Message {}
 
     public record Ended(long request, int number, String server, Outcome outcome, Duration after,
@@ -43,6 +46,9 @@
     /** Runs {@code idle} as soon as no request is open. */
     public record Drain(Runnable idle) implements Message {}
 
+    /** The stop may wait no longer: what is open gets its final answer, and streams end so that clients go on elsewhere. */
+    public record HandOver() implements Message {}
+
     private record Fired(String tag) implements Message {}
 
     private record Pinned(long request, int attempts) implements Message {}
@@ -59,6 +65,7 @@
         boolean out;
         PeerActor at;
         String lastReader;
+        boolean reading;             // the last attempt is at a reader
         boolean mayHold;             // a read may have left a state that the module was not told of
         boolean releaseWanted;
 
@@ -77,10 +84,12 @@
     private final ReleaseActor releases;
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Answer, Request> byAnswer = new IdentityHashMap<>();
+    private final Set<String> ids = new HashSet<>();
     private final Map<String, Api.Role> roles = new HashMap<>();
     private final List<Request> closing = new ArrayList<>();
     private Map<String, PeerActor> peers = Map.of();
     private long keys;
+    private boolean handingOver;
     private Runnable idle;
 
     public ModuleActor(ScheduledExecutorService turns, Clock clock, Api.Settings settings, long seed,
@@ -112,6 +121,9 @@
             pinned(e);
         } else if (m instanceof Drain e) {
             idle = e.idle();
+        } else if (m instanceof HandOver) {
+            handingOver = true;
+            List.copyOf(requests.values()).forEach(this::handOver);
         }
         if (idle != null && requests.isEmpty()) {
             idle.run();
@@ -146,16 +158,34 @@
             settings.kinds().stream().filter(k -> k.name().equals(member.kind())).findFirst()
                     .ifPresent(k -> roles.put(member.server(), k.role()));
         }
+        roles.keySet().retainAll(peers.keySet());
         feed(new Api.Members(e.kind(), e.members()));
     }
 
     private void arrive(Arrive e) {
+        if (!ids.add(e.ask().id())) {
+            // two requests of one id can't be told apart at servers, where each would let go of the other's state
+            e.answer().fail(Answer.Failure.ID_IN_USE);
+            return;
+        }
         Request r = new Request(++keys, e.ask(), e.answer());
         requests.put(r.key, r);
         byAnswer.put(r.answer, r);
         Ask a = r.ask;
         feed(new Api.Arrival(r.key, a.requestClass(), null, a.session(), a.prefix(), a.promptTokens(),
                 a.prefixTokens(), a.maxAnswerTokens(), ModuleTime.seconds(a.deadline())));
+        if (handingOver) {
+            handOver(r);
+        }
+    }
+
+    /** As if its time were up: the module knows what may be refused, and what must be let go. */
+    private void handOver(Request r) {
+        if (r.phase == Phase.OPEN) {
+            feed(new Api.TimerFired("d" + r.key + ".0"));
+        } else if (settings.streamsResume()) {
+            transfer(r);
+        }
     }
 
     private void left(Left e) {
@@ -175,7 +205,7 @@
 
     private void firstEvent(FirstEvent e) {
         Request r = requests.get(e.request());
-        PeerActor peer = peers.get(e.server());
+        PeerActor peer = e.at();
         boolean current = r != null && r.out && r.attempts - 1 == e.number();
         if (!current || r.phase != Phase.OPEN) {
             // ended while the event was on its way: its stream is nobody's
@@ -196,8 +226,7 @@
             return;
         }
         r.out = false;
-        boolean reading = roles.get(e.server()) == Api.Role.READER;
-        boolean unsure = reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
+        boolean unsure = r.reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
                 || e.outcome() == Outcome.RESET || e.outcome() == Outcome.ERROR);
         r.mayHold |= unsure;
         if (r.phase == Phase.STREAMING) {
@@ -274,7 +303,8 @@
         r.out = true;
         r.at = peer;
         r.releaseWanted = false;
-        if (roles.get(a.server()) == Api.Role.READER) {
+        r.reading = roles.get(a.server()) == Api.Role.READER;
+        if (r.reading) {
             r.lastReader = a.server();
         }
         peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until())));
@@ -313,6 +343,7 @@
             byAnswer.remove(r.answer);
             if (!r.out && !r.releaseWanted) {
                 requests.remove(r.key);
+                ids.remove(r.ask.id());
             }
         }
     }
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import copperbeam.Api.Outcome;
 import copperbeam.Api.Report;
@@ -17,7 +18,7 @@
 
 /** Owns one server's connections and the attempts, probes and releases that are out at it. */
 public final class PeerActor extends Actor<PeerActor.Message> {
-    public sealed interface Message permits Located, Gone, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
+    public sealed interface Message permits Located, Gone, Room, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
             Said, Event, Ended, Broken, Expired, Quiet, Tidy {}
 
     public record Located(InetSocketAddress address) implements Message {}
@@ -25,6 +26,9 @@
     /** No longer listed: what is out may end, nothing is kept idle. */
     public record Gone() implements Message {}
 
+    /** So many connections may stand idle here. */
+    public record Room(int idle) implements Message {}
+
     public record Send(long request, int number, Ask ask, Answer answer, Instant until) implements Message {}
 
     /** Closes the connection of an attempt, whatever it does. */
@@ -62,6 +66,7 @@
         final Message order;
         final Instant began;
         Instant until;
+        Future<?> expiry;
         Instant heard;               // when the last event came
         Connection connection;
         boolean reused;
@@ -91,13 +96,13 @@
             Duration callTimeout, ModuleActor module, ReleaseActor releases) {}
 
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
-    private static final int MOST_IDLE = 16; // of the descriptors that all servers together may take
 
     private final String id;
     private final Setup setup;
     private final Map<Long, Work> attempts = new HashMap<>();
     private final Deque<Idle> idle = new ArrayDeque<>();
     private InetSocketAddress address;
+    private int mostIdle = 1;
     private boolean gone;
     private boolean tidying;
 
@@ -123,6 +128,9 @@
         } else if (m instanceof Gone) {
             gone = true;
             dropIdle();
+        } else if (m instanceof Room e) {
+            mostIdle = e.idle();
+            thin();
         } else if (m instanceof Send e) {
             Work work = new Work(e, setup.clock().instant());
             attempts.put(e.request(), work);
@@ -173,7 +181,7 @@
 
     private void begin(Work work, Instant until) {
         work.until = until;
-        tellLater(Duration.between(work.began, until), new Expired(work));
+        work.expiry = tellLater(Duration.between(work.began, until), new Expired(work));
         Instant stale = setup.clock().instant().minus(setup.idle());
         while (!idle.isEmpty()) {
             Idle last = idle.pollLast();
@@ -256,15 +264,19 @@
             return;
         }
         idle.add(new Idle(connection, setup.clock().instant()));
-        if (idle.size() > MOST_IDLE) {
-            idle.pollFirst().connection().close();
-        }
+        thin();
         if (!tidying) {
             tidying = true;
             tellLater(setup.idle(), new Tidy());
         }
     }
 
+    private void thin() {
+        while (idle.size() > mostIdle) {
+            idle.pollFirst().connection().close();
+        }
+    }
+
     /** Closes what has stood idle, well before the server would. */
     private void tidy() {
         Instant stale = setup.clock().instant().minus(setup.idle());
@@ -300,7 +312,7 @@
         } else if (work.word == Word.STREAM) {
             work.offered = true;
             setup.module().tell(new ModuleActor.FirstEvent(work.send().request(), work.send().number(), id, raw,
-                    since(work), granting(work, raw)));
+                    since(work), granting(work, raw), this));
         }
     }
 
@@ -411,12 +423,13 @@
     private void settle(Work work, Outcome outcome) {
         work.done = true;
         work.held.clear();
+        work.expiry.cancel(false); // or the request's body would stay until then
         if (work.order instanceof Send s) {
             attempts.remove(s.request(), work);
             setup.module().tell(new ModuleActor.Ended(s.request(), s.number(), id, outcome, since(work),
                     work.word == Word.STATE_MISSING, work.report));
         } else if (work.order instanceof Release r) {
-            setup.releases().tell(new ReleaseActor.Tried(r.ticket(), outcome == Outcome.OK));
+            setup.releases().tell(new ReleaseActor.Tried(r.ticket(), id, outcome == Outcome.OK));
         } else {
             setup.module().tell(new ModuleActor.ProbeDone(id, outcome, since(work), work.report));
         }
--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -23,7 +23,7 @@
     /** {@code first}: the server asked first, or null. {@code twice}: said again a little later. */
     public record Release(String id, String first, boolean twice) implements Message {}
 
-    public record Tried(long ticket, boolean heard) implements Message {}
+    public record Tried(long ticket, String at, boolean heard) implements Message {}
 
     /** Runs {@code idle} as soon as nothing is left to let go. */
     public record Drain(Runnable idle) implements Message {}
@@ -106,12 +106,17 @@
     private void tried(Tried e) {
         Open o = open.get(e.ticket());
         if (e.heard()) {
-            heardFrom.add(lastAsked.get(e.ticket()));
+            if (peers.containsKey(e.at())) {
+                heardFrom.add(e.at());
+            }
             open.remove(e.ticket());
             lastAsked.remove(e.ticket());
         } else if (o != null) {
-            heardFrom.remove(lastAsked.get(e.ticket()));
-            ask(e.ticket(), o, null);
+            heardFrom.remove(e.at());
+            // the word of one that was asked before is no reason to ask a third
+            if (e.at().equals(lastAsked.get(e.ticket()))) {
+                ask(e.ticket(), o, null);
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -0,0 +1,127 @@
+package copperbeam.transport;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+
+/**
+ * What clients of all fronts together may take: connections, and bytes of requests that wait here. Guards the
+ * limits on descriptors and memory against clients that ask once and stay, say nothing, or send much.
+ */
+public final class ClientRoom {
+    private static final Duration STAY = Duration.ofSeconds(2); // for which a connection may stand idle in any case
+    private static final Duration SILENT = Duration.ofMillis(500); // after which one that said nothing may go
+
+    /** One client's connection. */
+    static final class Client {
+        final IOSession session;
+        final Instant connected;
+        private final AtomicInteger open = new AtomicInteger();
+        private volatile Instant idleSince;
+        final boolean beyond;            // the limit: its requests are refused
+        volatile boolean heard;          // a byte has come
+        volatile boolean body;           // of a request whose body is not whole yet
+        volatile Instant closeAt;        // its last answer is out; what more comes is not read
+
+        Client(IOSession session, Instant now, boolean beyond) {
+            this.session = session;
+            this.beyond = beyond;
+            connected = now;
+            idleSince = now;
+        }
+
+        void begin() {
+            open.incrementAndGet();
+        }
+
+        void end(Instant now) {
+            idleSince = now;
+            open.decrementAndGet();
+        }
+
+        boolean busy() {
+            return open.get() > 0;
+        }
+
+        int open() {
+            return open.get();
+        }
+    }
+
+    private final int most;
+    private final long mostBytes;
+    private final Set<Client> clients = ConcurrentHashMap.newKeySet();
+    private final AtomicLong bytes = new AtomicLong();
+
+    /** {@code most} connections, and so many bytes of bodies. */
+    public ClientRoom(int most, long mostBytes) {
+        this.most = most;
+        this.mostBytes = mostBytes;
+    }
+
+    /**
+     * A new connection. Where room is short another goes for it: one whose client can do without, as it stands
+     * between two requests or has said nothing. Null where there is none, and no room to say so either.
+     */
+    Client enter(IOSession session, Instant now) {
+        boolean beyond = clients.size() >= most && !close(c -> c.heard && c.idleSince.plus(STAY).isBefore(now))
+                && !close(c -> !c.heard && c.connected.plus(SILENT).isBefore(now));
+        if (beyond && clients.size() > most + most / 4) {
+            return null;
+        }
+        Client client = new Client(session, now, beyond);
+        clients.add(client);
+        return client;
+    }
+
+    private boolean close(Predicate<Client> which) {
+        return clients.stream().filter(c -> !c.busy() && which.test(c)).min(Comparator.comparing(c -> c.idleSince))
+                .map(c -> {
+                    clients.remove(c);
+                    c.session.close(CloseMode.GRACEFUL);
+                    return c;
+                }).isPresent();
+    }
+
+    void leave(Client client) {
+        clients.remove(client);
+    }
+
+    /** False where no more bodies can wait here; then nothing is taken. */
+    boolean take(int count) {
+        if (bytes.addAndGet(count) > mostBytes) {
+            bytes.addAndGet(-count);
+            return false;
+        }
+        return true;
+    }
+
+    void free(int count) {
+        bytes.addAndGet(-count);
+    }
+
+    /** Closes what carries no request. */
+    void closeIdle() {
+        clients.stream().filter(c -> !c.busy()).forEach(c -> c.session.close(CloseMode.GRACEFUL));
+    }
+
+    boolean busy() {
+        return clients.stream().anyMatch(Client::busy);
+    }
+
+    /** Connections that are counted now. */
+    public int size() {
+        return clients.size();
+    }
+
+    public long bytes() {
+        return bytes.get();
+    }
+}
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -3,27 +3,41 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.logging.Logger;
+import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.HandlerFactory;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.io.Closer;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import copperbeam.protocol.Front;
 import copperbeam.protocol.HttpCall;
@@ -31,88 +45,225 @@
 
 /** Listens on one address and hands each request to a front. */
 public final class HttpFrontServer implements AutoCloseable {
-    /** One client's connection. */
-    static final class Client {
-        final IOSession session;
-        volatile boolean busy;
-        volatile Instant since;
+    private static final Logger LOG = Logger.getLogger(HttpFrontServer.class.getName());
+    private static final Duration REQUEST_TIME = Duration.ofMillis(2400); // from a request's first byte to its last
+    private static final Duration SILENCE = Duration.ofMillis(2400); // of a connection that has never said a word
+    private static final Duration FLUSH_TIME = Duration.ofSeconds(1); // for a last answer to leave
+    private static final Duration TICK = Duration.ofMillis(200);
+    private static final Duration AGAIN = Duration.ofMillis(20); // between tries to listen again
+    private static final int MOST_PIPELINED = 8; // requests open on one connection
+    private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8 * 1024)
+            .setMaxHeaderCount(100).build();
+    private static final HttpProcessor PROCESSOR = HttpProcessors.server();
 
-        Client(IOSession session, Instant since) {
-            this.session = session;
-            this.since = since;
-        }
-
-        void idle(Instant now) {
-            since = now;
-            busy = false;
-        }
-    }
-
-    /** Of 1,024 descriptors: two for each client's request, some idle ones to servers, and the program's own. */
-    public static final int MOST_CLIENTS = 370;
-
-    private final DefaultListeningIOReactor reactor;
-    private final Set<Client> clients = ConcurrentHashMap.newKeySet();
+    private final ClientRoom room;
     private final Front front;
     private final Clock clock;
-    private final int mostClients;
+    private final AtomicBoolean closing = new AtomicBoolean();
+    private volatile DefaultListeningIOReactor reactor;
     private volatile boolean draining;
     private volatile ListenerEndpoint endpoint;
 
-    /** {@code mostClients}: beyond so many connections an idle one is closed, and with none idle a request refused. */
-    public HttpFrontServer(Front front, Clock clock, int mostClients) {
-        this.mostClients = mostClients;
+    public HttpFrontServer(Front front, Clock clock, ClientRoom room) {
         this.front = front;
         this.clock = clock;
+        this.room = room;
+        reactor = reactor();
+    }
+
+    private DefaultListeningIOReactor reactor() {
         IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                .setSoReuseAddress(true).setSoTimeout(Timeout.DISABLED).setBacklogSize(512).build();
-        reactor = new DefaultListeningIOReactor((session, attachment) -> handler(session), config,
-                task -> new Thread(task, "from-clients"), task -> new Thread(task, "accept"), null, Problems::report,
-                null, null);
-        reactor.start();
+                .setSoReuseAddress(true).setSoTimeout(Timeout.of(TICK)).setBacklogSize(512)
+                .setSelectInterval(TimeValue.of(TICK)).build();
+        AtomicBoolean ended = new AtomicBoolean();
+        DefaultListeningIOReactor next = new DefaultListeningIOReactor((session, attachment) -> handler(session),
+                config, task -> thread(task, "from-clients", ended), task -> thread(task, "accept", ended), null,
+                Problems::report, null, null);
+        next.start();
+        return next;
     }
 
-    private ServerHttp1IOEventHandler handler(ProtocolIOSession session) {
-        Client client = new Client(session, clock.instant());
-        if (clients.size() >= mostClients) {
-            // a client may be cut off between two requests; it sends again what crosses that
-            clients.stream().filter(c -> !c.busy).min(Comparator.comparing(c -> c.since)).ifPresent(c -> {
-                clients.remove(c);
-                c.session.close(CloseMode.GRACEFUL);
-            });
+    /** The first of a reactor's threads to end before its time has another reactor take its place. */
+    private Thread thread(Runnable task, String name, AtomicBoolean ended) {
+        return new Thread(() -> {
+            task.run();
+            if (!closing.get() && ended.compareAndSet(false, true)) {
+                listenAgain();
+            }
+        }, name);
+    }
+
+    /** Guards against HttpCore's end of listening for good when a connection can't be accepted. */
+    private void listenAgain() {
+        LOG.warning("listening ended and begins anew");
+        ListenerEndpoint old = endpoint;
+        Closer.closeQuietly(old);
+        reactor.initiateShutdown(); // its connections live on until they close
+        while (old != null && !closing.get()) {
+            try {
+                Thread.sleep(AGAIN.toMillis());
+                DefaultListeningIOReactor next = reactor();
+                try {
+                    endpoint = next.listen(old.getAddress()).get();
+                    reactor = next;
+                    return;
+                } catch (ExecutionException e) {
+                    next.close(CloseMode.IMMEDIATE);
+                }
+            } catch (IllegalStateException e) {
+                LOG.fine(() -> "no descriptor is left to listen with: " + e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
         }
-        clients.add(client);
-        ServerHttp1StreamDuplexerFactory duplexers = new ServerHttp1StreamDuplexerFactory(HttpProcessors.server(),
-                (request, context) -> new ServerExchange(client, full() ? HttpFrontServer::refuse : front, clock,
-                        () -> draining),
-                Http1Config.custom().setBufferSize(4096).setMaxLineLength(16 * 1024).setMaxHeaderCount(100).build(),
-                CharCodingConfig.DEFAULT, null, null);
-        return new ServerHttp1IOEventHandler(duplexers.create("http", session)) {
-            @Override
-            public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
+    }
+
+    private IOEventHandler handler(ProtocolIOSession session) {
+        ClientRoom.Client client = room.enter(session, clock.instant());
+        if (client == null) {
+            session.close(CloseMode.IMMEDIATE);
+            return new Ignorant();
+        }
+        BoundedParser<HttpRequest> parser = new BoundedParser<>(new DefaultHttpRequestParserFactory(CONFIG).create(),
+                true);
+        return new Handler(new Duplexer(session, parser, (request, context) -> exchange(client)), parser, session,
+                client);
+    }
+
+    private ServerExchange exchange(ClientRoom.Client client) {
+        return new ServerExchange(client, room, client.beyond || client.open() >= MOST_PIPELINED
+                ? HttpFrontServer::refuse : front, clock, () -> draining);
+    }
+
+    private static final class Duplexer extends ServerHttp1StreamDuplexer {
+        Duplexer(ProtocolIOSession session, BoundedParser<HttpRequest> parser,
+                HandlerFactory<AsyncServerExchangeHandler> exchanges) {
+            super(session, PROCESSOR, exchanges, "http", CONFIG, CharCodingConfig.DEFAULT, null, parser,
+                    DefaultHttpResponseWriterFactory.INSTANCE.create(), null, null, null, null);
+        }
+
+        @Override
+        protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+                SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+            return length == ContentLengthStrategy.CHUNKED
+                    ? Chunks.decoder(channel, buffer, CONFIG, metrics, ServerExchange.MOST_BODY)
+                    : super.createContentDecoder(length, channel, buffer, metrics);
+        }
+    }
+
+    /** One connection's events, on the reactor's thread. */
+    private final class Handler extends ServerHttp1IOEventHandler {
+        private final BoundedParser<HttpRequest> parser;
+        private final ProtocolIOSession session;
+        private final ClientRoom.Client client;
+        private Instant began;       // the request that is not whole yet
+
+        Handler(Duplexer duplexer, BoundedParser<HttpRequest> parser, ProtocolIOSession session,
+                ClientRoom.Client client) {
+            super(duplexer);
+            this.parser = parser;
+            this.session = session;
+            this.client = client;
+        }
+
+        @Override
+        public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
+            client.heard = true;
+            try {
                 super.inputReady(open, bytes);
                 // HttpCore takes a client's end of sending for a wish to close once it is answered, and stops
                 // reading; here it is a client that has gone, and its attempt must not run on unread
-                if (client.busy && (open.getEventMask() & SelectionKey.OP_READ) == 0) {
+                if (client.busy() && !parser.failed() && client.closeAt == null
+                        && (open.getEventMask() & SelectionKey.OP_READ) == 0) {
                     open.close(CloseMode.IMMEDIATE);
                 }
+                times();
+            } finally {
+                gone();
+            }
+        }
+
+        @Override
+        public void outputReady(IOSession open) throws IOException {
+            try {
+                super.outputReady(open);
+                if (client.closeAt != null) {
+                    times();
+                }
+            } finally {
+                gone();
+            }
+        }
+
+        /** Comes each tick on a connection without events. */
+        @Override
+        public void timeout(IOSession open, Timeout timeout) {
+            times();
+            gone();
+        }
+
+        @Override
+        public void exception(IOSession open, Exception cause) {
+            super.exception(open, cause);
+            gone();
+        }
+
+        @Override
+        public void disconnected(IOSession closed) {
+            super.disconnected(closed);
+            gone();
+        }
+
+        /** Guards against clients that say nothing, or stop within a request: they hold a connection for nothing. */
+        private void times() {
+            if (!session.isOpen()) {
+                return;
+            }
+            Instant now = clock.instant();
+            began = !parser.partial() && !client.body ? null : began == null ? now : began;
+            boolean slow = began != null && began.plus(REQUEST_TIME).isBefore(now);
+            boolean silent = !client.heard && client.connected.plus(SILENCE).isBefore(now);
+            boolean flushed = (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
+            boolean answered = client.closeAt != null
+                    && (flushed ? client.closeAt : client.closeAt.plus(FLUSH_TIME)).isBefore(now);
+            if (slow || silent || answered) {
+                session.close(CloseMode.GRACEFUL);
             }
+        }
 
-            @Override
-            public void disconnected(IOSession closed) {
-                clients.remove(client);
-                super.disconnected(closed);
+        /** HttpCore does not tell of connections that it closed for a reset or another exception of theirs. */
+        private void gone() {
+            if (!session.isOpen()) {
+                room.leave(client);
             }
-        };
+        }
     }
 
-    private boolean full() {
-        return clients.size() > mostClients;
+    /** For a connection that there is no room for. */
+    private static final class Ignorant implements IOEventHandler {
+        @Override
+        public void connected(IOSession session) {}
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer bytes) {}
+
+        @Override
+        public void outputReady(IOSession session) {}
+
+        @Override
+        public void timeout(IOSession session, Timeout timeout) {}
+
+        @Override
+        public void exception(IOSession session, Exception cause) {}
+
+        @Override
+        public void disconnected(IOSession session) {}
     }
 
     private static Runnable refuse(HttpCall call, HttpReply reply) {
         reply.whole(503, "text/plain", Map.of("Retry-After", "1", "Connection", "close"),
-                "too many connections\n".getBytes(StandardCharsets.US_ASCII));
+                "too many connections or requests\n".getBytes(StandardCharsets.US_ASCII));
         return () -> { };
     }
 
@@ -133,20 +284,18 @@
 
     /** Takes no new connection and closes those that carry no request. */
     public void closeIdle() {
+        closing.set(true);
         Closer.closeQuietly(endpoint);
-        for (Client client : clients) {
-            if (!client.busy) {
-                client.session.close(CloseMode.GRACEFUL);
-            }
-        }
+        room.closeIdle();
     }
 
     public boolean busy() {
-        return clients.stream().anyMatch(c -> c.busy);
+        return room.busy();
     }
 
     @Override
     public void close() {
+        closing.set(true);
         reactor.close(CloseMode.GRACEFUL);
     }
 }
--- a/src/main/java/copperbeam/transport/PlainHttpClient.java
+++ b/src/main/java/copperbeam/transport/PlainHttpClient.java
@@ -114,6 +114,7 @@
 
             @Override
             void whole(boolean reusable) {
+                kept.values().removeIf(s -> !s.isOpen());
                 IOSession other = reusable ? kept.put(call.to, session) : session;
                 if (other != null && other != session || !reusable) {
                     other.close(CloseMode.GRACEFUL);
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -3,8 +3,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
@@ -35,11 +37,15 @@
 final class ServerExchange implements AsyncServerExchangeHandler, HttpReply {
     static final int MOST_BODY = 256 * 1024;
 
+    private static final Duration LINGER = Duration.ofMillis(100); // for an answer to be read before a close
+    private static final Duration CUT_TIME = Duration.ofSeconds(1); // for what was passed on, until a cut in any case
+
     private record Piece(ByteBuffer bytes, Runnable drained) {}
 
     private enum Last { NONE, WHOLE, CUT }
 
-    private final HttpFrontServer.Client client;
+    private final ClientRoom.Client client;
+    private final ClientRoom room;
     private final Front front;
     private final Clock clock;
     private final BooleanSupplier draining;
@@ -48,6 +54,7 @@
     private final AtomicInteger producing = new AtomicInteger();
     private final AtomicBoolean over = new AtomicBoolean();
     private volatile Last last = Last.NONE;
+    private volatile boolean closing; // after this answer
     private volatile ResponseChannel responses;
     private volatile DataStreamChannel output;
     private volatile Runnable gone = () -> {};
@@ -55,14 +62,17 @@
     private HttpContext context;
     private Instant arrived;
     private boolean answered;
+    private boolean unread;          // the rest of the request stays on the connection
+    private int held;                // bytes of the body, counted in the room until all is over
     private boolean cutSeen;
 
-    ServerExchange(HttpFrontServer.Client client, Front front, Clock clock, BooleanSupplier draining) {
+    ServerExchange(ClientRoom.Client client, ClientRoom room, Front front, Clock clock, BooleanSupplier draining) {
         this.client = client;
+        this.room = room;
         this.front = front;
         this.clock = clock;
         this.draining = draining;
-        client.busy = true;
+        client.begin();
     }
 
     // ---- the request ---------------------------------------------------------------------------
@@ -74,10 +84,11 @@
         responses = channel;
         context = ctx;
         arrived = clock.instant();
+        client.body = entity != null;
         if (entity == null) {
             dispatch();
         } else if (entity.getContentLength() > MOST_BODY) {
-            tooLarge();
+            turnAway(413, "the body is larger than 256 KiB");
         } else if (head.containsHeader("Expect")) {
             channel.sendInformation(new BasicHttpResponse(100), ctx);
         }
@@ -85,7 +96,10 @@
 
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
-        channel.update(Integer.MAX_VALUE);
+        // after a final answer nothing more is read: its sender may have gigabytes to send
+        if (!answered) {
+            channel.update(Integer.MAX_VALUE);
+        }
     }
 
     @Override
@@ -94,26 +108,37 @@
             bytes.position(bytes.limit());
             return;
         }
-        byte[] copy = new byte[bytes.remaining()];
-        bytes.get(copy);
-        body.writeBytes(copy);
-        if (body.size() > MOST_BODY) {
-            tooLarge();
+        if (body.size() + bytes.remaining() > MOST_BODY) {
+            turnAway(413, "the body is larger than 256 KiB");
+        } else if (!room.take(bytes.remaining())) {
+            turnAway(503, "too many requests wait here");
+        } else {
+            held += bytes.remaining();
+            byte[] copy = new byte[bytes.remaining()];
+            bytes.get(copy);
+            body.writeBytes(copy);
         }
+        bytes.position(bytes.limit());
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
+        client.body = false;
         if (!answered) {
             dispatch();
         }
     }
 
-    private void tooLarge() {
+    /** The final answer to a request whose body is not read; the connection closes once that is out. */
+    private void turnAway(int status, String why) {
         answered = true;
         body.reset();
-        whole(413, "text/plain", Map.of("Connection", "close"),
-                "the body is larger than 256 KiB\n".getBytes(StandardCharsets.US_ASCII));
+        client.body = false;
+        unread = true;
+        client.closeAt = clock.instant().plus(Duration.ofDays(1)); // the answer may have to wait for others here
+        client.session.clearEvent(SelectionKey.OP_READ);
+        whole(status, "text/plain", status == 503 ? Map.of("Connection", "close", "Retry-After", "1")
+                : Map.of("Connection", "close"), (why + "\n").getBytes(StandardCharsets.US_ASCII));
     }
 
     private void dispatch() {
@@ -145,6 +170,7 @@
 
     private void send(int status, String contentType, Map<String, String> headers, long length) {
         BasicHttpResponse response = new BasicHttpResponse(status);
+        closing = headers.containsKey("Connection");
         headers.forEach(response::setHeader);
         if (draining.getAsBoolean()) {
             response.setHeader("Connection", "close");
@@ -171,6 +197,7 @@
     @Override
     public void abort() {
         last = Last.CUT;
+        client.closeAt = clock.instant().plus(CUT_TIME);
         flush();
     }
 
@@ -216,12 +243,19 @@
             piece = pieces.peek();
         }
         if (state == Last.WHOLE && over.compareAndSet(false, true)) {
-            client.idle(clock.instant());
+            ended();
+            if (closing || draining.getAsBoolean()) {
+                // HttpCore itself does not where more requests of this connection wait for their turn, or where
+                // the stop was asked for after the head of this answer had promised more
+                client.closeAt = clock.instant().plus(unread ? LINGER : Duration.ZERO);
+            }
             channel.endStream(null);
         } else if (state == Last.CUT) {
             if (cutSeen) {
                 // no last chunk: the client must see that the stream is not whole
-                over.set(true);
+                if (over.compareAndSet(false, true)) {
+                    ended();
+                }
                 client.session.close(CloseMode.GRACEFUL);
             } else {
                 cutSeen = true;
@@ -233,11 +267,16 @@
     @Override
     public void failed(Exception cause) {
         if (over.compareAndSet(false, true)) {
-            client.idle(clock.instant());
+            ended();
             gone.run();
         }
     }
 
+    private void ended() {
+        room.free(held);
+        client.end(clock.instant());
+    }
+
     @Override
     public void releaseResources() {
         failed(null);
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -475,6 +475,29 @@
         assertEquals(List.of(new FollowList()), b.at(102, new TimerFired(again.tag())));
     }
 
+    /** Guards against a day on which servers come under ever new ids and clients are always new. */
+    @Test
+    void serversThatLeftAndRequestsThatAreOverAreForgotten() {
+        Bench b = new Bench(usual(LOW, ONCE), 5);
+        b.at(100, fleet());
+        for (int i = 0; i < 3000; i++) {
+            double at = 100 + i;
+            String reader = sent(b.arrive(at, i, ONCE, 1000)).server();
+            if (i % 4 == 0) {
+                b.at(at, new ClientLeft(i));
+                b.end(at + 0.01, i, 0, reader, Outcome.CANCELLED);
+            } else {
+                String writer = sent(b.end(at + 0.01, i, 0, reader, Outcome.READ)).server();
+                b.start(at + 0.02, i, 1, writer);
+                b.end(at + 0.03, i, 1, writer, i % 4 == 1 ? Outcome.RESET : Outcome.OK);
+                b.at(at + 0.03, new ClientLeft(i));
+            }
+            ServerState state = i % 2 == 0 ? ServerState.READY : ServerState.GONE;
+            b.at(at, new Members(ListKind.DELTA, List.of(server("new" + i / 2, "r", 0, state, at))));
+        }
+        assertTrue(b.brain.records() <= 6, "left: " + b.brain.records());
+    }
+
     // ---- the module's form ---------------------------------------------------------------------
 
     @Test
--- /dev/null
+++ b/src/test/java/copperbeam/routing/LongDayTest.java
@@ -0,0 +1,70 @@
+package copperbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import copperbeam.Api;
+import copperbeam.Api.Kind;
+import copperbeam.Api.Limits;
+import copperbeam.Api.ListKind;
+import copperbeam.Api.Member;
+import copperbeam.Api.Report;
+import copperbeam.Api.Role;
+import copperbeam.Api.Rules;
+import copperbeam.Api.ServerState;
+import copperbeam.Api.Settings;
+import copperbeam.routing.MembershipSource.Change;
+import copperbeam.routing.MembershipSource.Entry;
+import java.lang.ref.WeakReference;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import org.testng.annotations.Test;
+
+/** Servers that come under ever new ids leave nothing behind. */
+public class LongDayTest {
+    private static Change change(ListKind kind, int id, ServerState state) {
+        return new Change(kind, List.of(new Entry(new Member("s" + id, "z", "r", 0, state, 1, 0),
+                new InetSocketAddress("127.0.0.1", 1))));
+    }
+
+    @Test
+    public void peersOfServersThatLeftAreForgotten() throws Exception {
+        ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1);
+        try {
+            Settings settings = new Settings(1, List.of(new Api.RequestClass("c", 1, 0, 1, Api.Effect.SAFE,
+                    Api.Group.ALL, 0)), List.of(), List.of(new Kind("r", Role.READER, 1)),
+                    new Limits(4, true, false, 1), new Rules(1, 1, 3, 2, 1), Api.Reports.NEVER, false, 0, false, true);
+            ReleaseActor releases = new ReleaseActor(turns, Clock.systemUTC(), Duration.ofSeconds(1));
+            ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), settings, 1, releases);
+            PeerActor.Setup setup = new PeerActor.Setup(Clock.systemUTC(), null, Duration.ofSeconds(1),
+                    Duration.ofSeconds(1), Duration.ofSeconds(1), module, releases);
+            List<WeakReference<PeerActor>> made = new ArrayList<>();
+            ListActor list = new ListActor(turns, (id, at) -> {
+                PeerActor peer = new PeerActor(turns, id, at, setup);
+                made.add(new WeakReference<>(peer));
+                return peer;
+            }, module, releases, 10);
+            int all = 3000;
+            for (int i = 0; i < all; i++) {
+                list.tell(change(i % 100 == 0 ? ListKind.FULL : ListKind.DELTA, i, ServerState.READY));
+                if (i % 100 >= 50) {
+                    list.tell(change(ListKind.DELTA, i, ServerState.GONE));
+                }
+            }
+            long until = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+            long left = all;
+            while (left > 51 && System.nanoTime() < until) {
+                System.gc();
+                left = turns.submit(() -> made.size() < all ? all : made.stream().filter(p -> p.get() != null).count())
+                        .get();
+            }
+            // those of the last whole list and after it that have not left
+            assertEquals(left, 50);
+        } finally {
+            turns.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -0,0 +1,206 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.await;
+import static copperbeam.sockets.Site.chat;
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.program.Config;
+import copperbeam.transport.ClientRoom;
+import copperbeam.transport.HttpFrontServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Clients that send what can't be read, too much, too little or too often. */
+public class BadClientsTest {
+    private static final String POST = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\n"
+            + "X-Priority-Class: ask\r\nX-Timeout: 4000m\r\nX-Attrs: prompt_len=4\r\n";
+    private static final String HIDDEN = "0\r\n\r\n" + request("hidden", "ask", "4000m", "", "{}");
+
+    @DataProvider
+    public Object[][] unreadable() {
+        Object[][] cases = {
+            {POST + "Content-Length: -1\r\n\r\n{}", 400},
+            {POST + "Content-Length: +2\r\n\r\n{}", 400},
+            {POST + "Content-Length: two\r\n\r\n{}", 400},
+            {POST + "Content-Length: 99999999999999999999\r\n\r\n{}", 400},
+            {POST + "Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}", 400},
+            {POST + "Content-Length : 2\r\n\r\n{}", 400},
+            {POST + "Content-Length: " + HIDDEN.length() + "\r\nTransfer-Encoding: chunked\r\n\r\n" + HIDDEN, 400},
+            {POST + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", 400},
+            {POST + "Transfer-Encoding: gzip\r\n\r\n{}", 400},
+            {POST + "Transfer-Encoding: chunked\r\n\r\n-2\r\n{}\r\n0\r\n\r\n", 0},
+            {POST + "Transfer-Encoding: chunked\r\n\r\nC0000000\r\n{}", 0},
+            {POST + "Content-Length: 62914560\r\n\r\n{", 413},
+            {POST + "X: y\r\n".repeat(2000), 431},
+            {POST + "X: " + "y".repeat(20_000), 431},
+            {"\u0001\u0002\u0003\r\n\r\n", 400},
+            {POST, -1}, {POST + "Content-Length: 20\r\n\r\n{", -1}, {"", -1},
+        };
+        List<Object[]> all = new ArrayList<>();
+        for (Object[] one : cases) {
+            all.add(new Object[] {one[0], one[1], false});
+            all.add(new Object[] {one[0], one[1], true});
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    /** {@code status} 0: a close at once; -1: a close within 3 s, as the rest never comes. Nothing is passed on. */
+    @Test(dataProvider = "unreadable")
+    public void whatCantBeReadIsAnErrorAndAClose(String text, int status, boolean chat) throws Exception {
+        try (Site site = new Site(1, 1); Line client = chat ? site.chatClient() : site.client()) {
+            long from = System.nanoTime();
+            client.send(text);
+            if (status > 0) {
+                assertEquals(client.read().status(), status);
+            }
+            assertTrue(client.awaitClosed());
+            assertTrue(System.nanoTime() - from < (status < 0 ? 3_000_000_000L : 1_500_000_000L));
+            assertEquals(site.attempts(site.readers), 0);
+            assertEquals(site.get("/healthz").status(), 200);
+        }
+    }
+
+    /** Guards against a head that trickles: each byte alone is in time. */
+    @Test
+    public void aTrickledHeadIsCutOff() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            long from = System.nanoTime();
+            boolean[] cut = {false};
+            await("cut off", () -> {
+                try {
+                    client.send("X");
+                } catch (IOException e) {
+                    cut[0] = true;
+                }
+                return cut[0];
+            });
+            assertTrue(System.nanoTime() - from < 4_000_000_000L);
+        }
+    }
+
+    /** Servers know a request by its id alone: a second one would let go of the first one's state. */
+    @Test
+    public void theIdOfAnOpenRequestIsAnErrorThatLeavesItAlone() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Site site = new Site(1, 1); Line first = site.client(); Line second = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                go.await();
+                Site.write(m, line);
+            });
+            String text = request("same", "send", "5000m", "", "{}");
+            first.send(text);
+            await("written", () -> site.attempts(site.writers) == 1);
+            assertEquals(second.send(text).read().status(), 409);
+            go.countDown();
+            assertEquals(first.read().text(), Site.EVENTS);
+            assertEquals(site.releases(), 0);
+            assertEquals(second.send(text).read().status(), 200); // it is free again
+        }
+    }
+
+    @Test
+    public void aFloodOnOneConnectionIsBounded() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Site site = new Site(1, 1); Line flood = site.client(); Line good = site.client()) {
+            site.readers.get(0).script = attempts((m, line) -> {
+                if (!m.header("X-Request-ID").equals("good")) {
+                    go.await();
+                }
+                Site.read(m, line);
+            });
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 100; i++) {
+                all.append(request("f" + i, "ask", "5000m", "", "{}"));
+            }
+            flood.send(all.toString());
+            await("some read", () -> site.attempts(site.readers) == 8);
+            assertEquals(good.send(request("good", "ask", "5000m", "", "{}")).read().status(), 200);
+            assertEquals(site.attempts(site.readers), 9);
+            go.countDown();
+            for (int i = 0; i < 8; i++) {
+                assertEquals(flood.read().status(), 200);
+            }
+            assertEquals(flood.read().status(), 503);
+            assertNull(flood.head());
+        }
+    }
+
+    /** Guards the memory: many large requests that wait at once. */
+    @Test
+    public void bodiesThatWaitAreBounded() throws Exception {
+        ClientRoom room = new ClientRoom(10, 1000);
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
+            if (call.body().length < 900) {
+                reply.whole(200, "text/plain", Map.of(), new byte[0]);
+            }
+            return () -> { };
+        }, Clock.systemUTC(), room)) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+            try (Line second = new Line(at)) {
+                try (Line first = new Line(at)) {
+                    first.send(Site.post("x".repeat(900)));
+                    await("held", () -> room.bytes() == 900);
+                    Line.Message refused = second.send(Site.post("x".repeat(200))).read();
+                    assertEquals(refused.status(), 503);
+                    assertEquals(refused.header("Retry-After"), "1");
+                    assertTrue(second.awaitClosed());
+                }
+                await("let go", () -> room.bytes() == 0);
+                try (Line third = new Line(at)) {
+                    assertEquals(third.send(Site.post("x".repeat(200))).read().status(), 200);
+                }
+            }
+            await("left", () -> room.size() == 0 && room.bytes() == 0);
+        }
+    }
+
+    /** HttpCore tells nobody of a connection that a reset ended; such were once counted for good. */
+    @Test
+    public void resetClientsTakeNoRoom() throws Exception {
+        ClientRoom room = new ClientRoom(500, 1 << 20);
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> () -> { }, Clock.systemUTC(), room)) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+            for (int i = 0; i < 1000; i++) {
+                Line client = new Line(at);
+                client.send(i % 2 == 0 ? "GET / HTTP/1.1\r\nHost: x\r\n\r\n" : "GET / HTT");
+                client.reset();
+            }
+            await("all have left", () -> room.size() == 0 && !server.busy());
+        }
+    }
+
+    /** Clients that stay or say nothing must not keep others out, with either front. */
+    @Test
+    public void thoseWhoSayNothingMakeRoomForOthers() throws Exception {
+        try (Site site = new Site(1, 1, new Config.Limits(64, 256))) {
+            List<Line> silent = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                silent.add(i % 2 == 0 ? site.client() : site.chatClient());
+            }
+            await("served", () -> {
+                try (Line client = site.client(); Line other = site.chatClient()) {
+                    return client.send(request("ask", 4000)).read().status() == 200
+                            && other.send(chat("m-ask", true, "")).read().status() == 200;
+                } catch (IOException | NullPointerException e) {
+                    return false; // no room yet
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            });
+            for (Line line : silent) {
+                assertTrue(line.awaitClosed());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -0,0 +1,82 @@
+package copperbeam.sockets;
+
+import copperbeam.program.Main;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** One conductor as `run` starts it, with discovery in its file and an older word on it in the environment. */
+final class Conductor implements AutoCloseable {
+    final Path folder = Files.createTempDirectory("conductor");
+    final Path log = folder.resolve("log");
+    final InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+    final Process process;
+    private final String limits;
+
+    Conductor(StandIn discovery, int sockets, int memoryMb) throws IOException {
+        this.limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
+        configure(discovery.host());
+        ProcessBuilder java = new ProcessBuilder("sh", "-c", "ulimit -n " + sockets + " && exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m",
+                "-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve");
+        java.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
+        java.environment().put("GW_DISCOVERY", discovery.host());
+        process = java.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Replaces the file whole, as operators do. */
+    void configure(String discovery) throws IOException {
+        Path next = folder.resolve("next");
+        Files.writeString(next, "{\"listen\":\"127.0.0.1:" + address.getPort() + "\",\"discovery\":\"" + discovery
+                + "\",\"limits\":" + limits + ",\"settings\":" + String.format(Site.SETTINGS, 30) + "}");
+        Files.move(next, folder.resolve("config.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    boolean healthy() {
+        try (Line line = new Line(address)) {
+            return line.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").read().status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    boolean logged(String text) {
+        try {
+            return Files.readString(log).contains(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    /** The whole list at once, and after that no change. */
+    static StandIn discovery(StandIn reader, StandIn writer) throws IOException {
+        return new StandIn((m, line) -> {
+            boolean watch = m.path().contains("from=");
+            if (watch) {
+                Thread.sleep(500);
+            }
+            line.answer(200, "{\"version\":7,\"full\":" + !watch + ",\"servers\":["
+                    + (watch ? "" : Site.entry(reader, "prefill", "active") + "," + Site.entry(writer, "decode", "active"))
+                    + "]}");
+        });
+    }
+}
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -10,9 +10,14 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.transport.ClientRoom;
 import copperbeam.transport.HttpFrontServer;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -298,11 +303,32 @@
         }
     }
 
+    /** A clock that a test moves on. */
+    private static final class Ahead extends Clock {
+        volatile Duration by = Duration.ZERO;
+
+        @Override
+        public Instant instant() {
+            return Instant.now().plus(by);
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+    }
+
     /** Guards the limit on descriptors: an idle connection makes room, and without one a request is refused. */
     @Test
     public void clientsBeyondTheLimitMakeRoomOrAreRefused() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         AtomicInteger slowOnes = new AtomicInteger();
+        Ahead clock = new Ahead();
         try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
             if (call.path().equals("/slow")) {
                 slowOnes.incrementAndGet();
@@ -314,13 +340,15 @@
                 reply.whole(200, "text/plain", Map.of(), new byte[0]);
             }
             return () -> { };
-        }, Clock.systemUTC(), 2)) {
+        }, clock, new ClientRoom(2, 1 << 20))) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
             String slow = "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n";
             try (Line idle = new Line(at); Line first = new Line(at)) {
                 assertEquals(idle.send(slow.replace("slow", "")).read().status(), 200);
                 assertEquals(first.send(slow.replace("slow", "")).read().status(), 200);
                 first.send(slow);
+                await("busy", () -> slowOnes.get() == 1);
+                clock.by = Duration.ofSeconds(3);
                 try (Line second = new Line(at)) {
                     assertTrue(idle.awaitClosed());
                     second.send(slow);
@@ -413,4 +441,47 @@
             assertTrue(idle.awaitClosed());
         }
     }
+
+    /** Guards against a kill that finds requests open: what would last longer is given its end in time. */
+    @Test
+    public void aStopHandsOverWhatWouldLastTooLong() throws Exception {
+        try (Site site = new Site(1, 1); Line stream = site.client(); Line kept = site.client();
+                Line read = site.client(); Line write = site.client()) {
+            StandIn writer = site.writers.get(0);
+            writer.script = attempts((m, line) -> {
+                line.beginStream().chunk("data: 1\n\n");
+                await("its end", () -> m.header("X-Request-ID").equals("kept") && site.get("/healthz").status() == 503);
+                line.lastChunk();
+            });
+            kept.send(request("kept", "ask", "60000m", "", "{}")).head();
+            stream.send(request("stream", "ask", "60000m", "", "{}")).head();
+            await("both stream", () -> site.attempts(site.writers) == 2);
+            writer.script = SILENT;
+            write.send(request("write", "send", "60000m", "", "{}"));
+            await("written", () -> site.attempts(site.writers) == 3);
+            site.readers.get(0).script = SILENT;
+            read.send(request("read", "ask", "60000m", "", "{}"));
+            await("read", () -> site.attempts(site.readers) == 4);
+            long from = System.nanoTime();
+            Thread stop = new Thread(() -> {
+                try {
+                    site.node.stop();
+                } catch (InterruptedException e) {
+                    throw new AssertionError(e);
+                }
+            });
+            stop.start();
+            // begun before the stop, so that its head promised more
+            assertEquals(kept.readChunk(), "data: 1\n\n");
+            assertNull(kept.readChunk());
+            assertTrue(kept.awaitClosed());
+            assertEquals(read.read().status(), 503);
+            assertEquals(write.read().status(), 502);
+            assertEquals(stream.readChunk(), "data: 1\n\n");
+            assertEquals(stream.readChunk(), "");
+            stop.join(Line.PATIENCE_MS);
+            assertFalse(stop.isAlive());
+            assertTrue(System.nanoTime() - from < 3_600_000_000L);
+        }
+    }
 }
--- a/src/test/java/copperbeam/sockets/Site.java
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -55,9 +55,18 @@
         this(readerCount, writerCount, idleS, null, List.of());
     }
 
+    Site(int readerCount, int writerCount, Config.Limits limits) throws Exception {
+        this(readerCount, writerCount, 30, null, List.of(), limits);
+    }
+
     /** {@code etcd} null: the list comes by the platform's discovery. */
     Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks)
             throws Exception {
+        this(readerCount, writerCount, idleS, etcd, hooks, Config.Limits.USUAL);
+    }
+
+    Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks,
+            Config.Limits limits) throws Exception {
         for (int i = 0; i < readerCount; i++) {
             readers.add(new StandIn(Site::read));
         }
@@ -69,7 +78,7 @@
         ChatModels models = new ChatModels(Map.of("m-ask", new ChatModels.Model("ask", Duration.ofSeconds(2), 100),
                 "m-send", new ChatModels.Model("send", Duration.ofSeconds(2), 100)));
         node = new Node(new Config("n0", any, discovery.address(), 7, Decoder.settings(cast(settings)), null,
-                Duration.ofMillis(250), Duration.ofMillis((long) (idleS * 1000)), new Config.Operator(any, models, etcd,
+                Duration.ofMillis(250), Duration.ofMillis((long) (idleS * 1000)), limits, new Config.Operator(any, models, etcd,
                 hooks)));
         if (etcd == null) {
             await("healthy", () -> get("/healthz").status() == 200);
