--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -13,7 +13,7 @@
 
 /** The command line. */
 public final class Main {
-    private static final String USAGE = "copperbeam serve|check-config|version|simhost";
+    private static final String USAGE = "copperbeam serve|check-config|version|simhost|rehearse";
 
     private Main() {}
 
@@ -51,6 +51,8 @@
             case "version":
                 System.out.println("copperbeam " + version());
                 return 0;
+            case "rehearse":
+                return Rehearsal.run();
             case "simhost":
                 return SimHost.run(System.in, System.out, System.err);
             default:
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -46,7 +46,7 @@
     private final DiscoveryWatch discovery; // null where the list comes from elsewhere
     private final HttpFrontServer server;
     private final AtomicBoolean listed = new AtomicBoolean();
-    private final AtomicBoolean warm = new AtomicBoolean();
+    private final CountDownLatch warm = new CountDownLatch(1);
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final InetSocketAddress address;
     private ScheduledThreadPoolExecutor hookTurns;
@@ -89,7 +89,7 @@
                     clock.instant()), clock, room);
             chatAddress = chat.listen(config.operator().chatListen());
         }
-        WarmUp.start(config.settings(), client, address, () -> warm.set(true));
+        WarmUp.start(config.settings(), client, address, warm::countDown);
         if (config.known() != null) {
             // with discovery down, the list last known has to do
             turns.schedule(() -> listed.set(true), 2, TimeUnit.SECONDS);
@@ -100,6 +100,11 @@
         return address;
     }
 
+    /** Waits until the hot path has been run. */
+    void awaitWarm() throws InterruptedException {
+        warm.await();
+    }
+
     /** Null where the chat API is off. */
     public InetSocketAddress chatAddress() {
         return chatAddress;
@@ -117,7 +122,7 @@
     }
 
     private boolean healthy() {
-        return listed.get() && warm.get() && !stopping.get();
+        return listed.get() && warm.getCount() == 0 && !stopping.get();
     }
 
     /** Answers what was taken and what still comes for a while, lets go of what is held, and returns. */
