Once-only writes on new connections, and no rest for servers whose kept ones end

Checked: PeerActor.begin took any kept connection for any class, and kept them for half of conn_idle_s (15 s) while these servers close sooner; Brain.judge counted each reset against its server. Ruled out: releases and probes, which are tried again without harm. Change: Send.once, the outcome STALE (as RESET, but not judged), idle connections dropped at one such end, and kept for half of the idle time after which a server was seen to close. whatMustNotRunTwice, connectionsAreKept and staleConnectionsPutNoServerToRest fail without it.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -26,8 +26,8 @@
 
     public enum ServerState { GONE, READY, DRAINING }
 
-    /** How an attempt or a probe ended. */
-    public enum Outcome { OK, READ, ERROR, FULL, TIMED_OUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT }
+    /** How an attempt or a probe ended. STALE: reset where a kept connection ends, which tells nothing of its server. */
+    public enum Outcome { OK, READ, ERROR, FULL, TIMED_OUT, CONNECT_FAILED, RESET, STALE, CANCELLED, NOT_SENT }
 
     // ---- settings ------------------------------------------------------------------------------
 
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -227,7 +227,7 @@
         }
         r.out = false;
         boolean unsure = r.reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
-                || e.outcome() == Outcome.RESET || e.outcome() == Outcome.ERROR);
+                || e.outcome() == Outcome.RESET || e.outcome() == Outcome.STALE || e.outcome() == Outcome.ERROR);
         r.mayHold |= unsure;
         if (r.phase == Phase.STREAMING) {
             r.phase = Phase.OVER;
@@ -307,7 +307,9 @@
         if (r.reading) {
             r.lastReader = a.server();
         }
-        peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until())));
+        boolean once = !r.reading && settings.classes().stream()
+                .anyMatch(c -> c.name().equals(r.ask.requestClass()) && c.effect() != Api.Effect.SAFE);
+        peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until()), once));
     }
 
     private void finish(long key, java.util.function.Consumer<Request> answer) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -29,7 +29,9 @@
     /** So many connections may stand idle here. */
     public record Room(int idle) implements Message {}
 
-    public record Send(long request, int number, Ask ask, Answer answer, Instant until) implements Message {}
+    /** {@code once}: must not run twice, so that no kept connection is risked for it. */
+    public record Send(long request, int number, Ask ask, Answer answer, Instant until, boolean once)
+            implements Message {}
 
     /** Closes the connection of an attempt, whatever it does. */
     public record Stop(long request, int number) implements Message {}
@@ -97,20 +99,24 @@
 
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
 
+    private static final Duration LEAST_KEPT = Duration.ofMillis(100); // shorter is a close after an answer
+
     private final String id;
     private final Setup setup;
     private final Map<Long, Work> attempts = new HashMap<>();
     private final Deque<Idle> idle = new ArrayDeque<>();
     private InetSocketAddress address;
+    private Duration keep;           // so long a connection may stand idle
     private int mostIdle = 1;
     private boolean gone;
-    private boolean tidying;
+    private Future<?> tidying;
 
     public PeerActor(ScheduledExecutorService turns, String id, InetSocketAddress address, Setup setup) {
         super(turns);
         this.id = id;
         this.address = address;
         this.setup = setup;
+        keep = setup.idle();
     }
 
     public String id() {
@@ -153,7 +159,7 @@
         } else if (m instanceof NotUp e) {
             finish(e.work(), Outcome.CONNECT_FAILED);
         } else if (m instanceof Closed e) {
-            idle.removeIf(i -> i.connection() == e.connection());
+            closed(e.connection());
         } else if (m instanceof Said e) {
             e.work().word = e.word();
             e.work().report = e.report();
@@ -182,8 +188,10 @@
     private void begin(Work work, Instant until) {
         work.until = until;
         work.expiry = tellLater(Duration.between(work.began, until), new Expired(work));
-        Instant stale = setup.clock().instant().minus(setup.idle());
-        while (!idle.isEmpty()) {
+        Instant stale = setup.clock().instant().minus(keep);
+        // what is written on a kept connection as its server closes it may have run, and nobody can tell
+        boolean fresh = work.send() != null && work.send().once();
+        while (!fresh && !idle.isEmpty()) {
             Idle last = idle.pollLast();
             // never written on when the server may be closing it: what was written would count as a reset
             if (last.connection().isOpen() && last.since().isAfter(stale)) {
@@ -265,9 +273,8 @@
         }
         idle.add(new Idle(connection, setup.clock().instant()));
         thin();
-        if (!tidying) {
-            tidying = true;
-            tellLater(setup.idle(), new Tidy());
+        if (tidying == null) {
+            tidying = tellLater(keep, new Tidy());
         }
     }
 
@@ -279,7 +286,7 @@
 
     /** Closes what has stood idle, well before the server would. */
     private void tidy() {
-        Instant stale = setup.clock().instant().minus(setup.idle());
+        Instant stale = setup.clock().instant().minus(keep);
         for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
             Idle next = i.next();
             if (!next.since().isAfter(stale)) {
@@ -287,9 +294,24 @@
                 next.connection().close();
             }
         }
-        tidying = !idle.isEmpty();
-        if (tidying) {
-            tellLater(setup.idle().dividedBy(4), new Tidy());
+        tidying = idle.isEmpty() ? null : tellLater(keep.dividedBy(4), new Tidy());
+    }
+
+    /** Guards against servers that close what is idle sooner than they say: kept for half of what they bear. */
+    private void closed(Connection connection) {
+        for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
+            Idle next = i.next();
+            if (next.connection() == connection) {
+                i.remove();
+                Duration half = Duration.between(next.since(), setup.clock().instant()).dividedBy(2);
+                if (half.compareTo(LEAST_KEPT) > 0 && half.compareTo(keep) < 0) {
+                    keep = half;
+                    if (tidying != null) {
+                        tidying.cancel(false);
+                    }
+                    tidying = tellLater(keep, new Tidy());
+                }
+            }
         }
     }
 
@@ -393,6 +415,9 @@
             connect(work);
         } else if (work.offered && !work.proceeding) {
             work.cut = true;
+        } else if (written && work.reused && work.word == null) {
+            dropIdle(); // the others here may have ended as well
+            finish(work, Outcome.STALE);
         } else {
             finish(work, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -475,6 +475,18 @@
         assertEquals(List.of(new FollowList()), b.at(102, new TimerFired(again.tag())));
     }
 
+    /** Guards against healthy servers that rest for connections which ended as they were used again. */
+    @Test
+    void staleConnectionsPutNoServerToRest() {
+        Bench b = new Bench(usual(LOW, TOP), 5);
+        b.at(100, fleet());
+        for (int i = 0; i < 20; i++) {
+            String reader = sent(b.arrive(100 + i, i, TOP, 1000)).server();
+            assertNotNull(sent(b.end(100.1 + i, i, 0, reader, Outcome.STALE)));
+        }
+        assertTrue(of(Remark.class, b.all).isEmpty());
+    }
+
     /** Guards against a day on which servers come under ever new ids and clients are always new. */
     @Test
     void serversThatLeftAndRequestsThatAreOverAreForgotten() {
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -20,6 +20,7 @@
 import java.time.ZoneOffset;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
@@ -484,4 +485,42 @@
             assertTrue(System.nanoTime() - from < 3_600_000_000L);
         }
     }
+
+    /** Guards what must not run twice: on a kept connection that its server resets, it would have failed. */
+    @Test
+    public void whatMustNotRunTwiceRisksNoKeptConnection() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            StandIn writer = site.writers.get(0);
+            Map<Line, Integer> turns = new ConcurrentHashMap<>();
+            writer.script = attempts((m, line) -> {
+                if (turns.merge(line, 1, Integer::sum) > 1) {
+                    line.reset();
+                } else {
+                    Site.write(m, line);
+                }
+            });
+            for (int i = 0; i < 3; i++) {
+                assertEquals(client.send(request("send", 4000)).read().status(), 200);
+            }
+            assertEquals(writer.attempts(), 3);
+            // one that may run twice takes the risk, and is sent again
+            assertEquals(client.send(request("ask", 4000)).read().status(), 200);
+            assertEquals(writer.attempts(), 5);
+        }
+    }
+
+    /** Servers may close what is idle sooner than the settings say. */
+    @Test
+    public void connectionsAreKeptForHalfOfWhatTheirServerBears() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            StandIn reader = site.readers.get(0);
+            assertEquals(client.send(request("ask", 4000)).read().status(), 200);
+            pause();
+            pause();
+            reader.lines.get(0).close();
+            pause();
+            assertEquals(client.send(request("ask", 4000)).read().status(), 200);
+            await("closed by us", () -> reader.lines.size() == 2 && reader.lines.get(1).ended);
+        }
+    }
 }
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -124,7 +124,7 @@
         try (Site site = new Site(1, 1)) {
             site.writers.get(0).script = attempts((m, line) -> line.send(answer));
             for (int i = 0; i < 3; i++) {
-                try (Line client = send(site, "send", chat)) {
+                try (Line client = send(site, "ask", chat)) {
                     Line.Message served = client.read();
                     assertEquals(served.status(), 200);
                     assertTrue(served.whole() && served.text().contains("[DONE]"));
