Keep drains through a move of the list's address: two watches and a book of tellers

Cause: DiscoveryWatch.move cut the old call with its answer on the way, and the whole list of the new address replaced what was known, though it may lag by seconds and so list as active what drains. Checked by a model of the watch over all orders of a small script; ruled out: the actors' thread (messages are bounded) and the 200 ms between two watches (100 ms at most are used). Change: package membership, without I/O or clock. MemberBook: only its teller, a later start or 10 s take back a drain. WatchPlan: the old address is listened to until 2 s after the new list is in; silent calls are asked beside themselves after 0.5 s. DiscoveryWatch carries out its steps. Tests: all orders enumerated (3.3 s); the model found a cold server made warm by a lagging list.

--- /dev/null
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -0,0 +1,222 @@
+package copperbeam.membership;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import copperbeam.routing.MembershipSource.Change;
+import copperbeam.routing.MembershipSource.Entry;
+
+/**
+ * Which calls a watch on the list has out: the whole list once, then one watch after another, each at once after
+ * the last answer. A call that is silent beyond what it may take is asked beside itself on a new connection, so
+ * that no single connection can hide a drain. During a move the old address is listened to until the new one has
+ * given its list and {@link #OVERLAP} more has passed: an answer on its way there is told, whoever reads it.
+ *
+ * <p>Bounded: {@link #MOST_CALLS} calls an address, {@link #MOST_OLD} addresses beside the current one.
+ */
+public final class WatchPlan {
+    /** What a step asks of whoever does the calling, in order. */
+    public sealed interface Step permits Ask, Drop, Wake, Tell {}
+
+    /** {@code from} below 0: the whole list; else what has changed since, waited for {@code hold} at most. */
+    public record Ask(int call, InetSocketAddress at, long from, Duration hold) implements Step {}
+
+    /** The call's answer is no longer wanted. */
+    public record Drop(int call) implements Step {}
+
+    /** {@link #woken} wants to be called after this time. */
+    public record Wake(Duration after, int token) implements Step {}
+
+    /** The list has changed. */
+    public record Tell(Change change) implements Step {}
+
+    /** An answer of discovery. */
+    public record Listing(long version, boolean full, List<Entry> entries) {}
+
+    public static final Duration HOLD = Duration.ofSeconds(3);
+    public static final Duration AGAIN = Duration.ofMillis(100); // below the 200 ms after which a watch is new
+    public static final Duration SILENCE = Duration.ofMillis(500); // beyond what an answer may take
+    public static final Duration OVERLAP = Duration.ofSeconds(2); // an old address closes 1.5 s after a move
+    public static final Duration CARE = Duration.ofSeconds(10); // what one address may know later than another
+    static final int MOST_CALLS = 3;
+    static final int MOST_OLD = 2;
+
+    private static final class Address {
+        final InetSocketAddress at;
+        int teller;                  // anew whenever its versions go back
+        boolean listed;
+        long version;
+        final List<Integer> calls = new ArrayList<>();
+
+        Address(InetSocketAddress at, int teller) {
+            this.at = at;
+            this.teller = teller;
+        }
+    }
+
+    private enum Due { ASK, SILENT, LEAVE, CARE }
+
+    private record Timer(Due what, Address address, int call) {}
+
+    private final MemberBook book = new MemberBook(CARE);
+    private final List<Address> old = new ArrayList<>();
+    private final TreeMap<Integer, Timer> timers = new TreeMap<>();
+    private Address current;
+    private int tellers;
+    private int calls;
+    private int tokens;
+    private List<Step> steps = new ArrayList<>();
+
+    /** Begins, or goes on at another address. */
+    public List<Step> move(InetSocketAddress to) {
+        if (current != null && current.at.equals(to)) {
+            return done();
+        }
+        if (current != null && current.listed) {
+            old.add(current);
+            if (old.size() > MOST_OLD) {
+                leave(old.get(0));
+            }
+        } else if (current != null) {
+            leave(current);
+        }
+        current = new Address(to, ++tellers);
+        ask(current);
+        return done();
+    }
+
+    /** {@code listing} is what the call was answered with. */
+    public List<Step> answered(int call, Listing listing, Instant now) {
+        Address a = of(call);
+        if (a == null) {
+            return done();
+        }
+        a.calls.remove((Integer) call);
+        dropAll(a);
+        if (!listing.full() && (!a.listed || listing.version() < a.version)) {
+            a.listed = false; // discovery began anew: changes against a list that we do not hold say nothing
+        } else {
+            if (listing.full() && listing.version() < a.version && a == current) {
+                a.teller = ++tellers; // it remembers less than it did, and is as one that lags
+            }
+            boolean first = !a.listed;
+            a.listed = true;
+            a.version = listing.version();
+            Change change = listing.full() ? book.whole(a.teller, listing.entries(), now)
+                    : book.changes(a.teller, listing.entries(), now);
+            tell(change, listing.full() && a == current);
+            if (first && a == current) {
+                old.forEach(o -> wake(OVERLAP, Due.LEAVE, o, 0));
+            }
+            Instant next = book.next();
+            if (next != null) {
+                wake(Duration.between(now, next), Due.CARE, null, 0);
+            }
+        }
+        ask(a);
+        return done();
+    }
+
+    /** {@code gone}: the address no longer takes the version that was asked for. */
+    public List<Step> failed(int call, boolean gone) {
+        Address a = of(call);
+        if (a != null) {
+            a.calls.remove((Integer) call);
+            a.listed &= !gone || a != current;
+            if (a.calls.isEmpty()) {
+                wake(AGAIN, Due.ASK, a, calls);
+            }
+        }
+        return done();
+    }
+
+    /** A time that was asked for has come. */
+    public List<Step> woken(int token, Instant now) {
+        Timer t = timers.remove(token);
+        if (t != null) {
+            switch (t.what()) {
+                case ASK -> {
+                    if (lives(t.address()) && t.address().calls.isEmpty()) {
+                        ask(t.address());
+                    }
+                }
+                case SILENT -> {
+                    if (t.address().calls.contains(t.call())) {
+                        if (t.address().calls.size() >= MOST_CALLS) {
+                            // not the first: an address may be slow, and would never be heard out
+                            drop(t.address(), t.address().calls.get(1));
+                        }
+                        ask(t.address());
+                    }
+                }
+                case LEAVE -> leave(t.address());
+                case CARE -> tell(book.due(now), false);
+            }
+        }
+        return done();
+    }
+
+    /** Whether a list of the current address is in. */
+    public boolean listed() {
+        return current != null && current.listed;
+    }
+
+    private List<Step> done() {
+        List<Step> all = steps;
+        steps = new ArrayList<>();
+        return all;
+    }
+
+    private void ask(Address a) {
+        int call = ++calls;
+        a.calls.add(call);
+        Duration hold = a.listed ? HOLD : Duration.ZERO;
+        steps.add(new Ask(call, a.at, a.listed ? a.version : -1, hold));
+        wake(hold.plus(SILENCE), Due.SILENT, a, call);
+    }
+
+    private void tell(Change change, boolean always) {
+        if (always || !change.entries().isEmpty()) {
+            steps.add(new Tell(change));
+        }
+    }
+
+    private void wake(Duration after, Due what, Address address, int call) {
+        // one timer of a kind and an address is enough: those of calls that are over tell nothing
+        timers.values().removeIf(t -> t.what() == what && t.address() == address
+                && (what != Due.SILENT || !address.calls.contains(t.call())));
+        timers.put(++tokens, new Timer(what, address, call));
+        steps.add(new Wake(after.isNegative() ? Duration.ZERO : after, tokens));
+    }
+
+    private boolean lives(Address a) {
+        return a == current || old.contains(a);
+    }
+
+    private void leave(Address a) {
+        dropAll(a);
+        old.remove(a);
+        timers.values().removeIf(t -> t.address() == a);
+    }
+
+    private void dropAll(Address a) {
+        while (!a.calls.isEmpty()) {
+            drop(a, a.calls.get(0));
+        }
+    }
+
+    private void drop(Address a, int call) {
+        a.calls.remove((Integer) call);
+        steps.add(new Drop(call));
+    }
+
+    private Address of(int call) {
+        if (current != null && current.calls.contains(call)) {
+            return current;
+        }
+        return old.stream().filter(a -> a.calls.contains(call)).findFirst().orElse(null);
+    }
+}
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -2,128 +2,120 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
-import copperbeam.Api.ListKind;
+import copperbeam.membership.WatchPlan;
 import copperbeam.protocol.HttpClient;
 import copperbeam.routing.Actor;
 import copperbeam.routing.MembershipSource;
 
-/**
- * The platform's discovery: the whole list once, then one watch after another, each at once after the last
- * answer so that no change in between is lost.
- */
+/** The platform's discovery: makes the calls that a {@link WatchPlan} asks for and tells it what comes back. */
 public final class DiscoveryWatch implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
-    private static final Duration HOLD = Duration.ofSeconds(3); // a silent agent is noticed soon after it
-    private static final Duration SILENCE = HOLD.plusSeconds(2);
-    private static final Duration AGAIN = Duration.ofMillis(100); // below the 200 ms after which a watch is new
+    private static final Duration SILENCE = WatchPlan.HOLD.plusSeconds(2); // by then another call is out
 
-    private sealed interface Message permits Start, Answered, Again, Move, Stop {}
+    private sealed interface Message permits Move, Answered, Woken, Stop {}
 
-    private record Start(Sink sink) implements Message {}
+    private record Move(InetSocketAddress agent, Sink sink) implements Message {}
 
     private record Answered(int call, int status, byte[] body) implements Message {}
 
-    private record Again(int call) implements Message {}
-
-    private record Move(InetSocketAddress agent) implements Message {}
+    private record Woken(int token) implements Message {}
 
     private record Stop() implements Message {}
 
     private final class Watcher extends Actor<Message> {
-        private InetSocketAddress agent;
+        private final WatchPlan plan = new WatchPlan();
+        private final Map<Integer, Runnable> out = new HashMap<>();
         private Sink sink;
         private boolean stopped;
-        private boolean listed;
-        private long version;
-        private int call;
-        private Runnable cancel = () -> {};
 
-        Watcher(ScheduledExecutorService turns, InetSocketAddress agent) {
+        Watcher(ScheduledExecutorService turns) {
             super(turns);
-            this.agent = agent;
         }
 
         @Override
         protected void receive(Message m) {
-            if (m instanceof Start e) {
-                sink = e.sink();
-                ask();
+            if (stopped) {
+                return;
+            }
+            if (m instanceof Move e) {
+                sink = e.sink() == null ? sink : e.sink();
+                LOG.fine(() -> "discovery: to " + e.agent());
+                take(plan.move(e.agent()));
+            } else if (m instanceof Answered e && out.remove(e.call()) != null) {
+                take(answered(e));
+            } else if (m instanceof Woken e) {
+                take(plan.woken(e.token(), clock.instant()));
             } else if (m instanceof Stop) {
                 stopped = true;
-                cancel.run();
-            } else if (!stopped && m instanceof Move e) {
-                move(e.agent());
-            } else if (!stopped && m instanceof Again e && e.call() == call) {
-                ask();
-            } else if (!stopped && m instanceof Answered e && e.call() == call) {
-                answered(e);
+                out.values().forEach(Runnable::run);
             }
         }
 
-        /** Its versions are its own: the whole list is asked for, and what is known stays until that is in. */
-        private void move(InetSocketAddress to) {
-            if (!to.equals(agent)) {
-                LOG.info("discovery: from " + agent + " to " + to);
-                agent = to;
-                cancel.run();
-                listed = false;
-                ask();
+        private List<WatchPlan.Step> answered(Answered e) {
+            try {
+                if (e.status() == 200) {
+                    ServerList list = ServerList.parse(new String(e.body(), StandardCharsets.UTF_8));
+                    return plan.answered(e.call(), new WatchPlan.Listing(list.version(), list.full(), list.entries()),
+                            clock.instant());
+                }
+            } catch (IllegalArgumentException problem) {
+                LOG.fine(() -> "discovery: " + problem.getMessage());
             }
+            return plan.failed(e.call(), e.status() >= 400 && e.status() < 500);
         }
 
-        private void ask() {
-            int mine = ++call;
-            String target = listed ? "/v1/servers?from=" + version + "&hold_ms=" + HOLD.toMillis() : "/v1/servers";
-            cancel = client.whole(agent, "GET", target, null, SILENCE,
-                    (status, body) -> tell(new Answered(mine, status, body)));
-        }
-
-        private void answered(Answered e) {
-            try {
-                if (e.status() != 200) {
-                    // a version that the agent no longer takes is asked for no more
-                    listed &= e.status() == 0 || e.status() >= 500;
-                    throw new IllegalArgumentException(e.status() == 0 ? "no answer" : "status " + e.status());
-                }
-                ServerList list = ServerList.parse(new String(e.body(), StandardCharsets.UTF_8));
-                Change change = list.change(list.full() ? ListKind.FULL : ListKind.DELTA);
-                if (!list.full() && (!listed || list.version() < version)) {
-                    // discovery began anew: changes against a list that we do not hold say nothing
-                    listed = false;
-                } else {
-                    listed = true;
-                    version = list.version();
-                    if (list.full() || !change.entries().isEmpty()) {
-                        sink.changed(change);
+        private void take(List<WatchPlan.Step> steps) {
+            for (WatchPlan.Step step : steps) {
+                if (step instanceof WatchPlan.Ask s) {
+                    ask(s);
+                } else if (step instanceof WatchPlan.Drop s) {
+                    Runnable end = out.remove(s.call());
+                    if (end != null) {
+                        end.run();
                     }
+                } else if (step instanceof WatchPlan.Wake s) {
+                    tellLater(s.after(), new Woken(s.token()));
+                } else if (step instanceof WatchPlan.Tell s) {
+                    sink.changed(s.change());
                 }
-                ask();
-            } catch (IllegalArgumentException problem) {
-                LOG.fine(() -> "discovery: " + problem.getMessage());
-                tellLater(AGAIN, new Again(call));
             }
         }
+
+        private void ask(WatchPlan.Ask s) {
+            String target = s.from() < 0 ? "/v1/servers"
+                    : "/v1/servers?from=" + s.from() + "&hold_ms=" + s.hold().toMillis();
+            out.put(s.call(), client.whole(s.at(), "GET", target, null, SILENCE,
+                    (status, body) -> tell(new Answered(s.call(), status, body))));
+        }
     }
 
     private final HttpClient client;
+    private final Clock clock;
+    private final InetSocketAddress agent;
     private final Watcher watcher;
 
-    public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, InetSocketAddress agent) {
+    public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, Clock clock, InetSocketAddress agent) {
         this.client = client;
-        watcher = new Watcher(turns, agent);
+        this.clock = clock;
+        this.agent = agent;
+        watcher = new Watcher(turns);
     }
 
     @Override
     public void start(Sink sink) {
-        watcher.tell(new Start(sink));
+        watcher.tell(new Move(agent, sink));
     }
 
     /** Goes on at another address, as a new configuration names it. */
     public void move(InetSocketAddress to) {
-        watcher.tell(new Move(to));
+        watcher.tell(new Move(to, null));
     }
 
     @Override
--- a/src/main/java/copperbeam/protocol/discovery/ServerList.java
+++ b/src/main/java/copperbeam/protocol/discovery/ServerList.java
@@ -35,11 +35,16 @@
     }
 
     public Change change(ListKind kind) {
+        return new Change(kind, entries());
+    }
+
+    /** Throws {@link IllegalArgumentException} with what is wrong with one of them. */
+    public List<Entry> entries() {
         List<Entry> entries = new ArrayList<>();
         for (ServerEntry s : servers) {
             entries.add(entry(s));
         }
-        return new Change(kind, entries);
+        return entries;
     }
 
     public static Entry entry(ServerEntry s) {
--- /dev/null
+++ b/src/test/java/copperbeam/membership/WatchPlanTest.java
@@ -0,0 +1,261 @@
+package copperbeam.membership;
+
+import static copperbeam.membership.MemberBookTest.entries;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import copperbeam.Api.ServerState;
+import copperbeam.membership.WatchPlan.Ask;
+import copperbeam.membership.WatchPlan.Drop;
+import copperbeam.membership.WatchPlan.Listing;
+import copperbeam.membership.WatchPlan.Step;
+import copperbeam.membership.WatchPlan.Tell;
+import copperbeam.membership.WatchPlan.Wake;
+import copperbeam.routing.MembershipSource.Entry;
+
+/**
+ * The watch against agents that hear of changes at times of their own, over all orders in which the steps of a
+ * small script can come: none is sampled.
+ */
+public class WatchPlanTest {
+    private static final InetSocketAddress[] AT = {new InetSocketAddress("127.0.0.1", 1),
+        new InetSocketAddress("127.0.0.1", 2), new InetSocketAddress("127.0.0.1", 3)};
+    /** The registry's versions: a drains and starts again; b stays. */
+    private static final String[] LISTS = {"a+0 b+0", "a-0 b+0", "a+9 b+0"};
+
+    /** One run of the script so far. */
+    private static final class World {
+        final WatchPlan plan = new WatchPlan();
+        final Map<Integer, Ask> out = new LinkedHashMap<>();
+        final List<Wake> wakes = new ArrayList<>();
+        final TreeMap<String, Entry> user = new TreeMap<>();
+        final int[] heard = new int[AT.length];
+        final boolean[] broken = new boolean[AT.length];
+        int registry;
+        int moves;
+        int silences;
+        boolean told;                // that a drains in its first life
+        final int versions;
+        final int mostSilences;
+
+        World(int versions, int mostSilences) {
+            this.versions = versions;
+            this.mostSilences = mostSilences;
+            take(plan.move(AT[0]));
+        }
+
+        void take(List<Step> steps) {
+            for (Step s : steps) {
+                if (s instanceof Ask a) {
+                    out.put(a.call(), a);
+                } else if (s instanceof Drop d) {
+                    out.remove(d.call());
+                } else if (s instanceof Wake w) {
+                    wakes.add(w);
+                } else if (s instanceof Tell t) {
+                    MemberBookTest.use(user, t.change());
+                }
+            }
+            Entry a = user.get("a");
+            assertFalse(told && a != null && a.member().state() == ServerState.READY && a.member().launchedAt() == 0,
+                    "a is used again though it was told to drain");
+            for (InetSocketAddress at : AT) {
+                assertTrue(out.values().stream().filter(o -> o.at().equals(at)).count() <= WatchPlan.MOST_CALLS);
+            }
+        }
+
+        Ask open(int agent) {
+            return out.values().stream().filter(a -> a.at().equals(AT[agent])
+                    && (a.from() < 0 || a.from() < 10 + heard[agent])).findFirst().orElse(null);
+        }
+
+        /** What can happen next. */
+        List<String> enabled() {
+            List<String> all = new ArrayList<>();
+            if (registry + 1 < versions) {
+                all.add("registry");
+            }
+            for (int i = 0; i < 2; i++) {
+                if (heard[i] < registry) {
+                    all.add("hears" + i);
+                }
+                if (!broken[i] && open(i) != null) {
+                    all.add("answers" + i);
+                }
+            }
+            if (moves == 0 && plan.listed()) {
+                all.add("moves");
+            }
+            if (moves > 0 && !broken[0]) {
+                all.add("breaks0"); // an old address refuses from then on
+            }
+            if (moves > 0 && silences < mostSilences) {
+                all.add("silent");
+            }
+            return all;
+        }
+
+        void step(String step) {
+            int agent = step.charAt(step.length() - 1) - '0';
+            if (step.equals("registry")) {
+                registry++;
+            } else if (step.startsWith("hears")) {
+                heard[agent]++;
+            } else if (step.startsWith("answers")) {
+                answer(open(agent), agent);
+            } else if (step.equals("moves")) {
+                moves++;
+                take(plan.move(AT[1]));
+            } else if (step.startsWith("breaks")) {
+                broken[agent] = true;
+                for (Ask a : List.copyOf(out.values())) {
+                    if (a.at().equals(AT[agent])) {
+                        out.remove(a.call());
+                        take(plan.failed(a.call(), false));
+                    }
+                }
+            } else {
+                silences++;
+                wakes.stream().map(Wake::token).toList().forEach(t -> take(plan.woken(t, Instant.EPOCH)));
+            }
+        }
+
+        void answer(Ask ask, int agent) {
+            out.remove(ask.call());
+            told |= heard[agent] == 1;
+            take(plan.answered(ask.call(), listing(ask, heard[agent]), Instant.EPOCH));
+        }
+    }
+
+    private static Listing listing(Ask ask, int version) {
+        boolean full = ask.from() < 0;
+        return new Listing(10 + version, full,
+                full ? entries(LISTS[version]) : entries(LISTS[version]).stream()
+                        .filter(e -> e.member().server().equals("a")).toList());
+    }
+
+    /** How many of the registry's versions come, and how often all that is out is silent. */
+    @DataProvider
+    public Object[][] scripts() {
+        return new Object[][] {{3, 0, 10_000}, {2, 2, 1000}};
+    }
+
+    /** Every order; a run that has nothing left to do must know the registry's last word. */
+    @Test(dataProvider = "scripts")
+    public void noDrainIsMissedInAnyOrder(int versions, int silences, int least) {
+        int[] runs = new int[1];
+        explore(versions, silences, new ArrayList<>(), runs);
+        assertTrue(runs[0] > least, runs[0] + " runs");
+    }
+
+    private static void explore(int versions, int silences, List<String> script, int[] runs) {
+        World world = new World(versions, silences);
+        try {
+            script.forEach(world::step);
+        } catch (AssertionError e) {
+            throw new AssertionError(script + ": " + e.getMessage(), e);
+        }
+        List<String> enabled = world.enabled();
+        if (enabled.isEmpty()) {
+            runs[0]++;
+            Entry last = entries(LISTS[versions - 1]).get(0);
+            assertEquals(world.user.get("a").member(), last.member(), script.toString());
+        }
+        for (String next : enabled) {
+            script.add(next);
+            explore(versions, silences, script, runs);
+            script.remove(script.size() - 1);
+        }
+    }
+
+    /** What the old address has written before the new one has answered, and after, is told. */
+    @Test
+    public void theOldAddressIsHeardUntilTheNewOneHasAnswered() {
+        World w = listed();
+        Ask old = w.open(0);
+        w.take(w.plan.move(AT[1]));
+        w.heard[0] = 1;
+        w.answer(w.out.get(old == null ? first(w, 0).call() : old.call()), 0);
+        assertEquals(w.user.get("a").member().state(), ServerState.DRAINING);
+        w.answer(first(w, 1), 1); // lags
+        assertEquals(w.user.get("a").member().state(), ServerState.DRAINING);
+    }
+
+    @Test
+    public void twoMovesCloseTogetherLoseNeitherDrainNorCalls() {
+        World w = listed();
+        w.take(w.plan.move(AT[1]));
+        w.take(w.plan.move(AT[2]));
+        assertTrue(w.out.values().stream().noneMatch(a -> a.at().equals(AT[1])), "the address in between is left");
+        w.heard[0] = 1;
+        w.answer(first(w, 0), 0);
+        w.answer(first(w, 2), 2);
+        assertEquals(w.user.get("a").member().state(), ServerState.DRAINING);
+        // the old one is left once the new one has been listened to for a while
+        w.wakes.stream().filter(x -> x.after().equals(WatchPlan.OVERLAP)).toList()
+                .forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
+        assertTrue(w.out.values().stream().allMatch(a -> a.at().equals(AT[2])));
+    }
+
+    /** Each refusal is met by one call 100 ms later, never by two, and a silent call is asked beside itself. */
+    @Test
+    public void refusalsAndSilenceAreBoundedInCalls() {
+        World w = new World(3, 0);
+        for (int i = 0; i < 50; i++) {
+            Ask a = w.out.remove(first(w, 0).call());
+            w.wakes.clear();
+            w.take(w.plan.failed(a.call(), false));
+            assertTrue(w.out.isEmpty());
+            assertEquals(w.wakes.stream().map(Wake::after).toList(), List.of(WatchPlan.AGAIN));
+            List.copyOf(w.wakes).forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
+            assertEquals(w.out.size(), 1);
+        }
+        Ask first = first(w, 0);
+        for (int i = 0; i < 20; i++) {
+            Wake last = w.wakes.get(w.wakes.size() - 1);
+            w.take(w.plan.woken(last.token(), Instant.EPOCH));
+        }
+        assertEquals(w.out.size(), WatchPlan.MOST_CALLS);
+        assertTrue(w.out.containsKey(first.call()), "an address that is only slow is heard out");
+        w.answer(first, 0);
+        assertEquals(w.out.values().stream().map(Ask::from).toList(), List.of(10L));
+    }
+
+    /** Versions that go back, told whole or as changes. */
+    @Test
+    public void anAddressThatForgetsIsAsOneThatLags() {
+        World w = listed();
+        w.heard[0] = 1;
+        w.answer(first(w, 0), 0);
+        Ask a = w.out.remove(first(w, 0).call());
+        w.take(w.plan.answered(a.call(), new Listing(3, false, entries("a+0")), Instant.EPOCH));
+        assertEquals(w.user.get("a").member().state(), ServerState.DRAINING, "changes against another list say nothing");
+        Ask whole = w.out.remove(first(w, 0).call());
+        assertTrue(whole.from() < 0);
+        w.take(w.plan.answered(whole.call(), new Listing(3, true, entries("a+0 b+0")), Instant.EPOCH));
+        assertEquals(w.user.get("a").member().state(), ServerState.DRAINING);
+        w.told = false; // by now that address is right, or its drain is 10 s late
+        List.copyOf(w.wakes).forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH.plus(WatchPlan.CARE))));
+        assertEquals(w.user.get("a").member().state(), ServerState.READY, "but not for good");
+    }
+
+    private static World listed() {
+        World w = new World(3, 0);
+        w.answer(first(w, 0), 0);
+        return w;
+    }
+
+    private static Ask first(World w, int agent) {
+        return w.out.values().stream().filter(a -> a.at().equals(AT[agent])).findFirst().orElseThrow();
+    }
+}
