End an attempt before refusing a send, cut streams by who else is away, and a recorder

Checked, with the new recorder: each send that was refused at the hand-over of a stop while its read was out counted as broken (4 of 4, 1 of 1). In 15 to 20 s both conductors are out of the front for 2.3 s, as each begins again 4.6 s after SIGTERM whenever it ends; kept connections bring the second one nothing then. Ruled out: serving kept connections to the last (29% of 10 to 15 s failed, 1% before: streams cut at 3.25 s find the next conductor stopping). Tests: whatMustNotRunTwiceIsRefusedOnceItsAttemptHasEnded, whatHasRunElsewhereIsNeverRefused and the send of aStopHandsOver... fail without the change to Brain; RulesTest's checker takes any attempt that is out as unproven.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -69,10 +69,20 @@
     public record Member(String server, String zone, String kind, long cell, ServerState state, double weight,
             double launchedAt) {}
 
-    /** {@code prefix} is null where the prompt shares no beginning; {@code customer} may be null. */
+    /**
+     * {@code prefix} is null where the prompt shares no beginning; {@code customer} may be null. {@code resumed}:
+     * the rest of a stream that broke is asked for, so that an attempt of it has run, here or elsewhere.
+     */
     public record Arrival(long request, String requestClass, String customer, String session, String prefix,
-            double promptTokens, double prefixTokens, double maxAnswerTokens, double deadline)
-            implements Event {}
+            double promptTokens, double prefixTokens, double maxAnswerTokens, double deadline, boolean resumed)
+            implements Event {
+
+        public Arrival(long request, String requestClass, String customer, String session, String prefix,
+                double promptTokens, double prefixTokens, double maxAnswerTokens, double deadline) {
+            this(request, requestClass, customer, session, prefix, promptTokens, prefixTokens, maxAnswerTokens,
+                    deadline, false);
+        }
+    }
 
     public record StreamStarted(long request, int attempt, String server, double latencyS) implements Event {}
 
@@ -95,15 +105,18 @@
     public sealed interface Action permits Attempt, Refuse, Fail, Cancel, Transfer, Release, Probe, Timer,
             FollowList, Remark {}
 
+    /** For people: HOME and SPILL are readers, by hash and for their lighter load; the last four are of cancels. */
+    public enum Why { HOME, SPILL, WRITER, DOOR, SLOW, RAN, NO_ATTEMPT_LEFT, NO_TIME, NOT_SENT, OVERTAKEN, SILENT, OVER }
+
     /** {@code until}: the time at which the attempt times out. */
-    public record Attempt(long request, String server, double until) implements Action {}
+    public record Attempt(long request, String server, double until, Why why) implements Action {}
 
     /** {@code retryAfterS} 0: no advice. */
-    public record Refuse(long request, double retryAfterS) implements Action {}
+    public record Refuse(long request, double retryAfterS, Why why) implements Action {}
 
-    public record Fail(long request) implements Action {}
+    public record Fail(long request, Why why) implements Action {}
 
-    public record Cancel(long request, int attempt) implements Action {}
+    public record Cancel(long request, int attempt, Why why) implements Action {}
 
     /** Ends a running stream in good order, so that its client resumes it elsewhere. */
     public record Transfer(long request) implements Action {}
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -248,9 +248,9 @@
         beginnings.add(now, a.prefix());
         classTokens.computeIfAbsent(a.requestClass(), c -> new Mean(LEARN)).add(a.promptTokens());
         timer(a.deadline() - now - ANSWER_MARGIN_S, 'd', r, 0);
-        boolean droppable = overShare(a.customer()) || droppable(r.kind);
+        boolean droppable = mayRefuse(r) && (overShare(a.customer()) || droppable(r.kind));
         if (droppable && random.nextDouble() < refusalChance(saturation())) {
-            close(r);
+            close(r, Why.DOOR);
             return;
         }
         advance(r);
@@ -384,8 +384,9 @@
         boolean lastSend = r.sends + 1 >= most;
         boolean noTaker = lastSend && !r.holdsState && !settings.writersRead()
                 && writers.stream().noneMatch(s -> s.role == Role.MIXED);
-        if (r.ranAt != null && r.kind.effect() == Effect.UNSAFE || r.sends >= most || noTaker) {
-            close(r);
+        boolean ran = r.ranAt != null && r.kind.effect() == Effect.UNSAFE;
+        if (ran || r.sends >= most || noTaker) {
+            close(r, ran ? Why.RAN : Why.NO_ATTEMPT_LEFT);
             return;
         }
         if (r.options == null) {
@@ -397,14 +398,16 @@
             }
         }
         Server s = best(r);
+        boolean spill = s != null && s == r.options.server[r.options.size - 1] && r.options.size > 2;
         r.options = null;
         if (s == null) {
             hold(r);
-        } else if (r.sends == 0
+        } else if (r.sends == 0 && mayRefuse(r)
                 && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s) / aimS(r))) {
-            close(r);
+            close(r, Why.SLOW);
         } else {
-            send(r, s, s.role == Role.READER);
+            Why usual = s.role == Role.READER ? Why.HOME : Why.WRITER;
+            send(r, s, s.role == Role.READER, spill ? Why.SPILL : usual);
         }
     }
 
@@ -599,7 +602,7 @@
 
     // ---- attempts ------------------------------------------------------------------------------
 
-    private void send(Request r, Server s, boolean reading) {
+    private void send(Request r, Server s, boolean reading, Why why) {
         Try t = new Try(r, s, r.sends++, reading, now);
         r.out = t;
         r.lastTried = s.id;
@@ -621,7 +624,7 @@
                 timer(patience(t), 's', r, t.number);
             }
         }
-        actions.add(new Attempt(r.asked.request(), s.id, until));
+        actions.add(new Attempt(r.asked.request(), s.id, until, why));
     }
 
     /** Longer for a prompt longer than usual. */
@@ -644,14 +647,14 @@
         }
         boolean silent = t.server.lastWord <= t.sentAt;
         if (lost(t)) {
-            cancel(t);
+            cancel(t, Why.OVERTAKEN);
         } else if (silent && settings.limits().probes() && t.server.lastProbe <= t.sentAt) {
             probe(t.server);
             timer(PROBE_ANSWER_S, 's', r, number);
         } else if (silent) {
             (t.reading ? readPace : writePace).add(now - t.sentAt);
             strike(t.server, settings.limits().probes());
-            cancel(t);
+            cancel(t, Why.SILENT);
         } else {
             timer(patience(t) / 4, 's', r, number);
         }
@@ -714,7 +717,7 @@
                 }
             }
             case NOT_SENT -> {
-                close(r);
+                close(r, Why.NOT_SENT);
                 return;
             }
             case CONNECT_FAILED -> { }
@@ -725,7 +728,11 @@
                 }
             }
         }
-        advance(r);
+        if (r.closing != null) {
+            close(r, r.closing);
+        } else {
+            advance(r);
+        }
     }
 
     private void report(Server s, Report report) {
@@ -738,21 +745,30 @@
 
     private void deadline(Request r) {
         if (r.out == null || !r.out.started) {
-            close(r);
+            close(r, Why.NO_TIME);
         }
     }
 
     /** The final answer: a refusal where repeating is known to be harmless, else a failure. */
-    private void close(Request r) {
+    private void close(Request r, Why why) {
         long id = r.asked.request();
+        if (r.out != null && mayRefuse(r) && !harmless(r.kind) && settings.limits().cancel()) {
+            // while an attempt is out nothing is proven, at a reader neither: it is ended first
+            if (!r.out.cancelled) {
+                cancel(r.out, Why.OVER);
+            }
+            r.closing = why;
+            return;
+        }
         r.closed = true;
         double advice = Math.min(RETRY_ADVICE_S, settings.limits().maxRetryAfterS());
-        actions.add(mayRefuse(r) ? new Refuse(id, advice) : new Fail(id));
+        actions.add(mayRefuse(r) ? new Refuse(id, advice, why) : new Fail(id, why));
         drop(r);
     }
 
     private boolean mayRefuse(Request r) {
-        boolean ran = r.ranAt != null || r.out != null && !r.out.reading;
+        boolean out = r.out != null && (!r.out.reading || !settings.limits().cancel());
+        boolean ran = r.asked.resumed() || r.ranAt != null || out;
         return !ran || harmless(r.kind);
     }
 
@@ -764,7 +780,7 @@
     private void drop(Request r) {
         long id = r.asked.request();
         if (r.out != null && !r.out.started && !r.out.cancelled && settings.limits().cancel()) {
-            cancel(r.out);
+            cancel(r.out, Why.OVER);
         }
         if (r.sends > 0) {
             actions.add(new Release(id));
@@ -774,9 +790,9 @@
         }
     }
 
-    private void cancel(Try t) {
+    private void cancel(Try t, Why why) {
         t.cancelled = true;
-        actions.add(new Cancel(t.request.asked.request(), t.number));
+        actions.add(new Cancel(t.request.asked.request(), t.number, why));
     }
 
     private void left(long id) {
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -315,6 +315,7 @@
         Try out;
         int sends;
         boolean closed;
+        Api.Why closing;             // given up, and answered as soon as its attempt has ended
         boolean holdsState;
         Server reader;
         double lastEnd;
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -18,6 +18,7 @@
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
 import copperbeam.protocol.openai.ChatModels;
+import copperbeam.routing.ModuleTime;
 import copperbeam.routing.RequestHook;
 import copperbeam.simhost.Decoder;
 import copperbeam.simhost.Wire;
@@ -34,8 +35,14 @@
         Operator operator) {
 
     /** {@code chat} and its address may be null: then there is no such front. So may {@code etcd}. */
-    public record Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks) {
-        public static final Operator NONE = new Operator(null, null, null, List.of());
+    public record Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks,
+            Duration stopWithin) {
+        private static final Duration STOP_WITHIN = Duration.ofMillis(3700); // the platform kills no sooner
+        public static final Operator NONE = new Operator(null, null, null, List.of(), STOP_WITHIN);
+
+        public Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks) {
+            this(chatListen, chat, etcd, hooks, STOP_WITHIN);
+        }
     }
 
     /** What the platform lets this process have. */
@@ -160,12 +167,22 @@
     }
 
     private static Operator operator(Section file, Path at, Settings settings) throws Invalid {
-        file.only(Set.of("openai", "etcd", "plugins"));
+        file.only(Set.of("openai", "etcd", "plugins", "stop"));
         Section chat = file.has("openai") ? file.section("openai") : null;
         return new Operator(chat == null ? null : chat.address("listen"),
                 chat == null ? null : models(chat, classNames(settings)),
                 file.has("etcd") ? etcd(file.section("etcd")) : null,
-                file.has("plugins") ? hooks(file, at, settings) : List.of());
+                file.has("plugins") ? hooks(file, at, settings) : List.of(),
+                file.has("stop") ? stopWithin(file.section("stop")) : Operator.STOP_WITHIN);
+    }
+
+    private static Duration stopWithin(Section stop) throws Invalid {
+        stop.only(Set.of("within_s"));
+        Duration within = stop.span("within_s", ModuleTime.seconds(Operator.STOP_WITHIN));
+        if (within.compareTo(Duration.ofSeconds(2)) < 0 || within.compareTo(Duration.ofMinutes(10)) > 0) {
+            throw stop.invalid("within_s", "is not from 2 to 600 s");
+        }
+        return within;
     }
 
     private static Etcd etcd(Section etcd) throws Invalid {
--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -2,18 +2,28 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import copperbeam.record.Explain;
+import copperbeam.record.Recording;
 import copperbeam.simhost.SimHost;
+import sun.misc.Signal;
 
 /** The command line. */
 public final class Main {
-    private static final String USAGE = "copperbeam serve|check-config|version|simhost|rehearse";
+    private static final String USAGE = "copperbeam serve|check-config|explain FILE|version|simhost|rehearse";
+
+    private static final Duration RECORD_TIME = Duration.ofMillis(500); // at a stop, which must end
 
     private Main() {}
 
@@ -39,7 +49,7 @@
             return usage(options, 0);
         }
         String command = line.getArgList().isEmpty() ? "" : line.getArgList().get(0);
-        if (line.getArgList().size() > 1) {
+        if (line.getArgList().size() > (command.equals("explain") ? 2 : 1)) {
             System.err.println("copperbeam: too many words: " + Arrays.toString(args));
             return usage(options, 2);
         }
@@ -48,6 +58,8 @@
                 return serve(line);
             case "check-config":
                 return config(line) == null ? 1 : 0;
+            case "explain":
+                return explain(line, options);
             case "version":
                 System.out.println("copperbeam " + version());
                 return 0;
@@ -64,6 +76,11 @@
     private static Options options() {
         Options options = new Options();
         options.addOption("o", "operator", true, "the operator's file: chat API, list, plug-ins");
+        options.addOption(null, "record", true, "serve: record the last events; written to this file on SIGUSR2, at a"
+                + " broken rule and at the stop; %p is the process id");
+        options.addOption(null, "record-kb", true, "serve: memory for recorded events, 4096 unless set");
+        options.addOption("r", "request", true, "explain: one request's life, by its id or number");
+        options.addOption(null, "events", false, "explain: each event in a line");
         options.addOption("h", "help", false, "print this");
         return options;
     }
@@ -89,7 +106,41 @@
         }
     }
 
+    private static int explain(CommandLine line, Options options) {
+        if (line.getArgList().size() < 2) {
+            System.err.println("copperbeam: explain needs a recorded file");
+            return usage(options, 2);
+        }
+        try {
+            Explain explain = new Explain(Recording.read(Path.of(line.getArgList().get(1))), System.out);
+            if (line.hasOption("request") && !explain.request(line.getOptionValue("request"))) {
+                System.err.println("copperbeam: no such request in this recording");
+                return 1;
+            } else if (line.hasOption("events")) {
+                explain.events();
+            } else if (!line.hasOption("request")) {
+                explain.causes();
+            }
+            return 0;
+        } catch (IOException e) {
+            System.err.println("copperbeam: " + e.getMessage());
+            return 1;
+        }
+    }
+
     private static int serve(CommandLine line) throws InterruptedException {
+        Path record = line.hasOption("record")
+                ? Path.of(line.getOptionValue("record").replace("%p", Long.toString(ProcessHandle.current().pid()))) : null;
+        int recordKb;
+        try {
+            recordKb = Integer.parseInt(line.getOptionValue("record-kb", "4096"));
+            if (recordKb < 1 || recordKb > 1 << 20) {
+                throw new NumberFormatException();
+            }
+        } catch (NumberFormatException e) {
+            System.err.println("copperbeam: --record-kb: is not a number from 1 to 1048576");
+            return 2;
+        }
         CompletableFuture<Node> running = new CompletableFuture<>();
         // before all else, as without a handler the signal ends the program
         Reload.onHangup(() -> Config.reread(System.getenv(), line.getOptionValue("operator")), running);
@@ -99,18 +150,24 @@
         }
         Node node;
         try {
-            node = new Node(config);
+            node = new Node(config, record, recordKb * 1024);
         } catch (IOException e) {
             System.err.println("copperbeam: " + e.getMessage());
             return 1;
         }
         running.complete(node);
+        if (record != null) {
+            Signal.handle(new Signal("USR2"), signal -> node.record());
+        }
         System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop();
+                node.record().get(RECORD_TIME.toMillis(), TimeUnit.MILLISECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
+            } catch (ExecutionException | TimeoutException e) {
+                System.err.println("copperbeam: nothing was recorded: " + e);
             }
             // the reactors' threads would outlive the hooks; all that was taken is answered by now
             Runtime.getRuntime().halt(0);
--- a/src/main/java/copperbeam/protocol/openai/OpenAiFront.java
+++ b/src/main/java/copperbeam/protocol/openai/OpenAiFront.java
@@ -92,7 +92,7 @@
         int maxTokens = request.maxTokens() > 0 ? request.maxTokens() : model.maxTokens();
         Duration margin = PlatformFront.MARGIN;
         Ask ask = new Ask(id, model.requestClass(), request.session(), request.prefix(), request.promptTokens(),
-                request.prefixTokens(), maxTokens, call.arrived().plus(model.timeout()).minus(margin),
+                request.prefixTokens(), maxTokens, call.arrived().plus(model.timeout()).minus(margin), false,
                 passed(call, request, model, maxTokens));
         Answer answer = new ChatAnswer(reply, request, id, call.arrived());
         intake.arrive(ask, answer);
--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -71,7 +71,8 @@
             throw new BadRequest(400, "the body is not a JSON object");
         }
         return new Ask(id, requestClass, call.header("x-route-key"), attrs.prefix(), attrs.promptTokens(),
-                attrs.prefixTokens(), attrs.maxAnswerTokens(), call.arrived().plus(timeout).minus(MARGIN), call);
+                attrs.prefixTokens(), attrs.maxAnswerTokens(), call.arrived().plus(timeout).minus(MARGIN),
+                HttpCall.resumes(call.header("x-retried")), call);
     }
 
     private static void text(HttpReply reply, int status, String text) {
--- /dev/null
+++ b/src/main/java/copperbeam/record/Recording.java
@@ -0,0 +1,65 @@
+package copperbeam.record;
+
+import copperbeam.record.wire.Event;
+import copperbeam.record.wire.Header;
+import copperbeam.record.wire.What;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A recorder's file as read back: whole events only, as the last may be cut off. */
+public record Recording(Header header, List<Event> events) {
+    /** Throws {@link IOException} where the file can't be read or is no recording. */
+    public static Recording read(Path file) throws IOException {
+        try (InputStream in = new BufferedInputStream(Files.newInputStream(file))) {
+            Header header = Header.parseDelimitedFrom(in);
+            if (header == null || header.getFormat() != FileRecorder.FORMAT) {
+                throw new IOException(file + " is no recording of format " + FileRecorder.FORMAT);
+            }
+            List<Event> events = new ArrayList<>();
+            try {
+                for (Event e = Event.parseDelimitedFrom(in); e != null; e = Event.parseDelimitedFrom(in)) {
+                    events.add(e);
+                }
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                // cut off within an event; those before it are whole
+            }
+            return new Recording(header, events);
+        }
+    }
+
+    /** The events of each request, by the conductor's number, in order. */
+    Map<Long, List<Event>> requests() {
+        Map<Long, List<Event>> all = new LinkedHashMap<>();
+        for (Event e : events) {
+            if (e.getRequest() != 0) {
+                all.computeIfAbsent(e.getRequest(), r -> new ArrayList<>()).add(e);
+            }
+        }
+        return all;
+    }
+
+    /** The word at a place of an event's text, or an empty one. */
+    static String word(Event e, int at) {
+        String[] words = e.getText().split(" ");
+        return at < words.length ? words[at] : "";
+    }
+
+    static Event first(List<Event> life, What what) {
+        return life.stream().filter(e -> e.getWhat() == what).findFirst().orElse(null);
+    }
+
+    static Event last(List<Event> life, What what) {
+        Event found = null;
+        for (Event e : life) {
+            found = e.getWhat() == what ? e : found;
+        }
+        return found;
+    }
+}
--- a/src/main/java/copperbeam/routing/Ask.java
+++ b/src/main/java/copperbeam/routing/Ask.java
@@ -8,9 +8,10 @@
  * @param id the request's name towards servers
  * @param prefix the beginning shared with other sessions, or null
  * @param deadline when the client stops waiting for a first token
+ * @param resumed the rest of a stream that broke is asked for: it has run
  */
 public record Ask(String id, String requestClass, String session, String prefix, double promptTokens,
-        double prefixTokens, double maxAnswerTokens, Instant deadline, Payload payload) {
+        double prefixTokens, double maxAnswerTokens, Instant deadline, boolean resumed, Payload payload) {
 
     /** What is passed on to a server unchanged. */
     public interface Payload {}
--- a/src/main/java/copperbeam/routing/HookActor.java
+++ b/src/main/java/copperbeam/routing/HookActor.java
@@ -56,7 +56,9 @@
             } catch (Exception failure) {
                 LOG.warning("plug-in " + hook.name() + " is passed over: " + failure.getMessage());
             }
-            if (verdict.refuseFor() != null) {
+            if (verdict.refuseFor() != null && ask.resumed() && effect(ask.requestClass()) != Effect.SAFE) {
+                LOG.warning("plug-in " + hook.name() + " may not refuse what has run: " + ask.id());
+            } else if (verdict.refuseFor() != null) {
                 e.answer().refuse(verdict.refuseFor(), false);
                 return;
             }
@@ -75,7 +77,7 @@
             return ask;
         }
         return new Ask(ask.id(), name, ask.session(), ask.prefix(), ask.promptTokens(), ask.prefixTokens(),
-                ask.maxAnswerTokens(), ask.deadline(), ask.payload());
+                ask.maxAnswerTokens(), ask.deadline(), ask.resumed(), ask.payload());
     }
 
     private Effect effect(String name) {
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -24,7 +24,7 @@
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
     public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
-            Drain, HandOver {}
+            Drain, HandOver, Cut {}
 
     public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers)
             implements Message {}
@@ -46,9 +46,12 @@
     /** Runs {@code idle} as soon as no request is open. */
     public record Drain(Runnable idle) implements Message {}
 
-    /** The stop may wait no longer: what is open gets its final answer, and streams end so that clients go on elsewhere. */
+    /** The stop may wait no longer: what is open, and what still comes, gets its final answer. */
     public record HandOver() implements Message {}
 
+    /** The process ends: streams end too, so that their clients go on elsewhere. */
+    public record Cut() implements Message {}
+
     private record Fired(String tag) implements Message {}
 
     private record Pinned(long request, int attempts) implements Message {}
@@ -77,11 +80,13 @@
     }
 
     private static final Logger LOG = Logger.getLogger(ModuleActor.class.getName());
+    private static final Duration LATE = Duration.ofMillis(100); // an answer's grace after its request's time
 
     private final Clock clock;
     private final Brain brain;
     private final Api.Settings settings;
     private final ReleaseActor releases;
+    private final Recorder recorder;
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Answer, Request> byAnswer = new IdentityHashMap<>();
     private final Set<String> ids = new HashSet<>();
@@ -93,8 +98,9 @@
     private Runnable idle;
 
     public ModuleActor(ScheduledExecutorService turns, Clock clock, Api.Settings settings, long seed,
-            ReleaseActor releases) {
+            ReleaseActor releases, Recorder recorder) {
         super(turns);
+        this.recorder = recorder;
         this.clock = clock;
         this.settings = settings;
         this.releases = releases;
@@ -114,6 +120,7 @@
         } else if (m instanceof Ended e) {
             ended(e);
         } else if (m instanceof ProbeDone e) {
+            recorder.note(Recorder.What.PROBED, 0, 0, e.server(), e.outcome().name(), e.after());
             feed(new Api.Probed(e.server(), e.outcome(), ModuleTime.seconds(e.after()), e.report()));
         } else if (m instanceof Fired e) {
             feed(new Api.TimerFired(e.tag()));
@@ -124,6 +131,8 @@
         } else if (m instanceof HandOver) {
             handingOver = true;
             List.copyOf(requests.values()).forEach(this::handOver);
+        } else if (m instanceof Cut) {
+            List.copyOf(requests.values()).forEach(this::transfer);
         }
         if (idle != null && requests.isEmpty()) {
             idle.run();
@@ -155,6 +164,10 @@
     private void listed(Listed e) {
         peers = e.peers();
         for (Api.Member member : e.members()) {
+            if (recorder != Recorder.NONE) {
+                recorder.note(Recorder.What.LISTED, 0, 0, member.server(), member.state() + " " + member.launchedAt(),
+                        null);
+            }
             settings.kinds().stream().filter(k -> k.name().equals(member.kind())).findFirst()
                     .ifPresent(k -> roles.put(member.server(), k.role()));
         }
@@ -172,8 +185,13 @@
         requests.put(r.key, r);
         byAnswer.put(r.answer, r);
         Ask a = r.ask;
+        if (recorder != Recorder.NONE) {
+            note(Recorder.What.ARRIVED, r, null, a.id() + " " + a.requestClass() + " " + a.session() + " "
+                    + (long) a.promptTokens() + (a.resumed() ? " rest" : ""),
+                    Duration.between(clock.instant(), a.deadline()));
+        }
         feed(new Api.Arrival(r.key, a.requestClass(), null, a.session(), a.prefix(), a.promptTokens(),
-                a.prefixTokens(), a.maxAnswerTokens(), ModuleTime.seconds(a.deadline())));
+                a.prefixTokens(), a.maxAnswerTokens(), ModuleTime.seconds(a.deadline()), a.resumed()));
         if (handingOver) {
             handOver(r);
         }
@@ -183,8 +201,6 @@
     private void handOver(Request r) {
         if (r.phase == Phase.OPEN) {
             feed(new Api.TimerFired("d" + r.key + ".0"));
-        } else if (settings.streamsResume()) {
-            transfer(r);
         }
     }
 
@@ -194,6 +210,7 @@
             return;
         }
         boolean streaming = r.phase == Phase.STREAMING;
+        note(Recorder.What.LEFT, r, null, r.phase.name(), null);
         over(r);
         feed(new Api.ClientLeft(r.key));
         if (streaming && r.out) {
@@ -212,6 +229,7 @@
             peer.tell(new PeerActor.Stop(e.request(), e.number()));
             return;
         }
+        note(Recorder.What.FIRST, r, e.server(), null, e.after());
         r.phase = Phase.STREAMING;
         r.mayHold = false;
         r.answer.begin();
@@ -229,11 +247,14 @@
         boolean unsure = r.reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
                 || e.outcome() == Outcome.RESET || e.outcome() == Outcome.STALE || e.outcome() == Outcome.ERROR);
         r.mayHold |= unsure;
+        note(Recorder.What.ENDED, r, e.server(), e.outcome().name(), e.after());
         if (r.phase == Phase.STREAMING) {
             r.phase = Phase.OVER;
             if (e.outcome() == Outcome.OK) {
+                note(Recorder.What.SERVED, r, null, null, null);
                 r.answer.end();
             } else {
+                note(Recorder.What.BROKEN, r, null, null, null);
                 r.answer.broken();
             }
         }
@@ -266,13 +287,14 @@
         if (action instanceof Api.Attempt a) {
             attempt(a);
         } else if (action instanceof Api.Refuse a) {
-            finish(a.request(), r -> r.answer.refuse(ModuleTime.span(a.retryAfterS()), r.attempts > 0));
+            finish(a.request(), Recorder.What.REFUSED, a.why(), r -> r.answer.refuse(ModuleTime.span(a.retryAfterS()), r.attempts > 0));
         } else if (action instanceof Api.Fail a) {
-            finish(a.request(), r -> r.answer.fail(clock.instant().plusMillis(100).isAfter(r.ask.deadline())
+            finish(a.request(), Recorder.What.FAILED, a.why(), r -> r.answer.fail(clock.instant().plusMillis(100).isAfter(r.ask.deadline())
                     ? Answer.Failure.TOO_LATE : Answer.Failure.SERVERS_FAILED));
         } else if (action instanceof Api.Cancel a) {
             Request r = requests.get(a.request());
             if (r != null && r.out && r.attempts - 1 == a.attempt()) {
+                note(Recorder.What.CANCEL, r, null, a.why().name(), null);
                 r.at.tell(new PeerActor.Stop(a.request(), a.attempt()));
             }
         } else if (action instanceof Api.Transfer a) {
@@ -290,6 +312,7 @@
         } else if (action instanceof Api.Timer a) {
             tellLater(ModuleTime.span(a.afterS()), new Fired(a.tag()));
         } else if (action instanceof Api.Remark a) {
+            recorder.note(Recorder.What.REMARK, 0, 0, null, a.text(), null);
             LOG.info(a.text());
         }
     }
@@ -298,6 +321,7 @@
         Request r = requests.get(a.request());
         PeerActor peer = peers.get(a.server());
         if (r == null || r.phase != Phase.OPEN || r.out || r.attempts >= settings.limits().maxAttempts()) {
+            recorder.note(Recorder.What.RULE, a.request(), 0, a.server(), "an attempt that the rules forbid", null);
             throw new IllegalStateException("an attempt that the rules forbid");
         }
         r.out = true;
@@ -309,12 +333,22 @@
         }
         boolean once = !r.reading && settings.classes().stream()
                 .anyMatch(c -> c.name().equals(r.ask.requestClass()) && c.effect() != Api.Effect.SAFE);
+        recorder.note(Recorder.What.ATTEMPT, r.key, r.attempts, a.server(), a.why().name(),
+                Duration.between(clock.instant(), ModuleTime.time(a.until())));
         peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until()), once));
     }
 
-    private void finish(long key, java.util.function.Consumer<Request> answer) {
+    private void note(Recorder.What what, Request r, String server, String text, Duration span) {
+        recorder.note(what, r.key, Math.max(0, r.attempts - 1), server, text, span);
+    }
+
+    private void finish(long key, Recorder.What what, Api.Why why, java.util.function.Consumer<Request> answer) {
         Request r = requests.get(key);
         if (r != null && r.phase == Phase.OPEN) {
+            note(what, r, null, why.name(), null);
+            if (clock.instant().isAfter(r.ask.deadline().plus(LATE))) {
+                note(Recorder.What.RULE, r, null, "a final answer after its time", null);
+            }
             over(r);
             answer.accept(r);
             closing.add(r);
@@ -323,6 +357,7 @@
 
     private void transfer(Request r) {
         if (r != null && r.phase == Phase.STREAMING) {
+            note(Recorder.What.BROKEN, r, null, "cut here", null);
             over(r);
             r.answer.broken();
             r.at.tell(new PeerActor.Stop(r.key, r.attempts - 1));
@@ -334,6 +369,7 @@
     }
 
     private void release(Request r) {
+        note(Recorder.What.RELEASE, r, r.lastReader, null, null);
         releases.tell(new ReleaseActor.Release(r.ask.id(), r.lastReader, r.mayHold));
         r.releaseWanted = false;
         r.mayHold = false;
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -95,7 +95,7 @@
 
     /** What all peers share and none of them changes. */
     public record Setup(Clock clock, Connector connector, Duration connectTimeout, Duration idle,
-            Duration callTimeout, ModuleActor module, ReleaseActor releases) {}
+            Duration callTimeout, ModuleActor module, ReleaseActor releases, Recorder recorder) {}
 
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
 
@@ -161,6 +161,7 @@
         } else if (m instanceof Closed e) {
             closed(e.connection());
         } else if (m instanceof Said e) {
+            note(Recorder.What.WORD, e.work(), e.word().name(), null);
             e.work().word = e.word();
             e.work().report = e.report();
         } else if (m instanceof Event e) {
@@ -196,6 +197,7 @@
             // never written on when the server may be closing it: what was written would count as a reset
             if (last.connection().isOpen() && last.since().isAfter(stale)) {
                 work.reused = true;
+                note(Recorder.What.CONNECTION, work, "kept", Duration.between(last.since(), setup.clock().instant()));
                 use(work, last.connection());
                 return;
             }
@@ -228,10 +230,17 @@
         if (work.done) {
             keep(connection);
         } else {
+            note(Recorder.What.CONNECTION, work, "new", since(work));
             use(work, connection);
         }
     }
 
+    private void note(Recorder.What what, Work work, String text, Duration span) {
+        if (work.order instanceof Send s) {
+            setup.recorder().note(what, s.request(), s.number(), id, text, span);
+        }
+    }
+
     private void use(Work work, Connection connection) {
         work.connection = connection;
         Connector.Call call;
@@ -410,6 +419,7 @@
         if (work.done) {
             return;
         }
+        note(Recorder.What.WORD, work, written ? "BROKEN" : "BROKEN before the last byte", null);
         if (!written && work.reused) {
             // the server closed an idle connection as we took it: nothing was sent, so a new one may be tried
             connect(work);
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -261,8 +261,9 @@
         public void disconnected(IOSession session) {}
     }
 
+    /** What has run may fail, but is never refused: its client would ask for it from the beginning. */
     private static Runnable refuse(HttpCall call, HttpReply reply) {
-        reply.whole(503, "text/plain", Map.of("Retry-After", "1", "Connection", "close"),
+        reply.whole(HttpCall.resumes(call.header("x-retried")) ? 500 : 503, "text/plain", Map.of("Retry-After", "1", "Connection", "close"),
                 "too many connections or requests\n".getBytes(StandardCharsets.US_ASCII));
         return () -> { };
     }
@@ -282,10 +283,14 @@
         draining = true;
     }
 
-    /** Takes no new connection and closes those that carry no request. */
-    public void closeIdle() {
+    /** No new connection is taken. */
+    public void stopListening() {
         closing.set(true);
         Closer.closeQuietly(endpoint);
+    }
+
+    /** Closes the connections that carry no request. */
+    public void closeIdle() {
         room.closeIdle();
     }
 
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -111,7 +111,8 @@
         if (body.size() + bytes.remaining() > MOST_BODY) {
             turnAway(413, "the body is larger than 256 KiB");
         } else if (!room.take(bytes.remaining())) {
-            turnAway(503, "too many requests wait here");
+            Header retried = request.getFirstHeader("X-Retried");
+            turnAway(retried != null && HttpCall.resumes(retried.getValue()) ? 500 : 503, "too many requests wait here");
         } else {
             held += bytes.remaining();
             byte[] copy = new byte[bytes.remaining()];
@@ -137,7 +138,7 @@
         unread = true;
         client.closeAt = clock.instant().plus(Duration.ofDays(1)); // the answer may have to wait for others here
         client.session.clearEvent(SelectionKey.OP_READ);
-        whole(status, "text/plain", status == 503 ? Map.of("Connection", "close", "Retry-After", "1")
+        whole(status, "text/plain", status >= 500 ? Map.of("Connection", "close", "Retry-After", "1")
                 : Map.of("Connection", "close"), (why + "\n").getBytes(StandardCharsets.US_ASCII));
     }
 
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -248,7 +248,7 @@
         List<Action> early = b.at(100 + 0.9 * patience, new TimerFired(check.tag()));
         assertTrue(of(Cancel.class, early).isEmpty());
         List<Action> late = b.at(100 + 1.1 * patience, new TimerFired(check.tag()));
-        assertEquals(List.of(new Cancel(1, 0)), of(Cancel.class, late));
+        assertEquals(List.of(new Cancel(1, 0, Why.OVERTAKEN)), of(Cancel.class, late));
         assertTrue(of(Remark.class, late).isEmpty(), "no strike against the server");
     }
 
@@ -315,6 +315,34 @@
 
     // ---- attempts ------------------------------------------------------------------------------
 
+    /** Guards against a refusal beside an attempt that is out, which proves nothing, be it at a reader. */
+    @Test
+    void whatMustNotRunTwiceIsRefusedOnceItsAttemptHasEnded() {
+        Bench b = new Bench(usual(ONCE, TOP), 5);
+        b.at(100, fleet());
+        String reader = sent(b.arrive(100, 1, ONCE, 1000)).server();
+        assertEquals(List.of(new Cancel(1, 0, Why.OVER)), b.at(107.95, new TimerFired("d1.0")));
+        assertEquals(List.of(), b.at(107.96, new TimerFired("d1.0")));
+        List<Action> ended = b.end(107.97, 1, 0, reader, Outcome.CANCELLED);
+        assertEquals(Why.NO_TIME, of(Refuse.class, ended).get(0).why());
+        assertEquals(List.of(new Release(1)), of(Release.class, ended));
+        sent(b.arrive(110, 2, TOP, 1000));
+        assertEquals(1, of(Refuse.class, b.at(117.95, new TimerFired("d2.0"))).size(), "harmless: at once");
+    }
+
+    /** Guards against the rest of a stream refused: its client would begin again, and it would run twice. */
+    @Test
+    void whatHasRunElsewhereIsNeverRefused() {
+        Bench b = new Bench(usual(ONCE, TOP), 5);
+        b.at(100, fleet());
+        b.load(100, 1000, 5);
+        assertEquals(1, of(Refuse.class, b.arrive(100, 1, ONCE, 1000)).size(), "a new one is");
+        assertEquals(1, of(Attempt.class, b.at(100, new Arrival(2, ONCE.name(), null, "s", "p", 1000, 500, 100, 108,
+                true))).size());
+        assertEquals(List.of(new Fail(2, Why.NO_TIME)), of(Fail.class, b.at(107.95, new TimerFired("d2.0"))));
+        assertTrue(of(Refuse.class, b.all).size() == 1);
+    }
+
     @Test
     void anUnsafeRequestThatMayHaveRunIsFailedNotRefused() {
         Bench b = new Bench(usual(ONCE), 5);
@@ -322,7 +350,7 @@
         String reader = sent(b.arrive(100, 1, ONCE, 1000)).server();
         String writer = sent(b.end(100.1, 1, 0, reader, Outcome.READ)).server();
         List<Action> actions = b.end(100.2, 1, 1, writer, Outcome.ERROR);
-        assertEquals(List.of(new Fail(1)), of(Fail.class, actions));
+        assertEquals(List.of(new Fail(1, Why.RAN)), of(Fail.class, actions));
         assertTrue(of(Attempt.class, actions).isEmpty() && of(Refuse.class, actions).isEmpty());
         assertEquals(List.of(new Release(1)), of(Release.class, actions));
     }
@@ -354,7 +382,7 @@
         b.at(100, fleet());
         String reader = sent(b.arrive(100, 1, TOP, 1000)).server();
         List<Action> gone = b.at(100.1, new ClientLeft(1));
-        assertEquals(List.of(new Cancel(1, 0)), of(Cancel.class, gone));
+        assertEquals(List.of(new Cancel(1, 0, Why.OVER)), of(Cancel.class, gone));
         assertEquals(List.of(new Release(1)), b.end(100.2, 1, 0, reader, Outcome.READ));
         assertEquals(List.of(new Release(77)), b.end(100.3, 77, 0, reader, Outcome.READ));
     }
@@ -366,7 +394,7 @@
         List<Action> first = b.arrive(100, 1, TOP, 1000);
         Timer check = of(Timer.class, first).stream().filter(t -> t.tag().startsWith("s")).findFirst().orElseThrow();
         List<Action> silent = b.at(100 + check.afterS(), new TimerFired(check.tag()));
-        assertEquals(List.of(new Cancel(1, 0)), of(Cancel.class, silent));
+        assertEquals(List.of(new Cancel(1, 0, Why.SILENT)), of(Cancel.class, silent));
         assertTrue(of(Attempt.class, silent).isEmpty());
         String reader = sent(first).server();
         Attempt next = sent(b.end(101.5, 1, 0, reader, Outcome.CANCELLED));
--- a/src/test/java/copperbeam/RulesTest.java
+++ b/src/test/java/copperbeam/RulesTest.java
@@ -87,7 +87,7 @@
                     send(now, a);
                 } else if (action instanceof Refuse a) {
                     Life life = answer(now, a.request());
-                    boolean ran = life.ranAt != null || life.out != null && life.outMayRun;
+                    boolean ran = life.ranAt != null || life.out != null;
                     boolean harmless = life.kind.effect() == Effect.SAFE
                             || life.kind.effect() == Effect.KEYED && life.kind.group() == Group.ALL;
                     assertTrue(!ran || harmless, "rule 2: refused after a possible run");
--- /dev/null
+++ b/src/test/java/copperbeam/lifecycle/StopPlanTest.java
@@ -0,0 +1,69 @@
+package copperbeam.lifecycle;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.lifecycle.StopPlan.Step;
+import java.time.Duration;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The steps of a stop. */
+public class StopPlanTest {
+    private static final Duration ALLOWED = Duration.ofMillis(3700);
+
+    /** Words: milliseconds since the wish, {@code o} where something is open, {@code a} where others are away. */
+    @DataProvider
+    public Object[][] stops() {
+        return new Object[][] {
+            {"nothing is open", true, "0 799 800", "SERVE SERVE END"},
+            {"clients are led away once fronts know", true, "0o 800o 2649o 2650", "SERVE LEAD_AWAY LEAD_AWAY END"},
+            {"open requests are answered, then streams cut", true, "0o 2650o 2849o 2850o 2900",
+                "SERVE ANSWER ANSWER CUT END"},
+            {"later where others are away", true, "0oa 2850oa 3149oa 3150oa 3349oa 3350oa 3360",
+                "SERVE LEAD_AWAY LEAD_AWAY ANSWER ANSWER CUT END"},
+            {"no way back to what was left", true, "2700o 2800oa 2860oa", "ANSWER ANSWER ANSWER"},
+            {"streams that can't resume are not cut", false, "0o 2650o 3350o 9000o 9001", "SERVE ANSWER ANSWER ANSWER END"},
+            {"something to let go holds the end", true, "900o 1000o 1100", "LEAD_AWAY LEAD_AWAY END"},
+            {"an end is one", true, "900 901o 5000o", "END END END"},
+        };
+    }
+
+    @Test(dataProvider = "stops")
+    public void steps(String name, boolean resume, String times, String steps) {
+        StopPlan plan = new StopPlan(ALLOWED, resume);
+        StringBuilder seen = new StringBuilder();
+        for (String at : times.split(" ")) {
+            seen.append(plan.at(Duration.ofMillis(Long.parseLong(at.replaceAll("[oa]", ""))), at.contains("o"),
+                    at.contains("a"))).append(' ');
+        }
+        assertEquals(seen.toString().strip(), steps, name);
+    }
+
+    /** Whatever happens: never back, no end with something open, all cut in time where that may be. */
+    @Test
+    public void stepsNeverGoBackAndNothingOpenEnds() {
+        Random random = new Random(5);
+        for (int run = 0; run < 2000; run++) {
+            boolean resume = random.nextBoolean();
+            StopPlan plan = new StopPlan(ALLOWED, resume);
+            Step last = Step.SERVE;
+            for (int ms = 0; ms < 4000 && last != Step.END; ms += random.nextInt(400)) {
+                boolean open = random.nextInt(4) > 0;
+                Step next = plan.at(Duration.ofMillis(ms), open, random.nextBoolean());
+                assertTrue(next.compareTo(last) >= 0);
+                assertTrue(next != Step.END || !open && ms >= 800);
+                assertTrue(next != Step.CUT || resume);
+                assertTrue(ms < 3350 || !resume || next == Step.CUT || next == Step.END);
+                last = next;
+            }
+        }
+    }
+
+    @Test
+    public void tooShortAStopIsNone() {
+        assertThrows(IllegalArgumentException.class, () -> new StopPlan(Duration.ofMillis(1999), true));
+    }
+}
--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -61,6 +61,8 @@
             {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"ask\",\"max_tokens\":0"),
                 "openai.models.m.max_tokens: "},
             {GOOD, "{\"etcd\":{\"endpoint\":\"127.0.0.1:1\",\"prefix\":\"x\"}}", "etcd.prefix: "},
+            {GOOD, "{\"stop\":{\"within_s\":1.9}}", "stop.within_s: "},
+            {GOOD, "{\"stop\":{\"within\":3}}", "stop.within: "},
             {GOOD, "{\"plugins\":[{\"file\":\"none.wasm\"}]}", "plugins[0].file: "},
         };
     }
@@ -79,6 +81,7 @@
         Path file = Files.writeString(Files.createTempFile("config", ".json"), settings);
         Config c = Config.read(Map.of("GW_CONFIG", file.toString()), "deploy/operator.example.json");
         assertEquals(c.operator().hooks().size(), 1);
+        assertEquals(c.operator().stopWithin(), Duration.ofMillis(3700));
         assertEquals(c.discovery(), null);
     }
 }
--- a/src/test/java/copperbeam/routing/LongDayTest.java
+++ b/src/test/java/copperbeam/routing/LongDayTest.java
@@ -38,9 +38,9 @@
                     Api.Group.ALL, 0)), List.of(), List.of(new Kind("r", Role.READER, 1)),
                     new Limits(4, true, false, 1), new Rules(1, 1, 3, 2, 1), Api.Reports.NEVER, false, 0, false, true);
             ReleaseActor releases = new ReleaseActor(turns, Clock.systemUTC(), Duration.ofSeconds(1));
-            ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), settings, 1, releases);
+            ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), settings, 1, releases, Recorder.NONE);
             PeerActor.Setup setup = new PeerActor.Setup(Clock.systemUTC(), null, Duration.ofSeconds(1),
-                    Duration.ofSeconds(1), Duration.ofSeconds(1), module, releases);
+                    Duration.ofSeconds(1), Duration.ofSeconds(1), module, releases, Recorder.NONE);
             List<WeakReference<PeerActor>> made = new ArrayList<>();
             ListActor list = new ListActor(turns, (id, at) -> {
                 PeerActor peer = new PeerActor(turns, id, at, setup);
--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -8,6 +8,8 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** One conductor as `run` starts it, with discovery in its file and an older word on it in the environment. */
 final class Conductor implements AutoCloseable {
@@ -18,11 +20,19 @@
     private final String limits;
 
     Conductor(StandIn discovery, int sockets, int memoryMb) throws IOException {
+        this(discovery, sockets, memoryMb, List.of());
+    }
+
+    /** {@code more}: of the command line, options of the JVM and of {@code serve}. */
+    Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more) throws IOException {
         this.limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
         configure(discovery.host());
-        ProcessBuilder java = new ProcessBuilder("sh", "-c", "ulimit -n " + sockets + " && exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m",
-                "-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve");
+        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + sockets + " && exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m"));
+        more.stream().filter(o -> o.startsWith("-X")).forEach(command::add);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve"));
+        more.stream().filter(o -> !o.startsWith("-X")).forEach(command::add);
+        ProcessBuilder java = new ProcessBuilder(command);
         java.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
         java.environment().put("GW_DISCOVERY", discovery.host());
         process = java.redirectErrorStream(true).redirectOutput(log.toFile()).start();
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -447,7 +447,8 @@
     @Test
     public void aStopHandsOverWhatWouldLastTooLong() throws Exception {
         try (Site site = new Site(1, 1); Line stream = site.client(); Line kept = site.client();
-                Line read = site.client(); Line write = site.client()) {
+                Line read = site.client(); Line write = site.client(); Line rest = site.client();
+                Line unread = site.client()) {
             StandIn writer = site.writers.get(0);
             writer.script = attempts((m, line) -> {
                 line.beginStream().chunk("data: 1\n\n");
@@ -463,6 +464,10 @@
             site.readers.get(0).script = SILENT;
             read.send(request("read", "ask", "60000m", "", "{}"));
             await("read", () -> site.attempts(site.readers) == 4);
+            rest.send(request("rest", "send", "60000m", "", "{}").replace("X-Route-Key", "X-Retried: again\r\nX-Route-Key"));
+            await("read too", () -> site.attempts(site.readers) == 5);
+            unread.send(request("unread", "send", "60000m", "", "{}"));
+            await("and this", () -> site.attempts(site.readers) == 6);
             long from = System.nanoTime();
             Thread stop = new Thread(() -> {
                 try {
@@ -478,6 +483,8 @@
             assertTrue(kept.awaitClosed());
             assertEquals(read.read().status(), 503);
             assertEquals(write.read().status(), 502);
+            assertEquals(unread.read().status(), 503);
+            assertEquals(rest.read().status(), 502, "the rest of a stream that broke has run");
             assertEquals(stream.readChunk(), "data: 1\n\n");
             assertEquals(stream.readChunk(), "");
             stop.join(Line.PATIENCE_MS);
