--- a/src/main/java/copperbeam/transport/BoundedParser.java
+++ b/src/main/java/copperbeam/transport/BoundedParser.java
@@ -1,6 +1,7 @@
 package copperbeam.transport;
 
 import java.io.IOException;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -19,6 +20,7 @@
  */
 final class BoundedParser<T extends HttpMessage> implements NHttpMessageParser<T> {
     static final int MOST_HEAD = 16 * 1024;
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private final NHttpMessageParser<T> parser;
     private final boolean strict;
@@ -74,7 +76,7 @@
         if (lengths.length + codings.length > 1) {
             throw new ProtocolException("more than one word on the body's length");
         }
-        if (lengths.length == 1 && !lengths[0].getValue().matches("[0-9]{1,18}")) {
+        if (lengths.length == 1 && !LENGTH.matcher(lengths[0].getValue()).matches()) {
             throw new ProtocolException("Content-Length is no length");
         }
         if (codings.length == 1 && !codings[0].getValue().equalsIgnoreCase("chunked")) {
--- a/src/main/java/copperbeam/transport/Chunks.java
+++ b/src/main/java/copperbeam/transport/Chunks.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -28,6 +29,7 @@
      * its buffer backwards, and against chunks of gigabytes.
      */
     private static final class Sizes extends BufferView {
+        private static final Pattern SIZE = Pattern.compile("[0-9a-fA-F]{1,15}"); // one for each event of a stream
         private final int most;
         private boolean last;
 
@@ -48,7 +50,7 @@
         private long size(String line) throws IOException {
             int extension = line.indexOf(';');
             String digits = (extension < 0 ? line : line.substring(0, extension)).strip();
-            if (!digits.matches("[0-9a-fA-F]{1,15}")) {
+            if (!SIZE.matcher(digits).matches()) {
                 throw new MalformedChunkCodingException("a chunk's size that is none");
             }
             long size = Long.parseLong(digits, 16);
