Let held bytes go without a mailbox hop, one stop plan a node, and shared test set-up

Need: a second reading of the change. A held call told its actor that it was held, only for that message to set a timer; Node kept two settings to build its StopPlan from later; the same thread around a stop stood twice in one test class, the same executor's set-up and end thrice in another. Change: the listener sets the timer itself (tellLater may be called from any thread), Node holds the plan, Site.beginStop serves both tests, RecorderTest has one executor. Behaviour and assertions are as they were. Checked: mvn verify, 338 tests pass.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -52,8 +52,7 @@
     private final CountDownLatch warm = new CountDownLatch(1);
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final InetSocketAddress address;
-    private final Duration stopWithin;
-    private final boolean streamsResume;
+    private final StopPlan stopPlan;
     private final Rests rests;
     private final FileRecorder fileRecorder; // null where nothing is recorded
     private ScheduledThreadPoolExecutor hookTurns;
@@ -67,8 +66,7 @@
     /** {@code record} null: nothing is recorded. */
     Node(Config config, Path record, int recordBytes) throws IOException, InterruptedException {
         turns.setRemoveOnCancelPolicy(true);
-        stopWithin = config.operator().stopWithin();
-        streamsResume = config.settings().streamsResume();
+        stopPlan = new StopPlan(config.operator().stopWithin(), config.settings().streamsResume());
         Clock clock = ModuleTime.steadyClock();
         fileRecorder = record == null ? null : new FileRecorder(turns, clock, config.name(), record, recordBytes);
         Recorder recorder = record == null ? Recorder.NONE : fileRecorder;
@@ -152,7 +150,6 @@
         if (!stopping.compareAndSet(false, true)) {
             return;
         }
-        StopPlan plan = new StopPlan(stopWithin, streamsResume);
         long from = System.nanoTime();
         servers().forEach(HttpFrontServer::drain);
         CountDownLatch quiet = quiet();
@@ -161,7 +158,7 @@
             // a request may come as the last one ends, so that quiet is asked for anew while anything is open
             boolean open = !quiet.await(20, TimeUnit.MILLISECONDS) || servers().stream().anyMatch(HttpFrontServer::busy);
             since = System.nanoTime() - from;
-            StopPlan.Step next = plan.at(Duration.ofNanos(since), open, rests.lately() >= AWAY);
+            StopPlan.Step next = stopPlan.at(Duration.ofNanos(since), open, rests.lately() >= AWAY);
             for (StopPlan.Step s : StopPlan.Step.values()) {
                 if (s.compareTo(step) > 0 && s.compareTo(next) <= 0) {
                     carryOut(s);
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -19,7 +19,7 @@
 /** Owns one server's connections and the attempts, probes and releases that are out at it. */
 public final class PeerActor extends Actor<PeerActor.Message> {
     public sealed interface Message permits Located, Gone, Room, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
-            Said, Event, Ended, Broken, Expired, Quiet, Tidy, Held, Let {}
+            Said, Event, Ended, Broken, Expired, Quiet, Tidy, Let {}
 
     public record Located(InetSocketAddress address) implements Message {}
 
@@ -63,8 +63,6 @@
 
     private record Tidy() implements Message {}
 
-    private record Held(Work work, Connection on) implements Message {}
-
     private record Let(Work work, Connection on) implements Message {}
 
     /** One call, from its wait for a connection to its end. */
@@ -185,8 +183,6 @@
             quiet(e.work());
         } else if (m instanceof Tidy) {
             tidy();
-        } else if (m instanceof Held e) {
-            tellLater(HOLD, new Let(e.work(), e.on()));
         } else if (m instanceof Let e && !e.work().done && e.work().connection == e.on()) {
             e.on().let();
         }
@@ -269,7 +265,7 @@
         connection.call(call, new Connector.Listener() {
             @Override
             public void held() {
-                tell(new Held(work, connection));
+                tellLater(HOLD, new Let(work, connection));
             }
 
             @Override
--- a/src/test/java/copperbeam/record/RecorderTest.java
+++ b/src/test/java/copperbeam/record/RecorderTest.java
@@ -28,10 +28,18 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
 /** The ring, the file and what is made of it. */
 public class RecorderTest {
+    private final ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
+
+    @AfterClass
+    public void end() {
+        turns.shutdownNow();
+    }
+
     /** Against a plain list of all that was added: what is held is its end, whole, and at least half the ring. */
     @Test
     public void theRingHoldsTheEndOfWhatWasAdded() throws Exception {
@@ -96,65 +104,50 @@
     @Test
     public void aRecordingTellsLivesAndCauses() throws Exception {
         Path file = Files.createTempDirectory("recorder").resolve("log");
-        ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
-        try {
-            FileRecorder recorder = new FileRecorder(turns, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), "n3", file, 8192);
-            turns.submit(() -> {
-                life(recorder, 1, "one", Recorder.What.REFUSED, "NO_TIME");
-                life(recorder, 2, "two", Recorder.What.REFUSED, "NO_TIME");
-                life(recorder, 3, "three", Recorder.What.SERVED, null);
-            }).get();
-            assertTrue(recorder.dump().get(10, TimeUnit.SECONDS));
-            String causes = explained(file, Explain::causes);
-            assertTrue(causes.contains("       2        0.0  ask, refused, NO_TIME, RESET\n"), causes);
-            assertTrue(causes.contains("       1        0.0  ask, served, -, RESET\n"), causes);
-            assertTrue(causes.contains("       3       10.0  read, kept, RESET\n"), causes);
-            String two = explained(file, e -> assertTrue(e.request("two")));
-            assertTrue(two.startsWith("request two ask s1 500, number 2, from 1970-01-01T00:00:00Z\n"), two);
-            assertTrue(two.contains("connection attempt 0 r1 kept (40.000 ms)\n"), two);
-            assertEquals(explained(file, e -> assertFalse(e.request("four"))), "");
+        FileRecorder recorder = new FileRecorder(turns, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), "n3", file, 8192);
+        turns.submit(() -> {
+            life(recorder, 1, "one", Recorder.What.REFUSED, "NO_TIME");
+            life(recorder, 2, "two", Recorder.What.REFUSED, "NO_TIME");
+            life(recorder, 3, "three", Recorder.What.SERVED, null);
+        }).get();
+        assertTrue(recorder.dump().get(10, TimeUnit.SECONDS));
+        String causes = explained(file, Explain::causes);
+        assertTrue(causes.contains("       2        0.0  ask, refused, NO_TIME, RESET\n"), causes);
+        assertTrue(causes.contains("       1        0.0  ask, served, -, RESET\n"), causes);
+        assertTrue(causes.contains("       3       10.0  read, kept, RESET\n"), causes);
+        String two = explained(file, e -> assertTrue(e.request("two")));
+        assertTrue(two.startsWith("request two ask s1 500, number 2, from 1970-01-01T00:00:00Z\n"), two);
+        assertTrue(two.contains("connection attempt 0 r1 kept (40.000 ms)\n"), two);
+        assertEquals(explained(file, e -> assertFalse(e.request("four"))), "");
 
-            // cut off within the last event, as on a full disk
-            byte[] whole = Files.readAllBytes(file);
-            Files.write(file, java.util.Arrays.copyOf(whole, whole.length - 3));
-            assertEquals(Recording.read(file).events().size(), 14);
-            Files.writeString(file, "something else");
-            assertThrows(IOException.class, () -> Recording.read(file));
-        } finally {
-            turns.shutdownNow();
-        }
+        // cut off within the last event, as on a full disk
+        byte[] whole = Files.readAllBytes(file);
+        Files.write(file, java.util.Arrays.copyOf(whole, whole.length - 3));
+        assertEquals(Recording.read(file).events().size(), 14);
+        Files.writeString(file, "something else");
+        assertThrows(IOException.class, () -> Recording.read(file));
     }
 
     /** A broken rule is written at once, and a flood of them once a minute. */
     @Test
     public void aBrokenRuleIsWrittenAtOnce() throws Exception {
         Path file = Files.createTempDirectory("recorder").resolve("log");
-        ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
-        try {
-            FileRecorder recorder = new FileRecorder(turns, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), "n3", file, 8192);
-            turns.submit(() -> {
-                for (int i = 1; i < 9; i++) {
-                    recorder.note(Recorder.What.RULE, i, 0, null, "late", null);
-                }
-            }).get();
-            long until = System.nanoTime() + 10_000_000_000L;
-            while (!Files.exists(file) && System.nanoTime() < until) {
-                Thread.onSpinWait();
+        FileRecorder recorder = new FileRecorder(turns, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), "n3", file, 8192);
+        turns.submit(() -> {
+            for (int i = 1; i < 9; i++) {
+                recorder.note(Recorder.What.RULE, i, 0, null, "late", null);
             }
-            assertEquals(Recording.read(file).events().size(), 1, "the first; the others wait for their minute");
-        } finally {
-            turns.shutdownNow();
+        }).get();
+        long until = System.nanoTime() + 10_000_000_000L;
+        while (!Files.exists(file) && System.nanoTime() < until) {
+            Thread.onSpinWait();
         }
+        assertEquals(Recording.read(file).events().size(), 1, "the first; the others wait for their minute");
     }
 
     @Test
     public void aDiskThatIsNotThereHoldsNothingUp() throws Exception {
-        ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
-        try {
-            FileRecorder recorder = new FileRecorder(turns, Clock.systemUTC(), "n3", Path.of("/nowhere/log"), 8192);
-            assertFalse(recorder.dump().get(10, TimeUnit.SECONDS));
-        } finally {
-            turns.shutdownNow();
-        }
+        FileRecorder recorder = new FileRecorder(turns, Clock.systemUTC(), "n3", Path.of("/nowhere/log"), 8192);
+        assertFalse(recorder.dump().get(10, TimeUnit.SECONDS));
     }
 }
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -417,14 +417,7 @@
             });
             first.send(request("ask", 8000));
             await("written", () -> site.attempts(site.writers) == 1);
-            Thread stop = new Thread(() -> {
-                try {
-                    site.node.stop();
-                } catch (InterruptedException e) {
-                    throw new AssertionError(e);
-                }
-            });
-            stop.start();
+            Thread stop = site.beginStop();
             await("not healthy", () -> site.get("/healthz").status() == 503);
             try (Line late = site.client()) {
                 late.send(request("ask", 8000));
@@ -469,14 +462,7 @@
             unread.send(request("unread", "send", "60000m", "", "{}"));
             await("and this", () -> site.attempts(site.readers) == 6);
             long from = System.nanoTime();
-            Thread stop = new Thread(() -> {
-                try {
-                    site.node.stop();
-                } catch (InterruptedException e) {
-                    throw new AssertionError(e);
-                }
-            });
-            stop.start();
+            Thread stop = site.beginStop();
             // begun before the stop, so that its head promised more
             assertEquals(kept.readChunk(), "data: 1\n\n");
             assertNull(kept.readChunk());
--- a/src/test/java/copperbeam/sockets/Site.java
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -171,6 +171,19 @@
         return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** The returned ends with the stop. */
+    Thread beginStop() {
+        Thread stop = new Thread(() -> {
+            try {
+                node.stop();
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        });
+        stop.start();
+        return stop;
+    }
+
     Line client() throws Exception {
         return new Line(node.address());
     }
