Call servers and discovery without asking for their names, as there is no DNS

Checked and ruled out: CPU (0.5 s used at 0.956 s, 2.0 s at 14 s, most of it the printing thread), a silent discovery (the thread never got to call it), instances that refuse (no attempt was sent before second 10).

Change: one ClientReactor.host makes the Host header from the address's own text.

--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -196,6 +197,14 @@
         }
     }
 
+    /**
+     * For the Host header. HttpHost asks the system for an address's name where it is given none; on a platform
+     * without DNS that holds up the reactor, and with it every call out, until the look-up times out.
+     */
+    static HttpHost host(InetSocketAddress to) {
+        return new HttpHost(null, to.getAddress(), to.getHostString(), to.getPort());
+    }
+
     void connect(InetSocketAddress to, Duration timeout, Life life) {
         NamedEndpoint endpoint = new NamedEndpoint() {
             @Override
--- a/src/main/java/copperbeam/transport/PlainHttpClient.java
+++ b/src/main/java/copperbeam/transport/PlainHttpClient.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.ContentType;
-import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
@@ -93,8 +92,7 @@
             return;
         }
         session.setSocketTimeout(Timeout.of(call.silence));
-        BasicHttpRequest request = new BasicHttpRequest(method, new HttpHost(call.to.getAddress(), call.to.getPort()),
-                target);
+        BasicHttpRequest request = new BasicHttpRequest(method, ClientReactor.host(call.to), target);
         if (body != null) {
             request.setHeader("Content-Type", ContentType.APPLICATION_JSON.getMimeType());
         }
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -66,7 +66,7 @@
 
         ServerConnection(IOSession session, InetSocketAddress to) {
             this.session = session;
-            host = new HttpHost(to.getAddress(), to.getPort());
+            host = ClientReactor.host(to);
         }
 
         @Override
