--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -133,6 +133,9 @@
         } catch (Wire.Malformed e) {
             throw new Invalid("settings", e.getMessage());
         }
+        if (settings.nodes() < 1) {
+            throw raw.invalid("balancers", "is not a number of conductors from 1 on");
+        }
         if (settings.classes().isEmpty()) {
             throw raw.invalid("services", "names no class");
         }
--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -7,7 +7,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import copperbeam.Api;
+import copperbeam.Brain;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -45,6 +48,18 @@
         assertEquals(read(GOOD, null, Map.of()).operator().chat(), null);
     }
 
+    /** Figures of rules, prices and reports that are not told have defaults with which the module can choose. */
+    @Test
+    public void whatIsNotToldStopsNoChoice() throws Exception {
+        Config c = read(GOOD, null, Map.of());
+        Brain brain = new Brain(c.settings(), c.seed());
+        brain.on(1, new Api.Members(Api.ListKind.FULL, List.of(
+                new Api.Member("warm", null, "d", 0, Api.ServerState.READY, 0, 0),
+                new Api.Member("cold", null, "d", 0, Api.ServerState.READY, 0, 0.9))));
+        List<Api.Action> actions = brain.on(1, new Api.Arrival(1, "none", null, null, null, 100, 0, 10, 5));
+        assertTrue(actions.stream().anyMatch(a -> a instanceof Api.Attempt), actions.toString());
+    }
+
     @DataProvider
     public Object[][] faulty() {
         return new Object[][] {
@@ -54,6 +69,10 @@
             {GOOD.replace("8c1f30d27a5be964", "xyz"), null, "seed: "},
             {GOOD.replace("\"conn_idle_s\":12", "\"conn_idle_s\":0"), null, "settings.limits.conn_idle_s: "},
             {GOOD.replace("\"send_cap\":4", "\"send_cap\":0"), null, "settings.limits.send_cap: "},
+            {GOOD.replace("\"balancers\":2,", ""), null, "settings: field 'balancers' "},
+            {GOOD.replace("\"balancers\":2", "\"balancers\":0"), null, "settings.balancers: "},
+            {GOOD.replace("\"promise_s\":1,", ""), null, "settings: field 'promise_s' "},
+            {GOOD.replace("\"send_cap\":4,", ""), null, "settings: field 'send_cap' "},
             {GOOD.replace("\"safe\"", "\"odd\""), null, "settings: unknown semantics 'odd'"},
             {GOOD.replace("\"id\":\"s\"", "\"no\":1"), null, "known: "},
             {GOOD, "{\"opnai\":{}}", "opnai: "},
