--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -55,8 +55,9 @@
 
     public record Limits(int maxAttempts, boolean cancel, boolean probes, double maxRetryAfterS) {}
 
+    /** {@code askWithinS}: who has not asked for the list for so long counts as told of what was there to ask for. */
     public record Rules(double coldFrom, double warmWithinS, double fallMultiple, double fallS,
-            double releaseS) {}
+            double releaseS, double askWithinS) {}
 
     // ---- events --------------------------------------------------------------------------------
 
--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -12,7 +12,7 @@
 /**
  * Which calls a watch on the list has out: the whole list once, then one watch after another, each at once after
  * the last answer. A call that is silent beyond what it may take is asked beside itself on a new connection, so
- * that no single connection can hide a drain. During a move the old address is listened to until the new one has
+ * that no single connection can hide a drain. After failures it asks again by {@link Pauses}. During a move the old address is listened to until the new one has
  * given its list and {@link #OVERLAP} more has passed: an answer on its way there is told, whoever reads it.
  *
  * <p>Bounded: {@link #MOST_CALLS} calls an address, {@link #MOST_OLD} addresses beside the current one.
@@ -37,7 +37,6 @@
     public record Listing(long version, boolean full, List<Entry> entries) {}
 
     public static final Duration HOLD = Duration.ofSeconds(3);
-    public static final Duration AGAIN = Duration.ofMillis(100); // below the 200 ms after which a watch is new
     public static final Duration SILENCE = Duration.ofMillis(500); // beyond what an answer may take
     public static final Duration OVERLAP = Duration.ofSeconds(2); // an old address closes 1.5 s after a move
     public static final Duration CARE = Duration.ofSeconds(10); // what one address may know later than another
@@ -48,6 +47,7 @@
         final InetSocketAddress at;
         int teller;                  // anew whenever its versions go back
         boolean listed;
+        int failures;                // in a row; a call that is silent too long is one
         long version;
         final List<Integer> calls = new ArrayList<>();
 
@@ -62,6 +62,7 @@
     private record Timer(Due what, Address address, int call) {}
 
     private final MemberBook book = new MemberBook(CARE);
+    private final Pauses pauses;
     private final List<Address> old = new ArrayList<>();
     private final TreeMap<Integer, Timer> timers = new TreeMap<>();
     private Address current;
@@ -70,6 +71,10 @@
     private int tokens;
     private List<Step> steps = new ArrayList<>();
 
+    public WatchPlan(Pauses pauses) {
+        this.pauses = pauses;
+    }
+
     /** Begins, or goes on at another address. */
     public List<Step> move(InetSocketAddress to) {
         if (current != null && current.at.equals(to)) {
@@ -95,6 +100,7 @@
             return done();
         }
         a.calls.remove((Integer) call);
+        a.failures = 0;
         dropAll(a);
         if (!listing.full() && (!a.listed || listing.version() < a.version)) {
             a.listed = false; // discovery began anew: changes against a list that we do not hold say nothing
@@ -127,7 +133,7 @@
             a.calls.remove((Integer) call);
             a.listed &= !gone || a != current;
             if (a.calls.isEmpty()) {
-                wake(AGAIN, Due.ASK, a, calls);
+                wake(pauses.after(++a.failures), Due.ASK, a, calls);
             }
         }
         return done();
@@ -145,6 +151,7 @@
                 }
                 case SILENT -> {
                     if (t.address().calls.contains(t.call())) {
+                        t.address().failures++;
                         if (t.address().calls.size() >= MOST_CALLS) {
                             // not the first: an address may be slow, and would never be heard out
                             drop(t.address(), t.address().calls.get(1));
@@ -175,7 +182,8 @@
         a.calls.add(call);
         Duration hold = a.listed ? HOLD : Duration.ZERO;
         steps.add(new Ask(call, a.at, a.listed ? a.version : -1, hold));
-        wake(hold.plus(SILENCE), Due.SILENT, a, call);
+        Duration more = a.failures == 0 ? Duration.ZERO : pauses.after(a.failures);
+        wake(hold.plus(SILENCE).plus(more), Due.SILENT, a, call);
     }
 
     private void tell(Change change, boolean always) {
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -10,10 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
 import copperbeam.Api.ListKind;
 import copperbeam.Api.RequestClass;
 import copperbeam.Api.Settings;
+import copperbeam.membership.Pauses;
 import copperbeam.plugins.WasmHook;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
@@ -241,6 +243,19 @@
         return names;
     }
 
+    /**
+     * Between failed calls to discovery. Where it is one service for all, its own answer says that it has more to do
+     * than it can: asked again after half a second at first, and no later than the rule allows to be without word.
+     * Where an agent tells the list unasked, asking costs nothing.
+     */
+    Pauses discoveryPauses() {
+        Duration soon = Duration.ofMillis(100); // below the 200 ms after which a watch is new
+        Duration first = settings.listMustBeAsked() ? soon.multipliedBy(5) : soon;
+        double within = settings.rules().askWithinS();
+        Duration longest = within > 0 ? ModuleTime.span(within) : Duration.ofSeconds(5);
+        return new Pauses(first, settings.listMustBeAsked() ? longest : first, new SplittableRandom(seed));
+    }
+
     public Set<String> classNames() {
         return classNames(settings);
     }
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -84,7 +84,8 @@
         }
         HttpClient client = new PlainHttpClient(reactor);
         Config.Etcd etcd = config.operator().etcd();
-        discovery = etcd == null ? new DiscoveryWatch(turns, client, clock, config.discovery()) : null;
+        discovery = etcd == null ? new DiscoveryWatch(turns, client, clock, config.discovery(),
+                config.discoveryPauses()) : null;
         source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             list.tell(change);
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
+import copperbeam.membership.Pauses;
 import copperbeam.membership.WatchPlan;
 import copperbeam.protocol.HttpClient;
 import copperbeam.routing.Actor;
@@ -30,13 +31,14 @@
     private record Stop() implements Message {}
 
     private final class Watcher extends Actor<Message> {
-        private final WatchPlan plan = new WatchPlan();
+        private final WatchPlan plan;
         private final Map<Integer, Runnable> out = new HashMap<>();
         private Sink sink;
         private boolean stopped;
 
-        Watcher(ScheduledExecutorService turns) {
+        Watcher(ScheduledExecutorService turns, Pauses pauses) {
             super(turns);
+            plan = new WatchPlan(pauses);
         }
 
         @Override
@@ -101,11 +103,12 @@
     private final InetSocketAddress agent;
     private final Watcher watcher;
 
-    public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, Clock clock, InetSocketAddress agent) {
+    public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, Clock clock, InetSocketAddress agent,
+            Pauses pauses) {
         this.client = client;
         this.clock = clock;
         this.agent = agent;
-        watcher = new Watcher(turns);
+        watcher = new Watcher(turns, pauses);
     }
 
     @Override
