--- a/src/main/java/copperbeam/program/Reload.java
+++ b/src/main/java/copperbeam/program/Reload.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executors;
 import java.util.logging.Logger;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** What SIGHUP asks for: the configuration is read anew while requests go on. */
 final class Reload {
@@ -27,7 +28,11 @@
             thread.setDaemon(true);
             return thread;
         });
-        Signal.handle(new Signal("HUP"), signal -> one.execute(() -> reload(source, running.join())));
+        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> one.execute(() -> reload(source, running.join())));
+        if (before == SignalHandler.SIG_IGN) {
+            // the JVM leaves alone what its parent ignores, and says nothing of it
+            LOG.warning("SIGHUP is ignored by whoever started this, as nohup does: no configuration will be read anew");
+        }
     }
 
     /** A faulty file changes nothing. */
--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -25,9 +25,14 @@
 
     /** {@code more}: of the command line, options of the JVM and of {@code serve}. */
     Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more) throws IOException {
+        this(discovery, sockets, memoryMb, more, ":");
+    }
+
+    /** {@code shell}: run by the shell before the conductor takes its place. */
+    Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more, String shell) throws IOException {
         this.limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
         configure(discovery.host());
-        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + sockets + " && exec \"$0\" \"$@\"",
+        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + sockets + " && " + shell + " && exec \"$0\" \"$@\"",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m"));
         more.stream().filter(o -> o.startsWith("-X")).forEach(command::add);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve"));
--- a/src/test/java/copperbeam/sockets/ReloadTest.java
+++ b/src/test/java/copperbeam/sockets/ReloadTest.java
@@ -6,11 +6,24 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.Test;
 
 /** Signals to the program itself, in a process of its own. */
 public class ReloadTest {
+    /** The JVM takes no signal that its parent ignores: said at the start, before operators rely on it. */
+    @Test
+    public void anIgnoredHangupIsToldAtTheStart() throws Exception {
+        for (String shell : List.of(":", "trap '' HUP")) {
+            try (StandIn server = new StandIn(Site::read); StandIn discovery = Conductor.discovery(server, server);
+                    Conductor conductor = new Conductor(discovery, 1024, 192, List.of(), shell)) {
+                await("healthy", conductor::healthy);
+                assertEquals(conductor.logged("SIGHUP is ignored"), !shell.equals(":"), shell);
+            }
+        }
+    }
+
     /** Guards against the JVM's end on SIGHUP, and against a list that goes on coming from the old address. */
     @Test
     public void aHangupMovesDiscoveryAndDisturbsNothing() throws Exception {
