--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -10,10 +10,11 @@
 import copperbeam.routing.MembershipSource.Entry;
 
 /**
- * Which calls a watch on the list has out: the whole list once, then one watch after another, each at once after
- * the last answer. A call that is silent beyond what it may take is asked beside itself on a new connection, so
- * that no single connection can hide a drain. After failures it asks again by {@link Pauses}. During a move the old address is listened to until the new one has
- * given its list and {@link #OVERLAP} more has passed: an answer on its way there is told, whoever reads it.
+ * Which calls a watch on the list has out: the whole list once, unless one is known from before, then one watch after
+ * another, each at once after the last answer. A call that is silent beyond what it may take is asked beside itself on
+ * a new connection, so that no single connection can hide a drain. After failures it asks again by {@link Pauses}.
+ * During a move the old address is listened to until the new one has given its list and {@link #OVERLAP} more has
+ * passed: an answer on its way there is told, whoever reads it.
  *
  * <p>Bounded: {@link #MOST_CALLS} calls an address, {@link #MOST_OLD} addresses beside the current one.
  */
@@ -75,7 +76,20 @@
         this.pauses = pauses;
     }
 
-    /** Begins, or goes on at another address. */
+    /**
+     * Begins with a list from before, of which it asks what has changed since. Guards against whole lists asked for by
+     * all that start at once: where discovery works for each line, most of them wait for many seconds.
+     */
+    public List<Step> begin(InetSocketAddress at, Listing known, Instant now) {
+        current = new Address(at, ++tellers);
+        current.listed = true;
+        current.version = known.version();
+        book.whole(current.teller, known.entries(), now);
+        ask(current);
+        return done();
+    }
+
+    /** Begins with nothing, or goes on at another address. */
     public List<Step> move(InetSocketAddress to) {
         if (current != null && current.at.equals(to)) {
             return done();
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -16,6 +16,7 @@
 import copperbeam.Api.RequestClass;
 import copperbeam.Api.Settings;
 import copperbeam.membership.Pauses;
+import copperbeam.membership.WatchPlan;
 import copperbeam.plugins.WasmHook;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
@@ -243,6 +244,15 @@
         return names;
     }
 
+    /**
+     * The list that discovery goes on from, where it must be asked for and is one service, with one count of versions;
+     * an agent's whole list costs nothing, and its count may be its own. Null where there is none.
+     */
+    WatchPlan.Listing knownListing() {
+        return known == null || known.entries().isEmpty() || !settings.listMustBeAsked() ? null
+                : new WatchPlan.Listing(known.version(), true, known.entries());
+    }
+
     /**
      * Between failed calls to discovery. Where it is one service for all, its own answer says that it has more to do
      * than it can: asked again after half a second at first, and no later than the rule allows to be without word.
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -81,11 +81,12 @@
         ClientRoom room = new ClientRoom(config.limits().clients(), config.limits().bodies());
         if (config.known() != null) {
             list.tell(config.known().change(ListKind.CACHED));
+            listed.set(config.operator().etcd() == null && config.knownListing() != null);
         }
         HttpClient client = new PlainHttpClient(reactor);
         Config.Etcd etcd = config.operator().etcd();
         discovery = etcd == null ? new DiscoveryWatch(turns, client, clock, config.discovery(),
-                config.discoveryPauses()) : null;
+                config.knownListing(), config.discoveryPauses()) : null;
         source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             list.tell(change);
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -49,7 +49,8 @@
             if (m instanceof Move e) {
                 sink = e.sink() == null ? sink : e.sink();
                 LOG.fine(() -> "discovery: to " + e.agent());
-                take(plan.move(e.agent()));
+                take(e.sink() == null || known == null ? plan.move(e.agent())
+                        : plan.begin(e.agent(), known, clock.instant()));
             } else if (m instanceof Answered e && out.remove(e.call()) != null) {
                 take(answered(e));
             } else if (m instanceof Woken e) {
@@ -101,10 +102,13 @@
     private final HttpClient client;
     private final Clock clock;
     private final InetSocketAddress agent;
+    private final WatchPlan.Listing known;
     private final Watcher watcher;
 
+    /** {@code known}: a list of the same discovery's from before, or null. */
     public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, Clock clock, InetSocketAddress agent,
-            Pauses pauses) {
+            WatchPlan.Listing known, Pauses pauses) {
+        this.known = known;
         this.client = client;
         this.clock = clock;
         this.agent = agent;
--- a/src/test/java/copperbeam/membership/WatchPlanTest.java
+++ b/src/test/java/copperbeam/membership/WatchPlanTest.java
@@ -260,6 +260,22 @@
         assertTrue(between(w.wakes.get(0).after(), Duration.ofMillis(500)));
     }
 
+    /** No whole list at a start where one is known, unless discovery no longer takes its version. */
+    @Test
+    public void aStartAsksOnlyForWhatTheKnownListLacks() {
+        WatchPlan plan = new WatchPlan(SHORT);
+        List<Step> steps = plan.begin(AT[0], new Listing(10, true, entries(LISTS[0])), Instant.EPOCH);
+        Ask ask = (Ask) steps.get(0);
+        assertEquals(List.of(ask.from(), ask.hold()), List.of(10L, WatchPlan.HOLD));
+        List<Step> more = plan.answered(ask.call(), new Listing(11, false, entries("a-0")), Instant.EPOCH);
+        assertEquals(((Tell) more.stream().filter(Tell.class::isInstance).findFirst().orElseThrow()).change().entries(),
+                entries("a-0"));
+        Ask next = (Ask) more.stream().filter(Ask.class::isInstance).findFirst().orElseThrow();
+        assertEquals(next.from(), 11);
+        Wake wake = (Wake) plan.failed(next.call(), true).get(0);
+        assertTrue(((Ask) plan.woken(wake.token(), Instant.EPOCH).get(0)).from() < 0, "the version is not taken");
+    }
+
     /** Fourteen that begin together, each with a call of 0.5 s of work: all are served, where no pause grew none was. */
     @Test
     public void aServiceOverrunByAFleetRecovers() {
