--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -48,6 +48,16 @@
         assertEquals(read(GOOD, null, Map.of()).operator().chat(), null);
     }
 
+    /** Only a discovery that must be asked, one service with one count of versions, is asked for what the list lacks. */
+    @Test
+    public void theKnownListIsGoneOnFromOnlyWhereTheListMustBeAsked() throws Exception {
+        String asked = GOOD.replace("\"balancers\"", "\"discovery\":\"subscribe\",\"balancers\"");
+        assertEquals(read(asked, null, Map.of()).knownListing().version(), 41);
+        assertEquals(read(GOOD, null, Map.of()).knownListing(), null);
+        String empty = asked.replaceFirst("\"servers\":\\[.*?\\]", "\"servers\":[]");
+        assertEquals(read(empty, null, Map.of()).knownListing(), null);
+    }
+
     /** Figures of rules, prices and reports that are not told have defaults with which the module can choose. */
     @Test
     public void whatIsNotToldStopsNoChoice() throws Exception {
