--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -120,6 +120,12 @@
         return servers.size() + requests.size();
     }
 
+    /** Servers listed that are not sent to now: draining, left out by hand, or resting. */
+    public int avoided() {
+        return (int) servers.values().stream().filter(s -> s.listed != null
+                && s.listed.state() != ServerState.GONE && (s.resting || !ready(s))).count();
+    }
+
     /** Takes one event; the actions to carry out, in order. */
     public List<Action> on(double clock, Event event) {
         now = clock;
--- /dev/null
+++ b/src/main/java/copperbeam/operation/Desk.java
@@ -0,0 +1,116 @@
+package copperbeam.operation;
+
+import copperbeam.routing.Figures;
+import copperbeam.routing.Figures.End;
+import copperbeam.transport.LineDoor;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ExecutorService;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+
+/**
+ * The words of the operators' door. A call that only asks is answered on the door's thread from what others have
+ * published; one that changes something is yes once its owner has acted.
+ */
+public final class Desk implements LineDoor.Desk {
+    /** What calls change; each answers once it holds. */
+    public interface Hands {
+        /** Nobody should come here any more; false where a stop is under way. */
+        void drain(Consumer<Boolean> done);
+
+        void rejoin(Consumer<Boolean> done);
+    }
+
+    private static final Logger LOG = Logger.getLogger(Desk.class.getName());
+    private static final String YES = "ACK\n";
+
+    private final Figures figures;
+    private final BooleanSupplier serves;
+    private final Hands hands;
+    private final BanActor bans;
+    private final ExecutorService one;
+    private final Set<String> out = new TreeSet<>(); // on the thread of {@code one} alone
+
+    /** {@code one}: one thread, on which calls that change something follow each other. */
+    public Desk(Figures figures, BooleanSupplier serves, Hands hands, BanActor bans, ExecutorService one) {
+        this.figures = figures;
+        this.serves = serves;
+        this.hands = hands;
+        this.bans = bans;
+        this.one = one;
+    }
+
+    @Override
+    public void call(String line, Consumer<String> reply) {
+        String[] words = line.split("\\s+", -1);
+        String server = words.length == 2 ? words[1] : null;
+        switch (words[0] + (server == null ? "" : " ID") + (words.length > 2 ? " more" : "")) {
+            case "PING" -> reply.accept(serves.getAsBoolean() ? YES : no("not ready"));
+            case "INFO" -> reply.accept(YES + lines(figures) + "--\n");
+            case "DETACH ID" -> one.execute(() -> detach(server, reply));
+            case "ATTACH ID" -> one.execute(() -> attach(server, reply));
+            case "LAMEDUCK" -> hands.drain(done -> said(line, done, reply));
+            case "REJOIN" -> hands.rejoin(done -> said(line, done, reply));
+            default -> reply.accept(no("no such call"));
+        }
+    }
+
+    private void detach(String server, Consumer<String> reply) {
+        bans.tell(new BanActor.Listed(server, listed -> one.execute(() -> {
+            if (!listed && !out.contains(server)) {
+                reply.accept(no("no such server"));
+            } else {
+                out.add(server);
+                tell("DETACH " + server, reply);
+            }
+        })));
+    }
+
+    private void attach(String server, Consumer<String> reply) {
+        bans.tell(new BanActor.Listed(server, listed -> one.execute(() -> {
+            if (!out.remove(server) && !listed) {
+                reply.accept(no("no such server"));
+            } else {
+                tell("ATTACH " + server, reply);
+            }
+        })));
+    }
+
+    private void tell(String call, Consumer<String> reply) {
+        bans.tell(new BanActor.Out(Set.copyOf(out), () -> said(call, true, reply)));
+    }
+
+    private static void said(String call, boolean done, Consumer<String> reply) {
+        LOG.info("operators: " + call + (done ? "" : ": not while stopping"));
+        reply.accept(done ? YES : no("stopping"));
+    }
+
+    private static String no(String why) {
+        return "NAK " + why + "\n";
+    }
+
+    /** {@code app.NAME:VALUE|c} for counts since the start, {@code |g} for what is now. */
+    static String lines(Figures figures) {
+        StringBuilder text = new StringBuilder();
+        long sends = 0;
+        for (String c : figures.classes()) {
+            String name = "transactions." + c + ".";
+            line(text, name + "answered", figures.count(End.ANSWERED, c), 'c');
+            line(text, name + "deferred", figures.count(End.DEFERRED, c), 'c');
+            line(text, name + "errored", figures.count(End.ERRORED, c), 'c');
+            line(text, name + "sends", figures.sends(c), 'c');
+            sends += figures.sends(c);
+        }
+        line(text, "sends", sends, 'c');
+        line(text, "current", figures.current(), 'g');
+        line(text, "cluster_size", figures.cluster().size(), 'g');
+        line(text, "cluster_unhealthy", figures.cluster().avoided(), 'g');
+        return text.toString();
+    }
+
+    private static void line(StringBuilder text, String name, long value, char kind) {
+        text.append("app.").append(name).append(':').append(value).append('|').append(kind).append('\n');
+    }
+}
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -30,10 +30,11 @@
  * All that the program is told at its start. Here and nowhere else it is read, checked and given defaults.
  *
  * @param discovery null only where the operator's file names another source of the list
+ * @param control where operators call, or null: then there is no such door
  * @param known the list as it was last had, or null
  * @param operator what the operator's file adds; nothing of it on the platform
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress control, InetSocketAddress discovery, long seed,
         Settings settings, ServerList known, Duration connectTimeout, Duration connectionIdle, Limits limits,
         Operator operator) {
 
@@ -99,6 +100,7 @@
         Section file = Section.file("GW_CONFIG", path);
         override(file, "name", environment.get("GW_NAME"));
         override(file, "listen", environment.get("GW_LISTEN"));
+        override(file, "control", environment.get("GW_CONTROL"));
         if (!again || !file.has("discovery")) {
             override(file, "discovery", environment.get("GW_DISCOVERY"));
         }
@@ -108,7 +110,7 @@
         Operator operator = operatorFile == null ? Operator.NONE
                 : operator(Section.file("--operator", operatorFile), Path.of(operatorFile), settings);
         String name = file.text("name", "conductor");
-        return new Config(name, file.address("listen"),
+        return new Config(name, file.address("listen"), file.has("control") ? file.address("control") : null,
                 operator.etcd() == null ? file.address("discovery") : null, seed(file, name), settings,
                 known(file), limits.span("connect_timeout_s", 0.25), limits.span("conn_idle_s", 30), limits(file),
                 operator);
--- /dev/null
+++ b/src/main/java/copperbeam/program/DutyActor.java
@@ -0,0 +1,160 @@
+package copperbeam.program;
+
+import copperbeam.lifecycle.Lifecycle;
+import copperbeam.lifecycle.Lifecycle.Step;
+import copperbeam.operation.Desk;
+import copperbeam.routing.Actor;
+import copperbeam.routing.ModuleActor;
+import copperbeam.routing.ReleaseActor;
+import copperbeam.transport.HttpFrontServer;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** Owns the conductor's {@link Lifecycle} and carries its steps out: drains by hand and the stop. */
+final class DutyActor extends Actor<DutyActor.Message> implements Desk.Hands {
+    sealed interface Message permits Drain, Rejoin, Stop, Quiet, Tick {}
+
+    private record Drain(Consumer<Boolean> done) implements Message {}
+
+    private record Rejoin(Consumer<Boolean> done) implements Message {}
+
+    private record Stop(boolean successor) implements Message {}
+
+    /** No request was open at some moment since this was asked for, and nothing was left to let go. */
+    private record Quiet() implements Message {}
+
+    private record Tick() implements Message {}
+
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(60);
+
+    private final Clock clock;
+    private final Instant from;
+    private final Lifecycle lifecycle;
+    private final List<HttpFrontServer> fronts;
+    private final ModuleActor module;
+    private final ReleaseActor releases;
+    private final BooleanSupplier othersAway;
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private Step step = Step.WORK;
+    private Instant stopAt;
+    private boolean ticking;
+    private boolean asked;           // for quiet
+    private boolean quiet;
+    private volatile boolean healthy = true;
+    private volatile boolean stopping;
+
+    DutyActor(ScheduledExecutorService turns, Clock clock, Lifecycle lifecycle, List<HttpFrontServer> fronts,
+            ModuleActor module, ReleaseActor releases, BooleanSupplier othersAway) {
+        super(turns);
+        this.clock = clock;
+        from = clock.instant();
+        this.lifecycle = lifecycle;
+        this.fronts = fronts;
+        this.module = module;
+        this.releases = releases;
+        this.othersAway = othersAway;
+    }
+
+    /** Neither drained by hand nor stopping; from any thread. */
+    boolean healthy() {
+        return healthy;
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    @Override
+    public void drain(Consumer<Boolean> done) {
+        tell(new Drain(done));
+    }
+
+    @Override
+    public void rejoin(Consumer<Boolean> done) {
+        tell(new Rejoin(done));
+    }
+
+    /** The returned ends when the process may; asked again it is the same. */
+    CompletableFuture<Void> stop(boolean successor) {
+        stopping = true;
+        healthy &= successor; // at once, however long the mailboxes are
+        tell(new Stop(successor));
+        return ended;
+    }
+
+    @Override
+    protected void receive(Message m) {
+        Duration now = Duration.between(from, clock.instant());
+        if (m instanceof Drain e) {
+            boolean done = lifecycle.drain(now);
+            carryOut();
+            e.done().accept(done);
+        } else if (m instanceof Rejoin e) {
+            boolean done = lifecycle.rejoin();
+            carryOut();
+            e.done().accept(done);
+        } else if (m instanceof Stop e) {
+            stopAt = stopAt == null ? clock.instant() : stopAt;
+            lifecycle.stop(now, e.successor());
+            carryOut();
+        } else if (m instanceof Quiet) {
+            quiet = true;
+        } else if (m instanceof Tick) {
+            ticking = false;
+            carryOut();
+        }
+    }
+
+    private void carryOut() {
+        if (ended.isDone()) {
+            return;
+        }
+        // a request may come as the last one ends, so that quiet is asked for anew while anything is open
+        boolean open = !quiet || fronts.stream().anyMatch(HttpFrontServer::busy);
+        Step next = lifecycle.at(Duration.between(from, clock.instant()), open, othersAway.getAsBoolean());
+        if (stopAt != null && Duration.between(stopAt, clock.instant()).compareTo(LONGEST_STOP) > 0) {
+            next = Step.END;
+        }
+        healthy = lifecycle.healthy();
+        boolean leads = next.compareTo(Step.LEAD_AWAY) >= 0;
+        fronts.forEach(f -> f.drain(lifecycle.stopping() || !healthy));
+        fronts.forEach(f -> f.leadAway(leads));
+        if (!lifecycle.listens()) {
+            fronts.forEach(HttpFrontServer::stopListening);
+        }
+        for (Step s : Step.values()) {
+            if (s.compareTo(step) > 0 && s.compareTo(next) <= 0) {
+                if (s == Step.ANSWER) {
+                    module.tell(new ModuleActor.HandOver());
+                } else if (s == Step.CUT) {
+                    module.tell(new ModuleActor.Cut());
+                }
+            }
+        }
+        step = next;
+        if (step == Step.END) {
+            ended.complete(null);
+        } else if (step != Step.WORK) {
+            watch();
+        }
+    }
+
+    private void watch() {
+        if (lifecycle.stopping() && (quiet || !asked)) {
+            asked = true;
+            quiet = false;
+            module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(() -> tell(new Quiet())))));
+        }
+        if (!ticking) {
+            ticking = true;
+            tellLater(TICK, new Tick());
+        }
+    }
+}
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -8,17 +8,21 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import copperbeam.Api.ListKind;
-import copperbeam.lifecycle.StopPlan;
+import copperbeam.lifecycle.Lifecycle;
+import copperbeam.operation.BanActor;
+import copperbeam.operation.Desk;
 import copperbeam.protocol.HttpClient;
 import copperbeam.protocol.discovery.DiscoveryWatch;
 import copperbeam.protocol.etcd.EtcdMembership;
 import copperbeam.protocol.openai.OpenAiFront;
 import copperbeam.protocol.platform.PlatformFront;
 import copperbeam.record.FileRecorder;
+import copperbeam.routing.Figures;
 import copperbeam.routing.HookActor;
 import copperbeam.routing.Intake;
 import copperbeam.routing.ListActor;
@@ -31,6 +35,7 @@
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ClientRoom;
 import copperbeam.transport.HttpFrontServer;
+import copperbeam.transport.LineDoor;
 import copperbeam.transport.PlainHttpClient;
 import copperbeam.transport.ServerConnector;
 
@@ -38,7 +43,6 @@
 public final class Node implements AutoCloseable {
     private static final double IDLE_SHARE = 0.5; // of the servers' limit for which we keep idle connections
     private static final int AWAY = 3; // rests of broken streams asked for lately, from which others must have stopped
-    private static final Duration LONGEST_STOP = Duration.ofSeconds(60);
 
     private final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1,
             task -> new Thread(task, "actors"));
@@ -50,14 +54,15 @@
     private final HttpFrontServer server;
     private final AtomicBoolean listed = new AtomicBoolean();
     private final CountDownLatch warm = new CountDownLatch(1);
-    private final AtomicBoolean stopping = new AtomicBoolean();
     private final InetSocketAddress address;
-    private final StopPlan stopPlan;
+    private final DutyActor duty;
     private final Rests rests;
     private final FileRecorder fileRecorder; // null where nothing is recorded
     private ScheduledThreadPoolExecutor hookTurns;
     private HttpFrontServer chat;
     private InetSocketAddress chatAddress;
+    private LineDoor door;             // null where operators have none
+    private ScheduledThreadPoolExecutor operators;
 
     public Node(Config config) throws IOException, InterruptedException {
         this(config, null, 0);
@@ -66,21 +71,24 @@
     /** {@code record} null: nothing is recorded. */
     Node(Config config, Path record, int recordBytes) throws IOException, InterruptedException {
         turns.setRemoveOnCancelPolicy(true);
-        stopPlan = new StopPlan(config.operator().stopWithin(), config.settings().streamsResume());
         Clock clock = ModuleTime.steadyClock();
         fileRecorder = record == null ? null : new FileRecorder(turns, clock, config.name(), record, recordBytes);
         Recorder recorder = record == null ? Recorder.NONE : fileRecorder;
         Duration releaseWithin = ModuleTime.span(Math.max(0.2, config.settings().rules().releaseS()));
+        Figures figures = new Figures(config.classNames());
         releases = new ReleaseActor(turns, clock, releaseWithin.multipliedBy(2));
-        module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases, recorder);
+        module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases, recorder, figures);
         PeerActor.Setup setup = new PeerActor.Setup(clock, new ServerConnector(reactor), config.connectTimeout(),
                 Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
-                config.connectTimeout(), module, releases, recorder);
+                config.connectTimeout(), module, releases, recorder, figures);
         ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
                 config.limits().idle());
+        BanActor bans = config.control() == null ? null : new BanActor(turns, clock, list);
+        MembershipSource.Sink told = bans == null ? change -> list.tell(new ListActor.Told(change, null))
+                : change -> bans.tell(new BanActor.Told(change));
         ClientRoom room = new ClientRoom(config.limits().clients(), config.limits().bodies());
         if (config.known() != null) {
-            list.tell(config.known().change(ListKind.CACHED));
+            told.changed(config.known().change(ListKind.CACHED));
             listed.set(config.operator().etcd() == null && config.knownListing() != null);
         }
         HttpClient client = new PlainHttpClient(reactor);
@@ -89,7 +97,7 @@
                 config.knownListing(), config.discoveryPauses()) : null;
         source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
-            list.tell(change);
+            told.changed(change);
             listed.set(true);
         });
         rests = new Rests(module, clock);
@@ -98,13 +106,23 @@
             hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
             intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), rests);
         }
-        server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock,
-                room);
-        address = server.listen(config.listen());
+        HttpFrontServer.TurnedAway turnedAway = (requestClass, status) -> figures.turnedAway(requestClass,
+                status == 503 ? Figures.End.DEFERRED : Figures.End.ERRORED);
+        server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock, room, turnedAway);
         if (config.operator().chat() != null) {
             chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), intake, this::healthy,
-                    clock.instant()), clock, room);
-            chatAddress = chat.listen(config.operator().chatListen());
+                    clock.instant()), clock, room, turnedAway);
+        }
+        duty = new DutyActor(turns, clock, new Lifecycle(config.operator().stopWithin(),
+                config.settings().streamsResume()), servers(), module, releases, () -> rests.lately() >= AWAY);
+        address = server.listen(config.listen(), config.control() != null);
+        if (chat != null) {
+            chatAddress = chat.listen(config.operator().chatListen(), false);
+        }
+        if (config.control() != null) {
+            operators = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "operators"));
+            module.tell(new ModuleActor.Census());
+            door = new LineDoor(config.control(), clock, new Desk(figures, this::serves, duty, bans, operators));
         }
         WarmUp.start(config.settings(), client, address, warm::countDown);
         if (config.known() != null) {
@@ -127,6 +145,11 @@
         return chatAddress;
     }
 
+    /** Where operators call; null where there is no door. */
+    public InetSocketAddress door() {
+        return door == null ? null : door.address();
+    }
+
     /** Takes over what may change while requests are open; the rest of a new configuration waits for a start. */
     public void reload(Config config) {
         if (discovery != null && config.discovery() != null) {
@@ -144,52 +167,23 @@
     }
 
     private boolean healthy() {
-        return listed.get() && warm.getCount() == 0 && !stopping.get();
+        return listed.get() && warm.getCount() == 0 && duty.healthy();
     }
 
-    /** Answers what was taken and what still comes, as a {@link StopPlan} has it, lets go of what is held, and returns. */
-    public void stop() throws InterruptedException {
-        if (!stopping.compareAndSet(false, true)) {
-            return;
-        }
-        long from = System.nanoTime();
-        servers().forEach(HttpFrontServer::drain);
-        CountDownLatch quiet = quiet();
-        StopPlan.Step step = StopPlan.Step.SERVE;
-        for (long since = 0; step != StopPlan.Step.END && since < LONGEST_STOP.toNanos();) {
-            // a request may come as the last one ends, so that quiet is asked for anew while anything is open
-            boolean open = !quiet.await(20, TimeUnit.MILLISECONDS) || servers().stream().anyMatch(HttpFrontServer::busy);
-            since = System.nanoTime() - from;
-            StopPlan.Step next = stopPlan.at(Duration.ofNanos(since), open, rests.lately() >= AWAY);
-            for (StopPlan.Step s : StopPlan.Step.values()) {
-                if (s.compareTo(step) > 0 && s.compareTo(next) <= 0) {
-                    carryOut(s);
-                }
-            }
-            if (next != StopPlan.Step.SERVE) {
-                servers().forEach(HttpFrontServer::closeIdle);
-            }
-            step = next;
-            quiet = quiet.getCount() == 0 ? quiet() : quiet;
-        }
+    /** Whether requests would be served, whoever is told to come. */
+    private boolean serves() {
+        return listed.get() && warm.getCount() == 0 && !duty.stopping();
     }
 
-    private void carryOut(StopPlan.Step step) {
-        if (step == StopPlan.Step.ANSWER) {
-            servers().forEach(HttpFrontServer::stopListening);
-            module.tell(new ModuleActor.HandOver());
-        } else if (step == StopPlan.Step.CUT) {
-            module.tell(new ModuleActor.Cut());
+    /** Answers what was taken and what still comes, as a {@link Lifecycle} has it, lets go of what is held, and returns. */
+    public void stop() throws InterruptedException {
+        try {
+            duty.stop(false).get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e); // nothing completes it so
         }
     }
 
-    /** Counted down once no request is open and nothing is left to let go. */
-    private CountDownLatch quiet() {
-        CountDownLatch quiet = new CountDownLatch(1);
-        module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(quiet::countDown))));
-        return quiet;
-    }
-
     @Override
     public void close() throws IOException {
         source.stop();
@@ -198,6 +192,10 @@
         if (hookTurns != null) {
             hookTurns.shutdownNow();
         }
+        if (door != null) {
+            door.close();
+            operators.shutdownNow();
+        }
         turns.shutdownNow();
     }
 }
--- a/src/main/java/copperbeam/routing/Actor.java
+++ b/src/main/java/copperbeam/routing/Actor.java
@@ -21,6 +21,7 @@
     private static final int TURN = 32; // messages until other actors have their turn
 
     private final ConcurrentLinkedQueue<M> mailbox = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<M> urgent = new ConcurrentLinkedQueue<>();
     private final AtomicInteger waiting = new AtomicInteger();
     private final ScheduledExecutorService turns;
 
@@ -30,7 +31,19 @@
 
     /** From any thread. */
     public final void tell(M message) {
-        mailbox.add(message);
+        add(mailbox, message);
+    }
+
+    /**
+     * The same, ahead of all that waits and was not told so. Guards against word that must be acted on within a time,
+     * such as a drain, and would wait behind a crowd's requests.
+     */
+    public final void tellFirst(M message) {
+        add(urgent, message);
+    }
+
+    private void add(ConcurrentLinkedQueue<M> queue, M message) {
+        queue.add(message);
         if (waiting.getAndIncrement() == 0) {
             turn(turns);
         }
@@ -57,7 +70,8 @@
     private void run() {
         int done = 0;
         for (; done < TURN; done++) {
-            M message = mailbox.poll();
+            M message = urgent.poll();
+            message = message == null ? mailbox.poll() : message;
             if (message == null) {
                 break;
             }
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -52,6 +52,9 @@
 
     /** Called by the transport, in order; the last is {@code end} or {@code broken}. */
     interface Listener {
+        /** The request's last byte was handed to the connection. */
+        void sent();
+
         /** Of a held call only the last byte is left. */
         void held();
 
--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -17,7 +17,10 @@
  * Owns the list of servers and one {@link PeerActor} for each of them. One that has left is forgotten here: what
  * is still out there has its peer by itself. Guards against a day on which servers come under ever new ids.
  */
-public final class ListActor extends Actor<MembershipSource.Change> {
+public final class ListActor extends Actor<ListActor.Told> {
+    /** {@code acted} runs once the module has it; may be null. */
+    public record Told(MembershipSource.Change change, Runnable acted) {}
+
     private static final int MOST_IDLE = 16; // connections to one server
 
     private final Map<String, PeerActor> peers = new HashMap<>();
@@ -37,7 +40,8 @@
     }
 
     @Override
-    protected void receive(MembershipSource.Change change) {
+    protected void receive(Told told) {
+        MembershipSource.Change change = told.change();
         boolean whole = change.kind() == ListKind.FULL || change.kind() == ListKind.CACHED;
         Set<String> left = whole ? new HashSet<>(peers.keySet()) : new HashSet<>();
         List<copperbeam.Api.Member> members = new ArrayList<>();
@@ -60,7 +64,7 @@
         }
         share();
         Map<String, PeerActor> known = Map.copyOf(peers);
-        module.tell(new ModuleActor.Listed(change.kind(), members, known));
+        module.tellFirst(new ModuleActor.Listed(change.kind(), members, known, told.acted()));
         releases.tell(new ReleaseActor.Listed(known));
     }
 
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -24,9 +24,10 @@
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
     public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
-            Drain, HandOver, Cut {}
+            Drain, HandOver, Cut, Census {}
 
-    public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers)
+    /** {@code acted} runs once the module has it; may be null. */
+    public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers, Runnable acted)
             implements Message {}
 
     public record Arrive(Ask ask, Answer answer) implements Message {}
@@ -52,6 +53,9 @@
     /** The process ends: streams end too, so that their clients go on elsewhere. */
     public record Cut() implements Message {}
 
+    /** Counts the servers for {@link Figures}, and again each {@link #CENSUS}. */
+    public record Census() implements Message {}
+
     private record Fired(String tag) implements Message {}
 
     private record Pinned(long request, int attempts) implements Message {}
@@ -80,6 +84,7 @@
     }
 
     private static final Logger LOG = Logger.getLogger(ModuleActor.class.getName());
+    private static final Duration CENSUS = Duration.ofMillis(200); // figures may be half a second late
     private static final Duration LATE = Duration.ofMillis(100); // an answer's grace after its request's time
 
     private final Clock clock;
@@ -87,6 +92,7 @@
     private final Api.Settings settings;
     private final ReleaseActor releases;
     private final Recorder recorder;
+    private final Figures figures;
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Answer, Request> byAnswer = new IdentityHashMap<>();
     private final Set<String> ids = new HashSet<>();
@@ -98,8 +104,9 @@
     private Runnable idle;
 
     public ModuleActor(ScheduledExecutorService turns, Clock clock, Api.Settings settings, long seed,
-            ReleaseActor releases, Recorder recorder) {
+            ReleaseActor releases, Recorder recorder, Figures figures) {
         super(turns);
+        this.figures = figures;
         this.recorder = recorder;
         this.clock = clock;
         this.settings = settings;
@@ -133,6 +140,9 @@
             List.copyOf(requests.values()).forEach(this::handOver);
         } else if (m instanceof Cut) {
             List.copyOf(requests.values()).forEach(this::transfer);
+        } else if (m instanceof Census) {
+            figures.cluster(new Figures.Cluster(peers.size(), brain.avoided()));
+            tellLater(CENSUS, m);
         }
         if (idle != null && requests.isEmpty()) {
             idle.run();
@@ -173,12 +183,17 @@
         }
         roles.keySet().retainAll(peers.keySet());
         feed(new Api.Members(e.kind(), e.members()));
+        if (e.acted() != null) {
+            e.acted().run();
+        }
     }
 
     private void arrive(Arrive e) {
+        figures.taken();
         if (!ids.add(e.ask().id())) {
             // two requests of one id can't be told apart at servers, where each would let go of the other's state
             e.answer().fail(Answer.Failure.ID_IN_USE);
+            figures.ended(e.ask().requestClass(), Figures.End.ERRORED);
             return;
         }
         Request r = new Request(++keys, e.ask(), e.answer());
@@ -211,7 +226,7 @@
         }
         boolean streaming = r.phase == Phase.STREAMING;
         note(Recorder.What.LEFT, r, null, r.phase.name(), null);
-        over(r);
+        over(r, Figures.End.LEFT);
         feed(new Api.ClientLeft(r.key));
         if (streaming && r.out) {
             // nobody reads it: its connection is closed, which ends it at the server
@@ -249,7 +264,7 @@
         r.mayHold |= unsure;
         note(Recorder.What.ENDED, r, e.server(), e.outcome().name(), e.after());
         if (r.phase == Phase.STREAMING) {
-            r.phase = Phase.OVER;
+            over(r, e.outcome() == Outcome.OK ? Figures.End.ANSWERED : Figures.End.ERRORED);
             if (e.outcome() == Outcome.OK) {
                 note(Recorder.What.SERVED, r, null, null, null);
                 r.answer.end();
@@ -349,7 +364,7 @@
             if (clock.instant().isAfter(r.ask.deadline().plus(LATE))) {
                 note(Recorder.What.RULE, r, null, "a final answer after its time", null);
             }
-            over(r);
+            over(r, what == Recorder.What.REFUSED ? Figures.End.DEFERRED : Figures.End.ERRORED);
             answer.accept(r);
             closing.add(r);
         }
@@ -358,14 +373,16 @@
     private void transfer(Request r) {
         if (r != null && r.phase == Phase.STREAMING) {
             note(Recorder.What.BROKEN, r, null, "cut here", null);
-            over(r);
+            over(r, Figures.End.ERRORED);
             r.answer.broken();
             r.at.tell(new PeerActor.Stop(r.key, r.attempts - 1));
         }
     }
 
-    private void over(Request r) {
+    /** The one place where a request's end is counted. */
+    private void over(Request r, Figures.End end) {
         r.phase = Phase.OVER;
+        figures.ended(r.ask.requestClass(), end);
     }
 
     private void release(Request r) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -98,7 +98,7 @@
 
     /** What all peers share and none of them changes. */
     public record Setup(Clock clock, Connector connector, Duration connectTimeout, Duration idle,
-            Duration callTimeout, ModuleActor module, ReleaseActor releases, Recorder recorder) {}
+            Duration callTimeout, ModuleActor module, ReleaseActor releases, Recorder recorder, Figures figures) {}
 
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
 
@@ -263,6 +263,13 @@
             call = new Connector.ProbeCall();
         }
         connection.call(call, new Connector.Listener() {
+            @Override
+            public void sent() {
+                if (work.order instanceof Send s) {
+                    setup.figures().sent(s.ask().requestClass());
+                }
+            }
+
             @Override
             public void held() {
                 tellLater(HOLD, new Let(work, connection));
--- /dev/null
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -0,0 +1,166 @@
+package copperbeam.transport;
+
+import java.io.IOException;
+import java.lang.reflect.Constructor;
+import java.lang.reflect.Method;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.Selector;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+
+/**
+ * Takes connections at one address, on a thread of its own, and hands them to HttpCore's reactor. HttpCore's own
+ * listener can't share an address between processes, ends for good when one connection can't be taken, and closes
+ * with connections unread in the kernel's queue, which resets them; this one takes what is there before it closes.
+ */
+final class Acceptor {
+    private static final Logger LOG = Logger.getLogger(Acceptor.class.getName());
+    private static final int BACKLOG = 512;
+    private static final Duration TICK = Duration.ofMillis(200);
+    private static final Duration SOON = Duration.ofMillis(1); // for the taker to take some
+    private static final Duration AGAIN = Duration.ofMillis(20); // after a connection that could not be taken
+
+    private final ServerSocketChannel listener;
+    private final Selector selector;
+    private final InetSocketAddress address;
+    private final BooleanSupplier takes;
+    private final Consumer<SocketChannel> taker;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private volatile boolean closing;
+
+    /**
+     * {@code shared}: another process may listen at the same address beside this one; {@code takes}: whether the taker
+     * can take one more, else clients wait in the kernel's queue.
+     */
+    Acceptor(InetSocketAddress at, boolean shared, BooleanSupplier takes, Consumer<SocketChannel> taker)
+            throws IOException {
+        this.takes = takes;
+        this.taker = taker;
+        listener = ServerSocketChannel.open();
+        try {
+            listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (shared) {
+                listener.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            listener.bind(at, BACKLOG);
+            listener.configureBlocking(false);
+            address = (InetSocketAddress) listener.getLocalAddress();
+            selector = Selector.open();
+            listener.register(selector, SelectionKey.OP_ACCEPT);
+        } catch (IOException e) {
+            listener.close();
+            throw e;
+        }
+        Thread thread = new Thread(this::run, "accept");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** What the kernel has taken by now is still handed on; then the address is given up. */
+    void close() {
+        closing = true;
+        selector.wakeup();
+    }
+
+    /** Waits until the address is given up. */
+    void awaitEnd() throws InterruptedException {
+        ended.await();
+    }
+
+    private void run() {
+        boolean left = true;
+        int missed = 0;
+        while (!closing || left) {
+            try {
+                if (!closing) {
+                    selector.select(TICK.toMillis());
+                    selector.selectedKeys().clear();
+                }
+                left = take();
+                if (missed > 0 && !left) {
+                    LOG.warning("no connection could be taken, tried " + missed + " times");
+                    missed = 0;
+                }
+            } catch (IOException e) {
+                // no descriptor is left for a moment: clients wait in the kernel's queue, and nothing is said of it
+                // before one is free, as the log itself may want one
+                missed++;
+                pause(AGAIN);
+            }
+        }
+        try {
+            listener.close();
+            selector.close();
+        } catch (IOException e) {
+            LOG.fine(() -> "the listener's end: " + e);
+        }
+        ended.countDown();
+    }
+
+    /** Whether some may be left that could not be taken. */
+    private boolean take() throws IOException {
+        while (takes.getAsBoolean()) {
+            SocketChannel next = listener.accept();
+            if (next == null) {
+                return false;
+            }
+            taker.accept(next);
+        }
+        pause(SOON);
+        return true;
+    }
+
+    private void pause(Duration span) {
+        try {
+            Thread.sleep(span.toMillis());
+        } catch (InterruptedException e) {
+            closing = true;
+        }
+    }
+
+    /** The way into HttpCore's reactor for connections that it has not taken itself; HttpCore has no public one. */
+    static final class Entrance {
+        private static final Constructor<?> ENTRY;
+        private static final Method ENQUEUE;
+
+        static {
+            try {
+                Class<?> entry = Class.forName("org.apache.hc.core5.reactor.ChannelEntry");
+                ENTRY = entry.getDeclaredConstructor(SocketChannel.class, Object.class);
+                ENTRY.setAccessible(true);
+                ENQUEUE = DefaultListeningIOReactor.class.getDeclaredMethod("enqueueChannel", entry);
+                ENQUEUE.setAccessible(true);
+            } catch (ReflectiveOperationException e) {
+                throw new ExceptionInInitializerError(e);
+            }
+        }
+
+        private Entrance() {}
+
+        static void enter(DefaultListeningIOReactor reactor, SocketChannel channel) {
+            try {
+                channel.configureBlocking(false);
+                ENQUEUE.invoke(reactor, ENTRY.newInstance(channel, null));
+            } catch (ReflectiveOperationException | IOException e) {
+                LOG.warning("a connection could not be handed on: " + e);
+                try {
+                    channel.close();
+                } catch (IOException closed) {
+                    LOG.finest("it was closed");
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -56,6 +56,9 @@
     /** {@code mayHaveRun}: the last byte was handed to the connection. */
     abstract void broken(boolean mayHaveRun);
 
+    /** The last byte was handed to the connection. */
+    void sent() {}
+
     /** All but the last byte was handed to the connection. */
     void held() {}
 
@@ -116,6 +119,7 @@
         if (!body.hasRemaining()) {
             written = true;
             channel.endStream(null);
+            sent();
         } else if (kept == body.remaining() && !told) {
             told = true;
             held();
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -50,6 +50,11 @@
             return open.get() > 0;
         }
 
+        /** Idle for so long, or never heard though it has had the time to speak. */
+        boolean quiet(Instant now, Duration span) {
+            return heard ? idleSince.plus(span).isBefore(now) : connected.plus(SILENT).isBefore(now);
+        }
+
         int open() {
             return open.get();
         }
@@ -107,11 +112,6 @@
         bytes.addAndGet(-count);
     }
 
-    /** Closes what carries no request. */
-    void closeIdle() {
-        clients.stream().filter(c -> !c.busy()).forEach(c -> c.session.close(CloseMode.GRACEFUL));
-    }
-
     boolean busy() {
         return clients.stream().anyMatch(Client::busy);
     }
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -5,13 +5,14 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Logger;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
@@ -30,12 +31,10 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.io.Closer;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -48,9 +47,11 @@
     private static final Logger LOG = Logger.getLogger(HttpFrontServer.class.getName());
     private static final Duration REQUEST_TIME = Duration.ofMillis(2400); // from a request's first byte to its last
     private static final Duration SILENCE = Duration.ofMillis(2400); // of a connection that has never said a word
+    private static final Duration QUIET = Duration.ofMillis(50); // for which a client led away may have a request on its way
     private static final Duration FLUSH_TIME = Duration.ofSeconds(1); // for a last answer to leave
     private static final Duration TICK = Duration.ofMillis(200);
-    private static final Duration AGAIN = Duration.ofMillis(20); // between tries to listen again
+    private static final Duration AGAIN = Duration.ofMillis(20); // between tries to begin with another reactor
+    private static final int MOST_HANDED_ON = 32; // connections that the reactor has not looked at yet
     private static final int MOST_PIPELINED = 8; // requests open on one connection
     private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8 * 1024)
             .setMaxHeaderCount(100).build();
@@ -58,14 +59,23 @@
 
     private final ClientRoom room;
     private final Front front;
+    private final TurnedAway turnedAway;
     private final Clock clock;
+    private final AtomicInteger handedOn = new AtomicInteger();
     private final AtomicBoolean closing = new AtomicBoolean();
     private volatile DefaultListeningIOReactor reactor;
     private volatile boolean draining;
-    private volatile ListenerEndpoint endpoint;
+    private volatile boolean leading;
+    private volatile Acceptor acceptor; // null until it listens
 
-    public HttpFrontServer(Front front, Clock clock, ClientRoom room) {
+    /** Told of requests that are answered here, before a front sees them; the class is as its header says, or null. */
+    public interface TurnedAway {
+        void told(String requestClass, int status);
+    }
+
+    public HttpFrontServer(Front front, Clock clock, ClientRoom room, TurnedAway turnedAway) {
         this.front = front;
+        this.turnedAway = turnedAway;
         this.clock = clock;
         this.room = room;
         reactor = reactor();
@@ -73,11 +83,10 @@
 
     private DefaultListeningIOReactor reactor() {
         IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                .setSoReuseAddress(true).setSoTimeout(Timeout.of(TICK)).setBacklogSize(512)
-                .setSelectInterval(TimeValue.of(TICK)).build();
+                .setSoTimeout(Timeout.of(TICK)).setSelectInterval(TimeValue.of(TICK)).build();
         AtomicBoolean ended = new AtomicBoolean();
         DefaultListeningIOReactor next = new DefaultListeningIOReactor((session, attachment) -> handler(session),
-                config, task -> thread(task, "from-clients", ended), task -> thread(task, "accept", ended), null,
+                config, task -> thread(task, "from-clients", ended), task -> thread(task, "unused", ended), null,
                 Problems::report, null, null);
         next.start();
         return next;
@@ -88,30 +97,25 @@
         return new Thread(() -> {
             task.run();
             if (!closing.get() && ended.compareAndSet(false, true)) {
-                listenAgain();
+                takeOver();
             }
         }, name);
     }
 
-    /** Guards against HttpCore's end of listening for good when a connection can't be accepted. */
-    private void listenAgain() {
-        LOG.warning("listening ended and begins anew");
-        ListenerEndpoint old = endpoint;
-        Closer.closeQuietly(old);
+    /** Guards against a reactor that ends where no descriptor is left for a moment: nobody would be served again. */
+    private void takeOver() {
+        LOG.warning("a reactor has ended and another takes its place");
         reactor.initiateShutdown(); // its connections live on until they close
-        while (old != null && !closing.get()) {
+        handedOn.set(0);
+        while (!closing.get()) {
             try {
-                Thread.sleep(AGAIN.toMillis());
-                DefaultListeningIOReactor next = reactor();
-                try {
-                    endpoint = next.listen(old.getAddress()).get();
-                    reactor = next;
-                    return;
-                } catch (ExecutionException e) {
-                    next.close(CloseMode.IMMEDIATE);
-                }
+                reactor = reactor();
+                return;
             } catch (IllegalStateException e) {
-                LOG.fine(() -> "no descriptor is left to listen with: " + e.getMessage());
+                LOG.fine(() -> "no descriptor is left to begin with: " + e.getMessage());
+            }
+            try {
+                Thread.sleep(AGAIN.toMillis());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
@@ -119,7 +123,18 @@
         }
     }
 
+    /** Guards against more connections between acceptor and reactor than there are descriptors. */
+    private boolean takes() {
+        return handedOn.get() < MOST_HANDED_ON;
+    }
+
+    private void take(SocketChannel channel) {
+        handedOn.incrementAndGet();
+        Acceptor.Entrance.enter(reactor, channel);
+    }
+
     private IOEventHandler handler(ProtocolIOSession session) {
+        handedOn.decrementAndGet();
         ClientRoom.Client client = room.enter(session, clock.instant());
         if (client == null) {
             session.close(CloseMode.IMMEDIATE);
@@ -133,7 +148,7 @@
 
     private ServerExchange exchange(ClientRoom.Client client) {
         return new ServerExchange(client, room, client.beyond || client.open() >= MOST_PIPELINED
-                ? HttpFrontServer::refuse : front, clock, () -> draining);
+                ? this::refuse : front, clock, () -> draining, turnedAway);
     }
 
     private static final class Duplexer extends ServerHttp1StreamDuplexer {
@@ -227,7 +242,8 @@
             boolean flushed = (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
             boolean answered = client.closeAt != null
                     && (flushed ? client.closeAt : client.closeAt.plus(FLUSH_TIME)).isBefore(now);
-            if (slow || silent || answered) {
+            boolean led = leading && !client.busy() && !parser.partial() && client.quiet(now, QUIET);
+            if (slow || silent || answered || led) {
                 session.close(CloseMode.GRACEFUL);
             }
         }
@@ -262,36 +278,42 @@
     }
 
     /** What has run may fail, but is never refused: its client would ask for it from the beginning. */
-    private static Runnable refuse(HttpCall call, HttpReply reply) {
-        reply.whole(HttpCall.resumes(call.header("x-retried")) ? 500 : 503, "text/plain", Map.of("Retry-After", "1", "Connection", "close"),
+    private Runnable refuse(HttpCall call, HttpReply reply) {
+        int status = HttpCall.resumes(call.header("x-retried")) ? 500 : 503;
+        turnedAway.told(call.header("x-priority-class"), status);
+        reply.whole(status, "text/plain", Map.of("Retry-After", "1", "Connection", "close"),
                 "too many connections or requests\n".getBytes(StandardCharsets.US_ASCII));
         return () -> { };
     }
 
-    /** The address it has got, of use where port 0 was asked for. */
-    public InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
+    /** {@code shared}: beside another process. Returns the address it has got, of use where port 0 was asked for. */
+    public InetSocketAddress listen(InetSocketAddress address, boolean shared) throws IOException {
         try {
-            endpoint = reactor.listen(address).get();
-        } catch (ExecutionException e) {
-            throw new IOException("cannot listen on " + address + ": " + e.getCause().getMessage(), e);
+            acceptor = new Acceptor(address, shared, this::takes, this::take);
+        } catch (IOException e) {
+            throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
         }
-        return (InetSocketAddress) endpoint.getAddress();
+        return acceptor.address();
     }
 
-    /** From now on each answer says that its connection closes. */
-    public void drain() {
-        draining = true;
+    /** Whether each answer from now on says that its connection closes. */
+    public void drain(boolean now) {
+        draining = now;
     }
 
-    /** No new connection is taken. */
-    public void stopListening() {
-        closing.set(true);
-        Closer.closeQuietly(endpoint);
+    /**
+     * Whether connections without a request are closed: by the thread that reads them, once all at hand was read, and
+     * none that says its first words or is within a request. Guards against requests turned back unheard.
+     */
+    public void leadAway(boolean now) {
+        leading = now;
     }
 
-    /** Closes the connections that carry no request. */
-    public void closeIdle() {
-        room.closeIdle();
+    /** No new connection is taken. */
+    public void stopListening() {
+        if (acceptor != null) {
+            acceptor.close();
+        }
     }
 
     public boolean busy() {
@@ -301,6 +323,7 @@
     @Override
     public void close() {
         closing.set(true);
+        stopListening();
         reactor.close(CloseMode.GRACEFUL);
     }
 }
--- /dev/null
+++ b/src/main/java/copperbeam/transport/LineDoor.java
@@ -0,0 +1,193 @@
+package copperbeam.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+
+/**
+ * A listener for callers that say one line and are told some in return, on one thread of its own. Bounded in callers,
+ * bytes and time: who says nothing costs a caller's place for {@link #PATIENCE} at most, and goes first where places
+ * are short.
+ */
+public final class LineDoor implements AutoCloseable {
+    /** Takes a line, on the door's thread; {@code reply} from any thread, once. */
+    public interface Desk {
+        void call(String line, Consumer<String> reply);
+    }
+
+    static final int MOST_CALLERS = 64;
+    static final int MOST_LINE = 256;
+    static final Duration PATIENCE = Duration.ofSeconds(6); // from a caller's connect to its answer taken
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Logger LOG = Logger.getLogger(LineDoor.class.getName());
+
+    private static final class Caller {
+        final SocketChannel channel;
+        final SelectionKey key;
+        final Instant since;
+        final ByteBuffer line = ByteBuffer.allocate(MOST_LINE);
+        boolean called;              // its line is with the desk
+        ByteBuffer answer;
+
+        Caller(SocketChannel channel, Selector selector, Instant since) throws IOException {
+            this.channel = channel;
+            this.since = since;
+            channel.configureBlocking(false);
+            key = channel.register(selector, SelectionKey.OP_READ, this);
+        }
+    }
+
+    private record Reply(Caller to, String text) {}
+
+    private final Clock clock;
+    private final Desk desk;
+    private final Selector selector;
+    private final ServerSocketChannel listener;
+    private final InetSocketAddress address;
+    private final Queue<Reply> replies = new ConcurrentLinkedQueue<>();
+    private final Thread thread;
+    private volatile boolean closed;
+
+    /** Listens from now on. */
+    public LineDoor(InetSocketAddress at, Clock clock, Desk desk) throws IOException {
+        this.clock = clock;
+        this.desk = desk;
+        selector = Selector.open();
+        listener = ServerSocketChannel.open();
+        try {
+            listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            listener.bind(at, 512);
+            address = (InetSocketAddress) listener.getLocalAddress();
+            listener.configureBlocking(false);
+            listener.register(selector, SelectionKey.OP_ACCEPT);
+        } catch (IOException e) {
+            listener.close();
+            selector.close();
+            throw new IOException("control: cannot listen on " + at + ": " + e.getMessage(), e);
+        }
+        thread = new Thread(this::run, "door");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    private void run() {
+        while (!closed) {
+            try {
+                selector.select(TICK.toMillis());
+                for (SelectionKey key : selector.selectedKeys()) {
+                    if (key.attachment() instanceof Caller c) {
+                        turn(c);
+                    } else {
+                        accept();
+                    }
+                }
+                selector.selectedKeys().clear();
+                for (Reply r = replies.poll(); r != null; r = replies.poll()) {
+                    r.to().answer = StandardCharsets.UTF_8.encode(r.text());
+                    turn(r.to());
+                }
+                dismiss(clock.instant().minus(PATIENCE));
+            } catch (IOException | RuntimeException e) {
+                // one faulty call must not close the door on all others
+                if (!closed) {
+                    LOG.warning("the door goes on after " + e);
+                }
+            }
+        }
+    }
+
+    private void accept() {
+        try {
+            for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
+                if (selector.keys().size() > MOST_CALLERS) {
+                    selector.keys().stream().map(SelectionKey::attachment).filter(Caller.class::isInstance)
+                            .map(Caller.class::cast).filter(c -> !c.called).min(Comparator.comparing(c -> c.since))
+                            .ifPresent(LineDoor::end);
+                }
+                new Caller(next, selector, clock.instant());
+            }
+        } catch (IOException e) {
+            LOG.warning("the door could not take a caller: " + e);
+            dismiss(clock.instant().minus(PATIENCE.dividedBy(2))); // no descriptor may be left
+        }
+    }
+
+    private void turn(Caller c) {
+        try {
+            if (c.key.isValid() && c.key.isReadable()) {
+                read(c);
+            }
+            if (c.answer != null) {
+                c.channel.write(c.answer);
+                if (c.answer.hasRemaining()) {
+                    c.key.interestOps(SelectionKey.OP_WRITE);
+                } else {
+                    end(c);
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            end(c); // the caller has gone
+        }
+    }
+
+    private void read(Caller c) throws IOException {
+        int count = c.channel.read(c.line);
+        int end = 0;
+        while (end < c.line.position() && c.line.get(end) != '\n') {
+            end++;
+        }
+        if (end < c.line.position()) {
+            c.called = true;
+            c.key.interestOps(0);
+            desk.call(new String(c.line.array(), 0, end, StandardCharsets.UTF_8).strip(), text -> {
+                replies.add(new Reply(c, text));
+                selector.wakeup();
+            });
+        } else if (count < 0 || !c.line.hasRemaining()) {
+            end(c);
+        }
+    }
+
+    private void dismiss(Instant before) {
+        for (SelectionKey key : selector.keys()) {
+            if (key.attachment() instanceof Caller c && c.since.isBefore(before)) {
+                end(c);
+            }
+        }
+    }
+
+    private static void end(Caller c) {
+        c.key.cancel();
+        try {
+            c.channel.close();
+        } catch (IOException e) {
+            LOG.finest("a caller had gone");
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        selector.wakeup();
+        listener.close();
+        selector.close();
+    }
+}
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -191,6 +191,11 @@
         void held() {
             listener.held();
         }
+
+        @Override
+        void sent() {
+            listener.sent();
+        }
     }
 
     /** A probe or a release. */
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -49,6 +49,7 @@
     private final Front front;
     private final Clock clock;
     private final BooleanSupplier draining;
+    private final HttpFrontServer.TurnedAway turnedAway;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final ConcurrentLinkedQueue<Piece> pieces = new ConcurrentLinkedQueue<>();
     private final AtomicInteger producing = new AtomicInteger();
@@ -66,7 +67,9 @@
     private int held;                // bytes of the body, counted in the room until all is over
     private boolean cutSeen;
 
-    ServerExchange(ClientRoom.Client client, ClientRoom room, Front front, Clock clock, BooleanSupplier draining) {
+    ServerExchange(ClientRoom.Client client, ClientRoom room, Front front, Clock clock, BooleanSupplier draining,
+            HttpFrontServer.TurnedAway turnedAway) {
+        this.turnedAway = turnedAway;
         this.client = client;
         this.room = room;
         this.front = front;
@@ -138,6 +141,8 @@
         unread = true;
         client.closeAt = clock.instant().plus(Duration.ofDays(1)); // the answer may have to wait for others here
         client.session.clearEvent(SelectionKey.OP_READ);
+        Header requestClass = request.getFirstHeader("X-Priority-Class");
+        turnedAway.told(requestClass == null ? null : requestClass.getValue(), status);
         whole(status, "text/plain", status >= 500 ? Map.of("Connection", "close", "Retry-After", "1")
                 : Map.of("Connection", "close"), (why + "\n").getBytes(StandardCharsets.US_ASCII));
     }
--- a/src/test/java/copperbeam/lifecycle/StopPlanTest.java
+++ b/src/test/java/copperbeam/lifecycle/LifecycleTest.java
@@ -4,14 +4,14 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
-import copperbeam.lifecycle.StopPlan.Step;
+import copperbeam.lifecycle.Lifecycle.Step;
 import java.time.Duration;
 import java.util.Random;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** The steps of a stop. */
-public class StopPlanTest {
+public class LifecycleTest {
     private static final Duration ALLOWED = Duration.ofMillis(3700);
 
     /** Words: milliseconds since the wish, {@code o} where something is open, {@code a} where others are away. */
@@ -33,7 +33,8 @@
 
     @Test(dataProvider = "stops")
     public void steps(String name, boolean resume, String times, String steps) {
-        StopPlan plan = new StopPlan(ALLOWED, resume);
+        Lifecycle plan = new Lifecycle(ALLOWED, resume);
+        plan.stop(Duration.ZERO, false);
         StringBuilder seen = new StringBuilder();
         for (String at : times.split(" ")) {
             seen.append(plan.at(Duration.ofMillis(Long.parseLong(at.replaceAll("[oa]", ""))), at.contains("o"),
@@ -42,13 +43,53 @@
         assertEquals(seen.toString().strip(), steps, name);
     }
 
+    /** Words: milliseconds; d a drain by hand, r its end, s a stop, S one with a successor; then what holds. */
+    @DataProvider
+    public Object[][] lives() {
+        return new Object[][] {
+            {"a drain stays", "10d 10 809 810 90000", "SERVE- SERVE- LEAD_AWAY- LEAD_AWAY-"},
+            {"twice is once", "10d 700d 810", "LEAD_AWAY-"},
+            {"back to work", "10d 900 900r 901", "LEAD_AWAY- WORK+"},
+            {"back before anybody was led away", "10d 20 30r 40 5000", "SERVE- WORK+ WORK+"},
+            {"drained anew", "10d 900 900r 1000d 1000 1800", "LEAD_AWAY- SERVE- LEAD_AWAY-"},
+            {"a stop goes on from a drain", "10d 2000s 2000o 4649o 4650o", "LEAD_AWAY- LEAD_AWAY- ANSWER-"},
+            {"a stop of a drained one may end at once", "10d 2000s 2000", "END-"},
+            {"no way back from a stop", "10d 2000s 2001r 2001o", "LEAD_AWAY-"},
+            {"no drain in a stop", "2000s 2001d 2010", "SERVE-"},
+            {"a successor serves: led away at once", "2000S 2000o 5149o 5150o 5350o 5360", "LEAD_AWAY+ LEAD_AWAY+ ANSWER+ CUT+ END+"},
+            {"drained, and a successor: still no yes", "10d 2000S 2000o", "LEAD_AWAY-"},
+        };
+    }
+
+    @Test(dataProvider = "lives")
+    public void drainsAndStops(String name, String times, String steps) {
+        Lifecycle life = new Lifecycle(ALLOWED, true);
+        StringBuilder seen = new StringBuilder();
+        boolean successor = false;
+        for (String at : times.split(" ")) {
+            Duration now = Duration.ofMillis(Long.parseLong(at.replaceAll("[a-zA-Z]", "")));
+            switch (at.charAt(at.length() - 1)) {
+                case 'd' -> assertEquals(life.drain(now), !life.stopping(), name);
+                case 'r' -> assertEquals(life.rejoin(), !life.stopping(), name);
+                case 's' -> life.stop(now, false);
+                case 'S' -> life.stop(now, successor = true);
+                default -> {
+                    seen.append(life.at(now, at.endsWith("o"), false)).append(life.healthy() ? "+ " : "- ");
+                    assertTrue(!successor || !life.listens(), "two listen for one");
+                }
+            }
+        }
+        assertEquals(seen.toString().strip(), steps, name);
+    }
+
     /** Whatever happens: never back, no end with something open, all cut in time where that may be. */
     @Test
     public void stepsNeverGoBackAndNothingOpenEnds() {
         Random random = new Random(5);
         for (int run = 0; run < 2000; run++) {
             boolean resume = random.nextBoolean();
-            StopPlan plan = new StopPlan(ALLOWED, resume);
+            Lifecycle plan = new Lifecycle(ALLOWED, resume);
+            plan.stop(Duration.ZERO, false);
             Step last = Step.SERVE;
             for (int ms = 0; ms < 4000 && last != Step.END; ms += random.nextInt(400)) {
                 boolean open = random.nextInt(4) > 0;
@@ -64,6 +105,6 @@
 
     @Test
     public void tooShortAStopIsNone() {
-        assertThrows(IllegalArgumentException.class, () -> new StopPlan(Duration.ofMillis(1999), true));
+        assertThrows(IllegalArgumentException.class, () -> new Lifecycle(Duration.ofMillis(1999), true));
     }
 }
--- a/src/test/java/copperbeam/routing/LongDayTest.java
+++ b/src/test/java/copperbeam/routing/LongDayTest.java
@@ -38,9 +38,10 @@
                     Api.Group.ALL, 0)), List.of(), List.of(new Kind("r", Role.READER, 1)),
                     new Limits(4, true, false, 1), new Rules(1, 1, 3, 2, 1, 0), Api.Reports.NEVER, false, 0, false, true);
             ReleaseActor releases = new ReleaseActor(turns, Clock.systemUTC(), Duration.ofSeconds(1));
-            ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), settings, 1, releases, Recorder.NONE);
+            ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), settings, 1, releases, Recorder.NONE,
+                    new Figures(List.of()));
             PeerActor.Setup setup = new PeerActor.Setup(Clock.systemUTC(), null, Duration.ofSeconds(1),
-                    Duration.ofSeconds(1), Duration.ofSeconds(1), module, releases, Recorder.NONE);
+                    Duration.ofSeconds(1), Duration.ofSeconds(1), module, releases, Recorder.NONE, null);
             List<WeakReference<PeerActor>> made = new ArrayList<>();
             ListActor list = new ListActor(turns, (id, at) -> {
                 PeerActor peer = new PeerActor(turns, id, at, setup);
@@ -49,9 +50,9 @@
             }, module, releases, 10);
             int all = 3000;
             for (int i = 0; i < all; i++) {
-                list.tell(change(i % 100 == 0 ? ListKind.FULL : ListKind.DELTA, i, ServerState.READY));
+                list.tell(new ListActor.Told(change(i % 100 == 0 ? ListKind.FULL : ListKind.DELTA, i, ServerState.READY), null));
                 if (i % 100 >= 50) {
-                    list.tell(change(ListKind.DELTA, i, ServerState.GONE));
+                    list.tell(new ListActor.Told(change(ListKind.DELTA, i, ServerState.GONE), null));
                 }
             }
             long until = System.nanoTime() + Duration.ofSeconds(10).toNanos();
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -145,8 +145,8 @@
                 reply.whole(200, "text/plain", Map.of(), new byte[0]);
             }
             return () -> { };
-        }, Clock.systemUTC(), room)) {
-            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+        }, Clock.systemUTC(), room, (c, status) -> { })) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             try (Line second = new Line(at)) {
                 try (Line first = new Line(at)) {
                     first.send(Site.post("x".repeat(900)));
@@ -169,8 +169,8 @@
     @Test
     public void resetClientsTakeNoRoom() throws Exception {
         ClientRoom room = new ClientRoom(500, 1 << 20);
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> () -> { }, Clock.systemUTC(), room)) {
-            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> () -> { }, Clock.systemUTC(), room, (c, status) -> { })) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             for (int i = 0; i < 1000; i++) {
                 Line client = new Line(at);
                 client.send(i % 2 == 0 ? "GET / HTTP/1.1\r\nHost: x\r\n\r\n" : "GET / HTT");
--- a/src/test/java/copperbeam/sockets/NoLookUpTest.java
+++ b/src/test/java/copperbeam/sockets/NoLookUpTest.java
@@ -58,6 +58,9 @@
     }
 
     private record Heard(CountDownLatch heard) implements Connector.Listener {
+        @Override
+        public void sent() {}
+
         @Override
         public void held() {}
 
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -341,8 +341,8 @@
                 reply.whole(200, "text/plain", Map.of(), new byte[0]);
             }
             return () -> { };
-        }, clock, new ClientRoom(2, 1 << 20))) {
-            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+        }, clock, new ClientRoom(2, 1 << 20), (c, status) -> { })) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             String slow = "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n";
             try (Line idle = new Line(at); Line first = new Line(at)) {
                 assertEquals(idle.send(slow.replace("slow", "")).read().status(), 200);
