Upgrades: the new process listens beside the old one, which retires once it serves

Need: the second process of an upgrade ended with 1 (address in use), and nothing of what staff had said reached it. Change: SO_REUSEPORT, Handover and SharedFolder (bans, drain, phases in one file of TMPDIR, a lock byte for each living process); the old process gives its address up as soon as the new one serves, and takes it back if that one dies; cold budgets and descriptors are parted between the two.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -62,7 +62,7 @@
     // ---- events --------------------------------------------------------------------------------
 
     public sealed interface Event permits Members, Arrival, StreamStarted, AttemptEnded, ClientLeft,
-            TimerFired, Probed {}
+            TimerFired, Probed, Beside {}
 
     public record Members(ListKind kind, List<Member> members) implements Event {}
 
@@ -93,6 +93,9 @@
 
     public record ClientLeft(long request) implements Event {}
 
+    /** Another process decides for the same node beside this one, or does no more: {@code part} of the node's is for this one. */
+    public record Beside(double part) implements Event {}
+
     public record TimerFired(String tag) implements Event {}
 
     public record Probed(String server, Outcome outcome, double latencyS, Report report) implements Event {}
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -102,6 +102,7 @@
     private double probeCredit;
     private int mostReaders;
     private int mostWriters;
+    private double part = 1;         // of the node's own part that this process may use
 
     public Brain(Settings settings, long seed) {
         this.settings = settings;
@@ -145,6 +146,8 @@
             fired(e.tag());
         } else if (event instanceof Probed e) {
             probed(e);
+        } else if (event instanceof Beside e) {
+            part = e.part();
         }
         return actions;
     }
@@ -962,9 +965,9 @@
         if (now >= s.permitUntil) {
             int peers = Math.max(s.role == Role.READER ? mostReaders : mostWriters, 1);
             double usual = demand.perS(now) / peers * span;
-            double part = s.permitUntil == 0 ? random.nextDouble() : 1;
-            s.permitUntil = now + span * part;
-            s.permitted = COLD_SHARE * settings.rules().fallMultiple() * present * usual * part;
+            double drawn = s.permitUntil == 0 ? random.nextDouble() : 1;
+            s.permitUntil = now + span * drawn;
+            s.permitted = COLD_SHARE * settings.rules().fallMultiple() * present * usual * drawn * part;
             s.permitDraw = random.nextDouble();
         }
         return s.permitted >= weight(r) * s.permitDraw;
--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -39,7 +39,7 @@
     private Step step = Step.WORK;
     private Duration drained;        // when a drain was asked for, and not taken back
     private Duration stopped;
-    private boolean succeeded;       // a new process serves at this one's address
+    private boolean succeeded;       // a new process serves at this one's address, and takes what comes
 
     /**
      * {@code allowed}: after so long a stop the process may be killed, 2 s at least; {@code streamsResume}: else a stream
@@ -70,12 +70,24 @@
         return stopped == null;
     }
 
-    /** {@code successor}: a new process serves at the same address, and takes what comes from now on. */
-    public void stop(Duration now, boolean successor) {
-        if (stopped == null) {
-            stopped = now;
-            succeeded = successor;
+    public void stop(Duration now) {
+        stopped = stopped == null ? now : stopped;
+    }
+
+    /**
+     * A new process serves at the same address: clients are led there, and there is all the time until the stop to end what
+     * is open. Or it serves no more, and this one is back at work unless a stop is under way.
+     */
+    public void succeeded(boolean by) {
+        if (stopped == null && succeeded && !by) {
+            step = Step.WORK;
         }
+        succeeded = by || succeeded && stopped != null;
+    }
+
+    /** Whether a new process takes what comes here. */
+    public boolean succeeded() {
+        return succeeded;
     }
 
     public boolean stopping() {
@@ -84,12 +96,12 @@
 
     /** Whether whoever asks for our health should be told yes; a successor answers at the same address. */
     public boolean healthy() {
-        return drained == null && (stopped == null || succeeded);
+        return drained == null && (stopped == null || succeeded); // whoever asks meets the successor as well
     }
 
     /** Whether new connections are taken here. */
     public boolean listens() {
-        return step.compareTo(Step.ANSWER) < 0 && !(stopped != null && succeeded);
+        return step.compareTo(Step.ANSWER) < 0 && !succeeded;
     }
 
     /**
@@ -105,7 +117,7 @@
             if (step.compareTo(Step.ANSWER) >= 0 && !open) {
                 step = Step.END;
             }
-        } else if (drained != null) {
+        } else if (drained != null || succeeded) {
             step = noticed(now) ? Step.LEAD_AWAY : Step.SERVE;
         }
         return step;
--- a/src/main/java/copperbeam/operation/Desk.java
+++ b/src/main/java/copperbeam/operation/Desk.java
@@ -3,9 +3,7 @@
 import copperbeam.routing.Figures;
 import copperbeam.routing.Figures.End;
 import copperbeam.transport.LineDoor;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
@@ -15,29 +13,20 @@
  * published; one that changes something is yes once its owner has acted.
  */
 public final class Desk implements LineDoor.Desk {
-    /** What calls change; each answers once it holds. */
-    public interface Hands {
-        /** Nobody should come here any more; false where a stop is under way. */
-        void drain(Consumer<Boolean> done);
-
-        void rejoin(Consumer<Boolean> done);
-    }
-
     private static final Logger LOG = Logger.getLogger(Desk.class.getName());
     private static final String YES = "ACK\n";
 
     private final Figures figures;
     private final BooleanSupplier serves;
-    private final Hands hands;
+    private final Shared shared;
     private final BanActor bans;
-    private final ExecutorService one;
-    private final Set<String> out = new TreeSet<>(); // on the thread of {@code one} alone
+    private final Executor one;
 
     /** {@code one}: one thread, on which calls that change something follow each other. */
-    public Desk(Figures figures, BooleanSupplier serves, Hands hands, BanActor bans, ExecutorService one) {
+    public Desk(Figures figures, BooleanSupplier serves, Shared shared, BanActor bans, Executor one) {
         this.figures = figures;
         this.serves = serves;
-        this.hands = hands;
+        this.shared = shared;
         this.bans = bans;
         this.one = one;
     }
@@ -49,39 +38,29 @@
         switch (words[0] + (server == null ? "" : " ID") + (words.length > 2 ? " more" : "")) {
             case "PING" -> reply.accept(serves.getAsBoolean() ? YES : no("not ready"));
             case "INFO" -> reply.accept(YES + lines(figures) + "--\n");
-            case "DETACH ID" -> one.execute(() -> detach(server, reply));
-            case "ATTACH ID" -> one.execute(() -> attach(server, reply));
-            case "LAMEDUCK" -> hands.drain(done -> said(line, done, reply));
-            case "REJOIN" -> hands.rejoin(done -> said(line, done, reply));
+            case "DETACH ID" -> ban(line, server, true, reply);
+            case "ATTACH ID" -> ban(line, server, false, reply);
+            case "LAMEDUCK" -> one.execute(() -> shared.drain(true, done -> said(line, done, reply)));
+            case "REJOIN" -> one.execute(() -> shared.drain(false, done -> said(line, done, reply)));
             default -> reply.accept(no("no such call"));
         }
     }
 
-    private void detach(String server, Consumer<String> reply) {
+    /** One that is out may have left the list meanwhile. */
+    private void ban(String call, String server, boolean out, Consumer<String> reply) {
         bans.tell(new BanActor.Listed(server, listed -> one.execute(() -> {
-            if (!listed && !out.contains(server)) {
+            if (!listed && !shared.out(server)) {
                 reply.accept(no("no such server"));
-            } else {
-                out.add(server);
-                tell("DETACH " + server, reply);
+                return;
             }
-        })));
-    }
-
-    private void attach(String server, Consumer<String> reply) {
-        bans.tell(new BanActor.Listed(server, listed -> one.execute(() -> {
-            if (!out.remove(server) && !listed) {
-                reply.accept(no("no such server"));
-            } else {
-                tell("ATTACH " + server, reply);
+            try {
+                shared.ban(server, out, () -> said(call, true, reply));
+            } catch (IllegalStateException e) {
+                reply.accept(no(e.getMessage()));
             }
         })));
     }
 
-    private void tell(String call, Consumer<String> reply) {
-        bans.tell(new BanActor.Out(Set.copyOf(out), () -> said(call, true, reply)));
-    }
-
     private static void said(String call, boolean done, Consumer<String> reply) {
         LOG.info("operators: " + call + (done ? "" : ": not while stopping"));
         reply.accept(done ? YES : no("stopping"));
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -31,10 +31,12 @@
  *
  * @param discovery null only where the operator's file names another source of the list
  * @param control where operators call, or null: then there is no such door
+ * @param shared the folder that the processes of this conductor share, where there is a door; null for none
  * @param known the list as it was last had, or null
  * @param operator what the operator's file adds; nothing of it on the platform
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress control, InetSocketAddress discovery, long seed,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress control, Path shared,
+        InetSocketAddress discovery, long seed,
         Settings settings, ServerList known, Duration connectTimeout, Duration connectionIdle, Limits limits,
         Operator operator) {
 
@@ -64,6 +66,11 @@
             return sockets - 2 * clients() - OWN;
         }
 
+        /** Half of the descriptors: another process of this conductor has the other half. */
+        Limits half() {
+            return new Limits(memoryMb, sockets / 2);
+        }
+
         /** Bytes of requests that wait here; a part of the heap. */
         public long bodies() {
             return Math.min(Runtime.getRuntime().maxMemory() / 3, memoryMb * 1024L * 1024 / 4);
@@ -111,11 +118,17 @@
                 : operator(Section.file("--operator", operatorFile), Path.of(operatorFile), settings);
         String name = file.text("name", "conductor");
         return new Config(name, file.address("listen"), file.has("control") ? file.address("control") : null,
+                file.has("control") ? folder(environment) : null,
                 operator.etcd() == null ? file.address("discovery") : null, seed(file, name), settings,
                 known(file), limits.span("connect_timeout_s", 0.25), limits.span("conn_idle_s", 30), limits(file),
                 operator);
     }
 
+    private static Path folder(Map<String, String> environment) {
+        String path = environment.get("TMPDIR");
+        return path == null || path.isEmpty() ? null : Path.of(path);
+    }
+
     private static void override(Section file, String key, String value) {
         if (value != null && !value.isEmpty()) {
             file.raw().put(key, value);
--- a/src/main/java/copperbeam/program/DutyActor.java
+++ b/src/main/java/copperbeam/program/DutyActor.java
@@ -2,7 +2,6 @@
 
 import copperbeam.lifecycle.Lifecycle;
 import copperbeam.lifecycle.Lifecycle.Step;
-import copperbeam.operation.Desk;
 import copperbeam.routing.Actor;
 import copperbeam.routing.ModuleActor;
 import copperbeam.routing.ReleaseActor;
@@ -17,14 +16,16 @@
 import java.util.function.Consumer;
 
 /** Owns the conductor's {@link Lifecycle} and carries its steps out: drains by hand and the stop. */
-final class DutyActor extends Actor<DutyActor.Message> implements Desk.Hands {
-    sealed interface Message permits Drain, Rejoin, Stop, Quiet, Tick {}
+final class DutyActor extends Actor<DutyActor.Message> implements Handover.Hands {
+    sealed interface Message permits Drain, Rejoin, Stop, Succeeded, Quiet, Tick {}
 
     private record Drain(Consumer<Boolean> done) implements Message {}
 
     private record Rejoin(Consumer<Boolean> done) implements Message {}
 
-    private record Stop(boolean successor) implements Message {}
+    private record Stop() implements Message {}
+
+    private record Succeeded(boolean by) implements Message {}
 
     /** No request was open at some moment since this was asked for, and nothing was left to let go. */
     private record Quiet() implements Message {}
@@ -41,9 +42,11 @@
     private final ModuleActor module;
     private final ReleaseActor releases;
     private final BooleanSupplier othersAway;
+    private final Consumer<Handover.Beside> besides;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private Step step = Step.WORK;
     private Instant stopAt;
+    private boolean listening = true;
     private boolean ticking;
     private boolean asked;           // for quiet
     private boolean quiet;
@@ -51,7 +54,7 @@
     private volatile boolean stopping;
 
     DutyActor(ScheduledExecutorService turns, Clock clock, Lifecycle lifecycle, List<HttpFrontServer> fronts,
-            ModuleActor module, ReleaseActor releases, BooleanSupplier othersAway) {
+            ModuleActor module, ReleaseActor releases, BooleanSupplier othersAway, Consumer<Handover.Beside> besides) {
         super(turns);
         this.clock = clock;
         from = clock.instant();
@@ -60,6 +63,7 @@
         this.module = module;
         this.releases = releases;
         this.othersAway = othersAway;
+        this.besides = besides;
     }
 
     /** Neither drained by hand nor stopping; from any thread. */
@@ -81,11 +85,20 @@
         tell(new Rejoin(done));
     }
 
+    @Override
+    public void beside(Handover.Beside now) {
+        besides.accept(now);
+        tell(new Succeeded(now.succeeded()));
+    }
+
     /** The returned ends when the process may; asked again it is the same. */
     CompletableFuture<Void> stop(boolean successor) {
         stopping = true;
         healthy &= successor; // at once, however long the mailboxes are
-        tell(new Stop(successor));
+        if (successor) {
+            tell(new Succeeded(true));
+        }
+        tell(new Stop());
         return ended;
     }
 
@@ -100,9 +113,12 @@
             boolean done = lifecycle.rejoin();
             carryOut();
             e.done().accept(done);
-        } else if (m instanceof Stop e) {
+        } else if (m instanceof Stop) {
             stopAt = stopAt == null ? clock.instant() : stopAt;
-            lifecycle.stop(now, e.successor());
+            lifecycle.stop(now);
+            carryOut();
+        } else if (m instanceof Succeeded e) {
+            lifecycle.succeeded(e.by());
             carryOut();
         } else if (m instanceof Quiet) {
             quiet = true;
@@ -117,18 +133,17 @@
             return;
         }
         // a request may come as the last one ends, so that quiet is asked for anew while anything is open
-        boolean open = !quiet || fronts.stream().anyMatch(HttpFrontServer::busy);
-        Step next = lifecycle.at(Duration.between(from, clock.instant()), open, othersAway.getAsBoolean());
-        if (stopAt != null && Duration.between(stopAt, clock.instant()).compareTo(LONGEST_STOP) > 0) {
-            next = Step.END;
-        }
+        // where a successor serves, each connection that is left is told so by its close
+        boolean open = !quiet || fronts.stream().anyMatch(f -> f.busy() || !lifecycle.listens() && f.entering()
+                || lifecycle.succeeded() && step.compareTo(Step.ANSWER) < 0 && f.connected());
+        Step due = lifecycle.at(Duration.between(from, clock.instant()), open, othersAway.getAsBoolean());
+        boolean late = stopAt != null && Duration.between(stopAt, clock.instant()).compareTo(LONGEST_STOP) > 0;
+        Step next = late ? Step.END : due;
         healthy = lifecycle.healthy();
         boolean leads = next.compareTo(Step.LEAD_AWAY) >= 0;
-        fronts.forEach(f -> f.drain(lifecycle.stopping() || !healthy));
+        fronts.forEach(f -> f.drain(next != Step.WORK));
         fronts.forEach(f -> f.leadAway(leads));
-        if (!lifecycle.listens()) {
-            fronts.forEach(HttpFrontServer::stopListening);
-        }
+        listen(lifecycle.listens());
         for (Step s : Step.values()) {
             if (s.compareTo(step) > 0 && s.compareTo(next) <= 0) {
                 if (s == Step.ANSWER) {
@@ -141,11 +156,20 @@
         step = next;
         if (step == Step.END) {
             ended.complete(null);
-        } else if (step != Step.WORK) {
+        } else if (step != Step.WORK || !listening) {
             watch();
         }
     }
 
+    private void listen(boolean now) {
+        if (listening && !now) {
+            fronts.forEach(HttpFrontServer::stopListening);
+            listening = false;
+        } else if (!listening && now) {
+            listening = fronts.stream().allMatch(HttpFrontServer::listenAgain);
+        }
+    }
+
     private void watch() {
         if (lifecycle.stopping() && (quiet || !asked)) {
             asked = true;
--- /dev/null
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -0,0 +1,205 @@
+package copperbeam.program;
+
+import copperbeam.handover.SharedState;
+import copperbeam.handover.SharedState.Phase;
+import copperbeam.operation.BanActor;
+import copperbeam.operation.Shared;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+import java.util.logging.Logger;
+
+/**
+ * Carries out what the processes of one conductor have agreed on: which servers are out by hand, whether clients are sent
+ * away, who lives and who serves. Works on one thread, five times a second and at each call. Without a folder to
+ * share it does the same for this process alone.
+ */
+final class Handover implements Shared, AutoCloseable {
+    /** Takes the address where clients come. */
+    interface Listen {
+        void run() throws IOException;
+    }
+
+    /** What changes for this process. */
+    interface Hands {
+        void drain(Consumer<Boolean> done);
+
+        void rejoin(Consumer<Boolean> done);
+
+        void beside(Beside now);
+    }
+
+    /**
+     * How this process stands to the others of this conductor.
+     *
+     * @param another one lives
+     * @param succeeded one that began later serves
+     * @param part of what the conductor may send to cold servers, for this process
+     */
+    record Beside(boolean another, boolean succeeded, double part) {
+        static final Beside NONE = new Beside(false, false, 1);
+    }
+
+    private static final double LEAVING = 0.2; // part of one that still ends what it has
+
+    private static final Logger LOG = Logger.getLogger(Handover.class.getName());
+    private static final Duration LOOK = Duration.ofMillis(200);
+
+    private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1,
+            task -> new Thread(task, "operators"));
+    private final Clock clock;
+    private final BanActor bans;
+    private final SharedFolder folder; // null where there is none
+    private final boolean began;
+    private SharedState state;
+    private SharedState acted = SharedState.EMPTY;
+    private Beside beside = Beside.NONE;
+    private boolean stopping;
+    private Hands hands;
+
+    /** Takes up what an earlier process has left; {@code folder} null: there is none to share. */
+    Handover(Path at, String conductor, Clock clock, BanActor bans) {
+        this.clock = clock;
+        this.bans = bans;
+        folder = open(at, conductor, clock);
+        state = folder == null ? SharedState.EMPTY : folder.state();
+        began = folder != null && folder.others();
+        bans.tell(new BanActor.Out(state.banned(), () -> { })); // before the list is known
+    }
+
+    private static SharedFolder open(Path at, String conductor, Clock clock) {
+        try {
+            return at == null ? null : new SharedFolder(at, conductor, clock);
+        } catch (IOException e) {
+            LOG.warning("nothing is shared with another process of this conductor: " + e);
+            return null;
+        }
+    }
+
+    /** Whether another process of this conductor lived as this one began. */
+    boolean beganBeside() {
+        return began;
+    }
+
+    ScheduledThreadPoolExecutor thread() {
+        return thread;
+    }
+
+    /** From now on acts on what others write. */
+    void begin(Hands its) {
+        hands = its;
+        thread.execute(this::act);
+        thread.scheduleWithFixedDelay(() -> {
+            try {
+                change(s -> s);
+                act();
+            } catch (RuntimeException e) {
+                LOG.warning("the hand-over goes on after " + e); // else it would never look again
+            }
+        }, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** This process serves once {@code listen} is done, which is tried until it is. */
+    void serve(Listen listen, Runnable serves) {
+        thread.execute(() -> {
+            try {
+                listen.run();
+                phase(Phase.SERVING);
+                serves.run();
+            } catch (IOException e) {
+                LOG.warning("not in service yet: " + e.getMessage());
+                thread.schedule(() -> serve(listen, serves), LOOK.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** This process ends; answers whether another one serves in its place. */
+    CompletableFuture<Boolean> leaving() {
+        return CompletableFuture.supplyAsync(() -> {
+            stopping = true;
+            phase(Phase.LEAVING);
+            return folder != null && folder.succeeded();
+        }, thread);
+    }
+
+    private void phase(Phase phase) {
+        if (folder != null) {
+            folder.phase(phase);
+            state = folder.state();
+        }
+    }
+
+    private void change(UnaryOperator<SharedState> change) {
+        if (folder == null) {
+            state = change.apply(state);
+        } else {
+            folder.change(change);
+            state = folder.state();
+        }
+    }
+
+    private void act() {
+        if (!state.banned().equals(acted.banned())) {
+            LOG.info("out by hand: " + state.banned());
+            bans.tell(new BanActor.Out(state.banned(), () -> { }));
+        }
+        if (state.duty().drained() != acted.duty().drained()) {
+            if (state.duty().drained()) {
+                hands.drain(done -> { });
+            } else {
+                hands.rejoin(done -> { });
+            }
+        }
+        acted = state;
+        Beside now = folder == null ? Beside.NONE : folder.beside(LEAVING);
+        if (!now.equals(beside)) {
+            LOG.info("processes of this conductor: " + now);
+            beside = now;
+            if (now.succeeded()) {
+                phase(Phase.LEAVING);
+            }
+            hands.beside(now);
+        }
+    }
+
+    @Override
+    public boolean out(String server) {
+        return state.out(server);
+    }
+
+    @Override
+    public void ban(String server, boolean out, Runnable done) {
+        change(s -> s.ban(server, out, clock.instant()));
+        acted = state;
+        bans.tell(new BanActor.Out(state.banned(), done));
+    }
+
+    @Override
+    public void drain(boolean drained, Consumer<Boolean> done) {
+        if (stopping) {
+            done.accept(false);
+            return;
+        }
+        change(s -> s.duty(drained, clock.instant()));
+        acted = state;
+        if (drained) {
+            hands.drain(done);
+        } else {
+            hands.rejoin(done);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        thread.shutdownNow();
+        if (folder != null) {
+            folder.close();
+        }
+    }
+}
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -11,7 +11,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.logging.Logger;
 import copperbeam.Api.ListKind;
 import copperbeam.lifecycle.Lifecycle;
 import copperbeam.operation.BanActor;
@@ -42,6 +44,8 @@
 /** One running conductor: its actors, its fronts and its reactors. */
 public final class Node implements AutoCloseable {
     private static final double IDLE_SHARE = 0.5; // of the servers' limit for which we keep idle connections
+    private static final Logger LOG = Logger.getLogger(Node.class.getName());
+    private static final Duration LOOK = Duration.ofMillis(500); // at a stop, for whether another process serves
     private static final int AWAY = 3; // rests of broken streams asked for lately, from which others must have stopped
 
     private final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1,
@@ -54,15 +58,20 @@
     private final HttpFrontServer server;
     private final AtomicBoolean listed = new AtomicBoolean();
     private final CountDownLatch warm = new CountDownLatch(1);
-    private final InetSocketAddress address;
+    private final Config config;
+    private final ListActor list;
+    private final ClientRoom room;
     private final DutyActor duty;
+    private volatile InetSocketAddress address; // null until it listens
     private final Rests rests;
     private final FileRecorder fileRecorder; // null where nothing is recorded
     private ScheduledThreadPoolExecutor hookTurns;
     private HttpFrontServer chat;
     private InetSocketAddress chatAddress;
     private LineDoor door;             // null where operators have none
-    private ScheduledThreadPoolExecutor operators;
+    private final Handover handover;   // the same
+    private final AtomicBoolean ready = new AtomicBoolean();
+    private volatile boolean serving;  // at the clients' address
 
     public Node(Config config) throws IOException, InterruptedException {
         this(config, null, 0);
@@ -70,6 +79,7 @@
 
     /** {@code record} null: nothing is recorded. */
     Node(Config config, Path record, int recordBytes) throws IOException, InterruptedException {
+        this.config = config;
         turns.setRemoveOnCancelPolicy(true);
         Clock clock = ModuleTime.steadyClock();
         fileRecorder = record == null ? null : new FileRecorder(turns, clock, config.name(), record, recordBytes);
@@ -81,12 +91,13 @@
         PeerActor.Setup setup = new PeerActor.Setup(clock, new ServerConnector(reactor), config.connectTimeout(),
                 Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
                 config.connectTimeout(), module, releases, recorder, figures);
-        ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
+        list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
                 config.limits().idle());
         BanActor bans = config.control() == null ? null : new BanActor(turns, clock, list);
+        handover = bans == null ? null : new Handover(config.shared(), config.name(), clock, bans);
         MembershipSource.Sink told = bans == null ? change -> list.tell(new ListActor.Told(change, null))
                 : change -> bans.tell(new BanActor.Told(change));
-        ClientRoom room = new ClientRoom(config.limits().clients(), config.limits().bodies());
+        room = new ClientRoom(config.limits().clients(), config.limits().bodies());
         if (config.known() != null) {
             told.changed(config.known().change(ListKind.CACHED));
             listed.set(config.operator().etcd() == null && config.knownListing() != null);
@@ -98,7 +109,7 @@
         source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             told.changed(change);
-            listed.set(true);
+            listed();
         });
         rests = new Rests(module, clock);
         Intake intake = rests;
@@ -114,25 +125,60 @@
                     clock.instant()), clock, room, turnedAway);
         }
         duty = new DutyActor(turns, clock, new Lifecycle(config.operator().stopWithin(),
-                config.settings().streamsResume()), servers(), module, releases, () -> rests.lately() >= AWAY);
-        address = server.listen(config.listen(), config.control() != null);
-        if (chat != null) {
-            chatAddress = chat.listen(config.operator().chatListen(), false);
+                config.settings().streamsResume()), servers(), module, releases, () -> rests.lately() >= AWAY,
+                beside -> share(beside.another() ? config.limits().half() : config.limits(), beside.part()));
+        boolean later = handover != null && handover.beganBeside();
+        if (!later) {
+            listen();
         }
-        if (config.control() != null) {
-            operators = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "operators"));
+        if (handover != null) {
             module.tell(new ModuleActor.Census());
-            door = new LineDoor(config.control(), clock, new Desk(figures, this::serves, duty, bans, operators));
+            handover.begin(duty);
+            door = new LineDoor(config.control(), clock, new Desk(figures, this::serves, handover, bans, handover.thread()));
         }
-        WarmUp.start(config.settings(), client, address, warm::countDown);
+        WarmUp.start(config.settings(), client, later ? null : address, () -> {
+            warm.countDown();
+            ready();
+        });
         if (config.known() != null) {
             // with discovery down, the list last known has to do
-            turns.schedule(() -> listed.set(true), 2, TimeUnit.SECONDS);
+            turns.schedule(this::listed, 2, TimeUnit.SECONDS);
+        }
+        ready();
+    }
+
+    /** Beside another process that serves, not before this one is ready: it would say no to the front. */
+    private void listen() throws IOException {
+        boolean shared = handover != null;
+        if (address == null) {
+            address = server.listen(config.listen(), shared);
+        }
+        if (chat != null && chatAddress == null) {
+            chatAddress = chat.listen(config.operator().chatListen(), shared);
+        }
+    }
+
+    private void listed() {
+        listed.set(true);
+        ready();
+    }
+
+    private void ready() {
+        if (handover != null && listed.get() && warm.getCount() == 0 && ready.compareAndSet(false, true)) {
+            handover.serve(this::listen, () -> serving = true);
         }
     }
 
+    /** With the other process of this conductor, while there is one. */
+    private void share(Config.Limits limits, double part) {
+        room.most(limits.clients());
+        list.tell(new ListActor.Idle(limits.idle()));
+        module.tellFirst(new ModuleActor.Beside(part));
+    }
+
+    /** Where clients come, also before this process listens there. */
     public InetSocketAddress address() {
-        return address;
+        return address == null ? config.listen() : address;
     }
 
     /** Waits until the hot path has been run. */
@@ -172,15 +218,16 @@
 
     /** Whether requests would be served, whoever is told to come. */
     private boolean serves() {
-        return listed.get() && warm.getCount() == 0 && !duty.stopping();
+        return serving && !duty.stopping();
     }
 
     /** Answers what was taken and what still comes, as a {@link Lifecycle} has it, lets go of what is held, and returns. */
     public void stop() throws InterruptedException {
         try {
-            duty.stop(false).get();
-        } catch (ExecutionException e) {
-            throw new IllegalStateException(e); // nothing completes it so
+            duty.stop(handover != null && handover.leaving().get(LOOK.toMillis(), TimeUnit.MILLISECONDS)).get();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warning("whether another process serves is not known: " + e);
+            duty.stop(false).join();
         }
     }
 
@@ -194,7 +241,7 @@
         }
         if (door != null) {
             door.close();
-            operators.shutdownNow();
+            handover.close();
         }
         turns.shutdownNow();
     }
--- a/src/main/java/copperbeam/program/WarmUp.java
+++ b/src/main/java/copperbeam/program/WarmUp.java
@@ -22,10 +22,14 @@
 
     private WarmUp() {}
 
-    /** {@code warm} runs once all is done, whatever the calls were answered. */
+    /** {@code warm} runs once all is done, whatever the calls were answered; {@code self} null: no calls are made. */
     static void start(Api.Settings settings, HttpClient client, InetSocketAddress self, Runnable warm) {
         module(settings);
-        call(client, self, new AtomicInteger(), warm);
+        if (self == null) {
+            warm.run();
+        } else {
+            call(client, self, new AtomicInteger(), warm);
+        }
     }
 
     private static void call(HttpClient client, InetSocketAddress self, AtomicInteger done, Runnable warm) {
--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -17,9 +17,14 @@
  * Owns the list of servers and one {@link PeerActor} for each of them. One that has left is forgotten here: what
  * is still out there has its peer by itself. Guards against a day on which servers come under ever new ids.
  */
-public final class ListActor extends Actor<ListActor.Told> {
+public final class ListActor extends Actor<ListActor.Message> {
+    public sealed interface Message permits Told, Idle {}
+
     /** {@code acted} runs once the module has it; may be null. */
-    public record Told(MembershipSource.Change change, Runnable acted) {}
+    public record Told(MembershipSource.Change change, Runnable acted) implements Message {}
+
+    /** So many connections may stand idle at all servers together. */
+    public record Idle(int connections) implements Message {}
 
     private static final int MOST_IDLE = 16; // connections to one server
 
@@ -27,7 +32,7 @@
     private final BiFunction<String, InetSocketAddress, PeerActor> newPeer;
     private final ModuleActor module;
     private final ReleaseActor releases;
-    private final int idle;
+    private int idle;
 
     /** {@code idle}: connections that may stand idle at all servers together. */
     public ListActor(ScheduledExecutorService turns, BiFunction<String, InetSocketAddress, PeerActor> newPeer,
@@ -40,7 +45,16 @@
     }
 
     @Override
-    protected void receive(Told told) {
+    protected void receive(Message m) {
+        if (m instanceof Idle e) {
+            idle = e.connections();
+            share();
+        } else if (m instanceof Told e) {
+            told(e);
+        }
+    }
+
+    private void told(Told told) {
         MembershipSource.Change change = told.change();
         boolean whole = change.kind() == ListKind.FULL || change.kind() == ListKind.CACHED;
         Set<String> left = whole ? new HashSet<>(peers.keySet()) : new HashSet<>();
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -24,7 +24,7 @@
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
     public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
-            Drain, HandOver, Cut, Census {}
+            Drain, HandOver, Cut, Census, Beside {}
 
     /** {@code acted} runs once the module has it; may be null. */
     public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers, Runnable acted)
@@ -56,6 +56,9 @@
     /** Counts the servers for {@link Figures}, and again each {@link #CENSUS}. */
     public record Census() implements Message {}
 
+    /** Of what the conductor may send to cold servers, this part is for this process. */
+    public record Beside(double part) implements Message {}
+
     private record Fired(String tag) implements Message {}
 
     private record Pinned(long request, int attempts) implements Message {}
@@ -140,6 +143,8 @@
             List.copyOf(requests.values()).forEach(this::handOver);
         } else if (m instanceof Cut) {
             List.copyOf(requests.values()).forEach(this::transfer);
+        } else if (m instanceof Beside e) {
+            feed(new Api.Beside(e.part()));
         } else if (m instanceof Census) {
             figures.cluster(new Figures.Cluster(peers.size(), brain.avoided()));
             tellLater(CENSUS, m);
--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -10,7 +10,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
-import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
@@ -33,8 +32,8 @@
     private final InetSocketAddress address;
     private final BooleanSupplier takes;
     private final Consumer<SocketChannel> taker;
-    private final CountDownLatch ended = new CountDownLatch(1);
     private volatile boolean closing;
+    private volatile boolean ended;
 
     /**
      * {@code shared}: another process may listen at the same address beside this one; {@code takes}: whether the taker
@@ -74,9 +73,9 @@
         selector.wakeup();
     }
 
-    /** Waits until the address is given up. */
-    void awaitEnd() throws InterruptedException {
-        ended.await();
+    /** Whether the address is given up. */
+    boolean ended() {
+        return ended;
     }
 
     private void run() {
@@ -106,7 +105,7 @@
         } catch (IOException e) {
             LOG.fine(() -> "the listener's end: " + e);
         }
-        ended.countDown();
+        ended = true;
     }
 
     /** Whether some may be left that could not be taken. */
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -60,7 +60,7 @@
         }
     }
 
-    private final int most;
+    private volatile int most;
     private final long mostBytes;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
     private final AtomicLong bytes = new AtomicLong();
@@ -86,6 +86,11 @@
         return client;
     }
 
+    /** From now on so many connections; those beyond stay. */
+    public void most(int connections) {
+        most = connections;
+    }
+
     private boolean close(Predicate<Client> which) {
         return clients.stream().filter(c -> !c.busy() && which.test(c)).min(Comparator.comparing(c -> c.idleSince))
                 .map(c -> {
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -316,6 +316,30 @@
         }
     }
 
+    /** At the address given up before; false where that can't be had now. */
+    public boolean listenAgain() {
+        Acceptor old = acceptor;
+        if (old == null || !old.ended()) {
+            return old == null;
+        }
+        try {
+            listen(old.address(), true);
+            return true;
+        } catch (IOException e) {
+            LOG.warning(e.getMessage());
+            return false;
+        }
+    }
+
+    /** Whether connections that the kernel has taken may still be on their way in here. */
+    public boolean entering() {
+        return acceptor != null && !acceptor.ended() || handedOn.get() > 0;
+    }
+
+    public boolean connected() {
+        return room.size() > 0;
+    }
+
     public boolean busy() {
         return room.busy();
     }
