Handover: the state that two processes of one conductor share, and its file's form

Need: during an upgrade the old and the new process of a conductor must agree on servers left out by hand, on the drain by hand and on who serves, through a file that may be torn, foreign or forged.

--- /dev/null
+++ b/src/test/java/copperbeam/handover/SharedStateTest.java
@@ -0,0 +1,201 @@
+package copperbeam.handover;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.handover.SharedState.Ban;
+import copperbeam.handover.SharedState.Duty;
+import copperbeam.handover.SharedState.Life;
+import copperbeam.handover.SharedState.Phase;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What processes share, and how two such states become one. */
+public class SharedStateTest {
+    /** Few names, turns and times, so that all rules of a merge are met; more lives than may be. */
+    static SharedState random(Random random) {
+        SortedMap<String, Ban> bans = new TreeMap<>();
+        SortedMap<String, Life> lives = new TreeMap<>();
+        for (int i = random.nextInt(12); i > 0; i--) {
+            bans.put("server \"é\"" + random.nextInt(5),
+                    new Ban(1 + random.nextInt(2), random.nextBoolean(), time(random)));
+            int life = random.nextInt(12);
+            lives.put("life" + life, new Life(Instant.ofEpochSecond(life * 7 % 6),
+                    Phase.values()[random.nextInt(3)], random.nextInt(3)));
+        }
+        return new SharedState(bans, new Duty(random.nextInt(3), random.nextBoolean(), time(random)), lives);
+    }
+
+    private static Instant time(Random random) {
+        return Instant.ofEpochSecond(random.nextInt(2), random.nextInt(2));
+    }
+
+    @Test
+    public void mergeIsAJoin() {
+        Random random = new Random(1);
+        for (int run = 0; run < 5000; run++) {
+            SharedState a = random(random);
+            SharedState b = random(random);
+            SharedState c = random(random);
+            assertEquals(a.merge(a), a);
+            assertEquals(a.merge(SharedState.EMPTY).bans(), a.bans());
+            assertEquals(a.merge(b), b.merge(a));
+            assertEquals(a.merge(b).merge(c), a.merge(b.merge(c)));
+            assertEquals(a.merge(b).merge(a), a.merge(b));
+        }
+    }
+
+    /** Words: turn, {@code o} where out or drained, and time. */
+    @DataProvider
+    public Object[][] bans() {
+        return new Object[][] {{"2 8", "1o9", "2 8"}, {"1 8", "1o9", "1o9"}, {"1o8", "1 9", "1 9"},
+            {"1 9", "1o9", "1o9"}};
+    }
+
+    @Test(dataProvider = "bans")
+    public void higherTurnThenLaterThenOut(String a, String b, String expected) {
+        assertEquals(words(a).merge(words(b)), words(expected));
+    }
+
+    private static SharedState words(String words) {
+        long turn = words.charAt(0) - '0';
+        boolean out = words.charAt(1) == 'o';
+        Instant at = Instant.ofEpochSecond(words.charAt(2) - '0');
+        return new SharedState(new TreeMap<>(Map.of("s", new Ban(turn, out, at))), new Duty(turn, out, at),
+                new TreeMap<>());
+    }
+
+    /**
+     * Two processes and one file. A change takes a turn from even to odd or back, so the oracle counts turns: of the
+     * duty (0) and of servers, as known to process 0, process 1 and in the file (2). Odd is out; more turns win.
+     */
+    private static final class Pair {
+        final SharedState[] states = {SharedState.EMPTY, SharedState.EMPTY};
+        final int[][] turns = new int[3][4];
+        byte[] file = StateCodec.write("c", SharedState.EMPTY, Instant.EPOCH);
+
+        void read(int p) throws StateCodec.Refused {
+            states[p] = states[p].merge(StateCodec.read("c", file, Instant.EPOCH));
+            Arrays.setAll(turns[p], i -> Math.max(turns[p][i], turns[2][i]));
+        }
+
+        void write(int p) {
+            file = StateCodec.write("c", states[p], Instant.EPOCH);
+            turns[2] = turns[p].clone();
+        }
+
+        void byHand(int p, int what, boolean out, Instant at) {
+            SharedState before = states[p];
+            states[p] = what == 0 ? before.duty(out, at) : before.ban("s" + what, out, at);
+            assertEquals(states[p] == before, turns[p][what] % 2 == 1 == out, "the same again changes nothing");
+            turns[p][what] += states[p] == before ? 0 : 1;
+        }
+
+        void check(int p) {
+            assertEquals(states[p].duty().drained(), turns[p][0] % 2 == 1);
+            assertEquals(states[p].banned(), IntStream.range(1, 4).filter(i -> turns[p][i] % 2 == 1)
+                    .mapToObj(i -> "s" + i).collect(Collectors.toSet()));
+        }
+    }
+
+    @Test
+    public void twoProcessesAgreeOnceEachHasReadTheOther() throws StateCodec.Refused {
+        Random random = new Random(2);
+        for (int run = 0; run < 1000; run++) {
+            Pair pair = new Pair();
+            for (int step = random.nextInt(40); step > 0; step--) {
+                int p = random.nextInt(2);
+                switch (random.nextInt(4)) {
+                    case 0 -> pair.read(p);
+                    case 1 -> pair.write(p); // often over what the other wrote since the last read
+                    default -> pair.byHand(p, random.nextInt(4), random.nextBoolean(), time(random));
+                }
+                pair.check(p);
+            }
+            pair.write(0);
+            pair.read(1);
+            pair.write(1);
+            pair.read(0);
+            pair.check(0);
+            pair.check(1);
+            assertEquals(pair.states[0], pair.states[1]);
+        }
+    }
+
+    @Test
+    public void bansAreBoundedAndThoseInForceStay() {
+        SortedMap<String, Ban> many = new TreeMap<>();
+        for (int i = 0; i < SharedState.MOST_BANS; i++) {
+            many.put("s" + i, new Ban(1, i >= 2, Instant.ofEpochSecond(i)));
+        }
+        SharedState state = new SharedState(many, SharedState.EMPTY.duty(), new TreeMap<>());
+        assertEquals(state.bans().size(), SharedState.MOST_BANS);
+        state = state.ban("a", true, Instant.EPOCH);
+        assertFalse(state.bans().containsKey("s0"), "the oldest put-back goes first");
+        assertTrue(state.bans().containsKey("s1"));
+        SharedState full = state.ban("b", true, Instant.EPOCH);
+        assertEquals(full.banned().size(), SharedState.MOST_BANS);
+        assertThrows(IllegalStateException.class, () -> full.ban("c", true, Instant.EPOCH));
+        assertSame(full.ban("a", true, Instant.MAX), full);
+        assertTrue(full.ban("a", false, Instant.EPOCH).ban("c", true, Instant.EPOCH).out("c"));
+        assertEquals(full.merge(state.ban("c", true, Instant.EPOCH)).banned().size(), SharedState.MOST_BANS + 1);
+        assertThrows(IllegalArgumentException.class, () -> SharedState.EMPTY.ban("\ud800", true, Instant.EPOCH));
+    }
+
+    @Test
+    public void theLatestLivesAreRemembered() {
+        SharedState state = SharedState.EMPTY;
+        for (int i = 0; i < 10; i++) {
+            state = state.life("life" + i, new Life(Instant.ofEpochSecond(i), Phase.STARTING, i));
+        }
+        assertEquals(state.lives().size(), SharedState.MOST_LIVES);
+        assertEquals(state.lives().firstKey(), "life2");
+    }
+
+    /** Lives: name, start, first letter of the phase, slot; then the slots in use, who asks and what is answered. */
+    @DataProvider
+    public Object[][] lives() {
+        return new Object[][] {
+            {"a1S0", "0", "a", "", false},
+            {"a1S0 b2S1", "01", "a", "b", true},
+            {"a1S0 b2S1", "01", "b", "", true},
+            {"a1S0 b2T1", "01", "a", "", true},
+            {"a1S0 b2L1", "01", "a", "", true},
+            {"a1S0 b2S1 c3S2", "012", "a", "c", true},
+            {"a1S0 b1S1", "01", "a", "b", true},
+            {"a1S0 b1S1", "01", "b", "", true},
+            {"a1S0 b2S1", "0", "a", "", false},
+            {"a1S0 b2S1 c3T1", "01", "a", "", true}, // b crashed and c holds its slot
+            {"a1S0 b2T1 b2S1 b2T1", "01", "a", "b", true},
+            {"a1S0 b2S1 b2L1 b2S1", "01", "a", "", true},
+            {"b2S1", "01", "a", "", true},
+        };
+    }
+
+    @Test(dataProvider = "lives")
+    public void successors(String lives, String slots, String own, String successor, boolean others) {
+        SharedState state = SharedState.EMPTY;
+        for (String life : lives.split(" ")) {
+            Phase phase = Phase.values()["TSL".indexOf(life.charAt(2))];
+            state = state.life(life.substring(0, 1),
+                    new Life(Instant.ofEpochSecond(life.charAt(1) - '0'), phase, life.charAt(3) - '0'));
+        }
+        Set<Integer> used = slots.chars().mapToObj(c -> c - '0').collect(Collectors.toSet());
+        SharedState living = state.living(used);
+        assertEquals(living.successor(own), Optional.ofNullable(living.lives().get(successor)));
+        assertEquals(living.others(own), others);
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/handover/StateCodecTest.java
@@ -0,0 +1,188 @@
+package copperbeam.handover;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import copperbeam.handover.SharedState.Life;
+import copperbeam.handover.SharedState.Phase;
+import copperbeam.handover.StateCodec.Refused;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.Random;
+import java.util.zip.CRC32C;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The file: what is read is what was written, or nothing. */
+public class StateCodecTest {
+    private static final Instant NOW = Instant.parse("2026-12-01T10:00:00.000000001Z");
+    private static final SharedState SAMPLE = SharedState.EMPTY.ban("b:1", true, NOW).ban("é \"\\\n", true, NOW)
+            .ban("b:1", false, NOW).duty(true, NOW).life("p1", new Life(NOW, Phase.SERVING, 0))
+            .life("p2", new Life(NOW, Phase.STARTING, 7));
+    private static final byte[] FILE = StateCodec.write("c", SAMPLE, NOW);
+    private static final String JSON = text(FILE).substring(text(FILE).indexOf('\n') + 1);
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** A file with the right header for any content. */
+    private static byte[] forged(String json) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes(json));
+        return bytes("copperbeam-state 1 %08x %d\n%s".formatted(sum.getValue(), bytes(json).length, json));
+    }
+
+    private static void refused(byte[] file, String name) {
+        assertThrows(name, Refused.class, () -> StateCodec.read("c", file, NOW));
+    }
+
+    @Test
+    public void whatIsWrittenIsRead() throws Refused {
+        Random random = new Random(3);
+        for (int run = 0; run < 2000; run++) {
+            SharedState state = SharedStateTest.random(random);
+            assertEquals(StateCodec.read("c\"", StateCodec.write("c\"", state, NOW), NOW), state);
+        }
+        assertEquals(text(FILE), text(forged(JSON)));
+        assertEquals(StateCodec.read("c", FILE, NOW.minusSeconds(5)), SAMPLE);
+    }
+
+    @Test
+    public void noPartAndNoFlippedBitIsBelieved() {
+        for (int i = 0; i < FILE.length; i++) {
+            refused(Arrays.copyOf(FILE, i), "cut at " + i);
+            for (int bit = 0; bit < 8; bit++) {
+                byte[] flipped = FILE.clone();
+                flipped[i] ^= (byte) (1 << bit);
+                refused(flipped, "bit " + bit + " of byte " + i);
+            }
+        }
+    }
+
+    /** A writer writes a temporary file and renames it; wherever it dies, the old file holds and the next can write. */
+    @Test
+    public void aWriterThatDiesChangesNothing() throws IOException, Refused {
+        Path directory = Files.createTempDirectory("handover");
+        Path state = directory.resolve("state");
+        Path temporary = directory.resolve("state.tmp");
+        SharedState next = SAMPLE.duty(false, NOW);
+        byte[] file = StateCodec.write("c", next, NOW);
+        for (int dies = 0; dies <= file.length; dies++) {
+            Files.write(state, FILE);
+            Files.write(temporary, Arrays.copyOf(file, dies));
+            assertEquals(StateCodec.read("c", Files.readAllBytes(state), NOW), SAMPLE);
+            if (dies < file.length) {
+                refused(Files.readAllBytes(temporary), "died after " + dies);
+            }
+            Files.write(temporary, file);
+            Files.move(temporary, state, StandardCopyOption.ATOMIC_MOVE);
+            assertEquals(StateCodec.read("c", Files.readAllBytes(state), NOW), next);
+        }
+        Files.delete(state);
+        Files.delete(directory);
+    }
+
+    @DataProvider
+    public Object[][] refusals() {
+        String ban = "\"x\":{\"turn\":1,\"out\":false,\"at\":\"2026-12-01T10:00:00Z\"},";
+        String life = "\"started\":\"2026-12-01T10:00:00Z\",\"phase\":\"SERVING\",\"slot\":0}";
+        StringBuilder bans = new StringBuilder();
+        StringBuilder lives = new StringBuilder();
+        for (int i = 0; i < 4096; i++) {
+            bans.append(ban.replace("x", "x" + i));
+            lives.append(i < 8 ? "\"l" + i + "\":{" + life + "," : "");
+        }
+        return new Object[][] {
+            {"", "not a copperbeam state file"},
+            {"{}", "not a copperbeam state file"},
+            {"copperbeam-state 2 0 {}", "of another form version"},
+            {"copperbeam-state 1 0000", "truncated in its header"},
+            {"copperbeam-state 1 zz 1\n", "malformed header"},
+            {text(FILE).replaceFirst(" 1 ", " 1 0"), "malformed header"},
+            {text(FILE).replaceFirst("\\}$", ""), "truncated"},
+            {text(FILE) + " ", "trailing bytes"},
+            {text(FILE).replace("b:1", "b:2"), "checksum mismatch"},
+            {text(FILE) + " ".repeat(1 << 20), "larger than 1 MiB"},
+            {change("\"c\"", "\"d\""), "another conductor's"},
+            {change("10:00:00.000000001Z", "10:00:05.000000002Z"), "written in the future"},
+            {change("$", "{}"), "malformed"},
+            {change("\"conductor\":\"c\",", ""), "conductor is missing"},
+            {change("\"turn\":2", "\"turn\":\"2\""), "turn is missing or of another type"},
+            {change("\"turn\":2,", ""), "turn is missing"},
+            {change("\"turn\":2", "\"turn\":0"), "malformed"},
+            {change("\"turn\":2", "\"turn\":2.5"), "malformed"},
+            {change("\"turn\":2", "\"turn\":9223372036854775808"), "malformed"},
+            {change("\"slot\":7", "\"slot\":4294967296"), "malformed"},
+            {change("\"slot\":7", "\"slot\":7,\"more\":1"), "malformed"},
+            {change("SERVING", "AWAY"), "malformed"},
+            {change("\"p2\"", "\"p1\""), "a name twice in lives"},
+            {change("\"p2\"", "\"\\\\ud800\""), "malformed"},
+            {change("true", "null"), "out is missing or of another type"},
+            {change("\"bans\":\\{", "\"bans\":{" + bans), "more bans or lives than may be"},
+            {change("\"lives\":\\{", "\"lives\":{" + lives), "more bans or lives than may be"},
+        };
+    }
+
+    private static String change(String pattern, String to) {
+        return text(forged(JSON.replaceFirst(pattern, to)));
+    }
+
+    @Test(dataProvider = "refusals")
+    public void refusalsSayWhy(String file, String reason) {
+        Refused refused = expectThrows(Refused.class, () -> StateCodec.read("c", bytes(file), NOW));
+        assertTrue(refused.getMessage().contains(reason), refused.getMessage());
+    }
+
+    @Test
+    public void brokenUnicodeIsRefused() {
+        byte[] latin = JSON.getBytes(StandardCharsets.ISO_8859_1);
+        CRC32C sum = new CRC32C();
+        sum.update(latin);
+        String file = "copperbeam-state 1 %08x %d\n%s".formatted(sum.getValue(), latin.length, JSON);
+        refused(file.getBytes(StandardCharsets.ISO_8859_1), "Latin-1");
+    }
+
+    /** Whatever the JSON: refused, or a state that can be written and read again. */
+    @Test
+    public void noForgedContentDoesHarm() throws Refused {
+        String[] bits = {"", "{", "}", "[", "\"", ":", ",", "null", "-1", "1e999", "0", "\\u0000", "\\ud800", "x",
+            "true", "{}", "\"turn\":", "9223372036854775807", "2026", "-", "+1000000000", "é", "\n", "/*", "LEAVING"};
+        Random random = new Random(4);
+        int believed = 0;
+        for (int run = 0; run < 20_000; run++) {
+            StringBuilder json = new StringBuilder(JSON);
+            for (int changes = 1 + random.nextInt(3); changes > 0; changes--) {
+                int from = random.nextInt(json.length());
+                int to = Math.min(json.length(), from + random.nextInt(random.nextInt(4) > 0 ? 3 : 60));
+                String cut = json.substring(from, to);
+                json.replace(from, to, random.nextInt(8) == 0 ? cut + cut : bits[random.nextInt(bits.length)]);
+            }
+            try {
+                SharedState state = StateCodec.read("c", forged(json.toString()), NOW);
+                assertEquals(StateCodec.read("c", StateCodec.write("c", state, NOW), NOW), state);
+                believed++;
+            } catch (Refused e) {
+                // as most are
+            }
+        }
+        assertTrue(believed > 100, "changes that harm nothing are met too: " + believed);
+    }
+
+    @Test
+    public void whatNobodyWouldReadIsNotWritten() {
+        SharedState large = SharedState.EMPTY.ban("x".repeat(1 << 20), true, NOW);
+        assertThrows(IllegalStateException.class, () -> StateCodec.write("c", large, NOW));
+    }
+}
