Watch: one clock for silence; brief calls after a silent one, and none hides another

Cause, by WatchPlan's figures against the clock of the protocol (what a silence hides counts as told 6 s after it began, what an agent holds at once after an outage, 1 s to act): - WatchPlan.ask gave each call after a silent one the whole wait again (3 s + 0.5 s + pause): a watch and two calls silent were asked a fourth time after 10.7 s, and an agent back from an outage was asked up to 3.6 s later. - WatchPlan.failed asked again only where no call was out: a silent watch and a refusal of the one beside it left nobody asking until the transport gave the watch up after 5 s, and never as long as a byte came now and then. - Where the list is asked for, the pauses alone put 10.5 s between silent calls, and the transport's giving up (5 s, a second failure for the same silence) another pause. Change: after a failure a call asks for what is there (1 ms) until one is answered; the newest call that fails is made again whatever else is out; a silent call has the next one after 5.5 s at most; a call is heard for 6 s without a byte. Not changed, as it held: a call beside a silent one goes on a new connection (the kept one is taken by the silent call), lists may be indented, refusals of a pushed list are met within 100 ms, the care of 10 s (6 s and 4 s after SIGHUP).

--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -12,7 +12,9 @@
 /**
  * Which calls a watch on the list has out: the whole list once, unless one is known from before, then one watch after
  * another, each at once after the last answer. A call that is silent beyond what it may take is asked beside itself on
- * a new connection, so that no single connection can hide a drain. After failures it asks again by {@link Pauses}.
+ * a new connection, so that no single connection can hide a drain: its time runs from when it was asked, so that half
+ * an answer, or one that dribbles, gains none. After failures it asks again by {@link Pauses}, and only for what is
+ * there, until something is answered: who may wait cannot be told from who is silent.
  * During a move the old address is listened to until the new one has given its list and {@link #OVERLAP} more has
  * passed: an answer on its way there is told, whoever reads it.
  *
@@ -37,10 +39,33 @@
     /** An answer of discovery. */
     public record Listing(long version, boolean full, List<Entry> entries) {}
 
+    // the protocol's clock; docs/design-watch.md has the cases
+    /** After a silence has begun, what it hides counts as told. No call need be heard out for longer. */
+    public static final Duration TOLD = Duration.ofSeconds(6);
+    /** After a move of the address, what is there counts as told. */
+    static final Duration MOVED = Duration.ofSeconds(4);
+
+    /**
+     * Beyond what an answer may take. What an agent has after an outage counts as told at once, and the last call may
+     * have been lost in that outage: this, a pause of 0.1 s and the next answer fit into the 1 s in which to act.
+     */
+    public static final Duration SILENCE = Duration.ofMillis(500);
+    /**
+     * {@link #TOLD} less three times {@link #SILENCE} and the first two pauses of 0.5 and 1 s: by then three more calls
+     * are out, of which two may be silent too. A call that may wait counts 2 s after its wait if that is later than
+     * {@link #TOLD}; up to 4 s it is not.
+     */
     public static final Duration HOLD = Duration.ofSeconds(3);
-    public static final Duration SILENCE = Duration.ofMillis(500); // beyond what an answer may take
+    /** After a failure: what is there, at once. Not 0, which is no watch. */
+    static final Duration BRIEF = Duration.ofMillis(1);
+    /**
+     * From a silent call to the next at most, whatever the pauses: each has one after it, and that one's answer, by
+     * the time that counts. Not less, as an overrun service is silent too, and needs the pauses.
+     */
+    private static final Duration AGAIN = TOLD.minus(SILENCE);
     public static final Duration OVERLAP = Duration.ofSeconds(2); // an old address closes 1.5 s after a move
-    public static final Duration CARE = Duration.ofSeconds(10); // what one address may know later than another
+    /** What one address may know later than another: what counts as told at the new one is there by then. */
+    public static final Duration CARE = TOLD.plus(MOVED);
     static final int MOST_CALLS = 3;
     static final int MOST_OLD = 2;
 
@@ -51,6 +76,7 @@
         int failures;                // in a row; a call that is silent too long is one
         long version;
         final List<Integer> calls = new ArrayList<>();
+        int last;                    // the newest call; all others that are out have been silent for too long
 
         Address(InetSocketAddress at, int teller) {
             this.at = at;
@@ -146,8 +172,9 @@
         if (a != null) {
             a.calls.remove((Integer) call);
             a.listed &= !gone || a != current;
-            if (a.calls.isEmpty()) {
-                wake(pauses.after(++a.failures), Due.ASK, a, calls);
+            if (call == a.last) {
+                // though others are out: they are silent, and as long as one of them dribbles nobody else would ask
+                wake(pauses.after(++a.failures), Due.ASK, a, 0);
             }
         }
         return done();
@@ -159,17 +186,13 @@
         if (t != null) {
             switch (t.what()) {
                 case ASK -> {
-                    if (lives(t.address()) && t.address().calls.isEmpty()) {
+                    if (lives(t.address()) && !t.address().calls.contains(t.address().last)) {
                         ask(t.address());
                     }
                 }
                 case SILENT -> {
                     if (t.address().calls.contains(t.call())) {
                         t.address().failures++;
-                        if (t.address().calls.size() >= MOST_CALLS) {
-                            // not the first: an address may be slow, and would never be heard out
-                            drop(t.address(), t.address().calls.get(1));
-                        }
                         ask(t.address());
                     }
                 }
@@ -192,12 +215,20 @@
     }
 
     private void ask(Address a) {
+        if (a.calls.size() >= MOST_CALLS) {
+            drop(a, a.calls.get(1)); // not the first: an address may be slow, and would never be heard out
+        }
         int call = ++calls;
         a.calls.add(call);
-        Duration hold = a.listed ? HOLD : Duration.ZERO;
+        a.last = call;
+        Duration hold = !a.listed ? Duration.ZERO : a.failures == 0 ? HOLD : BRIEF;
         steps.add(new Ask(call, a.at, a.listed ? a.version : -1, hold));
-        Duration more = a.failures == 0 ? Duration.ZERO : pauses.after(a.failures);
-        wake(hold.plus(SILENCE).plus(more), Due.SILENT, a, call);
+        Duration silent = hold.plus(SILENCE);
+        if (a.failures > 0) {
+            silent = silent.plus(pauses.after(a.failures));
+            silent = silent.compareTo(AGAIN) < 0 ? silent : AGAIN;
+        }
+        wake(silent, Due.SILENT, a, call);
     }
 
     private void tell(Change change, boolean always) {
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -18,7 +18,7 @@
 /** The platform's discovery: makes the calls that a {@link WatchPlan} asks for and tells it what comes back. */
 public final class DiscoveryWatch implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
-    private static final Duration SILENCE = WatchPlan.HOLD.plusSeconds(2); // by then another call is out
+    private static final Duration SILENCE = WatchPlan.TOLD; // without a byte; the plan has asked anew long before
 
     private sealed interface Message permits Move, Answered, Woken, Stop {}
 
--- /dev/null
+++ b/src/test/java/copperbeam/membership/OneClockTest.java
@@ -0,0 +1,237 @@
+package copperbeam.membership;
+
+import static copperbeam.membership.MemberBookTest.entries;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import copperbeam.Api.ServerState;
+import copperbeam.membership.WatchPlan.Ask;
+import copperbeam.membership.WatchPlan.Drop;
+import copperbeam.membership.WatchPlan.Listing;
+import copperbeam.membership.WatchPlan.Step;
+import copperbeam.membership.WatchPlan.Tell;
+import copperbeam.membership.WatchPlan.Wake;
+
+/**
+ * The watch against the protocol's one clock, in virtual time (ms): an address with two spells of trouble and a drain,
+ * over all kinds of the spells, their lengths and all orders in time of their ends, the drain and the calls. When the
+ * drain counts as told is worked out here, from the protocol's words and the calls that fell silent, not from the plan.
+ */
+public class OneClockTest {
+    private static final InetSocketAddress[] AT = {new InetSocketAddress("127.0.0.1", 1),
+        new InetSocketAddress("127.0.0.1", 2)};
+    private static final int GRACE = 1000 - 150; // from told to acted on, less what the actors and the machine may take
+    private static final int MOVE = 1000;
+    private static final int NEVER = 100_000;
+
+    /** Calls open as it begins, and all that are made in it, are refused, or hear nothing more for good. */
+    private record Spell(boolean refuses, int from, int length) {
+        boolean at(int time) {
+            return time >= from && time < from + length;
+        }
+    }
+
+    /** {@code dribbles}: on silent calls a byte comes now and then. {@code late}: what an answer takes. */
+    private record Day(boolean pushed, boolean moves, Spell first, Spell second, boolean dribbles, int late,
+            int drain) {
+        /** From when on, at that time or later, new calls are answered for long enough to find that out. */
+        int reached(int time) {
+            for (Spell s : List.of(first, second)) {
+                int end = s.from() + s.length();
+                time = time < end && time > s.from() - GRACE ? end : time;
+            }
+            return time;
+        }
+    }
+
+    private record Silent(Ask ask, int asked, int since) {
+        /** Six seconds after the silence began, or two after the call's wait, if that is later. */
+        int told() {
+            return (int) Math.max(since + 6000, asked + ask.hold().toMillis() + 2000);
+        }
+    }
+
+    private record Event(int time, int order, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return time != o.time ? Integer.compare(time, o.time) : Integer.compare(order, o.order);
+        }
+    }
+
+    /** Plays one day. */
+    private static final class Play {
+        final Day day;
+        final WatchPlan plan;
+        final PriorityQueue<Event> events = new PriorityQueue<>();
+        final Map<Integer, Ask> out = new LinkedHashMap<>();
+        final Map<Integer, Integer> asked = new LinkedHashMap<>();
+        final List<Silent> silent = new ArrayList<>(); // since the last answer
+        int now;
+        int order;
+        int asks;
+        int known = NEVER;
+        boolean refused;             // since the last answer
+
+        Play(Day day) {
+            this.day = day;
+            Duration first = Duration.ofMillis(day.pushed() ? 100 : 500);
+            plan = new WatchPlan(new Pauses(first, day.pushed() ? first : Duration.ofSeconds(10),
+                    new SplittableRandom(day.drain())));
+            at(day.first().from(), () -> trouble(day.first()));
+            at(day.second().from(), () -> trouble(day.second()));
+            at(0, () -> take(day.pushed() ? plan.move(AT[0])
+                    : plan.begin(AT[0], new Listing(10, true, entries("a+0")), instant())));
+            if (day.moves()) {
+                at(MOVE, () -> take(plan.move(AT[1])));
+            }
+            while (known == NEVER && !events.isEmpty() && events.peek().time() < NEVER) {
+                Event e = events.poll();
+                now = e.time();
+                e.what().run();
+            }
+        }
+
+        void at(int time, Runnable what) {
+            events.add(new Event(time, order++, what));
+        }
+
+        boolean troubled(Ask a) {
+            return a.at().equals(AT[day.moves() ? 1 : 0]);
+        }
+
+        void take(List<Step> steps) {
+            for (Step s : steps) {
+                if (s instanceof Ask a) {
+                    ask(a);
+                } else if (s instanceof Drop d) {
+                    out.remove(d.call());
+                } else if (s instanceof Wake w) {
+                    at(now + (int) w.after().toMillis(), () -> take(plan.woken(w.token(), instant())));
+                } else if (s instanceof Tell t && t.change().entries().stream()
+                        .anyMatch(e -> e.member().state() == ServerState.DRAINING)) {
+                    known = now;
+                }
+            }
+            assertTrue(out.size() <= WatchPlan.MOST_CALLS * 2, "calls are bounded");
+        }
+
+        Instant instant() {
+            return Instant.EPOCH.plusMillis(now);
+        }
+
+        void ask(Ask a) {
+            asks++;
+            out.put(a.call(), a);
+            asked.put(a.call(), now);
+            if (troubled(a) && day.first().at(now)) {
+                trouble(day.first(), a);
+            } else if (troubled(a) && day.second().at(now)) {
+                trouble(day.second(), a);
+            } else {
+                int hears = troubled(a) ? day.drain() : NEVER;
+                boolean news = a.from() < 0 || hears <= now && a.from() < 11;
+                int wait = news ? 0 : (int) Math.min(a.hold().toMillis(), hears > now ? hears - now : NEVER);
+                at(now + wait + day.late(), () -> {
+                    if (out.remove(a.call()) != null) {
+                        boolean drains = hears <= now - day.late();
+                        answered(a, new Listing(drains ? 11 : 10, a.from() < 0,
+                                entries(drains ? "a-0" : a.from() < 0 ? "a+0" : "")));
+                    }
+                });
+            }
+        }
+
+        void answered(Ask a, Listing listing) {
+            take(plan.answered(a.call(), listing, instant()));
+            if (troubled(a) && known == NEVER) {
+                silent.clear();
+                refused = false;
+            }
+        }
+
+        void trouble(Spell spell) {
+            List.copyOf(out.values()).stream().filter(this::troubled).forEach(a -> trouble(spell, a));
+        }
+
+        void trouble(Spell spell, Ask a) {
+            int call = a.call();
+            Runnable fail = () -> {
+                if (out.remove(call) != null || asked.containsKey(-call)) {
+                    take(plan.failed(call, false));
+                }
+            };
+            if (spell.refuses()) {
+                refused = true;
+                at(now, fail);
+            } else if (asked.put(-call, now) == null) { // once: it hears nothing more
+                out.remove(call);
+                silent.add(new Silent(a, asked.get(call), now));
+                if (!day.dribbles()) {
+                    at(now + (int) WatchPlan.TOLD.toMillis(), fail);
+                }
+            }
+        }
+
+        int told() {
+            // nobody can tell a silent call from one that may wait before that wait is over
+            int wait = silent.isEmpty() ? 0 : silent.get(0).asked() + (int) silent.get(0).ask().hold().toMillis();
+            int told = Math.max(day.reached(Math.max(wait, day.drain())), day.moves() ? MOVE + 4000 : 0);
+            if (refused && !day.pushed()) {
+                told += 40_000; // after a call that failed, four times rules.ask_within_s
+            }
+            if (!silent.isEmpty()) {
+                // the first silence counts; where the list is asked for and more than three calls in a row were silent,
+                // each counts for itself: who must not overrun a service cannot always have three more out in time
+                int n = silent.size();
+                told = Math.max(told, silent.get(day.pushed() || n <= 3 ? 0 : n - 1).told());
+            }
+            return told;
+        }
+    }
+
+    @DataProvider
+    public Object[][] modes() {
+        return new Object[][] {{true, false}, {true, true}, {false, false}, {false, true}};
+    }
+
+    @Test(dataProvider = "modes")
+    public void noDrainIsKnownLaterThanTheClockAllows(boolean pushed, boolean moves) {
+        int[] most = new int[2];
+        for (int kinds = 0; kinds < 16; kinds++) {
+            for (int from : new int[] {0, MOVE, 1300, 3900}) {
+                for (int length : new int[] {0, 300, 1000, 2700, 8000}) {
+                    for (int gap : new int[] {0, 60, 700, 3300}) {
+                        for (int again : new int[] {0, 300, 1000, 4000}) {
+                            Spell first = new Spell((kinds & 1) > 0, from, length);
+                            Spell second = new Spell((kinds & 2) > 0, from + length + gap, again);
+                            for (int drain = 200; drain < 16_000; drain += 790) {
+                                Day day = new Day(pushed, moves, first, second, (kinds & 4) > 0,
+                                        (kinds & 8) > 0 ? 200 : 1, drain);
+                                Play play = new Play(day);
+                                if (play.known > play.told() + GRACE) {
+                                    fail(day + ": known at " + play.known + ", told at " + play.told() + ", silent "
+                                            + play.silent);
+                                }
+                                most[0]++;
+                                most[1] = Math.max(most[1], play.asks);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        assertTrue(most[0] == 102_400, most[0] + " days");
+        assertTrue(most[1] < (pushed ? 200 : 30), most[1] + " calls on one day");
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/SilentWatchTest.java
@@ -0,0 +1,71 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.await;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.testng.annotations.Test;
+import copperbeam.Api.ServerState;
+import copperbeam.membership.Pauses;
+import copperbeam.protocol.discovery.DiscoveryWatch;
+import copperbeam.routing.MembershipSource.Entry;
+import copperbeam.transport.ClientReactor;
+import copperbeam.transport.PlainHttpClient;
+
+/** One watch on sockets, begun anew after a silence. */
+public class SilentWatchTest {
+    private static final String ENTRY = "\n  {\n    \"id\" : \"a\",\r\n\t\"addr\" : \"127.0.0.1:1\",\n\n"
+            + "    \"zone\" : \"z\", \"kind\" : \"k\", \"state\" : \"%s\"\n  }\n";
+
+    private static String list(int version, boolean full, String entries) {
+        return "{\n  \"version\" : " + version + ",\n\t\"full\" : " + full + ",\r\n  \"servers\" : [" + entries
+                + "]\n}\n";
+    }
+
+    /**
+     * A watch answered by half, of which a byte comes now and then, and a refusal on the connection that is made
+     * beside it. Guards against the dribbling call, which is taken for one that still hears, and against lists whose
+     * indentation is not read.
+     */
+    @Test
+    public void halfAnAnswerAndARefusalHideNoDrain() throws Exception {
+        ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
+        List<Entry> heard = new CopyOnWriteArrayList<>();
+        Pauses pauses = new Pauses(Duration.ofMillis(100), Duration.ofMillis(100), new SplittableRandom(1));
+        try (ClientReactor reactor = new ClientReactor(); StandIn agent = new StandIn(null)) {
+            agent.script = (m, line) -> {
+                switch (agent.seen.size()) {
+                    case 1 -> line.answer(200, list(7, true, String.format(ENTRY, "active")));
+                    case 2 -> {
+                        line.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
+                                + list(8, false, "").substring(0, 30));
+                        while (!line.ended) {
+                            line.send(" ");
+                            Thread.sleep(300);
+                        }
+                    }
+                    case 3 -> line.close();
+                    default -> line.answer(200, list(8, false, String.format(ENTRY, "leaving")));
+                }
+            };
+            DiscoveryWatch watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(),
+                    agent.address(), null, pauses);
+            watch.start(change -> heard.addAll(change.entries()));
+            await("listed", () -> heard.size() == 1);
+            await("asked", () -> agent.seen.size() >= 2);
+            long from = System.nanoTime();
+            await("the drain", () -> heard.stream().anyMatch(e -> e.member().state() == ServerState.DRAINING));
+            assertTrue(System.nanoTime() - from < 5_000_000_000L, "by far sooner than 6 s after the silence began");
+            assertTrue(agent.lines.size() >= 3, "each on a connection of its own");
+            watch.stop();
+        } finally {
+            turns.shutdownNow();
+        }
+    }
+}
