Crowds: a connection without a request takes one descriptor, answers in a crowd close theirs

Ruled out: CPU alone (0.5 at most in single seconds, before and after). Change: connections and requests are counted together against two thirds of the descriptors; beyond half of that an answer closes its connection. Left: the seconds in which both conductors of a rolling restart are out.

--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -19,9 +19,12 @@
     private static final Duration STAY = Duration.ofSeconds(2); // for which a connection may stand idle in any case
     private static final Duration SILENT = Duration.ofMillis(500); // after which one that said nothing may go
 
+    private static final int MOST_BEYOND = 8; // of the program's own descriptors, for connections that are told no
+
     /** One client's connection. */
     static final class Client {
         final IOSession session;
+        private final AtomicInteger all; // of the room: connections with an open request
         final Instant connected;
         private final AtomicInteger open = new AtomicInteger();
         private volatile Instant idleSince;
@@ -30,7 +33,8 @@
         volatile boolean body;           // of a request whose body is not whole yet
         volatile Instant closeAt;        // its last answer is out; what more comes is not read
 
-        Client(IOSession session, Instant now, boolean beyond) {
+        Client(IOSession session, Instant now, boolean beyond, AtomicInteger all) {
+            this.all = all;
             this.session = session;
             this.beyond = beyond;
             connected = now;
@@ -38,12 +42,16 @@
         }
 
         void begin() {
-            open.incrementAndGet();
+            if (open.getAndIncrement() == 0) {
+                all.incrementAndGet();
+            }
         }
 
         void end(Instant now) {
             idleSince = now;
-            open.decrementAndGet();
+            if (open.decrementAndGet() == 0) {
+                all.decrementAndGet();
+            }
         }
 
         boolean busy() {
@@ -63,9 +71,14 @@
     private volatile int most;
     private final long mostBytes;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger busy = new AtomicInteger();
     private final AtomicLong bytes = new AtomicLong();
 
-    /** {@code most} connections, and so many bytes of bodies. */
+    /**
+     * {@code most}: connections with an open request, and so many bytes of bodies. Each such connection takes two
+     * descriptors, the other one towards a server, and one without a request takes one: {@code 2 * most} together. Guards
+     * against a crowd that connects and asks for nothing in the place of those who ask.
+     */
     public ClientRoom(int most, long mostBytes) {
         this.most = most;
         this.mostBytes = mostBytes;
@@ -76,16 +89,26 @@
      * between two requests or has said nothing. Null where there is none, and no room to say so either.
      */
     Client enter(IOSession session, Instant now) {
-        boolean beyond = clients.size() >= most && !close(c -> c.heard && c.idleSince.plus(STAY).isBefore(now))
+        boolean beyond = clients.size() + busy.get() >= 2 * most && !close(c -> c.heard && c.idleSince.plus(STAY).isBefore(now))
                 && !close(c -> !c.heard && c.connected.plus(SILENT).isBefore(now));
-        if (beyond && clients.size() > most + most / 4) {
+        if (beyond && clients.size() + busy.get() >= 2 * most + MOST_BEYOND) {
             return null;
         }
-        Client client = new Client(session, now, beyond);
+        Client client = new Client(session, now, beyond, busy);
         clients.add(client);
         return client;
     }
 
+    /** More than half is taken: whoever is answered had better make place. */
+    boolean crowded() {
+        return clients.size() + busy.get() > most;
+    }
+
+    /** Whether one more request may be open. */
+    boolean full() {
+        return busy.get() >= most;
+    }
+
     /** From now on so many connections; those beyond stay. */
     public void most(int connections) {
         most = connections;
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -51,7 +51,7 @@
     private static final Duration FLUSH_TIME = Duration.ofSeconds(1); // for a last answer to leave
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration AGAIN = Duration.ofMillis(20); // between tries to begin with another reactor
-    private static final int MOST_HANDED_ON = 32; // connections that the reactor has not looked at yet
+    private static final int MOST_HANDED_ON = 16; // connections that the reactor has not looked at yet
     private static final int MOST_PIPELINED = 8; // requests open on one connection
     private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8 * 1024)
             .setMaxHeaderCount(100).build();
@@ -147,7 +147,7 @@
     }
 
     private ServerExchange exchange(ClientRoom.Client client) {
-        return new ServerExchange(client, room, client.beyond || client.open() >= MOST_PIPELINED
+        return new ServerExchange(client, room, client.beyond || room.full() || client.open() >= MOST_PIPELINED
                 ? this::refuse : front, clock, () -> draining, turnedAway);
     }
 
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -176,9 +176,10 @@
 
     private void send(int status, String contentType, Map<String, String> headers, long length) {
         BasicHttpResponse response = new BasicHttpResponse(status);
-        closing = headers.containsKey("Connection");
+        boolean crowded = room.crowded();
+        closing = crowded || headers.containsKey("Connection");
         headers.forEach(response::setHeader);
-        if (draining.getAsBoolean()) {
+        if (crowded || draining.getAsBoolean()) {
             response.setHeader("Connection", "close");
         }
         try {
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -180,6 +180,30 @@
         }
     }
 
+    /** In a crowd of connections that ask once and stay, and of others that never finish a request, true ones are served. */
+    @Test
+    public void aCrowdLeavesRoomForTrueRequests() throws Exception {
+        try (Site site = new Site(1, 1, new copperbeam.program.Config.Limits(192, 256))) {
+            List<Line> crowd = new ArrayList<>();
+            for (int i = 0; i < 90; i++) {
+                Line stays = site.client();
+                crowd.add(stays);
+                stays.send(i % 3 == 0 ? "POST /v1/chat/completions HTTP/1.1\r\nHost" : "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+                if (i % 3 != 0) {
+                    stays.read();
+                }
+                if (i % 3 == 2) {
+                    try (Line client = site.client()) {
+                        assertEquals(client.send(request("ask", 4000)).read().status(), 200, "after " + i);
+                    }
+                }
+            }
+            for (Line line : crowd) {
+                line.close();
+            }
+        }
+    }
+
     /** Clients that stay or say nothing must not keep others out, with either front. */
     @Test
     public void thoseWhoSayNothingMakeRoomForOthers() throws Exception {
