A last byte that never left is told as such: failed writes no longer cost a send

Cause: HttpCore takes small bodies and the ends of large ones into its own buffer and hands them to the system on a later turn. ClientExchange counted a byte as written once HttpCore had it, so that a write that failed on a reset was told as if the request might have run, and a send failed; and the hold of 2 ms began while the head was still in that buffer, so that a late reactor took its time off the hold.

Change: at a failure the end counts as written only if HttpCore's buffer is empty (a failed write takes nothing out of it, and it empties from its front); the hold begins once the system has all but the last byte; just before that byte goes the input is read, as a write to a server that has ended its side would not fail. A cancel on the caller's thread does not look into the buffer. A server that answered before the last byte may have run something: such an attempt is no longer begun anew.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -442,7 +442,8 @@
             return;
         }
         note(Recorder.What.WORD, work, written ? "BROKEN" : "BROKEN before the last byte", null);
-        if (!written && (work.reused || ++work.unsent < MOST_UNSENT)) {
+        // who answers before the last byte may have run something
+        if (!written && work.word == null && (work.reused || ++work.unsent < MOST_UNSENT)) {
             // the server ended the connection before the last byte left: nothing ran, so a new one may be tried
             work.connection = null;
             connect(work);
@@ -452,7 +453,7 @@
             dropIdle(); // the others here may have ended as well
             finish(work, Outcome.STALE);
         } else {
-            finish(work, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+            finish(work, written || work.word != null ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
     }
 
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -28,7 +29,9 @@
     private boolean told;            // that only the last byte is left
     private final AtomicInteger owed = new AtomicInteger();
     private volatile CapacityChannel capacity;
-    private boolean written;
+    private boolean written;         // the last byte is HttpCore's, that may still have it
+    private boolean left;            // and the system has it
+    private BooleanSupplier buffered = () -> false;
     private final AtomicInteger held = new AtomicInteger(); // taken in and not granted again
     private volatile boolean over;
     private boolean whole;
@@ -53,15 +56,33 @@
 
     abstract void whole(boolean reusable);
 
-    /** {@code mayHaveRun}: the last byte was handed to the connection. */
+    /** {@code mayHaveRun}: the system took the last byte, or nobody knows. */
     abstract void broken(boolean mayHaveRun);
 
-    /** The last byte was handed to the connection. */
+    /** The system took the last byte of a body. */
     void sent() {}
 
-    /** All but the last byte was handed to the connection. */
+    /** The system took all but the last byte. */
     void held() {}
 
+    /** {@code buffered}: of what was written on the connection the system has not taken the end. */
+    final void on(BooleanSupplier buffered) {
+        this.buffered = buffered;
+    }
+
+    /** The byte that was held back is the next to be handed to the system. */
+    final boolean aboutToGo() {
+        return hold && written && !over && buffered.getAsBoolean();
+    }
+
+    /** After each turn of output. */
+    final void wrote() {
+        if (body != null && written && !left && !over && !buffered.getAsBoolean()) {
+            left = true;
+            sent();
+        }
+    }
+
     /** From any thread: the last byte may go. */
     final void let() {
         let = true;
@@ -119,9 +140,8 @@
         if (!body.hasRemaining()) {
             written = true;
             channel.endStream(null);
-            sent();
-        } else if (kept == body.remaining() && !told) {
-            told = true;
+        } else if (kept == body.remaining() && !told && !buffered.getAsBoolean()) {
+            told = true; // not while HttpCore has the rest: its time on the way would be taken from the hold
             held();
         }
     }
@@ -183,15 +203,21 @@
 
     @Override
     public final void failed(Exception cause) {
+        // what HttpCore still has at the end, the request's last byte among it, has never left
+        fail(written && !buffered.getAsBoolean());
+    }
+
+    private void fail(boolean mayHaveRun) {
         if (!over) {
             over = true;
-            broken(written);
+            broken(mayHaveRun);
         }
     }
 
+    /** Comes on the caller's thread too, which must not look into the buffer as the reactor writes from it. */
     @Override
     public final void cancel() {
-        failed(null);
+        fail(written);
     }
 
     @Override
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
 import java.time.Duration;
 import java.time.Instant;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -19,7 +20,9 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.ContentEncoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -66,7 +69,7 @@
         reactor.start();
     }
 
-    private static Handler handler(ProtocolIOSession session, Life life) {
+    static Handler handler(ProtocolIOSession session, Life life) {
         BoundedParser<HttpResponse> parser = new BoundedParser<>(new DefaultHttpResponseParserFactory(CONFIG).create(),
                 false);
         return new Handler(new Duplexer(session, parser), parser, session, life);
@@ -74,6 +77,7 @@
 
     private static final class Duplexer extends ClientHttp1StreamDuplexer {
         private Chunks.Decoder chunks;
+        private SessionOutputBuffer output;
 
         Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser) {
             super(session, PROCESSOR, CONFIG, CharCodingConfig.DEFAULT, null, parser,
@@ -90,13 +94,28 @@
             return chunks;
         }
 
+        @Override
+        protected ContentEncoder createContentEncoder(long length, WritableByteChannel channel,
+                SessionOutputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+            output = buffer;
+            return super.createContentEncoder(length, channel, buffer, metrics);
+        }
+
+        /**
+         * Small bodies and the ends of large ones go into HttpCore's buffer and from there to the system on a later
+         * turn. A write that fails takes nothing out of it, and it is emptied from its front.
+         */
+        boolean buffered() {
+            return output != null && output.hasData();
+        }
+
         IOException late() {
             return chunks == null ? null : chunks.late();
         }
     }
 
     /** One connection's events; all but {@link #begin} on the reactor's thread. */
-    private static final class Handler extends ClientHttp1IOEventHandler {
+    static final class Handler extends ClientHttp1IOEventHandler {
         private final Duplexer duplexer;
         private final BoundedParser<HttpResponse> parser;
         private final ProtocolIOSession session;
@@ -116,6 +135,7 @@
         }
 
         void begin(ClientExchange next) {
+            next.on(duplexer::buffered);
             exchange = next;
         }
 
@@ -134,8 +154,20 @@
 
         @Override
         public void outputReady(IOSession open) throws IOException {
+            ClientExchange current = exchange;
+            if (current != null && current.aboutToGo()) {
+                // what the server said since the select: on a connection that it has ended the byte must stay here
+                inputReady(open, null);
+                if (!open.isOpen()) {
+                    return;
+                }
+            }
             try {
                 super.outputReady(open);
+                ClientExchange last = exchange;
+                if (last != null) {
+                    last.wrote();
+                }
             } finally {
                 settle();
             }
--- /dev/null
+++ b/src/test/java/copperbeam/transport/LastByteTest.java
@@ -0,0 +1,212 @@
+package copperbeam.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.locks.ReentrantLock;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.Timeout;
+import org.testng.annotations.Test;
+
+/** Whether a request's last byte has left, turn by turn of the reactor, on a system that a test plays. */
+public class LastByteTest {
+    /** Takes and gives what a test says, as the system does for a socket that does not block. */
+    private static final class System {
+        final Queue<Command> commands = new ArrayDeque<>();
+        final ReentrantLock lock = new ReentrantLock();
+        final ProtocolIOSession session = (ProtocolIOSession) Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {ProtocolIOSession.class}, (proxy, method, args) -> call(method.getName(), args));
+        final IOEventHandler handler;
+        final StringBuilder taken = new StringBuilder();
+        int room = Integer.MAX_VALUE;
+        boolean reset;               // known to the system alone
+        boolean ended;
+        boolean open = true;
+
+        System() throws IOException {
+            handler = ClientReactor.handler(session, new ClientReactor.Life() {
+                @Override
+                public void up(IOSession up) {}
+
+                @Override
+                public void down() {}
+            });
+            handler.connected(session);
+        }
+
+        private Object call(String name, Object[] args) throws IOException {
+            return switch (name) {
+                case "read" -> read();
+                case "write" -> write((ByteBuffer) args[0]);
+                case "getLock" -> lock;
+                case "getHandler" -> handler;
+                case "enqueue" -> commands.add((Command) args[0]);
+                case "poll" -> commands.poll();
+                case "isOpen" -> open;
+                case "getEventMask" -> 0;
+                case "getSocketTimeout" -> Timeout.DISABLED;
+                case "close" -> open = false;
+                default -> null;
+            };
+        }
+
+        private int read() throws IOException {
+            if (reset) {
+                throw new IOException("reset");
+            }
+            return ended ? -1 : 0;
+        }
+
+        private int write(ByteBuffer from) throws IOException {
+            if (reset) {
+                throw new IOException("reset");
+            }
+            byte[] bytes = new byte[Math.min(room, from.remaining())];
+            from.get(bytes);
+            room -= bytes.length;
+            taken.append(new String(bytes, StandardCharsets.US_ASCII));
+            return bytes.length;
+        }
+
+        /** As the reactor does: what a turn throws ends the connection. */
+        void turn(boolean input) {
+            try {
+                if (input) {
+                    handler.inputReady(session, null);
+                }
+                handler.outputReady(session);
+            } catch (IOException e) {
+                handler.exception(session, e);
+            }
+        }
+    }
+
+    private static final class Exchange extends ClientExchange {
+        final List<String> told = new ArrayList<>();
+
+        Exchange(boolean hold) {
+            super(new BasicHttpRequest("POST", new HttpHost("x"), "/"), "{\"a\":1}".getBytes(StandardCharsets.US_ASCII), hold);
+        }
+
+        @Override
+        void head(HttpResponse response) {}
+
+        @Override
+        void data(ByteBuffer bytes) {}
+
+        @Override
+        void whole(boolean reusable) {
+            told.add("whole");
+        }
+
+        @Override
+        void broken(boolean mayHaveRun) {
+            told.add(mayHaveRun ? "may have run" : "has not run");
+        }
+
+        @Override
+        void held() {
+            told.add("held");
+        }
+    }
+
+    private static Exchange begin(System system, boolean hold) {
+        Exchange exchange = new Exchange(hold);
+        ClientReactor.execute(system.session, exchange);
+        system.turn(false);
+        return exchange;
+    }
+
+    /** To where HttpCore has the last byte and hands it on with the next turn. */
+    private static Exchange untilItGoes(System system) {
+        Exchange exchange = begin(system, true);
+        system.turn(false);
+        assertEquals(exchange.told, List.of("held"));
+        exchange.let();
+        system.turn(false);
+        assertTrue(system.taken.toString().endsWith("{\"a\":1"));
+        return exchange;
+    }
+
+    /** The hold was told of while the head was still here: what the reactor took to send it was taken off the hold. */
+    @Test
+    public void theHoldBeginsOnceAllElseHasLeft() throws Exception {
+        System system = new System();
+        system.room = 0;
+        Exchange exchange = begin(system, true);
+        system.turn(false);
+        system.room = 20;
+        system.turn(false);
+        assertEquals(exchange.told, List.of());
+        system.room = 10_000;
+        system.turn(false);
+        system.turn(false);
+        assertEquals(exchange.told, List.of("held"));
+        assertTrue(system.taken.toString().endsWith("{\"a\":1"));
+    }
+
+    /** HttpCore had the last byte and could not hand it on: that was told as if it had left. */
+    @Test
+    public void aByteThatFailsToLeaveHasNotRun() throws Exception {
+        for (boolean hold : new boolean[] {true, false}) {
+            System system = new System();
+            Exchange exchange = hold ? untilItGoes(system) : begin(system, false);
+            exchange.told.clear();
+            system.reset = true;
+            system.turn(false);
+            assertEquals(exchange.told, List.of("has not run"));
+            assertFalse(system.open);
+        }
+    }
+
+    @Test
+    public void aByteThatFindsNoRoomHasNotRun() throws Exception {
+        System system = new System();
+        Exchange exchange = untilItGoes(system);
+        system.room = 0;
+        system.turn(false);
+        system.reset = true;
+        system.turn(true);
+        assertEquals(exchange.told, List.of("held", "has not run"));
+    }
+
+    @Test
+    public void aByteThatLeftMayHaveRun() throws Exception {
+        for (boolean end : new boolean[] {true, false}) {
+            System system = new System();
+            Exchange exchange = untilItGoes(system);
+            system.turn(false);
+            assertTrue(system.taken.toString().endsWith("{\"a\":1}"));
+            system.ended = end;
+            system.reset = !end;
+            system.turn(true);
+            assertEquals(exchange.told, List.of("held", "may have run"));
+        }
+    }
+
+    /** A write would not fail: what came since the select must be looked at, or the byte goes to who has left. */
+    @Test
+    public void theByteStaysWhereTheServerHasEnded() throws Exception {
+        System system = new System();
+        Exchange exchange = untilItGoes(system);
+        system.ended = true;
+        system.turn(false);
+        assertEquals(exchange.told, List.of("held", "has not run"));
+        assertTrue(system.taken.toString().endsWith("{\"a\":1"));
+    }
+}
