Tests of the last byte and of two attempts at once depend on no real time

Cause: aResetBeforeTheLastByteCostsNothing wanted the test's server to run within 2 ms; on a busy core it did not, the byte left, and the send rightly failed. neverTwoAttemptsAtOnce wanted a thread of the test's server to hear of a close before another thread heard of the next attempt, though the system had them in the right order.

--- a/src/test/java/copperbeam/sockets/Line.java
+++ b/src/test/java/copperbeam/sockets/Line.java
@@ -144,6 +144,12 @@
         }
     }
 
+    /** Whether the other side's close is here by now. */
+    boolean isClosed() throws IOException {
+        socket.setSoTimeout(1); // the least that there is
+        return awaitClosed();
+    }
+
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
         socket.close();
