--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -437,13 +437,14 @@
         });
     }
 
-    private void broken(Work work, boolean written) {
+    private void broken(Work work, boolean lastByteLeft) {
         if (work.done) {
             return;
         }
+        // who answers before the last byte may have run something, and a second answer must not follow on the first
+        boolean written = lastByteLeft || work.word != null;
         note(Recorder.What.WORD, work, written ? "BROKEN" : "BROKEN before the last byte", null);
-        // who answers before the last byte may have run something
-        if (!written && work.word == null && (work.reused || ++work.unsent < MOST_UNSENT)) {
+        if (!written && (work.reused || ++work.unsent < MOST_UNSENT)) {
             // the server ended the connection before the last byte left: nothing ran, so a new one may be tried
             work.connection = null;
             connect(work);
@@ -453,7 +454,7 @@
             dropIdle(); // the others here may have ended as well
             finish(work, Outcome.STALE);
         } else {
-            finish(work, written || work.word != null ? Outcome.RESET : Outcome.CONNECT_FAILED);
+            finish(work, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
     }
 
