A command that HttpCore calls off on the caller's thread leaves the reactor's buffer alone

Cause: RequestExecutionCommand.cancel, called where a connection closed as a call was put in its queue, tells the exchange by failed(RequestNotExecutedException) on the caller's thread, not by cancel. Looking into the output buffer there would race with the reactor's write from it.

Change: after that exception only the exchange's own word on its last byte counts, which is volatile now; nothing is looked up for an exchange that is over.

--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.RequestNotExecutedException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -29,7 +30,7 @@
     private boolean told;            // that only the last byte is left
     private final AtomicInteger owed = new AtomicInteger();
     private volatile CapacityChannel capacity;
-    private boolean written;         // the last byte is HttpCore's, that may still have it
+    private volatile boolean written; // the last byte is HttpCore's, that may still have it
     private boolean left;            // and the system has it
     private BooleanSupplier buffered = () -> false;
     private final AtomicInteger held = new AtomicInteger(); // taken in and not granted again
@@ -203,21 +204,22 @@
 
     @Override
     public final void failed(Exception cause) {
+        // that it never began is told on the caller's thread too, which must not look into a buffer of the reactor's
+        boolean never = cause instanceof RequestNotExecutedException;
         // what HttpCore still has at the end, the request's last byte among it, has never left
-        fail(written && !buffered.getAsBoolean());
+        fail(() -> written && (never || !buffered.getAsBoolean()));
     }
 
-    private void fail(boolean mayHaveRun) {
+    private void fail(BooleanSupplier mayHaveRun) {
         if (!over) {
             over = true;
-            broken(mayHaveRun);
+            broken(mayHaveRun.getAsBoolean());
         }
     }
 
-    /** Comes on the caller's thread too, which must not look into the buffer as the reactor writes from it. */
     @Override
     public final void cancel() {
-        fail(written);
+        fail(() -> written);
     }
 
     @Override
--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -12,6 +12,7 @@
 import copperbeam.routing.Answer;
 import copperbeam.routing.Ask;
 import copperbeam.routing.Connector;
+import copperbeam.routing.Figures;
 import copperbeam.routing.ListActor;
 import copperbeam.routing.MembershipSource;
 import copperbeam.routing.ModuleActor;
@@ -73,9 +74,11 @@
             Clock clock = Clock.systemUTC();
             Duration patience = Duration.ofSeconds(5);
             ReleaseActor releases = new ReleaseActor(turns, clock, patience);
-            module = new ModuleActor(turns, clock, Site.settings(30), 7, releases, Recorder.NONE);
+            Figures figures = new Figures(List.of("ask", "send"));
+            module = new ModuleActor(turns, clock, Site.settings(30), 7, releases, Recorder.NONE, figures);
             PeerActor.Setup setup = new PeerActor.Setup(clock, new Withholding(new ServerConnector(reactor),
-                    writer.address(), plan), patience, patience, patience, module, releases, Recorder.NONE);
+                    writer.address(), plan), patience, patience, patience, module, releases, Recorder.NONE,
+                    figures);
             ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
                     10);
             list.tell(new MembershipSource.Change(ListKind.FULL, List.of(entry("r", reader, "prefill"),
@@ -185,6 +188,11 @@
         @Override
         public void call(Connector.Call call, Connector.Listener listener) {
             on.call(call, new Connector.Listener() {
+                @Override
+                public void sent() {
+                    throw new AssertionError("sent, though nobody has let it go");
+                }
+
                 @Override
                 public void held() {}
 
--- a/src/test/java/copperbeam/transport/LastByteTest.java
+++ b/src/test/java/copperbeam/transport/LastByteTest.java
@@ -119,6 +119,11 @@
             told.add(mayHaveRun ? "may have run" : "has not run");
         }
 
+        @Override
+        void sent() {
+            told.add("sent");
+        }
+
         @Override
         void held() {
             told.add("held");
@@ -192,10 +197,11 @@
             Exchange exchange = untilItGoes(system);
             system.turn(false);
             assertTrue(system.taken.toString().endsWith("{\"a\":1}"));
+            assertEquals(exchange.told, List.of("held", "sent"));
             system.ended = end;
             system.reset = !end;
             system.turn(true);
-            assertEquals(exchange.told, List.of("held", "may have run"));
+            assertEquals(exchange.told, List.of("held", "sent", "may have run"));
         }
     }
 
