--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -81,8 +81,10 @@
                     figures);
             ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
                     10);
-            list.tell(new MembershipSource.Change(ListKind.FULL, List.of(entry("r", reader, "prefill"),
-                    entry("w", writer, "decode"))));
+            CountDownLatch listed = new CountDownLatch(1);
+            list.tell(new ListActor.Told(new MembershipSource.Change(ListKind.FULL,
+                    List.of(entry("r", reader, "prefill"), entry("w", writer, "decode"))), listed::countDown));
+            assertTrue(listed.await(Line.PATIENCE_MS, TimeUnit.MILLISECONDS));
         }
 
         private static MembershipSource.Entry entry(String id, StandIn server, String kind) {
--- a/src/test/java/copperbeam/transport/LastByteTest.java
+++ b/src/test/java/copperbeam/transport/LastByteTest.java
@@ -96,11 +96,13 @@
         }
     }
 
+    private static final String BODY = "{\"a\":1}";
+
     private static final class Exchange extends ClientExchange {
         final List<String> told = new ArrayList<>();
 
         Exchange(boolean hold) {
-            super(new BasicHttpRequest("POST", new HttpHost("x"), "/"), "{\"a\":1}".getBytes(StandardCharsets.US_ASCII), hold);
+            super(new BasicHttpRequest("POST", new HttpHost("x"), "/"), BODY.getBytes(StandardCharsets.US_ASCII), hold);
         }
 
         @Override
@@ -144,7 +146,7 @@
         assertEquals(exchange.told, List.of("held"));
         exchange.let();
         system.turn(false);
-        assertTrue(system.taken.toString().endsWith("{\"a\":1"));
+        assertTrue(system.taken.toString().endsWith(BODY.substring(0, BODY.length() - 1)));
         return exchange;
     }
 
@@ -162,7 +164,7 @@
         system.turn(false);
         system.turn(false);
         assertEquals(exchange.told, List.of("held"));
-        assertTrue(system.taken.toString().endsWith("{\"a\":1"));
+        assertTrue(system.taken.toString().endsWith(BODY.substring(0, BODY.length() - 1)));
     }
 
     /** HttpCore had the last byte and could not hand it on: that was told as if it had left. */
@@ -196,7 +198,7 @@
             System system = new System();
             Exchange exchange = untilItGoes(system);
             system.turn(false);
-            assertTrue(system.taken.toString().endsWith("{\"a\":1}"));
+            assertTrue(system.taken.toString().endsWith(BODY));
             assertEquals(exchange.told, List.of("held", "sent"));
             system.ended = end;
             system.reset = !end;
@@ -213,6 +215,6 @@
         system.ended = true;
         system.turn(false);
         assertEquals(exchange.told, List.of("held", "has not run"));
-        assertTrue(system.taken.toString().endsWith("{\"a\":1"));
+        assertTrue(system.taken.toString().endsWith(BODY.substring(0, BODY.length() - 1)));
     }
 }
