--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -437,10 +437,12 @@
         });
     }
 
-    private void broken(Work work, boolean written) {
+    private void broken(Work work, boolean lastByteLeft) {
         if (work.done) {
             return;
         }
+        // who answers before the last byte may have run something, and a second answer must not follow on the first
+        boolean written = lastByteLeft || work.word != null;
         note(Recorder.What.WORD, work, written ? "BROKEN" : "BROKEN before the last byte", null);
         if (!written && (work.reused || ++work.unsent < MOST_UNSENT)) {
             // the server ended the connection before the last byte left: nothing ran, so a new one may be tried
