Upgrades: a life's lock outlives a beat, and no call hides another's word

Need: processes of one conductor know of each other by locks held for life. Files.setLastModifiedTime opens and closes the lock file, and with any close of it Linux drops all locks a process has there: after the first beat no process was seen by another, so no old one ever gave its address up. A call at a door took what another process had just said as acted on.

Change: the beat is a byte written through the channel that holds the lock; a call acts on what it has read of others.

--- a/src/main/java/copperbeam/program/Handover.java
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -176,8 +176,9 @@
     @Override
     public void ban(String server, boolean out, Runnable done) {
         change(s -> s.ban(server, out, clock.instant()));
-        acted = state;
+        acted = new SharedState(state.bans(), acted.duty(), acted.lives());
         bans.tell(new BanActor.Out(state.banned(), done));
+        act(); // on what was read with it: said at another's door just before, it would never be looked at again
     }
 
     @Override
@@ -187,12 +188,13 @@
             return;
         }
         change(s -> s.duty(drained, clock.instant()));
-        acted = state;
+        acted = new SharedState(acted.bans(), state.duty(), acted.lives());
         if (drained) {
             hands.drain(done);
         } else {
             hands.rejoin(done);
         }
+        act(); // as in ban()
     }
 
     @Override
--- a/src/main/java/copperbeam/program/SharedFolder.java
+++ b/src/main/java/copperbeam/program/SharedFolder.java
@@ -5,6 +5,7 @@
 import copperbeam.handover.SharedState.Phase;
 import copperbeam.handover.StateCodec;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -12,7 +13,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.FileTime;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -31,6 +31,7 @@
     private static final Logger LOG = Logger.getLogger(SharedFolder.class.getName());
     private static final int SLOTS = 8;
     private static final int WRITING = 100;  // the byte that whoever writes holds
+    private static final int BEATING = 101;  // the byte that is written so that the file is as old as the last beat
     private static final Duration BEAT = Duration.ofSeconds(1);
     static final Duration KEPT = Duration.ofSeconds(60); // since anybody lived here; a restart takes a few
 
@@ -39,7 +40,6 @@
     private final Clock clock;
     private final Path file;
     private final Path part;
-    private final Path locks;
     private final FileChannel channel;
     private final FileLock own;      // held for life: the system lets go of it whatever ends the process
     private SharedState state = SharedState.EMPTY;
@@ -55,7 +55,7 @@
         incarnation = clock.instant().toEpochMilli() + "-" + pid;
         file = folder.resolve(name + ".state");
         part = folder.resolve(name + "." + pid + ".part");
-        locks = folder.resolve(name + ".lock");
+        Path locks = folder.resolve(name + ".lock");
         channel = FileChannel.open(locks, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         Instant held = Files.getLastModifiedTime(locks).toInstant();
         own = claim();
@@ -155,7 +155,9 @@
             }
             if (beat.plus(BEAT).isBefore(clock.instant())) {
                 beat = clock.instant();
-                Files.setLastModifiedTime(locks, FileTime.from(beat));
+                // through this channel: Files.setLastModifiedTime opens the file and closes it, and on Linux whoever
+                // closes any descriptor of a file loses all locks held there, the one held for life included
+                channel.write(ByteBuffer.allocate(1), BEATING);
             }
         } catch (IOException e) {
             state = change.apply(state);
--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -10,12 +10,16 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
-/** One conductor as `run` starts it, with discovery in its file and an older word on it in the environment. */
+/** One process of a conductor as `run` starts it, with discovery in its file and an older word on it in the environment. */
 final class Conductor implements AutoCloseable {
-    final Path folder = Files.createTempDirectory("conductor");
-    final Path log = folder.resolve("log");
-    final InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+    static final String NAME = "n0";
+
+    final Path folder;               // also where its processes share what they know
+    final Path log;
+    final InetSocketAddress address;
+    final InetSocketAddress door;    // null where operators have none
     final Process process;
     private final String limits;
 
@@ -30,6 +34,25 @@
 
     /** {@code shell}: run by the shell before the conductor takes its place. */
     Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more, String shell) throws IOException {
+        this(discovery, sockets, memoryMb, more, shell, Files.createTempDirectory("conductor"), freeAddress(), null);
+    }
+
+    /** The first process of a conductor with a door. */
+    Conductor(StandIn discovery, Path folder, String... more) throws IOException {
+        this(discovery, 1024, 192, List.of(more), ":", folder, freeAddress(), freeAddress());
+    }
+
+    /** A further process of the same conductor, with a door of its own. */
+    Conductor(StandIn discovery, Conductor earlier, String... more) throws IOException {
+        this(discovery, 1024, 192, List.of(more), ":", earlier.folder, earlier.address, freeAddress());
+    }
+
+    private Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more, String shell, Path folder,
+            InetSocketAddress address, InetSocketAddress door) throws IOException {
+        this.folder = folder;
+        this.address = address;
+        this.door = door;
+        log = folder.resolve(door == null ? "log" : "log" + door.getPort());
         this.limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
         configure(discovery.host());
         List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + sockets + " && " + shell + " && exec \"$0\" \"$@\"",
@@ -40,12 +63,17 @@
         ProcessBuilder java = new ProcessBuilder(command);
         java.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
         java.environment().put("GW_DISCOVERY", discovery.host());
+        java.environment().put("GW_NAME", NAME);
+        java.environment().put("TMPDIR", folder.toString());
+        if (door != null) {
+            java.environment().put("GW_CONTROL", "127.0.0.1:" + door.getPort());
+        }
         process = java.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
-    private static int freePort() throws IOException {
+    private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+            return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
 
@@ -69,6 +97,31 @@
         }
     }
 
+    /** What it says at its door; nothing where nobody is there. */
+    String call(String line) {
+        try {
+            return OperatorsTest.call(door, line);
+        } catch (UncheckedIOException e) {
+            return "";
+        }
+    }
+
+    boolean ready() {
+        return call("PING").equals("ACK\n");
+    }
+
+    /** How many processes listen at the clients' address, as the system has it. */
+    int listeners() {
+        String listens = String.format(".*:%04X [0:]+ 0A .*", address.getPort());
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").map(Path::of).filter(Files::exists).mapToInt(table -> {
+            try {
+                return (int) Files.readAllLines(table).stream().filter(l -> l.matches(listens)).count();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }).sum();
+    }
+
     boolean logged(String text) {
         try {
             return Files.readString(log).contains(text);
@@ -83,15 +136,18 @@
     }
 
     /** The whole list at once, and after that no change. */
-    static StandIn discovery(StandIn reader, StandIn writer) throws IOException {
+    static StandIn discovery(StandIn reader, StandIn... writers) throws IOException {
+        StringBuilder entries = new StringBuilder(Site.entry(reader, "prefill", "active"));
+        for (StandIn writer : writers) {
+            entries.append(',').append(Site.entry(writer, "decode", "active"));
+        }
         return new StandIn((m, line) -> {
             boolean watch = m.path().contains("from=");
             if (watch) {
                 Thread.sleep(500);
             }
             line.answer(200, "{\"version\":7,\"full\":" + !watch + ",\"servers\":["
-                    + (watch ? "" : Site.entry(reader, "prefill", "active") + "," + Site.entry(writer, "decode", "active"))
-                    + "]}");
+                    + (watch ? "" : entries) + "]}");
         });
     }
 }
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -0,0 +1,278 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.OperatorsTest.figures;
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.await;
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.handover.SharedState;
+import copperbeam.handover.StateCodec;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Several processes of one conductor, what happens to them, and what clients and servers see of it. */
+public class UpgradeTest {
+    private static final int STREAM_MS = 100;
+
+    /** The servers, and the processes of one conductor in the order of their start. */
+    private static final class Fleet implements AutoCloseable {
+        final StandIn reader = new StandIn(Site::read);
+        final List<StandIn> writers = new ArrayList<>();
+        final StandIn discovery;
+        final CountDownLatch told = new CountDownLatch(1);   // what lateDiscovery waits for
+        private volatile CountDownLatch held = new CountDownLatch(1); // what streams of requests "held..." wait for
+        final Path folder = Files.createTempDirectory("conductor");
+        final List<Conductor> all = new ArrayList<>();
+        private final Path operator = folder.resolve("operator.json");
+        private StandIn lateDiscovery;
+
+        Fleet() throws IOException {
+            for (int i = 0; i < 2; i++) {
+                writers.add(new StandIn(attempts(this::write)));
+            }
+            discovery = Conductor.discovery(reader, writers.toArray(StandIn[]::new));
+            // a stop that waits for what the test holds, so that no verdict hangs on the machine's speed
+            Files.writeString(operator, "{\"stop\":{\"within_s\":40}}");
+        }
+
+        private void write(Line.Message m, Line line) throws Exception {
+            line.beginStream().chunk("data: first\n\n");
+            if (m.header("X-Request-ID").startsWith("held")) {
+                held.await();
+            } else if (m.header("X-Request-ID").startsWith("load")) {
+                Thread.sleep(STREAM_MS);
+            }
+            line.chunk(Site.EVENTS).lastChunk();
+        }
+
+        Conductor start(StandIn list) throws IOException {
+            String[] more = {"-XX:TieredStopAtLevel=1", "--operator", operator.toString()};
+            all.add(all.isEmpty() ? new Conductor(list, folder, more) : new Conductor(list, all.get(0), more));
+            return all.get(all.size() - 1);
+        }
+
+        /** Ready, and the one before has given the address up. */
+        Conductor next() throws Exception {
+            return alone(start(discovery));
+        }
+
+        /** Started, known to the others, and without a list before {@link #told} is open. */
+        Conductor late() throws Exception {
+            lateDiscovery = Conductor.discovery(reader, writers.toArray(StandIn[]::new));
+            StandIn.Script list = lateDiscovery.script;
+            lateDiscovery.script = (m, line) -> {
+                told.await();
+                list.run(m, line);
+            };
+            Conductor late = start(lateDiscovery);
+            await("at its door", () -> late.call("PING").equals("NAK not ready\n"));
+            return late;
+        }
+
+        Conductor alone(Conductor one) throws Exception {
+            await("ready", one::ready);
+            await("alone at the address", () -> one.listeners() == 1);
+            return one;
+        }
+
+        Line client() throws IOException {
+            return new Line(all.get(0).address);
+        }
+
+        /** A stream that stands after its first event. */
+        Line hold() throws Exception {
+            Line client = client();
+            client.send(request("held" + System.nanoTime(), "ask", "60000m", "prompt_len=40", "{}")).head();
+            assertEquals(client.readChunk(), "data: first\n\n");
+            return client;
+        }
+
+        /** Held streams go on, and come whole. */
+        void release(Line... streams) throws IOException {
+            held.countDown();
+            for (Line stream : streams) {
+                StringBuilder rest = new StringBuilder();
+                String event = stream.readChunk();
+                for (; event != null && !event.isEmpty(); event = stream.readChunk()) {
+                    rest.append(event);
+                }
+                assertEquals(rest + (event == null ? "" : "broken"), Site.EVENTS);
+            }
+            held = new CountDownLatch(1);
+        }
+
+        /** {@code count} requests on new connections, each answered whole. */
+        void ask(int count) throws Exception {
+            for (int i = 0; i < count; i++) {
+                try (Line client = client()) {
+                    assertEquals(client.send(request("ask", 8000)).read().status(), 200);
+                }
+            }
+        }
+
+        /** A server that is out gets nothing while others do. */
+        void holdsOut(StandIn out) throws Exception {
+            long before = out.attempts();
+            ask(10);
+            assertEquals(out.attempts(), before, "sent to a server that is out");
+        }
+
+        void usesAgain(StandIn server) throws Exception {
+            long before = server.attempts();
+            await("used again", () -> {
+                try {
+                    ask(1);
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+                return server.attempts() > before;
+            });
+        }
+
+        /** What it counts from now on is what clients and servers count. */
+        void countsTruly(Conductor one) throws Exception {
+            Map<String, Long> before = figures(one.door);
+            long sent = sent();
+            ask(10);
+            Map<String, Long> now = figures(one.door);
+            assertEquals(now.get("transactions.ask.answered") - before.get("transactions.ask.answered"), 10, "answered");
+            assertEquals(now.get("sends") - before.get("sends"), sent() - sent, "sends");
+            assertEquals(now.get("current"), before.get("current"), "current");
+        }
+
+        private long sent() {
+            return reader.attempts() + writers.stream().mapToLong(StandIn::attempts).sum();
+        }
+
+        @Override
+        public void close() throws Exception {
+            told.countDown();
+            held.countDown();
+            all.forEach(Conductor::close);
+            for (StandIn s : Arrays.asList(reader, writers.get(0), writers.get(1), discovery, lateDiscovery)) {
+                if (s != null) {
+                    s.close();
+                }
+            }
+        }
+    }
+
+    /** Clients that ask and send without a pause, some on a connection each, some on a new one for each request. */
+    private static final class Load {
+        private static final int CLIENTS = 6;
+        final List<String> faults = new CopyOnWriteArrayList<>();
+        final List<String> sends = new CopyOnWriteArrayList<>();
+        final AtomicInteger answered = new AtomicInteger();
+        private final List<Thread> threads = new ArrayList<>();
+        private volatile boolean over;
+
+        Load(Fleet fleet) {
+            for (int i = 0; i < CLIENTS; i++) {
+                int number = i;
+                threads.add(new Thread(() -> run(fleet, number)));
+                threads.get(i).start();
+            }
+        }
+
+        private void run(Fleet fleet, int number) {
+            Line line = null;
+            for (int i = 0; !over; i++) {
+                String id = "load" + number + "-" + i;
+                String requestClass = number % 3 == 0 ? "ask" : "send";
+                try {
+                    line = line == null ? fleet.client() : line;
+                    if (requestClass.equals("send")) {
+                        sends.add(id);
+                    }
+                    Line.Message answer = line.send(request(id, requestClass, "8000m", "prompt_len=40", "{}")).read();
+                    if (answer == null || answer.status() != 200 || !answer.text().equals("data: first\n\n" + Site.EVENTS)) {
+                        faults.add(id + ": " + (answer == null ? "closed" : answer.start() + " " + answer.text()));
+                    }
+                    answered.incrementAndGet();
+                    if (number % 2 == 0 || answer == null || "close".equals(answer.header("Connection"))) {
+                        line.close();
+                        line = null;
+                    }
+                } catch (IOException e) {
+                    faults.add(id + ": " + e);
+                    line = null;
+                }
+            }
+        }
+
+        void goesOn() throws InterruptedException {
+            int from = answered.get();
+            await("clients are served", () -> answered.get() > from + 5 * CLIENTS || !faults.isEmpty());
+            assertTrue(faults.isEmpty(), faults.toString());
+        }
+
+        void end() throws InterruptedException {
+            over = true;
+            for (Thread t : threads) {
+                t.join();
+            }
+            assertTrue(faults.isEmpty(), faults.toString());
+        }
+    }
+
+    private static void endsByItself(Conductor one) throws Exception {
+        assertTrue(one.process.waitFor(Line.PATIENCE_MS, TimeUnit.MILLISECONDS), "it goes on");
+        assertEquals(one.process.exitValue(), 0);
+    }
+
+    private static String id(StandIn server) {
+        return "s" + server.address().getPort();
+    }
+
+    /** Three processes, each in place of the one before, and clients that see nothing of it. */
+    @Test
+    public void clientsSeeNothingOfUpgrades() throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            Conductor old = fleet.next();
+            assertEquals(old.call("DETACH " + id(fleet.writers.get(0))), "ACK\n");
+            Load load = new Load(fleet);
+            load.goesOn();
+            for (int i = 0; i < 2; i++) {
+                try (Line open = fleet.hold()) {
+                    Conductor next = fleet.next();
+                    load.goesOn();
+                    assertTrue(figures(next.door).get("transactions.send.answered") > 0);
+                    old.signal("TERM");
+                    Conductor stopping = old;
+                    await("it stops", () -> !stopping.ready());
+                    load.goesOn();
+                    assertTrue(old.process.isAlive(), "a stream is open");
+                    fleet.release(open);
+                    endsByItself(old);
+                    old = next;
+                }
+                load.goesOn();
+            }
+            load.end();
+            assertEquals(fleet.writers.get(0).attempts(), 0, "out since the first process");
+            for (StandIn server : List.of(fleet.reader, fleet.writers.get(1))) {
+                Map<String, Long> times = server.seen.stream().filter(m -> m.method().equals("POST"))
+                        .collect(Collectors.groupingBy(m -> m.header("X-Request-ID"), Collectors.counting()));
+                load.sends.forEach(id -> assertEquals(times.get(id), Long.valueOf(1), id));
+            }
+        }
+    }
+}
