--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -81,9 +81,11 @@
     private void run() {
         boolean left = true;
         int missed = 0;
-        while (!closing || left) {
+        while (left || selector.isOpen()) {
             try {
-                if (!closing) {
+                if (closing) {
+                    selector.close(); // before the listener, which the kernel else deals connections to after its close
+                } else {
                     selector.select(TICK.toMillis());
                     selector.selectedKeys().clear();
                 }
@@ -101,7 +103,6 @@
         }
         try {
             listener.close();
-            selector.close();
         } catch (IOException e) {
             LOG.fine(() -> "the listener's end: " + e);
         }
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -176,9 +176,10 @@
 
     private void send(int status, String contentType, Map<String, String> headers, long length) {
         BasicHttpResponse response = new BasicHttpResponse(status);
-        closing = headers.containsKey("Connection");
+        boolean drained = draining.getAsBoolean();
+        closing = drained || headers.containsKey("Connection");
         headers.forEach(response::setHeader);
-        if (draining.getAsBoolean()) {
+        if (drained) {
             response.setHeader("Connection", "close");
         }
         try {
@@ -250,9 +251,10 @@
         }
         if (state == Last.WHOLE && over.compareAndSet(false, true)) {
             ended();
-            if (closing || draining.getAsBoolean()) {
-                // HttpCore itself does not where more requests of this connection wait for their turn, or where
-                // the stop was asked for after the head of this answer had promised more
+            if (closing) {
+                // HttpCore itself does not where more requests of this connection wait for their turn; where the head
+                // promised more before a drain began, the next request may be on its way: its answer says so, or else
+                // the connection is closed once it is idle
                 client.closeAt = clock.instant().plus(unread ? LINGER : Duration.ZERO);
             }
             channel.endStream(null);
--- a/src/test/java/copperbeam/sockets/UpgradeTest.java
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -275,4 +276,55 @@
             }
         }
     }
+
+    /** What the processes have come to when one is killed. */
+    private enum Step { STARTING, SERVING, LEAVING, IDLE }
+
+    @DataProvider
+    public Object[][] kills() {
+        return Stream.of(Step.values()).flatMap(s -> Stream.of(new Object[] {s, true}, new Object[] {s, false}))
+                .toArray(Object[][]::new);
+    }
+
+    /** Whoever is killed, and when: the other serves, keeps what was said at either door, and counts truly. */
+    @Test(dataProvider = "kills")
+    public void theOtherGoesOn(Step step, boolean killOld) throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            StandIn out = fleet.writers.get(0);
+            Conductor old = fleet.next();
+            assertEquals(old.call("DETACH " + id(out)), "ACK\n");
+            Line oldStream = step == Step.IDLE ? null : fleet.hold();
+            Conductor next = step == Step.STARTING ? fleet.late() : fleet.next();
+            Line newStream = step == Step.SERVING || step == Step.LEAVING ? fleet.hold() : null;
+            if (step == Step.LEAVING) {
+                old.signal("TERM");
+                await("it stops", () -> !old.ready());
+            }
+            (killOld ? old : next).process.destroyForcibly().waitFor();
+            Conductor left = killOld ? next : old;
+            fleet.told.countDown();
+            await("who is left listens", () -> left.listeners() == 1);
+            boolean stops = left == old && step == Step.LEAVING;
+            await("healthy unless it stops", () -> left.healthy() == !stops);
+            fleet.holdsOut(out);
+            if (stops) {
+                fleet.release(oldStream);
+                endsByItself(old);
+                return;
+            }
+            Line stream = killOld ? newStream : oldStream;
+            if (stream != null) {
+                fleet.release(stream);
+            }
+            await("nothing is open", () -> figures(left.door).get("current") == 0);
+            fleet.countsTruly(left);
+            assertEquals(out.attempts(), 0, "out since before");
+            assertEquals(left.call("ATTACH " + id(out)), "ACK\n");
+            fleet.usesAgain(out);
+            if (step == Step.SERVING && !killOld) {
+                fleet.next(); // an upgrade that failed is begun anew
+                fleet.ask(10);
+            }
+        }
+    }
 }
