Upgrades: a stop takes connections again when its successor dies; tests of faults between processes

Need: after the old process's SIGTERM the new one may be killed; nobody then listened at the address until the old one's end, and its health said yes.

Change: a successor that is gone is none, during a stop as well.

--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -76,13 +76,13 @@
 
     /**
      * A new process serves at the same address: clients are led there, and there is all the time until the stop to end what
-     * is open. Or it serves no more, and this one is back at work unless a stop is under way.
+     * is open. Or it serves no more, and this one is back at work, or takes what comes for as long as its stop lasts.
      */
     public void succeeded(boolean by) {
         if (stopped == null && succeeded && !by) {
             step = Step.WORK;
         }
-        succeeded = by || succeeded && stopped != null;
+        succeeded = by;
     }
 
     /** Whether a new process takes what comes here. */
--- a/src/test/java/copperbeam/sockets/UpgradeTest.java
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -11,7 +11,6 @@
 import copperbeam.handover.SharedState;
 import copperbeam.handover.StateCodec;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -24,6 +23,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -327,4 +327,121 @@
             }
         }
     }
+
+    /** Door 0 is the old one's, 1 the new one's: where it is said, and where it is taken back. */
+    @DataProvider
+    public Object[][] doors() {
+        return new Object[][] {{0, 1}, {1, 0}};
+    }
+
+    /** What is said at one door holds at the other; the figures are each process's own, the servers' records are for both. */
+    @Test(dataProvider = "doors")
+    public void whatIsSaidHoldsForBoth(int said, int back) throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            StandIn out = fleet.writers.get(0);
+            List<Conductor> both = List.of(fleet.next(), fleet.next());
+            // the second word before the first was looked at
+            assertEquals(both.get(said).call("DETACH " + id(out)), "ACK\n");
+            assertEquals(both.get(back).call("LAMEDUCK"), "ACK\n");
+            for (Conductor one : both) {
+                await("left out", () -> figures(one.door).get("cluster_unhealthy") == 1);
+            }
+            await("drained", () -> !both.get(1).healthy());
+            fleet.holdsOut(out);
+            assertEquals(both.get(back).call("REJOIN"), "ACK\n");
+            assertEquals(both.get(said).call("ATTACH " + id(out)), "ACK\n");
+            for (Conductor one : both) {
+                await("used", () -> figures(one.door).get("cluster_unhealthy") == 0);
+                assertTrue(one.ready());
+            }
+            await("back at work", both.get(1)::healthy);
+            fleet.usesAgain(out);
+        }
+    }
+
+    /** A drain by hand is the conductor's, not the process's. */
+    @Test
+    public void aDrainOutlivesAnUpgrade() throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            Conductor old = fleet.next();
+            assertEquals(old.call("LAMEDUCK"), "ACK\n");
+            Conductor next = fleet.next();
+            assertFalse(next.healthy());
+            old.signal("TERM");
+            endsByItself(old);
+            assertFalse(next.healthy());
+            assertTrue(next.ready());
+            fleet.ask(3);
+            assertEquals(next.call("REJOIN"), "ACK\n");
+            await("back at work", next::healthy);
+        }
+    }
+
+    /** The old one stops as ever where nobody is there yet to take its place, and the new one comes when it can. */
+    @Test
+    public void aStopBeforeTheNewOneIsReady() throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            Conductor old = fleet.next();
+            Conductor next = fleet.late();
+            fleet.ask(3);
+            assertEquals(old.listeners(), 1, "the new one is not ready");
+            try (Line open = fleet.hold()) {
+                old.signal("TERM");
+                await("it stops", () -> !old.ready());
+                assertFalse(old.healthy());
+                fleet.ask(3);
+                fleet.release(open);
+            }
+            endsByItself(old);
+            assertEquals(next.listeners(), 0);
+            fleet.told.countDown();
+            fleet.alone(next);
+            assertTrue(next.healthy());
+            fleet.countsTruly(next);
+        }
+    }
+
+    /** Each with a ban in it that must not hold but in the last. */
+    @DataProvider
+    public Object[][] files() {
+        return new Object[][] {
+            {"not a copperbeam state file", (UnaryOperator<byte[]>) whole -> {
+                byte[] any = whole.clone();
+                new Random(3).nextBytes(any);
+                return any;
+            }},
+            {"truncated", (UnaryOperator<byte[]>) whole -> Arrays.copyOf(whole, whole.length - 1)},
+            {"truncated in its header", (UnaryOperator<byte[]>) whole -> Arrays.copyOf(whole, 20)},
+            {"another conductor's", (UnaryOperator<byte[]>) whole -> file("n1", whole)},
+            {null, UnaryOperator.identity()},
+        };
+    }
+
+    private static byte[] file(String conductor, byte[] whole) {
+        try {
+            return StateCodec.write(conductor, StateCodec.read(Conductor.NAME, whole, Instant.now()), Instant.now());
+        } catch (StateCodec.Refused e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** {@code why} null: the file is taken. */
+    @Test(dataProvider = "files")
+    public void whatIsNotOursIsNotTaken(String why, UnaryOperator<byte[]> spoil) throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            StandIn out = fleet.writers.get(0);
+            Path state = fleet.folder.resolve(Conductor.NAME + ".state");
+            Files.write(state, spoil.apply(StateCodec.write(Conductor.NAME,
+                    SharedState.EMPTY.ban(id(out), true, Instant.now()), Instant.now())));
+            Conductor one = fleet.next();
+            assertTrue(one.healthy());
+            if (why == null) {
+                fleet.holdsOut(out);
+            } else {
+                assertTrue(one.logged("n0.state is not taken: " + why + System.lineSeparator()), Files.readString(one.log));
+                fleet.usesAgain(out);
+            }
+            StateCodec.read(Conductor.NAME, Files.readAllBytes(state), Instant.now());
+        }
+    }
 }
