--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -67,7 +67,7 @@
     private final FileRecorder fileRecorder; // null where nothing is recorded
     private ScheduledThreadPoolExecutor hookTurns;
     private HttpFrontServer chat;
-    private InetSocketAddress chatAddress;
+    private volatile InetSocketAddress chatAddress; // the same
     private LineDoor door;             // null where operators have none
     private final Handover handover;   // the same
     private final AtomicBoolean ready = new AtomicBoolean();
