Where the list is pushed, nothing goes by an older list before the agent's own is in

What the agent has counts as told from a process's first moment. Change: the list known before is taken after 2 s of silence only; where the list must be asked for, as before.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -46,6 +46,7 @@
     private static final double IDLE_SHARE = 0.5; // of the servers' limit for which we keep idle connections
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     private static final Duration LOOK = Duration.ofMillis(500); // at a stop, for whether another process serves
+    private static final Duration KNOWN_AFTER = Duration.ofSeconds(2); // of silence the list known before is gone by
     private static final int AWAY = 3; // rests of broken streams asked for lately, from which others must have stopped
 
     private final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1,
@@ -98,9 +99,10 @@
         MembershipSource.Sink told = bans == null ? change -> list.tell(new ListActor.Told(change, null))
                 : change -> bans.tell(new BanActor.Told(change));
         room = new ClientRoom(config.limits().clients(), config.limits().bodies());
-        if (config.known() != null) {
+        boolean goesOn = config.operator().etcd() == null && config.knownListing() != null;
+        if (goesOn) {
             told.changed(config.known().change(ListKind.CACHED));
-            listed.set(config.operator().etcd() == null && config.knownListing() != null);
+            listed.set(true);
         }
         HttpClient client = new PlainHttpClient(reactor);
         Config.Etcd etcd = config.operator().etcd();
@@ -140,9 +142,14 @@
             warm.countDown();
             ready();
         });
-        if (config.known() != null) {
-            // with discovery down, the list last known has to do
-            turns.schedule(this::listed, 2, TimeUnit.SECONDS);
+        if (config.known() != null && !goesOn) {
+            // with discovery down, the list last known has to do; not before, as a drain that the agent has counts as told
+            turns.schedule(() -> {
+                if (!listed.get()) {
+                    told.changed(config.known().change(ListKind.CACHED));
+                    listed();
+                }
+            }, KNOWN_AFTER.toMillis(), TimeUnit.MILLISECONDS);
         }
         ready();
     }
