An answer still in the buffer is no idle connection: not closed, not left behind at a stop

Change: ClientRoom.Client.idle asks for output that waits as well, wherever something is closed or a stop looks for what is open.

--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -1,5 +1,7 @@
 package copperbeam.transport;
 
+import java.nio.channels.CancelledKeyException;
+import java.nio.channels.SelectionKey;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -58,6 +60,18 @@
             return open.get() > 0;
         }
 
+        /**
+         * Nothing is open and nothing left to write. Guards against an answer cut off in the buffer: HttpCore writes the
+         * end of one to the system on a later turn, and by then its request counts as ended.
+         */
+        boolean idle() {
+            try {
+                return !busy() && (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
+            } catch (CancelledKeyException e) {
+                return !busy(); // it is closed
+            }
+        }
+
         /** Idle for so long, or never heard though it has had the time to speak. */
         boolean quiet(Instant now, Duration span) {
             return heard ? idleSince.plus(span).isBefore(now) : connected.plus(SILENT).isBefore(now);
@@ -115,7 +129,7 @@
     }
 
     private boolean close(Predicate<Client> which) {
-        return clients.stream().filter(c -> !c.busy() && which.test(c)).min(Comparator.comparing(c -> c.idleSince))
+        return clients.stream().filter(c -> c.idle() && which.test(c)).min(Comparator.comparing(c -> c.idleSince))
                 .map(c -> {
                     clients.remove(c);
                     c.session.close(CloseMode.GRACEFUL);
@@ -140,8 +154,9 @@
         bytes.addAndGet(-count);
     }
 
+    /** Whether a request is open, or an answer on its way out. */
     boolean busy() {
-        return clients.stream().anyMatch(Client::busy);
+        return clients.stream().anyMatch(c -> !c.idle());
     }
 
     /** Connections that are counted now. */
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -242,7 +242,7 @@
             boolean flushed = (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
             boolean answered = client.closeAt != null
                     && (flushed ? client.closeAt : client.closeAt.plus(FLUSH_TIME)).isBefore(now);
-            boolean led = leading && !client.busy() && !parser.partial() && client.quiet(now, QUIET);
+            boolean led = leading && client.idle() && !parser.partial() && client.quiet(now, QUIET);
             if (slow || silent || answered || led) {
                 session.close(CloseMode.GRACEFUL);
             }
