--- a/src/test/java/copperbeam/sockets/UpgradeTest.java
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -32,6 +32,7 @@
 /** Several processes of one conductor, what happens to them, and what clients and servers see of it. */
 public class UpgradeTest {
     private static final int STREAM_MS = 100;
+    private static final String BEAT = "data: beat\n\n";
 
     /** The servers, and the processes of one conductor in the order of their start. */
     private static final class Fleet implements AutoCloseable {
@@ -57,7 +58,9 @@
         private void write(Line.Message m, Line line) throws Exception {
             line.beginStream().chunk("data: first\n\n");
             if (m.header("X-Request-ID").startsWith("held")) {
-                held.await();
+                while (!held.await(200, TimeUnit.MILLISECONDS)) {
+                    line.chunk(BEAT); // a stream that is silent for 4 s is broken off
+                }
             } else if (m.header("X-Request-ID").startsWith("load")) {
                 Thread.sleep(STREAM_MS);
             }
@@ -115,7 +118,7 @@
                 for (; event != null && !event.isEmpty(); event = stream.readChunk()) {
                     rest.append(event);
                 }
-                assertEquals(rest + (event == null ? "" : "broken"), Site.EVENTS);
+                assertEquals(rest.toString().replace(BEAT, "") + (event == null ? "" : "broken"), Site.EVENTS);
             }
             held = new CountDownLatch(1);
         }
@@ -154,7 +157,8 @@
             long sent = sent();
             ask(10);
             Map<String, Long> now = figures(one.door);
-            assertEquals(now.get("transactions.ask.answered") - before.get("transactions.ask.answered"), 10, "answered");
+            String answered = "transactions.ask.answered";
+            assertEquals(now.get(answered) - before.get(answered), 10, answered);
             assertEquals(now.get("sends") - before.get("sends"), sent() - sent, "sends");
             assertEquals(now.get("current"), before.get("current"), "current");
         }
@@ -204,7 +208,8 @@
                         sends.add(id);
                     }
                     Line.Message answer = line.send(request(id, requestClass, "8000m", "prompt_len=40", "{}")).read();
-                    if (answer == null || answer.status() != 200 || !answer.text().equals("data: first\n\n" + Site.EVENTS)) {
+                    if (answer == null || answer.status() != 200 || !answer.whole()
+                            || !answer.text().equals("data: first\n\n" + Site.EVENTS)) {
                         faults.add(id + ": " + (answer == null ? "closed" : answer.start() + " " + answer.text()));
                     }
                     answered.incrementAndGet();
@@ -334,7 +339,7 @@
         return new Object[][] {{0, 1}, {1, 0}};
     }
 
-    /** What is said at one door holds at the other; the figures are each process's own, the servers' records are for both. */
+    /** What is said at one door holds at the other; each call is made once. */
     @Test(dataProvider = "doors")
     public void whatIsSaidHoldsForBoth(int said, int back) throws Exception {
         try (Fleet fleet = new Fleet()) {
@@ -356,6 +361,10 @@
             }
             await("back at work", both.get(1)::healthy);
             fleet.usesAgain(out);
+            for (String call : List.of("DETACH " + id(out), "LAMEDUCK", "REJOIN", "ATTACH " + id(out))) {
+                Conductor at = both.get(call.equals("LAMEDUCK") || call.equals("REJOIN") ? back : said);
+                assertEquals(Files.readAllLines(at.log).stream().filter(l -> l.endsWith(": " + call)).count(), 1, call);
+            }
         }
     }
 
@@ -437,7 +446,8 @@
             if (why == null) {
                 fleet.holdsOut(out);
             } else {
-                assertTrue(one.logged("n0.state is not taken: " + why + System.lineSeparator()), Files.readString(one.log));
+                String said = "n0.state is not taken: " + why + System.lineSeparator();
+                assertTrue(one.logged(said), Files.readString(one.log));
                 fleet.usesAgain(out);
             }
             StateCodec.read(Conductor.NAME, Files.readAllBytes(state), Instant.now()); // whole again
