Drains by hand and their end are one message, not two of the same shape

Need: Handover chose between drain and rejoin at two places, and DutyActor had two messages that differ by one word. Change: one call and one message with a flag; behaviour is the same.

--- a/src/main/java/copperbeam/program/DutyActor.java
+++ b/src/main/java/copperbeam/program/DutyActor.java
@@ -17,11 +17,9 @@
 
 /** Owns the conductor's {@link Lifecycle} and carries its steps out: drains by hand and the stop. */
 final class DutyActor extends Actor<DutyActor.Message> implements Handover.Hands {
-    sealed interface Message permits Drain, Rejoin, Stop, Succeeded, Quiet, Tick {}
+    sealed interface Message permits Drain, Stop, Succeeded, Quiet, Tick {}
 
-    private record Drain(Consumer<Boolean> done) implements Message {}
-
-    private record Rejoin(Consumer<Boolean> done) implements Message {}
+    private record Drain(boolean drained, Consumer<Boolean> done) implements Message {}
 
     private record Stop() implements Message {}
 
@@ -76,13 +74,8 @@
     }
 
     @Override
-    public void drain(Consumer<Boolean> done) {
-        tell(new Drain(done));
-    }
-
-    @Override
-    public void rejoin(Consumer<Boolean> done) {
-        tell(new Rejoin(done));
+    public void drain(boolean drained, Consumer<Boolean> done) {
+        tell(new Drain(drained, done));
     }
 
     @Override
@@ -106,11 +99,7 @@
     protected void receive(Message m) {
         Duration now = Duration.between(from, clock.instant());
         if (m instanceof Drain e) {
-            boolean done = lifecycle.drain(now);
-            carryOut();
-            e.done().accept(done);
-        } else if (m instanceof Rejoin e) {
-            boolean done = lifecycle.rejoin();
+            boolean done = e.drained() ? lifecycle.drain(now) : lifecycle.rejoin();
             carryOut();
             e.done().accept(done);
         } else if (m instanceof Stop) {
--- a/src/main/java/copperbeam/program/Handover.java
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -28,9 +28,8 @@
 
     /** What changes for this process. */
     interface Hands {
-        void drain(Consumer<Boolean> done);
-
-        void rejoin(Consumer<Boolean> done);
+        /** Sends clients away, or ends that; {@code done} false where a stop is under way. */
+        void drain(boolean drained, Consumer<Boolean> done);
 
         void beside(Beside now);
     }
@@ -143,11 +142,7 @@
             bans.tell(new BanActor.Out(state.banned(), () -> { }));
         }
         if (state.duty().drained() != acted.duty().drained()) {
-            if (state.duty().drained()) {
-                hands.drain(done -> { });
-            } else {
-                hands.rejoin(done -> { });
-            }
+            hands.drain(state.duty().drained(), done -> { });
         }
         acted = state;
         Beside now = folder == null ? Beside.NONE : folder.beside(LEAVING);
@@ -182,11 +177,7 @@
         }
         change(s -> s.duty(drained, clock.instant()));
         acted = new SharedState(acted.bans(), state.duty(), acted.lives());
-        if (drained) {
-            hands.drain(done);
-        } else {
-            hands.rejoin(done);
-        }
+        hands.drain(drained, done);
         act(); // as in ban()
     }
 
