Readers are compared by the work ahead net of what each has kept; one home a beginning

Two homes read each beginning twice, and load was counted in whole prompts, of which a quarter had to be read: three requests in hand made a home "full", after which its beginnings were read anew all over the stage, which made every queue longer.

Change: a beginning has one home (more only where it is a large share of the arrivals), the next by hash takes a read where its work and what it has to read anew of this prompt are less. What is read anew is learnt from the answers of reads (cached_tokens, the wire's note) for the home, the next and any other reader; a reader's work ahead is its requests in hand times the mean that was read anew.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -87,9 +87,18 @@
 
     public record StreamStarted(long request, int attempt, String server, double latencyS) implements Event {}
 
-    /** {@code stateMissing}: FULL because there was no read state to fetch. {@code report} may be null. */
+    /**
+     * {@code stateMissing}: FULL because there was no read state to fetch. {@code report} may be null. {@code keptTokens}:
+     * those of the prompt that a read found kept.
+     */
     public record AttemptEnded(long request, int attempt, String server, Outcome outcome, double latencyS,
-            boolean requestOver, boolean stateMissing, Report report) implements Event {}
+            boolean requestOver, boolean stateMissing, Report report, double keptTokens) implements Event {
+
+        public AttemptEnded(long request, int attempt, String server, Outcome outcome, double latencyS,
+                boolean requestOver, boolean stateMissing, Report report) {
+            this(request, attempt, server, outcome, latencyS, requestOver, stateMissing, report, Double.NaN);
+        }
+    }
 
     public record ClientLeft(long request) implements Event {}
 
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -89,6 +89,8 @@
     private final List<Server> reading = new ArrayList<>();
     private Cells cells = new Cells();
     private final Mean promptTokens = new Mean(LEARN);
+    private final Mean readTokens = new Mean(LEARN); // read anew
+    private final Mean[] keptShares = {new Mean(LEARN), new Mean(LEARN), new Mean(LEARN)}; // by rank
     private final Pace readPace = new Pace(PACE_LEARN);
     private final Pace writePace = new Pace(PACE_LEARN);
     private final Fading readDelay = new Fading(DELAY_LEARN, DELAY_FADE_S);
@@ -407,7 +409,7 @@
             }
         }
         Server s = best(r);
-        boolean spill = s != null && s == r.options.server[r.options.size - 1] && r.options.size > 2;
+        int rank = r.options.rank(s);
         r.options = null;
         if (s == null) {
             hold(r);
@@ -415,8 +417,7 @@
                 && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s) / aimS(r))) {
             close(r, Why.SLOW);
         } else {
-            Why usual = s.role == Role.READER ? Why.HOME : Why.WRITER;
-            send(r, s, s.role == Role.READER, spill ? Why.SPILL : usual);
+            send(r, s, rank, s.role != Role.READER ? Why.WRITER : rank < 2 ? Why.HOME : Why.SPILL);
         }
     }
 
@@ -450,16 +451,37 @@
         }
         Server other = o.server[2];
         boolean full = home.role == Role.READER && fresh(home) && ahead(home) >= CERTAIN * WAITING_THRESHOLD;
-        return mute(home) || full && ahead(other) < SPILL_GAIN * ahead(home) ? other : home;
+        return mute(home) || full && ahead(other) + anew(r, 2) < SPILL_GAIN * ahead(home) ? other : home;
     }
 
-    /** Fewer of this node's tokens; where they are even, as mostly in a large fleet, by the fresh reports. */
+    /**
+     * Fewer of this node's tokens, of readers with what they would read anew of this prompt; where they are
+     * even, as mostly in a large fleet, by the fresh reports.
+     */
     private Server lighter(Server a, Server b, Request r) {
-        double mine = r.holdsState ? b.tokens - a.tokens : b.waitingTokens - a.waitingTokens;
-        double bias = r.holdsState ? 0 : r.asked.promptTokens();
+        double more = r.holdsState ? 0 : anew(r, 1) - anew(r, 0);
+        double mine = r.holdsState ? b.tokens - a.tokens
+                : Math.min(0, b.waitingTokens + more - a.waitingTokens);
         return mute(a) != mute(b) ? mute(a) ? b : a
                 : mine != 0 && now - Math.min(a.lastProbe, b.lastProbe) > REPORT_LAG_S ? mine < 0 ? b : a
-                : fresh(a) && fresh(b) && ahead(b) + bias < ahead(a) ? b : a;
+                : fresh(a) && fresh(b) && ahead(b) + more < ahead(a) ? b : a;
+    }
+
+    /** What a reader of this rank reads of a prompt, by what part of beginnings such reads lately found. */
+    private double anew(Request r, int rank) {
+        Mean kept = keptShares[rank];
+        double share = kept.known ? kept.value : rank == 0 ? 1 : 0;
+        return r.asked.promptTokens() - share * r.asked.prefixTokens();
+    }
+
+    private void learnKept(Try t, double kept) {
+        Arrival a = t.request.asked;
+        if (!Double.isNaN(kept)) {
+            readTokens.add(a.promptTokens() - kept);
+            if (a.prefixTokens() > 0) {
+                keptShares[t.rank].add(Math.min(1, kept / a.prefixTokens()));
+            }
+        }
     }
 
     /** Asked, and no answer within a round trip. */
@@ -467,13 +489,17 @@
         return s.lastProbe > Math.max(s.reportAt, s.lastWord) && now >= s.lastProbe + ASK_S;
     }
 
-    /** Tokens under way at a server, from all nodes by its report where there is a fresh one. */
+    /** Tokens under way, at a reader to be read; from all nodes, by the report where there is a fresh one. */
     private double ahead(Server s) {
         if (!fresh(s)) {
             return s.waitingTokens;
         }
-        double waits = s.heldTokens() + State.or0(s.report.waitingRequests()) * promptTokens.value;
-        return Math.max(waits, State.or0(s.report.heldRequests()) * promptTokens.value) + s.unseenTokens;
+        boolean reader = s.role == Role.READER;
+        double each = reader && readTokens.known ? readTokens.value : promptTokens.value;
+        // what a reader holds is mostly read, and no guide where requests are told
+        double waits = (reader && !Double.isNaN(s.report.heldRequests()) ? 0 : s.heldTokens())
+                + State.or0(s.report.waitingRequests()) * each;
+        return Math.max(waits, State.or0(s.report.heldRequests()) * each) + s.unseenTokens;
     }
 
     /** No server can take it now: looks again soon, and lets a read state go before it counts as pinned. */
@@ -489,13 +515,15 @@
     // ---- reader choice -------------------------------------------------------------------------
 
     /**
-     * Two of the beginning's homes by hash of the session, and one more, the least loaded reader known, else
-     * any: against beginnings that drown their homes. Mixed servers are homes too while they read freely.
+     * The beginning's home, by hash of the session where it has several, the next by hash, and one more, the
+     * least loaded reader known, else any: against beginnings that drown their homes. One home is enough for
+     * most, and each is read anew there once only. Mixed servers are homes too while they read freely.
      */
     private Top readers(Request r) {
         String session = String.valueOf(r.asked.session());
         String beginning = r.asked.prefix() != null ? r.asked.prefix() : session;
-        Top homes = new Top(homes(r.asked.prefix()));
+        int most = homes(r.asked.prefix());
+        Top homes = new Top(most + 1);
         double sum = 1;
         int heard = 1;
         for (Server s : reading) {
@@ -506,12 +534,18 @@
                 heard++;
             }
         }
-        Top options = new Top(3);
-        for (int i = 0; i < homes.size; i++) {
+        Top home = new Top(1);
+        for (int i = 0; i < Math.min(most, homes.size); i++) {
             Server s = homes.server[i];
-            options.offer(s, 1 + homes.fit[i] * State.hash(session, s.id), homes.fit[i]);
+            home.offer(s, 1 + homes.fit[i] * State.hash(session, s.id), homes.fit[i]);
+        }
+        Top options = new Top(3);
+        if (home.size > 0) {
+            options.add(home.server[0], home.fit[0]);
+        }
+        if (homes.size > most) {
+            options.add(homes.server[most], homes.fit[most]);
         }
-        options.size = Math.min(options.size, 2);
         Top other = new Top(1);
         for (Server s : readers) {
             double load = s.waitingTokens * settings.nodes() + (fresh(s) ? ahead(s) : sum / heard);
@@ -520,18 +554,18 @@
             }
         }
         if (options.size == 2 && other.size > 0) {
-            options.offer(other.server[0], LAST, 1);
+            options.add(other.server[0], 1);
         }
         return options;
     }
 
     /**
-     * Two, and more for a beginning that is a large share of this node's arrivals, which are a sample of all:
+     * One, and more for a beginning that is a large share of this node's arrivals, which are a sample of all:
      * so many that none of its homes gets more of it than half of what a reader usually carries.
      */
     private int homes(String prefix) {
         double share = Math.max(0, beginnings.of(now, prefix) - 1) / (beginnings.all.count(now) + FEW);
-        return Math.max(2, (int) Math.ceil(2 * share * readers.size()));
+        return Math.max(1, Math.min((int) Math.ceil(2 * share * readers.size()), readers.size() - 1));
     }
 
     /** The part of a server that reads; the rest writes. */
@@ -611,8 +645,9 @@
 
     // ---- attempts ------------------------------------------------------------------------------
 
-    private void send(Request r, Server s, boolean reading, Why why) {
-        Try t = new Try(r, s, r.sends++, reading, now);
+    private void send(Request r, Server s, int rank, Why why) {
+        boolean reading = s.role == Role.READER;
+        Try t = new Try(r, s, r.sends++, rank, reading ? anew(r, rank) : r.asked.promptTokens(), now);
         r.out = t;
         r.lastTried = s.id;
         s.sent(t);
@@ -718,6 +753,7 @@
                 r.lastTried = null;
                 readPace.add(e.latencyS());
                 sawDelay(t, e.latencyS());
+                learnKept(t, e.keptTokens());
             }
             case FULL -> {
                 r.holdsState &= !e.stateMissing();
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -1,6 +1,7 @@
 package copperbeam;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -162,6 +163,16 @@
             score[i] = its;
             fit[i] = itsFit;
         }
+
+        /** Behind all that it has. */
+        void add(Server s, double itsFit) {
+            server[size] = s;
+            fit[size++] = itsFit;
+        }
+
+        int rank(Server s) {
+            return Arrays.asList(server).indexOf(s);
+        }
     }
 
     /** Shares of all reads sent by its readers and of all answers written by its writers. */
@@ -335,19 +346,21 @@
         final Server server;
         final int number;
         final boolean reading;
+        final int rank;              // of its server among the options: 0 is the home, 2 is none
         final double sentAt;
-        final double tokens;
+        final double tokens;         // to be read there, or held
         boolean counted = true;      // among its server's unseen tokens
         boolean started;
         boolean cancelled;
 
-        Try(Request request, Server server, int number, boolean reading, double sentAt) {
+        Try(Request request, Server server, int number, int rank, double tokens, double sentAt) {
             this.request = request;
             this.server = server;
             this.number = number;
-            this.reading = reading;
+            this.rank = rank;
+            this.tokens = tokens;
             this.sentAt = sentAt;
-            tokens = request.asked.promptTokens();
+            reading = server.role == Role.READER;
         }
     }
 }
--- a/src/main/java/copperbeam/protocol/platform/PlatformWords.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformWords.java
@@ -1,5 +1,7 @@
 package copperbeam.protocol.platform;
 
+import com.google.gson.JsonElement;
+import com.google.gson.JsonParser;
 import copperbeam.routing.Connector.Word;
 
 /** What a server's status means on the platform. */
@@ -18,6 +20,16 @@
         };
     }
 
+    /** Of a read's answer: the prompt tokens that were found kept; NaN where it does not say. */
+    public static double keptTokens(String body) {
+        try {
+            JsonElement kept = JsonParser.parseString(body).getAsJsonObject().get("cached_tokens");
+            return kept == null ? Double.NaN : kept.getAsLong();
+        } catch (RuntimeException e) { // what Gson throws of whatever is no such object, of several kinds
+            return Double.NaN;
+        }
+    }
+
     public static Word probe(int status) {
         return status == 200 ? Word.HEARD : status == 503 ? Word.TURNED_AWAY : Word.ERROR;
     }
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -64,8 +64,11 @@
         /** One whole event of a stream, its closing blank line included. */
         void event(byte[] raw);
 
-        /** The answer is whole; {@code reusable}: the connection can carry another call. */
-        void end(boolean reusable);
+        /**
+         * The answer is whole; {@code reusable}: the connection can carry another call. {@code kept}: so many tokens of
+         * the prompt had a read found, NaN where nothing tells.
+         */
+        void end(boolean reusable, double kept);
 
         /** {@code written}: the request's last byte may have left. */
         void broken(boolean written);
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -40,7 +40,7 @@
             implements Message {}
 
     public record Ended(long request, int number, String server, Outcome outcome, Duration after,
-            boolean stateMissing, Report report) implements Message {}
+            boolean stateMissing, Report report, double keptTokens) implements Message {}
 
     public record ProbeDone(String server, Outcome outcome, Duration after, Report report) implements Message {}
 
@@ -280,7 +280,7 @@
         }
         boolean over = r.phase == Phase.OVER;
         feed(new AttemptEnded(r.key, e.number(), e.server(), e.outcome(), ModuleTime.seconds(e.after()), over,
-                e.stateMissing(), e.report()));
+                e.stateMissing(), e.report(), e.keptTokens()));
         if (r.releaseWanted && !r.out) {
             release(r);
         }
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -53,7 +53,7 @@
 
     private record Event(Work work, byte[] raw) implements Message {}
 
-    private record Ended(Work work, boolean reusable) implements Message {}
+    private record Ended(Work work, boolean reusable, double kept) implements Message {}
 
     private record Broken(Work work, boolean written) implements Message {}
 
@@ -82,6 +82,7 @@
         boolean cut;                 // the same, but broken
         Word word;
         Report report;
+        double kept = Double.NaN;    // see Connector.Listener
         final Deque<byte[]> held = new ArrayDeque<>();
 
         Work(Message order, Instant began) {
@@ -174,6 +175,7 @@
         } else if (m instanceof Event e) {
             event(e.work(), e.raw());
         } else if (m instanceof Ended e) {
+            e.work().kept = e.kept();
             ended(e.work(), e.reusable());
         } else if (m instanceof Broken e) {
             broken(e.work(), e.written());
@@ -286,8 +288,8 @@
             }
 
             @Override
-            public void end(boolean reusable) {
-                tell(new Ended(work, reusable));
+            public void end(boolean reusable, double kept) {
+                tell(new Ended(work, reusable, kept));
             }
 
             @Override
@@ -487,7 +489,7 @@
         if (work.order instanceof Send s) {
             attempts.remove(s.request(), work);
             setup.module().tell(new ModuleActor.Ended(s.request(), s.number(), id, outcome, since(work),
-                    work.word == Word.STATE_MISSING, work.report));
+                    work.word == Word.STATE_MISSING, work.report, work.kept));
         } else if (work.order instanceof Release r) {
             setup.releases().tell(new ReleaseActor.Tried(r.ticket(), id, outcome == Outcome.OK));
         } else {
--- a/src/main/java/copperbeam/simhost/Decoder.java
+++ b/src/main/java/copperbeam/simhost/Decoder.java
@@ -71,7 +71,8 @@
                 Outcome outcome = outcome(text(f, "verdict"));
                 return new AttemptEnded(whole(f, "call"), (int) number(f, "seq_no", 0), text(f, "engine"), outcome,
                         number(f, "delay_seen_s", 0), flag(f, "complete"),
-                        outcome == Outcome.FULL && number(f, "note", 0) == 1, report(f));
+                        outcome == Outcome.FULL && number(f, "note", 0) == 1, report(f),
+                        outcome == Outcome.READ ? number(f, "note", 0) : Double.NaN);
             case "client_gone":
                 return new ClientLeft(whole(f, "call"));
             case "fired":
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -1,7 +1,9 @@
 package copperbeam.transport;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -22,6 +24,9 @@
 abstract class ClientExchange implements AsyncClientExchangeHandler {
     private static final int WINDOW = 65_535; // HttpCore's, until more is granted
 
+    private static final int MOST_GATHERED = 4096;
+
+    private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
     private final HttpRequest request;
     private final ByteBuffer body;
     private final boolean hold;
@@ -84,6 +89,19 @@
         }
     }
 
+    /** Keeps the beginning of a short answer. */
+    final void gather(ByteBuffer bytes) {
+        grant(bytes.remaining());
+        byte[] next = new byte[Math.min(bytes.remaining(), MOST_GATHERED - gathered.size())];
+        bytes.get(next);
+        gathered.writeBytes(next);
+        bytes.position(bytes.limit());
+    }
+
+    final String gathered() {
+        return gathered.toString(StandardCharsets.US_ASCII);
+    }
+
     /** From any thread: the last byte may go. */
     final void let() {
         let = true;
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -1,10 +1,8 @@
 package copperbeam.transport;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.Header;
@@ -147,6 +145,7 @@
         private final Listener listener;
         private final EventSplitter events = new EventSplitter();
         private boolean stream;
+        private Word word;
 
         AttemptExchange(HttpRequest request, byte[] body, boolean hold, Listener listener) {
             super(request, body, hold);
@@ -155,7 +154,7 @@
 
         @Override
         void head(HttpResponse response) throws HttpException {
-            Word word = PlatformWords.attempt(response.getCode(), "1".equals(value(response, "X-Not-Processed")));
+            word = PlatformWords.attempt(response.getCode(), "1".equals(value(response, "X-Not-Processed")));
             stream = word == Word.STREAM;
             if (stream && !response.containsHeader("Transfer-Encoding") && !response.containsHeader("Content-Length")) {
                 throw new ProtocolException("a stream whose end can't be told from a break");
@@ -166,8 +165,7 @@
         @Override
         void data(ByteBuffer bytes) throws IOException {
             if (!stream) {
-                grant(bytes.remaining());
-                bytes.position(bytes.limit());
+                gather(bytes);
             } else if (!events.take(bytes, listener::event)) {
                 throw new IOException("what comes is no stream of events");
             }
@@ -178,7 +176,7 @@
             if (stream && !events.end(listener::event)) {
                 listener.broken(true);
             } else {
-                listener.end(reusable);
+                listener.end(reusable, word == Word.READ ? PlatformWords.keptTokens(gathered()) : Double.NaN);
             }
         }
 
@@ -200,10 +198,8 @@
 
     /** A probe or a release. */
     private static final class ShortExchange extends ClientExchange {
-        private static final int MOST = 4096;
         private final Listener listener;
         private final boolean probe;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Word word;
         private Report report;
 
@@ -222,22 +218,18 @@
 
         @Override
         void data(ByteBuffer bytes) {
-            grant(bytes.remaining());
-            while (bytes.hasRemaining() && body.size() < MOST) {
-                body.write(bytes.get());
-            }
-            bytes.position(bytes.limit());
+            gather(bytes);
         }
 
         @Override
         void whole(boolean reusable) {
             if (probe && word == Word.HEARD) {
-                Report told = PlatformHeaders.report(body.toString(StandardCharsets.US_ASCII)
+                Report told = PlatformHeaders.report(gathered()
                         .replaceFirst("(?i)^\\s*X-Server-Load:", "").strip());
                 report = told == null ? report : told;
             }
             listener.word(word, report);
-            listener.end(reusable);
+            listener.end(reusable, Double.NaN);
         }
 
         @Override
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -87,6 +87,20 @@
         assertEquals(PlatformWords.attempt(status, notProcessed), expected);
     }
 
+    @DataProvider
+    public Object[][] reads() {
+        return new Object[][] {
+            {"{\"cached_tokens\":4096}", 4096.0}, {" {\"x\":[], \"cached_tokens\" : 0}\n", 0.0}, {"{}", Double.NaN},
+            {"", Double.NaN}, {"[1]", Double.NaN}, {"{\"cached_tokens\":", Double.NaN},
+            {"{\"cached_tokens\":\"many\"}", Double.NaN}, {"{\"cached_tokens\":null}", Double.NaN},
+        };
+    }
+
+    @Test(dataProvider = "reads")
+    public void reads(String body, double kept) {
+        assertEquals(PlatformWords.keptTokens(body), kept);
+    }
+
     @DataProvider
     public Object[][] streams() {
         return new Object[][] {
