A late probe answer is waited for; a read is refused as slow only where reports agree

(3) What reads found at the next home counted for it, so that each became one more home. (4) Requests that an error loses go to writers that each node has to find out to be bad by losing them.

Change: a silence is one of more than mean and four deviations of probe answers; a home that has not answered yet is waited for, and if it is silent others are asked. The expected time to read is the lesser of own delays and reported work at the learnt pace. Only what is found at home counts. What must not run twice prefers writers that did well within the last 2 s.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -47,7 +47,6 @@
     private static final double HOT_SPAN_S = 30; // s over which a beginning's share of arrivals is counted
     private static final double FEW = 10; // arrivals; a share of fewer tells little
     private static final int MOST_BEGINNINGS = 2000; // counted at a time
-    private static final double SPILL_GAIN = 0.5; // of a home's load that makes another worth it
     private static final double ROOM_MEMORY = 0.88; // share held from which a writer has no room
     private static final double OVERTAKEN_BY = 1; // patiences by which a lost write was passed
     private static final double OVERDUE = 3; // patiences after which an answer is lost though none passed it
@@ -90,7 +89,10 @@
     private Cells cells = new Cells();
     private final Mean promptTokens = new Mean(LEARN);
     private final Mean readTokens = new Mean(LEARN); // read anew
-    private final Mean[] keptShares = {new Mean(LEARN), new Mean(LEARN), new Mean(LEARN)}; // by rank
+    private final Mean readWork = new Mean(LEARN);   // the same with what was ahead of it
+    private final Mean readSeconds = new Mean(LEARN);
+    private final Mean keptShare = new Mean(LEARN); // of their beginnings, found by reads at home
+    private final Pace askPace = new Pace(PACE_LEARN);
     private final Pace readPace = new Pace(PACE_LEARN);
     private final Pace writePace = new Pace(PACE_LEARN);
     private final Fading readDelay = new Fading(DELAY_LEARN, DELAY_FADE_S);
@@ -176,7 +178,11 @@
                 return;
             }
             switch (tag.charAt(0)) {
-                case 'd' -> deadline(r);
+                case 'd' -> {
+                    if (r.out == null || !r.out.started) {
+                        close(r, Why.NO_TIME);
+                    }
+                }
                 case 'h' -> advance(r);
                 default -> checkSilence(r, Integer.parseInt(tag.substring(dot + 1)));
             }
@@ -242,6 +248,7 @@
         s.lastWord = s.lastWord == 0 ? now : s.lastWord;
         if (e.launchedAt() > before) {
             s.report = null;
+            s.wellAt = Double.NEGATIVE_INFINITY;
             if (!s.restForErrors) {
                 recover(s);
             }
@@ -277,7 +284,7 @@
      * through the same curve, for protected requests too: where every answer would be late, a part in time
      * earns more. Guards against any overload that dropping low worth cannot lift.
      */
-    private double firstTokenS(Server reader) {
+    private double firstTokenS(Server first, double anew) {
         double sum = 0;
         int count = 0;
         for (Server s : writers) {
@@ -286,7 +293,10 @@
                 count++;
             }
         }
-        return (reader == null ? 0 : expected(reader, readDelay)) + (count == 0 ? 0 : sum / count);
+        // a node of a large fleet meets each reader too seldom to go by what it met; reports may be late
+        boolean told = first.role == Role.READER && fresh(first) && readWork.value > 0;
+        double most = told ? (ahead(first) + anew) * readSeconds.value / readWork.value : Double.MAX_VALUE;
+        return Math.min(most, expected(first, readDelay)) + (count == 0 ? 0 : sum / count);
     }
 
     /**
@@ -410,14 +420,21 @@
         }
         Server s = best(r);
         int rank = r.options.rank(s);
+        boolean late = s != null && unheard(s) && !mute(s);
+        if (late || s != null && mute(s) && !r.lookedAgain) {
+            r.options = late ? r.options : null; // its answer may be on its way, or others were not asked
+            r.lookedAgain = !late;
+            timer(late ? ASK_S : 0, 'h', r, 0);
+            return;
+        }
         r.options = null;
         if (s == null) {
             hold(r);
         } else if (r.sends == 0 && mayRefuse(r)
-                && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s) / aimS(r))) {
+                && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s, anew(r, rank)) / aimS(r))) {
             close(r, Why.SLOW);
         } else {
-            send(r, s, rank, s.role != Role.READER ? Why.WRITER : rank < 2 ? Why.HOME : Why.SPILL);
+            send(r, s, rank, s.role != Role.READER ? Why.WRITER : rank == 0 ? Why.HOME : Why.SPILL);
         }
     }
 
@@ -437,21 +454,15 @@
         return asked;
     }
 
-    /** The lighter of the first two; the third, no home, where these are full or slow and it is not. */
+    /** The lighter of the two. */
     private Server best(Request r) {
         Top o = r.options;
         for (int i = 0; i < o.size; i++) {
             o.fit[i] = Math.min(o.fit[i], fitness(o.server[i], r));
         }
-        Server home = Math.max(o.fit[0], o.fit[1]) <= 0 ? null
+        return Math.max(o.fit[0], o.fit[1]) <= 0 ? null
                 : o.fit[1] <= 10 * LAST * o.fit[0] ? o.server[0]
                 : o.fit[0] <= 10 * LAST * o.fit[1] ? o.server[1] : lighter(o.server[0], o.server[1], r);
-        if (o.size < 3 || o.fit[2] < 1 || home == null || mute(o.server[2])) {
-            return home;
-        }
-        Server other = o.server[2];
-        boolean full = home.role == Role.READER && fresh(home) && ahead(home) >= CERTAIN * WAITING_THRESHOLD;
-        return mute(home) || full && ahead(other) + anew(r, 2) < SPILL_GAIN * ahead(home) ? other : home;
     }
 
     /**
@@ -462,15 +473,16 @@
         double more = r.holdsState ? 0 : anew(r, 1) - anew(r, 0);
         double mine = r.holdsState ? b.tokens - a.tokens
                 : Math.min(0, b.waitingTokens + more - a.waitingTokens);
-        return mute(a) != mute(b) ? mute(a) ? b : a
-                : mine != 0 && now - Math.min(a.lastProbe, b.lastProbe) > REPORT_LAG_S ? mine < 0 ? b : a
+        return mine != 0 && now - Math.min(a.lastProbe, b.lastProbe) > REPORT_LAG_S ? mine < 0 ? b : a
                 : fresh(a) && fresh(b) && ahead(b) + more < ahead(a) ? b : a;
     }
 
-    /** What a reader of this rank reads of a prompt, by what part of beginnings such reads lately found. */
+    /**
+     * What a reader of this rank reads of a prompt: at home, less what such reads lately found; else all,
+     * as what is found there was read twice, and counted it would make one more home of each next one.
+     */
     private double anew(Request r, int rank) {
-        Mean kept = keptShares[rank];
-        double share = kept.known ? kept.value : rank == 0 ? 1 : 0;
+        double share = rank > 0 ? 0 : keptShare.known ? keptShare.value : 1;
         return r.asked.promptTokens() - share * r.asked.prefixTokens();
     }
 
@@ -478,15 +490,21 @@
         Arrival a = t.request.asked;
         if (!Double.isNaN(kept)) {
             readTokens.add(a.promptTokens() - kept);
-            if (a.prefixTokens() > 0) {
-                keptShares[t.rank].add(Math.min(1, kept / a.prefixTokens()));
+            readWork.add(t.ahead + a.promptTokens() - kept);
+            readSeconds.add(now - t.sentAt);
+            if (t.rank == 0 && a.prefixTokens() > 0) {
+                keptShare.add(Math.min(1, kept / a.prefixTokens()));
             }
         }
     }
 
-    /** Asked, and no answer within a round trip. */
+    /** Asked, and no answer within what answers take: one that is only late is no reason to read all anew. */
     private boolean mute(Server s) {
-        return s.lastProbe > Math.max(s.reportAt, s.lastWord) && now >= s.lastProbe + ASK_S;
+        return unheard(s) && now >= s.lastProbe + Math.max(ASK_S, askPace.most(DEVIATIONS));
+    }
+
+    private static boolean unheard(Server s) {
+        return s.lastProbe > Math.max(s.reportAt, s.lastWord);
     }
 
     /** Tokens under way, at a reader to be read; from all nodes, by the report where there is a fresh one. */
@@ -515,47 +533,31 @@
     // ---- reader choice -------------------------------------------------------------------------
 
     /**
-     * The beginning's home, by hash of the session where it has several, the next by hash, and one more, the
-     * least loaded reader known, else any: against beginnings that drown their homes. One home is enough for
-     * most, and each is read anew there once only. Mixed servers are homes too while they read freely.
+     * The beginning's home, by hash of the session where it has several, and the next by hash, where what the
+     * home can't carry goes. One home is enough for most, and each is read anew there but once. Mixed servers
+     * are homes too while they read freely.
      */
     private Top readers(Request r) {
         String session = String.valueOf(r.asked.session());
         String beginning = r.asked.prefix() != null ? r.asked.prefix() : session;
         int most = homes(r.asked.prefix());
         Top homes = new Top(most + 1);
-        double sum = 1;
-        int heard = 1;
         for (Server s : reading) {
             double fit = s.role == Role.READER || readers.isEmpty() || readsFreely(s) ? fitness(s, r) : 0;
             homes.offer(s, fit * reads(s) / -Math.log(State.hash(beginning, s.id)), fit);
-            if (fresh(s)) {
-                sum += ahead(s);
-                heard++;
-            }
         }
         Top home = new Top(1);
         for (int i = 0; i < Math.min(most, homes.size); i++) {
             Server s = homes.server[i];
             home.offer(s, 1 + homes.fit[i] * State.hash(session, s.id), homes.fit[i]);
         }
-        Top options = new Top(3);
+        Top options = new Top(2);
         if (home.size > 0) {
             options.add(home.server[0], home.fit[0]);
         }
         if (homes.size > most) {
             options.add(homes.server[most], homes.fit[most]);
         }
-        Top other = new Top(1);
-        for (Server s : readers) {
-            double load = s.waitingTokens * settings.nodes() + (fresh(s) ? ahead(s) : sum / heard);
-            if (s != options.server[0] && s != options.server[1] && fitness(s, r) == 1) {
-                other.offer(s, (1 + LAST * random.nextDouble()) / (1 + load), 1);
-            }
-        }
-        if (options.size == 2 && other.size > 0) {
-            options.add(other.server[0], 1);
-        }
         return options;
     }
 
@@ -582,7 +584,9 @@
 
     /**
      * Two at random, by weight, in one pass; of the two the lighter. Writers without room, resting or just
-     * tried come only where there is no other: their weights lie so far below that they are drawn last.
+     * tried come only where there is no other: their weights lie so far below that they are drawn last. For
+     * what an error loses so are those that have not just done well: a node of a large fleet meets each too
+     * seldom to rest it in time, and what may be repeated finds out.
      */
     private Top writers(Request r) {
         Cell from = r.holdsState && r.reader.listed != null ? cells.of(r.reader.listed) : null;
@@ -593,6 +597,7 @@
             double fit = r.holdsState || settings.writersRead() || s.role == Role.MIXED ? fitness(s, r) : 0;
             if (fit > 0) {
                 fit *= (1 - reads(s)) * (hasRoom(s) ? 1 : LAST * LAST);
+                fit *= now < s.wellAt + REPORT_LIFE_S || harmless(r.kind) ? 1 : LAST;
                 fit *= from == null ? 1 : nearness(from, cells.of(s.listed), stays, zoneStays);
                 pair.offer(s, fit / -Math.log(1 - random.nextDouble()), fit);
             }
@@ -624,7 +629,8 @@
     /** 1 for a server that may be sent to, a little for one only where there is no other, else 0. */
     private double fitness(Server s, Request r) {
         return !ready(s) || now < s.fullUntil || !allowed(r, s) || !coldRoom(s, r) ? 0
-                : s.resting && now < s.restUntil || s.id.equals(r.lastTried) ? LAST * LAST * LAST : 1;
+                : s.resting && now < s.restUntil || mute(s) || s.id.equals(r.lastTried)
+                        ? LAST * LAST * LAST : 1;
     }
 
     /** A keyed request that may have run goes on only where its repeats are dropped. */
@@ -648,6 +654,7 @@
     private void send(Request r, Server s, int rank, Why why) {
         boolean reading = s.role == Role.READER;
         Try t = new Try(r, s, r.sends++, rank, reading ? anew(r, rank) : r.asked.promptTokens(), now);
+        t.ahead = reading ? ahead(s) : 0;
         r.out = t;
         r.lastTried = s.id;
         s.sent(t);
@@ -675,8 +682,7 @@
     private double patience(Try t) {
         double size = Math.max(1, t.request.asked.promptTokens() / Math.max(promptTokens.value, 1));
         Pace pace = t.reading ? readPace : writePace;
-        double learned = pace.mean.value + DEVIATIONS * pace.deviation.value;
-        double usual = pace.mean.known ? learned : FIRST_PATIENCE_S;
+        double usual = pace.mean.known ? pace.most(DEVIATIONS) : FIRST_PATIENCE_S;
         return Math.max(usual * size, settings.limits().probes() ? MIN_PATIENCE_S : BLIND_PATIENCE_S);
     }
 
@@ -788,12 +794,6 @@
 
     // ---- letting go ----------------------------------------------------------------------------
 
-    private void deadline(Request r) {
-        if (r.out == null || !r.out.started) {
-            close(r, Why.NO_TIME);
-        }
-    }
-
     /** The final answer: a refusal where repeating is known to be harmless, else a failure. */
     private void close(Request r, Why why) {
         long id = r.asked.request();
@@ -877,6 +877,7 @@
     }
 
     private void succeed(Server s) {
+        s.wellAt = now;
         s.failures *= 1 - FAILURE_WEIGHT;
         if (s.resting && s.failures < BENCH_SHARE && (!s.restForErrors || now >= s.benchedAt + s.rest)) {
             recover(s);
@@ -884,6 +885,7 @@
     }
 
     private void fail(Server s, boolean errors) {
+        s.wellAt = Double.NEGATIVE_INFINITY;
         s.failures += FAILURE_WEIGHT * (1 - s.failures);
         if (!errors || s.failures >= BENCH_SHARE) {
             bench(s, errors);
@@ -964,6 +966,7 @@
         }
         if (e.outcome() == Outcome.OK) {
             word(s);
+            askPace.add(e.latencyS());
             report(s, e.report());
             if (s.resting && !s.restForErrors) {
                 recover(s);
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -56,6 +56,10 @@
             deviation.add(mean.known ? Math.abs(latency - mean.value) : latency / 2);
             mean.add(latency);
         }
+
+        double most(double deviations) {
+            return mean.value + deviations * deviation.value;
+        }
     }
 
     /** A mean that fades to 0 without new samples. */
@@ -260,6 +264,7 @@
         double lastProbe;
         double failures;
         int strikes;
+        double wellAt = Double.NEGATIVE_INFINITY; // when something for this node went well, if nothing has failed since
         boolean resting;
         boolean restForErrors;
         double restUntil;
@@ -334,6 +339,7 @@
         double ranSince;
         String lastTried;
         Top options;                 // of which one takes the next attempt
+        boolean lookedAgain;         // as those asked first gave no answer
 
         Request(Arrival asked, RequestClass kind) {
             this.asked = asked;
@@ -346,9 +352,10 @@
         final Server server;
         final int number;
         final boolean reading;
-        final int rank;              // of its server among the options: 0 is the home, 2 is none
+        final int rank;              // of its server among the options: 0 is the home
         final double sentAt;
         final double tokens;         // to be read there, or held
+        double ahead;                // to be read at its server before it, as far as known when it was sent
         boolean counted = true;      // among its server's unseen tokens
         boolean started;
         boolean cancelled;
