--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -27,7 +27,6 @@
     private static final double DELAY_FADE_S = 2; // s in which a latency seen fades without a new one
     private static final double RETRY_ADVICE_S = 0.25; // a refused client may return after a report
     private static final double REPORT_LIFE_S = 2; // s; load changes within a few answers' time
-    private static final double REPORT_FADE_S = 2; // s in which a report loses its weight in saturation
     private static final double FEW_HEARD = 3; // reports; with fewer heard the rest of these count as empty
     private static final double REPORT_LAG_S = 0.3; // s; sends younger than this miss in a report
     private static final double QUOTA_BURST_S = 2; // s of its share that a customer may save up
@@ -69,7 +68,6 @@
     private static final int ASKS_KEPT = 5; // for the asks of one request
     private static final double PROBE_SPEND = 0.01; // points of service spent on probes at most
     // Cold budget.
-    private static final double COLD_SHARE = 0.65; // of what would topple one of the others' usual part
     private static final double DEMAND_SPAN_S = 20; // s over which the node's own demand is averaged
     // Lists.
     private static final double FOLLOW_AGAIN_S = 0.5; // s until a failed subscription is asked again
@@ -97,6 +95,7 @@
     private final Pace writePace = new Pace(PACE_LEARN);
     private final Fading readDelay = new Fading(DELAY_LEARN, DELAY_FADE_S);
     private final Fading writeDelay = new Fading(DELAY_LEARN, DELAY_FADE_S);
+    private final ColdBudget cold;
     private final Rate demand = new Rate(DEMAND_SPAN_S);
     private final Counts beginnings = new Counts(HOT_SPAN_S, MOST_BEGINNINGS);
     private List<Action> actions = new ArrayList<>();
@@ -111,6 +110,8 @@
     public Brain(Settings settings, long seed) {
         this.settings = settings;
         random = new SplittableRandom(seed);
+        int i = settings.index();
+        cold = new ColdBudget(settings.rules(), i < 0 ? random.nextDouble() : i / (double) settings.nodes());
         settings.classes().forEach(c -> classes.put(c.name(), c));
         settings.kinds().forEach(k -> kinds.put(k.name(), k));
         for (Customer c : settings.customers()) {
@@ -246,6 +247,9 @@
         s.role = kind == null ? Role.MIXED : kind.role();
         s.memoryTokens = kind == null ? 0 : kind.memoryTokens();
         s.lastWord = s.lastWord == 0 ? now : s.lastWord;
+        if (s.permits == null || s.permits.launchedAt != e.launchedAt()) {
+            s.permits = cold.permits(s.id, e.launchedAt(), demand.from < 0 ? now : demand.from);
+        }
         if (e.launchedAt() > before) {
             s.report = null;
             s.wellAt = Double.NEGATIVE_INFINITY;
@@ -331,6 +335,7 @@
     }
 
     private void sawDelay(Try t, double latency) {
+        (t.reading ? readPace : writePace).add(latency);
         (t.reading ? readDelay : writeDelay).add(now, latency);
         t.server.answeredSentAt = Math.max(t.server.answeredSentAt, t.sentAt);
         t.server.delay.add(now, latency);
@@ -369,7 +374,7 @@
         for (List<Server> stage : List.of(readers, writers)) {
             for (Server s : stage) {
                 if (s.report != null && !s.resting) {
-                    double weight = Math.exp((s.reportAt - now) / REPORT_FADE_S);
+                    double weight = Math.exp((s.reportAt - now) / REPORT_LIFE_S);
                     sum += weight * saturation(s);
                     heard += weight;
                 }
@@ -429,8 +434,9 @@
             return;
         }
         r.options = null;
-        if (s == null) {
-            hold(r);
+        if (s == null) { // none can take it now
+            letGoAt(r, now + HOLD_S);
+            timer(HOLD_S, 'h', r, 0);
         } else if (r.sends == 0 && mayRefuse(r)
                 && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s, anew(r, rank)) / aimS(r))) {
             close(r, Why.SLOW);
@@ -455,7 +461,6 @@
         return asked;
     }
 
-    /** The lighter of the two. */
     private Server best(Request r) {
         Top o = r.options;
         for (int i = 0; i < o.size; i++) {
@@ -487,18 +492,6 @@
         return r.asked.promptTokens() - share * r.asked.prefixTokens();
     }
 
-    private void learnKept(Try t, double kept) {
-        Arrival a = t.request.asked;
-        if (!Double.isNaN(kept)) {
-            readTokens.add(a.promptTokens() - kept);
-            readWork.add(t.ahead + a.promptTokens() - kept);
-            readSeconds.add(now - t.sentAt);
-            if (t.rank == 0 && a.prefixTokens() > 0) {
-                keptShare.add(Math.min(1, kept / a.prefixTokens()));
-            }
-        }
-    }
-
     /** Asked, and no answer within what answers take: one that is only late is no reason to read all anew. */
     private boolean mute(Server s) {
         return unheard(s) && now >= s.lastProbe + Math.max(ASK_S, askPace.most(DEVIATIONS));
@@ -521,12 +514,6 @@
         return Math.max(waits, State.or0(s.report.heldRequests()) * each) + s.unseenTokens;
     }
 
-    /** No server can take it now: looks again soon. */
-    private void hold(Request r) {
-        letGoAt(r, now + HOLD_S);
-        timer(HOLD_S, 'h', r, 0);
-    }
-
     /** Lets a read state go before it counts as pinned, if it would be held too long by then. */
     private void letGoAt(Request r, double then) {
         if (r.holdsState && then - r.lastEnd >= settings.rules().releaseS() * STATE_HOLD_SHARE) {
@@ -552,14 +539,10 @@
             double fit = s.role == Role.READER || readers.isEmpty() || readsFreely(s) ? fitness(s, r) : 0;
             homes.offer(s, fit * reads(s) / -Math.log(State.hash(beginning, s.id)), fit);
         }
-        Top home = new Top(1);
-        for (int i = 0; i < Math.min(most, homes.size); i++) {
-            Server s = homes.server[i];
-            home.offer(s, 1 + homes.fit[i] * State.hash(session, s.id), homes.fit[i]);
-        }
+        int own = (int) (State.hash(session, beginning) * Math.min(most, homes.size));
         Top options = new Top(2);
-        if (home.size > 0) {
-            options.add(home.server[0], home.fit[0]);
+        if (homes.size > 0) {
+            options.add(homes.server[own], homes.fit[own]);
         }
         if (homes.size > most) {
             options.add(homes.server[most], homes.fit[most]);
@@ -664,7 +647,7 @@
         r.out = t;
         r.lastTried = s.id;
         s.sent(t);
-        s.permitted -= weight(r);
+        s.permits.used += weight(r);
         if (s.resting && now >= s.restUntil) {
             s.restUntil = now + s.rest;
         }
@@ -729,7 +712,6 @@
         }
         r.out.started = true;
         r.holdsState = false;
-        writePace.add(e.latencyS());
         sawDelay(r.out, e.latencyS());
         r.out.server.answered(r.out);
         succeed(r.out.server);
@@ -764,9 +746,16 @@
                 r.holdsState = true;
                 r.reader = t.server;
                 r.lastTried = null;
-                readPace.add(e.latencyS());
                 sawDelay(t, e.latencyS());
-                learnKept(t, e.keptTokens());
+                double anew = r.asked.promptTokens() - e.keptTokens();
+                if (!Double.isNaN(anew)) {
+                    readTokens.add(anew);
+                    readWork.add(t.ahead + anew);
+                    readSeconds.add(e.latencyS());
+                    if (t.rank == 0 && r.asked.prefixTokens() > 0) {
+                        keptShare.add(Math.min(1, e.keptTokens() / r.asked.prefixTokens()));
+                    }
+                }
             }
             case FULL -> {
                 r.holdsState &= !e.stateMissing();
@@ -985,37 +974,14 @@
 
     // ---- cold budget ---------------------------------------------------------------------------
 
-    /** A request weighs as the mean prompt of its class. */
+    /** A request weighs as the mean prompt of its class, against that of all. */
     private double weight(Request r) {
-        return classTokens.get(r.asked.requestClass()).value;
+        return classTokens.get(r.asked.requestClass()).value / Math.max(promptTokens.value, 1);
     }
 
-    /** The share of its capacity that a server surely has by now. */
-    private double present(Server s) {
-        double from = s.listed.launchedAt();
-        double age = (now - from) / Math.max(settings.rules().warmWithinS(), HOLD_S);
-        return from <= 0 || age >= 1 ? 1 : 1 - (1 - settings.rules().coldFrom()) * (1 - age * age);
-    }
-
-    /**
-     * Whether a request still fits this node's part of what a cold server may be sent in each span of the
-     * rule; a broken part is drawn up or down, so that the parts of all nodes sum up to the budget. Shared
-     * over the most servers seen ready, not the few that a release leaves, whose load is no guide.
-     */
+    /** By the most servers seen ready, not the few that a release leaves, whose load is no guide. */
     private boolean coldRoom(Server s, Request r) {
-        double present = present(s);
-        if (present >= 1) {
-            return true;
-        }
-        double span = Math.max(settings.rules().fallS(), HOLD_S);
-        if (now >= s.permitUntil) {
-            int peers = Math.max(s.role == Role.READER ? mostReaders : mostWriters, 1);
-            double usual = demand.perS(now) / peers * span;
-            double drawn = s.permitUntil == 0 ? random.nextDouble() : 1;
-            s.permitUntil = now + span * drawn;
-            s.permitted = COLD_SHARE * settings.rules().fallMultiple() * present * usual * drawn * part;
-            s.permitDraw = random.nextDouble();
-        }
-        return s.permitted >= weight(r) * s.permitDraw;
+        int peers = Math.max(s.role == Role.READER ? mostReaders : mostWriters, 1);
+        return cold.room(s.permits, demand, part / peers, weight(r), now);
     }
 }
