--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -9,6 +9,10 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
@@ -172,6 +176,18 @@
             // the reactors' threads would outlive the hooks; all that was taken is answered by now
             Runtime.getRuntime().halt(0);
         }, "stop"));
+        node.awaitWarm(); // a start waits for no log
+        openLog();
         return -1;
     }
+
+    /**
+     * Has the JVM load what a log line needs. Guards against a first line in a moment without a descriptor: the JVM then
+     * can't read its time zones, which ends whatever wrote the line with an Error, and no line is ever written.
+     */
+    private static void openLog() {
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.getFormatter().format(new LogRecord(Level.INFO, ""));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/copperbeam/routing/ActorTest.java
@@ -0,0 +1,39 @@
+package copperbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ActorTest {
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {{new IllegalStateException("a fault")}, {new NoClassDefFoundError("no descriptor is left")}};
+    }
+
+    /** Guards against an actor that is silent for good, and all requests with it, after the JVM has failed once. */
+    @Test(dataProvider = "faults")
+    public void anActorOutlivesWhateverAMessageMeets(Throwable fault) throws Exception {
+        ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1);
+        CompletableFuture<String> heard = new CompletableFuture<>();
+        Actor<String> actor = new Actor<>(turns) {
+            @Override
+            protected void receive(String message) {
+                if (!message.equals("faulty")) {
+                    heard.complete(message);
+                } else if (fault instanceof Error e) {
+                    throw e;
+                } else {
+                    throw (RuntimeException) fault;
+                }
+            }
+        };
+        actor.tell("faulty");
+        actor.tell("next");
+        assertEquals(heard.get(5, TimeUnit.SECONDS), "next");
+        turns.shutdownNow();
+    }
+}
