Requests whose headers contradict each other or would be altered are 400

Of two X-Request-ID or X-Timeout headers the first was taken; they are now one list, which is no id and no span. Ids such as a?b, a#b, %61 or .. were served, and their release went to the path of another id: one that means something else in a path is 400. HttpCore wrote a control character in the target as ?, and a CR or NUL in a header as a space, so that servers got what no client sent; a byte above 127 in the target broke the attempts and had servers rest for it. A target of anything but printable ASCII and a header with control characters are now 400.

--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import copperbeam.protocol.BadRequest;
 import copperbeam.protocol.Front;
 import copperbeam.protocol.HttpCall;
@@ -19,6 +20,9 @@
 public final class PlatformFront implements Front {
     public static final Duration MARGIN = Duration.ofMillis(20); // for an answer's way back to the client
 
+    // printable, and the same in a path: "a?b" or "%61" in the path of a release would let go of another request's state
+    private static final Pattern ID = Pattern.compile("(?!\\.{1,2}$)[!-~&&[^/?#%\\\\]]+");
+
     private final Set<String> classes;
     private final Intake intake;
     private final BooleanSupplier healthy;
@@ -58,7 +62,7 @@
             throw new BadRequest(405, "only POST");
         }
         String id = call.header("x-request-id");
-        if (id == null || id.isBlank() || id.contains("/") || !id.chars().allMatch(c -> c > 32 && c < 127)) {
+        if (id == null || !ID.matcher(id).matches()) {
             throw new BadRequest(400, "X-Request-ID is missing or no name");
         }
         String requestClass = call.header("x-priority-class");
--- a/src/main/java/copperbeam/transport/BoundedParser.java
+++ b/src/main/java/copperbeam/transport/BoundedParser.java
@@ -7,6 +7,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
@@ -64,6 +65,7 @@
         }
         if (head != null && strict) {
             framing(head);
+            text(head);
         }
         partial = head == null && (read > 0 || buffer.hasData());
         failed = false;
@@ -84,6 +86,18 @@
         }
     }
 
+    /** Guards against what HttpCore would pass on as something else: a control character as a space or a question mark. */
+    private static void text(HttpMessage head) throws HttpException {
+        if (head instanceof HttpRequest request && !request.getRequestUri().chars().allMatch(c -> c > 32 && c < 127)) {
+            throw new ProtocolException("the target is none");
+        }
+        for (Header header : head.getHeaders()) {
+            if (header.getValue() != null && header.getValue().chars().anyMatch(c -> c < 32 && c != '\t' || c == 127)) {
+                throw new ProtocolException("a control character in " + header.getName());
+            }
+        }
+    }
+
     /** Counts what the parser reads. */
     private final class Lines extends BufferView {
         Lines(SessionInputBuffer buffer) {
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -151,7 +151,8 @@
         answered = true;
         Map<String, String> headers = new HashMap<>();
         for (Header header : request.getHeaders()) {
-            headers.putIfAbsent(header.getName().toLowerCase(Locale.ROOT), header.getValue());
+            // as one list, so that two ids or spans are none, and not the first of them
+            headers.merge(header.getName().toLowerCase(Locale.ROOT), header.getValue(), (a, b) -> a + ", " + b);
         }
         gone = front.accept(new HttpCall(request.getMethod(), request.getPath(), Map.copyOf(headers),
                 body.toByteArray(), arrived), this);
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -45,6 +45,11 @@
             {POST + "X: y\r\n".repeat(2000), 431},
             {POST + "X: " + "y".repeat(20_000), 431},
             {"\u0001\u0002\u0003\r\n\r\n", 400},
+            {POST.replace("ID: a", "ID: a\u0000b") + "Content-Length: 2\r\n\r\n{}", 400},
+            {POST + "X-Route-Key: a\rX: b\r\nContent-Length: 2\r\n\r\n{}", 400},
+            {POST + "X-Route-Key: a\u0000b\r\nContent-Length: 2\r\n\r\n{}", 400},
+            {POST.replace("completions", "completions?\u0001") + "Content-Length: 2\r\n\r\n{}", 400},
+            {POST.replace("completions", "completions?\u00e9") + "Content-Length: 2\r\n\r\n{}", 400},
             {POST, -1}, {POST + "Content-Length: 20\r\n\r\n{", -1}, {"", -1},
         };
         List<Object[]> all = new ArrayList<>();
@@ -71,6 +76,24 @@
         }
     }
 
+    @DataProvider
+    public Object[][] untrue() {
+        return new Object[][] {
+            {"ID: a", "ID: a\r\nX-Request-ID: b"}, {"4000m", "4000m\r\nX-Timeout: 1m"}, {"ID: a", "ID: a?b"},
+            {"ID: a", "ID: .."}, {"ID: a", "ID: %61"}, {"ID: a", "ID: a#b"}, {"ID: a", "ID: a\\b"}, {"ID: a", "ID: ../a"},
+            {"X-Request-ID: a\r\n", ""}, {"4000m", "-1m"}, {"4000m", "99999999999999999999m"}, {"=4", "=NaN"}, {"=4", "=-4"},
+        };
+    }
+
+    /** Of the platform's headers: a contradiction, or an id that is another one in the path of a release. */
+    @Test(dataProvider = "untrue")
+    public void headersThatCantBeTrueAreAnError(String good, String bad) throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            assertEquals(client.send(POST.replace(good, bad) + "Content-Length: 2\r\n\r\n{}").read().status(), 400);
+            assertEquals(site.attempts(site.readers), 0);
+        }
+    }
+
     /** Guards against a head that trickles: each byte alone is in time. */
     @Test
     public void aTrickledHeadIsCutOff() throws Exception {
