An answer that waits for its client is bounded where the window does not hold

HttpCore reads on past its window as long as there is something to read. One writer that sent small events without end, at 10 MB a second, to one client that took none filled a heap of 64 MB within 4 s: OutOfMemoryError on both reactors' threads, and /healthz was never answered again.

SpoiltAnswersTest.aFloodThatNobodyTakesIsCutOff fails without the mend: never: cut off.

--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -40,6 +40,9 @@
     private static final Duration LINGER = Duration.ofMillis(100); // for an answer to be read before a close
     private static final Duration CUT_TIME = Duration.ofSeconds(1); // for what was passed on, until a cut in any case
 
+    // of an answer that its client does not take; a chunk of a server's may be so long
+    private static final int MOST_WAITING = 1 << 20;
+
     private record Piece(ByteBuffer bytes, Runnable drained) {}
 
     private enum Last { NONE, WHOLE, CUT }
@@ -52,6 +55,7 @@
     private final HttpFrontServer.TurnedAway turnedAway;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final ConcurrentLinkedQueue<Piece> pieces = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger waiting = new AtomicInteger(); // bytes of pieces
     private final AtomicInteger producing = new AtomicInteger();
     private final AtomicBoolean over = new AtomicBoolean();
     private volatile Last last = Last.NONE;
@@ -192,6 +196,11 @@
 
     @Override
     public void write(byte[] bytes, Runnable drained) {
+        // a server's window does not hold where it sends faster than we read: HttpCore reads on while there is anything
+        if (waiting.addAndGet(bytes.length) > MOST_WAITING) {
+            client.session.close(CloseMode.GRACEFUL);
+            return;
+        }
         pieces.add(new Piece(ByteBuffer.wrap(bytes), drained));
         flush();
     }
@@ -244,6 +253,7 @@
             }
             if (!piece.bytes().hasRemaining()) {
                 pieces.poll();
+                waiting.addAndGet(-piece.bytes().capacity());
                 if (piece.drained() != null) {
                     piece.drained().run();
                 }
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -147,4 +147,20 @@
             assertFalse(answer.whole());
         }
     }
+
+    /** Guards the memory: a client that takes nothing, and a server that sends without end and faster than it is read. */
+    @Test
+    public void aFloodThatNobodyTakesIsCutOff() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            String one = chunk("data: " + "x".repeat(900) + "\n\n");
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.send(HEAD + "\r\n");
+                while (true) {
+                    line.send(one);
+                }
+            });
+            client.send(request("ask", 4000));
+            await("cut off", () -> site.writers.get(0).lines.stream().anyMatch(l -> l.ended));
+        }
+    }
 }
