--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -13,7 +13,7 @@
  * Which calls a watch on the list has out: the whole list once, unless one is known from before, then one watch after
  * another, each at once after the last answer. A call that is silent beyond what it may take is asked beside itself on
  * a new connection, so that no single connection can hide a drain: its time runs from when it was asked, so that half
- * an answer, or one that dribbles, gains none. After failures it asks again by {@link Pauses}, and only for what is
+ * an answer, or one that dribbles, gains none. After failures it asks again by {@link Backoff}, and only for what is
  * there, until something is answered: who may wait cannot be told from who is silent.
  * During a move the old address is listened to until the new one has given its list and {@link #OVERLAP} more has
  * passed: an answer on its way there is told, whoever reads it.
@@ -39,17 +39,30 @@
     /** An answer of discovery. */
     public record Listing(long version, boolean full, List<Entry> entries) {}
 
-    // the protocol's clock; docs/design-watch.md has the cases
-    /** After a silence has begun, what it hides counts as told. No call need be heard out for longer. */
+    // the protocol's clock, from which all other times here are worked out; docs/design-watch.md has the cases
+    /** What discovery has counts as told so long after it could be asked, and what a silence hides after its begin. */
     public static final Duration TOLD = Duration.ofSeconds(6);
     /** After a move of the address, what is there counts as told. */
     static final Duration MOVED = Duration.ofSeconds(4);
-
+    /** Of {@link #TOLD} for this machine: a busy core, a garbage collection. */
+    private static final Duration MARGIN = Duration.ofSeconds(1);
+    /**
+     * Until a connection is up, or the call has failed. Below the 1 s after which a system asks for one again: a new call
+     * does so sooner.
+     */
+    public static final Duration CONNECT = Duration.ofMillis(500);
     /**
      * Beyond what an answer may take. What an agent has after an outage counts as told at once, and the last call may
      * have been lost in that outage: this, a pause of 0.1 s and the next answer fit into the 1 s in which to act.
      */
     public static final Duration SILENCE = Duration.ofMillis(500);
+    /**
+     * From a failure to the next call at most: the last may come just before discovery can be reached, and the next is
+     * then connected and answered within {@link #TOLD}. Not less, as an overrun service needs the time.
+     */
+    static final Duration PAUSE = TOLD.minus(MARGIN).minus(CONNECT).minus(SILENCE);
+    /** From a call to the next at most, whatever became of it: a silent one is found out, and paused after. */
+    static final Duration NEXT = PAUSE.plus(SILENCE);
     /**
      * {@link #TOLD} less three times {@link #SILENCE} and the first two pauses of 0.5 and 1 s: by then three more calls
      * are out, of which two may be silent too. A call that may wait counts 2 s after its wait if that is later than
@@ -58,11 +71,6 @@
     public static final Duration HOLD = Duration.ofSeconds(3);
     /** After a failure: what is there, at once. Not 0, which is no watch. */
     static final Duration BRIEF = Duration.ofMillis(1);
-    /**
-     * From a silent call to the next at most, whatever the pauses: each has one after it, and that one's answer, by
-     * the time that counts. Not less, as an overrun service is silent too, and needs the pauses.
-     */
-    private static final Duration AGAIN = TOLD.minus(SILENCE);
     public static final Duration OVERLAP = Duration.ofSeconds(2); // an old address closes 1.5 s after a move
     /** What one address may know later than another: what counts as told at the new one is there by then. */
     public static final Duration CARE = TOLD.plus(MOVED);
@@ -84,12 +92,12 @@
         }
     }
 
-    private enum Due { ASK, SILENT, LEAVE, CARE }
+    private enum Due { NEXT, MOVED, LEAVE, CARE }
 
     private record Timer(Due what, Address address, int call) {}
 
     private final MemberBook book = new MemberBook(CARE);
-    private final Pauses pauses;
+    private final Backoff backoff;
     private final List<Address> old = new ArrayList<>();
     private final TreeMap<Integer, Timer> timers = new TreeMap<>();
     private Address current;
@@ -98,8 +106,8 @@
     private int tokens;
     private List<Step> steps = new ArrayList<>();
 
-    public WatchPlan(Pauses pauses) {
-        this.pauses = pauses;
+    public WatchPlan(Backoff backoff) {
+        this.backoff = backoff.atMost(PAUSE);
     }
 
     /**
@@ -128,8 +136,13 @@
         } else if (current != null) {
             leave(current);
         }
+        boolean moves = current != null;
         current = new Address(to, ++tellers);
         ask(current);
+        if (moves) {
+            // what is there by then counts at once, however long the backoff has grown
+            wake(MOVED.plus(backoff.after(1)), Due.MOVED, current, 0);
+        }
         return done();
     }
 
@@ -139,10 +152,13 @@
         if (a == null) {
             return done();
         }
+        if (!a.listed && !listing.full()) {
+            return failed(call, false); // made anew at once it might be answered so for ever
+        }
         a.calls.remove((Integer) call);
         a.failures = 0;
         dropAll(a);
-        if (!listing.full() && (!a.listed || listing.version() < a.version)) {
+        if (!listing.full() && listing.version() < a.version) {
             a.listed = false; // discovery began anew: changes against a list that we do not hold say nothing
         } else {
             if (listing.full() && listing.version() < a.version && a == current) {
@@ -174,7 +190,7 @@
             a.listed &= !gone || a != current;
             if (call == a.last) {
                 // though others are out: they are silent, and as long as one of them dribbles nobody else would ask
-                wake(pauses.after(++a.failures), Due.ASK, a, 0);
+                wake(backoff.after(++a.failures), Due.NEXT, a, call);
             }
         }
         return done();
@@ -185,15 +201,16 @@
         Timer t = timers.remove(token);
         if (t != null) {
             switch (t.what()) {
-                case ASK -> {
-                    if (lives(t.address()) && !t.address().calls.contains(t.address().last)) {
-                        ask(t.address());
+                case NEXT -> {
+                    Address a = t.address();
+                    if (lives(a) && t.call() == a.last) {
+                        a.failures += a.calls.contains(t.call()) ? 1 : 0; // one that failed has been counted
+                        ask(a);
                     }
                 }
-                case SILENT -> {
-                    if (t.address().calls.contains(t.call())) {
-                        t.address().failures++;
-                        ask(t.address());
+                case MOVED -> {
+                    if (t.address() == current && (!current.listed || current.failures > 0)) {
+                        ask(current);
                     }
                 }
                 case LEAVE -> leave(t.address());
@@ -223,12 +240,9 @@
         a.last = call;
         Duration hold = !a.listed ? Duration.ZERO : a.failures == 0 ? HOLD : BRIEF;
         steps.add(new Ask(call, a.at, a.listed ? a.version : -1, hold));
-        Duration silent = hold.plus(SILENCE);
-        if (a.failures > 0) {
-            silent = silent.plus(pauses.after(a.failures));
-            silent = silent.compareTo(AGAIN) < 0 ? silent : AGAIN;
-        }
-        wake(silent, Due.SILENT, a, call);
+        // stands also where the call fails: a connection that does not come up takes its time, and the pause after it more
+        Duration silent = hold.plus(SILENCE).plus(a.failures > 0 ? backoff.after(a.failures) : Duration.ZERO);
+        wake(silent.compareTo(NEXT) < 0 ? silent : NEXT, Due.NEXT, a, call);
     }
 
     private void tell(Change change, boolean always) {
@@ -238,9 +252,9 @@
     }
 
     private void wake(Duration after, Due what, Address address, int call) {
-        // one timer of a kind and an address is enough: those of calls that are over tell nothing
+        // those of calls that have been followed by another tell nothing
         timers.values().removeIf(t -> t.what() == what && t.address() == address
-                && (what != Due.SILENT || !address.calls.contains(t.call())));
+                && (what != Due.NEXT || t.call() != address.last));
         timers.put(++tokens, new Timer(what, address, call));
         steps.add(new Wake(after.isNegative() ? Duration.ZERO : after, tokens));
     }
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -15,7 +15,7 @@
 import copperbeam.Api.ListKind;
 import copperbeam.Api.RequestClass;
 import copperbeam.Api.Settings;
-import copperbeam.membership.Pauses;
+import copperbeam.membership.Backoff;
 import copperbeam.membership.WatchPlan;
 import copperbeam.plugins.WasmHook;
 import copperbeam.protocol.Json;
@@ -273,12 +273,12 @@
      * than it can: asked again after half a second at first, and no later than the rule allows to be without word.
      * Where an agent tells the list unasked, asking costs nothing.
      */
-    Pauses discoveryPauses() {
+    Backoff discoveryBackoff() {
         Duration soon = Duration.ofMillis(100); // below the 200 ms after which a watch is new
         Duration first = settings.listMustBeAsked() ? soon.multipliedBy(5) : soon;
         double within = settings.rules().askWithinS();
-        Duration longest = within > 0 ? ModuleTime.span(within) : Duration.ofSeconds(5);
-        return new Pauses(first, settings.listMustBeAsked() ? longest : first, new SplittableRandom(seed));
+        Duration longest = within > 0 ? ModuleTime.span(within) : WatchPlan.TOLD;
+        return new Backoff(first, settings.listMustBeAsked() ? longest : first, new SplittableRandom(seed));
     }
 
     public Set<String> classNames() {
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -107,7 +107,7 @@
         HttpClient client = new PlainHttpClient(reactor);
         Config.Etcd etcd = config.operator().etcd();
         discovery = etcd == null ? new DiscoveryWatch(turns, client, clock, config.discovery(),
-                config.knownListing(), config.discoveryPauses()) : null;
+                config.knownListing(), config.discoveryBackoff()) : null;
         source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             told.changed(change);
--- a/src/main/java/copperbeam/program/WarmUp.java
+++ b/src/main/java/copperbeam/program/WarmUp.java
@@ -19,6 +19,7 @@
     private static final int REQUESTS = 10;
     private static final int CALLS = 3;
     private static final Duration SILENCE = Duration.ofSeconds(1);
+    private static final int MOST = 64 * 1024; // bytes of an answer; our own have a few
 
     private WarmUp() {}
 
@@ -41,7 +42,7 @@
         // without an id a request is answered 400 by the front, and no attempt is made
         byte[] body = number % 2 == 0 ? null : "{\"stream\":true}".getBytes(StandardCharsets.UTF_8);
         client.whole(self, body == null ? "GET" : "POST", body == null ? "/healthz" : "/v1/chat/completions", body,
-                SILENCE, (status, answer) -> call(client, self, done, warm));
+                new HttpClient.Patience(SILENCE, SILENCE), MOST, answer -> call(client, self, done, warm));
     }
 
     private static void module(Api.Settings settings) {
--- a/src/main/java/copperbeam/protocol/HttpClient.java
+++ b/src/main/java/copperbeam/protocol/HttpClient.java
@@ -1,35 +1,40 @@
 package copperbeam.protocol;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.function.Consumer;
 
 /** Plain calls to services beside the servers, such as discovery. */
 public interface HttpClient {
-    /** The returned ends the call early. {@code silence}: fails after so long without a byte. */
-    Runnable send(InetSocketAddress to, String method, String target, byte[] body, Duration silence,
+    /** {@code connect}: until it is up; {@code silence}: fails after so long without a byte. */
+    record Patience(Duration connect, Duration silence) {}
+
+    /** The returned ends the call early. */
+    Runnable send(InetSocketAddress to, String method, String target, byte[] body, Patience patience,
             Response response);
 
     /** The last call is {@code end} or {@code failed}. */
     interface Response {
         void head(int status);
 
-        void data(byte[] bytes);
+        /** What it throws ends the call as failed. */
+        void data(byte[] bytes) throws IOException;
 
         void end();
 
-        void failed();
+        void failed(String why);
     }
 
-    /** A whole answer, as most calls want it. */
-    interface Whole {
-        /** {@code status} 0: there was no whole answer. */
-        void answered(int status, byte[] body);
-    }
+    /** {@code status} 0: there was no whole answer, and {@code fault} says why; else that is null. */
+    record Answer(int status, byte[] body, String fault) {}
 
-    default Runnable whole(InetSocketAddress to, String method, String target, byte[] body, Duration silence,
-            Whole whole) {
-        return send(to, method, target, body, silence, new Response() {
-            private final java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
+    /** A whole answer, as most calls want it, of at most {@code most} bytes: one without end would take all memory. */
+    default Runnable whole(InetSocketAddress to, String method, String target, byte[] body, Patience patience, int most,
+            Consumer<Answer> whole) {
+        return send(to, method, target, body, patience, new Response() {
+            private final ByteArrayOutputStream all = new ByteArrayOutputStream();
             private int status;
 
             @Override
@@ -38,18 +43,21 @@
             }
 
             @Override
-            public void data(byte[] bytes) {
+            public void data(byte[] bytes) throws IOException {
+                if (all.size() + bytes.length > most) {
+                    throw new IOException("a body above " + most + " bytes");
+                }
                 all.writeBytes(bytes);
             }
 
             @Override
             public void end() {
-                whole.answered(status, all.toByteArray());
+                whole.accept(new Answer(status, all.toByteArray(), null));
             }
 
             @Override
-            public void failed() {
-                whole.answered(0, new byte[0]);
+            public void failed(String why) {
+                whole.accept(new Answer(0, new byte[0], why));
             }
         });
     }
--- a/src/main/java/copperbeam/protocol/Json.java
+++ b/src/main/java/copperbeam/protocol/Json.java
@@ -2,6 +2,9 @@
 
 import com.google.gson.Gson;
 import com.google.gson.GsonBuilder;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
 import com.google.gson.Strictness;
 import com.google.gson.ToNumberPolicy;
 import com.google.gson.stream.JsonReader;
@@ -9,6 +12,7 @@
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.StringReader;
 import java.nio.charset.StandardCharsets;
 
 /** Gson as this program sets it up. */
@@ -19,6 +23,21 @@
 
     private Json() {}
 
+    /** One JSON text and nothing more; throws {@link IllegalArgumentException} with what is wrong. */
+    public static JsonElement strict(String text) {
+        try {
+            JsonReader reader = new JsonReader(new StringReader(text));
+            reader.setStrictness(Strictness.STRICT); // the lenient one takes unquoted texts and '=' for ':'
+            JsonElement all = JsonParser.parseReader(reader);
+            if (reader.peek() != JsonToken.END_DOCUMENT) {
+                throw new IllegalArgumentException("more than one JSON text");
+            }
+            return all;
+        } catch (JsonParseException | IOException e) {
+            throw new IllegalArgumentException("no JSON: " + e.getMessage().lines().findFirst().orElse(""), e);
+        }
+    }
+
     /** Whether a body is one JSON object and nothing more. */
     public static boolean isObject(byte[] body) {
         try (JsonReader reader = new JsonReader(new InputStreamReader(new ByteArrayInputStream(body),
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -3,13 +3,15 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
-import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
-import copperbeam.membership.Pauses;
+import copperbeam.membership.Backoff;
 import copperbeam.membership.WatchPlan;
 import copperbeam.protocol.HttpClient;
 import copperbeam.routing.Actor;
@@ -18,27 +20,35 @@
 /** The platform's discovery: makes the calls that a {@link WatchPlan} asks for and tells it what comes back. */
 public final class DiscoveryWatch implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
-    private static final Duration SILENCE = WatchPlan.TOLD; // without a byte; the plan has asked anew long before
+    private static final HttpClient.Patience PATIENCE = new HttpClient.Patience(WatchPlan.CONNECT, WatchPlan.TOLD);
+    private static final int MOST = 256 * 1024;  // the protocol's, for every body
+    private static final int MOST_LINES = 16;    // of the log, from one good answer to the next
+    private static final int LONGEST_LINE = 200; // of what an answer may have in its own words
 
-    private sealed interface Message permits Move, Answered, Woken, Stop {}
+    private sealed interface Message permits Move, Answered, Late, Woken, Stop {}
 
     private record Move(InetSocketAddress agent, Sink sink) implements Message {}
 
-    private record Answered(int call, int status, byte[] body) implements Message {}
+    private record Answered(int call, HttpClient.Answer answer) implements Message {}
+
+    private record Late(int call) implements Message {}
 
     private record Woken(int token) implements Message {}
 
     private record Stop() implements Message {}
 
+    private record Out(WatchPlan.Ask ask, Instant asked, Runnable end) {}
+
     private final class Watcher extends Actor<Message> {
         private final WatchPlan plan;
-        private final Map<Integer, Runnable> out = new HashMap<>();
+        private final Map<Integer, Out> out = new HashMap<>();
+        private final Set<String> said = new HashSet<>(); // what was wrong since the last good answer
         private Sink sink;
         private boolean stopped;
 
-        Watcher(ScheduledExecutorService turns, Pauses pauses) {
+        Watcher(ScheduledExecutorService turns, Backoff backoff) {
             super(turns);
-            plan = new WatchPlan(pauses);
+            plan = new WatchPlan(backoff);
         }
 
         @Override
@@ -51,27 +61,56 @@
                 LOG.fine(() -> "discovery: to " + e.agent());
                 take(e.sink() == null || known == null ? plan.move(e.agent())
                         : plan.begin(e.agent(), known, clock.instant()));
-            } else if (m instanceof Answered e && out.remove(e.call()) != null) {
-                take(answered(e));
+            } else if (m instanceof Answered e) {
+                Out call = out.remove(e.call());
+                if (call != null) {
+                    take(answered(call.ask(), e.answer()));
+                }
+            } else if (m instanceof Late e) {
+                Out call = out.remove(e.call());
+                if (call != null) {
+                    call.end().run();
+                    say(call.ask(), "no whole answer in time");
+                    take(plan.failed(e.call(), false));
+                }
             } else if (m instanceof Woken e) {
                 take(plan.woken(e.token(), clock.instant()));
             } else if (m instanceof Stop) {
                 stopped = true;
-                out.values().forEach(Runnable::run);
+                out.values().forEach(o -> o.end().run());
             }
         }
 
-        private List<WatchPlan.Step> answered(Answered e) {
+        private List<WatchPlan.Step> answered(WatchPlan.Ask ask, HttpClient.Answer a) {
+            if (a.status() != 200) {
+                return bad(ask, a.status() >= 400 && a.status() < 500,
+                        a.status() == 0 ? a.fault() : "status " + a.status());
+            }
             try {
-                if (e.status() == 200) {
-                    ServerList list = ServerList.parse(new String(e.body(), StandardCharsets.UTF_8));
-                    return plan.answered(e.call(), new WatchPlan.Listing(list.version(), list.full(), list.entries()),
-                            clock.instant());
+                ServerList list = ServerList.parse(new String(a.body(), StandardCharsets.UTF_8));
+                if (ask.from() < 0 && !list.full()) {
+                    throw new IllegalArgumentException("changes where the whole list was asked for");
                 }
+                said.clear();
+                return plan.answered(ask.call(), new WatchPlan.Listing(list.version(), list.full(), list.entries()),
+                        clock.instant());
             } catch (IllegalArgumentException problem) {
-                LOG.fine(() -> "discovery: " + problem.getMessage());
+                return bad(ask, false, problem.getMessage());
+            }
+        }
+
+        /** Nothing of it is taken. */
+        private List<WatchPlan.Step> bad(WatchPlan.Ask ask, boolean gone, String why) {
+            say(ask, why);
+            return plan.failed(ask.call(), gone);
+        }
+
+        /** Once for each reason: in an outage some ten calls a second may fail alike. */
+        private void say(WatchPlan.Ask ask, String why) {
+            String line = "discovery at " + ask.at() + ": " + why.replaceAll("\\p{Cntrl}", " ");
+            if (said.size() < MOST_LINES && said.add(line)) {
+                LOG.warning(line.substring(0, Math.min(LONGEST_LINE, line.length())) + "; the list stays as it is");
             }
-            return plan.failed(e.call(), e.status() >= 400 && e.status() < 500);
         }
 
         private void take(List<WatchPlan.Step> steps) {
@@ -79,9 +118,12 @@
                 if (step instanceof WatchPlan.Ask s) {
                     ask(s);
                 } else if (step instanceof WatchPlan.Drop s) {
-                    Runnable end = out.remove(s.call());
-                    if (end != null) {
-                        end.run();
+                    Out call = out.remove(s.call());
+                    if (call != null) {
+                        call.end().run();
+                        if (clock.instant().isAfter(call.asked().plus(call.ask().hold()).plus(WatchPlan.SILENCE))) {
+                            say(call.ask(), "no whole answer in time");
+                        }
                     }
                 } else if (step instanceof WatchPlan.Wake s) {
                     tellLater(s.after(), new Woken(s.token()));
@@ -94,8 +136,9 @@
         private void ask(WatchPlan.Ask s) {
             String target = s.from() < 0 ? "/v1/servers"
                     : "/v1/servers?from=" + s.from() + "&hold_ms=" + s.hold().toMillis();
-            out.put(s.call(), client.whole(s.at(), "GET", target, null, SILENCE,
-                    (status, body) -> tell(new Answered(s.call(), status, body))));
+            out.put(s.call(), new Out(s, clock.instant(), client.whole(s.at(), "GET", target, null, PATIENCE, MOST,
+                    answer -> tell(new Answered(s.call(), answer)))));
+            tellLater(WatchPlan.TOLD, new Late(s.call())); // a byte now and then keeps no call
         }
     }
 
@@ -107,12 +150,12 @@
 
     /** {@code known}: a list of the same discovery's from before, or null. */
     public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, Clock clock, InetSocketAddress agent,
-            WatchPlan.Listing known, Pauses pauses) {
+            WatchPlan.Listing known, Backoff backoff) {
         this.known = known;
         this.client = client;
         this.clock = clock;
         this.agent = agent;
-        watcher = new Watcher(turns, pauses);
+        watcher = new Watcher(turns, backoff);
     }
 
     @Override
--- a/src/main/java/copperbeam/protocol/discovery/ServerList.java
+++ b/src/main/java/copperbeam/protocol/discovery/ServerList.java
@@ -1,10 +1,13 @@
 package copperbeam.protocol.discovery;
 
-import com.google.gson.JsonParseException;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import copperbeam.Api.ListKind;
 import copperbeam.Api.Member;
 import copperbeam.Api.ServerState;
@@ -13,65 +16,116 @@
 import copperbeam.routing.MembershipSource.Entry;
 import copperbeam.routing.ModuleTime;
 
-/** Discovery's answers. */
-public record ServerList(long version, boolean full, List<ServerEntry> servers) {
+/** Discovery's answers. Nothing is taken for what it is not: a number in quotes is no number, an id without quotes none. */
+public record ServerList(long version, boolean full, List<Entry> entries) {
+    /** Throws {@link IllegalArgumentException} with what is wrong, with the list or one of its servers. */
+    public static ServerList parse(String json) {
+        JsonObject list = object(Json.strict(json), "the list");
+        if (!list.has("servers") || !list.get("servers").isJsonArray()) {
+            throw new IllegalArgumentException("the list names no servers");
+        }
+        Long version = whole(list, "version");
+        if (version == null) {
+            throw new IllegalArgumentException("the list has no version");
+        }
+        JsonPrimitive full = value(list, "full", JsonPrimitive::isBoolean, "true or false");
+        List<Entry> entries = new ArrayList<>();
+        for (JsonElement server : list.getAsJsonArray("servers")) {
+            JsonObject s = object(server, "a server");
+            entries.add(entry(text(s, "id"), s));
+        }
+        return new ServerList(version, full != null && full.getAsBoolean(), List.copyOf(entries));
+    }
 
-    /** One server as discovery writes it. */
-    public record ServerEntry(String id, String addr, String zone, String kind, long cell, String state, Double weight,
-            long started_ms) {}
+    public Change change(ListKind kind) {
+        return new Change(kind, entries);
+    }
 
-    /** Throws {@link IllegalArgumentException} with what is wrong. */
-    public static ServerList parse(String json) {
-        ServerList list;
+    /** One server as discovery writes it. Throws {@link IllegalArgumentException} with what is wrong with it. */
+    public static Entry entry(String id, JsonObject s) {
+        if (id == null || id.isEmpty()) {
+            throw new IllegalArgumentException("a server without an id");
+        }
         try {
-            list = Json.GSON.fromJson(json, ServerList.class);
-        } catch (JsonParseException e) {
-            throw new IllegalArgumentException("the list is not what discovery's form allows: " + e.getMessage(), e);
+            String told = text(s, "state");
+            ServerState state = switch (told == null ? "active" : told) {
+                case "active" -> ServerState.READY;
+                case "leaving" -> ServerState.DRAINING;
+                case "left" -> ServerState.GONE;
+                default -> throw new IllegalArgumentException("unknown state '" + told + "'");
+            };
+            String addr = text(s, "addr");
+            if (addr == null && state != ServerState.GONE) {
+                throw new IllegalArgumentException("no addr");
+            }
+            JsonPrimitive weight = value(s, "weight", JsonPrimitive::isNumber, "a number");
+            double share = weight == null ? 1 : weight.getAsDouble();
+            if (!(share >= 0) || Double.isInfinite(share)) {
+                throw new IllegalArgumentException("weight " + weight + " is none");
+            }
+            Long cell = whole(s, "cell");
+            Long started = whole(s, "started_ms");
+            return new Entry(new Member(id, text(s, "zone"), text(s, "kind"), cell == null ? 0 : cell, state,
+                    share, ModuleTime.seconds(Duration.ofMillis(started == null ? 0 : started))),
+                    addr == null ? null : address(addr));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("server " + id + ": " + e.getMessage(), e);
         }
-        if (list == null || list.servers == null) {
-            throw new IllegalArgumentException("the list names no servers");
+    }
+
+    /** For an entry that says no more than that the server has left. */
+    public static Entry left(String id) {
+        JsonObject left = new JsonObject();
+        left.addProperty("state", "left");
+        return entry(id, left);
+    }
+
+    public static JsonObject object(JsonElement e, String what) {
+        if (!e.isJsonObject()) {
+            throw new IllegalArgumentException(what + " is no object");
         }
-        return list;
+        return e.getAsJsonObject();
     }
 
-    public Change change(ListKind kind) {
-        return new Change(kind, entries());
+    private static String text(JsonObject o, String key) {
+        JsonPrimitive value = value(o, key, JsonPrimitive::isString, "a text");
+        return value == null ? null : value.getAsString();
     }
 
-    /** Throws {@link IllegalArgumentException} with what is wrong with one of them. */
-    public List<Entry> entries() {
-        List<Entry> entries = new ArrayList<>();
-        for (ServerEntry s : servers) {
-            entries.add(entry(s));
+    private static Long whole(JsonObject o, String key) {
+        JsonPrimitive value = value(o, key, JsonPrimitive::isNumber, "a whole number");
+        try {
+            return value == null ? null : Long.valueOf(value.getAsString());
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(key + " is not a whole number", e);
         }
-        return entries;
     }
 
-    public static Entry entry(ServerEntry s) {
-        if (s == null || s.id == null || s.id.isEmpty()) {
-            throw new IllegalArgumentException("a server without an id");
+    /** Null where the key is absent or null. */
+    private static JsonPrimitive value(JsonObject o, String key, Predicate<JsonPrimitive> right, String form) {
+        JsonElement value = o.get(key);
+        if (value == null || value.isJsonNull()) {
+            return null;
         }
-        ServerState state = switch (s.state == null ? "active" : s.state) {
-            case "active" -> ServerState.READY;
-            case "leaving" -> ServerState.DRAINING;
-            case "left" -> ServerState.GONE;
-            default -> throw new IllegalArgumentException("unknown state '" + s.state + "'");
-        };
-        InetSocketAddress address = s.addr == null ? null : address(s.addr);
-        if (address == null && state != ServerState.GONE) {
-            throw new IllegalArgumentException("server " + s.id + " has no addr");
+        if (!value.isJsonPrimitive() || !right.test(value.getAsJsonPrimitive())) {
+            throw new IllegalArgumentException(key + " is not " + form);
         }
-        return new Entry(new Member(s.id, s.zone, s.kind, s.cell, state, s.weight == null ? 1 : s.weight,
-                ModuleTime.seconds(Duration.ofMillis(s.started_ms))), address);
+        return value.getAsJsonPrimitive();
     }
 
+    // four numbers of at most 255: the system would look up any other as a name, and hold up all actors meanwhile
+    private static final String V4 = "((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}";
+
     /** {@code host:port}; the host is an address, as there are no names to look up. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         try {
             String host = colon <= 0 ? "" : text.substring(0, colon);
-            if (host.matches("[0-9.]+|\\[?[0-9a-fA-F:]+]?|localhost")) {
-                return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+            if (host.matches(V4 + "|\\[?[0-9a-fA-F:]*:[0-9a-fA-F:]*]?|localhost")) {
+                InetSocketAddress address = new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+                if (!address.isUnresolved()) {
+                    return address;
+                }
             }
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("'" + text + "' is not host:port", e);
--- a/src/main/java/copperbeam/protocol/etcd/EtcdMembership.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdMembership.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
 import copperbeam.Api.ListKind;
+import copperbeam.membership.WatchPlan;
 import copperbeam.protocol.HttpClient;
 import copperbeam.routing.Actor;
 import copperbeam.routing.MembershipSource;
@@ -17,15 +18,15 @@
  */
 public final class EtcdMembership implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(EtcdMembership.class.getName());
-    private static final Duration RANGE_SILENCE = Duration.ofSeconds(3);
-    private static final Duration WATCH_SILENCE = Duration.ofSeconds(30); // then asked anew: it may be cut off
+    private static final HttpClient.Patience PATIENCE = new HttpClient.Patience(WatchPlan.CONNECT, WatchPlan.HOLD);
+    private static final int MOST = 1 << 20;     // of a range, in base64; etcd refuses larger requests itself
     private static final Duration AGAIN = Duration.ofMillis(200);
 
     private sealed interface Message permits Start, Listed, Data, Ended, Again, Stop {}
 
     private record Start(Sink sink) implements Message {}
 
-    private record Listed(int call, int status, byte[] body) implements Message {}
+    private record Listed(int call, HttpClient.Answer answer) implements Message {}
 
     private record Data(int call, byte[] bytes) implements Message {}
 
@@ -88,13 +89,16 @@
 
         private void ask() {
             int mine = ++call;
+            // each call is made anew after so long, whatever has come of it: a silent one, or one that dribbles, can't be
+            // told from one that has nothing to say, and a watch goes on from its revision
+            tellLater(WatchPlan.HOLD, new Ended(mine));
             if (!listed) {
-                cancel = client.whole(endpoint, "POST", "/v3/kv/range", EtcdWire.range(prefix), RANGE_SILENCE,
-                        (status, body) -> tell(new Listed(mine, status, body)));
+                cancel = client.whole(endpoint, "POST", "/v3/kv/range", EtcdWire.range(prefix), PATIENCE, MOST,
+                        answer -> tell(new Listed(mine, answer)));
                 return;
             }
             lines = new EtcdWire.Lines();
-            cancel = client.send(endpoint, "POST", "/v3/watch", EtcdWire.watch(prefix, revision + 1), WATCH_SILENCE,
+            cancel = client.send(endpoint, "POST", "/v3/watch", EtcdWire.watch(prefix, revision + 1), PATIENCE,
                     new HttpClient.Response() {
                         @Override
                         public void head(int status) {
@@ -114,17 +118,18 @@
                         }
 
                         @Override
-                        public void failed() {
+                        public void failed(String why) {
                             tell(new Ended(mine));
                         }
                     });
         }
 
         private void listed(Listed e) {
-            if (e.status() != 200) {
-                throw new IllegalArgumentException(e.status() == 0 ? "no answer" : "status " + e.status());
+            if (e.answer().status() != 200) {
+                throw new IllegalArgumentException(
+                        e.answer().status() == 0 ? e.answer().fault() : "status " + e.answer().status());
             }
-            EtcdWire.Listing listing = EtcdWire.listing(prefix, e.body());
+            EtcdWire.Listing listing = EtcdWire.listing(prefix, e.answer().body());
             listed = true;
             revision = listing.revision();
             sink.changed(new Change(ListKind.FULL, listing.entries()));
--- a/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
@@ -11,7 +11,6 @@
 import copperbeam.Api.ServerState;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
-import copperbeam.protocol.discovery.ServerList.ServerEntry;
 import copperbeam.routing.MembershipSource.Entry;
 
 /** The bodies of etcd's JSON gateway: keys and values in base64, 64-bit numbers as strings. */
@@ -107,13 +106,8 @@
     private static Entry entry(String prefix, KeyValue kv, boolean deleted) {
         String key = text(kv.key);
         String id = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
-        ServerEntry told = deleted ? null : parse(bytes(text(kv.value)), ServerEntry.class);
-        if (!deleted && told == null) {
-            throw new IllegalArgumentException("server " + id + " has no entry");
-        }
-        return ServerList.entry(deleted ? new ServerEntry(id, null, null, null, 0, "left", 1.0, 0)
-                : new ServerEntry(id, told.addr(), told.zone(), told.kind(), told.cell(), told.state(), told.weight(),
-                        told.started_ms()));
+        return deleted ? ServerList.left(id)
+                : ServerList.entry(id, ServerList.object(Json.strict(text(kv.value)), "the entry of server " + id));
     }
 
     /** Cuts lines out of a stream; what is left waits for more. */
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -37,6 +37,7 @@
     private volatile boolean over;
     private boolean whole;
     private boolean closing;
+    private Exception cause;
 
     /** {@code body} may be null. */
     ClientExchange(HttpRequest request, byte[] body) {
@@ -190,6 +191,11 @@
         }
     }
 
+    /** Of its break, where one is known. */
+    final Exception cause() {
+        return cause;
+    }
+
     final boolean ended() {
         return over;
     }
@@ -204,6 +210,7 @@
 
     @Override
     public final void failed(Exception cause) {
+        this.cause = this.cause == null ? cause : this.cause;
         // that it never began is told on the caller's thread too, which must not look into a buffer of the reactor's
         boolean never = cause instanceof RequestNotExecutedException;
         // what HttpCore still has at the end, the request's last byte among it, has never left
--- a/src/main/java/copperbeam/transport/PlainHttpClient.java
+++ b/src/main/java/copperbeam/transport/PlainHttpClient.java
@@ -1,8 +1,8 @@
 package copperbeam.transport;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.time.Duration;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -16,8 +16,6 @@
 
 /** Calls to services beside the servers; keeps one idle connection to each. */
 public final class PlainHttpClient implements HttpClient {
-    private static final Duration CONNECT = Duration.ofSeconds(1);
-
     private final ClientReactor reactor;
     private final ConcurrentHashMap<InetSocketAddress, IOSession> kept = new ConcurrentHashMap<>();
 
@@ -27,20 +25,20 @@
 
     private final class Call {
         final InetSocketAddress to;
-        final Duration silence;
+        final Patience patience;
         final Response response;
         final AtomicBoolean over = new AtomicBoolean();
         final AtomicReference<IOSession> session = new AtomicReference<>();
 
-        Call(InetSocketAddress to, Duration silence, Response response) {
+        Call(InetSocketAddress to, Patience patience, Response response) {
             this.to = to;
-            this.silence = silence;
+            this.patience = patience;
             this.response = response;
         }
 
-        void fail() {
+        void fail(String why) {
             if (over.compareAndSet(false, true)) {
-                response.failed();
+                response.failed(why);
             }
         }
 
@@ -54,9 +52,9 @@
     }
 
     @Override
-    public Runnable send(InetSocketAddress to, String method, String target, byte[] body, Duration silence,
+    public Runnable send(InetSocketAddress to, String method, String target, byte[] body, Patience patience,
             Response response) {
-        Call call = new Call(to, silence, response);
+        Call call = new Call(to, patience, response);
         IOSession idle = kept.remove(to);
         if (idle != null && idle.isOpen()) {
             run(call, idle, method, target, body, true);
@@ -67,7 +65,7 @@
     }
 
     private void connect(Call call, String method, String target, byte[] body) {
-        reactor.connect(call.to, CONNECT, new ClientReactor.Life() {
+        reactor.connect(call.to, call.patience.connect(), new ClientReactor.Life() {
             private final AtomicBoolean was = new AtomicBoolean();
 
             @Override
@@ -79,7 +77,7 @@
             @Override
             public void down() {
                 if (!was.get()) {
-                    call.fail();
+                    call.fail("no connection");
                 }
             }
         });
@@ -91,7 +89,7 @@
             session.close(CloseMode.IMMEDIATE);
             return;
         }
-        session.setSocketTimeout(Timeout.of(call.silence));
+        session.setSocketTimeout(Timeout.of(call.patience.silence()));
         BasicHttpRequest request = new BasicHttpRequest(method, ClientReactor.host(call.to), target);
         if (body != null) {
             request.setHeader("Content-Type", ContentType.APPLICATION_JSON.getMimeType());
@@ -103,7 +101,7 @@
             }
 
             @Override
-            void data(ByteBuffer bytes) {
+            void data(ByteBuffer bytes) throws IOException {
                 byte[] copy = new byte[bytes.remaining()];
                 bytes.get(copy);
                 grant(copy.length);
@@ -127,7 +125,7 @@
                 if (reused && !mayHaveRun && !call.over.get()) {
                     connect(call, method, target, body);
                 } else {
-                    call.fail();
+                    call.fail(cause() == null ? "the connection broke" : cause().toString());
                 }
             }
         });
--- a/src/test/java/copperbeam/membership/OneClockTest.java
+++ b/src/test/java/copperbeam/membership/OneClockTest.java
@@ -33,6 +33,7 @@
         new InetSocketAddress("127.0.0.1", 2)};
     private static final int GRACE = 1000 - 150; // from told to acted on, less what the actors and the machine may take
     private static final int MOVE = 1000;
+    private static final int CALL = 5000; // from a call to the end of the next, where it must be asked for
     private static final int NEVER = 100_000;
 
     /** Calls open as it begins, and all that are made in it, are refused, or hear nothing more for good. */
@@ -45,11 +46,11 @@
     /** {@code dribbles}: on silent calls a byte comes now and then. {@code late}: what an answer takes. */
     private record Day(boolean pushed, boolean moves, Spell first, Spell second, boolean dribbles, int late,
             int drain) {
-        /** From when on, at that time or later, new calls are answered for long enough to find that out. */
-        int reached(int time) {
+        /** From when on, at that time or later, new calls are answered for so long. */
+        int reached(int time, int span) {
             for (Spell s : List.of(first, second)) {
                 int end = s.from() + s.length();
-                time = time < end && time > s.from() - GRACE ? end : time;
+                time = time < end && time > s.from() - span ? end : time;
             }
             return time;
         }
@@ -86,7 +87,7 @@
         Play(Day day) {
             this.day = day;
             Duration first = Duration.ofMillis(day.pushed() ? 100 : 500);
-            plan = new WatchPlan(new Pauses(first, day.pushed() ? first : Duration.ofSeconds(10),
+            plan = new WatchPlan(new Backoff(first, day.pushed() ? first : Duration.ofSeconds(10),
                     new SplittableRandom(day.drain())));
             at(day.first().from(), () -> trouble(day.first()));
             at(day.second().from(), () -> trouble(day.second()));
@@ -186,7 +187,9 @@
         int told() {
             // nobody can tell a silent call from one that may wait before that wait is over
             int wait = silent.isEmpty() ? 0 : silent.get(0).asked() + (int) silent.get(0).ask().hold().toMillis();
-            int told = Math.max(day.reached(Math.max(wait, day.drain())), day.moves() ? MOVE + 4000 : 0);
+            int last = Math.max(wait, day.drain());
+            int moved = day.moves() ? MOVE + 4000 : 0;
+            int told = Math.max(day.reached(last, GRACE), moved);
             if (refused && !day.pushed()) {
                 told += 40_000; // after a call that failed, four times rules.ask_within_s
             }
@@ -196,6 +199,10 @@
                 int n = silent.size();
                 told = Math.max(told, silent.get(day.pushed() || n <= 3 ? 0 : n - 1).told());
             }
+            if (!day.pushed()) {
+                // and whatever became of the calls, six seconds after discovery could be reached for long enough
+                told = Math.min(told, Math.max(day.reached(last, CALL) + 6000, moved));
+            }
             return told;
         }
     }
--- a/src/test/java/copperbeam/membership/WatchPlanTest.java
+++ b/src/test/java/copperbeam/membership/WatchPlanTest.java
@@ -33,7 +33,7 @@
     private static final InetSocketAddress[] AT = {new InetSocketAddress("127.0.0.1", 1),
         new InetSocketAddress("127.0.0.1", 2), new InetSocketAddress("127.0.0.1", 3)};
     private static final Duration SHORT_MOST = Duration.ofMillis(100);
-    private static final Pauses SHORT = new Pauses(SHORT_MOST, SHORT_MOST, new SplittableRandom(1));
+    private static final Backoff SHORT = new Backoff(SHORT_MOST, SHORT_MOST, new SplittableRandom(1));
     /** The registry's versions: a drains and starts again; b stays. */
     private static final String[] LISTS = {"a+0 b+0", "a-0 b+0", "a+9 b+0"};
 
@@ -56,8 +56,8 @@
             this(versions, mostSilences, SHORT);
         }
 
-        World(int versions, int mostSilences, Pauses pauses) {
-            plan = new WatchPlan(pauses);
+        World(int versions, int mostSilences, Backoff backoff) {
+            plan = new WatchPlan(backoff);
             this.versions = versions;
             this.mostSilences = mostSilences;
             take(plan.move(AT[0]));
@@ -243,16 +243,18 @@
 
     /** A service that is overrun is left alone for longer and longer, until it answers; a silent one too. */
     @Test
-    public void pausesGrowWithFailuresAndSilence() {
-        World w = new World(3, 0, new Pauses(Duration.ofMillis(500), Duration.ofSeconds(10), new SplittableRandom(7)));
-        for (long most : new long[] {500, 1000, 2000, 4000, 8000, 10_000, 10_000}) {
+    public void backoffGrowsWithFailuresAndSilenceWithinTheClock() {
+        long most = WatchPlan.PAUSE.toMillis();
+        assertEquals(WatchPlan.PAUSE.plus(WatchPlan.CONNECT).plus(WatchPlan.SILENCE), Duration.ofSeconds(5), "of 6 s");
+        World w = new World(3, 0, new Backoff(Duration.ofMillis(500), Duration.ofSeconds(10), new SplittableRandom(7)));
+        for (long ms : new long[] {500, 1000, 2000, most, most, most, most}) {
             w.wakes.clear();
             w.take(w.plan.failed(w.out.remove(first(w, 0).call()).call(), false));
-            assertTrue(between(w.wakes.get(0).after(), Duration.ofMillis(most)), most + " ms: " + w.wakes);
+            assertTrue(between(w.wakes.get(0).after(), Duration.ofMillis(ms)), ms + " ms: " + w.wakes);
             List.copyOf(w.wakes).forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
         }
         Wake silent = w.wakes.get(w.wakes.size() - 1);
-        assertTrue(silent.after().compareTo(WatchPlan.SILENCE.plusSeconds(5)) >= 0, "and silence is no reason to ask more");
+        assertTrue(between(silent.after().minus(WatchPlan.SILENCE), WatchPlan.PAUSE), "and silence is no reason to ask more");
         w.answer(first(w, 0), 0);
         assertEquals(w.wakes.get(w.wakes.size() - 1).after(), WatchPlan.HOLD.plus(WatchPlan.SILENCE), "all is well again");
         w.wakes.clear();
@@ -279,12 +281,12 @@
     /** Fourteen that begin together, each with a call of 0.5 s of work: all are served, where no pause grew none was. */
     @Test
     public void aServiceOverrunByAFleetRecovers() {
-        assertEquals(served(new Pauses(Duration.ofMillis(500), Duration.ofSeconds(10), new SplittableRandom(3))), 14);
+        assertEquals(served(new Backoff(Duration.ofMillis(500), WatchPlan.PAUSE, new SplittableRandom(3))), 14);
         assertEquals(served(SHORT), 5, "those whose first call waited for less than 2 s, and nobody after them");
     }
 
     /** A queue in order, whose calls fail after 2 s of waiting and are worked on all the same; how many were served in 60 s. */
-    private static int served(Pauses pauses) {
+    private static int served(Backoff backoff) {
         TreeMap<Double, Integer> asks = new TreeMap<>();
         int[] failures = new int[14];
         int served = 0;
@@ -300,7 +302,7 @@
             if (waits < 2) {
                 served++;
             } else {
-                asks.put(now + 2 + pauses.after(++failures[who]).toNanos() / 1e9, who);
+                asks.put(now + 2 + backoff.after(++failures[who]).toNanos() / 1e9, who);
             }
         }
         return served;
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -134,7 +134,21 @@
     public Object[][] faultyLists() {
         String server = "{\"version\":1,\"servers\":[%s]}";
         return new Object[][] {
-            {"", "names no servers"}, {"{}", "names no servers"}, {"[", "form"}, {"{\"version\":\"x\"}", "form"},
+            {"", "no object"}, {"{}", "names no servers"}, {"[", "no JSON"}, {"[]", "no object"}, {"null", "no object"},
+            {"{\"version\":\"x\",\"servers\":[]}", "version is not"}, {"{\"version\":\"1\",\"servers\":[]}", "version is not"},
+            {"{\"version\":1.5,\"servers\":[]}", "version is not"}, {"{\"servers\":[]}", "no version"},
+            {"{\"version\":1,\"full\":\"true\",\"servers\":[]}", "full is not"},
+            {"{\"version\":1,\"servers\":7}", "names no servers"}, {"{\"version\":1,\"servers\":{}}", "names no servers"},
+            {"{\"version\":1,\"servers\":[]", "no JSON"}, {"{\"version\":1,\"servers\":[]}}", "no JSON"},
+            {"{version=1;servers:[]}", "no JSON"}, {"[".repeat(9999), "no JSON"},
+            {String.format(server, "7"), "no object"}, {String.format(server, "null"), "no object"},
+            {String.format(server, "{\"id\":7,\"addr\":\"1.2.3.4:5\"}"), "id is not"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":5}"), "addr is not"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"state\":true}"), "state is not"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"started_ms\":\"soon\"}"), "started_ms is not"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"weight\":-1}"), "weight"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"weight\":1e999}"), "weight"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"256.2.3.4:5\"}"), "host:port"},
             {String.format(server, "{}"), "without an id"},
             {String.format(server, "{\"id\":\"a\",\"state\":\"active\"}"), "no addr"},
             {String.format(server, "{\"id\":\"a\",\"addr\":\"nowhere\"}"), "host:port"},
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
@@ -0,0 +1,212 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.await;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.Api.ServerState;
+import copperbeam.membership.Backoff;
+import copperbeam.protocol.discovery.DiscoveryWatch;
+import copperbeam.routing.MembershipSource.Entry;
+import copperbeam.transport.ClientReactor;
+import copperbeam.transport.PlainHttpClient;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A watch whose discovery answers what is no answer, or whose machine takes no connection for a while. */
+public class BadDiscoveryTest {
+    private static final String A = "{\"id\":\"a\",\"addr\":\"127.0.0.1:1\",\"zone\":\"z\",\"kind\":\"k\",\"state\":\"%s\"}";
+    private static final String B = "{\"id\":\"b\",\"addr\":\"127.0.0.1:2\",\"zone\":\"z\",\"kind\":\"k\",\"state\":\"active\"}";
+
+    /** Ms from when discovery can be reached; the second of a pushed list and one more for a busy core. */
+    private static long most(boolean pushed) {
+        return pushed ? 2000 : 5000;
+    }
+
+    /** The list at 127.0.0.1, and what the watch tells of it. */
+    private static final class Watched implements AutoCloseable {
+        final ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
+        final ClientReactor reactor = new ClientReactor();
+        final List<Entry> heard = new CopyOnWriteArrayList<>();
+        final List<String> log = new CopyOnWriteArrayList<>();
+        final Logger logger = Logger.getLogger(DiscoveryWatch.class.getName());
+        final Handler handler = new Handler() {
+            @Override
+            public void publish(LogRecord entry) {
+                log.add(entry.getMessage());
+            }
+
+            @Override
+            public void flush() {}
+
+            @Override
+            public void close() {}
+        };
+        final DiscoveryWatch watch;
+
+        Watched(InetSocketAddress at, boolean pushed) {
+            logger.addHandler(handler);
+            Duration first = Duration.ofMillis(pushed ? 100 : 500);
+            watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(), at, null,
+                    new Backoff(first, pushed ? first : Duration.ofSeconds(10), new SplittableRandom(1)));
+            watch.start(change -> heard.addAll(change.entries()));
+        }
+
+        boolean drains() {
+            return heard.stream().anyMatch(e -> e.member().state() == ServerState.DRAINING);
+        }
+
+        @Override
+        public void close() throws Exception {
+            watch.stop();
+            logger.removeHandler(handler);
+            turns.shutdownNow();
+            reactor.close();
+        }
+    }
+
+    private static String list(int version, boolean full, String entries) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + entries + "]}";
+    }
+
+    @DataProvider
+    public Object[][] modes() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /**
+     * One spoilt answer after another, some with a good beginning, then the good one. Guards against half a list that is
+     * taken, against a body that takes all memory, and against a backoff that grows beyond the clock.
+     */
+    @Test(dataProvider = "modes")
+    public void spoiltAnswersChangeNothingAndDelayNoDrain(boolean pushed) throws Exception {
+        String drain = String.format(A, "leaving");
+        List<StandIn.Script> spoilt = List.of((m, line) -> {
+                    line.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + list(8, false, drain).substring(0, 30));
+                    while (!line.ended) {
+                        line.send(" ");
+                        Thread.sleep(300);
+                    }
+                }, (m, line) -> line.answer(200, list(8, false, drain).substring(0, 60)),
+                (m, line) -> line.answer(200, list(8, true, "")  + "x"),
+                (m, line) -> line.answer(200, "{\"full\":true,\"servers\":[]}"),
+                (m, line) -> line.answer(200, list(8, true, B + ",{\"id\":\"c\"}")),
+                (m, line) -> line.answer(200, list(8, false, B + ",{\"id\":7,\"addr\":\"127.0.0.1:3\"}")),
+                (m, line) -> line.answer(503, list(8, true, B)), (m, line) -> line.send("HTTP/9 what\r\n\r\n"),
+                (m, line) -> {
+                    line.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(8, true, B));
+                    while (!line.ended) {
+                        line.chunk(" ".repeat(10_000));
+                    }
+                });
+        try (StandIn agent = new StandIn(null)) {
+            List<Long> last = new CopyOnWriteArrayList<>();
+            agent.script = (m, line) -> {
+                int call = agent.seen.size() - 2;
+                if (call < 0) {
+                    line.answer(200, list(7, true, String.format(A, "active")));
+                } else if (call < spoilt.size()) {
+                    last.add(System.nanoTime());
+                    spoilt.get(call).run(m, line);
+                } else {
+                    boolean whole = !m.path().contains("from=");
+                    line.answer(200, list(9, whole, m.path().contains("from=9") ? "" : drain));
+                    Thread.sleep(200);
+                }
+            };
+            try (Watched w = new Watched(agent.address(), pushed)) {
+                long until = System.nanoTime() + 40_000_000_000L;
+                while (!w.drains()) {
+                    assertTrue(System.nanoTime() < until, "never, " + w.log);
+                    Thread.sleep(5);
+                }
+                long ms = (System.nanoTime() - last.get(spoilt.size() - 1)) / 1_000_000;
+                assertTrue(ms < most(pushed), ms + " ms after the last spoilt answer");
+                assertEquals(w.heard.stream().map(e -> e.member().server() + e.member().state()).toList(),
+                        List.of("aREADY", "aDRAINING"));
+                for (String why : List.of("no JSON", "no version", "server c: no addr", "id is not a text", "status 503",
+                        "a body above 262144 bytes", "no whole answer in time")) {
+                    assertTrue(w.log.stream().anyMatch(l -> l.contains(why)), why + " in " + w.log);
+                }
+                assertTrue(w.log.size() <= spoilt.size(), "" + w.log);
+            }
+        }
+    }
+
+    /** No SYN is answered while the backlog of a listener that takes nobody is full. */
+    @Test(dataProvider = "modes")
+    public void connectionsThatDoNotComeUpDelayNoDrain(boolean pushed) throws Exception {
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        List<Socket> full = new ArrayList<>();
+        try (ServerSocket closed = new ServerSocket(0, 8, here);
+                Watched w = hung(closed, full, pushed)) {
+            await("found out", () -> w.log.stream().anyMatch(l -> l.contains("no connection")));
+            for (Socket s : full) {
+                closed.accept().close();
+            }
+            long from = System.nanoTime();
+            Thread accepts = new Thread(() -> {
+                try {
+                    while (true) {
+                        Line line = new Line(closed.accept());
+                        Thread one = new Thread(() -> {
+                            try (line) {
+                                for (Line.Message m = line.read(); m != null; m = line.read()) {
+                                    line.answer(200, list(9, !m.path().contains("from="),
+                                            m.path().contains("from=9") ? "" : String.format(A, "leaving")));
+                                    Thread.sleep(200);
+                                }
+                            } catch (Exception e) {
+                                // the other side has ended it
+                            }
+                        });
+                        one.setDaemon(true);
+                        one.start();
+                    }
+                } catch (java.io.IOException e) {
+                    // closed
+                }
+            });
+            accepts.setDaemon(true);
+            accepts.start();
+            await("the drain", w::drains);
+            long ms = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(ms < most(pushed), ms + " ms");
+        } finally {
+            for (Socket s : full) {
+                s.close();
+            }
+        }
+    }
+
+    private static Watched hung(ServerSocket closed, List<Socket> full, boolean pushed) throws Exception {
+        InetSocketAddress at = (InetSocketAddress) closed.getLocalSocketAddress();
+        boolean hangs = false;
+        while (!hangs) {
+            Socket next = new Socket();
+            try {
+                next.connect(at, 300);
+                full.add(next);
+            } catch (java.net.SocketTimeoutException e) {
+                next.close();
+                hangs = true;
+            }
+        }
+        return new Watched(at, pushed);
+    }
+}
--- a/src/test/java/copperbeam/sockets/NoLookUpTest.java
+++ b/src/test/java/copperbeam/sockets/NoLookUpTest.java
@@ -5,6 +5,7 @@
 
 import copperbeam.Api.Report;
 import copperbeam.routing.Connector;
+import copperbeam.protocol.HttpClient;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.PlainHttpClient;
 import copperbeam.transport.ServerConnector;
@@ -28,8 +29,8 @@
         try (StandIn server = new StandIn((m, line) -> line.answer(200, "{}")); ClientReactor reactor = new ClientReactor()) {
             InetSocketAddress at = nameless(server);
             CountDownLatch answered = new CountDownLatch(1);
-            new PlainHttpClient(reactor).whole(at, "GET", "/v1/servers", null, Duration.ofSeconds(5),
-                    (status, body) -> answered.countDown());
+            new PlainHttpClient(reactor).whole(at, "GET", "/v1/servers", null,
+                    new HttpClient.Patience(Duration.ofSeconds(5), Duration.ofSeconds(5)), 9, a -> answered.countDown());
             await("answered", () -> answered.getCount() == 0);
             assertEquals(at.getAddress().toString(), "/127.0.0.1");
         }
--- a/src/test/java/copperbeam/sockets/SilentWatchTest.java
+++ b/src/test/java/copperbeam/sockets/SilentWatchTest.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.testng.annotations.Test;
 import copperbeam.Api.ServerState;
-import copperbeam.membership.Pauses;
+import copperbeam.membership.Backoff;
 import copperbeam.protocol.discovery.DiscoveryWatch;
 import copperbeam.routing.MembershipSource.Entry;
 import copperbeam.transport.ClientReactor;
@@ -37,7 +37,7 @@
     public void halfAnAnswerAndARefusalHideNoDrain() throws Exception {
         ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
         List<Entry> heard = new CopyOnWriteArrayList<>();
-        Pauses pauses = new Pauses(Duration.ofMillis(100), Duration.ofMillis(100), new SplittableRandom(1));
+        Backoff backoff = new Backoff(Duration.ofMillis(100), Duration.ofMillis(100), new SplittableRandom(1));
         try (ClientReactor reactor = new ClientReactor(); StandIn agent = new StandIn(null)) {
             agent.script = (m, line) -> {
                 switch (agent.seen.size()) {
@@ -55,7 +55,7 @@
                 }
             };
             DiscoveryWatch watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(),
-                    agent.address(), null, pauses);
+                    agent.address(), null, backoff);
             watch.start(change -> heard.addAll(change.entries()));
             await("listed", () -> heard.size() == 1);
             await("asked", () -> agent.seen.size() >= 2);
