Nothing is written for a client that has gone, whatever its request waits for

A keyed repeat was checked against its window as it was chosen only, not as its last byte left.

Change: Answer.gone() is true as soon as the reactor knows, and PeerActor asks it (and Attempt.latest) before a connection is made or used, before a held byte goes and before a replacement; ClientExchange asks as the last byte leaves. Word of a client's going passes the plug-ins and the requests that wait. What was given up for it before its server's first word is reset. A request reaches its front once all behind it was read. Behind an open request the first unreadable, too large or ninth one is the last heard; then only the close is listened for. Work moved to a file of its own.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -112,8 +112,11 @@
     /** For people: HOME and SPILL are readers, by hash and for their lighter load; the last four are of cancels. */
     public enum Why { HOME, SPILL, WRITER, DOOR, SLOW, RAN, NO_ATTEMPT_LEFT, NO_TIME, NOT_SENT, OVERTAKEN, SILENT, OVER }
 
-    /** {@code until}: the time at which the attempt times out. */
-    public record Attempt(long request, String server, double until, Why why) implements Action {}
+    /**
+     * {@code until}: the time at which the attempt times out; {@code latest}: its last byte may not leave after this
+     * (infinite: at any time), which ends it as NOT_SENT.
+     */
+    public record Attempt(long request, String server, double until, double latest, Why why) implements Action {}
 
     /** {@code retryAfterS} 0: no advice. */
     public record Refuse(long request, double retryAfterS, Why why) implements Action {}
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -633,7 +633,9 @@
                 timer(patience(t), 's', r, t.number);
             }
         }
-        actions.add(new Attempt(r.asked.request(), s.id, until, why));
+        boolean repeat = r.ranAt != null && r.kind.effect() == Effect.KEYED;
+        double latest = repeat ? r.ranSince + r.kind.windowS() : Double.POSITIVE_INFINITY;
+        actions.add(new Attempt(r.asked.request(), s.id, until, latest, why));
     }
 
     /** Longer for a prompt longer than usual. */
--- a/src/main/java/copperbeam/protocol/HttpReply.java
+++ b/src/main/java/copperbeam/protocol/HttpReply.java
@@ -18,4 +18,7 @@
 
     /** Closes the connection once what was written is out, without a last chunk. */
     void abort();
+
+    /** The client has gone away before its answer was whole. */
+    boolean gone();
 }
--- a/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
@@ -35,6 +35,11 @@
         created = arrived.getEpochSecond();
     }
 
+    @Override
+    public boolean gone() {
+        return reply.gone();
+    }
+
     @Override
     public void begin() {
         if (request.stream()) {
--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -116,5 +116,10 @@
                 default -> 502;
             }, why == Failure.ID_IN_USE ? "X-Request-ID is that of an open request" : "failed");
         }
+
+        @Override
+        public boolean gone() {
+            return reply.gone();
+        }
     }
 }
--- a/src/main/java/copperbeam/routing/Answer.java
+++ b/src/main/java/copperbeam/routing/Answer.java
@@ -28,4 +28,12 @@
     void refuse(Duration retryAfter, boolean tried);
 
     void fail(Failure why);
+
+    /**
+     * The client has gone away; from any thread, and true before {@link Intake#left} is called. Guards against what is
+     * begun for it before that word has had its turn.
+     */
+    default boolean gone() {
+        return false;
+    }
 }
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import copperbeam.Api.Report;
 
 /** Outgoing connections, as the transport makes them. */
@@ -33,15 +34,19 @@
         boolean heldBack();
 
         void close();
+
+        /** The same, and what the system still has of the call does not leave. */
+        void abort();
     }
 
     sealed interface Call permits AttemptCall, ProbeCall, ReleaseCall {}
 
     /**
      * {@code patience}: how long we shall wait, as the server is told. {@code hold}: its last byte stays here until it
-     * is let go, so that a connection that ends first proves that nothing ran.
+     * is let go, so that a connection that ends first proves that nothing ran. {@code wanted}: asked on the transport's
+     * thread as the last byte leaves; where it says no, the connection is broken instead.
      */
-    record AttemptCall(Ask ask, Duration patience, boolean hold) implements Call {}
+    record AttemptCall(Ask ask, Duration patience, boolean hold, BooleanSupplier wanted) implements Call {}
 
     record ProbeCall() implements Call {}
 
--- a/src/main/java/copperbeam/routing/HookActor.java
+++ b/src/main/java/copperbeam/routing/HookActor.java
@@ -12,12 +12,10 @@
  * let pass. They may refuse and may change a class; the rules stay as they are.
  */
 public final class HookActor extends Actor<HookActor.Message> implements Intake {
-    public sealed interface Message permits Arrive, Left {}
+    public sealed interface Message permits Arrive {}
 
     private record Arrive(Ask ask, Answer answer) implements Message {}
 
-    private record Left(Answer answer) implements Message {}
-
     private static final Logger LOG = Logger.getLogger(HookActor.class.getName());
 
     private final List<RequestHook> hooks;
@@ -36,20 +34,20 @@
         tell(new Arrive(ask, answer));
     }
 
+    /** At once: hooks may take their time. What is still here or behind is not handed on. */
     @Override
     public void left(Answer answer) {
-        tell(new Left(answer));
+        next.left(answer);
     }
 
     @Override
     protected void receive(Message m) {
-        if (m instanceof Left e) {
-            next.left(e.answer());
-            return;
-        }
         Arrive e = (Arrive) m;
         Ask ask = e.ask();
         for (RequestHook hook : hooks) {
+            if (e.answer().gone()) {
+                return;
+            }
             RequestHook.Verdict verdict = RequestHook.Verdict.PASS;
             try {
                 verdict = hook.onRequest(ask);
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -162,7 +163,7 @@
 
     @Override
     public void left(Answer answer) {
-        tell(new Left(answer));
+        tellFirst(new Left(answer)); // behind a crowd's requests it would come after attempts that it forbids
     }
 
     private void feed(Api.Event event) {
@@ -195,6 +196,10 @@
 
     private void arrive(Arrive e) {
         figures.taken();
+        if (e.answer().gone()) {
+            figures.ended(e.ask().requestClass(), Figures.End.LEFT);
+            return;
+        }
         if (!ids.add(e.ask().id())) {
             // two requests of one id can't be told apart at servers, where each would let go of the other's state
             e.answer().fail(Answer.Failure.ID_IN_USE);
@@ -355,7 +360,8 @@
                 .anyMatch(c -> c.name().equals(r.ask.requestClass()) && c.effect() != Api.Effect.SAFE);
         recorder.note(Recorder.What.ATTEMPT, r.key, r.attempts, a.server(), a.why().name(),
                 Duration.between(clock.instant(), ModuleTime.time(a.until())));
-        peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until()), once));
+        peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until()),
+                Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()), once));
     }
 
     private void note(Recorder.What what, Request r, String server, String text, Duration span) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -29,9 +29,16 @@
     /** So many connections may stand idle here. */
     public record Room(int idle) implements Message {}
 
-    /** {@code once}: must not run twice, so that no kept connection is risked for it. */
-    public record Send(long request, int number, Ask ask, Answer answer, Instant until, boolean once)
-            implements Message {}
+    /**
+     * {@code latest}: its last byte may not leave after this; {@code once}: must not run twice, so that no kept connection
+     * is risked for it.
+     */
+    public record Send(long request, int number, Ask ask, Answer answer, Instant until, Instant latest, boolean once)
+            implements Message {
+        boolean wanted(Instant now) {
+            return !answer.gone() && !now.isAfter(latest);
+        }
+    }
 
     /** Closes the connection of an attempt, whatever it does. */
     public record Stop(long request, int number) implements Message {}
@@ -65,35 +72,6 @@
 
     private record Let(Work work, Connection on) implements Message {}
 
-    /** One call, from its wait for a connection to its end. */
-    private static final class Work {
-        final Message order;
-        final Instant began;
-        Instant until;
-        Future<?> expiry;
-        Instant heard;               // when the last event came
-        Connection connection;
-        boolean reused;
-        int unsent;                  // new connections that ended before the last byte left
-        boolean done;
-        boolean offered;             // the first event went to the module
-        boolean proceeding;
-        boolean whole;               // ended well while the first event was still with the module
-        boolean cut;                 // the same, but broken
-        Word word;
-        Report report;
-        final Deque<byte[]> held = new ArrayDeque<>();
-
-        Work(Message order, Instant began) {
-            this.order = order;
-            this.began = began;
-        }
-
-        Send send() {
-            return order instanceof Send s ? s : null;
-        }
-    }
-
     private record Idle(Connection connection, Instant since) {}
 
     /** What all peers share and none of them changes. */
@@ -183,7 +161,7 @@
             quiet(e.work());
         } else if (m instanceof Tidy) {
             tidy();
-        } else if (m instanceof Let e && !e.work().done && e.work().connection == e.on()) {
+        } else if (m instanceof Let e && !e.work().done && e.work().connection == e.on() && !unwanted(e.work())) {
             e.on().let();
         }
     }
@@ -198,6 +176,9 @@
     private void begin(Work work, Instant until) {
         work.until = until;
         work.expiry = tellLater(Duration.between(work.began, until), new Expired(work));
+        if (unwanted(work)) {
+            return;
+        }
         Instant stale = setup.clock().instant().minus(keep);
         // what is written on a kept connection as its server closes it may have run, and nobody can tell
         boolean fresh = work.send() != null && work.send().once();
@@ -236,7 +217,7 @@
     }
 
     private void up(Work work, Connection connection) {
-        if (work.done) {
+        if (work.done || unwanted(work)) {
             keep(connection);
         } else {
             note(Recorder.What.CONNECTION, work, "new", since(work));
@@ -244,6 +225,18 @@
         }
     }
 
+    /**
+     * Ends an attempt that may not be written any more, though the module chose it: its client has gone, or the time for a
+     * repeat is over. Guards against connections that come up late. Asked again as the last byte leaves.
+     */
+    private boolean unwanted(Work work) {
+        boolean unwanted = work.send() != null && !work.send().wanted(setup.clock().instant());
+        if (unwanted) {
+            finish(work, work.send().answer().gone() ? Outcome.CANCELLED : Outcome.NOT_SENT);
+        }
+        return unwanted;
+    }
+
     private void note(Recorder.What what, Work work, String text, Duration span) {
         if (work.order instanceof Send s) {
             setup.recorder().note(what, s.request(), s.number(), id, text, span);
@@ -256,7 +249,7 @@
         if (work.order instanceof Send s) {
             Duration patience = Duration.between(setup.clock().instant(), s.until());
             call = new Connector.AttemptCall(s.ask(), patience.isNegative() ? Duration.ZERO : patience,
-                    s.once() || work.reused);
+                    s.once() || work.reused, () -> s.wanted(setup.clock().instant()));
         } else if (work.order instanceof Release r) {
             call = new Connector.ReleaseCall(r.id());
         } else {
@@ -444,6 +437,9 @@
         // who answers before the last byte may have run something, and a second answer must not follow on the first
         boolean written = lastByteLeft || work.word != null;
         note(Recorder.What.WORD, work, written ? "BROKEN" : "BROKEN before the last byte", null);
+        if (!written && unwanted(work)) {
+            return;
+        }
         if (!written && (work.reused || ++work.unsent < MOST_UNSENT)) {
             // the server ended the connection before the last byte left: nothing ran, so a new one may be tried
             work.connection = null;
@@ -469,7 +465,9 @@
     /** Ends a call and its connection, so that no attempt is left out there. */
     private void finish(Work work, Outcome outcome) {
         if (!work.done) {
-            if (work.connection != null) {
+            if (work.connection != null && work.word == null && work.send() != null && work.send().answer().gone()) {
+                work.connection.abort(); // a server that reads late would else begin it
+            } else if (work.connection != null) {
                 work.connection.close();
             }
             settle(work, outcome);
--- /dev/null
+++ b/src/main/java/copperbeam/routing/Work.java
@@ -0,0 +1,36 @@
+package copperbeam.routing;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Future;
+import copperbeam.Api.Report;
+
+/** One call to a server, from its wait for a connection to its end; its {@link PeerActor} alone reads and changes it. */
+final class Work {
+    final PeerActor.Message order;
+    final Instant began;
+    Instant until;
+    Future<?> expiry;
+    Instant heard;               // when the last event came
+    Connector.Connection connection;
+    boolean reused;
+    int unsent;                  // new connections that ended before the last byte left
+    boolean done;
+    boolean offered;             // the first event went to the module
+    boolean proceeding;
+    boolean whole;               // ended well while the first event was still with the module
+    boolean cut;                 // the same, but broken
+    Connector.Word word;
+    Report report;
+    final Deque<byte[]> held = new ArrayDeque<>();
+
+    Work(PeerActor.Message order, Instant began) {
+        this.order = order;
+        this.began = began;
+    }
+
+    PeerActor.Send send() {
+        return order instanceof PeerActor.Send s ? s : null;
+    }
+}
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -60,6 +60,11 @@
     /** {@code mayHaveRun}: the system took the last byte, or nobody knows. */
     abstract void broken(boolean mayHaveRun);
 
+    /** Whether the last byte may still leave. */
+    boolean wanted() {
+        return true;
+    }
+
     /** The system took the last byte of a body. */
     void sent() {}
 
@@ -73,7 +78,16 @@
 
     /** The byte that was held back is the next to be handed to the system. */
     final boolean aboutToGo() {
-        return hold && written && !over && buffered.getAsBoolean();
+        return hold && lastByteHere();
+    }
+
+    /** The last byte may leave with the next turn and must not. */
+    final boolean unwanted() {
+        return lastByteHere() && !wanted();
+    }
+
+    private boolean lastByteHere() {
+        return written && !over && buffered.getAsBoolean();
     }
 
     /** After each turn of output. */
@@ -130,6 +144,9 @@
         }
         output = channel;
         int kept = kept();
+        if (kept == 0 && !wanted()) {
+            throw new IOException("nobody waits for this call any more"); // ends the connection, the last byte on this side
+        }
         if (body.remaining() > kept) {
             body.limit(body.limit() - kept);
             try {
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -155,6 +155,10 @@
         @Override
         public void outputReady(IOSession open) throws IOException {
             ClientExchange current = exchange;
+            if (current != null && current.unwanted()) {
+                exception(open, new IOException("nobody waits for this call any more"));
+                return;
+            }
             if (current != null && current.aboutToGo()) {
                 // what the server said since the select: on a connection that it has ended the byte must stay here
                 inputReady(open, null);
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -4,7 +4,9 @@
 import java.nio.channels.SelectionKey;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -33,6 +35,8 @@
         final boolean beyond;            // the limit: its requests are refused
         volatile boolean heard;          // a byte has come
         volatile boolean body;           // of a request whose body is not whole yet
+        boolean deaf;                    // to more requests; the reactor's
+        final Queue<ServerExchange> whole = new ArrayDeque<>(); // requests that no front has seen; the reactor's
         volatile Instant closeAt;        // its last answer is out; what more comes is not read
 
         Client(IOSession session, Instant now, boolean beyond, AtomicInteger all) {
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -52,8 +52,9 @@
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration AGAIN = Duration.ofMillis(20); // between tries to begin with another reactor
     private static final int MOST_HANDED_ON = 16; // connections that the reactor has not looked at yet
-    private static final int MOST_PIPELINED = 8; // requests open on one connection
-    private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8 * 1024)
+    private static final int BUFFER = 4096;
+    private static final int MOST_BODY_READS = ServerExchange.MOST_BODY / BUFFER;
+    private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(BUFFER).setMaxLineLength(8 * 1024)
             .setMaxHeaderCount(100).build();
     private static final HttpProcessor PROCESSOR = HttpProcessors.server();
 
@@ -147,8 +148,7 @@
     }
 
     private ServerExchange exchange(ClientRoom.Client client) {
-        return new ServerExchange(client, room, client.beyond || room.full() || client.open() >= MOST_PIPELINED
-                ? this::refuse : front, clock, () -> draining, turnedAway);
+        return new ServerExchange(client, room, client.beyond || room.full() ? this::refuse : front, clock, () -> draining, turnedAway);
     }
 
     private static final class Duplexer extends ServerHttp1StreamDuplexer {
@@ -172,11 +172,15 @@
         private final BoundedParser<HttpRequest> parser;
         private final ProtocolIOSession session;
         private final ClientRoom.Client client;
+        private final Duplexer duplexer;
+        private boolean listening;   // for the client's close only
+        private int passedOver;
         private Instant began;       // the request that is not whole yet
 
         Handler(Duplexer duplexer, BoundedParser<HttpRequest> parser, ProtocolIOSession session,
                 ClientRoom.Client client) {
             super(duplexer);
+            this.duplexer = duplexer;
             this.parser = parser;
             this.session = session;
             this.client = client;
@@ -186,13 +190,17 @@
         public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
             client.heard = true;
             try {
-                super.inputReady(open, bytes);
+                read(open, bytes);
+                readOn(open);
                 // HttpCore takes a client's end of sending for a wish to close once it is answered, and stops
                 // reading; here it is a client that has gone, and its attempt must not run on unread
-                if (client.busy() && !parser.failed() && client.closeAt == null
-                        && (open.getEventMask() & SelectionKey.OP_READ) == 0) {
+                if (client.busy() && !parser.failed() && client.closeAt == null && !reads(open)) {
                     open.close(CloseMode.IMMEDIATE);
                 }
+                if (open.isOpen()) {
+                    client.whole.forEach(ServerExchange::dispatch);
+                }
+                client.whole.clear();
                 times();
             } finally {
                 gone();
@@ -211,6 +219,57 @@
             }
         }
 
+        private boolean reads(IOSession open) {
+            return (open.getEventMask() & SelectionKey.OP_READ) != 0;
+        }
+
+        /**
+         * Reads what came behind a whole request before a front sees that, up to the largest request's length: the client's
+         * close may be there. HttpCore reads once a turn, and looks at a close it has read in the turn after.
+         */
+        private void readOn(IOSession open) throws IOException {
+            long before = -1;
+            for (int read = 0; read < MOST_BODY_READS && !client.whole.isEmpty() && open.isOpen() && reads(open)
+                    && (before != received() || !duplexer.isOpen()); read++) {
+                before = received();
+                read(open, null);
+            }
+        }
+
+        private void read(IOSession open, ByteBuffer bytes) throws IOException {
+            if (listening) {
+                passOver(open);
+            } else {
+                super.inputReady(open, bytes);
+                listen(open);
+            }
+        }
+
+        private long received() {
+            return passedOver + duplexer.getEndpointDetails().getReceivedBytesCount();
+        }
+
+        /**
+         * Behind a request that is open came what is no request, and nothing more is heard; but the close is listened for.
+         * Guards against attempts for a client that has gone.
+         */
+        private void listen(IOSession open) {
+            listening = parser.failed() && client.open() > 0 || client.deaf && client.open() > 1;
+            if (listening) {
+                open.setEvent(SelectionKey.OP_READ);
+            }
+        }
+
+        /** Who sends more than the largest request behind one that it waits for has no use for the answer. */
+        private void passOver(IOSession open) throws IOException {
+            ByteBuffer bytes = ByteBuffer.allocate(BUFFER);
+            int count = open.read(bytes);
+            passedOver += count;
+            if (count < 0 || passedOver > ServerExchange.MOST_BODY) {
+                open.close(CloseMode.IMMEDIATE);
+            }
+        }
+
         /** Comes each tick on a connection without events. */
         @Override
         public void timeout(IOSession open, Timeout timeout) {
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
@@ -108,6 +109,11 @@
             session.close(CloseMode.GRACEFUL);
         }
 
+        @Override
+        public void abort() {
+            session.close(CloseMode.IMMEDIATE);
+        }
+
         private ClientExchange exchange(Call call, Listener listener) {
             if (call instanceof AttemptCall a) {
                 return attempt(a, listener);
@@ -134,7 +140,7 @@
             request.setHeader("X-Request-ID", a.ask().id());
             request.setHeader("X-Priority-Class", a.ask().requestClass());
             request.setHeader("X-Timeout", PlatformHeaders.timeout(a.patience()));
-            return new AttemptExchange(request, call.body(), a.hold(), listener);
+            return new AttemptExchange(request, call.body(), a, listener);
         }
     }
 
@@ -145,14 +151,21 @@
 
     private static final class AttemptExchange extends ClientExchange {
         private final Listener listener;
+        private final BooleanSupplier wanted;
         private final EventSplitter events = new EventSplitter();
         private boolean stream;
 
-        AttemptExchange(HttpRequest request, byte[] body, boolean hold, Listener listener) {
-            super(request, body, hold);
+        AttemptExchange(HttpRequest request, byte[] body, AttemptCall call, Listener listener) {
+            super(request, body, call.hold());
+            wanted = call.wanted();
             this.listener = listener;
         }
 
+        @Override
+        boolean wanted() {
+            return wanted.getAsBoolean();
+        }
+
         @Override
         void head(HttpResponse response) throws HttpException {
             Word word = PlatformWords.attempt(response.getCode(), "1".equals(value(response, "X-Not-Processed")));
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -36,6 +36,7 @@
 /** One client's request and the answer to it. */
 final class ServerExchange implements AsyncServerExchangeHandler, HttpReply {
     static final int MOST_BODY = 256 * 1024;
+    private static final int MOST_PIPELINED = 8; // requests open on one connection
 
     private static final Duration LINGER = Duration.ofMillis(100); // for an answer to be read before a close
     private static final Duration CUT_TIME = Duration.ofSeconds(1); // for what was passed on, until a cut in any case
@@ -58,7 +59,8 @@
     private volatile boolean closing; // after this answer
     private volatile ResponseChannel responses;
     private volatile DataStreamChannel output;
-    private volatile Runnable gone = () -> {};
+    private volatile Runnable toldGone = () -> {};
+    private volatile boolean gone;
     private HttpRequest request;
     private HttpContext context;
     private Instant arrived;
@@ -88,8 +90,11 @@
         context = ctx;
         arrived = clock.instant();
         client.body = entity != null;
-        if (entity == null) {
-            dispatch();
+        if (client.open() > MOST_PIPELINED) {
+            // nothing behind it is read as a request: by the hundred they would hide their client's close, and take memory
+            turnAway(busyStatus(), "too many requests on one connection");
+        } else if (entity == null) {
+            client.whole.add(this);
         } else if (entity.getContentLength() > MOST_BODY) {
             turnAway(413, "the body is larger than 256 KiB");
         } else if (head.containsHeader("Expect")) {
@@ -114,8 +119,7 @@
         if (body.size() + bytes.remaining() > MOST_BODY) {
             turnAway(413, "the body is larger than 256 KiB");
         } else if (!room.take(bytes.remaining())) {
-            Header retried = request.getFirstHeader("X-Retried");
-            turnAway(retried != null && HttpCall.resumes(retried.getValue()) ? 500 : 503, "too many requests wait here");
+            turnAway(busyStatus(), "too many requests wait here");
         } else {
             held += bytes.remaining();
             byte[] copy = new byte[bytes.remaining()];
@@ -129,16 +133,23 @@
     public void streamEnd(List<? extends Header> trailers) {
         client.body = false;
         if (!answered) {
-            dispatch();
+            client.whole.add(this);
         }
     }
 
+    /** What has run may fail, but is never refused: its client would ask for it from the beginning. */
+    private int busyStatus() {
+        Header retried = request.getFirstHeader("X-Retried");
+        return retried != null && HttpCall.resumes(retried.getValue()) ? 500 : 503;
+    }
+
     /** The final answer to a request whose body is not read; the connection closes once that is out. */
     private void turnAway(int status, String why) {
         answered = true;
         body.reset();
         client.body = false;
         unread = true;
+        client.deaf = true;
         client.closeAt = clock.instant().plus(Duration.ofDays(1)); // the answer may have to wait for others here
         client.session.clearEvent(SelectionKey.OP_READ);
         Header requestClass = request.getFirstHeader("X-Priority-Class");
@@ -147,16 +158,20 @@
                 : Map.of("Connection", "close"), (why + "\n").getBytes(StandardCharsets.US_ASCII));
     }
 
-    private void dispatch() {
+    /** By the connection's handler, once all at hand was read; a client that has gone by then is not heard. */
+    void dispatch() {
+        if (over.get()) {
+            return;
+        }
         answered = true;
         Map<String, String> headers = new HashMap<>();
         for (Header header : request.getHeaders()) {
             headers.putIfAbsent(header.getName().toLowerCase(Locale.ROOT), header.getValue());
         }
-        gone = front.accept(new HttpCall(request.getMethod(), request.getPath(), Map.copyOf(headers),
+        toldGone = front.accept(new HttpCall(request.getMethod(), request.getPath(), Map.copyOf(headers),
                 body.toByteArray(), arrived), this);
         if (over.get()) {
-            gone.run();
+            toldGone.run();
         }
     }
 
@@ -208,6 +223,11 @@
         flush();
     }
 
+    @Override
+    public boolean gone() {
+        return gone;
+    }
+
     private void flush() {
         DataStreamChannel channel = output;
         if (channel != null) {
@@ -278,8 +298,9 @@
     @Override
     public void failed(Exception cause) {
         if (over.compareAndSet(false, true)) {
+            gone = true;
             ended();
-            gone.run();
+            toldGone.run();
         }
     }
 
--- a/src/test/java/copperbeam/RulesTest.java
+++ b/src/test/java/copperbeam/RulesTest.java
@@ -129,6 +129,7 @@
                 };
                 assertTrue(same, "rule 2: a keyed request sent outside its group");
                 assertTrue(now <= life.ranSince + life.kind.windowS(), "rule 2: a keyed request sent too late");
+                assertEquals(life.ranSince + life.kind.windowS(), a.latest(), 1e-9, "rule 2: it may leave too late");
             }
             life.out = a.server();
             life.outMayRun = role(a.server()) != Role.READER;
--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -239,6 +239,11 @@
         public void close() {
             on.close();
         }
+
+        @Override
+        public void abort() {
+            on.abort();
+        }
     }
 
     /** A connection that ends before the last byte left proves that nothing ran, so that another is tried. */
--- a/src/test/java/copperbeam/sockets/Line.java
+++ b/src/test/java/copperbeam/sockets/Line.java
@@ -116,9 +116,11 @@
     /** A whole message; {@code whole} is false where a chunked body has no last chunk. */
     Message read() throws IOException {
         Message head = head();
-        if (head == null) {
-            return null;
-        }
+        return head == null ? null : rest(head);
+    }
+
+    /** The same message with its body; not whole either where it is shorter than its head said. */
+    Message rest(Message head) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         boolean whole = true;
         if ("chunked".equals(head.header("Transfer-Encoding"))) {
@@ -128,7 +130,9 @@
             }
             whole = chunk == null;
         } else if (head.header("Content-Length") != null) {
-            body.writeBytes(in.readNBytes(Integer.parseInt(head.header("Content-Length"))));
+            int length = Integer.parseInt(head.header("Content-Length"));
+            body.writeBytes(in.readNBytes(length));
+            whole = body.size() == length;
         }
         return new Message(head.start, head.headers, body.toByteArray(), whole);
     }
@@ -150,6 +154,11 @@
         return awaitClosed();
     }
 
+    /** Ends the sending and goes on reading. */
+    void halfClose() throws IOException {
+        socket.shutdownOutput();
+    }
+
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
         socket.close();
--- a/src/test/java/copperbeam/sockets/Site.java
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -68,6 +68,11 @@
 
     Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks,
             Config.Limits limits) throws Exception {
+        this(readerCount, writerCount, idleS, etcd, hooks, limits, settings(idleS), Duration.ofMillis(250));
+    }
+
+    Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks,
+            Config.Limits limits, Api.Settings settings, Duration connectTimeout) throws Exception {
         for (int i = 0; i < readerCount; i++) {
             readers.add(new StandIn(Site::read));
         }
@@ -77,8 +82,8 @@
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
         ChatModels models = new ChatModels(Map.of("m-ask", new ChatModels.Model("ask", Duration.ofSeconds(2), 100),
                 "m-send", new ChatModels.Model("send", Duration.ofSeconds(2), 100)));
-        node = new Node(new Config("n0", any, etcd == null ? any : null, null, discovery.address(), 7, settings(idleS), null,
-                Duration.ofMillis(250), Duration.ofMillis((long) (idleS * 1000)), limits, new Config.Operator(any, models, etcd,
+        node = new Node(new Config("n0", any, etcd == null ? any : null, null, discovery.address(), 7, settings, null,
+                connectTimeout, Duration.ofMillis((long) (idleS * 1000)), limits, new Config.Operator(any, models, etcd,
                 hooks)));
         if (etcd == null) {
             await("listening", () -> node.address().getPort() != 0 && node.chatAddress() != null);
@@ -86,9 +91,13 @@
         }
     }
 
-    @SuppressWarnings("unchecked")
     static Api.Settings settings(double idleS) throws Exception {
-        return Decoder.settings((Map<String, Object>) Json.GSON.fromJson(String.format(SETTINGS, idleS), Map.class));
+        return parsed(String.format(SETTINGS, idleS));
+    }
+
+    @SuppressWarnings("unchecked")
+    static Api.Settings parsed(String settings) throws Exception {
+        return Decoder.settings((Map<String, Object>) Json.GSON.fromJson(settings, Map.class));
     }
 
     static void read(Line.Message m, Line line) throws Exception {
--- a/src/test/java/copperbeam/sockets/StandIn.java
+++ b/src/test/java/copperbeam/sockets/StandIn.java
@@ -28,8 +28,17 @@
     volatile Script script;
 
     StandIn(Script script) throws IOException {
+        this(script, 50);
+        open();
+    }
+
+    /** Takes no connection before {@link #open}: the kernel holds {@code backlog} and one more, and lets others wait. */
+    StandIn(Script script, int backlog) throws IOException {
         this.script = script;
-        socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        socket = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
+    }
+
+    void open() {
         start(this::accept);
     }
 
--- a/src/test/java/copperbeam/transport/LastByteTest.java
+++ b/src/test/java/copperbeam/transport/LastByteTest.java
@@ -100,11 +100,17 @@
 
     private static final class Exchange extends ClientExchange {
         final List<String> told = new ArrayList<>();
+        boolean wanted = true;
 
         Exchange(boolean hold) {
             super(new BasicHttpRequest("POST", new HttpHost("x"), "/"), BODY.getBytes(StandardCharsets.US_ASCII), hold);
         }
 
+        @Override
+        boolean wanted() {
+            return wanted;
+        }
+
         @Override
         void head(HttpResponse response) {}
 
@@ -217,4 +223,25 @@
         assertEquals(exchange.told, List.of("held", "has not run"));
         assertTrue(system.taken.toString().endsWith(BODY.substring(0, BODY.length() - 1)));
     }
+
+    /** A client that goes while the byte waits, here or for room in the system: it must not leave any more. */
+    @Test
+    public void theByteStaysWhereNobodyWaitsForItAnyMore() throws Exception {
+        for (int at = 0; at < 3; at++) {
+            System system = new System();
+            system.room = at == 0 ? 0 : Integer.MAX_VALUE;
+            Exchange exchange = at == 2 ? untilItGoes(system) : begin(system, at == 1);
+            if (at == 1) {
+                system.turn(false);
+                exchange.let();
+            }
+            exchange.told.clear();
+            exchange.wanted = false;
+            system.room = Integer.MAX_VALUE;
+            system.turn(false);
+            assertEquals(exchange.told, List.of("has not run"));
+            assertFalse(system.open);
+            assertFalse(system.taken.toString().endsWith(BODY));
+        }
+    }
 }
