--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -471,10 +471,7 @@
                 : o.fit[0] <= 10 * LAST * o.fit[1] ? o.server[1] : lighter(o.server[0], o.server[1], r);
     }
 
-    /**
-     * Fewer of this node's tokens, of readers with what they would read anew of this prompt; where they are
-     * even, as mostly in a large fleet, by the fresh reports.
-     */
+    /** Fewer of this node's tokens, with what is read anew of this prompt; if even, by fresh reports. */
     private Server lighter(Server a, Server b, Request r) {
         double more = r.holdsState ? 0 : anew(r, 1) - anew(r, 0);
         double mine = r.holdsState ? b.tokens - a.tokens
@@ -664,7 +661,9 @@
                 timer(patience(t), 's', r, t.number);
             }
         }
-        actions.add(new Attempt(r.asked.request(), s.id, until, why));
+        boolean repeat = r.ranAt != null && r.kind.effect() == Effect.KEYED;
+        double latest = repeat ? r.ranSince + r.kind.windowS() : Double.POSITIVE_INFINITY;
+        actions.add(new Attempt(r.asked.request(), s.id, until, latest, why));
     }
 
     /** Longer for a prompt longer than usual. */
