--- a/src/main/java/copperbeam/program/Rehearsal.java
+++ b/src/main/java/copperbeam/program/Rehearsal.java
@@ -1,6 +1,8 @@
 package copperbeam.program;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -8,57 +10,156 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 /**
- * A short life of a conductor on the loopback, at build time, so that the JVM can store the classes that a start
- * needs (AppCDS): half of a start's time went into reading and checking them. The conductor is its own and only
- * server, which turns every attempt away, and its own discovery, which has no list.
+ * A short life of a conductor on the loopback, at build time, so that the JVM can store the classes that a start and
+ * the first requests need (AppCDS): half of a start's time went into reading and checking them. Beside the conductor
+ * there are a discovery, a reader and a writer that serve every call, and a writer that turns each away.
  */
 final class Rehearsal {
     private static final int REQUESTS = 20;
     private static final int PATIENCE_MS = 5000;
+    private static final String ENTRY = """
+            {"id":"%s","addr":"127.0.0.1:%d","zone":"z","kind":"%s","cell":0,"state":"active","started_ms":0}""";
+    private static final String LIST = """
+            {"version":1,"full":true,"servers":[%s]}""";
     private static final String CONFIG = """
-            {"name":"rehearsal","listen":"127.0.0.1:%1$d","discovery":"127.0.0.1:%1$d",
-             "limits":{"memory_mb":192,"sockets":1024},
-             "known":{"version":1,"full":true,"servers":[
-               {"id":"r","addr":"127.0.0.1:%1$d","zone":"z","kind":"read","cell":0,"state":"active","started_ms":0},
-               {"id":"w","addr":"127.0.0.1:%1$d","zone":"z","kind":"write","cell":0,"state":"active","started_ms":0}]},
+            {"name":"rehearsal","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d",
+             "limits":{"memory_mb":192,"sockets":1024},"known":%s,
              "settings":{"balancers":1,"kinds":["read","write"],
-               "services":[{"name":"c","promise_s":1,"semantics":"safe","worth":1}],
+               "services":[{"name":"c","promise_s":1,"semantics":"safe","worth":1},
+                           {"name":"once","promise_s":1,"semantics":"unsafe","worth":1}],
                "limits":{"send_cap":4,"cancel":true,"probing":true,"retry_after":true,"max_retry_after_s":2},
                "rules":{},"report":{"via":"on_probe"},"extra":{"role_by_kind":["read","write"],"release_s":1}}}
             """;
+    private static final String EVENTS = """
+            data: {"choices":[{"index":0,"delta":{"content":"ab"},"finish_reason":null}]}
+
+            data: {"choices":[{"index":0,"delta":{"content":"c"},"finish_reason":"stop"}]}
+
+            data: [DONE]
+
+            """;
 
     private Rehearsal() {}
 
     static int run() throws IOException, InterruptedException {
         Path file = Files.createTempFile("rehearsal", ".json");
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            Files.writeString(file, String.format(CONFIG, free.getLocalPort()));
+        try (ServerSocket discovery = listen(); ServerSocket reader = listen(); ServerSocket writer = listen();
+                ServerSocket full = listen()) {
+            String list = String.format(LIST, String.join(",", entry("r", reader, "read"), entry("w", writer, "write"),
+                    entry("f", full, "write")));
+            serve(discovery, whole("200 OK", list));
+            serve(reader, whole("202 Accepted", "{\"cached_tokens\":0}"));
+            serve(writer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(EVENTS.length()) + "\r\n" + EVENTS + "\r\n0\r\n\r\n");
+            serve(full, whole("503 Full\r\nX-Not-Processed: 1", ""));
+            int free;
+            try (ServerSocket next = listen()) {
+                free = next.getLocalPort();
+            }
+            Files.writeString(file, String.format(CONFIG, free, discovery.getLocalPort(), list));
+            Map<String, String> environment = new HashMap<>(System.getenv()); // as a start reads it
+            environment.keySet().removeIf(name -> name.startsWith("GW_"));
+            environment.put("GW_CONFIG", file.toString());
+            live(environment);
+            return 0;
+        } finally {
+            Files.delete(file);
         }
-        try (Node node = new Node(Config.read(Map.of("GW_CONFIG", file.toString()), null))) {
+    }
+
+    private static void live(Map<String, String> environment) throws IOException, InterruptedException {
+        CompletableFuture<Node> running = new CompletableFuture<>();
+        Reload.onHangup(() -> Config.reread(environment, null), running);
+        try (Node node = new Node(Config.read(environment, null))) {
+            running.complete(node);
             node.awaitWarm();
+            int served = 0;
             for (int i = 0; i < REQUESTS; i++) {
-                request(node.address(), i);
+                served += request(node.address(), i, i % 2 == 0 ? "c" : "once");
             }
-            node.reload(Config.reread(Map.of("GW_CONFIG", file.toString()), null));
+            if (served == 0) {
+                throw new IllegalStateException("no request was served"); // the archive would lack what serves
+            }
+            node.reload(Config.reread(environment, null));
             node.stop();
-            return 0;
         } catch (Config.Invalid e) {
             throw new IllegalStateException(e);
-        } finally {
-            Files.delete(file);
         }
     }
 
-    private static void request(InetSocketAddress to, int number) throws IOException {
+    private static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    }
+
+    private static String entry(String id, ServerSocket at, String kind) {
+        return String.format(ENTRY, id, at.getLocalPort(), kind);
+    }
+
+    private static String whole(String status, String body) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Each call gets this answer, and those that let go of what is held are heard. Ends with the socket. */
+    private static void serve(ServerSocket at, String answer) {
+        daemon(() -> {
+            while (true) {
+                Socket next = at.accept();
+                daemon(() -> answer(next, answer));
+            }
+        });
+    }
+
+    private static void answer(Socket connection, String answer) throws IOException {
+        try (connection) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(connection.getInputStream(),
+                    StandardCharsets.US_ASCII));
+            for (String start = in.readLine(); start != null; start = in.readLine()) {
+                int length = 0;
+                for (String header = in.readLine(); !header.isEmpty(); header = in.readLine()) {
+                    if (header.regionMatches(true, 0, "content-length:", 0, 15)) {
+                        length = Integer.parseInt(header.substring(15).strip());
+                    }
+                }
+                for (int i = 0; i < length; i++) {
+                    in.read();
+                }
+                connection.getOutputStream().write((start.startsWith("DELETE") ? "HTTP/1.1 204 Gone\r\n\r\n" : answer)
+                        .getBytes(StandardCharsets.US_ASCII));
+            }
+        }
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // closed by the other side or at the end
+            }
+        }, "rehearsal");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** 1 where it was answered 200. */
+    private static int request(InetSocketAddress to, int number, String requestClass) throws IOException {
         try (Socket client = new Socket(to.getAddress(), to.getPort())) {
             client.setSoTimeout(PATIENCE_MS);
             client.getOutputStream().write(("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: i" + number
-                    + "\r\nX-Priority-Class: c\r\nX-Route-Key: k\r\nX-Timeout: 2000m\r\nX-Attrs: prefix=p,prompt_len=9"
-                    + "\r\nContent-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.US_ASCII));
-            client.getInputStream().read();
+                    + "\r\nX-Priority-Class: " + requestClass + "\r\nX-Route-Key: k\r\nX-Timeout: 2000m"
+                    + "\r\nX-Attrs: prefix=p,prompt_len=9,max_out=9\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
+                    .getBytes(StandardCharsets.US_ASCII));
+            return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).startsWith("HTTP/1.1 200")
+                    ? 1 : 0;
         }
     }
 }
--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -15,6 +15,7 @@
 /** One process of a conductor as `run` starts it: discovery in its file, an older word on it in the environment. */
 final class Conductor implements AutoCloseable {
     static final String NAME = "n0";
+    private static final int TICKS_PER_S = 100; // of /proc/PID/stat on Linux
 
     final Path folder;               // also where its processes share what they know
     final Path log;
@@ -71,7 +72,7 @@
         process = java.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
+    static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
@@ -110,6 +111,17 @@
         return call("PING").equals("ACK\n");
     }
 
+    long cpuMs() throws IOException {
+        return cpuMs(process);
+    }
+
+    /** All threads and the system's part included. */
+    static long cpuMs(Process process) throws IOException {
+        String stat = Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 1000 / TICKS_PER_S;
+    }
+
     /** How many processes listen at the clients' address, as the system has it. */
     int listeners() {
         String listens = String.format(".*:%04X [0:]+ 0A .*", address.getPort());
--- a/src/test/java/copperbeam/sockets/CostProbe.java
+++ b/src/test/java/copperbeam/sockets/CostProbe.java
@@ -3,8 +3,6 @@
 import static copperbeam.sockets.Site.await;
 import static copperbeam.sockets.Site.request;
 
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -26,7 +24,6 @@
     private static final int SERVERS = 6;
     private static final int CLIENTS = 32;
     private static final int SPAN_S = 5;
-    private static final int TICKS_PER_S = 100; // of /proc/PID/stat on Linux
 
     private CostProbe() {}
 
@@ -69,11 +66,11 @@
                 }, 1_000_000L * i / rate, 1_000_000L * CLIENTS / rate, TimeUnit.MICROSECONDS);
             }
             CountDownLatch never = new CountDownLatch(1);
-            long cpu = cpuMs(conductor);
+            long cpu = conductor.cpuMs();
             int before = 0;
             for (int at = SPAN_S; at <= seconds; at += SPAN_S) {
                 never.await(SPAN_S, TimeUnit.SECONDS);
-                long now = cpuMs(conductor);
+                long now = conductor.cpuMs();
                 int all = done.get();
                 System.out.printf("%3d s  %6d requests  %5d not served  %.2f ms of CPU a request%n", at, all - before,
                         wrong.get(), (now - cpu) / (double) Math.max(1, all - before));
@@ -90,11 +87,4 @@
         }
         System.exit(0);
     }
-
-    /** Of the process, all threads and the system's part included. */
-    private static long cpuMs(Conductor conductor) throws Exception {
-        String stat = Files.readString(Path.of("/proc", Long.toString(conductor.process.pid()), "stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 1000 / TICKS_PER_S;
-    }
 }
--- a/src/test/java/copperbeam/sockets/OperatorsTest.java
+++ b/src/test/java/copperbeam/sockets/OperatorsTest.java
@@ -156,7 +156,7 @@
     /** To the piece, against what clients were answered and what servers were sent. */
     @Test
     public void figuresAreTrue() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1)) {
             Map<String, Long> counted = new TreeMap<>();
             StandIn writer = site.writers.get(0);
             StandIn.Script[] scripts = {Site::write, attempts((m, line) -> line.reset()), attempts((m, line) -> line.answer(500, "")),
@@ -183,10 +183,13 @@
                 go.await();
                 Site.write(m, line);
             });
-            client.send(request("ask", 4000));
-            await("one is open", () -> figures(site.node.door()).get("current") == 1);
-            go.countDown();
-            client.read();
+            // opened only now: a connection that says nothing for 2.4 s is closed, and on a busy core the above takes longer
+            try (Line client = site.client()) {
+                client.send(request("ask", 4000));
+                await("one is open", () -> figures(site.node.door()).get("current") == 1);
+                go.countDown();
+                client.read();
+            }
             await("none is open", () -> figures(site.node.door()).get("current") == 0);
         }
     }
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/ReadyProbe.java
@@ -0,0 +1,144 @@
+package copperbeam.sockets;
+
+import copperbeam.protocol.Json;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+
+/**
+ * No test: what a start costs in CPU until {@code /healthz} answers 200, and the first requests after it, by the
+ * {@code run} line of deploy/balancer.toml, from the root and after a build.
+ *
+ * <pre>java -cp target/test-classes:target/classes:... copperbeam.sockets.ReadyProbe STARTS SERVERS [WORD ...]</pre>
+ *
+ * Words: {@code silent} (the first call to discovery gets no answer), {@code door} (operators have one), {@code known}
+ * (the configuration has the list, and it must be asked for), and options of the JVM, which begin with {@code -X}.
+ */
+public final class ReadyProbe {
+    private static final int REQUESTS = 20;
+    private static final String[] FIGURES = {"CPU ms to ready", "ms to ready", "ms of the first answer",
+        "ms of the slowest of the next", "CPU ms of the first " + REQUESTS + " answers"};
+
+    private ReadyProbe() {}
+
+    public static void main(String[] args) throws Exception {
+        List<String> words = Arrays.asList(args).subList(2, args.length);
+        List<StandIn> servers = new ArrayList<>();
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < Integer.parseInt(args[1]); i++) {
+            servers.add(new StandIn(i % 2 == 0 ? Site::read : Site::write));
+            entries.add(Site.entry(servers.get(i), i % 2 == 0 ? "prefill" : "decode", "active"));
+        }
+        String list = "{\"version\":7,\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+        List<double[]> starts = new ArrayList<>();
+        for (int i = 0; i < Integer.parseInt(args[0]); i++) {
+            starts.add(start(list, words));
+        }
+        for (int f = 0; f < FIGURES.length; f++) {
+            int figure = f;
+            double[] sorted = starts.stream().mapToDouble(s -> s[figure]).sorted().toArray();
+            System.out.printf("%-34s median %7.1f  worst %7.1f%n", FIGURES[f], sorted[sorted.length / 2],
+                    sorted[sorted.length - 1]);
+        }
+        System.exit(0);
+    }
+
+    private static double[] start(String list, List<String> words) throws Exception {
+        StandIn discovery = new StandIn((m, line) -> {
+            if (m.path().contains("from=")) {
+                Thread.sleep(2500);
+                line.answer(200, "{\"version\":7,\"full\":false,\"servers\":[]}");
+            } else {
+                line.answer(200, list);
+            }
+        });
+        if (words.contains("silent")) {
+            discovery.script = first(discovery.script);
+        }
+        Path folder = Files.createTempDirectory("ready");
+        Path file = folder.resolve("config.json");
+        InetSocketAddress listen = Conductor.freeAddress();
+        String settings = String.format(Site.SETTINGS, 30);
+        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen.getPort() + "\",\"discovery\":\""
+                + discovery.host() + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"settings\":"
+                + (words.contains("known") ? settings.replace("\"rules\":{", "\"rules\":{\"ask_within_s\":5,") : settings)
+                + (words.contains("known") ? ",\"known\":" + list : "") + "}");
+        ProcessBuilder run = new ProcessBuilder("sh", "-c", runLine(words));
+        run.environment().put("GW_CONFIG", file.toString());
+        run.environment().put("TMPDIR", folder.toString());
+        if (words.contains("door")) {
+            run.environment().put("GW_CONTROL", "127.0.0.1:" + Conductor.freeAddress().getPort());
+        }
+        long from = System.nanoTime();
+        Process process = run.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        try (discovery) {
+            while (!healthy(listen)) {
+                if (!process.isAlive() || System.nanoTime() - from > Duration.ofSeconds(60).toNanos()) {
+                    throw new IllegalStateException(Files.readString(folder.resolve("log")));
+                }
+                LockSupport.parkNanos(Duration.ofMillis(10).toNanos());
+            }
+            double wall = (System.nanoTime() - from) / 1e6;
+            long ready = Conductor.cpuMs(process);
+            double[] answers = new double[REQUESTS];
+            for (int i = 0; i < REQUESTS; i++) {
+                answers[i] = answer(listen, i);
+            }
+            long served = Conductor.cpuMs(process);
+            return new double[] {ready, wall, answers[0], IntStream.range(1, REQUESTS).mapToDouble(i -> answers[i]).max()
+                    .getAsDouble(), served - ready};
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    /** The first call for the whole list is never answered. */
+    private static StandIn.Script first(StandIn.Script then) {
+        int[] calls = {0};
+        return (m, line) -> {
+            synchronized (calls) {
+                calls[0]++;
+            }
+            if (calls[0] == 1) {
+                Thread.sleep(Duration.ofMinutes(1).toMillis());
+            }
+            then.run(m, line);
+        };
+    }
+
+    private static String runLine(List<String> words) throws IOException {
+        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run ="))
+                .findAny().orElseThrow();
+        String run = Json.GSON.fromJson(line.substring(line.indexOf('"')), String.class);
+        List<String> options = words.stream().filter(w -> w.startsWith("-X")).toList();
+        return run.replace(" -jar ", " " + String.join(" ", options) + " -jar ");
+    }
+
+    private static boolean healthy(InetSocketAddress at) {
+        try (Line line = new Line(at)) {
+            return line.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").read().status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static double answer(InetSocketAddress at, int number) throws IOException {
+        long from = System.nanoTime();
+        try (Line line = new Line(at)) {
+            String id = "first" + number;
+            Line.Message m = line.send(Site.request(id, number % 2 == 0 ? "ask" : "send", "9000m",
+                    "prefix=p,prompt_len=1000,max_out=9", "{}")).read();
+            if (m.status() != 200) {
+                throw new IllegalStateException(m.start() + " " + m.text());
+            }
+        }
+        return (System.nanoTime() - from) / 1e6;
+    }
+}
