--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -15,6 +15,8 @@
 /** One process of a conductor as `run` starts it: discovery in its file, an older word on it in the environment. */
 final class Conductor implements AutoCloseable {
     static final String NAME = "n0";
+    private static final int TICKS_PER_S = 100; // of /proc/PID/stat on Linux
+    static final int START_MS = 30_000; // which the platform lets a start take; a busy core gives it a tenth
 
     final Path folder;               // also where its processes share what they know
     final Path log;
@@ -56,7 +58,8 @@
         this.limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
         configure(discovery.host());
         List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + sockets + " && " + shell + " && exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m"));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+                "-Xmx64m"));
         more.stream().filter(o -> o.startsWith("-X")).forEach(command::add);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve"));
         more.stream().filter(o -> !o.startsWith("-X")).forEach(command::add);
@@ -71,7 +74,7 @@
         process = java.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
+    static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
@@ -106,10 +109,31 @@
         }
     }
 
+    Conductor awaitHealthy() throws InterruptedException {
+        Site.await("healthy", START_MS, this::healthy);
+        return this;
+    }
+
+    Conductor awaitReady() throws InterruptedException {
+        Site.await("ready", START_MS, this::ready);
+        return this;
+    }
+
     boolean ready() {
         return call("PING").equals("ACK\n");
     }
 
+    long cpuMs() throws IOException {
+        return cpuMs(process);
+    }
+
+    /** All threads and the system's part included. */
+    static long cpuMs(Process process) throws IOException {
+        String stat = Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 1000 / TICKS_PER_S;
+    }
+
     /** How many processes listen at the clients' address, as the system has it. */
     int listeners() {
         String listens = String.format(".*:%04X [0:]+ 0A .*", address.getPort());
