--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -69,12 +69,17 @@
         if (requestClass == null || !classes.contains(requestClass)) {
             throw new BadRequest(400, "X-Priority-Class names no class of this service");
         }
+        String session = call.header("x-route-key");
+        // HttpCore has made spaces of CR and NUL, so that servers would get a key that no client sent
+        if (session != null && !session.chars().allMatch(c -> c > 32 && c < 127)) {
+            throw new BadRequest(400, "X-Route-Key is no name");
+        }
         Duration timeout = PlatformHeaders.timeout(call.header("x-timeout"));
         PlatformHeaders.Attrs attrs = PlatformHeaders.attrs(call.header("x-attrs"));
         if (!Json.isObject(call.body())) {
             throw new BadRequest(400, "the body is not a JSON object");
         }
-        return new Ask(id, requestClass, call.header("x-route-key"), attrs.prefix(), attrs.promptTokens(),
+        return new Ask(id, requestClass, session, attrs.prefix(), attrs.promptTokens(),
                 attrs.prefixTokens(), attrs.maxAnswerTokens(), call.arrived().plus(timeout).minus(MARGIN),
                 HttpCall.resumes(call.header("x-retried")), call);
     }
