A stop ends once each client's connection is closed, and reads nothing after

Cause: DutyActor.carryOut counted open requests, not open connections. A stream that begins before SIGTERM has promised its client more; as it ends, the client asks again on that connection, and HttpFrontServer closes it only after 50 ms. Once ANSWER or a quiet moment allowed the end, the process ended under it.

Change: the stop waits for each connection's close, as it did where a successor serves. And as the end is decided fronts are sealed: no byte is read any more, so that a request that comes then is sent once more by its client and not lost with the process; reader and sealer each say first what they do and then look at the other.

Tests, with the mend taken out: aStopIsOverOnceEachConnectionIsClosed "expected [true] but found [false]" (the stop was over, the connection open); nothingIsReadUnderASeal "expected [false] but found [true]" (it was answered).

--- a/src/main/java/copperbeam/program/DutyActor.java
+++ b/src/main/java/copperbeam/program/DutyActor.java
@@ -122,9 +122,12 @@
             return;
         }
         // a request may come as the last one ends, so that quiet is asked for anew while anything is open
-        // where a successor serves, each connection that is left is told so by its close
-        boolean open = !quiet || fronts.stream().anyMatch(f -> f.busy() || !lifecycle.listens() && f.entering()
-                || lifecycle.succeeded() && step.compareTo(Step.ANSWER) < 0 && f.connected());
+        // each connection that is left is told so by its close: one that has just been answered may have the next request
+        // on its way, and it would be lost with the process
+        boolean open = !quiet || fronts.stream().anyMatch(f -> f.connected() || !lifecycle.listens() && f.entering());
+        if (!open && lifecycle.stopping()) {
+            open = !fronts.stream().allMatch(HttpFrontServer::seal);
+        }
         Step due = lifecycle.at(Duration.between(from, clock.instant()), open, othersAway.getAsBoolean());
         boolean late = stopAt != null && Duration.between(stopAt, clock.instant()).compareTo(LONGEST_STOP) > 0;
         Step next = late ? Step.END : due;
@@ -145,7 +148,10 @@
         step = next;
         if (step == Step.END) {
             ended.complete(null);
-        } else if (step != Step.WORK || !listening) {
+            return;
+        }
+        fronts.forEach(HttpFrontServer::unseal);
+        if (step != Step.WORK || !listening) {
             watch();
         }
     }
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -66,6 +66,8 @@
     private volatile DefaultListeningIOReactor reactor;
     private volatile boolean draining;
     private volatile boolean leading;
+    private volatile boolean sealed;
+    private final AtomicInteger reading = new AtomicInteger(); // reactors at a client's bytes, or about to look whether they may
     private volatile Acceptor acceptor; // null until it listens
 
     /** Told of requests that are answered here, before a front sees them; the class is as its header says, or null. */
@@ -184,6 +186,17 @@
 
         @Override
         public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
+            reading.incrementAndGet();
+            try {
+                if (!sealed) {
+                    read(open, bytes);
+                }
+            } finally {
+                reading.decrementAndGet();
+            }
+        }
+
+        private void read(IOSession open, ByteBuffer bytes) throws IOException {
             client.heard = true;
             try {
                 super.inputReady(open, bytes);
@@ -347,6 +360,21 @@
         return room.busy();
     }
 
+    /**
+     * From now on nothing that clients write is read, until it is unsealed: true where nothing is open then, so that the
+     * process may end. Guards against a request that is read as the end is decided, and lost with the process; one that
+     * was not read its client sends once more. The reader says first that it reads and then looks, so that one of the two
+     * sees the other.
+     */
+    public boolean seal() {
+        sealed = true;
+        return reading.get() == 0 && !busy();
+    }
+
+    public void unseal() {
+        sealed = false;
+    }
+
     @Override
     public void close() {
         closing.set(true);
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/EndTest.java
@@ -0,0 +1,59 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.await;
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.transport.ClientRoom;
+import copperbeam.transport.HttpFrontServer;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.Test;
+
+/** The very end of a stop, at which a request that comes must not be lost. */
+public class EndTest {
+    /** Guards against an end under a client that was answered last and asks again: its answer's head promised more. */
+    @Test
+    public void aStopIsOverOnceEachConnectionIsClosed() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Site site = new Site(1, 1); Line client = site.client(); Line idle = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.beginStream().chunk("data: 1\n\n");
+                go.await();
+                line.lastChunk();
+            });
+            client.send(request("ask", 8000)).head();
+            Thread stop = site.beginStop();
+            assertTrue(idle.awaitClosed());
+            go.countDown();
+            assertEquals(client.readChunk(), "data: 1\n\n");
+            assertNull(client.readChunk());
+            stop.join(Line.PATIENCE_MS);
+            assertFalse(stop.isAlive());
+            assertTrue(client.isClosed());
+        }
+    }
+
+    /** Guards against a request on a connection that comes as the end is decided: unread, it is sent once more. */
+    @Test
+    public void nothingIsReadUnderASeal() throws Exception {
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
+            reply.whole(200, "text/plain", Map.of(), new byte[0]);
+            return () -> { };
+        }, Clock.systemUTC(), new ClientRoom(10, 1 << 20), (requestClass, status) -> { });
+                Line client = new Line(server.listen(new InetSocketAddress("127.0.0.1", 0), false))) {
+            await("sealed", server::seal);
+            client.send(request("ask", 8000));
+            Thread.sleep(150); // the answer would be here by now
+            assertFalse(client.ready());
+            server.unseal();
+            assertEquals(client.read().status(), 200);
+        }
+    }
+}
--- a/src/test/java/copperbeam/sockets/Line.java
+++ b/src/test/java/copperbeam/sockets/Line.java
@@ -144,6 +144,11 @@
         }
     }
 
+    /** Whether bytes of the other side are here. */
+    boolean ready() throws IOException {
+        return in.available() > 0;
+    }
+
     /** Whether the other side's close is here by now. */
     boolean isClosed() throws IOException {
         socket.setSoTimeout(1); // the least that there is
