--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -54,6 +54,7 @@
     private static final double STATE_HOLD_SHARE = 0.5; // of the time in which a read state must be let go
     // Health.
     private static final double FAILURE_WEIGHT = 0.3; // of one outcome in a server's failure share
+    private static final double OUTLIVED = 0.1; // failure share; four in a row have gone well since the last
     private static final double BENCH_SHARE = 0.4; // failure share from which a server rests
     private static final double RELAPSE = 0.7; // of that share is left after a rest
     private static final double FIRST_BENCH_S = 1; // s of the first rest, doubled at each further one
@@ -252,7 +253,6 @@
         }
         if (e.launchedAt() > before) {
             s.report = null;
-            s.wellAt = Double.NEGATIVE_INFINITY;
             if (!s.restForErrors) {
                 recover(s);
             }
@@ -571,8 +571,8 @@
     /**
      * Two at random, by weight, in one pass; of the two the lighter. Writers without room, resting or just
      * tried come only where there is no other: their weights lie so far below that they are drawn last. For
-     * what an error loses so are those that have not just done well: a node of a large fleet meets each too
-     * seldom to rest it in time, and what may be repeated finds out.
+     * what an error loses so are those that lately failed: a node of a large fleet meets each too seldom to
+     * rest it in time, and what may be repeated finds out.
      */
     private Top writers(Request r) {
         Cell from = r.holdsState && r.reader.listed != null ? cells.of(r.reader.listed) : null;
@@ -583,7 +583,7 @@
             double fit = r.holdsState || settings.writersRead() || s.role == Role.MIXED ? fitness(s, r) : 0;
             if (fit > 0) {
                 fit *= (1 - reads(s)) * (hasRoom(s) ? 1 : LAST * LAST);
-                fit *= now < s.wellAt + REPORT_LIFE_S || harmless(r.kind) ? 1 : LAST;
+                fit *= s.failures < OUTLIVED || harmless(r.kind) ? 1 : LAST * LAST;
                 fit *= from == null ? 1 : nearness(from, cells.of(s.listed), stays, zoneStays);
                 pair.offer(s, fit / -Math.log(1 - random.nextDouble()), fit);
             }
@@ -872,7 +872,6 @@
     }
 
     private void succeed(Server s) {
-        s.wellAt = now;
         s.failures *= 1 - FAILURE_WEIGHT;
         if (s.resting && s.failures < BENCH_SHARE && (!s.restForErrors || now >= s.benchedAt + s.rest)) {
             recover(s);
@@ -880,7 +879,6 @@
     }
 
     private void fail(Server s, boolean errors) {
-        s.wellAt = Double.NEGATIVE_INFINITY;
         s.failures += FAILURE_WEIGHT * (1 - s.failures);
         if (!errors || s.failures >= BENCH_SHARE) {
             bench(s, errors);
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -278,7 +278,6 @@
         double lastProbe;
         double failures;
         int strikes;
-        double wellAt = Double.NEGATIVE_INFINITY; // when something for this node went well, if nothing has failed since
         boolean resting;
         boolean restForErrors;
         double restUntil;
