What a read found kept is in the recorder; TCP_NODELAY at the operators' door

Need: that the reader's word on kept tokens arrives from a real socket was shown by the parser's table only; the door was the one socket without TCP_NODELAY. Change: the recorder notes "kept N" of a read; the door sets the option. Result: RecordTest, over sockets in a process of its own; without the reading: "kept 4096 is missing in". The door's option is read in the code, no test asks the kernel.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -79,11 +79,9 @@
             Duration callTimeout, ModuleActor module, ReleaseActor releases, Recorder recorder, Figures figures) {}
 
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
-
     // of a last byte: nine in ten of the breaks that were on their way came within it
     private static final Duration HOLD = Duration.ofMillis(2);
     private static final int MOST_UNSENT = 3; // new connections for one attempt
-
     private static final Duration LEAST_KEPT = Duration.ofMillis(100); // shorter is a close after an answer
 
     private final String id;
@@ -153,6 +151,9 @@
             event(e.work(), e.raw());
         } else if (m instanceof Ended e) {
             e.work().kept = e.kept();
+            if (!Double.isNaN(e.kept())) {
+                note(Recorder.What.WORD, e.work(), "kept " + (long) e.kept(), null);
+            }
             ended(e.work(), e.reusable());
         } else if (m instanceof Broken e) {
             broken(e.work(), e.written());
--- a/src/main/java/copperbeam/transport/LineDoor.java
+++ b/src/main/java/copperbeam/transport/LineDoor.java
@@ -122,6 +122,7 @@
                             .map(Caller.class::cast).filter(c -> !c.called).min(Comparator.comparing(c -> c.since))
                             .ifPresent(LineDoor::end);
                 }
+                next.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 new Caller(next, selector, clock.instant());
             }
         } catch (IOException e) {
--- a/src/test/java/copperbeam/sockets/RecordTest.java
+++ b/src/test/java/copperbeam/sockets/RecordTest.java
@@ -20,8 +20,8 @@
     @Test
     public void aSignalWritesWhatHappened() throws Exception {
         Path log = Files.createTempDirectory("record").resolve("log");
-        try (StandIn reader = new StandIn(Site::read); StandIn writer = new StandIn(Site::write);
-                StandIn list = Conductor.discovery(reader, writer);
+        try (StandIn reader = new StandIn(Site.attempts((m, line) -> line.answer(202, "{\"cached_tokens\":4096}")));
+                StandIn writer = new StandIn(Site::write); StandIn list = Conductor.discovery(reader, writer);
                 Conductor conductor = new Conductor(list, 1024, 192, List.of("--record", log.toString()))) {
             conductor.awaitHealthy();
             try (Line client = new Line(conductor.address)) {
@@ -34,7 +34,7 @@
             assertTrue(new Explain(Recording.read(log), new PrintStream(out, true)).request("told"));
             String life = out.toString();
             for (String step : List.of("arrived", "attempt 0 s" + reader.address().getPort() + " HOME",
-                    "connection attempt 0", "READ", "attempt 1 s" + writer.address().getPort() + " WRITER", "STREAM",
+                    "connection attempt 0", "READ", "kept 4096", "attempt 1 s" + writer.address().getPort() + " WRITER", "STREAM",
                     "first", "OK", "served")) {
                 assertTrue(life.contains(step), step + " is missing in\n" + life);
             }
