No attempt begins at a server that drains, has left or has moved; its probe is no error

Cause, each forced on sockets on the code before: (1) PeerActor was told of a drain only by the end of new attempts. (2) One peer served all addresses of an id: a connection to the first address that was in use as the list gave another one went back to the idle ones and took the next request (2 attempts at the old address). (3) A silent server left the list while a read was out there: the module asked for a probe, ModuleActor found no peer, and the exception took the timer of that attempt with it, so that the request waited for its deadline (503 after 9 s).

Change: PeerActor.Listed tells whether the server drains; what has not sent its first byte ends as a connection that did not come up, as nothing has reached the server. Each address has its own peer (ListActor.at). A probe of a server that is no longer listed goes by the peer at which the attempt is out.

--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -14,7 +14,7 @@
 import copperbeam.Api.ServerState;
 
 /**
- * Owns the list of servers and one {@link PeerActor} for each of them. One that has left is forgotten here: what
+ * Owns the list of servers and one {@link PeerActor} for each of them, at its address. One that has left is forgotten here: what
  * is still out there has its peer by itself. Guards against a day on which servers come under ever new ids.
  */
 public final class ListActor extends Actor<ListActor.Message> {
@@ -29,6 +29,7 @@
     private static final int MOST_IDLE = 16; // connections to one server
 
     private final Map<String, PeerActor> peers = new HashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>(); // theirs
     private final BiFunction<String, InetSocketAddress, PeerActor> newPeer;
     private final ModuleActor module;
     private final ReleaseActor releases;
@@ -66,7 +67,7 @@
                 left.add(id);
             } else {
                 left.remove(id);
-                peers.computeIfAbsent(id, n -> newPeer.apply(n, e.address())).tell(new PeerActor.Located(e.address()));
+                at(id, e.address()).tell(new PeerActor.Listed(e.member().state() == ServerState.DRAINING));
             }
         }
         for (Iterator<Map.Entry<String, PeerActor>> i = peers.entrySet().iterator(); i.hasNext();) {
@@ -76,12 +77,24 @@
                 i.remove();
             }
         }
+        addresses.keySet().retainAll(peers.keySet());
         share();
         Map<String, PeerActor> known = Map.copyOf(peers);
         module.tellFirst(new ModuleActor.Listed(change.kind(), members, known, told.acted()));
         releases.tell(new ReleaseActor.Listed(known));
     }
 
+    /** Guards against connections to an earlier address that come back from use, and would be used for the server again. */
+    private PeerActor at(String id, InetSocketAddress address) {
+        if (!address.equals(addresses.put(id, address))) {
+            PeerActor before = peers.put(id, newPeer.apply(id, address));
+            if (before != null) {
+                before.tell(new PeerActor.Gone());
+            }
+        }
+        return peers.get(id);
+    }
+
     /** Each server may have as many idle connections as all together can. */
     private void share() {
         PeerActor.Room share = new PeerActor.Room(Math.max(1, Math.min(MOST_IDLE, idle / Math.max(1, peers.size()))));
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -333,7 +333,7 @@
                 }
             }
         } else if (action instanceof Api.Probe a) {
-            peers.get(a.server()).tell(new PeerActor.Probe());
+            peer(a.server()).tell(new PeerActor.Probe());
         } else if (action instanceof Api.Timer a) {
             tellLater(ModuleTime.span(a.afterS()), new Fired(a.tag()));
         } else if (action instanceof Api.Remark a) {
@@ -342,6 +342,13 @@
         }
     }
 
+    /** Also of a server that has left the list: one at which an attempt is out may be probed. */
+    private PeerActor peer(String server) {
+        PeerActor listed = peers.get(server);
+        return listed != null ? listed : requests.values().stream().filter(r -> r.out && r.at.id().equals(server))
+                .map(r -> r.at).findFirst().orElseThrow();
+    }
+
     private void attempt(Api.Attempt a) {
         Request r = requests.get(a.request());
         PeerActor peer = peers.get(a.server());
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -16,14 +16,15 @@
 import copperbeam.routing.Connector.Connection;
 import copperbeam.routing.Connector.Word;
 
-/** Owns one server's connections and the attempts, probes and releases that are out at it. */
+/** Owns the connections to one server at one address, and the attempts, probes and releases that are out there. */
 public final class PeerActor extends Actor<PeerActor.Message> {
-    public sealed interface Message permits Located, Gone, Room, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
+    public sealed interface Message permits Listed, Gone, Room, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
             Said, Event, Ended, Broken, Expired, Quiet, Tidy, Let {}
 
-    public record Located(InetSocketAddress address) implements Message {}
+    /** {@code drains}: no attempt begins any more, and nothing more is kept idle. */
+    public record Listed(boolean drains) implements Message {}
 
-    /** No longer listed: what is out may end, nothing is kept idle. */
+    /** No longer listed: as one that drains, and what is idle is closed. */
     public record Gone() implements Message {}
 
     /** So many connections may stand idle here. */
@@ -85,13 +86,13 @@
     private static final Duration LEAST_KEPT = Duration.ofMillis(100); // shorter is a close after an answer
 
     private final String id;
+    private final InetSocketAddress address;
     private final Setup setup;
     private final Map<Long, Work> attempts = new HashMap<>();
     private final Deque<Idle> idle = new ArrayDeque<>();
-    private InetSocketAddress address;
+    private boolean drains;
     private Duration keep;           // so long a connection may stand idle
     private int mostIdle = 1;
-    private boolean gone;
     private Future<?> tidying;
 
     public PeerActor(ScheduledExecutorService turns, String id, InetSocketAddress address, Setup setup) {
@@ -108,14 +109,10 @@
 
     @Override
     protected void receive(Message m) {
-        if (m instanceof Located e) {
-            if (!e.address().equals(address)) {
-                dropIdle();
-                address = e.address();
-            }
-            gone = false;
+        if (m instanceof Listed e) {
+            drains = e.drains();
         } else if (m instanceof Gone) {
-            gone = true;
+            drains = true;
             dropIdle();
         } else if (m instanceof Room e) {
             mostIdle = e.idle();
@@ -163,7 +160,7 @@
             quiet(e.work());
         } else if (m instanceof Tidy) {
             tidy();
-        } else if (m instanceof Let e && !e.work().done && e.work().connection == e.on() && !unwanted(e.work())) {
+        } else if (m instanceof Let e && !e.work().done && e.work().connection == e.on() && !unwanted(e.work(), false)) {
             e.on().let();
         }
     }
@@ -178,7 +175,7 @@
     private void begin(Work work, Instant until) {
         work.until = until;
         work.expiry = tellLater(Duration.between(work.began, until), new Expired(work));
-        if (unwanted(work)) {
+        if (unwanted(work, true)) {
             return;
         }
         Instant stale = setup.clock().instant().minus(keep);
@@ -221,7 +218,7 @@
     }
 
     private void up(Work work, Connection connection) {
-        if (work.done || unwanted(work)) {
+        if (work.done || unwanted(work, true)) {
             keep(connection);
         } else {
             note(Recorder.What.CONNECTION, work, "new", since(work));
@@ -230,15 +227,16 @@
     }
 
     /**
-     * Ends an attempt that may not be written any more, though the module chose it: its client has gone, or the time for a
-     * repeat is over. Guards against connections that come up late. Asked again as the last byte leaves.
+     * Ends an attempt that may not be written any more, though the module chose it: its client has gone, the time for a
+     * repeat is over, or, for its {@code first} byte, its server drains. Guards against connections that come up late.
      */
-    private boolean unwanted(Work work) {
-        boolean unwanted = work.send() != null && !work.send().wanted(setup.clock().instant());
-        if (unwanted) {
-            finish(work, work.send().answer().gone() ? Outcome.CANCELLED : Outcome.NOT_SENT);
+    private boolean unwanted(Work work, boolean first) {
+        boolean closed = first && drains;
+        if (work.send() == null || !closed && work.send().wanted(setup.clock().instant())) {
+            return false;
         }
-        return unwanted;
+        finish(work, work.send().answer().gone() ? Outcome.CANCELLED : closed ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT);
+        return true;
     }
 
     private void note(Recorder.What what, Work work, String text, Duration span) {
@@ -295,7 +293,7 @@
     }
 
     private void keep(Connection connection) {
-        if (gone || !connection.isOpen()) {
+        if (drains || !connection.isOpen()) {
             connection.close();
             return;
         }
@@ -441,7 +439,7 @@
         // who answers before the last byte may have run something, and a second answer must not follow on the first
         boolean written = lastByteLeft || work.word != null;
         note(Recorder.What.WORD, work, written ? "BROKEN" : "BROKEN before the last byte", null);
-        if (!written && unwanted(work)) {
+        if (!written && unwanted(work, true)) {
             return;
         }
         if (!written && (work.reused || ++work.unsent < MOST_UNSENT)) {
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -15,11 +15,11 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** An attempt whose client goes, or whose time for a repeat ends, at each point before its last byte leaves. */
+/** An attempt whose client goes, whose time for a repeat ends or whose server drains, at each point before its last byte leaves. */
 public class UnwantedTest {
     private enum When { BEFORE_IT_BEGINS, BEFORE_IT_HAS_A_CONNECTION, BEFORE_ITS_LAST_BYTE_GOES, BEFORE_ITS_CONNECTION_BREAKS }
 
-    private enum Why { GONE, LATE, WANTED }
+    private enum Why { GONE, LATE, DRAINS, LEFT, WANTED }
 
     /** A server that a test plays; all on the thread of the actors. */
     private static final class Server implements Connector, Connector.Connection {
@@ -102,6 +102,13 @@
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.WANTED, "connect call connect "},
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.GONE, "connect call abort "},
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.LATE, "connect call close "},
+            {When.BEFORE_IT_BEGINS, Why.DRAINS, ""},
+            {When.BEFORE_IT_BEGINS, Why.LEFT, ""},
+            {When.BEFORE_IT_HAS_A_CONNECTION, Why.DRAINS, "connect close "},
+            {When.BEFORE_IT_HAS_A_CONNECTION, Why.LEFT, "connect close "},
+            {When.BEFORE_ITS_LAST_BYTE_GOES, Why.DRAINS, "connect call let "}, // its first is long out
+            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.DRAINS, "connect call close "},
+            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.LEFT, "connect call close "},
         };
     }
 
@@ -134,6 +141,11 @@
                 if (i == last && why != Why.WANTED) {
                     gone[0] = why == Why.GONE;
                     clock.by = Duration.ofSeconds(why == Why.LATE ? 2 : 0);
+                    if (why == Why.DRAINS) {
+                        peer.tell(new PeerActor.Listed(true));
+                    } else if (why == Why.LEFT) {
+                        peer.tell(new PeerActor.Gone());
+                    }
                 }
                 if (i != 2 || last == 2) {
                     turns.submit(steps.get(i)).get();
