An agent that answers at once is asked at a pace; an empty first list is asked for again

Cause, each seen on the code before: (1) a watch that is answered at once with nothing was asked again at once (22 calls in 10 ms on sockets). (2) An empty first list of a new address was not believed, but its changes were watched from there on: a server that had left by then was in no answer, and stayed in use for good. (3) The same at a start: the empty list was believed, the process said that it was healthy, and turned all away (429), though its configuration knows servers; so it did where discovery is silent and the list known before is empty (read, no test).

Change: WatchPlan.SPACE, 0.1 s from call to call where nothing new came; news, and a wait that was kept, are followed at once. A list that MemberBook doubts is a failed call: it is asked for whole again, until it names servers or has been told for 10 s; the old address is listened to and the list known before serves meanwhile, as where discovery is silent. It is said in the log.

Tests: two in WatchPlanTest, two in BadDiscoveryTest (a pace; eight troubles of a new address, with moves there and back, pushed and asked for: on sockets), one in KnownListTest pass, and so do OneClockTest and TroubleOrdersTest unchanged. With the mends out these fail: both of WatchPlanTest, the pace (both modes), "has heard of nobody" (both modes), "empty".

--- a/src/main/java/copperbeam/membership/MemberBook.java
+++ b/src/main/java/copperbeam/membership/MemberBook.java
@@ -28,6 +28,7 @@
     private record Claim(Entry entry, int teller, Instant until) {}
 
     private final Duration care;
+    private final boolean servers;
     private final Map<String, Known> known = new TreeMap<>();
     private final Map<String, Claim> claims = new TreeMap<>();
     private int teller = Integer.MIN_VALUE; // whose list is the base: the newest that has given one
@@ -35,7 +36,25 @@
 
     /** {@code care}: by how much one teller may lag behind another; 0 or more. */
     public MemberBook(Duration care) {
+        this(care, false);
+    }
+
+    /** {@code servers}: there are some, as far as is known from before, though nobody has told of any here. */
+    MemberBook(Duration care, boolean servers) {
         this.care = care;
+        this.servers = servers;
+    }
+
+    /**
+     * Whether a whole list is empty that is more like one of a teller that has heard of nobody yet than of a site without
+     * servers: the first of its teller, until it has been told for {@code care}.
+     */
+    boolean doubts(int by, List<Entry> entries, Instant now) {
+        if (!entries.isEmpty() || by <= teller || !any() || emptyUntil != null && !now.isBefore(emptyUntil)) {
+            return false;
+        }
+        emptyUntil = emptyUntil == null ? now.plus(care) : emptyUntil;
+        return true;
     }
 
     /**
@@ -46,10 +65,7 @@
         if (by < teller) {
             return changes(by, entries, now);
         }
-        boolean first = by > teller;
-        if (entries.isEmpty() && any() && first && (emptyUntil == null || now.isBefore(emptyUntil))) {
-            // more like a teller that has heard of nobody yet than a site without servers
-            emptyUntil = emptyUntil == null ? now.plus(care) : emptyUntil;
+        if (doubts(by, entries, now)) {
             return new Change(ListKind.DELTA, List.of());
         }
         emptyUntil = null;
@@ -141,7 +157,7 @@
     }
 
     private boolean any() {
-        return known.values().stream().anyMatch(k -> k.entry().member().state() != ServerState.GONE);
+        return servers || known.values().stream().anyMatch(k -> k.entry().member().state() != ServerState.GONE);
     }
 
     private List<Entry> listed() {
--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -69,6 +69,11 @@
      * {@link #TOLD}; up to 4 s it is not.
      */
     public static final Duration HOLD = Duration.ofSeconds(3);
+    /**
+     * From a call to the next where nothing new came of it. Guards against an address that answers each watch at once with
+     * nothing; below the 200 ms after which a watch is new.
+     */
+    static final Duration SPACE = Duration.ofMillis(100);
     /** After a failure: what is there, at once. Not 0, which is no watch. */
     static final Duration BRIEF = Duration.ofMillis(1);
     public static final Duration OVERLAP = Duration.ofSeconds(2); // an old address closes 1.5 s after a move
@@ -82,7 +87,9 @@
         int teller;                  // anew whenever its versions go back
         boolean listed;
         int failures;                // in a row; a call that is silent too long is one
-        long version;
+        long version = -1;
+        boolean spaced;              // SPACE has passed since the newest call
+        boolean waits;               // for that with the next
         final List<Integer> calls = new ArrayList<>();
         int last;                    // the newest call; all others that are out have been silent for too long
 
@@ -92,11 +99,11 @@
         }
     }
 
-    private enum Due { NEXT, MOVED, LEAVE, CARE }
+    private enum Due { NEXT, SPACE, MOVED, LEAVE, CARE }
 
     private record Timer(Due what, Address address, int call) {}
 
-    private final MemberBook book = new MemberBook(CARE);
+    private final MemberBook book;
     private final Backoff backoff;
     private final List<Address> old = new ArrayList<>();
     private final TreeMap<Integer, Timer> timers = new TreeMap<>();
@@ -107,7 +114,13 @@
     private List<Step> steps = new ArrayList<>();
 
     public WatchPlan(Backoff backoff) {
+        this(backoff, false);
+    }
+
+    /** {@code servers}: there were some when a list was last had, so that an empty first one is not believed at once. */
+    public WatchPlan(Backoff backoff, boolean servers) {
         this.backoff = backoff.atMost(PAUSE);
+        book = new MemberBook(CARE, servers);
     }
 
     /**
@@ -155,15 +168,21 @@
         if (!a.listed && !listing.full()) {
             return failed(call, false); // made anew at once it might be answered so for ever
         }
+        if (listing.full() && listing.version() < a.version && a == current) {
+            a.teller = ++tellers; // it remembers less than it did, and is as one that lags
+        }
+        if (listing.full() && book.doubts(a.teller, listing.entries(), now)) {
+            a.listed = false; // asked for whole until it is believed: what it would say of changes leaves out who has left
+            return failed(call, false);
+        }
+        boolean news = listing.version() > a.version && !listing.entries().isEmpty();
         a.calls.remove((Integer) call);
         a.failures = 0;
         dropAll(a);
         if (!listing.full() && listing.version() < a.version) {
             a.listed = false; // discovery began anew: changes against a list that we do not hold say nothing
+            news = true;
         } else {
-            if (listing.full() && listing.version() < a.version && a == current) {
-                a.teller = ++tellers; // it remembers less than it did, and is as one that lags
-            }
             boolean first = !a.listed;
             a.listed = true;
             a.version = listing.version();
@@ -178,7 +197,10 @@
                 wake(Duration.between(now, next), Due.CARE, null, 0);
             }
         }
-        ask(a);
+        a.waits = !news && !a.spaced;
+        if (!a.waits) {
+            ask(a);
+        }
         return done();
     }
 
@@ -208,6 +230,13 @@
                         ask(a);
                     }
                 }
+                case SPACE -> {
+                    Address a = t.address();
+                    a.spaced = t.call() == a.last;
+                    if (lives(a) && a.spaced && a.waits) {
+                        ask(a);
+                    }
+                }
                 case MOVED -> {
                     if (t.address() == current && (!current.listed || current.failures > 0)) {
                         ask(current);
@@ -238,8 +267,11 @@
         int call = ++calls;
         a.calls.add(call);
         a.last = call;
+        a.spaced = false;
+        a.waits = false;
         Duration hold = !a.listed ? Duration.ZERO : a.failures == 0 ? HOLD : BRIEF;
         steps.add(new Ask(call, a.at, a.listed ? a.version : -1, hold));
+        wake(SPACE, Due.SPACE, a, call);
         // stands also where the call fails: a connection that does not come up takes its time, and the pause after it more
         Duration silent = hold.plus(SILENCE).plus(a.failures > 0 ? backoff.after(a.failures) : Duration.ZERO);
         wake(silent.compareTo(NEXT) < 0 ? silent : NEXT, Due.NEXT, a, call);
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -276,10 +276,15 @@
      * an agent's whole list costs nothing, and its count may be its own. Null where there is none.
      */
     WatchPlan.Listing knownListing() {
-        return known == null || known.entries().isEmpty() || !settings.listMustBeAsked() ? null
+        return !knowsServers() || !settings.listMustBeAsked() ? null
                 : new WatchPlan.Listing(known.version(), true, known.entries());
     }
 
+    /** Whether there were servers when the list was last had: an empty one is then no word to start with. */
+    boolean knowsServers() {
+        return known != null && !known.entries().isEmpty();
+    }
+
     /**
      * Between failed calls to discovery. Where it is one service for all, its own answer says that it has more to do
      * than it can: asked again after half a second at first, and no later than the rule allows to be without word.
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -107,7 +107,7 @@
         HttpClient client = new PlainHttpClient(reactor);
         Config.Etcd etcd = config.operator().etcd();
         discovery = etcd == null ? new DiscoveryWatch(turns, client, clock, config.discovery(),
-                config.knownListing(), config.discoveryBackoff()) : null;
+                config.knownListing(), config.knowsServers(), config.discoveryBackoff()) : null;
         source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             told.changed(change);
@@ -142,7 +142,7 @@
             warm.countDown();
             ready();
         });
-        if (config.known() != null && !goesOn) {
+        if (config.knowsServers() && !goesOn) {
             // with discovery down, the list last known has to do; not before, as a drain that the agent has counts as told
             turns.schedule(() -> {
                 if (!listed.get()) {
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -46,9 +46,9 @@
         private Sink sink;
         private boolean stopped;
 
-        Watcher(ScheduledExecutorService turns, Backoff backoff) {
+        Watcher(ScheduledExecutorService turns, boolean servers, Backoff backoff) {
             super(turns);
-            plan = new WatchPlan(backoff);
+            plan = new WatchPlan(backoff, servers);
         }
 
         @Override
@@ -91,9 +91,14 @@
                 if (ask.from() < 0 && !list.full()) {
                     throw new IllegalArgumentException("changes where the whole list was asked for");
                 }
-                said.clear();
-                return plan.answered(ask.call(), new WatchPlan.Listing(list.version(), list.full(), list.entries()),
-                        clock.instant());
+                List<WatchPlan.Step> steps = plan.answered(ask.call(),
+                        new WatchPlan.Listing(list.version(), list.full(), list.entries()), clock.instant());
+                if (list.full() && list.entries().isEmpty() && steps.stream().noneMatch(WatchPlan.Tell.class::isInstance)) {
+                    say(ask, "names no server, where there were some");
+                } else {
+                    said.clear();
+                }
+                return steps;
             } catch (IllegalArgumentException problem) {
                 return bad(ask, false, problem.getMessage());
             }
@@ -148,14 +153,17 @@
     private final WatchPlan.Listing known;
     private final Watcher watcher;
 
-    /** {@code known}: a list of the same discovery's from before, or null. */
+    /**
+     * {@code known}: a list of the same discovery's from before, or null. {@code servers}: there were some when a list
+     * was last had.
+     */
     public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, Clock clock, InetSocketAddress agent,
-            WatchPlan.Listing known, Backoff backoff) {
+            WatchPlan.Listing known, boolean servers, Backoff backoff) {
         this.known = known;
         this.client = client;
         this.clock = clock;
         this.agent = agent;
-        watcher = new Watcher(turns, backoff);
+        watcher = new Watcher(turns, servers, backoff);
     }
 
     @Override
--- a/src/test/java/copperbeam/membership/WatchPlanTest.java
+++ b/src/test/java/copperbeam/membership/WatchPlanTest.java
@@ -57,7 +57,11 @@
         }
 
         World(int versions, int mostSilences, Backoff backoff) {
-            plan = new WatchPlan(backoff);
+            this(versions, mostSilences, backoff, false);
+        }
+
+        World(int versions, int mostSilences, Backoff backoff, boolean servers) {
+            plan = new WatchPlan(backoff, servers);
             this.versions = versions;
             this.mostSilences = mostSilences;
             take(plan.move(AT[0]));
@@ -330,6 +334,60 @@
         assertEquals(w.user.get("a").member().state(), ServerState.READY, "but not for good");
     }
 
+    /** Answers that bring nothing new, at once and for ever: one call each {@code SPACE}, and none waits for longer. */
+    @Test
+    public void anAddressThatAnswersAtOnceIsNeitherSpunAtNorLeft() {
+        for (Listing nothing : List.of(new Listing(10, false, List.of()), new Listing(10, true, entries("a+0 b+0")),
+                new Listing(11, false, List.of()), new Listing(3, true, entries("a+0 b+0")))) {
+            World w = listed();
+            for (int i = 0; i < 50; i++) {
+                Ask a = w.out.remove(first(w, 0).call());
+                w.take(w.plan.answered(a.call(), nothing, Instant.EPOCH));
+                assertTrue(w.out.isEmpty(), nothing + ": asked at once");
+                Wake space = w.wakes.stream().filter(x -> x.after().equals(WatchPlan.SPACE)).reduce((x, y) -> y).orElseThrow();
+                w.take(w.plan.woken(space.token(), Instant.EPOCH));
+                assertEquals(w.out.size(), 1);
+            }
+            Ask held = w.out.remove(first(w, 0).call());
+            w.wakes.stream().filter(x -> x.after().equals(WatchPlan.SPACE)).reduce((x, y) -> y).stream().toList()
+                    .forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
+            w.take(w.plan.answered(held.call(), nothing, Instant.EPOCH));
+            assertEquals(w.out.size(), 1, "one that has waited is followed at once");
+        }
+        World w = listed();
+        Ask a = w.out.remove(first(w, 0).call());
+        w.take(w.plan.answered(a.call(), new Listing(11, false, entries("a-0")), Instant.EPOCH));
+        assertEquals(w.out.size(), 1, "news are followed at once");
+    }
+
+    /** An empty first list, after a move and at a start that knows of servers, is asked for anew until it is believed. */
+    @Test
+    public void anAddressThatHasHeardOfNobodyIsAskedForItsWholeListAgain() {
+        for (boolean start : new boolean[] {false, true}) {
+            World w = start ? new World(3, 0, SHORT, true) : listed();
+            int at = start ? 0 : 1;
+            if (!start) {
+                w.take(w.plan.move(AT[1]));
+            }
+            Ask first = w.out.remove(first(w, at).call());
+            w.take(w.plan.answered(first.call(), new Listing(1, true, List.of()), Instant.EPOCH));
+            assertEquals(w.user.size(), start ? 0 : 2, "nothing is told");
+            assertEquals(w.plan.listed(), false);
+            List.copyOf(w.wakes).forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
+            Ask again = w.out.remove(first(w, at).call());
+            assertTrue(again.from() < 0, "changes would leave out who has left");
+            w.take(w.plan.answered(again.call(), new Listing(2, true, entries("a+0")), Instant.EPOCH));
+            assertEquals(w.user.keySet(), java.util.Set.of("a"));
+        }
+        World w = new World(3, 0, SHORT, true);
+        for (Instant now : List.of(Instant.EPOCH, Instant.EPOCH.plus(WatchPlan.CARE))) {
+            assertFalse(w.plan.listed());
+            w.take(w.plan.answered(w.out.remove(first(w, 0).call()).call(), new Listing(1, true, List.of()), now));
+            List.copyOf(w.wakes).forEach(x -> w.take(w.plan.woken(x.token(), now)));
+        }
+        assertTrue(w.plan.listed(), "told for so long it is true");
+    }
+
     private static World listed() {
         World w = new World(3, 0);
         w.answer(first(w, 0), 0);
--- a/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
+++ b/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
@@ -18,13 +18,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -62,7 +66,7 @@
         Watched(InetSocketAddress at, boolean pushed) {
             logger.addHandler(handler);
             Duration first = Duration.ofMillis(pushed ? 100 : 500);
-            watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(), at, null,
+            watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(), at, null, false,
                     new Backoff(first, pushed ? first : Duration.ofSeconds(10), new SplittableRandom(1)));
             watch.start(change -> heard.addAll(change.entries()));
         }
@@ -148,6 +152,96 @@
         }
     }
 
+    /** What a new address does until it is good. */
+    private static final Map<String, StandIn.Script> TROUBLES = Map.of(
+            "garbles", (m, line) -> line.send("HTTP/9 what\r\n\r\n"), "closes", (m, line) -> line.close(),
+            "is silent", (m, line) -> line.read(), "has no such path", (m, line) -> line.answer(404, "no"),
+            "answers by half", (m, line) -> line.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{\"version\":9").read(),
+            "has other lists", (m, line) -> line.answer(200, list(99, true, B + ",{\"id\":\"c\"}")),
+            "tells changes", (m, line) -> line.answer(200, list(99, false, B)),
+            "has heard of nobody", (m, line) -> line.answer(200, list(1, true, "")));
+
+    @DataProvider
+    public Object[][] moves() {
+        return TROUBLES.keySet().stream().flatMap(t -> Stream.of(new Object[] {t, true}, new Object[] {t, false}))
+                .toArray(Object[][]::new);
+    }
+
+    /**
+     * A move to an address in trouble, with a further move there and back: nothing changes, the old one is listened to,
+     * and the new one's word counts once it is good.
+     */
+    @Test(dataProvider = "moves")
+    public void anAddressInTroubleChangesNothing(String trouble, boolean pushed) throws Exception {
+        AtomicBoolean drains = new AtomicBoolean();
+        AtomicBoolean good = new AtomicBoolean();
+        String b = B.replace("active", "leaving");
+        StandIn.Script first = (m, line) -> {
+            boolean watch = m.path().contains("from=");
+            for (int i = 0; i < 200 && watch && !(drains.get() && m.path().contains("from=7&")); i++) {
+                Thread.sleep(5);
+            }
+            line.answer(200, drains.get() ? list(8, !watch, m.path().contains("from=8") ? "" : String.format(A, "leaving"))
+                    : list(7, !watch, watch ? "" : String.format(A, "active") + "," + B));
+        };
+        try (StandIn old = new StandIn(first); StandIn next = new StandIn(null)) {
+            next.script = (m, line) -> {
+                if (good.get()) {
+                    boolean watch = m.path().contains("from=");
+                    Thread.sleep(watch ? 200 : 0);
+                    line.answer(200, list(2, !watch, watch ? "" : String.format(A, "leaving") + "," + b));
+                } else {
+                    TROUBLES.get(trouble).run(m, line);
+                }
+            };
+            try (Watched w = new Watched(old.address(), pushed)) {
+                await("listed", () -> w.heard.size() == 2);
+                w.watch.move(next.address());
+                w.watch.move(old.address());
+                w.watch.move(next.address());
+                await("in trouble", () -> next.seen.size() >= 2);
+                drains.set(true);
+                await("the old address's drain", w::drains);
+                assertTrue(w.heard.stream().allMatch(e -> e.member().server().equals("a") || e.member().state() == ServerState.READY),
+                        "" + w.heard);
+                good.set(true);
+                long from = System.nanoTime();
+                await("the new one's", () -> w.heard.stream().anyMatch(e -> e.member().server().equals("b")
+                        && e.member().state() == ServerState.DRAINING));
+                long ms = (System.nanoTime() - from) / 1_000_000;
+                assertTrue(ms < most(pushed), ms + " ms");
+                assertTrue(w.heard.stream().noneMatch(e -> e.member().server().equals("c")), "" + w.heard);
+            }
+        }
+    }
+
+    /** Guards against a core that is spent on asking, and against a watch that is new each time. */
+    @Test(dataProvider = "modes")
+    public void anAgentThatAnswersAtOnceIsAskedAtAPace(boolean pushed) throws Exception {
+        List<Long> gaps = new CopyOnWriteArrayList<>();
+        AtomicLong answered = new AtomicLong();
+        AtomicBoolean drains = new AtomicBoolean();
+        try (StandIn agent = new StandIn((m, line) -> {
+            if (answered.get() > 0) {
+                gaps.add((System.nanoTime() - answered.get()) / 1_000_000);
+            }
+            boolean watch = m.path().contains("from=");
+            line.answer(200, drains.get() ? list(8, !watch, String.format(A, "leaving"))
+                    : list(7, !watch, watch ? "" : String.format(A, "active")));
+            answered.set(System.nanoTime());
+        })) {
+            long from = System.nanoTime();
+            try (Watched w = new Watched(agent.address(), pushed)) {
+                await("some calls", () -> gaps.size() >= 10);
+                long ms = (System.nanoTime() - from) / 1_000_000;
+                assertTrue(gaps.size() <= ms / 100 + 2, gaps.size() + " calls in " + ms + " ms");
+                assertTrue(gaps.stream().filter(g -> g < 200).count() >= gaps.size() / 2, "watches continue: " + gaps);
+                drains.set(true);
+                await("the drain", w::drains);
+            }
+        }
+    }
+
     /** No SYN is answered while the backlog of a listener that takes nobody is full. */
     @Test(dataProvider = "modes")
     public void connectionsThatDoNotComeUpDelayNoDrain(boolean pushed) throws Exception {
--- a/src/test/java/copperbeam/sockets/KnownListTest.java
+++ b/src/test/java/copperbeam/sockets/KnownListTest.java
@@ -6,20 +6,17 @@
 
 import copperbeam.program.Config;
 import copperbeam.program.Node;
-import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
-import copperbeam.simhost.Decoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** What a start makes of the list that its configuration knows, where the list is pushed. */
 public class KnownListTest {
     /** What the agent has counts as told from the first moment, so that nothing goes by an older list before its own is in. */
     @Test
-    @SuppressWarnings("unchecked")
     public void nothingGoesByAnOlderListBeforeTheAgentsIsIn() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
         try (StandIn reader = new StandIn(Site::read); StandIn drains = new StandIn(Site::write);
@@ -33,10 +30,7 @@
                             Site.entry(drains, "decode", "leaving"), Site.entry(writer, "decode", "active")));
                 })) {
             String known = list(1, true, Site.entry(reader, "prefill", "active"), Site.entry(drains, "decode", "active"));
-            Map<String, Object> settings = Json.GSON.fromJson(String.format(Site.SETTINGS, 30.0), Map.class);
-            try (Node node = new Node(new Config("n0", new InetSocketAddress("127.0.0.1", 0), null, null, discovery.address(), 7,
-                    Decoder.settings(settings), ServerList.parse(known), Duration.ofMillis(250), Duration.ofSeconds(30),
-                    Config.Limits.USUAL, Config.Operator.NONE)); Line client = new Line(node.address())) {
+            try (Node node = node(discovery, known); Line client = new Line(node.address())) {
                 client.send(request("ask", 8000));
                 await("asked for the list", () -> !discovery.seen.isEmpty());
                 await("a while of the request's time", new java.util.function.BooleanSupplier() {
@@ -56,6 +50,46 @@
         }
     }
 
+    @DataProvider
+    public Object[][] starts() {
+        return new Object[][] {{"empty"}, {"silent"}};
+    }
+
+    /** An agent that has heard of nobody yet is as one that says nothing: the list known before has to do. */
+    @Test(dataProvider = "starts")
+    public void nobodyIsTurnedAwayForAnAgentThatHasHeardOfNobody(String how) throws Exception {
+        CountDownLatch heard = new CountDownLatch(1);
+        try (StandIn reader = new StandIn(Site::read); StandIn old = new StandIn(Site::write);
+                StandIn writer = new StandIn(Site::write); StandIn discovery = new StandIn((m, line) -> {
+                    if (heard.getCount() > 0 && how.equals("silent")) {
+                        heard.await();
+                    }
+                    boolean watch = m.path().contains("from=");
+                    if (watch) {
+                        Thread.sleep(500);
+                    }
+                    line.answer(200, watch ? list(2, false) : heard.getCount() > 0 ? list(1, true)
+                            : list(2, true, Site.entry(reader, "prefill", "active"), Site.entry(writer, "decode", "active")));
+                })) {
+            String known = list(1, true, Site.entry(reader, "prefill", "active"), Site.entry(old, "decode", "active"));
+            try (Node node = node(discovery, known); Line client = new Line(node.address())) {
+                assertEquals(client.send(request("ask", 8000)).read().status(), 200);
+                assertEquals(old.attempts(), 1);
+                heard.countDown();
+                await("its own list", () -> discovery.count(m -> m.path().contains("from=2&")) > 0);
+                assertEquals(client.send(request("ask", 8000)).read().status(), 200);
+                assertEquals(writer.attempts(), 1);
+                assertEquals(old.attempts(), 1);
+            }
+        }
+    }
+
+    private static Node node(StandIn discovery, String known) throws Exception {
+        return new Node(new Config("n0", new InetSocketAddress("127.0.0.1", 0), null, null, discovery.address(), 7,
+                Site.settings(30), ServerList.parse(known), Duration.ofMillis(250), Duration.ofSeconds(30),
+                Config.Limits.USUAL, Config.Operator.NONE));
+    }
+
     private static String list(int version, boolean full, String... entries) {
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", entries) + "]}";
     }
--- a/src/test/java/copperbeam/sockets/SilentWatchTest.java
+++ b/src/test/java/copperbeam/sockets/SilentWatchTest.java
@@ -55,7 +55,7 @@
                 }
             };
             DiscoveryWatch watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(),
-                    agent.address(), null, backoff);
+                    agent.address(), null, false, backoff);
             watch.start(change -> heard.addAll(change.entries()));
             await("listed", () -> heard.size() == 1);
             await("asked", () -> agent.seen.size() >= 2);
