A whole list is no server's start: who rests for silence rests on, and reports are kept

Cause, read and then shown: a whole list clears what was listed before its entries are taken, so that each server with a start time seemed to have started anew. On a reload or where an agent forgets, all servers that rested for silence were back at once, and all reports were gone. The start last told is in the server's permits; one line, none more.

Test: BrainTest.aWholeListIsNoServersStart passes; on the code before it fails (0 avoided, 1 expected).

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -242,7 +242,7 @@
     private void member(Member e) {
         Server s = servers.computeIfAbsent(e.server(),
                 n -> new Server(n, new Fading(DELAY_LEARN, DELAY_FADE_S)));
-        double before = s.listed == null ? 0 : s.listed.launchedAt();
+        double before = s.permits == null ? 0 : s.permits.launchedAt; // a whole list has cleared s.listed
         s.listed = e;
         Kind kind = kinds.get(e.kind());
         s.role = kind == null ? Role.MIXED : kind.role();
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -646,6 +646,19 @@
         assertTrue(b.brain.records() <= 6, "left: " + b.brain.records());
     }
 
+    @Test
+    void aWholeListIsNoServersStart() {
+        Bench b = new Bench(usual(LOW, TOP), 7);
+        Members list = full(server("r1", "r", 0, ServerState.READY, 5), server("w1", "w", 0));
+        b.at(100, list);
+        b.end(100.1, 1, 0, sent(b.arrive(100, 1, TOP, 1000)).server(), Outcome.CONNECT_FAILED);
+        assertEquals(1, b.brain.avoided(), "it rests");
+        b.at(100.2, list);
+        assertEquals(1, b.brain.avoided());
+        b.at(100.3, full(server("r1", "r", 0, ServerState.READY, 99), server("w1", "w", 0)));
+        assertEquals(0, b.brain.avoided(), "it has started anew");
+    }
+
     // ---- the module's form ---------------------------------------------------------------------
 
     @Test
