Settings without release_s or fall_multiple serve; limits may be written as 192.0

Cause, by a table of 46 settings that no site has had, each read and then played by the module until a request of each class is with a writer: with extra.release_s absent or 0 every read state was let go at once and nothing was ever served; with rules.fall_multiple absent or 0 and warm_within_s told, a cold server got nothing until it was warm; limits.memory_mb written as 192.0 was refused; a number beyond all (1e999) was taken. All others work: no deadline of one kind, shares, worths, windows and quotas of 0, one server a kind, no zones, tenants, kinds, roles, rules, reports or penalties, self_index beyond balancers, below 0 or absent, unknown keys, names of other letters and of 400 characters.

Change: figures of a rule that is not told are no rule (Decoder): a state may be held for 1 s, and no server counts as cold. Whole numbers may have a point and a zero. A number that is not finite is refused by its whole path.

Test: ConfigTest passes; on the code before six of its rows fail (the two of release_s, fall_multiple 0, 192.0, two of 1e999).

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -157,6 +157,7 @@
     }
 
     private static Settings settings(Section raw) throws Invalid {
+        raw.finite();
         Settings settings;
         try {
             settings = Decoder.settings(raw.raw());
--- a/src/main/java/copperbeam/program/Section.java
+++ b/src/main/java/copperbeam/program/Section.java
@@ -79,6 +79,25 @@
         return value;
     }
 
+    /** Guards against numbers that no comparison holds for, which JSON has not but its readers take. */
+    void finite() throws Config.Invalid {
+        for (String key : values.keySet()) {
+            finite(values.get(key), at(key));
+        }
+    }
+
+    private static void finite(Object value, String path) throws Config.Invalid {
+        if (value instanceof Number n && !Double.isFinite(n.doubleValue())) {
+            throw new Config.Invalid(path, "is not a finite number");
+        } else if (value instanceof Map<?, ?>) {
+            of(value, path).finite();
+        } else if (value instanceof List<?> list) {
+            for (int i = 0; i < list.size(); i++) {
+                finite(list.get(i), path + "[" + i + "]");
+            }
+        }
+    }
+
     Section section(String key) throws Config.Invalid {
         return of(present(key), at(key));
     }
@@ -131,7 +150,8 @@
         if (value == null) {
             return absent;
         }
-        if (!(value instanceof Long n) || n < least || n > most) {
+        if (!(value instanceof Number n) || n.doubleValue() != Math.rint(n.doubleValue()) || n.doubleValue() < least
+                || n.doubleValue() > most) {
             throw invalid(key, "is not a whole number from " + least + " to " + most);
         }
         return n.intValue();
--- a/src/main/java/copperbeam/simhost/Decoder.java
+++ b/src/main/java/copperbeam/simhost/Decoder.java
@@ -17,6 +17,7 @@
 /** Turns wire messages into the module's settings and events: names for names, units for units. */
 public final class Decoder {
     private static final double US = 1e-6;
+    private static final double RELEASE_S = 1; // s to hold a read state where no rule bounds it
 
     private Decoder() {}
 
@@ -44,12 +45,14 @@
             kinds.add(new Kind(String.valueOf(name), role(at(roles, k, String.class, "both", "role_by_kind")),
                     at(memory, k, Number.class, 0, "memory_tokens").doubleValue()));
         }
+        // figures of a rule that is not told, or told as nothing, are no rule: held to 0 they would allow no send at all
+        double release = number(extra, "release_s", 0);
+        double fall = number(rules, "fall_multiple", 0);
         return new Settings((int) whole(c, "balancers"), (int) number(c, "self_index", -1), classes, customers, kinds,
                 new Limits((int) whole(limits, "send_cap"), flag(limits, "cancel"), flag(limits, "probing"),
                         flag(limits, "retry_after") ? number(limits, "max_retry_after_s", 0) : 0),
-                new Rules(number(rules, "cold_from", 0), number(rules, "warm_within_s", 0),
-                        number(rules, "fall_multiple", 0), number(rules, "fall_s", 0),
-                        number(extra, "release_s", 0), number(rules, "ask_within_s", 0)),
+                new Rules(number(rules, "cold_from", 0), fall > 0 ? number(rules, "warm_within_s", 0) : 0,
+                        fall, number(rules, "fall_s", 0), release > 0 ? release : RELEASE_S, number(rules, "ask_within_s", 0)),
                 reports(textOrNull(part(c, "report"), "via")), "subscribe".equals(textOrNull(c, "discovery")),
                 number(part(c, "penalties"), "probe", 0), flag(extra, "local_read"), flag(extra, "resume"));
     }
--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
 import copperbeam.Api;
@@ -70,6 +71,86 @@
         assertTrue(actions.stream().anyMatch(a -> a instanceof Api.Attempt), actions.toString());
     }
 
+    private static final String WHOLE = """
+            {"listen":"127.0.0.4:3000","discovery":"127.0.0.1:8500","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+             "settings":{"balancers":2,"self_index":1,"kinds":["r","w"],"zones":["z"],
+               "customers":[{"name":"t","quota_per_s":5.0,"share":0.5}],
+               "services":[{"name":"ask","promise_s":1.0,"give_up_s":6.0,"semantics":"safe","worth":3.0,"late_share":0.1},
+                 {"name":"keep","promise_s":2.0,"semantics":"keyed","group":"zone","window_s":5.0,"worth":2.0},
+                 {"name":"send","promise_s":3.0,"semantics":"unsafe","worth":1.0}],
+               "limits":{"send_cap":4,"cancel":true,"probing":true,"retry_after":true,"max_retry_after_s":2.0},
+               "report":{"via":"on_probe","fields":["active","x0"]},"penalties":{"probe":0.0024},
+               "rules":{"ask_within_s":10.0,"cold_from":0.28,"fall_multiple":3.0,"fall_s":2.0,"warm_within_s":13.0},
+               "extra":{"role_by_kind":["read","write"],"memory_tokens":[1000,1000],"release_s":1.0,
+                 "aim_us_per_1000_prompt_tokens":[40000.0,0,0]}}}
+            """;
+
+    /** A setting never met: what stands in place of what. */
+    @DataProvider
+    public Object[][] odd() {
+        return new Object[][] {
+            {"", ""}, {",\"give_up_s\":6.0", ""}, {"\"promise_s\":1.0", "\"promise_s\":0"}, {"\"late_share\":0.1", "\"late_share\":0"},
+            {"\"share\":0.5", "\"share\":0"}, {"\"quota_per_s\":5.0", "\"quota_per_s\":0"},
+            {"\"customers\":[{\"name\":\"t\",\"quota_per_s\":5.0,\"share\":0.5}],", ""}, {"\"zones\":[\"z\"],", ""},
+            {"\"worth\":3.0", "\"worth\":0"}, {",\"worth\":1.0", ""}, {"\"window_s\":5.0", "\"window_s\":0"}, {"\"group\":\"zone\",", ""},
+            {"\"self_index\":1", "\"self_index\":7"}, {"\"self_index\":1,", ""}, {"\"self_index\":1", "\"self_index\":-3"},
+            {"\"balancers\":2", "\"balancers\":1"}, {"\"balancers\":2", "\"balancers\":1000000"},
+            {"\"kinds\":[\"r\",\"w\"],", ""}, {"\"role_by_kind\":[\"read\",\"write\"],", ""}, {"\"memory_tokens\":[1000,1000],", ""},
+            {"[40000.0,0,0]", "[]"}, {"\"release_s\":1.0", "\"release_s\":0"}, {"\"release_s\":1.0,", ""},
+            {"\"rules\":{\"ask_within_s\":10.0,\"cold_from\":0.28,\"fall_multiple\":3.0,\"fall_s\":2.0,\"warm_within_s\":13.0},", ""},
+            {"\"fall_multiple\":3.0", "\"fall_multiple\":0"}, {"\"fall_s\":2.0", "\"fall_s\":0"}, {"\"warm_within_s\":13.0", "\"warm_within_s\":0"},
+            {"\"cold_from\":0.28", "\"cold_from\":0"}, {"\"cold_from\":0.28", "\"cold_from\":1"}, {"\"ask_within_s\":10.0,", ""},
+            {"\"probe\":0.0024", "\"probe\":0"}, {"\"penalties\":{\"probe\":0.0024},", ""}, {"\"probing\":true,", ""}, {"\"cancel\":true,", ""},
+            {",\"retry_after\":true,\"max_retry_after_s\":2.0", ""}, {"\"report\":{\"via\":\"on_probe\",\"fields\":[\"active\",\"x0\"]},", ""},
+            {"\"send_cap\":4", "\"send_cap\":2"}, {"\"send_cap\":4", "\"send_cap\":1000"}, {"\"send_cap\":4", "\"send_cap\":4.0"},
+            {"\"memory_mb\":192,\"sockets\":1024", "\"memory_mb\":192.0,\"sockets\":1024.0"},
+            {"\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},", ""}, {"\"cores\"", "\"new\":{\"key\":[null]},\"cores\""},
+            {"\"zones\"", "\"new\":{\"key\":[null]},\"zones\""}, {"\"name\":\"ask\"", "\"new\":-1,\"name\":\"\u00f1and\u00fa \u65e5\u672c\u8a9e.,:;=/\\\"\""},
+            {"\"name\":\"ask\"", "\"name\":\"" + "long".repeat(100) + "\""}, {"[\"r\",\"w\"]", "[\"\u00e9 1\",\"" + "w".repeat(300) + "\"]"},
+        };
+    }
+
+    /** What is taken can be worked with: the module serves a request of each class, with one server of each kind. */
+    @Test(dataProvider = "odd")
+    public void whatIsTakenServesEachClass(String usual, String odd) throws Exception {
+        assertTrue(WHOLE.contains(usual), usual);
+        Api.Settings settings = read(WHOLE.replace(usual, odd), null, Map.of()).settings();
+        List<String> kinds = settings.kinds().isEmpty() ? List.of("none") : settings.kinds().stream().map(Api.Kind::name).toList();
+        Brain brain = new Brain(settings, 7);
+        brain.on(1, new Api.Members(Api.ListKind.FULL, kinds.stream()
+                .map(k -> new Api.Member(k, null, k, 0, Api.ServerState.READY, 0, settings.rules().fallMultiple() > 0 ? 0 : 0.9))
+                .toList()));
+        for (int i = 0; i < settings.classes().size(); i++) {
+            assertTrue(served(brain, settings, i), settings.classes().get(i) + " is not served");
+        }
+    }
+
+    /** Each attempt goes well at once, as do probes; timers of less than a second are waited for, one after another. */
+    private static boolean served(Brain brain, Api.Settings settings, int request) {
+        double now = 2 + 10 * request;
+        ArrayDeque<Api.Action> todo = new ArrayDeque<>(brain.on(now, new Api.Arrival(request,
+                settings.classes().get(request).name(), "t", "s", "p", 1000, 500, 10, now + 50)));
+        int attempts = 0;
+        while (!todo.isEmpty() && now < 7 + 10 * request) {
+            Api.Action action = todo.poll();
+            if (action instanceof Api.Timer t && t.afterS() < 1 && !t.tag().equals("probes")) {
+                todo.addAll(brain.on(now += t.afterS(), new Api.TimerFired(t.tag())));
+            } else if (action instanceof Api.Probe p) {
+                todo.addAll(brain.on(now, new Api.Probed(p.server(), Api.Outcome.OK, 0.001, null)));
+            } else if (action instanceof Api.Attempt a) {
+                boolean reads = settings.kinds().stream().anyMatch(k -> k.name().equals(a.server()) && k.role() == Api.Role.READER);
+                if (!reads) {
+                    brain.on(now, new Api.StreamStarted(request, attempts, a.server(), 0.01));
+                    brain.on(now, new Api.AttemptEnded(request, attempts, a.server(), Api.Outcome.OK, 0.02, true, false, null));
+                    return true;
+                }
+                todo.addAll(brain.on(now, new Api.AttemptEnded(request, attempts++, a.server(), Api.Outcome.READ, 0, false,
+                        false, null, 0)));
+            }
+        }
+        return false;
+    }
+
     @DataProvider
     public Object[][] faulty() {
         return new Object[][] {
@@ -85,6 +166,16 @@
             {GOOD.replace("\"send_cap\":4,", ""), null, "settings: field 'send_cap' "},
             {GOOD.replace("\"safe\"", "\"odd\""), null, "settings: unknown semantics 'odd'"},
             {GOOD.replace("\"id\":\"s\"", "\"no\":1"), null, "known: "},
+            {GOOD.replace("\"promise_s\":1", "\"promise_s\":NaN"), null, "settings: field 'promise_s' "},
+            {GOOD.replace("\"promise_s\":1", "\"promise_s\":1e999"), null, "settings.services[0].promise_s: "},
+            {GOOD.replace("\"rules\":{}", "\"rules\":{\"fall_s\":1e999}"), null, "settings.rules.fall_s: "},
+            {GOOD.replace("\"rules\":{}", "\"rules\":[]"), null, "settings: field 'rules' "},
+            {GOOD.replace("\"limits\":{\"send_cap\":4,\"conn_idle_s\":12}", "\"limits\":4"), null, "settings.limits: "},
+            {GOOD.replace("\"balancers\":2", "\"balancers\":2.5"), null, "settings: field 'balancers' "},
+            {GOOD.replace("\"balancers\":2", "\"balancers\":2,\"self_index\":\"a\""), null, "settings: field 'self_index' "},
+            {GOOD.replace("\"seed\"", "\"limits\":{\"sockets\":900.5},\"seed\""), null, "limits.sockets: "},
+            {GOOD.replace("\"extra\":{}", "\"extra\":{\"role_by_kind\":[\"paint\"]}"), null, "settings: unknown role 'paint'"},
+            {GOOD.replace("\"services\":[", "\"services\":[7,"), null, "settings: field 'services' "},
             {GOOD, "{\"opnai\":{}}", "opnai: "},
             {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"none\""), "openai.models.m.class: "},
             {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"ask\",\"max_tokens\":0"),
