The chat API's last event goes out as it comes, not with the stream's end

Observed: a server that writes `data: [DONE]` and its last chunk later has the event reach the platform's client at once, and the chat API's only with the end: after 4 s of it the stream was cut as silent. Cause: ChatAnswer kept the event for end(). Now it is passed on as it comes; a stream that breaks behind it ends without its last chunk, as before, and without the error event that nobody would read there.

EventsTest forces the order: a server writes nothing more until the client has confirmed the event before. 14 forms, whole and a byte a segment, at both fronts.

--- a/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
@@ -55,6 +55,11 @@
             drained.run();
             return true;
         }
+        if (data.equals("[DONE]") && request.stream() && !done) {
+            done = true;
+            write(data, drained); // not with the end: its server may take its time over that
+            return true;
+        }
         if (data.equals("[DONE]")) {
             done = true;
             drained.run();
@@ -135,7 +140,6 @@
             // the server closed its stream in good order, but it was not a whole one
             broken();
         } else if (request.stream()) {
-            write("[DONE]", null);
             reply.end();
         } else {
             JsonObject message = new JsonObject();
@@ -161,7 +165,9 @@
     public void broken() {
         ApiError error = ApiError.server(502, "stream_broken", "The answer broke off before it was whole.");
         if (request.stream()) {
-            write(error.json(), null);
+            if (!done) {
+                write(error.json(), null); // behind the last event nobody reads it
+            }
             reply.abort();
         } else {
             reply.whole(error.status, "application/json", Map.of(), error.body());
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/EventsTest.java
@@ -0,0 +1,118 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.chat;
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Each event is passed on by itself: its server writes nothing more before the client has confirmed it, so that an event
+ * that waits for what follows it never comes.
+ */
+public class EventsTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String END = "0\r\n\r\n";
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private static String event(int number) {
+        return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + marker(number)
+                + "\"},\"finish_reason\":null}]}\n\n";
+    }
+
+    private static String marker(int number) {
+        return "<" + number + ">";
+    }
+
+    private static String size(String data) {
+        return Integer.toHexString(data.length()) + "\r\n";
+    }
+
+    private static String chunk(String data) {
+        return size(data) + data + "\r\n";
+    }
+
+    /** What a server writes between two confirmations; a client confirms once it has read the last marker in it. */
+    @DataProvider
+    public Object[][] forms() {
+        String half = event(2).substring(0, 20);
+        String rest = event(2).substring(20);
+        String end = chunk(DONE) + END;
+        Map<String, List<String>> forms = new java.util.LinkedHashMap<>();
+        forms.put("half of the next behind it", List.of(CHUNKED + chunk(event(1) + half), chunk(rest), end));
+        forms.put("a byte of the next behind it", List.of(CHUNKED + chunk(event(1) + "d"), chunk(event(2).substring(1)), end));
+        forms.put("its chunk goes on", List.of(CHUNKED + size(event(1) + event(2)) + event(1), event(2) + "\r\n", end));
+        forms.put("its chunk's end is not here", List.of(CHUNKED + size(event(1)) + event(1), "\r\n" + chunk(event(2)), end));
+        forms.put("the next chunk's size behind it", List.of(CHUNKED + chunk(event(1)) + size(event(2)), event(2), "\r\n" + end));
+        forms.put("over two chunks", List.of(CHUNKED + chunk(event(1).substring(0, 30)) + chunk(event(1).substring(30)), end));
+        forms.put("three in a chunk", List.of(CHUNKED + chunk(event(1) + event(2) + event(3)), end));
+        forms.put("in the same write as the end", List.of(CHUNKED + chunk(event(1)), chunk(event(2)) + end));
+        forms.put("all in one write", List.of(CHUNKED + chunk(event(1)) + chunk(event(2)) + end));
+        forms.put("a comment behind it", List.of(CHUNKED + chunk(event(1) + ": X-Server-Load: queue=1\n"), chunk("\n" + event(2)), end));
+        forms.put("lines that end with CR LF", List.of(CHUNKED + chunk(event(1).replace("\n", "\r\n") + "data"),
+                chunk(event(2).substring(4).replace("\n", "\r\n")), end));
+        forms.put("the end is not here", List.of(CHUNKED + chunk(event(1)), chunk(DONE), END));
+        forms.put("a report behind the last", List.of(CHUNKED + chunk(event(1)), chunk(DONE), chunk(": X-Server-Load: queue=1\n\n"), END));
+        forms.put("a length, no chunks", List.of(HEAD + "Content-Length: " + (event(1) + event(2) + DONE).length() + "\r\n\r\n"
+                + event(1) + half, rest, DONE));
+        List<Object[]> rows = new ArrayList<>();
+        forms.forEach((name, writes) -> {
+            for (boolean chat : new boolean[] {false, true}) {
+                rows.add(new Object[] {name, chat, false, writes});
+                rows.add(new Object[] {name, chat, true, writes});
+            }
+        });
+        return rows.toArray(new Object[0][]);
+    }
+
+    /** {@code bytes}: each of them is a segment of its own. */
+    @Test(dataProvider = "forms")
+    public void anEventWaitsForNothing(String form, boolean chat, boolean bytes, List<String> writes) throws Exception {
+        Semaphore confirmed = new Semaphore(0);
+        try (Site site = new Site(1, 1); Line client = chat ? site.chatClient() : site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                for (String write : writes) {
+                    for (int i = 0; i < write.length(); i += bytes ? 1 : write.length()) {
+                        line.send(bytes ? write.substring(i, i + 1) : write);
+                    }
+                    assertTrue(confirmed.tryAcquire(Line.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                }
+            });
+            client.send(chat ? chat("m-ask", true, "") : request("ask", 1500));
+            assertEquals(client.head().status(), 200);
+            StringBuilder text = new StringBuilder();
+            String last = null;
+            for (String write : writes) {
+                String awaited = lastMarker(write);
+                while (!text.toString().contains(awaited)) {
+                    last = client.readChunk();
+                    assertTrue(last != null && !last.isEmpty(), "ended before " + awaited);
+                    text.append(last);
+                }
+                confirmed.release();
+            }
+            while ((last = client.readChunk()) != null) {
+                assertTrue(!last.isEmpty(), "cut");
+            }
+        }
+    }
+
+    /** The last event that is whole with what was written up to here. */
+    private static String lastMarker(String write) {
+        for (int number = 3; number > 0; number--) {
+            if (write.contains(marker(number))) {
+                return write.contains("[DONE]") ? "[DONE]" : marker(number);
+            }
+        }
+        return write.contains("[DONE]") ? "[DONE]" : "";
+    }
+}
