A turn of the reactor reads so much of one connection's chunks and leaves the rest for the next

Observed: beside a server that streams as fast as it is read, or a client whose chunked body has no end, other streams get no event for as long as that goes on. Cause: HttpCore's onInput goes on while its buffer has anything, and ChunkDecoder fills that buffer from the socket before each chunk's size; where the other side is quicker than the parser the turn has no end. The window didn't hold either, as reading is stopped between turns, and events gathered in the actors' mailbox without bound.

Now Chunks takes at most 64 KiB a turn from a server (a window) and 256 KiB from a client (the largest body, as HttpFrontServer reads on behind a whole request); the selector comes back for the rest.

EventsTest.othersHaveTheirTurnBesideAFlood, both rows: fail without the mend (SERVER: no event in 4 s, then cut; CLIENT: no event in 10 s), pass with it. In its rows the next event is written once the last one is confirmed.

--- a/src/main/java/copperbeam/transport/BufferView.java
+++ b/src/main/java/copperbeam/transport/BufferView.java
@@ -31,7 +31,7 @@
     }
 
     @Override
-    public final int fill(ReadableByteChannel from) throws IOException {
+    public int fill(ReadableByteChannel from) throws IOException {
         return buffer.fill(from);
     }
 
--- a/src/main/java/copperbeam/transport/Chunks.java
+++ b/src/main/java/copperbeam/transport/Chunks.java
@@ -20,8 +20,26 @@
 
     /** {@code most}: no chunk is larger. */
     static Decoder decoder(ReadableByteChannel channel, SessionInputBuffer buffer, Http1Config config,
-            BasicHttpTransportMetrics metrics, int most) {
-        return new Decoder(new ChunkDecoder(channel, new Sizes(buffer, most), config, metrics));
+            BasicHttpTransportMetrics metrics, int most, Turn turn) {
+        return new Decoder(new ChunkDecoder(channel, new Sizes(buffer, most, turn), config, metrics));
+    }
+
+    /**
+     * What one connection may be read on one turn of its reactor; what remains is read on the next. Guards against a
+     * sender that holds up all others, and the window besides: HttpCore reads chunks for as long as there are any.
+     */
+    static final class Turn {
+        private final int most;
+        private int left;
+
+        Turn(int most) {
+            this.most = most;
+            left = most;
+        }
+
+        void begin() {
+            left = most;
+        }
     }
 
     /**
@@ -31,11 +49,23 @@
     private static final class Sizes extends BufferView {
         private static final Pattern SIZE = Pattern.compile("[0-9a-fA-F]{1,15}"); // one for each event of a stream
         private final int most;
+        private final Turn turn;
         private boolean last;
 
-        Sizes(SessionInputBuffer buffer, int most) {
+        Sizes(SessionInputBuffer buffer, int most, Turn turn) {
             super(buffer);
             this.most = most;
+            this.turn = turn;
+        }
+
+        @Override
+        public int fill(ReadableByteChannel from) throws IOException {
+            if (turn.left <= 0) {
+                return 0;
+            }
+            int count = super.fill(from);
+            turn.left -= count;
+            return count;
         }
 
         @Override
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -53,6 +53,7 @@
     }
 
     private static final int MOST_CHUNK = 1 << 20;
+    private static final int MOST_A_TURN = 64 * 1024; // bytes read from one connection; a window
     private static final Duration HEAD_TIME = Duration.ofMillis(800); // servers write a head in one piece
     private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8 * 1024)
             .setMaxHeaderCount(100).build();
@@ -76,6 +77,7 @@
     }
 
     private static final class Duplexer extends ClientHttp1StreamDuplexer {
+        private final Chunks.Turn turn = new Chunks.Turn(MOST_A_TURN);
         private Chunks.Decoder chunks;
         private SessionOutputBuffer output;
 
@@ -90,7 +92,7 @@
             if (length != ContentLengthStrategy.CHUNKED) {
                 return super.createContentDecoder(length, channel, buffer, metrics);
             }
-            chunks = Chunks.decoder(channel, buffer, CONFIG, metrics, MOST_CHUNK);
+            chunks = Chunks.decoder(channel, buffer, CONFIG, metrics, MOST_CHUNK, turn);
             return chunks;
         }
 
@@ -141,6 +143,7 @@
 
         @Override
         public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
+            duplexer.turn.begin();
             try {
                 super.inputReady(open, bytes);
                 if (duplexer.late() != null) {
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -151,6 +151,8 @@
     }
 
     private static final class Duplexer extends ServerHttp1StreamDuplexer {
+        private final Chunks.Turn turn = new Chunks.Turn(ServerExchange.MOST_BODY);
+
         Duplexer(ProtocolIOSession session, BoundedParser<HttpRequest> parser,
                 HandlerFactory<AsyncServerExchangeHandler> exchanges) {
             super(session, PROCESSOR, exchanges, "http", CONFIG, CharCodingConfig.DEFAULT, null, parser,
@@ -161,7 +163,7 @@
         protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
                 SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
             return length == ContentLengthStrategy.CHUNKED
-                    ? Chunks.decoder(channel, buffer, CONFIG, metrics, ServerExchange.MOST_BODY)
+                    ? Chunks.decoder(channel, buffer, CONFIG, metrics, ServerExchange.MOST_BODY, turn)
                     : super.createContentDecoder(length, channel, buffer, metrics);
         }
     }
@@ -199,6 +201,7 @@
 
         private void take(IOSession open, ByteBuffer bytes) throws IOException {
             client.heard = true;
+            duplexer.turn.begin();
             try {
                 read(open, bytes);
                 readOn(open);
--- a/src/test/java/copperbeam/sockets/EventsTest.java
+++ b/src/test/java/copperbeam/sockets/EventsTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -115,4 +116,70 @@
         }
         return write.contains("[DONE]") ? "[DONE]" : "";
     }
+
+    private enum Flood { SERVER, CLIENT }
+
+    @DataProvider
+    public Object[][] floods() {
+        return new Object[][] {{Flood.SERVER}, {Flood.CLIENT}};
+    }
+
+    /** Who sends without end, and is read as fast as it sends, takes no turn from others. */
+    @Test(dataProvider = "floods")
+    public void othersHaveTheirTurnBesideAFlood(Flood flood) throws Exception {
+        Semaphore confirmed = new Semaphore(0);
+        Semaphore flooding = new Semaphore(0);
+        AtomicBoolean enough = new AtomicBoolean();
+        String block = chunk(event(1)).repeat(200);
+        String body = "1\r\n{\r\n".repeat(4000);
+        try (Site site = new Site(1, 2); Line client = site.client(); Line flooded = site.client()) {
+            site.writers.forEach(w -> w.script = attempts((m, line) -> {
+                line.beginStream();
+                if (m.header("X-Priority-Class").equals("send")) {
+                    for (int i = 0; !enough.get(); i++) {
+                        line.send(block);
+                    }
+                } else {
+                    for (int i = 0; i < 20; i++) {
+                        line.chunk(event(i));
+                        assertTrue(confirmed.tryAcquire(Line.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                    }
+                }
+                line.chunk(DONE).lastChunk();
+            }));
+            client.send(request("ask", 1500));
+            assertEquals(client.head().status(), 200);
+            assertTrue(client.readChunk().contains(marker(0)));
+            Thread other = new Thread(() -> {
+                try {
+                    if (flood == Flood.SERVER) {
+                        flooded.send(request("send", 1500)).head();
+                        for (int i = 0; flooded.readChunk() != null; i++) {
+                            flooding.release(i == 1000 ? 1 : 0);
+                        }
+                        flooding.release(); // its end too was passed on
+                    } else {
+                        flooded.send(request("send", 1500).replaceFirst("Content-Length.*\r\n\r\n\\{\\}", "Transfer-Encoding: chunked\r\n\r\n"));
+                        for (int i = 0; !enough.get(); i++) {
+                            flooded.send(body);
+                            flooding.release(i == 10 ? 1 : 0);
+                        }
+                    }
+                } catch (java.io.IOException e) {
+                    flooding.release(); // turned away
+                }
+            });
+            other.start();
+            assertTrue(flooding.tryAcquire(Line.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            for (int i = 1; i < 20; i++) {
+                confirmed.release();
+                assertTrue(client.readChunk().contains(marker(i)));
+            }
+            enough.set(true);
+            confirmed.release();
+            assertTrue(client.readChunk().contains("[DONE]"));
+            assertTrue(flood == Flood.CLIENT || flooding.tryAcquire(Line.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            other.join(Line.PATIENCE_MS);
+        }
+    }
 }
