A turn of output to one client ends after 64 KiB, however quick its server and it are

Cause, read and forced: drain() writes as long as there is a piece, and a piece that is taken grants its server the next. With a client and a server quicker than we are the turn goes on, and other clients of the reactor wait.

FairTurnTest: for each event that is taken another has come. Without the mend 1000 events in one turn, where the test stops; with it the turn ends, and the rest is for the next one.

--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -44,6 +44,8 @@
     // of an answer that its client does not take; a chunk of a server's may be so long
     private static final int MOST_WAITING = 1 << 20;
 
+    private static final int MOST_A_TURN = 64 * 1024; // bytes written, while others wait for the reactor
+
     private record Piece(ByteBuffer bytes, Runnable drained) {}
 
     private enum Last { NONE, WHOLE, CUT }
@@ -267,10 +269,16 @@
     private void drain(DataStreamChannel channel) throws IOException {
         Last state = last;
         Piece piece = pieces.peek();
+        int written = 0;
         while (piece != null) {
-            if (piece.bytes().hasRemaining() && channel.write(piece.bytes()) == 0) {
+            if (written > MOST_A_TURN) {
+                return; // guards against a server and a client so quick that there is always more to write
+            }
+            int count = piece.bytes().hasRemaining() ? channel.write(piece.bytes()) : 0;
+            if (count == 0 && piece.bytes().hasRemaining()) {
                 return;
             }
+            written += count;
             if (!piece.bytes().hasRemaining()) {
                 pieces.poll();
                 waiting.addAndGet(-piece.bytes().capacity());
--- /dev/null
+++ b/src/test/java/copperbeam/transport/FairTurnTest.java
@@ -0,0 +1,45 @@
+package copperbeam.transport;
+
+import static org.testng.Assert.assertTrue;
+
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.time.Clock;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.reactor.IOSession;
+import org.testng.annotations.Test;
+
+public class FairTurnTest {
+    private static final int EVENT = 1000;
+    private static final int MOST_EVENTS = 1000; // a turn that has written so many would go on for good
+
+    /** A server and a client that are quicker than we are: for each event that is taken another has come. */
+    @Test
+    public void aTurnOfOutputEnds() throws Exception {
+        IOSession session = (IOSession) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {IOSession.class},
+                (proxy, method, args) -> method.getReturnType() == int.class ? 0 : null);
+        ClientRoom room = new ClientRoom(10, 1000);
+        Clock clock = Clock.systemUTC();
+        ServerExchange exchange = new ServerExchange(room.enter(session, clock.instant()), room, (call, reply) -> () -> { },
+                clock, () -> false, (requestClass, status) -> { });
+        AtomicInteger events = new AtomicInteger();
+        DataStreamChannel channel = (DataStreamChannel) Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {DataStreamChannel.class}, (proxy, method, args) -> {
+                    if (!method.getName().equals("write")) {
+                        return null;
+                    }
+                    ByteBuffer bytes = (ByteBuffer) args[0];
+                    int count = bytes.remaining();
+                    bytes.position(bytes.limit());
+                    if (events.incrementAndGet() < MOST_EVENTS) {
+                        exchange.write(new byte[EVENT], null);
+                    }
+                    return count;
+                });
+        exchange.write(new byte[EVENT], null);
+        exchange.produce(channel);
+        assertTrue(events.get() < MOST_EVENTS, "a turn wrote " + events + " events");
+        assertTrue(exchange.available() > 0, "the rest is for the next turn");
+    }
+}
