A stream's first event goes ahead of the requests that wait for the module

Cause, read and forced: the first event takes a turn of ModuleActor on its way (FirstEvent, Proceed) and stood behind all requests that had arrived. Their order among the words on one attempt stays: its end is told after Proceed only.

FirstEventTest: 1000 requests and behind them a first event, before any turn of an actor. Without the mend none of the 1000 is waiting any more as the module has the event; with it more than half are.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -361,7 +361,8 @@
             work.held.add(raw);
         } else if (work.word == Word.STREAM) {
             work.offered = true;
-            setup.module().tell(new ModuleActor.FirstEvent(work.send().request(), work.send().number(), id, raw,
+            // behind a crowd's requests it would reach its client late
+            setup.module().tellFirst(new ModuleActor.FirstEvent(work.send().request(), work.send().number(), id, raw,
                     since(work), granting(work, raw), this));
         }
     }
