Heads are read and written as UTF-8: classes may have any name

Cause: HttpCore without a charset takes each byte of a head for a character and writes ? for bytes 80 to 9f, while the settings are UTF-8. A class whose name has letters beyond ASCII matched none, and each of its requests got 400. Change: one CharCodingConfig for both sides; what is no UTF-8 becomes a replacement character, and names no class.

--- a/src/main/java/copperbeam/transport/BoundedParser.java
+++ b/src/main/java/copperbeam/transport/BoundedParser.java
@@ -1,6 +1,8 @@
 package copperbeam.transport;
 
 import java.io.IOException;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
@@ -10,6 +12,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
+import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
@@ -21,6 +24,10 @@
  */
 final class BoundedParser<T extends HttpMessage> implements NHttpMessageParser<T> {
     static final int MOST_HEAD = 16 * 1024;
+    /** Of all heads, read and written: as the settings' names. Else HttpCore takes each byte for a character. */
+    static final CharCodingConfig CODING = CharCodingConfig.custom().setCharset(StandardCharsets.UTF_8)
+            .setMalformedInputAction(CodingErrorAction.REPLACE).setUnmappableInputAction(CodingErrorAction.REPLACE)
+            .build();
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private final NHttpMessageParser<T> parser;
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -12,7 +12,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
@@ -80,7 +79,7 @@
         private SessionOutputBuffer output;
 
         Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser) {
-            super(session, PROCESSOR, CONFIG, CharCodingConfig.DEFAULT, null, parser,
+            super(session, PROCESSOR, CONFIG, BoundedParser.CODING, null, parser,
                     DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null);
         }
 
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -17,7 +17,6 @@
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.HttpProcessors;
@@ -153,7 +152,7 @@
     private static final class Duplexer extends ServerHttp1StreamDuplexer {
         Duplexer(ProtocolIOSession session, BoundedParser<HttpRequest> parser,
                 HandlerFactory<AsyncServerExchangeHandler> exchanges) {
-            super(session, PROCESSOR, exchanges, "http", CONFIG, CharCodingConfig.DEFAULT, null, parser,
+            super(session, PROCESSOR, exchanges, "http", CONFIG, BoundedParser.CODING, null, parser,
                     DefaultHttpResponseWriterFactory.INSTANCE.create(), null, null, null, null);
         }
 
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/ClassNamesTest.java
@@ -0,0 +1,35 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
+
+import copperbeam.Api;
+import copperbeam.program.Config;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A class may have any name that the settings can hold; on the wire it is UTF-8, as the settings are. */
+public class ClassNamesTest {
+    @DataProvider
+    public Object[][] names() {
+        return new Object[][] {{"n"}, {"two words"}, {"long-".repeat(200)}, {"a.b_c--d~0"}, {"größer"}, {"ĝis-antaŭe"},
+            {"問い合わせ"}, {"приём"}, {"e\u0301te\u0301"}, {"\uD83D\uDC1F"}};
+    }
+
+    @Test(dataProvider = "names")
+    public void aRequestOfTheClassIsServedAndItsNameGoesOnUnchanged(String name) throws Exception {
+        Api.Settings settings = Site.parsed(String.format(Site.SETTINGS, 30.0).replace("\"ask\"", '"' + name + '"'));
+        try (Site site = new Site(1, 1, 30, null, List.of(), Config.Limits.USUAL, settings, Duration.ofMillis(250));
+                Line client = site.client()) {
+            assertEquals(client.send(request(name, 5000)).read().status(), 200);
+            for (StandIn server : List.of(site.readers.get(0), site.writers.get(0))) {
+                String seen = server.seen.get(0).header("X-Priority-Class"); // a character a byte
+                assertEquals(new String(seen.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8), name);
+            }
+            assertEquals(client.send(request(name + "?", 5000)).read().status(), 400, "no such class");
+        }
+    }
+}
