--- /dev/null
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -0,0 +1,452 @@
+package copperbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import copperbeam.Api;
+import copperbeam.Api.Role;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Delayed;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * What is held is let go in time, in whatever order servers fail and clients leave: the actors and the module between
+ * servers that this test plays, on its clock. Each case is one request in one world.
+ */
+public class HeldStateTest {
+    /** What a server does. Of those that hear a release, any one lets go of all that is held for its request. */
+    private enum Nature {
+        WELL(true), FULL(true),
+        /** After the last byte, without a word. */
+        RESETS(true),
+        /** Its read ends well as the connection breaks. */
+        RESETS_AS_READ(true),
+        REFUSES(false), VANISHED(false), HANGS(false),
+        /** Its connections break before the last byte has left. */
+        BREAKS(false),
+        /** Cut off as soon as a connection is up: nothing arrives. */
+        DIES(false),
+        /** Cut off once it has the request, of which it knows nothing: the read ends well, soon or late. */
+        READS_CUT_OFF(false), READS_LATE_CUT_OFF(false);
+
+        final boolean hears;
+
+        Nature(boolean hears) {
+            this.hears = hears;
+        }
+    }
+
+    private static final Logger MODULE = Logger.getLogger(ModuleActor.class.getName());
+
+    private enum End { NONE, LEFT, STOP }
+
+    private static final Duration HEAR = Duration.ofMillis(1); // on the way, each way
+    private static final Duration READ = Duration.ofMillis(50);
+    private static final Duration LATE_READ = Duration.ofMillis(2600);
+    private static final Duration SLACK = Duration.ofMillis(350);
+    private static final Duration HORIZON = Duration.ofSeconds(8);
+    private static final int MOST_CONNECTS = 500;
+    private static final String ID = "id";
+
+    private static final class Due extends FutureTask<Void> implements ScheduledFuture<Void> {
+        final Duration at;
+        final long order;
+
+        Due(Duration at, long order, Runnable task) {
+            super(task, null);
+            this.at = at;
+            this.order = order;
+        }
+
+        @Override
+        public long getDelay(TimeUnit unit) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public int compareTo(Delayed other) {
+            Due o = (Due) other;
+            return at.equals(o.at) ? Long.compare(order, o.order) : at.compareTo(o.at);
+        }
+    }
+
+    /** Time, servers and what is held at them. */
+    private static final class World extends Clock implements Connector {
+        final PriorityQueue<Due> dues = new PriorityQueue<>();
+        final Nature[] natures;
+        final int readers;
+        final Duration within;
+        final Set<Integer> cutOff = new HashSet<>();
+        boolean ended;                   // the process
+        final ScheduledExecutorService turns = (ScheduledExecutorService) Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {ScheduledExecutorService.class}, (proxy, method, args) -> later(
+                        Duration.ofNanos(method.getName().equals("schedule") ? (Long) args[1] : 0), () -> {
+                            if (!ended) {
+                                ((Runnable) args[0]).run();
+                            }
+                        }));
+        Duration now = Duration.ZERO;
+        long order;
+        Duration heldSince;              // null: nothing is held
+        Duration lastEnd = Duration.ZERO; // of an attempt that had a connection
+        int out;                         // attempts on open connections
+        int connects;
+        String broken;
+
+        World(Nature[] natures, int readers, double releaseS) {
+            this.natures = natures;
+            this.readers = readers;
+            within = ModuleTime.span(releaseS).plus(SLACK);
+        }
+
+        Due later(Duration after, Runnable task) {
+            Due due = new Due(now.plus(after), order++, task);
+            dues.add(due);
+            return due;
+        }
+
+        void play() throws Exception {
+            while (!dues.isEmpty() && dues.peek().at.compareTo(HORIZON) < 0) {
+                Due due = dues.poll();
+                now = due.at;
+                check();
+                if (!due.isCancelled()) {
+                    due.run();
+                    due.get();
+                }
+            }
+            now = HORIZON;
+            check();
+        }
+
+        void check() {
+            if (heldSince != null && out == 0 && broken == null) {
+                Duration since = heldSince.compareTo(lastEnd) > 0 ? heldSince : lastEnd;
+                if (now.minus(since).compareTo(within) > 0) {
+                    broken = "held since " + heldSince + ", last end " + lastEnd + (ended ? ", the process has ended" : "");
+                }
+            }
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.EPOCH.plus(now);
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public void connect(InetSocketAddress to, Duration timeout, Watcher watcher) {
+            int server = to.getPort();
+            if (++connects > MOST_CONNECTS) {
+                broken = "a storm of connections";
+            }
+            if (natures[server] == Nature.REFUSES) {
+                later(HEAR, watcher::failed);
+            } else if (natures[server] != Nature.VANISHED && !cutOff.contains(server)) {
+                later(HEAR, () -> watcher.up(new Link(server)));
+            }
+        }
+
+        private final class Link implements Connection {
+            final int server;
+            final Nature nature;
+            boolean open = true;
+            boolean attempt;             // one is out here
+            Runnable goes;
+
+            Link(int server) {
+                this.server = server;
+                nature = natures[server];
+            }
+
+            @Override
+            public void call(Call call, Listener listener) {
+                if (nature == Nature.BREAKS) {
+                    later(HEAR, () -> breaks(listener, false));
+                } else if (call instanceof AttemptCall a) {
+                    goes = () -> {
+                        attempt = true; // out on an open connection, whether or not anything arrives
+                        out++;
+                        later(HEAR, () -> arrived(listener));
+                    };
+                    if (a.hold()) {
+                        listener.held();
+                    } else {
+                        let();
+                    }
+                } else {
+                    later(HEAR, () -> heard(call, listener));
+                }
+            }
+
+            void heard(Call call, Listener listener) {
+                if (cutOff.contains(server) || nature == Nature.HANGS || nature == Nature.DIES) {
+                    return;
+                }
+                if (call instanceof ReleaseCall) {
+                    heldSince = null;
+                }
+                answer(Word.HEARD, listener);
+            }
+
+            void arrived(Listener listener) {
+                if (!open || cutOff.contains(server)) {
+                    return;
+                }
+                switch (nature) {
+                    case WELL -> {
+                        if (server < readers) {
+                            after(READ, () -> {
+                                hold();
+                                answer(Word.READ, listener);
+                            });
+                        } else if (heldSince == null) {
+                            answer(Word.STATE_MISSING, listener);
+                        } else {
+                            heldSince = null;
+                            listener.word(Word.STREAM, null);
+                            listener.event(new byte[1]);
+                            answer(Word.STREAM, listener);
+                        }
+                    }
+                    case FULL -> answer(Word.TURNED_AWAY, listener);
+                    case RESETS -> after(HEAR, () -> breaks(listener, true));
+                    case RESETS_AS_READ -> after(READ, () -> {
+                        hold();
+                        breaks(listener, true);
+                    });
+                    case READS_CUT_OFF, READS_LATE_CUT_OFF -> {
+                        cutOff.add(server);
+                        later(nature == Nature.READS_CUT_OFF ? READ : LATE_READ, this::hold);
+                    }
+                    default -> { }
+                }
+            }
+
+            void hold() {
+                heldSince = heldSince == null ? now : heldSince;
+            }
+
+            /** Unless the attempt is given up before. */
+            void after(Duration span, Runnable task) {
+                later(span, () -> {
+                    if (attempt) {
+                        task.run();
+                    }
+                });
+            }
+
+            void answer(Word word, Listener listener) {
+                listener.word(word, null);
+                settle();
+                later(HEAR, () -> listener.end(true, 0));
+            }
+
+            void breaks(Listener listener, boolean written) {
+                settle();
+                open = false;
+                listener.broken(written);
+            }
+
+            void settle() {
+                if (attempt) {
+                    attempt = false;
+                    out--;
+                    lastEnd = now;
+                }
+            }
+
+            @Override
+            public boolean isOpen() {
+                return open;
+            }
+
+            @Override
+            public void let() {
+                goes.run();
+            }
+
+            @Override
+            public void grant(int bytes) {}
+
+            @Override
+            public boolean heldBack() {
+                return false;
+            }
+
+            @Override
+            public void close() {
+                open = false;
+                settle();
+            }
+
+            @Override
+            public void abort() {
+                close();
+            }
+        }
+    }
+
+    private static String play(double releaseS, Api.Effect effect, End end, Duration endAt, int readers, Nature... natures)
+            throws Exception {
+        World world = new World(natures, readers, releaseS);
+        boolean[] gone = {false};
+        Answer answer = (Answer) Proxy.newProxyInstance(HeldStateTest.class.getClassLoader(), new Class<?>[] {Answer.class},
+                (proxy, method, args) -> switch (method.getName()) {
+                    case "gone" -> gone[0];
+                    case "event" -> {
+                        ((Runnable) args[1]).run();
+                        yield true;
+                    }
+                    case "hashCode" -> 1;
+                    case "equals" -> proxy == args[0];
+                    default -> null;
+                });
+        Figures figures = new Figures(List.of("c"));
+        Api.Settings settings = new Api.Settings(1, 0, List.of(new Api.RequestClass("c", 1.5, 0, 3, effect, Api.Group.ALL, 9)),
+                List.of(), List.of(new Api.Kind("r", Role.READER, 1e6), new Api.Kind("w", Role.WRITER, 1e6)),
+                new Api.Limits(4, true, true, 1), new Api.Rules(0, 0, 3, 2, releaseS, 0), Api.Reports.WITH_PROBES, false, 0,
+                false, true);
+        ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
+        ModuleActor module = new ModuleActor(world.turns, world, settings, 7, releases, Recorder.NONE, figures);
+        PeerActor.Setup setup = setup(world, module, releases, figures);
+        Map<String, PeerActor> peers = new HashMap<>();
+        List<Api.Member> members = new ArrayList<>();
+        for (int i = 0; i < natures.length; i++) {
+            String id = "s" + i;
+            peers.put(id, new PeerActor(world.turns, id, new InetSocketAddress("127.0.0.1", i), setup));
+            members.add(new Api.Member(id, "z", i < readers ? "r" : "w", 0, Api.ServerState.READY, 1, 0));
+        }
+        module.tell(new ModuleActor.Listed(Api.ListKind.FULL, members, peers, null));
+        releases.tell(new ReleaseActor.Listed(peers));
+        module.arrive(new Ask(ID, "c", "k", null, 100, 0, 10, Instant.EPOCH.plusSeconds(4), false, null), answer);
+        if (end == End.LEFT) {
+            world.later(endAt, () -> {
+                gone[0] = true;
+                module.left(answer);
+            });
+        } else if (end == End.STOP) {
+            world.later(endAt, () -> {
+                module.tell(new ModuleActor.HandOver());
+                module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(
+                        () -> world.ended = true))));
+            });
+        }
+        world.play();
+        return world.broken;
+    }
+
+    private static final Nature[] READERS = {Nature.WELL, Nature.RESETS_AS_READ, Nature.READS_CUT_OFF,
+        Nature.READS_LATE_CUT_OFF, Nature.VANISHED, Nature.HANGS};
+    private static final Nature[] OTHER_READERS = {Nature.WELL, Nature.VANISHED, Nature.HANGS};
+    private static final Nature[] WRITERS = {Nature.WELL, Nature.FULL, Nature.RESETS, Nature.REFUSES, Nature.VANISHED,
+        Nature.HANGS, Nature.BREAKS, Nature.DIES};
+    private static final int[] ENDS_MS = {3, 54, 69, 300, 900, 2500};
+
+    @BeforeClass
+    public void quiet() {
+        MODULE.setLevel(Level.WARNING); // thousands of worlds, each with servers that rest
+    }
+
+    @AfterClass
+    public void aloud() {
+        MODULE.setLevel(null);
+    }
+
+    @DataProvider
+    public Object[][] settings() {
+        return new Object[][] {{1.0, Api.Effect.SAFE, 0}, {0.5, Api.Effect.UNSAFE, 0}, {0.5, Api.Effect.SAFE, 6}};
+    }
+
+    /**
+     * Pairs of readers with each three writers, beside others that have vanished, and some times at which the client leaves
+     * or the process is to end.
+     */
+    @Test(dataProvider = "settings")
+    public void whatIsHeldIsLetGoInTime(double releaseS, Api.Effect effect, int vanished) throws Exception {
+        List<String> faults = new ArrayList<>();
+        Map<Nature, Integer> with = new TreeMap<>();
+        int cases = 0;
+        Nature[][] choices = {READERS, OTHER_READERS, WRITERS, WRITERS, WRITERS};
+        int all = Stream.of(choices).mapToInt(c -> c.length).reduce(1, (a, b) -> a * b);
+        for (int i = 0; i < all; i++) {
+            int n = i;
+            Nature[] natures = new Nature[choices.length + vanished];
+            Arrays.fill(natures, Nature.VANISHED);
+            for (int at = 0; at < choices.length; at++) {
+                natures[at] = choices[at][n % choices[at].length];
+                n /= choices[at].length;
+            }
+            boolean ordered = natures[2].compareTo(natures[3]) <= 0 && natures[3].compareTo(natures[4]) <= 0;
+            if (!ordered || Stream.of(natures).noneMatch(x -> x.hears)) {
+                continue;
+            }
+            for (int e = 0; e <= 2 * ENDS_MS.length; e++) {
+                End end = e == 0 ? End.NONE : e % 2 == 0 ? End.LEFT : End.STOP;
+                Duration endAt = Duration.ofMillis(e == 0 ? 0 : ENDS_MS[(e - 1) / 2]);
+                String fault = play(releaseS, effect, end, endAt, 2, natures);
+                cases++;
+                if (fault != null) {
+                    faults.add(List.of(natures) + " " + end + " " + endAt + ": " + fault);
+                    Stream.of(natures).distinct().forEach(x -> with.merge(x, 1, Integer::sum));
+                }
+            }
+        }
+        assertEquals(faults.size(), 0, "of " + cases + ", with " + with + ", as "
+                + String.join("\n", faults.subList(0, Math.min(30, faults.size()))) + "\n");
+    }
+
+    /** As where a bad list has been told: who must let go is asked once it is listed. */
+    @Test
+    public void aReleaseOutlastsAnEmptyList() throws Exception {
+        World world = new World(new Nature[] {Nature.WELL}, 0, 1);
+        world.heldSince = Duration.ZERO;
+        ReleaseActor releases = new ReleaseActor(world.turns, world, Duration.ofSeconds(2));
+        PeerActor peer = new PeerActor(world.turns, "s", new InetSocketAddress("127.0.0.1", 0),
+                setup(world, null, releases, null));
+        releases.tell(new ReleaseActor.Release(ID, "s", null));
+        world.later(Duration.ofSeconds(1), () -> releases.tell(new ReleaseActor.Listed(Map.of("s", peer))));
+        world.play();
+        assertNull(world.broken);
+    }
+
+    private static PeerActor.Setup setup(World world, ModuleActor module, ReleaseActor releases, Figures figures) {
+        Duration connect = Duration.ofMillis(250);
+        return new PeerActor.Setup(world, world, connect, Duration.ofSeconds(15), connect, module, releases, Recorder.NONE,
+                figures);
+    }
+}
