A cut asks the peer first: a stream whose end is here is passed on whole

Cause, found by reading: at the cut of a stop the module broke the answer at once and stopped its peer after that. The stream's last event and end, or its end alone, could be in the peer's mailbox by then: its server had finished it, and its client got no last chunk. An event could follow on `broken`, too, which Answer forbids.

Now the peer has the last word: Stop goes into its mailbox behind what was read, and the answer ends by the outcome that it tells, as in every other case. The recorder says `cut here` at the same place as before.

CutTest forces six orders of event, end, break and cut. Open: what lies unread in the system's buffer as the peer closes.

--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -279,7 +279,7 @@
                 note(Recorder.What.SERVED, r, null, null, null);
                 r.answer.end();
             } else {
-                note(Recorder.What.BROKEN, r, null, null, null);
+                note(Recorder.What.BROKEN, r, null, e.outcome() == Outcome.CANCELLED ? "cut here" : null, null);
                 r.answer.broken();
             }
         }
@@ -381,11 +381,9 @@
         }
     }
 
+    /** The peer has the last word: a stream whose end it has by then is passed on whole. */
     private void transfer(Request r) {
         if (r != null && r.phase == Phase.STREAMING) {
-            note(Recorder.What.BROKEN, r, null, "cut here", null);
-            over(r, Figures.End.ERRORED);
-            r.answer.broken();
             r.at.tell(new PeerActor.Stop(r.key, r.attempts - 1));
         }
     }
--- /dev/null
+++ b/src/test/java/copperbeam/routing/CutTest.java
@@ -0,0 +1,91 @@
+package copperbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import copperbeam.Api;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A stream that its server ends in the very moment in which a stop cuts it. */
+public class CutTest {
+    /** Words: what comes from the server and the cut, in their order; all are there before anybody has had a turn. */
+    @DataProvider
+    public Object[][] orders() {
+        return new Object[][] {
+            {"end cut", "begin 1 end"},
+            {"cut end", "begin 1 end"},
+            {"cut event end", "begin 1 2 end"},
+            {"event cut", "begin 1 2 broken"},
+            {"cut break", "begin 1 broken"},
+            {"cut", "begin 1 broken"},
+        };
+    }
+
+    @Test(dataProvider = "orders")
+    public void whatHasEndedIsPassedOnWhole(String order, String told) throws Exception {
+        ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1);
+        try {
+            StringBuilder heard = new StringBuilder();
+            Answer answer = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
+                    (proxy, method, args) -> switch (method.getName()) {
+                        case "gone" -> false;
+                        case "event" -> heard.append(new String((byte[]) args[0], StandardCharsets.US_ASCII)).append(' ') != null;
+                        default -> heard.append(method.getName()).append(' ').isEmpty() ? null : null;
+                    });
+            Connector.Listener[] listener = new Connector.Listener[1];
+            Connector.Connection connection = (Connector.Connection) Proxy.newProxyInstance(getClass().getClassLoader(),
+                    new Class<?>[] {Connector.Connection.class}, (proxy, method, args) -> {
+                        listener[0] = method.getName().equals("call") ? (Connector.Listener) args[1] : listener[0];
+                        return method.getReturnType() == boolean.class ? method.getName().equals("isOpen") : null;
+                    });
+            Duration minute = Duration.ofMinutes(1);
+            Clock clock = Clock.systemUTC();
+            Figures figures = new Figures(List.of("c"));
+            ReleaseActor releases = new ReleaseActor(turns, clock, minute);
+            Api.Settings settings = new Api.Settings(1, 0, List.of(new Api.RequestClass("c", 1, 0, 1, Api.Effect.SAFE,
+                    Api.Group.ALL, 0)), List.of(), List.of(), new Api.Limits(4, true, false, 1), new Api.Rules(1, 0, 1, 1, 1, 1),
+                    Api.Reports.NEVER, false, 0, true, true);
+            ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, figures);
+            PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
+                    (to, timeout, watcher) -> watcher.up(connection), minute, minute, minute, module, releases, Recorder.NONE,
+                    figures));
+            module.tell(new ModuleActor.Listed(Api.ListKind.FULL, List.of(new Api.Member("s", "z", "k", 0,
+                    Api.ServerState.READY, 1, 0)), Map.of("s", peer), null));
+            module.arrive(new Ask("id", "c", "k", null, 1, 0, 1, clock.instant().plus(minute), false, null), answer);
+            settle(turns);
+            listener[0].word(Connector.Word.STREAM, null);
+            listener[0].event("1".getBytes(StandardCharsets.US_ASCII));
+            settle(turns);
+            assertEquals(heard.toString(), "begin 1 ");
+            turns.submit(() -> {
+                for (String step : order.split(" ")) {
+                    switch (step) {
+                        case "cut" -> module.tell(new ModuleActor.Cut());
+                        case "event" -> listener[0].event("2".getBytes(StandardCharsets.US_ASCII));
+                        case "end" -> listener[0].end(true, Double.NaN);
+                        default -> listener[0].broken(true);
+                    }
+                }
+            }).get();
+            settle(turns);
+            assertEquals(heard.toString().strip(), told);
+        } finally {
+            turns.shutdownNow();
+        }
+    }
+
+    /** Each turn of an actor may ask for one of another. */
+    private static void settle(ScheduledThreadPoolExecutor turns) throws Exception {
+        for (int i = 0; i < 20; i++) {
+            turns.submit(() -> { }).get();
+        }
+    }
+}
