Each reactor counts its own way in, and a front that listens again says so each time

Two faults, found by reading.

A connection that could not be handed to a reactor stayed counted as on its way in: 16 of them, as while no descriptor is left to begin another reactor with, and none was taken any more, nor could a stop end before its last bound. The count is the reactor's now and ends with it, a failed entry is taken back, and none is taken while there is no reactor. Not forced by a test: it needs a reactor's end within microseconds.

Of two fronts whose addresses are wanted back, the first that listened again said no when asked anew for the other's sake: the other was never asked again. EndTest's new row fails without the mend ("expected [true] but found [false]") and passes with it.

--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -73,6 +73,11 @@
         selector.wakeup();
     }
 
+    /** Whether the address is to be given up. */
+    boolean closing() {
+        return closing;
+    }
+
     /** Whether the address is given up. */
     boolean ended() {
         return ended;
@@ -149,10 +154,12 @@
 
         private Entrance() {}
 
-        static void enter(DefaultListeningIOReactor reactor, SocketChannel channel) {
+        /** False where the reactor takes none any more; the connection is closed then. */
+        static boolean enter(DefaultListeningIOReactor reactor, SocketChannel channel) {
             try {
                 channel.configureBlocking(false);
                 ENQUEUE.invoke(reactor, ENTRY.newInstance(channel, null));
+                return true;
             } catch (ReflectiveOperationException | IOException e) {
                 LOG.warning("a connection could not be handed on: " + e);
                 try {
@@ -160,6 +167,7 @@
                 } catch (IOException closed) {
                     LOG.finest("it was closed");
                 }
+                return false;
             }
         }
     }
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -34,6 +34,7 @@
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
@@ -62,15 +63,17 @@
     private final Front front;
     private final TurnedAway turnedAway;
     private final Clock clock;
-    private final AtomicInteger handedOn = new AtomicInteger();
     private final AtomicBoolean closing = new AtomicBoolean();
-    private volatile DefaultListeningIOReactor reactor;
+    private volatile Inlet inlet;
     private volatile boolean draining;
     private volatile boolean leading;
     private volatile boolean sealed;
     private final AtomicInteger reading = new AtomicInteger(); // reactors at a client's bytes, or about to look whether they may
     private volatile Acceptor acceptor; // null until it listens
 
+    /** A reactor, and how many connections are on their way to it: they end with it. */
+    private record Inlet(DefaultListeningIOReactor reactor, AtomicInteger handedOn) {}
+
     /** Told of requests that are answered here, before a front sees them; the class is as its header says, or null. */
     public interface TurnedAway {
         void told(String requestClass, int status);
@@ -81,18 +84,19 @@
         this.turnedAway = turnedAway;
         this.clock = clock;
         this.room = room;
-        reactor = reactor();
+        inlet = inlet();
     }
 
-    private DefaultListeningIOReactor reactor() {
+    private Inlet inlet() {
         IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
                 .setSoTimeout(Timeout.of(TICK)).setSelectInterval(TimeValue.of(TICK)).build();
         AtomicBoolean ended = new AtomicBoolean();
-        DefaultListeningIOReactor next = new DefaultListeningIOReactor((session, attachment) -> handler(session),
+        AtomicInteger handedOn = new AtomicInteger();
+        DefaultListeningIOReactor next = new DefaultListeningIOReactor((session, attachment) -> handler(session, handedOn),
                 config, task -> thread(task, "from-clients", ended), task -> thread(task, "unused", ended), null,
                 Problems::report, null, null);
         next.start();
-        return next;
+        return new Inlet(next, handedOn);
     }
 
     /** The first of a reactor's threads to end before its time has another reactor take its place. */
@@ -108,11 +112,10 @@
     /** Guards against a reactor that ends where no descriptor is left for a moment: nobody would be served again. */
     private void takeOver() {
         LOG.warning("a reactor has ended and another takes its place");
-        reactor.initiateShutdown(); // its connections live on until they close
-        handedOn.set(0);
+        inlet.reactor().initiateShutdown(); // its connections live on until they close
         while (!closing.get()) {
             try {
-                reactor = reactor();
+                inlet = inlet();
                 return;
             } catch (IllegalStateException e) {
                 LOG.fine(() -> "no descriptor is left to begin with: " + e.getMessage());
@@ -126,18 +129,26 @@
         }
     }
 
-    /** Guards against more connections between acceptor and reactor, or in the room, than there are descriptors. */
+    /**
+     * Guards against more connections between acceptor and reactor, or in the room, than there are descriptors; and against
+     * one taken while there is no reactor to serve it.
+     */
     private boolean takes() {
-        int coming = handedOn.get();
-        return coming < MOST_HANDED_ON && room.takes(coming, clock.instant());
+        Inlet now = inlet;
+        int coming = now.handedOn().get();
+        return now.reactor().getStatus() == IOReactorStatus.ACTIVE && coming < MOST_HANDED_ON
+                && room.takes(coming, clock.instant());
     }
 
     private void take(SocketChannel channel) {
-        handedOn.incrementAndGet();
-        Acceptor.Entrance.enter(reactor, channel);
+        Inlet now = inlet;
+        now.handedOn().incrementAndGet();
+        if (!Acceptor.Entrance.enter(now.reactor(), channel)) {
+            now.handedOn().decrementAndGet(); // else 16 of them would keep all others out for good
+        }
     }
 
-    private IOEventHandler handler(ProtocolIOSession session) {
+    private IOEventHandler handler(ProtocolIOSession session, AtomicInteger handedOn) {
         ClientRoom.Client client = room.enter(session, clock.instant());
         handedOn.decrementAndGet(); // after it is in the room: a stop must never see it in neither
         BoundedParser<HttpRequest> parser = new BoundedParser<>(new DefaultHttpRequestParserFactory(CONFIG).create(),
@@ -374,11 +385,13 @@
         }
     }
 
-    /** At the address given up before; false where that can't be had now. */
+    /** At the address given up before, unless it was not; false where that can't be had now. */
     public boolean listenAgain() {
         Acceptor old = acceptor;
-        if (old == null || !old.ended()) {
-            return old == null;
+        if (old == null || !old.closing()) {
+            return true;
+        } else if (!old.ended()) {
+            return false;
         }
         try {
             listen(old.address(), true);
@@ -391,7 +404,7 @@
 
     /** Whether connections that the kernel has taken may still be on their way in here. */
     public boolean entering() {
-        return acceptor != null && !acceptor.ended() || handedOn.get() > 0;
+        return acceptor != null && !acceptor.ended() || inlet.handedOn().get() > 0;
     }
 
     public boolean connected() {
@@ -421,6 +434,6 @@
     public void close() {
         closing.set(true);
         stopListening();
-        reactor.close(CloseMode.GRACEFUL);
+        inlet.reactor().close(CloseMode.GRACEFUL);
     }
 }
--- a/src/test/java/copperbeam/sockets/EndTest.java
+++ b/src/test/java/copperbeam/sockets/EndTest.java
@@ -40,6 +40,18 @@
         }
     }
 
+    /** Guards against a front that stays away for good: asked again as the other front could not listen yet, it said no. */
+    @Test
+    public void aFrontThatListensAgainSaysSoEachTime() throws Exception {
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> () -> { }, Clock.systemUTC(),
+                new ClientRoom(10, 1 << 20), (requestClass, status) -> { })) {
+            server.listen(new InetSocketAddress("127.0.0.1", 0), true);
+            server.stopListening();
+            await("again", server::listenAgain);
+            assertTrue(server.listenAgain());
+        }
+    }
+
     /** Guards against a request on a connection that comes as the end is decided: unread, it is sent once more. */
     @Test
     public void nothingIsReadUnderASeal() throws Exception {
