A stop gives the address up, serves what it gave, and ends when nothing can come any more

Three orders by which the end of a stop lost something, found by reading and forced: - a connection in the system's queue, or between the accepting thread and the reactor, as the end was decided: the listener was open till then and what it still held was not looked at, so that the process reset it unread; - a connection on its way from the reactor's inlet into the room between the two looks was seen in neither, as the later place was looked at first; - the word that no request is open and nothing is left to let go was up to 20 ms old: a request that came and lost its client in that time left its release undone.

One owner now: Lifecycle has a step CLOSE before ANSWER, in which the address is given up and what it gave is served; END comes only where the address was given up before it was asked for, and no connection is in the inlet or the room, looked at in the order of their way. After that nothing new can come, and the module and the releases are asked once whether all is done. The word that was asked for anew at each tick goes, and so does Lifecycle.succeeded(), which nobody called.

Tests changed: LifecycleTest's rows had END in the same look in which nothing was open and the listener stood open, which is the fault. They have CLOSE (or ANSWER) there and END in the next look, and the random test also asks that no END comes while it listens. New DutyActorTest holds the accepting thread, or the reactor's, by its clock.

--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -21,6 +21,8 @@
         SERVE,
         /** The same, and connections without a request are closed. */
         LEAD_AWAY,
+        /** Nothing is open and nobody should come: no new connection is taken, but what the system has taken is served. */
+        CLOSE,
         /** What is open and what still comes gets its final answer; no new connection is taken. */
         ANSWER,
         /** Streams end where they are, if their clients can ask for the rest elsewhere. */
@@ -85,11 +87,6 @@
         succeeded = by;
     }
 
-    /** Whether a new process takes what comes here. */
-    public boolean succeeded() {
-        return succeeded;
-    }
-
     public boolean stopping() {
         return stopped != null;
     }
@@ -101,20 +98,22 @@
 
     /** Whether new connections are taken here. */
     public boolean listens() {
-        return step.compareTo(Step.ANSWER) < 0 && !succeeded;
+        return step.compareTo(Step.CLOSE) < 0 && !succeeded;
     }
 
     /**
-     * The step that holds now.
+     * The step that holds now. The last one comes only where the address was given up before it was asked for: what clients
+     * have sent to a listener that ends with its process is lost.
      *
-     * @param open requests are open, streams included, or something is left to let go
+     * @param open clients are connected, or may be on their way in from an address that is given up
      * @param othersAway other conductors have cut streams lately
      */
     public Step at(Duration now, boolean open, boolean othersAway) {
         if (stopped != null) {
+            boolean closed = !listens();
             Step due = stop(now.minus(stopped), noticed(now), open, othersAway || succeeded);
             step = due.compareTo(step) > 0 ? due : step;
-            if (step.compareTo(Step.ANSWER) >= 0 && !open) {
+            if (closed && !open) {
                 step = Step.END;
             }
         } else if (drained != null || succeeded) {
@@ -133,6 +132,6 @@
         Duration cut = allowed.minus(late ? LATE : EARLY);
         return since.compareTo(cut) >= 0 && streamsResume ? Step.CUT
                 : since.compareTo(cut.minus(ANSWERS)) >= 0 ? Step.ANSWER
-                : !noticed ? Step.SERVE : open ? Step.LEAD_AWAY : Step.END;
+                : !noticed ? Step.SERVE : open ? Step.LEAD_AWAY : Step.CLOSE;
     }
 }
--- a/src/main/java/copperbeam/program/DutyActor.java
+++ b/src/main/java/copperbeam/program/DutyActor.java
@@ -17,7 +17,7 @@
 
 /** Owns the conductor's {@link Lifecycle} and carries its steps out: drains by hand and the stop. */
 final class DutyActor extends Actor<DutyActor.Message> implements Handover.Hands {
-    sealed interface Message permits Drain, Stop, Succeeded, Quiet, Tick {}
+    sealed interface Message permits Drain, Stop, Succeeded, Tick {}
 
     private record Drain(boolean drained, Consumer<Boolean> done) implements Message {}
 
@@ -25,9 +25,6 @@
 
     private record Succeeded(boolean by) implements Message {}
 
-    /** No request was open at some moment since this was asked for, and nothing was left to let go. */
-    private record Quiet() implements Message {}
-
     private record Tick() implements Message {}
 
     private static final Duration TICK = Duration.ofMillis(20);
@@ -46,8 +43,6 @@
     private Instant stopAt;
     private boolean listening = true;
     private boolean ticking;
-    private boolean asked;           // for quiet
-    private boolean quiet;
     private volatile boolean healthy = true;
     private volatile boolean stopping;
 
@@ -109,8 +104,6 @@
         } else if (m instanceof Succeeded e) {
             lifecycle.succeeded(e.by());
             carryOut();
-        } else if (m instanceof Quiet) {
-            quiet = true;
         } else if (m instanceof Tick) {
             ticking = false;
             carryOut();
@@ -121,10 +114,9 @@
         if (ended.isDone()) {
             return;
         }
-        // a request may come as the last one ends, so that quiet is asked for anew while anything is open
         // each connection that is left is told so by its close: one that has just been answered may have the next request
         // on its way, and it would be lost with the process
-        boolean open = !quiet || fronts.stream().anyMatch(f -> f.connected() || !lifecycle.listens() && f.entering());
+        boolean open = fronts.stream().anyMatch(f -> !lifecycle.listens() && f.listening() || f.connected());
         if (!open && lifecycle.stopping()) {
             open = !fronts.stream().allMatch(HttpFrontServer::seal);
         }
@@ -145,12 +137,16 @@
                 }
             }
         }
-        step = next;
-        if (step == Step.END) {
+        if (late) {
             ended.complete(null);
-            return;
+        } else if (next == Step.END && step != Step.END) {
+            // nothing can come any more, so that what is open without a client now, a release say, is the last of it
+            module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(() -> ended.complete(null)))));
+        }
+        step = next;
+        if (step != Step.END) {
+            fronts.forEach(HttpFrontServer::unseal);
         }
-        fronts.forEach(HttpFrontServer::unseal);
         if (step != Step.WORK || !listening) {
             watch();
         }
@@ -166,11 +162,6 @@
     }
 
     private void watch() {
-        if (lifecycle.stopping() && (quiet || !asked)) {
-            asked = true;
-            quiet = false;
-            module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(() -> tell(new Quiet())))));
-        }
         if (!ticking) {
             ticking = true;
             tellLater(TICK, new Tick());
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -402,13 +402,14 @@
         }
     }
 
-    /** Whether connections that the kernel has taken may still be on their way in here. */
-    public boolean entering() {
-        return acceptor != null && !acceptor.ended() || inlet.handedOn().get() > 0;
+    /** Whether connections may still come in from the address, given up or not. */
+    public boolean listening() {
+        return acceptor != null && !acceptor.ended();
     }
 
+    /** Asked in the order of a connection's way in, so that none is passed over as it goes from one place to the next. */
     public boolean connected() {
-        return room.size() > 0;
+        return inlet.handedOn().get() > 0 || room.size() > 0;
     }
 
     public boolean busy() {
--- a/src/test/java/copperbeam/lifecycle/LifecycleTest.java
+++ b/src/test/java/copperbeam/lifecycle/LifecycleTest.java
@@ -18,16 +18,19 @@
     @DataProvider
     public Object[][] stops() {
         return new Object[][] {
-            {"nothing is open", true, "0 799 800", "SERVE SERVE END"},
-            {"clients are led away once fronts know", true, "0o 800o 2649o 2650", "SERVE LEAD_AWAY LEAD_AWAY END"},
+            {"nothing is open", true, "0 799 800 801", "SERVE SERVE CLOSE END"},
+            {"clients are led away once fronts know", true, "0o 800o 2649o 2650 2651",
+                "SERVE LEAD_AWAY LEAD_AWAY ANSWER END"},
+            {"what the system had taken is served first", true, "800 801o 2000o 2001", "CLOSE CLOSE CLOSE END"},
+            {"and gets its answer in time", true, "800 801o 2650o 2850o", "CLOSE CLOSE ANSWER CUT"},
             {"open requests are answered, then streams cut", true, "0o 2650o 2849o 2850o 2900",
                 "SERVE ANSWER ANSWER CUT END"},
             {"later where others are away", true, "0oa 2850oa 3149oa 3150oa 3349oa 3350oa 3360",
                 "SERVE LEAD_AWAY LEAD_AWAY ANSWER ANSWER CUT END"},
             {"no way back to what was left", true, "2700o 2800oa 2860oa", "ANSWER ANSWER ANSWER"},
             {"streams that can't resume are not cut", false, "0o 2650o 3350o 9000o 9001", "SERVE ANSWER ANSWER ANSWER END"},
-            {"something to let go holds the end", true, "900o 1000o 1100", "LEAD_AWAY LEAD_AWAY END"},
-            {"an end is one", true, "900 901o 5000o", "END END END"},
+            {"something to let go holds the end", true, "900o 1000o 1100 1101", "LEAD_AWAY LEAD_AWAY CLOSE END"},
+            {"an end is one", true, "899 900 901o 5000o", "CLOSE END END END"},
         };
     }
 
@@ -53,7 +56,7 @@
             {"back before anybody was led away", "10d 20 30r 40 5000", "SERVE- WORK+ WORK+"},
             {"drained anew", "10d 900 900r 1000d 1000 1800", "LEAD_AWAY- SERVE- LEAD_AWAY-"},
             {"a stop goes on from a drain", "10d 2000s 2000o 4649o 4650o", "LEAD_AWAY- LEAD_AWAY- ANSWER-"},
-            {"a stop of a drained one may end at once", "10d 2000s 2000", "END-"},
+            {"a stop of a drained one may end at once", "10d 2000s 2000 2001", "CLOSE- END-"},
             {"no way back from a stop", "10d 2000s 2001r 2001o", "LEAD_AWAY-"},
             {"no drain in a stop", "2000s 2001d 2010", "SERVE-"},
             {"a successor serves: led away at once", "1000S 1000o 2000s 2000o 5149o 5150o 5350o 5360",
@@ -97,12 +100,14 @@
             boolean resume = random.nextBoolean();
             Lifecycle plan = new Lifecycle(ALLOWED, resume);
             plan.stop(Duration.ZERO);
+            boolean listens = true;
             Step last = Step.SERVE;
             for (int ms = 0; ms < 4000 && last != Step.END; ms += random.nextInt(400)) {
                 boolean open = random.nextInt(4) > 0;
                 Step next = plan.at(Duration.ofMillis(ms), open, random.nextBoolean());
                 assertTrue(next.compareTo(last) >= 0);
-                assertTrue(next != Step.END || !open && ms >= 800);
+                assertTrue(next != Step.END || !open && !listens && ms >= 800);
+                listens = plan.listens();
                 assertTrue(next != Step.CUT || resume);
                 assertTrue(ms < 3350 || !resume || next == Step.CUT || next == Step.END);
                 last = next;
--- /dev/null
+++ b/src/test/java/copperbeam/program/DutyActorTest.java
@@ -0,0 +1,173 @@
+package copperbeam.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.lifecycle.Lifecycle;
+import copperbeam.protocol.Json;
+import copperbeam.routing.Answer;
+import copperbeam.routing.Ask;
+import copperbeam.routing.Figures;
+import copperbeam.routing.ModuleActor;
+import copperbeam.routing.Recorder;
+import copperbeam.routing.ReleaseActor;
+import copperbeam.simhost.Decoder;
+import copperbeam.transport.ClientRoom;
+import copperbeam.transport.HttpFrontServer;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The end of a stop with something on its way that no connection or request shows yet. */
+public class DutyActorTest {
+    private static final int PATIENCE_MS = 10_000;
+
+    /** Goes on as a test says; holds the thread of one name at each look. */
+    private static final class Held extends Clock {
+        final CountDownLatch looked = new CountDownLatch(1);
+        final CountDownLatch go = new CountDownLatch(1);
+        final AtomicInteger turns = new AtomicInteger(); // looks of the actors
+        private final String thread;
+        private volatile Instant now = Instant.now();
+
+        Held(String thread) {
+            this.thread = thread;
+        }
+
+        /** Until the actors have had many, or all is over. */
+        void awaitTurns(CompletableFuture<Void> end) throws InterruptedException {
+            int from = turns.get();
+            while (turns.get() < from + 50 && !end.isDone()) {
+                Thread.sleep(5);
+            }
+        }
+
+        void advance(Duration span) {
+            now = now.plus(span);
+        }
+
+        @Override
+        public Instant instant() {
+            if (Thread.currentThread().getName().equals(thread)) {
+                looked.countDown();
+                try {
+                    assertTrue(go.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+            turns.addAndGet(Thread.currentThread().getName().equals("actors") ? 1 : 0);
+            return now;
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneId.of("UTC");
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+    }
+
+    private static final class Parts implements AutoCloseable {
+        final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "actors"));
+        final HttpFrontServer front;
+        final ModuleActor module;
+        final DutyActor duty;
+        final InetSocketAddress address;
+
+        @SuppressWarnings("unchecked")
+        Parts(Clock clock) throws Exception {
+            front = new HttpFrontServer((call, reply) -> {
+                reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                return () -> { };
+            }, clock, new ClientRoom(10, 1 << 20), (requestClass, status) -> { });
+            ReleaseActor releases = new ReleaseActor(turns, clock, Duration.ofSeconds(2));
+            module = new ModuleActor(turns, clock, Decoder.settings(Json.GSON.fromJson("{\"balancers\":1,"
+                    + "\"kinds\":[\"d\"],\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"safe\"}],\"limits\":{\"send_cap\":4},"
+                    + "\"rules\":{},\"extra\":{}}", Map.class)), 1, releases, Recorder.NONE, new Figures(Set.of("ask")));
+            duty = new DutyActor(turns, clock, new Lifecycle(Duration.ofMillis(3700), true), List.of(front), module, releases,
+                    () -> false, beside -> { });
+            address = front.listen(new InetSocketAddress("127.0.0.1", 0), false);
+        }
+
+        @Override
+        public void close() {
+            front.close();
+            turns.shutdownNow();
+        }
+    }
+
+    private static Object tell(CompletableFuture<String> told, String what) {
+        told.complete(what);
+        return null;
+    }
+
+    /** The threads by which a connection comes in. */
+    @DataProvider
+    public Object[][] threads() {
+        return new Object[][] {{"accept"}, {"from-clients"}};
+    }
+
+    /** Guards against an end of the process with a client in the system's queue, or between two of the program's threads. */
+    @Test(dataProvider = "threads")
+    public void whoIsOnTheWayInIsServedBeforeTheEnd(String thread) throws Exception {
+        Held clock = new Held(thread);
+        try (Parts parts = new Parts(clock); Socket client = new Socket(parts.address.getAddress(), parts.address.getPort())) {
+            client.setSoTimeout(PATIENCE_MS);
+            client.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertTrue(clock.looked.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
+            CompletableFuture<Void> end = parts.duty.stop(false);
+            clock.awaitTurns(end);
+            clock.advance(Duration.ofSeconds(1)); // fronts know, and nothing is open
+            clock.awaitTurns(end);
+            assertFalse(end.isDone(), "it ends though a client is on its way in");
+            clock.go.countDown();
+            BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
+            assertEquals(in.readLine(), "HTTP/1.1 200 OK");
+            clock.advance(Duration.ofMillis(100)); // its connection closes
+            end.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Guards against what servers hold for a request that came after the last look at whether any is open, its client gone. */
+    @Test
+    public void whatIsOpenWithoutAClientIsEndedBeforeTheEnd() throws Exception {
+        Held clock = new Held("none");
+        try (Parts parts = new Parts(clock)) {
+            CompletableFuture<Void> end = parts.duty.stop(false);
+            clock.awaitTurns(end); // it has found that nothing is open
+            CompletableFuture<String> told = new CompletableFuture<>();
+            Answer answer = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
+                    (proxy, method, args) -> method.getName().equals("gone") ? false
+                            : tell(told, method.getName() + (end.isDone() ? " after the end" : "")));
+            parts.turns.execute(() -> {
+                parts.module.arrive(new Ask("id", "ask", "k", null, 40, 0, 9, clock.instant().plusSeconds(8), false, null),
+                        answer);
+                clock.advance(Duration.ofSeconds(1));
+            });
+            assertEquals(told.get(PATIENCE_MS, TimeUnit.MILLISECONDS), "refuse");
+            end.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
