A process that stops never begins to listen, and one whose successor died is SERVING again

Causes, found by reading: - a process that got SIGTERM while it started began to listen as its list came, beside the one that serves: its requests were led away at once. Handover.serve does nothing after the word of a stop, and waits while a process that started later serves; - an old process whose successor died went back to work but stayed LEAVING in the shared file, as a phase never goes back: others took it for one that leaves, in their part of what cold servers get too. It goes on under a new incarnation of the same start and slot, so that the file's rule stands and nobody takes it for a later one. The line "listens on" is printed after the handler of SIGTERM is in place, so that a test that waits for it knows that the signal begins a stop.

UpgradeTest, each without the mend: aStopBeforeItIsReadyNeverListens fails (two listen), theOtherGoesOn fails in the two rows in which the successor of a serving process is killed (never: known to serve). With it all pass. That a process waits while a later one serves was only read.

--- a/src/main/java/copperbeam/program/Handover.java
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -58,6 +58,7 @@
     private SharedState state;
     private SharedState acted = SharedState.EMPTY;
     private Beside beside = Beside.NONE;
+    private Phase phase = Phase.STARTING; // but for a process that serves in place of this one
     private boolean stopping;
     private Hands hands;
 
@@ -97,12 +98,19 @@
         }, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** This process serves once {@code listen} is done, which is tried until it is. */
+    /** This process serves once {@code listen} is done, which is tried until it is; never where it stops before. */
     void serve(Listen listen, Runnable serves) {
         thread.execute(() -> {
+            if (stopping) {
+                return;
+            }
             try {
+                if (folder != null && folder.succeeded()) {
+                    throw new IOException("one that started later serves");
+                }
                 listen.run();
-                phase(Phase.SERVING);
+                phase = Phase.SERVING;
+                phase(phase);
                 serves.run();
             } catch (IOException e) {
                 LOG.warning("not in service yet: " + e.getMessage());
@@ -148,10 +156,10 @@
         Beside now = folder == null ? Beside.NONE : folder.beside(LEAVING);
         if (!now.equals(beside)) {
             LOG.info("processes of this conductor: " + now);
-            beside = now;
-            if (now.succeeded()) {
-                phase(Phase.LEAVING);
+            if (now.succeeded() != beside.succeeded() && !stopping) {
+                phase(now.succeeded() ? Phase.LEAVING : phase);
             }
+            beside = now;
             hands.beside(now);
         }
     }
--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -163,7 +163,6 @@
         if (record != null) {
             Signal.handle(new Signal("USR2"), signal -> node.record());
         }
-        System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop();
@@ -176,6 +175,7 @@
             // the reactors' threads would outlive the hooks; all that was taken is answered by now
             Runtime.getRuntime().halt(0);
         }, "stop"));
+        System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         node.awaitWarm(); // a start waits for no log
         openLog();
         return -1;
--- a/src/main/java/copperbeam/program/SharedFolder.java
+++ b/src/main/java/copperbeam/program/SharedFolder.java
@@ -36,7 +36,7 @@
     static final Duration KEPT = Duration.ofSeconds(60); // since anybody lived here; a restart takes a few
 
     private final String conductor;
-    private final String incarnation;
+    private String incarnation;
     private final Clock clock;
     private final Path file;
     private final Path part;
@@ -132,8 +132,12 @@
         return state.successor(incarnation).isPresent();
     }
 
+    /** Back too, as no life goes: the process goes on as a later one of the same start and slot. */
     void phase(Phase phase) {
         Life before = state.lives().get(incarnation);
+        if (phase.compareTo(before.phase()) < 0) {
+            incarnation += "+";
+        }
         change(s -> s.life(incarnation, new Life(before.started(), phase, before.slot())));
     }
 
--- a/src/test/java/copperbeam/sockets/UpgradeTest.java
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -123,6 +123,16 @@
             held = new CountDownLatch(1);
         }
 
+        /** Of the processes, as any of them reads it. */
+        List<SharedState.Phase> phases() {
+            try {
+                return StateCodec.read(Conductor.NAME, Files.readAllBytes(folder.resolve(Conductor.NAME + ".state")),
+                        Instant.now()).lives().values().stream().map(SharedState.Life::phase).toList();
+            } catch (IOException | StateCodec.Refused e) {
+                throw new AssertionError(e);
+            }
+        }
+
         /** {@code count} requests on new connections, each answered whole. */
         void ask(int count) throws Exception {
             for (int i = 0; i < count; i++) {
@@ -323,6 +333,7 @@
             }
             await("nothing is open", () -> figures(left.door).get("current") == 0);
             fleet.countsTruly(left);
+            await("known to serve", () -> fleet.phases().equals(List.of(SharedState.Phase.SERVING)));
             assertEquals(out.attempts(), 0, "out since before");
             assertEquals(left.call("ATTACH " + id(out)), "ACK\n");
             fleet.usesAgain(out);
@@ -410,6 +421,23 @@
         }
     }
 
+    /** Guards against a stop that begins to listen, beside the one that serves: its list comes after the signal. */
+    @Test
+    public void aStopBeforeItIsReadyNeverListens() throws Exception {
+        try (Fleet fleet = new Fleet()) {
+            Conductor old = fleet.next();
+            Conductor next = fleet.late();
+            await("a signal does not just end it", () -> next.logged(" listens on "));
+            next.signal("TERM");
+            await("its leaving is known", () -> fleet.phases().contains(SharedState.Phase.LEAVING));
+            fleet.told.countDown();
+            while (next.process.isAlive()) {
+                assertEquals(old.listeners(), 1);
+            }
+            fleet.ask(3);
+        }
+    }
+
     /** Each with a ban in it that must not hold but in the last. */
     @DataProvider
     public Object[][] files() {
