The kill is reckoned from the longest deadline, and may come before 3.7 s

The protocol's figure is the longest deadline, counted as 3 s at most, and 0.7 s more: where no class has 2 s, the kill comes before open requests are answered (2.65 s) and streams are cut (2.85 s), and both are lost. Change: from services[].give_up_s; a class that does not tell it counts as 3 s, a bad one is refused by its key. A stop may be as short as 0.7 s: where the kill comes soon, the answers wait for the 0.8 s in which fronts learn of the stop, as long as 0.35 s are left for the end. With 3.7 s or more nothing changes.

--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -30,9 +30,10 @@
     }
 
     private static final Duration NOTICE = Duration.ofMillis(800); // for fronts to learn that we are not healthy
-    private static final Duration EARLY = Duration.ofMillis(850);  // before the kill: streams are cut
+    private static final Duration EARLY = Duration.ofMillis(850);  // before the kill, at most: streams are cut
     private static final Duration LATE = Duration.ofMillis(350);   // the same where others are away; for ends and releases
     private static final Duration ANSWERS = Duration.ofMillis(200); // before that
+    private static final Duration LEAST = Duration.ofMillis(700);  // which the platform gives beside its clients' waits
 
     private final Duration allowed;
     private final boolean streamsResume;
@@ -42,12 +43,12 @@
     private boolean succeeded;       // a new process serves at this one's address, and takes what comes
 
     /**
-     * {@code allowed}: after so long a stop the process may be killed, 2 s at least; {@code streamsResume}: else a stream
-     * that is cut is lost, and only the kill ends it.
+     * {@code allowed}: after so long a stop the process may be killed; {@code streamsResume}: else a stream that is cut is
+     * lost, and only the kill ends it.
      */
     public Lifecycle(Duration allowed, boolean streamsResume) {
-        if (allowed.compareTo(Duration.ofSeconds(2)) < 0) {
-            throw new IllegalArgumentException("a stop of less than 2 s");
+        if (allowed.compareTo(LEAST) < 0) {
+            throw new IllegalArgumentException("a stop of less than " + LEAST);
         }
         this.allowed = allowed;
         this.streamsResume = streamsResume;
@@ -130,7 +131,10 @@
     }
 
     private Step stop(Duration since, boolean noticed, boolean open, boolean late) {
-        Duration cut = allowed.minus(late ? LATE : EARLY);
+        // where the kill comes soon, the time that fronts take to learn of the stop goes before the next one's stop
+        Duration early = allowed.minus(NOTICE).minus(ANSWERS);
+        early = early.compareTo(EARLY) < 0 ? early.compareTo(LATE) < 0 ? LATE : early : EARLY;
+        Duration cut = allowed.minus(late ? LATE : early);
         return since.compareTo(cut) >= 0 && streamsResume ? Step.CUT
                 : since.compareTo(cut.minus(ANSWERS)) >= 0 ? Step.ANSWER
                 : !noticed ? Step.SERVE : open ? Step.LEAD_AWAY : Step.END;
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -45,11 +45,11 @@
     /** {@code chat} and its address may be null: then there is no such front. So may {@code etcd}. */
     public record Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks,
             Duration stopWithin) {
-        private static final Duration STOP_WITHIN = Duration.ofMillis(3700); // the platform kills no sooner
-        public static final Operator NONE = new Operator(null, null, null, List.of(), STOP_WITHIN);
+        private static final Duration LONGEST_WAIT = Duration.ofSeconds(3); // a stop waits for no client for longer
+        private static final Duration KILL_AFTER = Duration.ofMillis(700);  // and the kill comes so much later
 
         public Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks) {
-            this(chatListen, chat, etcd, hooks, STOP_WITHIN);
+            this(chatListen, chat, etcd, hooks, LONGEST_WAIT.plus(KILL_AFTER));
         }
     }
 
@@ -116,8 +116,9 @@
         Section raw = file.section("settings");
         Section limits = raw.section("limits");
         Settings settings = settings(raw);
-        Operator operator = operatorFile == null ? Operator.NONE
-                : operator(Section.file("--operator", operatorFile), Path.of(operatorFile), settings);
+        Duration kill = kill(raw);
+        Operator operator = operatorFile == null ? new Operator(null, null, null, List.of(), kill)
+                : operator(Section.file("--operator", operatorFile), Path.of(operatorFile), settings, kill);
         String name = file.text("name", "conductor");
         return new Config(name, file.address("listen"), file.has("control") ? file.address("control") : null,
                 file.has("control") ? folder(environment) : null,
@@ -199,19 +200,33 @@
         }
     }
 
-    private static Operator operator(Section file, Path at, Settings settings) throws Invalid {
+    private static Operator operator(Section file, Path at, Settings settings, Duration kill) throws Invalid {
         file.only(Set.of("openai", "etcd", "plugins", "stop"));
         Section chat = file.has("openai") ? file.section("openai") : null;
         return new Operator(chat == null ? null : chat.address("listen"),
                 chat == null ? null : models(chat, classNames(settings)),
                 file.has("etcd") ? etcd(file.section("etcd")) : null,
                 file.has("plugins") ? hooks(file, at, settings) : List.of(),
-                file.has("stop") ? stopWithin(file.section("stop")) : Operator.STOP_WITHIN);
+                file.has("stop") ? stopWithin(file.section("stop"), kill) : kill);
     }
 
-    private static Duration stopWithin(Section stop) throws Invalid {
+    /** From SIGTERM on the platform kills no sooner; a class whose deadline is not told may have any. */
+    private static Duration kill(Section settings) throws Invalid {
+        Duration longest = Duration.ZERO;
+        for (Section service : settings.sections("services")) {
+            boolean told = service.has("give_up_s") && !(service.get("give_up_s") instanceof Number n && n.doubleValue() == 0);
+            Duration wait = told ? service.span("give_up_s", 0) : Operator.LONGEST_WAIT;
+            longest = wait.compareTo(longest) > 0 ? wait : longest;
+        }
+        return (longest.compareTo(Operator.LONGEST_WAIT) < 0 ? longest : Operator.LONGEST_WAIT).plus(Operator.KILL_AFTER);
+    }
+
+    private static Duration stopWithin(Section stop, Duration kill) throws Invalid {
         stop.only(Set.of("within_s"));
-        Duration within = stop.span("within_s", ModuleTime.seconds(Operator.STOP_WITHIN));
+        if (!stop.has("within_s")) {
+            return kill;
+        }
+        Duration within = stop.span("within_s", 0);
         if (within.compareTo(Duration.ofSeconds(2)) < 0 || within.compareTo(Duration.ofMinutes(10)) > 0) {
             throw stop.invalid("within_s", "is not from 2 to 600 s");
         }
--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -70,6 +70,22 @@
         assertTrue(actions.stream().anyMatch(a -> a instanceof Api.Attempt), actions.toString());
     }
 
+    /** The platform kills 0.7 s after the longest deadline, counted as 3 s at most; the operator's word goes before. */
+    @DataProvider
+    public Object[][] deadlines() {
+        return new Object[][] {{"", null, 3700}, {"\"give_up_s\":6,", null, 3700}, {"\"give_up_s\":3.0,", null, 3700},
+            {"\"give_up_s\":1.5,", null, 2200}, {"\"give_up_s\":1,", OPERATOR, 1700}, {"\"give_up_s\":0,", null, 3700},
+            {"\"give_up_s\":1,\"promise_s\":1,\"semantics\":\"safe\"},{\"name\":\"longer\",\"give_up_s\":2,", null, 2700},
+            {"\"give_up_s\":1,\"promise_s\":1,\"semantics\":\"safe\"},{\"name\":\"untold\",", null, 3700},
+            {"\"give_up_s\":1,", "{\"stop\":{\"within_s\":5}}", 5000}, {"\"give_up_s\":1,", "{\"stop\":{}}", 1700}};
+    }
+
+    @Test(dataProvider = "deadlines")
+    public void theKillFollowsTheLongestDeadline(String told, String operator, int killMs) throws Exception {
+        Config c = read(GOOD.replace("\"name\":\"ask\",", "\"name\":\"ask\"," + told), operator, Map.of());
+        assertEquals(c.operator().stopWithin(), Duration.ofMillis(killMs));
+    }
+
     @DataProvider
     public Object[][] faulty() {
         return new Object[][] {
@@ -84,6 +100,7 @@
             {GOOD.replace("\"promise_s\":1,", ""), null, "settings: field 'promise_s' "},
             {GOOD.replace("\"send_cap\":4,", ""), null, "settings: field 'send_cap' "},
             {GOOD.replace("\"safe\"", "\"odd\""), null, "settings: unknown semantics 'odd'"},
+            {GOOD.replace("\"safe\"", "\"safe\",\"give_up_s\":-1"), null, "settings.services[0].give_up_s: "},
             {GOOD.replace("\"id\":\"s\"", "\"no\":1"), null, "known: "},
             {GOOD, "{\"opnai\":{}}", "opnai: "},
             {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"none\""), "openai.models.m.class: "},
--- a/src/test/java/copperbeam/sockets/EndTest.java
+++ b/src/test/java/copperbeam/sockets/EndTest.java
@@ -8,10 +8,16 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.program.Config;
+import copperbeam.program.Node;
 import copperbeam.transport.ClientRoom;
 import copperbeam.transport.HttpFrontServer;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.Test;
@@ -40,6 +46,36 @@
         }
     }
 
+    /** Where no class has a deadline above 1.5 s, the platform may kill 2.2 s after SIGTERM, and a stream would be lost. */
+    @Test
+    public void aStreamIsCutBeforeAKillThatShortDeadlinesBringSooner() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (StandIn reader = new StandIn(Site::read); StandIn writer = new StandIn(attempts((m, line) -> {
+                    line.beginStream().chunk("data: 1\n\n");
+                    never.await();
+                })); StandIn discovery = Conductor.discovery(reader, writer)) {
+            Path file = Files.writeString(Files.createTempFile("config", ".json"), "{\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+                    + discovery.host() + "\",\"settings\":" + String.format(Site.SETTINGS, 30.0).replace("\"semantics\"",
+                    "\"give_up_s\":1.5,\"semantics\"") + "}");
+            try (Node node = new Node(Config.read(Map.of("GW_CONFIG", file.toString()), null)); Line client = new Line(node.address())) {
+                client.send(request("ask", 1500)).head();
+                assertEquals(client.readChunk(), "data: 1\n\n");
+                Instant stopped = Instant.now();
+                Thread stop = new Thread(() -> {
+                    try {
+                        node.stop();
+                    } catch (InterruptedException e) {
+                        throw new AssertionError(e);
+                    }
+                });
+                stop.start();
+                assertEquals(client.readChunk(), "", "cut, so that its client goes on elsewhere");
+                assertTrue(Duration.between(stopped, Instant.now()).toMillis() < 2200, "before the kill");
+                stop.join(Line.PATIENCE_MS);
+            }
+        }
+    }
+
     /** Guards against a request on a connection that comes as the end is decided: unread, it is sent once more. */
     @Test
     public void nothingIsReadUnderASeal() throws Exception {
