--- a/src/test/java/copperbeam/sockets/KnownListTest.java
+++ b/src/test/java/copperbeam/sockets/KnownListTest.java
@@ -9,6 +9,7 @@
 import copperbeam.protocol.discovery.ServerList;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -114,7 +115,7 @@
     private static Node node(StandIn discovery, String known) throws Exception {
         return new Node(new Config("n0", new InetSocketAddress("127.0.0.1", 0), null, null, discovery.address(), 7,
                 Site.settings(30), ServerList.parse(known), Duration.ofMillis(250), Duration.ofSeconds(30),
-                Config.Limits.USUAL, Config.Operator.NONE));
+                Config.Limits.USUAL, new Config.Operator(null, null, null, List.of())));
     }
 
     private static String list(int version, boolean full, String... entries) {
