--- a/src/test/java/copperbeam/routing/FirstEventTest.java
+++ b/src/test/java/copperbeam/routing/FirstEventTest.java
@@ -56,7 +56,7 @@
             PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
                     connector, minute, minute, minute, module, releases, Recorder.NONE, figures));
             Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, until, false, null);
-            peer.tell(new PeerActor.Send(1, 0, ask, answer, until, until, false));
+            peer.tell(new PeerActor.Send(1, 0, ask, answer, until, until, Instant.MAX, false));
             turns.submit(() -> { }).get();
             watcher.get().up(connection);
             turns.submit(() -> { }).get();
