OpenAiFrontTest has a failure go with its request, not with the count of attempts

Need: `bothDialectsAreServedAlike` is known to differ on a busy core. Whether a request is refused as too slow depended on the machine too.

Change: as strict and more: requests 4, 9, 14 ... meet one reset each, all eight are met, and each request's status is given (502 for a send that met one, else 200) where before the two lists had to be equal and to have both. The aims are far, so that none is refused.

--- a/src/test/java/copperbeam/sockets/OpenAiFrontTest.java
+++ b/src/test/java/copperbeam/sockets/OpenAiFrontTest.java
@@ -12,10 +12,15 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import copperbeam.Api;
+import copperbeam.program.Config;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -163,28 +168,35 @@
         }
     }
 
-    /** The same requests in both dialects, some against writers that fail: equal service, no send twice. */
+    /**
+     * The same requests in both dialects, some against writers that fail: equal service, no send twice. Which ones fail goes by
+     * the request and not by how many attempts there were, and no aim is so near that a slow core has one refused.
+     */
     @Test
     public void bothDialectsAreServedAlike() throws Exception {
-        List<List<Integer>> served = new ArrayList<>();
+        Api.Settings patient = Site.parsed(String.format(Site.SETTINGS, "30").replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":1000"));
         for (boolean openAi : new boolean[] {false, true}) {
-            List<Integer> statuses = new ArrayList<>();
-            try (Site site = new Site(2, 2)) {
+            AtomicInteger asked = new AtomicInteger();
+            Set<Integer> failed = ConcurrentHashMap.newKeySet();
+            try (Site site = new Site(2, 2, 30, null, List.of(), Config.Limits.USUAL, patient, Duration.ofSeconds(2))) {
                 site.writers.forEach(w -> w.script = attempts((m, line) -> {
-                    if (site.attempts(site.writers) % 5 == 0) {
+                    int i = asked.get();
+                    if (i % 5 == 4 && failed.add(i)) {
                         line.reset();
                     } else {
                         Site.write(m, line);
                     }
                 }));
                 for (int i = 0; i < 40; i++) {
+                    asked.set(i);
                     boolean send = i % 3 == 0;
                     try (Line client = openAi ? site.chatClient() : site.client()) {
                         client.send(openAi ? chat(send ? "m-send" : "m-ask", true, "")
                                 : request(send ? "send" : "ask", 2000));
-                        statuses.add(client.read().status());
+                        assertEquals(client.read().status(), send && i % 5 == 4 ? 502 : 200, openAi + ", request " + i);
                     }
                 }
+                assertEquals(failed.size(), 8);
                 Set<String> sends = new HashSet<>();
                 for (StandIn writer : site.writers) {
                     for (Line.Message m : writer.seen) {
@@ -195,9 +207,6 @@
                 }
                 await("idle", () -> site.get("/healthz").status() == 200);
             }
-            served.add(statuses);
         }
-        assertEquals(served.get(1), served.get(0));
-        assertTrue(served.get(0).contains(502) && served.get(0).contains(200));
     }
 }
