The key by which servers know a repeat goes on to them (Idempotency-Key)

Cause: clients of a class whose repeats are dropped by key send Idempotency-Key, as a trial that printed the headers showed. Change: it goes on to reader and writer. ClassNamesTest becomes OtherSitesTest and has the row for it. Proposed, to be run before it is taken in.

--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -25,7 +25,7 @@
 /** The platform's protocol towards servers. */
 public final class ServerConnector implements Connector {
     private static final String[] PASSED = {"X-Route-Key", "X-Attrs",
-        "X-Retried", "Content-Type", "Accept"};
+        "X-Retried", "Idempotency-Key", "Content-Type", "Accept"};
 
     private final ClientReactor reactor;
 
--- a/src/test/java/copperbeam/sockets/ClassNamesTest.java
+++ b/src/test/java/copperbeam/sockets/OtherSitesTest.java
@@ -11,8 +11,8 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** A class may have any name that the settings can hold; on the wire it is UTF-8, as the settings are. */
-public class ClassNamesTest {
+/** What other sites have than the first: names beyond ASCII, in UTF-8 as the settings are, and classes with a key. */
+public class OtherSitesTest {
     @DataProvider
     public Object[][] names() {
         return new Object[][] {{"n"}, {"two words"}, {"long-".repeat(200)}, {"a.b_c--d~0"}, {"größer"}, {"ĝis-antaŭe"},
@@ -32,4 +32,17 @@
             assertEquals(client.send(request(name + "?", 5000)).read().status(), 400, "no such class");
         }
     }
+
+    /** Servers know a repeat by its key; one without it is none that its client sent. */
+    @Test
+    public void theKeyOfARepeatGoesToReaderAndWriter() throws Exception {
+        Api.Settings settings = Site.parsed(String.format(Site.SETTINGS, 30.0).replace("\"safe\"", "\"keyed\",\"window_s\":1.6"));
+        try (Site site = new Site(1, 1, 30, null, List.of(), Config.Limits.USUAL, settings, Duration.ofMillis(250));
+                Line client = site.client()) {
+            client.send(request("ask", 5000).replace("X-Route-Key", "idempotency-key: 369b60ebb8\r\nX-Route-Key"));
+            assertEquals(client.read().status(), 200);
+            assertEquals(site.readers.get(0).seen.get(0).header("Idempotency-Key"), "369b60ebb8");
+            assertEquals(site.writers.get(0).seen.get(0).header("Idempotency-Key"), "369b60ebb8");
+        }
+    }
 }
