Proposed: nothing is begun late in a stop where streams can't resume

Cause: a request that comes on a kept connection behind the end of a stream, 1 s and more after SIGTERM, is taken and its stream begun; where streams can't resume none is cut, and the kill finds it open: lost. Change: where streams can't resume, what comes from 0.6 s after SIGTERM on is told to the module as one whose time is up. The module answers such a request at once and sends nothing (it sent an attempt of 1 ms first, in a stop's last part too).

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -271,8 +271,9 @@
         classTokens.computeIfAbsent(a.requestClass(), c -> new Mean(LEARN)).add(a.promptTokens());
         timer(a.deadline() - now - ANSWER_MARGIN_S, 'd', r, 0);
         boolean droppable = mayRefuse(r) && (overShare(a.customer()) || droppable(r.kind));
-        if (droppable && random.nextDouble() < refusalChance(saturation())) {
-            close(r, Why.DOOR);
+        boolean late = a.deadline() - now <= ANSWER_MARGIN_S; // no attempt could be answered in time
+        if (late || droppable && random.nextDouble() < refusalChance(saturation())) {
+            close(r, late ? Why.NO_TIME : Why.DOOR);
             return;
         }
         advance(r);
--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -33,6 +33,7 @@
     private static final Duration EARLY = Duration.ofMillis(850);  // before the kill, at most: streams are cut
     private static final Duration LATE = Duration.ofMillis(350);   // the same where others are away; for ends and releases
     private static final Duration ANSWERS = Duration.ofMillis(200); // before that
+    private static final Duration TAKES = Duration.ofMillis(600);  // what comes 0.7 s after SIGTERM must end before the kill
     private static final Duration LEAST = Duration.ofMillis(700);  // which the platform gives beside its clients' waits
 
     private final Duration allowed;
@@ -105,6 +106,11 @@
         return step.compareTo(Step.ANSWER) < 0 && !succeeded;
     }
 
+    /** Whether what comes may be begun: in a stop not for long where streams can't be cut, as one may outlast it. */
+    public boolean takes(Duration now) {
+        return stopped == null || streamsResume || now.minus(stopped).compareTo(TAKES) < 0;
+    }
+
     /**
      * The step that holds now.
      *
--- a/src/main/java/copperbeam/program/DutyActor.java
+++ b/src/main/java/copperbeam/program/DutyActor.java
@@ -45,6 +45,7 @@
     private Step step = Step.WORK;
     private Instant stopAt;
     private boolean listening = true;
+    private boolean taking = true;
     private boolean ticking;
     private boolean asked;           // for quiet
     private boolean quiet;
@@ -136,6 +137,10 @@
         fronts.forEach(f -> f.drain(next != Step.WORK));
         fronts.forEach(f -> f.leadAway(leads));
         listen(lifecycle.listens());
+        if (taking && !lifecycle.takes(Duration.between(from, clock.instant()))) {
+            taking = false;
+            module.tell(new ModuleActor.TakeNoMore());
+        }
         for (Step s : Step.values()) {
             if (s.compareTo(step) > 0 && s.compareTo(next) <= 0) {
                 if (s == Step.ANSWER) {
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -25,7 +25,7 @@
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
     public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
-            Drain, HandOver, Cut, Census, Beside {}
+            Drain, TakeNoMore, HandOver, Cut, Census, Beside {}
 
     /** {@code acted} runs once the module has it; may be null. */
     public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers, Runnable acted)
@@ -48,6 +48,9 @@
     /** Runs {@code idle} as soon as no request is open. */
     public record Drain(Runnable idle) implements Message {}
 
+    /** What still comes gets its final answer at once, as if its time were up; what is open goes on. */
+    public record TakeNoMore() implements Message {}
+
     /** The stop may wait no longer: what is open, and what still comes, gets its final answer. */
     public record HandOver() implements Message {}
 
@@ -104,7 +107,7 @@
     private final List<Request> closing = new ArrayList<>();
     private Map<String, PeerActor> peers = Map.of();
     private long keys;
-    private boolean handingOver;
+    private boolean takesNoMore;
     private Runnable idle;
 
     public ModuleActor(ScheduledExecutorService turns, Clock clock, Api.Settings settings, long seed,
@@ -139,8 +142,10 @@
             pinned(e);
         } else if (m instanceof Drain e) {
             idle = e.idle();
+        } else if (m instanceof TakeNoMore) {
+            takesNoMore = true;
         } else if (m instanceof HandOver) {
-            handingOver = true;
+            takesNoMore = true;
             List.copyOf(requests.values()).forEach(this::handOver);
         } else if (m instanceof Cut) {
             List.copyOf(requests.values()).forEach(this::transfer);
@@ -216,10 +221,8 @@
                     Duration.between(clock.instant(), a.deadline()));
         }
         feed(new Api.Arrival(r.key, a.requestClass(), null, a.session(), a.prefix(), a.promptTokens(),
-                a.prefixTokens(), a.maxAnswerTokens(), ModuleTime.seconds(a.deadline()), a.resumed()));
-        if (handingOver) {
-            handOver(r);
-        }
+                a.prefixTokens(), a.maxAnswerTokens(), ModuleTime.seconds(takesNoMore ? clock.instant() : a.deadline()),
+                a.resumed()));
     }
 
     /** As if its time were up: the module knows what may be refused, and what must be let go. */
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -17,6 +17,19 @@
 /** Scripted events in, actions out. */
 class BrainTest {
 
+    /** As in the last of a stop, where the time of what still comes is told as up. */
+    @Test
+    void nothingIsSentForARequestWhoseTimeIsUp() {
+        Bench b = new Bench(usual(ONCE, TOP), 7);
+        b.at(100, fleet());
+        for (double left : new double[] {-1, 0, 0.05}) {
+            assertEquals(List.of(Refuse.class), b.at(100, new Arrival(1, "once", null, "s", null, 9, 0, 9, 100 + left))
+                    .stream().filter(a -> !(a instanceof Timer)).map(Object::getClass).toList());
+        }
+        assertEquals(1, of(Fail.class, b.at(100, new Arrival(2, "once", null, "s", null, 9, 0, 9, 100, true))).size());
+        assertEquals(1, of(Attempt.class, b.at(100, new Arrival(3, "once", null, "s", null, 9, 0, 9, 100.2))).size());
+    }
+
     // ---- the mechanism -------------------------------------------------------------------------
 
     @Test
--- a/src/test/java/copperbeam/lifecycle/LifecycleTest.java
+++ b/src/test/java/copperbeam/lifecycle/LifecycleTest.java
@@ -132,6 +132,19 @@
         }
     }
 
+    /** A stream that can't be cut may outlast the stop, so that none is begun that the kill would count. */
+    @Test
+    public void nothingIsBegunLateInAStopWhereStreamsCantResume() {
+        for (boolean resume : new boolean[] {false, true}) {
+            Lifecycle plan = new Lifecycle(ALLOWED, resume);
+            plan.drain(Duration.ZERO);
+            assertTrue(plan.takes(Duration.ofSeconds(90)));
+            plan.stop(Duration.ofSeconds(90));
+            assertTrue(plan.takes(Duration.ofMillis(90_599)));
+            assertEquals(plan.takes(Duration.ofMillis(90_600)), resume);
+        }
+    }
+
     @Test
     public void tooShortAStopIsNone() {
         assertThrows(IllegalArgumentException.class, () -> new Lifecycle(Duration.ofMillis(699), true));
--- a/src/test/java/copperbeam/sockets/EndTest.java
+++ b/src/test/java/copperbeam/sockets/EndTest.java
@@ -18,6 +18,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.Test;
@@ -76,6 +77,32 @@
         }
     }
 
+    /** A stream that can't be cut may outlast the stop; the kill counts what came 0.7 s after SIGTERM or later. */
+    @Test
+    public void nothingIsSentOnLateInAStopWhereStreamsCantResume() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Site site = new Site(1, 1, 30, null, List.of(), Config.Limits.USUAL, Site.parsed(String.format(Site.SETTINGS, 30.0)
+                .replace("\"resume\":true", "\"resume\":false")), Duration.ofMillis(250)); Line client = site.client();
+                Line idle = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.beginStream().chunk("data: 1\n\n");
+                go.await();
+                line.lastChunk();
+            });
+            client.send(request("ask", 8000)).head();
+            Thread stop = site.beginStop();
+            assertTrue(idle.awaitClosed()); // 0.8 s after the stop began
+            client.send(request("ask", 8000)); // read at once, and answered behind the first
+            Thread.sleep(200); // it would be at the reader by now
+            go.countDown();
+            assertEquals(client.readChunk(), "data: 1\n\n");
+            assertNull(client.readChunk());
+            assertEquals(client.read().status(), 429);
+            assertEquals(site.attempts(site.readers), 1);
+            stop.join(Line.PATIENCE_MS);
+        }
+    }
+
     /** Guards against a request on a connection that comes as the end is decided: unread, it is sent once more. */
     @Test
     public void nothingIsReadUnderASeal() throws Exception {
