The other role's answer is a failed attempt: 202 from a writer, 200 from a reader

Cause: PlatformWords told what a status means without knowing whose it is. A writer's 202 was taken for a read, so that a class that must not run twice was written again (the client got 200), and a stream from a reader was passed on to the client as it came.

Change: an attempt says whether its server is to read; the other role's word is an error that may have run. X-Timeout is asked for as the head is written, not as the call is ordered.

--- a/src/main/java/copperbeam/protocol/platform/PlatformWords.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformWords.java
@@ -8,11 +8,14 @@
 public final class PlatformWords {
     private PlatformWords() {}
 
-    /** {@code notProcessed}: the answer says that nothing ran. */
-    public static Word attempt(int status, boolean notProcessed) {
+    /**
+     * {@code reads}: at a reader; {@code notProcessed}: the answer says that nothing ran. Guards against the other role's
+     * word: a writer that was taken to have read would be sent the same again, though it may have run.
+     */
+    public static Word attempt(boolean reads, int status, boolean notProcessed) {
         return switch (status) {
-            case 200 -> Word.STREAM;
-            case 202 -> Word.READ;
+            case 200 -> reads ? Word.ERROR : Word.STREAM;
+            case 202 -> reads ? Word.READ : Word.ERROR;
             case 410 -> notProcessed ? Word.STATE_MISSING : Word.ERROR;
             // without the header nothing proves that it did not run
             case 503, 504 -> notProcessed ? Word.TURNED_AWAY : Word.ERROR;
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import copperbeam.Api.Report;
 
 /** Outgoing connections, as the transport makes them. */
@@ -42,11 +43,13 @@
     sealed interface Call permits AttemptCall, ProbeCall, ReleaseCall {}
 
     /**
-     * {@code patience}: how long we shall wait, as the server is told. {@code hold}: its last byte stays here until it
-     * is let go, so that a connection that ends first proves that nothing ran. {@code wanted}: asked on the transport's
-     * thread as the last byte leaves; where it says no, the connection is broken instead.
+     * {@code reads}: its server is a reader, and only a reader's answer is one. {@code patience}: how long we shall wait,
+     * as the server is told; asked on the transport's thread as the head leaves. {@code hold}: its last byte stays here
+     * until it is let go, so that a connection that ends first proves that nothing ran. {@code wanted}: asked there as the
+     * last byte leaves; where it says no, the connection is broken instead.
      */
-    record AttemptCall(Ask ask, Duration patience, boolean hold, BooleanSupplier wanted) implements Call {}
+    record AttemptCall(Ask ask, boolean reads, Supplier<Duration> patience, boolean hold, BooleanSupplier wanted)
+            implements Call {}
 
     record ProbeCall() implements Call {}
 
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -361,7 +361,7 @@
         recorder.note(Recorder.What.ATTEMPT, r.key, r.attempts, a.server(), a.why().name(),
                 Duration.between(clock.instant(), ModuleTime.time(a.until())));
         peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until()),
-                Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()), once));
+                Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()), once, r.reading));
     }
 
     private void note(Recorder.What what, Request r, String server, String text, Duration span) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -31,10 +31,10 @@
 
     /**
      * {@code latest}: its last byte may not leave after this; {@code once}: must not run twice, so that no kept connection
-     * is risked for it.
+     * is risked for it; {@code reads}: this server is to read, not to write.
      */
-    public record Send(long request, int number, Ask ask, Answer answer, Instant until, Instant latest, boolean once)
-            implements Message {
+    public record Send(long request, int number, Ask ask, Answer answer, Instant until, Instant latest, boolean once,
+            boolean reads) implements Message {
         boolean wanted(Instant now) {
             return !answer.gone() && !now.isAfter(latest);
         }
@@ -251,8 +251,7 @@
         work.connection = connection;
         Connector.Call call;
         if (work.order instanceof Send s) {
-            Duration patience = Duration.between(setup.clock().instant(), s.until());
-            call = new Connector.AttemptCall(s.ask(), patience.isNegative() ? Duration.ZERO : patience,
+            call = new Connector.AttemptCall(s.ask(), s.reads(), () -> Duration.between(setup.clock().instant(), s.until()),
                     s.once() || work.reused, () -> s.wanted(setup.clock().instant()));
         } else if (work.order instanceof Release r) {
             call = new Connector.ReleaseCall(r.id());
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -56,6 +56,9 @@
         this.body = body == null ? null : ByteBuffer.wrap(body);
     }
 
+    /** The head is about to be written. */
+    void leaves(HttpRequest head) {}
+
     abstract void head(HttpResponse response) throws HttpException;
 
     /** The bytes are to be granted again once they are used up. */
@@ -148,6 +151,7 @@
     public final void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
         // set before the last byte can leave: what is not known to have stayed may have run
         written = body == null;
+        leaves(request);
         channel.sendRequest(request, body == null ? null : new BasicEntityDetails(body.remaining(), null), context);
     }
 
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -5,7 +5,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
@@ -137,7 +136,6 @@
             }
             request.setHeader("X-Request-ID", a.ask().id());
             request.setHeader("X-Priority-Class", a.ask().requestClass());
-            request.setHeader("X-Timeout", PlatformHeaders.timeout(a.patience()));
             return new AttemptExchange(request, call.body(), a, listener);
         }
     }
@@ -149,25 +147,31 @@
 
     private static final class AttemptExchange extends ClientExchange {
         private final Listener listener;
-        private final BooleanSupplier wanted;
+        private final AttemptCall call;
         private final EventSplitter events = new EventSplitter();
         private boolean stream;
         private Word word;
 
         AttemptExchange(HttpRequest request, byte[] body, AttemptCall call, Listener listener) {
             super(request, body, call.hold());
-            wanted = call.wanted();
+            this.call = call;
             this.listener = listener;
         }
 
+        /** Guards against a time that is over by then: the call may have waited for its turn on the reactor. */
+        @Override
+        void leaves(HttpRequest head) {
+            head.setHeader("X-Timeout", PlatformHeaders.timeout(call.patience().get()));
+        }
+
         @Override
         boolean wanted() {
-            return wanted.getAsBoolean();
+            return call.wanted().getAsBoolean();
         }
 
         @Override
         void head(HttpResponse response) throws HttpException {
-            word = PlatformWords.attempt(response.getCode(), "1".equals(value(response, "X-Not-Processed")));
+            word = PlatformWords.attempt(call.reads(), response.getCode(), "1".equals(value(response, "X-Not-Processed")));
             stream = word == Word.STREAM;
             if (stream && !response.containsHeader("Transfer-Encoding") && !response.containsHeader("Content-Length")) {
                 throw new ProtocolException("a stream whose end can't be told from a break");
--- /dev/null
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -0,0 +1,225 @@
+package copperbeam.sockets;
+
+import static copperbeam.sockets.Site.attempts;
+import static copperbeam.sockets.Site.await;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.Api.Report;
+import copperbeam.program.Config;
+import copperbeam.protocol.HttpCall;
+import copperbeam.routing.Ask;
+import copperbeam.routing.Connector;
+import copperbeam.transport.ClientReactor;
+import copperbeam.transport.ServerConnector;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What an attempt tells its server of the time, and whether it may still leave at that time. */
+public class AttemptTimeTest {
+    private static final int CLIENT_MS = 9000;
+    private static final int MARGIN_MS = 20; // of the front
+    private static final int LAPSE_MS = 300;
+
+    private enum Waits { FOR_A_CONNECTION, FOR_A_FAILED_ATTEMPT }
+
+    @DataProvider
+    public Object[][] waits() {
+        return new Object[][] {{Waits.FOR_A_CONNECTION}, {Waits.FOR_A_FAILED_ATTEMPT}};
+    }
+
+    /** By the order of what happens alone: written after it was let on, asked for before it was seen here. */
+    @Test(dataProvider = "waits")
+    public void theTimeToldIsWhatIsLeftThen(Waits waits) throws Exception {
+        boolean late = waits == Waits.FOR_A_CONNECTION;
+        try (Site site = site("safe", 0)) {
+            AtomicLong on = new AtomicLong(); // when it was let on
+            CountDownLatch met = new CountDownLatch(1);
+            AtomicReference<String> told = new AtomicReference<>();
+            AtomicBoolean failed = new AtomicBoolean();
+            StandIn reader = new StandIn(attempts((m, line) -> {
+                met.countDown();
+                if (!late && failed.compareAndSet(false, true)) {
+                    Thread.sleep(LAPSE_MS);
+                    on.set(System.nanoTime());
+                    line.answer(500, "");
+                } else {
+                    told.set(m.header("X-Timeout"));
+                    Site.read(m, line);
+                }
+            }), late ? 1 : 50);
+            StandIn writer = new StandIn(Site::write);
+            site.readers.add(reader);
+            site.writers.add(writer);
+            Line[] others = new Line[late ? 2 : 0]; // they fill the kernel's queue
+            for (int i = 0; i < others.length; i++) {
+                others[i] = new Line(reader.address());
+            }
+            if (!late) {
+                reader.open();
+            }
+            list(site, Site.entry(reader, "prefill", "active") + "," + Site.entry(writer, "decode", "active"), 2);
+            try (Line client = site.client()) {
+                client.send(Site.request("ask", CLIENT_MS));
+                if (late) {
+                    await("taken", () -> OperatorsTest.figures(site.node.door()).get("current") == 1);
+                } else {
+                    met.await();
+                }
+                long taken = System.nanoTime();
+                if (late) {
+                    Thread.sleep(LAPSE_MS);
+                    on.set(System.nanoTime());
+                    reader.open();
+                }
+                assertEquals(client.read().status(), 200);
+                long left = CLIENT_MS - MARGIN_MS - (on.get() - taken) / 1_000_000;
+                long ms = Long.parseLong(told.get().replace("m", ""));
+                assertTrue(ms <= left, ms + " of " + left);
+            }
+        }
+    }
+
+    /** The reactor is held from the call to the write: what is told is what is left then. */
+    @Test
+    public void theTimeToldIsThatOfTheWrite() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        AtomicReference<Duration> left = new AtomicReference<>(Duration.ofSeconds(5));
+        try (StandIn server = new StandIn(Site::read); ClientReactor reactor = new ClientReactor()) {
+            ServerConnector connector = new ServerConnector(reactor);
+            Connector.Connection first = up(connector, server.address());
+            Connector.Connection second = up(connector, server.address());
+            call(first, left, () -> {
+                held.countDown();
+                hold(go);
+            });
+            held.await();
+            CompletableFuture<Boolean> answered = call(second, left, () -> { });
+            left.set(Duration.ofSeconds(1));
+            go.countDown();
+            answered.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            assertEquals(server.seen.get(1).header("X-Timeout"), "1000m");
+        }
+    }
+
+    /** A repeat of a keyed class is not written once its window is over, though it was ordered within it. */
+    @Test
+    public void aKeyedRepeatIsNotWrittenAfterItsWindow() throws Exception {
+        int windowMs = 1500;
+        try (Site site = site("keyed", windowMs / 1000.0)) {
+            CountDownLatch met = new CountDownLatch(1);
+            CountDownLatch go = new CountDownLatch(1);
+            AtomicLong first = new AtomicLong();
+            StandIn reader = new StandIn(Site::read);
+            StandIn fails = new StandIn(attempts((m, line) -> {
+                first.set(System.nanoTime());
+                met.countDown();
+                go.await();
+                line.answer(500, "");
+            }));
+            StandIn late = new StandIn(Site::write, 1);
+            site.readers.add(reader);
+            site.writers.addAll(List.of(fails, late));
+            try (Line one = new Line(late.address()); Line two = new Line(late.address()); Line client = site.client()) {
+                list(site, Site.entry(reader, "prefill", "active") + "," + Site.entry(fails, "decode", "active"), 2);
+                client.send(Site.request("ask", CLIENT_MS));
+                met.await();
+                list(site, Site.entry(late, "decode", "active") + "," + Site.entry(fails, "decode", "leaving"), 3);
+                go.countDown();
+                long over = first.get() + (windowMs + 1) * 1_000_000L;
+                while (System.nanoTime() < over) {
+                    Thread.sleep(10); // the window's time is what this waits for
+                }
+                late.open();
+                assertEquals(client.read().status(), 503);
+                await("its connection came up", () -> late.lines.size() == 3);
+                assertEquals(late.attempts(), 0);
+            }
+        }
+    }
+
+    private static Site site(String effect, double windowS) throws Exception {
+        String settings = String.format(Site.SETTINGS, "30").replace("\"semantics\":\"safe\"",
+                "\"semantics\":\"" + effect + "\",\"group\":\"all\",\"window_s\":" + windowS);
+        return new Site(0, 0, 30, null, List.of(), Config.Limits.USUAL, Site.parsed(settings), Duration.ofSeconds(8));
+    }
+
+    private static void list(Site site, String change, int version) throws Exception {
+        site.changes.add(change);
+        await("listed", () -> site.discovery.count(m -> m.path().contains("from=" + version + "&")) > 0);
+    }
+
+    private static void hold(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static Connector.Connection up(Connector connector, InetSocketAddress to) throws Exception {
+        CompletableFuture<Connector.Connection> up = new CompletableFuture<>();
+        connector.connect(to, Duration.ofSeconds(5), new Connector.Watcher() {
+            @Override
+            public void up(Connector.Connection connection) {
+                up.complete(connection);
+            }
+
+            @Override
+            public void failed() {
+                up.cancel(false);
+            }
+
+            @Override
+            public void closed(Connector.Connection connection) {}
+        });
+        return up.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** {@code answered} runs on the reactor's thread. */
+    private static CompletableFuture<Boolean> call(Connector.Connection on, AtomicReference<Duration> left, Runnable answered) {
+        CompletableFuture<Boolean> end = new CompletableFuture<>();
+        HttpCall call = new HttpCall("POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII),
+                Instant.now());
+        Ask ask = new Ask("id", "ask", "k", null, 40, 0, 9, Instant.now().plusSeconds(8), false, call);
+        on.call(new Connector.AttemptCall(ask, true, left::get, false, () -> true), new Connector.Listener() {
+            @Override
+            public void sent() {}
+
+            @Override
+            public void held() {}
+
+            @Override
+            public void word(Connector.Word word, Report report) {
+                answered.run();
+            }
+
+            @Override
+            public void event(byte[] raw) {}
+
+            @Override
+            public void end(boolean reusable, double kept) {
+                end.complete(true);
+            }
+
+            @Override
+            public void broken(boolean written) {
+                end.complete(false);
+            }
+        });
+        return end;
+    }
+}
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -80,6 +80,49 @@
         }
     }
 
+    @DataProvider
+    public Object[][] words() {
+        List<Object[]> all = new ArrayList<>();
+        for (int status : new int[] {200, 201, 202, 203, 204, 206, 301, 302, 304, 307, 308, 400, 404, 409, 410, 429, 500, 503, 504}) {
+            for (boolean reads : new boolean[] {true, false}) {
+                if (status != (reads ? 202 : 200)) {
+                    all.add(new Object[] {status, reads});
+                }
+            }
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    /** A word that is not its role's: an attempt that failed and may have run, and nothing of it is passed on. */
+    @Test(dataProvider = "words")
+    public void aWordOfAnotherRoleIsAFailedAttempt(int status, boolean reads) throws Exception {
+        String bad = status == 204 || status == 304 ? "HTTP/1.1 " + status + " x\r\n\r\n" : "HTTP/1.1 " + status
+                + " x\r\nLocation: /v1/chat/completions\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("data: bad\n\n") + "0\r\n\r\n";
+        try (Site site = new Site(2, 2)) {
+            for (String requestClass : List.of("ask", "send")) {
+                boolean harmless = reads || requestClass.equals("ask"); // what a reader does has no effect
+                AtomicInteger turn = new AtomicInteger();
+                List<StandIn> all = reads ? site.readers : site.writers;
+                StandIn.Script good = reads ? Site::read : Site::write;
+                all.forEach(s -> s.script = attempts((m, line) -> {
+                    if (turn.getAndIncrement() == 0) {
+                        line.send(bad);
+                    } else {
+                        good.run(m, line);
+                    }
+                }));
+                try (Line client = site.client()) {
+                    Line.Message answer = client.send(request(requestClass, 4000)).read();
+                    assertEquals(answer.status(), harmless ? 200 : 502);
+                    assertEquals(answer.text(), harmless ? EVENTS : "failed\n");
+                }
+                assertEquals(turn.get(), harmless ? 2 : 1);
+                assertEquals((long) OperatorsTest.figures(site.node.door()).get("transactions." + requestClass + ".errored"),
+                        harmless ? 0 : 1);
+            }
+        }
+    }
+
     @DataProvider
     public Object[][] middles() {
         return withFronts(new Object[][] {
