Behind the end of a connection's last answer nothing is read or sent on

Cause, by reading: HttpCore goes on with half a request that it has in its buffer as it shuts a connection down; the rest came before the close, the request was read whole and handed on, and the connection closed under it.

Change: the connection is marked as ending before the end of its last answer, or its cut, is given to HttpCore; from then on nothing is read and no request handed on. Unread, it is sent once more.

Not run: BadClientsTest.whatComesBehindTheLastAnswerIsNotSentOn, with and without the mend.

--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -36,7 +36,8 @@
         volatile boolean body;           // of a request whose body is not whole yet
         boolean deaf;                    // to more requests; the reactor's
         final Queue<ServerExchange> whole = new ArrayDeque<>(); // requests that no front has seen; the reactor's
-        volatile Instant closeAt;        // its last answer is out; what more comes is not read
+        volatile boolean ending;         // the end of its last answer is on its way; what more comes is not read
+        volatile Instant closeAt;        // that end is out
         private volatile boolean going;  // the thread that reads it is to close it
 
         Client(IOSession session, Instant now, boolean beyond, AtomicInteger all) {
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -189,7 +189,13 @@
         public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
             reading.incrementAndGet();
             try {
-                if (!sealed) {
+                if (client.ending) {
+                    // HttpCore would go on with half a request that it has in its buffer, and it would be sent on for a
+                    // connection that is about to close: unread, its client sends it once more
+                    open.clearEvent(SelectionKey.OP_READ);
+                    times();
+                    gone();
+                } else if (!sealed) {
                     take(open, bytes);
                 }
             } finally {
@@ -208,7 +214,7 @@
                     open.close(CloseMode.IMMEDIATE);
                 }
                 if (open.isOpen()) {
-                    client.whole.forEach(ServerExchange::dispatch);
+                    client.whole.stream().filter(e -> !client.ending).forEach(ServerExchange::dispatch);
                 }
                 client.whole.clear();
                 times();
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -229,6 +229,7 @@
     @Override
     public void abort() {
         last = Last.CUT;
+        client.ending = true;
         client.closeAt = clock.instant().plus(CUT_TIME);
         flush();
     }
@@ -283,6 +284,7 @@
         if (state == Last.WHOLE && over.compareAndSet(false, true)) {
             // first the end goes to HttpCore: this may be the actors' thread, and the reactor's would see a connection with
             // nothing left to write and close it, or a stop see nothing open
+            client.ending = closing || client.ending;
             channel.endStream(null);
             ended();
             if (closing) {
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -9,6 +9,7 @@
 import static org.testng.Assert.assertTrue;
 
 import copperbeam.program.Config;
+import copperbeam.protocol.HttpReply;
 import copperbeam.transport.ClientRoom;
 import copperbeam.transport.HttpFrontServer;
 import java.io.IOException;
@@ -17,7 +18,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -159,6 +162,48 @@
         }
     }
 
+    /** Half a request is here as its connection's last answer goes out, and the rest comes in that instant. */
+    @Test
+    public void whatComesBehindTheLastAnswerIsNotSentOn() throws Exception {
+        List<String> heard = new CopyOnWriteArrayList<>();
+        AtomicReference<HttpReply> first = new AtomicReference<>();
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
+            heard.add(call.path());
+            if (call.path().equals("/first")) {
+                first.set(reply);
+                return () -> { };
+            }
+            if (call.path().equals("/holds")) {
+                busy.countDown();
+                try {
+                    go.await(); // the reactor does nothing else meanwhile
+                } catch (InterruptedException e) {
+                    throw new AssertionError(e);
+                }
+            }
+            reply.whole(200, "text/plain", Map.of(), new byte[0]);
+            return () -> { };
+        }, Clock.systemUTC(), new ClientRoom(10, 1000), (c, status) -> { })) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
+            server.drain(true);
+            try (Line client = new Line(at); Line holds = new Line(at); Line last = new Line(at)) {
+                client.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHo");
+                await("asked", () -> first.get() != null);
+                holds.send("GET /holds HTTP/1.1\r\nHost: x\r\n\r\n");
+                busy.await();
+                first.get().whole(200, "text/plain", Map.of(), new byte[0]);
+                client.send("st: x\r\n\r\n");
+                go.countDown();
+                assertEquals(client.read().header("Connection"), "close");
+                assertTrue(client.awaitClosed());
+                assertEquals(last.send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n").read().status(), 200);
+                assertEquals(heard, List.of("/first", "/holds", "/last"));
+            }
+        }
+    }
+
     /** Guards the memory: many large requests that wait at once. */
     @Test
     public void bodiesThatWaitAreBounded() throws Exception {
