Half a line on a kept connection costs no attempt

Cause, by reading: bytes that come on a connection where no call is out stay in HttpCore's buffer as half a head, and the next answer is read as the rest of it, so that its attempt is told as one that may have run.

Change: such a connection is closed at once; as a held last byte is about to leave, too, so that the byte stays and a new connection is made.

Not run: the rows and tests of SpoiltAnswersTest for it, with and without the mend.

--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -146,6 +146,10 @@
                 if (duplexer.late() != null) {
                     throw duplexer.late();
                 }
+                ClientExchange current = exchange;
+                if (parser.partial() && (current == null || current.ended())) {
+                    unasked(open);
+                }
                 headTime();
             } finally {
                 settle();
@@ -162,6 +166,9 @@
             if (current != null && current.aboutToGo()) {
                 // what the server said since the select: on a connection that it has ended the byte must stay here
                 inputReady(open, null);
+                if (open.isOpen() && parser.partial()) {
+                    unasked(open);
+                }
                 if (!open.isOpen()) {
                     return;
                 }
@@ -198,6 +205,11 @@
             settle();
         }
 
+        /** Guards the next answer on a kept connection: it would be read as the rest of this, and its attempt have failed. */
+        private void unasked(IOSession open) {
+            exception(open, new IOException("half a head that no call has asked for"));
+        }
+
         /** Guards against a head that does not end: its attempt would wait for as long as its client. */
         private void headTime() {
             if (!parser.partial()) {
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -158,6 +158,7 @@
             {"ahead", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + HEAD + "\r\n" + stream},
             {"report", HEAD + "X-Server-Load: inflight=\u0001,=,x0=-7\r\n\r\n" + stream},
             {"behind", HEAD + "\r\n" + stream + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"},
+            {"behind, half a line", HEAD + "\r\n" + stream + "HTTP/1.1 4"},
         });
     }
 
@@ -173,7 +174,47 @@
                     assertTrue(served.whole() && served.text().contains("[DONE]"));
                 }
             }
-            assertEquals(site.writers.get(0).lines.size(), name.equals("behind") ? 3 : 1);
+            assertEquals(site.writers.get(0).lines.size(), name.startsWith("behind") ? 3 : 1);
+            assertEquals(site.attempts(site.writers), 3);
+        }
+    }
+
+    /** On a kept connection, before the next request, as it is written or as it waits for its last byte: none is spent on it. */
+    @Test
+    public void halfALineOnAKeptConnectionCostsNoAttempt() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            for (int i = 1; i <= 5; i++) {
+                assertEquals(client.send(request("ask", 4000)).read().status(), 200);
+                assertEquals(site.attempts(site.readers), i);
+                List<Line> lines = site.readers.get(0).lines;
+                lines.get(lines.size() - 1).send("HTTP/1.1 4");
+            }
+            assertEquals(site.readers.get(0).lines.size(), 5);
+        }
+    }
+
+    @DataProvider
+    public Object[][] halves() {
+        String next = "data: {\"choices\":[{\"index\":0";
+        return new Object[][] {
+            {"half a size", "2"}, {"a size alone", "40\r\n"}, {"half a chunk", "40\r\n" + next}, {"half an event", chunk(next)},
+        };
+    }
+
+    /** Of half a line at a close nothing is passed on, and the client sees that its stream is not whole. */
+    @Test(dataProvider = "halves")
+    public void halfALineAtACloseIsNotPassedOn(String name, String half) throws Exception {
+        try (Site site = new Site(1, 1)) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.send(HEAD + "\r\n" + chunk(FIRST) + half);
+                line.close();
+            });
+            try (Line client = send(site, "send", false)) {
+                Line.Message answer = client.read();
+                assertFalse(answer.whole());
+                assertEquals(answer.text(), FIRST);
+            }
+            assertEquals(site.attempts(site.writers), 1);
         }
     }
 
