A call of PlainHttpClient that is stopped after its end leaves the next one alone

Cause, by reading: stop() closed the call's connection also where the call had ended, though the connection was kept and may have carried the next call.

Not run: PlainHttpClientTest, with and without the mend.

--- a/src/main/java/copperbeam/transport/PlainHttpClient.java
+++ b/src/main/java/copperbeam/transport/PlainHttpClient.java
@@ -42,9 +42,9 @@
             }
         }
 
+        /** Guards the next call on a kept connection: one that has ended has none. */
         void stop() {
-            over.set(true);
-            IOSession current = session.get();
+            IOSession current = over.getAndSet(true) ? null : session.get();
             if (current != null) {
                 current.close(CloseMode.IMMEDIATE);
             }
@@ -110,12 +110,13 @@
 
             @Override
             void whole(boolean reusable) {
+                boolean ends = call.over.compareAndSet(false, true); // else it was stopped, and its connection with it
                 kept.values().removeIf(s -> !s.isOpen());
-                IOSession other = reusable ? kept.put(call.to, session) : session;
-                if (other != null && other != session || !reusable) {
+                IOSession other = reusable && ends ? kept.put(call.to, session) : session;
+                if (other != null && (other != session || !reusable || !ends)) {
                     other.close(CloseMode.GRACEFUL);
                 }
-                if (call.over.compareAndSet(false, true)) {
+                if (ends) {
                     call.response.end();
                 }
             }
