--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -393,7 +393,7 @@
                 Duration.between(clock.instant(), ModuleTime.time(a.until())));
         peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until()),
                 Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()),
-                r.mayHold ? due(r, CONNECT_SHARE) : Instant.MAX, once));
+                r.mayHold ? due(r, CONNECT_SHARE) : Instant.MAX, once, r.reading));
     }
 
     private void note(Recorder.What what, Request r, String server, String text, Duration span) {
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -82,6 +82,49 @@
         }
     }
 
+    @DataProvider
+    public Object[][] words() {
+        List<Object[]> all = new ArrayList<>();
+        for (int status : new int[] {200, 201, 202, 203, 204, 206, 301, 302, 304, 307, 308, 400, 404, 409, 410, 429, 500, 503, 504}) {
+            for (boolean reads : new boolean[] {true, false}) {
+                if (status != (reads ? 202 : 200)) {
+                    all.add(new Object[] {status, reads});
+                }
+            }
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    /** A word that is not its role's: an attempt that failed and may have run, and nothing of it is passed on. */
+    @Test(dataProvider = "words")
+    public void aWordOfAnotherRoleIsAFailedAttempt(int status, boolean reads) throws Exception {
+        String bad = status == 204 || status == 304 ? "HTTP/1.1 " + status + " x\r\n\r\n" : "HTTP/1.1 " + status
+                + " x\r\nLocation: /v1/chat/completions\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("data: bad\n\n") + "0\r\n\r\n";
+        try (Site site = new Site(2, 2)) {
+            for (String requestClass : List.of("ask", "send")) {
+                boolean harmless = reads || requestClass.equals("ask"); // what a reader does has no effect
+                AtomicInteger turn = new AtomicInteger();
+                List<StandIn> all = reads ? site.readers : site.writers;
+                StandIn.Script good = reads ? Site::read : Site::write;
+                all.forEach(s -> s.script = attempts((m, line) -> {
+                    if (turn.getAndIncrement() == 0) {
+                        line.send(bad);
+                    } else {
+                        good.run(m, line);
+                    }
+                }));
+                try (Line client = site.client()) {
+                    Line.Message answer = client.send(request(requestClass, 4000)).read();
+                    assertEquals(answer.status(), harmless ? 200 : 502);
+                    assertEquals(answer.text(), harmless ? EVENTS : "failed\n");
+                }
+                assertEquals(turn.get(), harmless ? 2 : 1);
+                assertEquals((long) OperatorsTest.figures(site.node.door()).get("transactions." + requestClass + ".errored"),
+                        harmless ? 0 : 1);
+            }
+        }
+    }
+
     @DataProvider
     public Object[][] middles() {
         return withFronts(new Object[][] {
@@ -117,6 +160,7 @@
             {"ahead", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + HEAD + "\r\n" + stream},
             {"report", HEAD + "X-Server-Load: inflight=\u0001,=,x0=-7\r\n\r\n" + stream},
             {"behind", HEAD + "\r\n" + stream + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"},
+            {"behind, half a line", HEAD + "\r\n" + stream + "HTTP/1.1 4"},
         });
     }
 
@@ -132,7 +176,47 @@
                     assertTrue(served.whole() && served.text().contains("[DONE]"));
                 }
             }
-            assertEquals(site.writers.get(0).lines.size(), name.equals("behind") ? 3 : 1);
+            assertEquals(site.writers.get(0).lines.size(), name.startsWith("behind") ? 3 : 1);
+            assertEquals(site.attempts(site.writers), 3);
+        }
+    }
+
+    /** On a kept connection, before the next request, as it is written or as it waits for its last byte: none is spent on it. */
+    @Test
+    public void halfALineOnAKeptConnectionCostsNoAttempt() throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            for (int i = 1; i <= 5; i++) {
+                assertEquals(client.send(request("ask", 4000)).read().status(), 200);
+                assertEquals(site.attempts(site.readers), i);
+                List<Line> lines = site.readers.get(0).lines;
+                lines.get(lines.size() - 1).send("HTTP/1.1 4");
+            }
+            assertEquals(site.readers.get(0).lines.size(), 5);
+        }
+    }
+
+    @DataProvider
+    public Object[][] halves() {
+        String next = "data: {\"choices\":[{\"index\":0";
+        return new Object[][] {
+            {"half a size", "2"}, {"a size alone", "40\r\n"}, {"half a chunk", "40\r\n" + next}, {"half an event", chunk(next)},
+        };
+    }
+
+    /** Of half a line at a close nothing is passed on, and the client sees that its stream is not whole. */
+    @Test(dataProvider = "halves")
+    public void halfALineAtACloseIsNotPassedOn(String name, String half) throws Exception {
+        try (Site site = new Site(1, 1)) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                line.send(HEAD + "\r\n" + chunk(FIRST) + half);
+                line.close();
+            });
+            try (Line client = send(site, "send", false)) {
+                Line.Message answer = client.read();
+                assertFalse(answer.whole());
+                assertEquals(answer.text(), FIRST);
+            }
+            assertEquals(site.attempts(site.writers), 1);
         }
     }
 
