Demand counts what is held: a start among cold servers alone sends at once

Cause: a cold server's permits come as a part of the node's demand, and demand was counted at a request's first send. A process that starts while all servers of a role are cold knows no demand, gets no permit, sends nothing and counts nothing until the servers are warm. Change: each request that isn't refused counts once, at the first choice made for it, also if no server has a permit. Refused ones count as little as before.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -434,11 +434,16 @@
             return;
         }
         r.options = null;
+        boolean slow = s != null && r.sends == 0 && mayRefuse(r)
+                && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s, anew(r, rank)) / aimS(r));
+        if (!slow && !r.counted) { // what is held too: a start among cold servers alone had no part of them
+            r.counted = true;
+            demand.add(now, weight(r));
+        }
         if (s == null) { // none can take it now
             letGoAt(r, now + HOLD_S);
             timer(HOLD_S, 'h', r, 0);
-        } else if (r.sends == 0 && mayRefuse(r)
-                && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s, anew(r, rank)) / aimS(r))) {
+        } else if (slow) {
             close(r, Why.SLOW);
         } else {
             send(r, s, rank, s.role != Role.READER ? Why.WRITER : rank == 0 ? Why.HOME : Why.SPILL);
@@ -648,9 +653,6 @@
         if (s.resting && now >= s.restUntil) {
             s.restUntil = now + s.rest;
         }
-        if (r.sends == 1) {
-            demand.add(now, weight(r));
-        }
         boolean redo = (reading || harmless(r.kind)) && r.sends < settings.limits().maxAttempts();
         double left = r.asked.deadline() - ANSWER_MARGIN_S - now;
         double until = now + Math.max(left, 0.001);
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -351,6 +351,7 @@
         String lastTried;
         Top options;                 // of which one takes the next attempt
         boolean lookedAgain;         // as those asked first gave no answer
+        boolean counted;             // in the node's demand
 
         Request(Arrival asked, RequestClass kind) {
             this.asked = asked;
