--- /dev/null
+++ b/src/test/java/copperbeam/ModuleDay.java
@@ -0,0 +1,206 @@
+package copperbeam;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import copperbeam.Api.*;
+
+/**
+ * Some modules before servers in virtual time, each under {@link RulesTest.Checker}: readers read one prompt after
+ * another, writers begin at once. No simulator of load: it shows what is sent, refused, held and never answered.
+ */
+final class ModuleDay {
+    record Due(double time, long order, Node node, Event event) {}
+
+    static final class Node {
+        final Brain brain;
+        final RulesTest.Checker checker;
+        final Map<Long, List<Due>> out = new HashMap<>();
+        final Map<Long, Integer> attempts = new HashMap<>();
+        int turned;                  // requests refused or failed one after another, with no attempt in between
+        int mostTurned;
+        double firstAttempt = Double.MAX_VALUE;
+
+        Node(Settings settings, long seed) {
+            brain = new Brain(settings, seed);
+            checker = new RulesTest.Checker(settings);
+        }
+    }
+
+    static final class Machine {
+        Member entry;
+        double tokensPerS = 15_000;
+        double freeAt;
+        double hungFrom = Double.MAX_VALUE;
+        double hungUntil;
+        Outcome fault;               // of each attempt, or null
+        double faultChance = 1;
+
+        boolean hung(double at) {
+            return at >= hungFrom && at < hungUntil;
+        }
+    }
+
+    /** What became of one request. */
+    static final class Fate {
+        final Arrival asked;
+        final double at;
+        boolean answered;
+        boolean refused;
+        int attempts;
+
+        Fate(Arrival asked, double at) {
+            this.asked = asked;
+            this.at = at;
+        }
+    }
+
+    final Settings settings;
+    final SplittableRandom random;
+    final List<Node> nodes = new ArrayList<>();
+    final Map<String, Machine> machines = new TreeMap<>();
+    final Map<Long, Fate> fates = new TreeMap<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.time != b.time
+            ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+    private long order;
+    private double now;
+
+    ModuleDay(Settings settings, long seed) {
+        this.settings = settings;
+        random = new SplittableRandom(seed);
+    }
+
+    Machine machine(Member entry) {
+        Machine m = machines.computeIfAbsent(entry.server(), n -> new Machine());
+        m.entry = entry;
+        return m;
+    }
+
+    /** A node that starts then, with the list as it is. */
+    Node node(double at) {
+        Node n = new Node(settings, nodes.size() + 1);
+        nodes.add(n);
+        tell(at, n, list(ListKind.CACHED));
+        return n;
+    }
+
+    Members list(ListKind kind) {
+        return new Members(kind, machines.values().stream().map(m -> m.entry).toList());
+    }
+
+    Due tell(double at, Node n, Event event) {
+        Due due = new Due(at, order++, n, event);
+        queue.add(due);
+        return due;
+    }
+
+    Fate ask(double at, Node n, RequestClass c, String session, String prefix, double tokens, double prefixTokens,
+            double within) {
+        Arrival a = new Arrival(fates.size() + 1, c.name(), null, session, prefix, tokens, prefixTokens, 100, at + within);
+        Fate f = new Fate(a, at);
+        fates.put(a.request(), f);
+        tell(at, n, a);
+        return f;
+    }
+
+    long count(Predicate<Fate> what) {
+        return fates.values().stream().filter(what).count();
+    }
+
+    void run(double until) {
+        double checked = now;
+        while (!queue.isEmpty() && queue.peek().time <= until) {
+            Due d = queue.poll();
+            now = d.time;
+            if (now > checked + 0.1) {
+                nodes.forEach(n -> n.checker.check(now));
+                checked = now;
+            }
+            if (d.event instanceof AttemptEnded e) {
+                d.node.out.remove(e.request());
+                fates.get(e.request()).answered |= e.outcome() == Outcome.OK;
+            }
+            d.node.checker.told(now, d.event);
+            List<Action> actions = d.node.brain.on(now, d.event);
+            d.node.checker.did(now, actions);
+            actions.forEach(a -> act(d.node, a));
+        }
+        now = until;
+        nodes.forEach(n -> n.checker.check(now));
+    }
+
+    private void act(Node n, Action action) {
+        if (action instanceof Timer t) {
+            tell(now + t.afterS(), n, new TimerFired(t.tag()));
+        } else if (action instanceof Probe p) {
+            probe(n, machines.get(p.server()));
+        } else if (action instanceof Cancel c) {
+            List<Due> due = n.out.get(c.request());
+            if (due != null && queue.remove(due.get(due.size() - 1))) {
+                queue.removeAll(due);
+                AttemptEnded e = (AttemptEnded) due.get(due.size() - 1).event;
+                end(n, now + 0.002, e.request(), e.attempt(), e.server(), Outcome.CANCELLED, false);
+            }
+        } else if (action instanceof Attempt a) {
+            n.turned = 0;
+            n.firstAttempt = Math.min(n.firstAttempt, now);
+            fates.get(a.request()).attempts++;
+            attempt(n, a, machines.get(a.server()), n.attempts.merge(a.request(), 1, Integer::sum) - 1);
+        } else if (action instanceof Refuse a) {
+            turned(n, a.request());
+        } else if (action instanceof Fail a) {
+            turned(n, a.request());
+        }
+    }
+
+    private void turned(Node n, long request) {
+        fates.get(request).refused = true;
+        n.mostTurned = Math.max(n.mostTurned, ++n.turned);
+    }
+
+    private void probe(Node n, Machine m) {
+        boolean hung = m.hung(now);
+        boolean told = settings.reports() != Reports.NEVER;
+        tell(now + (hung ? 0.25 : 0.004), n, new Probed(m.entry.server(), hung ? Outcome.TIMED_OUT : Outcome.OK, 0.004,
+                hung || !told ? null : report(m)));
+    }
+
+    private Report report(Machine m) {
+        return new Report(Double.NaN, Double.NaN, Double.NaN, 0.3, Math.max(0, m.freeAt - now) * m.tokensPerS / 1000);
+    }
+
+    private void end(Node n, double at, long request, int number, String server, Outcome o, boolean over) {
+        Report report = settings.reports() == Reports.WITH_OUTCOMES ? report(machines.get(server)) : null;
+        n.out.computeIfAbsent(request, r -> new ArrayList<>()).add(tell(at, n,
+                new AttemptEnded(request, number, server, o, at - now, over, false, report, Double.NaN)));
+    }
+
+    private void attempt(Node n, Attempt a, Machine m, int number) {
+        Arrival asked = fates.get(a.request()).asked;
+        Role role = settings.kinds().stream().filter(k -> k.name().equals(m.entry.kind())).findFirst().orElseThrow().role();
+        double at = now + 0.05;
+        if (role != Role.WRITER && !m.hung(now)) {
+            m.freeAt = Math.max(m.freeAt, now) + asked.promptTokens() / m.tokensPerS;
+            at = m.freeAt + 0.001;
+        }
+        Outcome o = role == Role.READER ? Outcome.READ : Outcome.OK;
+        if (m.fault != null && random.nextDouble() < m.faultChance) {
+            o = m.fault;
+            at = now + 0.005;
+        }
+        if (m.hung(now) || at > a.until()) {
+            o = Outcome.TIMED_OUT;
+            at = a.until();
+        } else if (o == Outcome.OK) {
+            n.out.computeIfAbsent(a.request(), r -> new ArrayList<>()).add(tell(at, n,
+                    new StreamStarted(a.request(), number, a.server(), at - now)));
+            at += 0.3;
+        }
+        end(n, at, a.request(), number, a.server(), o, o == Outcome.OK);
+    }
+}
