A connection whose turn of reading is spent as its answer ends is not kept

Cause, by reading: since a turn reads 64 KiB at most, more may be unread behind an answer that ends just then, and the connection would be kept and end the next attempt as stale. Change: it is closed.

--- a/src/main/java/copperbeam/transport/Chunks.java
+++ b/src/main/java/copperbeam/transport/Chunks.java
@@ -40,6 +40,11 @@
         void begin() {
             left = most;
         }
+
+        /** More may be at hand than was read. */
+        boolean spent() {
+            return left <= 0;
+        }
     }
 
     /**
@@ -60,7 +65,7 @@
 
         @Override
         public int fill(ReadableByteChannel from) throws IOException {
-            if (turn.left <= 0) {
+            if (turn.spent()) {
                 return 0;
             }
             int count = super.fill(from);
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -238,7 +238,7 @@
             ClientExchange last = exchange;
             if (last != null && last.ended()) {
                 exchange = null;
-                last.settle(open);
+                last.settle(open && !duplexer.turn.spent());
             }
             if (!open && !down) {
                 down = true;
