--- a/src/main/java/copperbeam/operation/Desk.java
+++ b/src/main/java/copperbeam/operation/Desk.java
@@ -1,8 +1,8 @@
 package copperbeam.operation;
 
-import copperbeam.routing.Figures;
-import copperbeam.routing.Figures.End;
-import copperbeam.transport.LineDoor;
+import copperbeam.routing.Metrics;
+import copperbeam.routing.Metrics.End;
+import copperbeam.transport.AdminServer;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -12,19 +12,19 @@
  * The words of the operators' door. A call that only asks is answered on the door's thread from what others have
  * published; one that changes something is yes once its owner has acted.
  */
-public final class Desk implements LineDoor.Desk {
+public final class Desk implements AdminServer.Desk {
     private static final Logger LOG = Logger.getLogger(Desk.class.getName());
     private static final String YES = "ACK\n";
 
-    private final Figures figures;
+    private final Metrics metrics;
     private final BooleanSupplier serves;
     private final Shared shared;
     private final BanActor bans;
     private final Executor one;
 
     /** {@code one}: one thread, on which calls that change something follow each other. */
-    public Desk(Figures figures, BooleanSupplier serves, Shared shared, BanActor bans, Executor one) {
-        this.figures = figures;
+    public Desk(Metrics metrics, BooleanSupplier serves, Shared shared, BanActor bans, Executor one) {
+        this.metrics = metrics;
         this.serves = serves;
         this.shared = shared;
         this.bans = bans;
@@ -37,7 +37,7 @@
         String server = words.length == 2 ? words[1] : null;
         switch (words[0] + (server == null ? "" : " ID") + (words.length > 2 ? " more" : "")) {
             case "PING" -> reply.accept(serves.getAsBoolean() ? YES : no("not ready"));
-            case "INFO" -> reply.accept(YES + lines(figures) + "--\n");
+            case "INFO" -> reply.accept(YES + lines(metrics) + "--\n");
             case "DETACH ID" -> ban(line, server, true, reply);
             case "ATTACH ID" -> ban(line, server, false, reply);
             case "LAMEDUCK" -> one.execute(() -> shared.drain(true, done -> said(line, done, reply)));
@@ -71,21 +71,21 @@
     }
 
     /** {@code app.NAME:VALUE|c} for counts since the start, {@code |g} for what is now. */
-    static String lines(Figures figures) {
+    static String lines(Metrics metrics) {
         StringBuilder text = new StringBuilder();
         long sends = 0;
-        for (String c : figures.classes()) {
+        for (String c : metrics.classes()) {
             String name = "transactions." + c + ".";
-            line(text, name + "answered", figures.count(End.ANSWERED, c), 'c');
-            line(text, name + "deferred", figures.count(End.DEFERRED, c), 'c');
-            line(text, name + "errored", figures.count(End.ERRORED, c), 'c');
-            line(text, name + "sends", figures.sends(c), 'c');
-            sends += figures.sends(c);
+            line(text, name + "answered", metrics.count(End.ANSWERED, c), 'c');
+            line(text, name + "deferred", metrics.count(End.DEFERRED, c), 'c');
+            line(text, name + "errored", metrics.count(End.ERRORED, c), 'c');
+            line(text, name + "sends", metrics.sends(c), 'c');
+            sends += metrics.sends(c);
         }
         line(text, "sends", sends, 'c');
-        line(text, "current", figures.current(), 'g');
-        line(text, "cluster_size", figures.cluster().size(), 'g');
-        line(text, "cluster_unhealthy", figures.cluster().avoided(), 'g');
+        line(text, "current", metrics.current(), 'g');
+        line(text, "cluster_size", metrics.cluster().size(), 'g');
+        line(text, "cluster_unhealthy", metrics.cluster().avoided(), 'g');
         return text.toString();
     }
 
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -24,7 +24,7 @@
 import copperbeam.protocol.openai.OpenAiFront;
 import copperbeam.protocol.platform.PlatformFront;
 import copperbeam.record.FileRecorder;
-import copperbeam.routing.Figures;
+import copperbeam.routing.Metrics;
 import copperbeam.routing.HookActor;
 import copperbeam.routing.Intake;
 import copperbeam.routing.ListActor;
@@ -37,7 +37,7 @@
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ClientRoom;
 import copperbeam.transport.HttpFrontServer;
-import copperbeam.transport.LineDoor;
+import copperbeam.transport.AdminServer;
 import copperbeam.transport.PlainHttpClient;
 import copperbeam.transport.ServerConnector;
 
@@ -69,7 +69,7 @@
     private ScheduledThreadPoolExecutor hookTurns;
     private HttpFrontServer chat;
     private volatile InetSocketAddress chatAddress; // the same
-    private LineDoor door;             // null where operators have none
+    private AdminServer door;             // null where operators have none
     private final Handover handover;   // the same
     private final AtomicBoolean ready = new AtomicBoolean();
     private volatile boolean serving;  // at the clients' address
@@ -86,12 +86,12 @@
         fileRecorder = record == null ? null : new FileRecorder(turns, clock, config.name(), record, recordBytes);
         Recorder recorder = record == null ? Recorder.NONE : fileRecorder;
         Duration releaseWithin = ModuleTime.span(Math.max(0.2, config.settings().rules().releaseS()));
-        Figures figures = new Figures(config.classNames());
+        Metrics metrics = new Metrics(config.classNames());
         releases = new ReleaseActor(turns, clock, releaseWithin.multipliedBy(2));
-        module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases, recorder, figures);
+        module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases, recorder, metrics);
         PeerActor.Setup setup = new PeerActor.Setup(clock, new ServerConnector(reactor), config.connectTimeout(),
                 Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
-                config.connectTimeout(), module, releases, recorder, figures);
+                config.connectTimeout(), module, releases, recorder, metrics);
         list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
                 config.limits().idle());
         BanActor bans = config.control() == null ? null : new BanActor(turns, clock, list);
@@ -119,8 +119,8 @@
             hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
             intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), rests);
         }
-        HttpFrontServer.TurnedAway turnedAway = (requestClass, status) -> figures.turnedAway(requestClass,
-                status == 503 ? Figures.End.DEFERRED : Figures.End.ERRORED);
+        HttpFrontServer.TurnedAway turnedAway = (requestClass, status) -> metrics.turnedAway(requestClass,
+                status == 503 ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
         server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock, room, turnedAway);
         if (config.operator().chat() != null) {
             chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), intake, this::healthy,
@@ -136,7 +136,7 @@
         if (handover != null) {
             module.tell(new ModuleActor.Census());
             handover.begin(duty);
-            door = new LineDoor(config.control(), clock, new Desk(figures, this::serves, handover, bans, handover.thread()));
+            door = new AdminServer(config.control(), clock, new Desk(metrics, this::serves, handover, bans, handover.thread()));
         }
         WarmUp.start(config.settings(), client, later ? null : address, () -> {
             warm.countDown();
--- a/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
@@ -66,27 +66,27 @@
 
     /** A load report, with the settings' names or the platform's; null where it holds no figure. */
     public static Report report(String value) {
-        Map<String, Double> figures = new HashMap<>();
+        Map<String, Double> metrics = new HashMap<>();
         for (String pair : (value == null ? "" : value).split(",")) {
             int equals = pair.indexOf('=');
             try {
                 if (equals > 0) {
-                    figures.put(pair.substring(0, equals).strip(), Double.valueOf(pair.substring(equals + 1).strip()));
+                    metrics.put(pair.substring(0, equals).strip(), Double.valueOf(pair.substring(equals + 1).strip()));
                 }
             } catch (NumberFormatException e) {
                 // a figure that is none is as one that is not told
             }
         }
-        Report report = new Report(figure(figures, "util", "cpu"), figure(figures, "queue", "waiting"),
-                figure(figures, "inflight", "active"), figure(figures, "x0", "x0"), figure(figures, "x1", "x1"));
+        Report report = new Report(figure(metrics, "util", "cpu"), figure(metrics, "queue", "waiting"),
+                figure(metrics, "inflight", "active"), figure(metrics, "x0", "x0"), figure(metrics, "x1", "x1"));
         boolean empty = Double.isNaN(report.slotShare() + 0) && Double.isNaN(report.waitingRequests())
                 && Double.isNaN(report.heldRequests()) && Double.isNaN(report.memoryShare())
                 && Double.isNaN(report.waitingThousandTokens());
         return empty ? null : report;
     }
 
-    private static double figure(Map<String, Double> figures, String name, String other) {
-        double value = figures.getOrDefault(name, figures.getOrDefault(other, Double.NaN));
+    private static double figure(Map<String, Double> metrics, String name, String other) {
+        double value = metrics.getOrDefault(name, metrics.getOrDefault(other, Double.NaN));
         return Double.isFinite(value) ? value : Double.NaN;
     }
 }
--- a/src/main/java/copperbeam/routing/Figures.java
+++ b/src/main/java/copperbeam/routing/Metrics.java
@@ -9,7 +9,7 @@
  * What this process has done since its start, counted where it happens and read from any thread. A figure is never
  * derived from another's: who counts an end has seen it.
  */
-public final class Figures {
+public final class Metrics {
     /** How a request ended; where the client had gone, it counts nowhere. */
     public enum End { ANSWERED, DEFERRED, ERRORED, LEFT }
 
@@ -27,7 +27,7 @@
     private volatile Cluster cluster = new Cluster(0, 0);
 
     /** {@code names}: the classes that are counted; what is of another counts as current alone. */
-    public Figures(Collection<String> names) {
+    public Metrics(Collection<String> names) {
         names.forEach(n -> classes.put(n, new Counts()));
     }
 
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -57,7 +57,7 @@
     /** The process ends: streams end too, so that their clients go on elsewhere. */
     public record Cut() implements Message {}
 
-    /** Counts the servers for {@link Figures}, and again each {@link #CENSUS}. */
+    /** Counts the servers for {@link Metrics}, and again each {@link #CENSUS}. */
     public record Census() implements Message {}
 
     /** Of what the conductor may send to cold servers, this part is for this process. */
@@ -103,7 +103,7 @@
     private final Api.Settings settings;
     private final ReleaseActor releases;
     private final Recorder recorder;
-    private final Figures figures;
+    private final Metrics metrics;
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Answer, Request> byAnswer = new IdentityHashMap<>();
     private final Set<String> ids = new HashSet<>();
@@ -115,9 +115,9 @@
     private Runnable idle;
 
     public ModuleActor(ScheduledExecutorService turns, Clock clock, Api.Settings settings, long seed,
-            ReleaseActor releases, Recorder recorder, Figures figures) {
+            ReleaseActor releases, Recorder recorder, Metrics metrics) {
         super(turns);
-        this.figures = figures;
+        this.metrics = metrics;
         this.recorder = recorder;
         this.clock = clock;
         this.settings = settings;
@@ -156,7 +156,7 @@
         } else if (m instanceof Beside e) {
             feed(new Api.Beside(e.part()));
         } else if (m instanceof Census) {
-            figures.cluster(new Figures.Cluster(peers.size(), brain.avoided()));
+            metrics.cluster(new Metrics.Cluster(peers.size(), brain.avoided()));
             tellLater(CENSUS, m);
         }
         if (idle != null && requests.isEmpty()) {
@@ -204,15 +204,15 @@
     }
 
     private void arrive(Arrive e) {
-        figures.taken();
+        metrics.taken();
         if (e.answer().gone()) {
-            figures.ended(e.ask().requestClass(), Figures.End.LEFT);
+            metrics.ended(e.ask().requestClass(), Metrics.End.LEFT);
             return;
         }
         if (!ids.add(e.ask().id())) {
             // two requests of one id can't be told apart at servers, where each would let go of the other's state
             e.answer().fail(Answer.Failure.ID_IN_USE);
-            figures.ended(e.ask().requestClass(), Figures.End.ERRORED);
+            metrics.ended(e.ask().requestClass(), Metrics.End.ERRORED);
             return;
         }
         Request r = new Request(++keys, e.ask(), e.answer());
@@ -243,7 +243,7 @@
         }
         boolean streaming = r.phase == Phase.STREAMING;
         note(Recorder.What.LEFT, r, null, r.phase.name(), null);
-        over(r, Figures.End.LEFT);
+        over(r, Metrics.End.LEFT);
         feed(new Api.ClientLeft(r.key));
         if (streaming && r.out) {
             // nobody reads it: its connection is closed, which ends it at the server
@@ -287,7 +287,7 @@
         r.releaseWanted |= e.outcome() == Outcome.OK && !r.cutReaders.isEmpty();
         note(Recorder.What.ENDED, r, e.server(), e.outcome().name(), e.after());
         if (r.phase == Phase.STREAMING) {
-            over(r, e.outcome() == Outcome.OK ? Figures.End.ANSWERED : Figures.End.ERRORED);
+            over(r, e.outcome() == Outcome.OK ? Metrics.End.ANSWERED : Metrics.End.ERRORED);
             if (e.outcome() == Outcome.OK) {
                 note(Recorder.What.SERVED, r, null, null, null);
                 r.answer.end();
@@ -407,7 +407,7 @@
             if (clock.instant().isAfter(r.ask.deadline().plus(LATE))) {
                 note(Recorder.What.RULE, r, null, "a final answer after its time", null);
             }
-            over(r, what == Recorder.What.REFUSED ? Figures.End.DEFERRED : Figures.End.ERRORED);
+            over(r, what == Recorder.What.REFUSED ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
             answer.accept(r);
             closing.add(r);
         }
@@ -421,9 +421,9 @@
     }
 
     /** The one place where a request's end is counted. */
-    private void over(Request r, Figures.End end) {
+    private void over(Request r, Metrics.End end) {
         r.phase = Phase.OVER;
-        figures.ended(r.ask.requestClass(), end);
+        metrics.ended(r.ask.requestClass(), end);
     }
 
     private void release(Request r) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -78,7 +78,7 @@
 
     /** What all peers share and none of them changes. */
     public record Setup(Clock clock, Connector connector, Duration connectTimeout, Duration idle,
-            Duration callTimeout, ModuleActor module, ReleaseActor releases, Recorder recorder, Figures figures) {}
+            Duration callTimeout, ModuleActor module, ReleaseActor releases, Recorder recorder, Metrics metrics) {}
 
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
     // of a last byte: nine in ten of the breaks that were on their way came within it
@@ -262,7 +262,7 @@
             @Override
             public void sent() {
                 if (work.order instanceof Send s) {
-                    setup.figures().sent(s.ask().requestClass());
+                    setup.metrics().sent(s.ask().requestClass());
                 }
             }
 
--- a/src/main/java/copperbeam/transport/LineDoor.java
+++ b/src/main/java/copperbeam/transport/AdminServer.java
@@ -23,7 +23,7 @@
  * bytes and time: who says nothing costs a caller's place for {@link #PATIENCE} at most, and goes first where places
  * are short.
  */
-public final class LineDoor implements AutoCloseable {
+public final class AdminServer implements AutoCloseable {
     /** Takes a line, on the door's thread; {@code reply} from any thread, once. */
     public interface Desk {
         void call(String line, Consumer<String> reply);
@@ -33,7 +33,7 @@
     static final int MOST_LINE = 256;
     static final Duration PATIENCE = Duration.ofSeconds(6); // from a caller's connect to its answer taken
     private static final Duration TICK = Duration.ofMillis(250);
-    private static final Logger LOG = Logger.getLogger(LineDoor.class.getName());
+    private static final Logger LOG = Logger.getLogger(AdminServer.class.getName());
 
     private static final class Caller {
         final SocketChannel channel;
@@ -63,7 +63,7 @@
     private volatile boolean closed;
 
     /** Listens from now on. */
-    public LineDoor(InetSocketAddress at, Clock clock, Desk desk) throws IOException {
+    public AdminServer(InetSocketAddress at, Clock clock, Desk desk) throws IOException {
         this.clock = clock;
         this.desk = desk;
         selector = Selector.open();
@@ -120,7 +120,7 @@
                 if (selector.keys().size() > MOST_CALLERS) {
                     selector.keys().stream().map(SelectionKey::attachment).filter(Caller.class::isInstance)
                             .map(Caller.class::cast).filter(c -> !c.called).min(Comparator.comparing(c -> c.since))
-                            .ifPresent(LineDoor::end);
+                            .ifPresent(AdminServer::end);
                 }
                 next.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 new Caller(next, selector, clock.instant());
--- a/src/test/java/copperbeam/program/DutyActorTest.java
+++ b/src/test/java/copperbeam/program/DutyActorTest.java
@@ -8,7 +8,7 @@
 import copperbeam.protocol.Json;
 import copperbeam.routing.Answer;
 import copperbeam.routing.Ask;
-import copperbeam.routing.Figures;
+import copperbeam.routing.Metrics;
 import copperbeam.routing.ModuleActor;
 import copperbeam.routing.Recorder;
 import copperbeam.routing.ReleaseActor;
@@ -105,7 +105,7 @@
             ReleaseActor releases = new ReleaseActor(turns, clock, Duration.ofSeconds(2));
             module = new ModuleActor(turns, clock, Decoder.settings(Json.GSON.fromJson("{\"balancers\":1,"
                     + "\"kinds\":[\"d\"],\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"safe\"}],\"limits\":{\"send_cap\":4},"
-                    + "\"rules\":{},\"extra\":{}}", Map.class)), 1, releases, Recorder.NONE, new Figures(Set.of("ask")));
+                    + "\"rules\":{},\"extra\":{}}", Map.class)), 1, releases, Recorder.NONE, new Metrics(Set.of("ask")));
             duty = new DutyActor(turns, clock, new Lifecycle(Duration.ofMillis(3700), true), List.of(front), module, releases,
                     () -> false, beside -> { });
             address = front.listen(new InetSocketAddress("127.0.0.1", 0), false);
--- a/src/test/java/copperbeam/routing/CutTest.java
+++ b/src/test/java/copperbeam/routing/CutTest.java
@@ -48,15 +48,15 @@
                     });
             Duration minute = Duration.ofMinutes(1);
             Clock clock = Clock.systemUTC();
-            Figures figures = new Figures(List.of("c"));
+            Metrics metrics = new Metrics(List.of("c"));
             ReleaseActor releases = new ReleaseActor(turns, clock, minute);
             Api.Settings settings = new Api.Settings(1, 0, List.of(new Api.RequestClass("c", 1, 0, 1, Api.Effect.SAFE,
                     Api.Group.ALL, 0)), List.of(), List.of(), new Api.Limits(4, true, false, 1), new Api.Rules(1, 0, 1, 1, 1, 1),
                     Api.Reports.NEVER, false, 0, true, true);
-            ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, figures);
+            ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, metrics);
             PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
                     (to, timeout, watcher) -> watcher.up(connection), minute, minute, minute, module, releases, Recorder.NONE,
-                    figures));
+                    metrics));
             module.tell(new ModuleActor.Listed(Api.ListKind.FULL, List.of(new Api.Member("s", "z", "k", 0,
                     Api.ServerState.READY, 1, 0)), Map.of("s", peer), null));
             module.arrive(new Ask("id", "c", "k", null, 1, 0, 1, clock.instant().plus(minute), false, null), answer);
--- a/src/test/java/copperbeam/routing/FirstEventTest.java
+++ b/src/test/java/copperbeam/routing/FirstEventTest.java
@@ -48,13 +48,13 @@
             Clock clock = Clock.systemUTC();
             Duration minute = Duration.ofMinutes(1);
             Instant until = clock.instant().plus(minute);
-            Figures figures = new Figures(List.of("c"));
+            Metrics metrics = new Metrics(List.of("c"));
             ReleaseActor releases = new ReleaseActor(turns, clock, minute);
             Api.Settings settings = new Api.Settings(1, 0, List.of(), List.of(), List.of(), new Api.Limits(4, false, false, 1),
                     new Api.Rules(1, 0, 1, 1, 1, 1), Api.Reports.NEVER, false, 0, false, false);
-            ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, figures);
+            ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, metrics);
             PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
-                    connector, minute, minute, minute, module, releases, Recorder.NONE, figures));
+                    connector, minute, minute, minute, module, releases, Recorder.NONE, metrics));
             Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, until, false, null);
             peer.tell(new PeerActor.Send(1, 0, ask, answer, until, until, Instant.MAX, false, false));
             turns.submit(() -> { }).get();
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -336,14 +336,14 @@
                     case "equals" -> proxy == args[0];
                     default -> null;
                 });
-        Figures figures = new Figures(List.of("c"));
+        Metrics metrics = new Metrics(List.of("c"));
         Api.Settings settings = new Api.Settings(1, 0, List.of(new Api.RequestClass("c", 1.5, 0, 3, effect, Api.Group.ALL, 9)),
                 List.of(), List.of(new Api.Kind("r", Role.READER, 1e6), new Api.Kind("w", Role.WRITER, 1e6)),
                 new Api.Limits(4, true, true, 1), new Api.Rules(0, 0, 3, 2, releaseS, 0), Api.Reports.WITH_PROBES, false, 0,
                 false, true);
         ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
-        ModuleActor module = new ModuleActor(world.turns, world, settings, 7, releases, Recorder.NONE, figures);
-        PeerActor.Setup setup = setup(world, module, releases, figures);
+        ModuleActor module = new ModuleActor(world.turns, world, settings, 7, releases, Recorder.NONE, metrics);
+        PeerActor.Setup setup = setup(world, module, releases, metrics);
         Map<String, PeerActor> peers = new HashMap<>();
         List<Api.Member> members = new ArrayList<>();
         for (int i = 0; i < natures.length; i++) {
@@ -444,9 +444,9 @@
         assertNull(world.broken);
     }
 
-    private static PeerActor.Setup setup(World world, ModuleActor module, ReleaseActor releases, Figures figures) {
+    private static PeerActor.Setup setup(World world, ModuleActor module, ReleaseActor releases, Metrics metrics) {
         Duration connect = Duration.ofMillis(250);
         return new PeerActor.Setup(world, world, connect, Duration.ofSeconds(15), connect, module, releases, Recorder.NONE,
-                figures);
+                metrics);
     }
 }
--- a/src/test/java/copperbeam/routing/LongDayTest.java
+++ b/src/test/java/copperbeam/routing/LongDayTest.java
@@ -39,7 +39,7 @@
                     new Limits(4, true, false, 1), new Rules(1, 1, 3, 2, 1, 0), Api.Reports.NEVER, false, 0, false, true);
             ReleaseActor releases = new ReleaseActor(turns, Clock.systemUTC(), Duration.ofSeconds(1));
             ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), settings, 1, releases, Recorder.NONE,
-                    new Figures(List.of()));
+                    new Metrics(List.of()));
             PeerActor.Setup setup = new PeerActor.Setup(Clock.systemUTC(), null, Duration.ofSeconds(1),
                     Duration.ofSeconds(1), Duration.ofSeconds(1), module, releases, Recorder.NONE, null);
             List<WeakReference<PeerActor>> made = new ArrayList<>();
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -122,13 +122,13 @@
             Answer answer = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
                     (proxy, method, args) -> method.getName().equals("gone") ? gone[0] : null);
             Duration minute = Duration.ofMinutes(1);
-            Figures figures = new Figures(List.of("c"));
+            Metrics metrics = new Metrics(List.of("c"));
             ReleaseActor releases = new ReleaseActor(turns, clock, minute);
             Api.Settings settings = new Api.Settings(1, 0, List.of(), List.of(), List.of(), new Api.Limits(4, false, false, 1),
                     new Api.Rules(1, 0, 1, 1, 1, 1), Api.Reports.NEVER, false, 0, false, false);
-            ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, figures);
+            ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, metrics);
             PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
-                    server, minute, minute, minute, module, releases, Recorder.NONE, figures));
+                    server, minute, minute, minute, module, releases, Recorder.NONE, metrics));
             Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, Instant.EPOCH.plus(minute), false, null);
             List<Runnable> steps = List.of(
                     () -> peer.tell(new PeerActor.Send(1, 0, ask, answer, Instant.EPOCH.plus(minute),
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -74,7 +74,7 @@
             try (Line client = site.client()) {
                 client.send(Site.request("ask", CLIENT_MS));
                 if (late) {
-                    await("taken", () -> OperatorsTest.figures(site.node.door()).get("current") == 1);
+                    await("taken", () -> OperatorsTest.metrics(site.node.door()).get("current") == 1);
                 } else {
                     met.await();
                 }
--- a/src/test/java/copperbeam/sockets/ClientGoneTest.java
+++ b/src/test/java/copperbeam/sockets/ClientGoneTest.java
@@ -236,7 +236,7 @@
     }
 
     private static long open(Site site) {
-        return OperatorsTest.figures(site.node.door()).get("current");
+        return OperatorsTest.metrics(site.node.door()).get("current");
     }
 
     /** All but the one that was over as it came. */
--- a/src/test/java/copperbeam/sockets/ConnectTimeTest.java
+++ b/src/test/java/copperbeam/sockets/ConnectTimeTest.java
@@ -2,7 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
-import copperbeam.routing.Figures;
+import copperbeam.routing.Metrics;
 import copperbeam.routing.ModuleActor;
 import copperbeam.routing.PeerActor;
 import copperbeam.routing.Recorder;
@@ -24,7 +24,7 @@
         CompletableFuture<String> ended = new CompletableFuture<>();
         Recorder recorder = (what, request, attempt, server, text, span) -> ended.complete(text);
         ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), Site.settings(30), 7, null, recorder,
-                new Figures(List.of("ask")));
+                new Metrics(List.of("ask")));
         new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(Clock.systemUTC(),
                 (to, timeout, watcher) -> { }, Duration.ofMillis(50), Duration.ofSeconds(15), Duration.ofHours(1), module,
                 null, recorder, null)).tell(new PeerActor.Probe());
--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -12,7 +12,7 @@
 import copperbeam.routing.Answer;
 import copperbeam.routing.Ask;
 import copperbeam.routing.Connector;
-import copperbeam.routing.Figures;
+import copperbeam.routing.Metrics;
 import copperbeam.routing.ListActor;
 import copperbeam.routing.MembershipSource;
 import copperbeam.routing.ModuleActor;
@@ -74,11 +74,11 @@
             Clock clock = Clock.systemUTC();
             Duration patience = Duration.ofSeconds(5);
             ReleaseActor releases = new ReleaseActor(turns, clock, patience);
-            Figures figures = new Figures(List.of("ask", "send"));
-            module = new ModuleActor(turns, clock, Site.settings(30), 7, releases, Recorder.NONE, figures);
+            Metrics metrics = new Metrics(List.of("ask", "send"));
+            module = new ModuleActor(turns, clock, Site.settings(30), 7, releases, Recorder.NONE, metrics);
             PeerActor.Setup setup = new PeerActor.Setup(clock, new Withholding(new ServerConnector(reactor),
                     writer.address(), plan), patience, patience, patience, module, releases, Recorder.NONE,
-                    figures);
+                    metrics);
             ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
                     10);
             CountDownLatch listed = new CountDownLatch(1);
--- a/src/test/java/copperbeam/sockets/OperatorsTest.java
+++ b/src/test/java/copperbeam/sockets/OperatorsTest.java
@@ -37,17 +37,17 @@
     }
 
     /** By name, of counts and gauges alike. */
-    static Map<String, Long> figures(java.net.InetSocketAddress door) {
-        Map<String, Long> figures = new TreeMap<>();
+    static Map<String, Long> metrics(java.net.InetSocketAddress door) {
+        Map<String, Long> metrics = new TreeMap<>();
         String text = call(door, "INFO");
         assertTrue(text.startsWith("ACK\n") && text.endsWith("\n--\n"), text);
         for (String line : text.split("\n")) {
             if (line.startsWith("app.")) {
                 assertTrue(line.matches("app\\.[a-z_.]+:[0-9]+\\|[cg]"), line);
-                figures.put(line.substring(4, line.indexOf(':')), Long.valueOf(line.substring(line.indexOf(':') + 1, line.indexOf('|'))));
+                metrics.put(line.substring(4, line.indexOf(':')), Long.valueOf(line.substring(line.indexOf(':') + 1, line.indexOf('|'))));
             }
         }
-        return figures;
+        return metrics;
     }
 
     private static String id(StandIn server) {
@@ -101,7 +101,7 @@
             }
             assertEquals(out.attempts(), 0);
             assertEquals(site.writers.get(1).attempts(), 20);
-            await("counted as avoided", () -> figures(site.node.door()).get("cluster_unhealthy") == 1);
+            await("counted as avoided", () -> metrics(site.node.door()).get("cluster_unhealthy") == 1);
             assertEquals(call(site, "ATTACH " + id(out)), "ACK\n");
             await("used again", () -> {
                 try {
@@ -111,7 +111,7 @@
                 }
                 return out.attempts() > 0;
             });
-            await("in use", () -> figures(site.node.door()).get("cluster_unhealthy") == 0);
+            await("in use", () -> metrics(site.node.door()).get("cluster_unhealthy") == 0);
         }
     }
 
@@ -171,13 +171,13 @@
                 String end = status == 200 ? "answered" : status == 429 || status == 503 ? "deferred" : "errored";
                 counted.merge("transactions." + requestClass + "." + end, 1L, Long::sum);
             }
-            Map<String, Long> told = figures(site.node.door());
+            Map<String, Long> told = metrics(site.node.door());
             counted.forEach((name, count) -> assertEquals(told.get(name), count, name + " of " + told));
             assertEquals(told.entrySet().stream().filter(e -> e.getKey().startsWith("transactions.") && !e.getKey().endsWith("sends"))
                     .mapToLong(Map.Entry::getValue).sum(), 15, told.toString());
             assertEquals((long) told.get("sends"), site.attempts(site.readers) + site.attempts(site.writers));
             assertEquals((long) told.get("current"), 0);
-            await("the list is counted", () -> figures(site.node.door()).get("cluster_size") == 2);
+            await("the list is counted", () -> metrics(site.node.door()).get("cluster_size") == 2);
             CountDownLatch go = new CountDownLatch(1);
             writer.script = attempts((m, line) -> {
                 go.await();
@@ -186,11 +186,11 @@
             // opened only now: a connection that says nothing for 2.4 s is closed, and on a busy core the above takes longer
             try (Line client = site.client()) {
                 client.send(request("ask", 4000));
-                await("one is open", () -> figures(site.node.door()).get("current") == 1);
+                await("one is open", () -> metrics(site.node.door()).get("current") == 1);
                 go.countDown();
                 client.read();
             }
-            await("none is open", () -> figures(site.node.door()).get("current") == 0);
+            await("none is open", () -> metrics(site.node.door()).get("current") == 0);
         }
     }
 }
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -119,7 +119,7 @@
                     assertEquals(answer.text(), harmless ? EVENTS : "failed\n");
                 }
                 assertEquals(turn.get(), harmless ? 2 : 1);
-                assertEquals((long) OperatorsTest.figures(site.node.door()).get("transactions." + requestClass + ".errored"),
+                assertEquals((long) OperatorsTest.metrics(site.node.door()).get("transactions." + requestClass + ".errored"),
                         harmless ? 0 : 1);
             }
         }
--- a/src/test/java/copperbeam/sockets/UpgradeTest.java
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -1,6 +1,6 @@
 package copperbeam.sockets;
 
-import static copperbeam.sockets.OperatorsTest.figures;
+import static copperbeam.sockets.OperatorsTest.metrics;
 import static copperbeam.sockets.Site.attempts;
 import static copperbeam.sockets.Site.await;
 import static copperbeam.sockets.Site.request;
@@ -163,10 +163,10 @@
 
         /** What it counts from now on is what clients and servers count. */
         void countsTruly(Conductor one) throws Exception {
-            Map<String, Long> before = figures(one.door);
+            Map<String, Long> before = metrics(one.door);
             long sent = sent();
             ask(10);
-            Map<String, Long> now = figures(one.door);
+            Map<String, Long> now = metrics(one.door);
             String answered = "transactions.ask.answered";
             assertEquals(now.get(answered) - before.get(answered), 10, answered);
             assertEquals(now.get("sends") - before.get("sends"), sent() - sent, "sends");
@@ -270,7 +270,7 @@
                 try (Line open = fleet.hold()) {
                     Conductor next = fleet.next();
                     load.goesOn();
-                    assertTrue(figures(next.door).get("transactions.send.answered") > 0);
+                    assertTrue(metrics(next.door).get("transactions.send.answered") > 0);
                     old.signal("TERM");
                     Conductor stopping = old;
                     await("it stops", () -> !stopping.ready());
@@ -331,7 +331,7 @@
             if (stream != null) {
                 fleet.release(stream);
             }
-            await("nothing is open", () -> figures(left.door).get("current") == 0);
+            await("nothing is open", () -> metrics(left.door).get("current") == 0);
             fleet.countsTruly(left);
             await("known to serve", () -> fleet.phases().equals(List.of(SharedState.Phase.SERVING)));
             assertEquals(out.attempts(), 0, "out since before");
@@ -360,14 +360,14 @@
             assertEquals(both.get(said).call("DETACH " + id(out)), "ACK\n");
             assertEquals(both.get(back).call("LAMEDUCK"), "ACK\n");
             for (Conductor one : both) {
-                await("left out", () -> figures(one.door).get("cluster_unhealthy") == 1);
+                await("left out", () -> metrics(one.door).get("cluster_unhealthy") == 1);
             }
             await("drained", () -> !both.get(1).healthy());
             fleet.holdsOut(out);
             assertEquals(both.get(back).call("REJOIN"), "ACK\n");
             assertEquals(both.get(said).call("ATTACH " + id(out)), "ACK\n");
             for (Conductor one : both) {
-                await("used", () -> figures(one.door).get("cluster_unhealthy") == 0);
+                await("used", () -> metrics(one.door).get("cluster_unhealthy") == 0);
                 assertTrue(one.ready());
             }
             await("back at work", both.get(1)::healthy);
