An acceptor ends with its server though nobody takes what the kernel has

Change: HttpFrontServer.close abandons the acceptor, which gives the address up at once. Result: AcceptorTest passes, and fails with the mend taken out (its thread goes on after 10 s).

--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -33,6 +33,7 @@
     private final BooleanSupplier takes;
     private final Consumer<SocketChannel> taker;
     private volatile boolean closing;
+    private volatile boolean abandoned;
     private volatile boolean ended;
 
     /**
@@ -73,6 +74,12 @@
         selector.wakeup();
     }
 
+    /** The address is given up at once: who would take what the kernel still has takes nothing any more. */
+    void abandon() {
+        abandoned = true;
+        close();
+    }
+
     /** Whether the address is to be given up. */
     boolean closing() {
         return closing;
@@ -86,7 +93,7 @@
     private void run() {
         boolean left = true;
         int missed = 0;
-        while (left || selector.isOpen()) {
+        while (selector.isOpen() || left && !abandoned) {
             try {
                 if (closing) {
                     selector.close(); // before the listener, which the kernel else deals connections to after its close
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -442,7 +442,9 @@
     @Override
     public void close() {
         closing.set(true);
-        stopListening();
+        if (acceptor != null) {
+            acceptor.abandon(); // else its thread would wait for the reactor's place for good
+        }
         inlet.reactor().close(CloseMode.GRACEFUL);
     }
 }
--- /dev/null
+++ b/src/test/java/copperbeam/transport/AcceptorTest.java
@@ -0,0 +1,31 @@
+package copperbeam.transport;
+
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+public class AcceptorTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+
+    /** A connection is there that nobody takes, as the reactor has ended: two hundred such threads took a whole core. */
+    @Test
+    public void itsThreadEndsThoughNobodyTakesWhatIsThere() throws Exception {
+        CountDownLatch asked = new CountDownLatch(2);
+        Acceptor acceptor = new Acceptor(ANY, false, () -> {
+            asked.countDown();
+            return false;
+        }, channel -> { });
+        try (SocketChannel client = SocketChannel.open(acceptor.address())) {
+            asked.await(); // it has waited at least once
+            acceptor.abandon();
+            for (int i = 0; i < 1000 && !acceptor.ended(); i++) {
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            assertTrue(acceptor.ended(), "its thread goes on");
+        }
+    }
+}
