Who is turned away may go on writing: our side ends first, and the rest is thrown away

Cause: behind an answer to a request that was not read whole (413, 503, 400, 431) the close came 100 ms later, or at once by HttpCore, over unread bytes. That is a reset, and a client that still writes may meet it before it has read its answer.

Change: with the answer our side ends its sending; what still comes is read and thrown away, 64 KiB a turn, for 1.1 s and 4 MiB at most, or 0.1 s where a drain or a crowd wants the place; then the close. The connection counts in ClientRoom and has no open request, so that no stop waits for more. A head that can't be read, and the ninth request of a connection, get a body without end (RequestParser, Duplexer), so that HttpCore leaves the close to us and all go one way. A next request that is whole and unread stays unread, as before.

--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.reactor.IOSession;
 
 /**
@@ -35,9 +36,11 @@
         volatile boolean heard;          // a byte has come
         volatile boolean body;           // of a request whose body is not whole yet
         boolean deaf;                    // to more requests; the reactor's
+        HttpException unreadable;        // what the last head was not read for; the reactor's
         final Queue<ServerExchange> whole = new ArrayDeque<>(); // requests that no front has seen; the reactor's
         volatile boolean ending;         // the end of its last answer is on its way; what more comes is not read
         volatile Instant closeAt;        // that end is out
+        volatile boolean lingers;        // the same, and of its request more may come: our side ends first
         private volatile boolean going;  // the thread that reads it is to close it
 
         Client(IOSession session, Instant now, boolean beyond, AtomicInteger all) {
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -16,11 +16,9 @@
 import java.util.logging.Logger;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.HttpProcessors;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
@@ -49,10 +47,13 @@
     private static final Duration SILENCE = Duration.ofMillis(2400); // of a connection that has never said a word
     private static final Duration QUIET = Duration.ofMillis(50); // for which a client led away may have a request on its way
     private static final Duration FLUSH_TIME = Duration.ofSeconds(1); // for a last answer to leave
+    private static final Duration LINGER = Duration.ofSeconds(1); // for what follows a request that was turned away
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration AGAIN = Duration.ofMillis(20); // between tries to begin with another reactor
     private static final int MOST_HANDED_ON = 16; // connections that the reactor has not looked at yet
     private static final int BUFFER = 4096;
+    private static final int READS_A_TURN = 16; // of what is thrown away, while others wait for the reactor
+    private static final int MOST_THROWN_AWAY = 4 << 20;
     private static final int MOST_BODY_READS = ServerExchange.MOST_BODY / BUFFER;
     private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(BUFFER).setMaxLineLength(8 * 1024)
             .setMaxHeaderCount(100).build();
@@ -150,9 +151,8 @@
     private IOEventHandler handler(ProtocolIOSession session, AtomicInteger handedOn) {
         ClientRoom.Client client = room.enter(session, clock.instant());
         handedOn.decrementAndGet(); // after it is in the room: a stop must never see it in neither
-        BoundedParser<HttpRequest> parser = new BoundedParser<>(new DefaultHttpRequestParserFactory(CONFIG).create(),
-                true);
-        return new Handler(new Duplexer(session, parser, (request, context) -> exchange(client)), parser, session,
+        RequestParser parser = new RequestParser(CONFIG);
+        return new Handler(new Duplexer(session, parser, client, (request, context) -> exchange(client)), parser, session,
                 client);
     }
 
@@ -162,16 +162,26 @@
 
     private static final class Duplexer extends ServerHttp1StreamDuplexer {
         private final Chunks.Turn turn = new Chunks.Turn(ServerExchange.MOST_BODY);
+        private final RequestParser parser;
+        private final ClientRoom.Client client;
 
-        Duplexer(ProtocolIOSession session, BoundedParser<HttpRequest> parser,
+        Duplexer(ProtocolIOSession session, RequestParser parser, ClientRoom.Client client,
                 HandlerFactory<AsyncServerExchangeHandler> exchanges) {
             super(session, PROCESSOR, exchanges, "http", CONFIG, BoundedParser.CODING, null, parser,
                     DefaultHttpResponseWriterFactory.INSTANCE.create(), null, null, null, null);
+            this.parser = parser;
+            this.client = client;
         }
 
         @Override
         protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
                 SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+            client.unreadable = parser.unreadable();
+            client.deaf |= client.unreadable != null || client.open() >= ServerExchange.MOST_PIPELINED;
+            if (client.deaf) {
+                // a body without end: HttpCore closes by itself behind the answer to a request that is whole
+                return super.createContentDecoder(Long.MAX_VALUE, channel, buffer, metrics);
+            }
             return length == ContentLengthStrategy.CHUNKED
                     ? Chunks.decoder(channel, buffer, CONFIG, metrics, ServerExchange.MOST_BODY, turn)
                     : super.createContentDecoder(length, channel, buffer, metrics);
@@ -180,15 +190,17 @@
 
     /** One connection's events, on the reactor's thread. */
     private final class Handler extends ServerHttp1IOEventHandler {
-        private final BoundedParser<HttpRequest> parser;
+        private final RequestParser parser;
         private final ProtocolIOSession session;
         private final ClientRoom.Client client;
         private final Duplexer duplexer;
         private boolean listening;   // for the client's close only
+        private boolean lingering;   // our side has ended, and what belongs to a request turned away is thrown away
+        private int thrownAway;
         private int passedOver;
         private Instant began;       // the request that is not whole yet
 
-        Handler(Duplexer duplexer, BoundedParser<HttpRequest> parser, ProtocolIOSession session,
+        Handler(Duplexer duplexer, RequestParser parser, ProtocolIOSession session,
                 ClientRoom.Client client) {
             super(duplexer);
             this.duplexer = duplexer;
@@ -201,7 +213,11 @@
         public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
             reading.incrementAndGet();
             try {
-                if (client.ending) {
+                if (lingering) {
+                    throwAway(open);
+                    times();
+                    gone();
+                } else if (client.ending) {
                     // HttpCore would go on with half a request that it has in its buffer, and it would be sent on for a
                     // connection that is about to close: unread, its client sends it once more
                     open.clearEvent(SelectionKey.OP_READ);
@@ -283,7 +299,7 @@
          * Guards against attempts for a client that has gone.
          */
         private void listen(IOSession open) {
-            listening = parser.failed() && client.open() > 0 || client.deaf && client.open() > 1;
+            listening = client.deaf && client.open() > 1;
             if (listening) {
                 open.setEvent(SelectionKey.OP_READ);
             }
@@ -299,6 +315,33 @@
             }
         }
 
+        /**
+         * Guards against an answer that is lost: a close over unread bytes is a reset, which a client that still writes
+         * meets before it has read.
+         */
+        private void linger() {
+            lingering = true;
+            try {
+                ((SocketChannel) session.channel()).shutdownOutput();
+                session.setEvent(SelectionKey.OP_READ);
+            } catch (IOException e) {
+                session.close(CloseMode.GRACEFUL);
+            }
+        }
+
+        private void throwAway(IOSession open) throws IOException {
+            ByteBuffer bytes = ByteBuffer.allocate(BUFFER);
+            int count = open.read(bytes);
+            for (int reads = 1; count > 0 && reads < READS_A_TURN; reads++) {
+                thrownAway += count;
+                count = open.read(bytes.clear());
+            }
+            thrownAway += Math.max(0, count);
+            if (count < 0 || thrownAway > MOST_THROWN_AWAY) {
+                open.close(CloseMode.GRACEFUL);
+            }
+        }
+
         /** Comes each tick on a connection without events. */
         @Override
         public void timeout(IOSession open, Timeout timeout) {
@@ -324,12 +367,16 @@
                 return;
             }
             Instant now = clock.instant();
-            began = !parser.partial() && !client.body ? null : began == null ? now : began;
+            began = client.deaf || !parser.partial() && !client.body ? null : began == null ? now : began;
             boolean slow = began != null && began.plus(REQUEST_TIME).isBefore(now);
             boolean silent = !client.heard && client.connected.plus(SILENCE).isBefore(now);
             boolean flushed = (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
+            if (client.lingers && flushed && !lingering) {
+                linger();
+            }
+            boolean longer = lingering && !draining && !room.crowded(); // else its place is wanted, or the process's end
             boolean answered = client.closeAt != null
-                    && (flushed ? client.closeAt : client.closeAt.plus(FLUSH_TIME)).isBefore(now);
+                    && client.closeAt.plus(longer ? LINGER : flushed ? Duration.ZERO : FLUSH_TIME).isBefore(now);
             boolean between = !client.busy() && flushed && !parser.partial();
             boolean led = between && (client.going() || leading && client.quiet(now, QUIET));
             if (!between && flushed) {
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -22,6 +22,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.impl.ServerSupport;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -36,7 +37,7 @@
 /** One client's request and the answer to it. */
 final class ServerExchange implements AsyncServerExchangeHandler, HttpReply {
     static final int MOST_BODY = 256 * 1024;
-    private static final int MOST_PIPELINED = 8; // requests open on one connection
+    static final int MOST_PIPELINED = 8; // requests open on one connection
 
     private static final Duration LINGER = Duration.ofMillis(100); // for an answer to be read before a close
     private static final Duration CUT_TIME = Duration.ofSeconds(1); // for what was passed on, until a cut in any case
@@ -96,7 +97,9 @@
         context = ctx;
         arrived = clock.instant();
         client.body = entity != null;
-        if (client.open() > MOST_PIPELINED) {
+        if (client.unreadable != null) {
+            turnAway(ServerSupport.toStatusCode(client.unreadable), ServerSupport.toErrorMessage(client.unreadable));
+        } else if (client.deaf) {
             // nothing behind it is read as a request: by the hundred they would hide their client's close, and take memory
             turnAway(busyStatus(), "too many requests on one connection");
         } else if (entity == null) {
@@ -160,7 +163,7 @@
         client.session.clearEvent(SelectionKey.OP_READ);
         Header requestClass = request.getFirstHeader("X-Priority-Class");
         turnedAway.told(requestClass == null ? null : requestClass.getValue(), status);
-        whole(status, "text/plain", status >= 500 ? Map.of("Connection", "close", "Retry-After", "1")
+        whole(status, "text/plain", status >= 500 && client.unreadable == null ? Map.of("Connection", "close", "Retry-After", "1")
                 : Map.of("Connection", "close"), (why + "\n").getBytes(StandardCharsets.US_ASCII));
     }
 
@@ -300,6 +303,7 @@
                 // promised more before a drain began, the next request may be on its way: its answer says so, or else
                 // the connection is closed once it is idle
                 client.closeAt = clock.instant().plus(unread ? LINGER : Duration.ZERO);
+                client.lingers = unread;
                 client.wake(); // the reactor may have written the end by now
             }
         } else if (state == Last.CUT) {
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -6,6 +6,7 @@
 import static copperbeam.sockets.Site.request;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import copperbeam.program.Config;
@@ -15,6 +16,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -204,6 +208,83 @@
         }
     }
 
+    /** Stands until it is moved on. */
+    private static final class Stands extends Clock {
+        volatile Instant now = Instant.now();
+
+        @Override
+        public Instant instant() {
+            return now;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+    }
+
+    private enum Until { ITS_TIME, ITS_BYTES, A_DRAIN, A_CROWD }
+
+    @DataProvider
+    public Object[][] turnedAway() {
+        return new Object[][] {
+            {POST + "Content-Length: 62914560\r\n\r\n{", 413, Until.ITS_TIME},
+            {POST + "Content-Length: 62914560\r\n\r\n{", 413, Until.ITS_BYTES},
+            {POST + "Content-Length: 62914560\r\n\r\n{", 413, Until.A_DRAIN},
+            {POST + "Content-Length: 62914560\r\n\r\n{", 413, Until.A_CROWD},
+            {POST + "Content-Length: 90000\r\n\r\n" + "x".repeat(5000), 503, Until.ITS_TIME},
+            {POST + "X: y\r\n".repeat(2000), 431, Until.ITS_TIME}, {"nonsense\r\n\r\n", 400, Until.ITS_TIME},
+            {"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(9), 503, Until.ITS_TIME},
+            {"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(8) + "nonsense\r\n\r\n", 400, Until.ITS_TIME},
+        };
+    }
+
+    /** What its client goes on writing is taken for a while: behind a reset it might not read its answer any more. */
+    @Test(dataProvider = "turnedAway")
+    public void whoIsTurnedAwayMayGoOnWriting(String text, int status, Until until) throws Exception {
+        Stands clock = new Stands();
+        ClientRoom room = new ClientRoom(10, 1000);
+        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
+            reply.whole(200, "text/plain", Map.of(), new byte[0]);
+            return () -> { };
+        }, clock, room, (c, s) -> { })) {
+            InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
+            try (Line client = new Line(at); Line other = new Line(at)) {
+                client.send(text);
+                Line.Message answer = client.read();
+                while (answer.status() == 200) {
+                    answer = client.read();
+                }
+                assertEquals(answer.status(), status);
+                assertNull(client.head()); // our side has ended, at once
+                clock.now = clock.now.plusMillis(300);
+                for (int i = 0; i < 4; i++) {
+                    client.send("x".repeat(64 * 1024));
+                    assertEquals(other.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n").read().status(), 200); // a turn
+                    assertNull(client.head());
+                }
+                assertEquals(room.size(), 2);
+                await("no stop waits for it", () -> !server.busy());
+                if (until == Until.ITS_TIME) {
+                    clock.now = clock.now.plusSeconds(1);
+                } else if (until == Until.A_DRAIN) {
+                    server.drain(true);
+                } else if (until == Until.A_CROWD) {
+                    room.most(0);
+                } else if (until == Until.ITS_BYTES) {
+                    assertThrows(IOException.class, () -> client.send("x".repeat(64 << 20)));
+                }
+                await("closed", () -> room.size() == 1);
+                assertThrows(IOException.class, () -> client.send("x").send("x").send("x"));
+            }
+        }
+    }
+
     /** Guards the memory: many large requests that wait at once. */
     @Test
     public void bodiesThatWaitAreBounded() throws Exception {
