Keyed requests: failed at once when their window is over, their group kept with them

A keyed request that may have run was held to its deadline once its repeat window was over, though nothing may be sent then; one of a class whose group is all was refused, which bids its client to try again where repeats are dropped no more. Its attempt was called off at a silence, or cut at half of the time left, as if another could follow. And the group was read from the first server's entry: once that had left the whole list, a server of the same zone or cell was passed over.

It is failed as it may have run, with its outcome or within 0.1 s of the window's end; an attempt past its window may end by itself; the entry as listed at the send stays with the request.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -412,7 +412,7 @@
         boolean lastSend = r.sends + 1 >= most;
         boolean noTaker = lastSend && !r.holdsState && !settings.writersRead()
                 && writers.stream().noneMatch(s -> s.role == Role.MIXED);
-        boolean ran = r.ranAt != null && r.kind.effect() == Effect.UNSAFE;
+        boolean ran = r.ranAt != null && (r.kind.effect() == Effect.UNSAFE || windowOver(r));
         if (ran || r.sends >= most || noTaker) {
             close(r, ran ? Why.RAN : Why.NO_ATTEMPT_LEFT);
             return;
@@ -630,17 +630,22 @@
         if (r.ranAt == null || r.kind.effect() != Effect.KEYED) {
             return true;
         }
-        if (now >= r.ranSince + r.kind.windowS()) {
-            return false;
-        }
-        Member first = r.ranAt.listed;
-        return switch (r.kind.group()) {
+        return !windowOver(r) && switch (r.kind.group()) {
             case ALL -> true;
-            case ZONE -> first != null && String.valueOf(first.zone()).equals(s.listed.zone());
-            case CELL -> first != null && first.cell() == s.listed.cell();
+            case ZONE -> String.valueOf(r.ranAt.zone()).equals(s.listed.zone());
+            case CELL -> r.ranAt.cell() == s.listed.cell();
         };
     }
 
+    /** Whether nobody drops its repeats any more: nothing can come of it but what is out. */
+    private boolean windowOver(Request r) {
+        return r.ranSince > 0 && now >= windowEnd(r);
+    }
+
+    private static double windowEnd(Request r) {
+        return r.kind.effect() == Effect.KEYED ? r.ranSince + r.kind.windowS() : Double.POSITIVE_INFINITY;
+    }
+
     // ---- attempts ------------------------------------------------------------------------------
 
     private void send(Request r, Server s, int rank, Why why) {
@@ -649,6 +654,7 @@
         t.ahead = reading ? ahead(s) : 0;
         r.out = t;
         r.lastTried = s.id;
+        r.ranSince = reading || r.ranAt != null ? r.ranSince : now;
         s.sent(t);
         s.permits.used += weight(r);
         if (s.resting && now >= s.restUntil) {
@@ -659,13 +665,13 @@
         double until = now + Math.max(left, 0.001);
         if (redo) {
             if (!settings.limits().cancel()) {
-                until = now + Math.max(left * ATTEMPT_SHARE, Math.min(left, patience(t)));
+                double cut = now + Math.max(left * ATTEMPT_SHARE, Math.min(left, patience(t)));
+                until = reading || cut < windowEnd(r) ? cut : until;
             } else if (now + patience(t) < until) {
                 timer(patience(t), 's', r, t.number);
             }
         }
-        boolean repeat = r.ranAt != null && r.kind.effect() == Effect.KEYED;
-        double latest = repeat ? r.ranSince + r.kind.windowS() : Double.POSITIVE_INFINITY;
+        double latest = r.ranAt == null ? Double.POSITIVE_INFINITY : windowEnd(r);
         actions.add(new Attempt(r.asked.request(), s.id, until, latest, why));
     }
 
@@ -683,8 +689,8 @@
      */
     private void checkSilence(Request r, int number) {
         Try t = r.out;
-        if (t == null || t.number != number || t.started || t.cancelled) {
-            return;
+        if (t == null || t.number != number || t.started || t.cancelled || !t.reading && windowOver(r)) {
+            return; // in the last case nothing could take its place
         }
         boolean silent = t.server.lastWord <= t.sentAt;
         if (lost(t)) {
@@ -771,10 +777,7 @@
             }
             case CONNECT_FAILED -> { }
             default -> {
-                if (!t.reading && r.ranAt == null) {
-                    r.ranAt = t.server;
-                    r.ranSince = t.sentAt;
-                }
+                r.ranAt = t.reading || r.ranAt != null ? r.ranAt : t.entry;
             }
         }
         if (r.closing != null) {
@@ -812,7 +815,7 @@
     private boolean mayRefuse(Request r) {
         boolean out = r.out != null && (!r.out.reading || !settings.limits().cancel());
         boolean ran = r.asked.resumed() || r.ranAt != null || out;
-        return !ran || harmless(r.kind);
+        return !ran || harmless(r.kind) && !windowOver(r);
     }
 
     /** Whether a repeat anywhere does no harm. */
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -346,8 +346,8 @@
         boolean holdsState;
         Server reader;
         double lastEnd;
-        Server ranAt;                // where a writer's attempt may have run first
-        double ranSince;
+        Member ranAt;                // where a writer's attempt may have run first, as listed when it was sent
+        double ranSince;             // when that was sent, or what is out
         String lastTried;
         Top options;                 // of which one takes the next attempt
         boolean lookedAgain;         // as those asked first gave no answer
@@ -362,6 +362,7 @@
     static final class Try {
         final Request request;
         final Server server;
+        final Member entry;          // the server's when it was sent: it may leave the list before the outcome
         final int number;
         final boolean reading;
         final int rank;              // of its server among the options: 0 is the home
@@ -375,6 +376,7 @@
         Try(Request request, Server server, int number, int rank, double tokens, double sentAt) {
             this.request = request;
             this.server = server;
+            entry = server.listed;
             this.number = number;
             this.rank = rank;
             this.tokens = tokens;
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -13,6 +13,9 @@
 import java.util.TreeMap;
 import copperbeam.Api.*;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Scripted events in, actions out. */
 class BrainTest {
@@ -461,6 +464,47 @@
         assertEquals(List.of(new Release(1)), of(Release.class, actions));
     }
 
+    /** Its client gets its answer as the window ends, not at the deadline, and none that bids it to try again. */
+    @ParameterizedTest
+    @EnumSource(Group.class)
+    void aKeyedRequestWhoseWindowIsOverIsFailedAtOnce(Group group) {
+        Bench b = new Bench(usual(TOP, new RequestClass("keyed", 3, 0, 3, Effect.KEYED, group, 0.5)), 5);
+        b.at(100, fleet());
+        b.at(100, new Arrival(1, "keyed", null, "s", "p", 1000, 500, 100, 108));
+        String writer = sent(b.end(100.1, 1, 0, of(Attempt.class, b.all).get(0).server(), Outcome.READ)).server();
+        assertEquals(List.of(new Fail(1, Why.RAN)), of(Fail.class, b.end(100.6, 1, 1, writer, Outcome.ERROR)));
+        // one that waits for a server of its group, and one that is out as the deadline comes
+        b.at(101, new Arrival(2, "keyed", null, "s", "p", 1000, 500, 100, 109));
+        writer = sent(b.end(101.1, 2, 0, of(Attempt.class, b.all).get(2).server(), Outcome.READ)).server();
+        b.at(101.15, full());
+        b.end(101.2, 2, 1, writer, Outcome.RESET);
+        b.at(101.5, new TimerFired("h2.0"));
+        assertEquals(List.of(new Fail(2, Why.RAN)), of(Fail.class, b.at(101.6, new TimerFired("h2.0"))));
+        b.at(102, fleet());
+        String reader = sent(b.at(102, new Arrival(3, "keyed", null, "s", "p", 1000, 500, 100, 104))).server();
+        sent(b.end(102.1, 3, 0, reader, Outcome.READ));
+        assertTrue(of(Cancel.class, b.at(103.9, new TimerFired("s3.1"))).isEmpty(), "nothing could take its place");
+        assertEquals(List.of(new Fail(3, Why.NO_TIME)), of(Fail.class, b.at(103.95, new TimerFired("d3.0"))));
+        assertTrue(of(Refuse.class, b.all).isEmpty());
+    }
+
+    /** The server that it went to left the whole list, before its outcome or after it. */
+    @ParameterizedTest
+    @CsvSource({"ZONE,true", "ZONE,false", "CELL,true", "CELL,false"})
+    void aKeyedRequestsGroupOutlivesItsServersEntry(Group group, boolean before) {
+        Bench b = new Bench(usual(TOP, cls("keyed", 3, 3, Effect.KEYED, group)), 5);
+        b.at(100, full(server("r1", "r", 0), server("w0", "w", 0)));
+        b.at(100, new Arrival(1, "keyed", null, "s", "p", 1000, 500, 100, 108));
+        assertEquals("w0", sent(b.end(100.1, 1, 0, "r1", Outcome.READ)).server());
+        Members left = full(server("r1", "r", 0), server("w1", "w", 1), server("w2", "w", 0));
+        if (before) {
+            b.at(100.2, left);
+        }
+        b.end(100.3, 1, 1, "w0", Outcome.RESET);
+        b.at(100.4, left);
+        assertEquals("w2", sent(b.end(100.5, 1, 2, "r1", Outcome.READ)).server());
+    }
+
     @Test
     void anUnsafeRequestGoesOnAfterAFailedReadOrAFullWriter() {
         Bench b = new Bench(usual(ONCE), 5);
