The warm-up of a start takes eight steps a request, however many attempts are allowed

A start went through `send_cap` steps for each of its ten rehearsed requests, also when nothing was left to do: with 2,147,483,647, which a site may write for "any number", it was not ready after 30 s.

WarmUp ends with the module's last action, after eight steps at most. ConfigTest runs it with each of its odd settings.

--- a/src/main/java/copperbeam/program/WarmUp.java
+++ b/src/main/java/copperbeam/program/WarmUp.java
@@ -17,6 +17,7 @@
  */
 final class WarmUp {
     private static final int REQUESTS = 10;
+    private static final int STEPS = 8;  // for each of them
     private static final int CALLS = 3;
     private static final Duration SILENCE = Duration.ofSeconds(1);
     private static final int MOST = 64 * 1024; // bytes of an answer; our own have a few
@@ -59,7 +60,8 @@
             String requestClass = settings.classes().get(i % settings.classes().size()).name();
             List<Api.Action> actions = brain.on(now, new Api.Arrival(i, requestClass, null, "s" + i % 40, "p" + i % 7,
                     2000, 1000, 200, now + 5));
-            for (int attempt = 0; attempt < settings.limits().maxAttempts(); attempt++) {
+            // guards against a start as long as the attempts that the settings allow, which may be any number
+            for (int attempt = 0; attempt < Math.min(settings.limits().maxAttempts(), STEPS) && !actions.isEmpty(); attempt++) {
                 actions = step(brain, now, i, attempt, actions);
             }
         }
--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -106,16 +106,18 @@
             {"\"memory_mb\":192,\"sockets\":1024", "\"memory_mb\":192.0,\"sockets\":1024.0"},
             {"\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},", ""}, {"\"cores\"", "\"new\":{\"key\":[null]},\"cores\""},
             {"\"zones\"", "\"new\":{\"key\":[null]},\"zones\""}, {"\"name\":\"ask\"", "\"new\":-1,\"name\":\"\u00f1and\u00fa \u65e5\u672c\u8a9e.,:;=/\\\"\""},
+            {"\"send_cap\":4", "\"send_cap\":2147483647"},
             {"\"name\":\"ask\"", "\"name\":\"" + "long".repeat(100) + "\""}, {"[\"r\",\"w\"]", "[\"\u00e9 1\",\"" + "w".repeat(300) + "\"]"},
         };
     }
 
     /** What is taken can be worked with: the module serves a request of each class, with one server of each kind. */
-    @Test(dataProvider = "odd")
+    @Test(dataProvider = "odd", timeOut = 30_000) // what a start may take
     public void whatIsTakenServesEachClass(String usual, String odd) throws Exception {
         assertTrue(WHOLE.contains(usual), usual);
         Api.Settings settings = read(WHOLE.replace(usual, odd), null, Map.of()).settings();
         List<String> kinds = settings.kinds().isEmpty() ? List.of("none") : settings.kinds().stream().map(Api.Kind::name).toList();
+        WarmUp.start(settings, null, null, () -> {});
         Brain brain = new Brain(settings, 7);
         brain.on(1, new Api.Members(Api.ListKind.FULL, kinds.stream()
                 .map(k -> new Api.Member(k, null, k, 0, Api.ServerState.READY, 0, settings.rules().fallMultiple() > 0 ? 0 : 0.9))
