Settings that can't be worked with are refused by key: namesakes, wrapped counts, no names

Some settings were taken and then worked with as something else. Of two classes of one name the later one held: what must not be repeated was, where its namesake may be. 4,294,967,298 conductors were 2. A class named with a blank at its end could never be asked for; advice of -2 s went out as Retry-After; a release_s of 1e12 overflowed the clock's nanoseconds.

Config refuses each of these by its key, at the start and at a reload. A null for a span counts as absent, as elsewhere. What is below 0 and works as 0 or as not told is taken as before.

Two listeners at one address are still told by the system's words, not by key.

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -14,6 +15,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.stream.Stream;
+import copperbeam.Api.Kind;
 import copperbeam.Api.ListKind;
 import copperbeam.Api.RequestClass;
 import copperbeam.Api.Settings;
@@ -42,6 +44,8 @@
         Settings settings, ServerList known, Duration connectTimeout, Duration connectionIdle, Limits limits,
         Operator operator) {
 
+    private static final double LONGEST_S = 1e9; // twice as long is still a span in nanoseconds
+
     /** {@code chat} and its address may be null: then there is no such front. So may {@code etcd}. */
     public record Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks,
             Duration stopWithin) {
@@ -165,18 +169,53 @@
         } catch (Wire.Malformed e) {
             throw new Invalid("settings", e.getMessage());
         }
-        if (settings.nodes() < 1) {
-            throw raw.invalid("balancers", "is not a number of conductors from 1 on");
-        }
+        raw.count("balancers", 1, 1, Integer.MAX_VALUE); // beyond it a number wraps round to a smaller one
+        raw.section("limits").count("send_cap", 1, 1, Integer.MAX_VALUE);
         if (settings.classes().isEmpty()) {
             throw raw.invalid("services", "names no class");
         }
-        if (settings.limits().maxAttempts() < 1) {
-            throw raw.invalid("limits.send_cap", "allows no attempt");
-        }
+        names(raw, settings);
+        amounts(raw);
         return settings;
     }
 
+    /** Guards against a class that no header can name, and one that may be repeated and, by its namesake, may not. */
+    private static void names(Section raw, Settings settings) throws Invalid {
+        Map<String, RequestClass> classes = new LinkedHashMap<>();
+        Map<String, Kind> kinds = new LinkedHashMap<>();
+        for (RequestClass c : settings.classes()) {
+            Section at = raw.sections("services").get(settings.classes().indexOf(c));
+            if (c.name().isEmpty() || c.name().chars().anyMatch(Character::isISOControl) || c.name().startsWith(" ")
+                    || c.name().endsWith(" ") || !StandardCharsets.UTF_8.newEncoder().canEncode(c.name())) {
+                throw at.invalid("name", "is not a text that a header can have");
+            }
+            if (!c.equals(classes.getOrDefault(c.name(), c))) {
+                throw at.invalid("name", "is that of another class too");
+            }
+            classes.put(c.name(), c);
+        }
+        for (Kind k : settings.kinds()) {
+            if (!k.equals(kinds.getOrDefault(k.name(), k))) {
+                throw raw.invalid("kinds", "name '" + k.name() + "' twice, with different roles or memory");
+            }
+            kinds.put(k.name(), k);
+        }
+    }
+
+    /** Guards against advice to come back in the past, and against spans that no clock can reckon with. */
+    private static void amounts(Section raw) throws Invalid {
+        raw.section("limits").notNegative("max_retry_after_s");
+        for (Section customer : raw.has("customers") ? raw.sections("customers") : List.<Section>of()) {
+            customer.notNegative("quota_per_s");
+        }
+        if (raw.has("rules")) {
+            raw.section("rules").atMost("ask_within_s", LONGEST_S);
+        }
+        if (raw.has("extra")) {
+            raw.section("extra").atMost("release_s", LONGEST_S);
+        }
+    }
+
     private static ServerList known(Section file) throws Invalid {
         try {
             ServerList known = file.has("known") ? ServerList.parse(Json.GSON.toJson(file.get("known"))) : null;
--- a/src/main/java/copperbeam/program/Section.java
+++ b/src/main/java/copperbeam/program/Section.java
@@ -138,7 +138,7 @@
 
     /** A span above 0, in seconds unless the key's name says otherwise. */
     Duration span(String key, double absent) throws Config.Invalid {
-        Object value = values.getOrDefault(key, absent);
+        Object value = has(key) ? values.get(key) : Double.valueOf(absent);
         if (!(value instanceof Number n) || !(n.doubleValue() > 0) || n.doubleValue() > 1e6) {
             throw invalid(key, "is not a span of seconds above 0");
         }
@@ -156,4 +156,18 @@
         }
         return n.intValue();
     }
+
+    /** Of a number that may be left out. */
+    void atMost(String key, double most) throws Config.Invalid {
+        if (get(key) instanceof Number n && n.doubleValue() > most) {
+            throw invalid(key, "is above " + (long) most);
+        }
+    }
+
+    /** Of a number that may be left out. */
+    void notNegative(String key) throws Config.Invalid {
+        if (get(key) instanceof Number n && n.doubleValue() < 0) {
+            throw invalid(key, "is below 0");
+        }
+    }
 }
