Tests: what 1xx, 2xx, 3xx from discovery and 1xx from servers come to

Servers' 2xx, 3xx, 204 and 304 have their rows in SpoiltAnswersTest; discovery's, and 1xx of both, had none.

BadDiscoveryTest.anotherStatusIsAFailedCall: ten statuses, pushed and asked for; the reason is logged, nothing changes, no Location is followed, the next call goes out within 6 s. OtherSitesTest: interim answers of a reader and a writer are passed over, also on a kept connection; a 101 is a failed attempt that may have run.

--- a/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
+++ b/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
@@ -152,6 +152,45 @@
         }
     }
 
+    /** Answers that are none, with a list all the same; after 1xx comes nothing more. */
+    @DataProvider
+    public Object[][] statuses() {
+        return Stream.of(101, 103, 201, 204, 206, 301, 302, 304, 307, 308)
+                .flatMap(s -> Stream.of(new Object[] {s, true}, new Object[] {s, false})).toArray(Object[][]::new);
+    }
+
+    /** No answer but 200 is one, and no Location is followed: logged, nothing changes, and the call is made anew. */
+    @Test(dataProvider = "statuses")
+    public void anotherStatusIsAFailedCall(int status, boolean pushed) throws Exception {
+        String body = list(8, true, B);
+        List<Long> calls = new CopyOnWriteArrayList<>();
+        try (StandIn agent = new StandIn(null); StandIn elsewhere = new StandIn((m, line) -> line.answer(200, body))) {
+            agent.script = (m, line) -> {
+                calls.add(System.nanoTime());
+                if (calls.size() == 1) {
+                    line.answer(200, list(7, true, String.format(A, "active")));
+                } else if (calls.size() == 2) {
+                    boolean none = status < 200 || status == 204 || status == 304;
+                    line.send("HTTP/1.1 " + status + " x\r\nLocation: http://" + elsewhere.host() + "/v1/servers\r\n"
+                            + (none ? "\r\n" : "Content-Length: " + body.length() + "\r\n\r\n" + body));
+                    line.read();
+                } else {
+                    line.answer(200, list(9, !m.path().contains("from="), m.path().contains("from=9") ? ""
+                            : String.format(A, "leaving")));
+                    Thread.sleep(200);
+                }
+            };
+            try (Watched w = new Watched(agent.address(), pushed)) {
+                await("the drain", w::drains);
+                long ms = (calls.get(2) - calls.get(1)) / 1_000_000;
+                assertTrue(ms < 6000, ms + " ms");
+                assertTrue(w.heard.stream().allMatch(e -> e.member().server().equals("a")), "" + w.heard);
+                assertEquals(elsewhere.seen.size(), 0);
+                await("the reason", () -> w.log.stream().anyMatch(l -> l.contains(status < 200 ? "no whole answer" : "status " + status)));
+            }
+        }
+    }
+
     /** What a new address does until it is good. */
     private static final Map<String, StandIn.Script> TROUBLES = Map.of(
             "garbles", (m, line) -> line.send("HTTP/9 what\r\n\r\n"), "closes", (m, line) -> line.close(),
--- a/src/test/java/copperbeam/sockets/OtherSitesTest.java
+++ b/src/test/java/copperbeam/sockets/OtherSitesTest.java
@@ -45,4 +45,51 @@
             assertEquals(site.writers.get(0).seen.get(0).header("Idempotency-Key"), "369b60ebb8");
         }
     }
+
+    @DataProvider
+    public Object[][] interim() {
+        return new Object[][] {{100, true}, {100, false}, {102, true}, {103, false}, {199, true}, {199, false}};
+    }
+
+    /** A 1xx is no answer yet, whoever sends it and however many there are. */
+    @Test(dataProvider = "interim")
+    public void anInterimAnswerIsPassedOver(int status, boolean reads) throws Exception {
+        try (Site site = new Site(1, 1); Line client = site.client()) {
+            StandIn server = (reads ? site.readers : site.writers).get(0);
+            server.script = Site.attempts((m, line) -> {
+                line.send("HTTP/1.1 " + status + " x\r\nLink: y\r\n\r\n").send(("HTTP/1.1 " + status + " x\r\n\r\n").repeat(3));
+                if (reads) {
+                    Site.read(m, line);
+                } else {
+                    Site.write(m, line);
+                }
+            });
+            for (int i = 0; i < 2; i++) { // on the kept connection too
+                Line.Message answer = client.send(request("send", 5000)).read();
+                assertEquals(answer.status(), 200);
+                assertEquals(answer.text(), Site.EVENTS);
+            }
+            assertEquals(server.attempts(), 2);
+        }
+    }
+
+    /** After one that is the last word nothing comes: an attempt that failed and may have run. */
+    @Test
+    public void aServerThatSwitchesProtocolsHasFailed() throws Exception {
+        for (String requestClass : List.of("ask", "send")) {
+            try (Site site = new Site(1, 2); Line client = site.client()) {
+                java.util.concurrent.atomic.AtomicInteger turn = new java.util.concurrent.atomic.AtomicInteger();
+                site.writers.forEach(w -> w.script = Site.attempts((m, line) -> {
+                    if (turn.getAndIncrement() == 0) {
+                        line.send("HTTP/1.1 101 x\r\nUpgrade: y\r\nConnection: Upgrade\r\n\r\n").read();
+                    } else {
+                        Site.write(m, line);
+                    }
+                }));
+                int status = client.send(request(requestClass, 4000)).read().status();
+                assertEquals(status / 100, requestClass.equals("ask") ? 2 : 5, "" + status);
+                assertEquals(turn.get(), requestClass.equals("ask") ? 2 : 1);
+            }
+        }
+    }
 }
