--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -106,16 +106,23 @@
             {"\"memory_mb\":192,\"sockets\":1024", "\"memory_mb\":192.0,\"sockets\":1024.0"},
             {"\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},", ""}, {"\"cores\"", "\"new\":{\"key\":[null]},\"cores\""},
             {"\"zones\"", "\"new\":{\"key\":[null]},\"zones\""}, {"\"name\":\"ask\"", "\"new\":-1,\"name\":\"\u00f1and\u00fa \u65e5\u672c\u8a9e.,:;=/\\\"\""},
+            {"\"send_cap\":4", "\"send_cap\":2147483647"},
+            {"\"promise_s\":1.0", "\"promise_s\":1e300"}, {"\"window_s\":5.0", "\"window_s\":1e300"},
+            {"\"promise_s\":1.0", "\"promise_s\":-1"}, {"\"window_s\":5.0", "\"window_s\":-1"}, {"\"release_s\":1.0", "\"release_s\":-1"},
+            {"\"worth\":3.0", "\"worth\":-1"}, {"\"fall_s\":2.0", "\"fall_s\":-1"}, {"\"warm_within_s\":13.0", "\"warm_within_s\":1e300"},
+            {"\"quota_per_s\":5.0", "\"quota_per_s\":1e300"}, {"\"customers\":[", "\"customers\":[{\"name\":\"t\"},"},
+            {"[1000,1000]", "[-1,1e300]"}, {"\"send_cap\":4", "\"conn_idle_s\":null,\"send_cap\":4"},
             {"\"name\":\"ask\"", "\"name\":\"" + "long".repeat(100) + "\""}, {"[\"r\",\"w\"]", "[\"\u00e9 1\",\"" + "w".repeat(300) + "\"]"},
         };
     }
 
     /** What is taken can be worked with: the module serves a request of each class, with one server of each kind. */
-    @Test(dataProvider = "odd")
+    @Test(dataProvider = "odd", timeOut = 30_000) // what a start may take
     public void whatIsTakenServesEachClass(String usual, String odd) throws Exception {
         assertTrue(WHOLE.contains(usual), usual);
         Api.Settings settings = read(WHOLE.replace(usual, odd), null, Map.of()).settings();
         List<String> kinds = settings.kinds().isEmpty() ? List.of("none") : settings.kinds().stream().map(Api.Kind::name).toList();
+        WarmUp.start(settings, null, null, () -> {});
         Brain brain = new Brain(settings, 7);
         brain.on(1, new Api.Members(Api.ListKind.FULL, kinds.stream()
                 .map(k -> new Api.Member(k, null, k, 0, Api.ServerState.READY, 0, settings.rules().fallMultiple() > 0 ? 0 : 0.9))
@@ -193,6 +200,20 @@
             {GOOD.replace("\"seed\"", "\"limits\":{\"sockets\":900.5},\"seed\""), null, "limits.sockets: "},
             {GOOD.replace("\"extra\":{}", "\"extra\":{\"role_by_kind\":[\"paint\"]}"), null, "settings: unknown role 'paint'"},
             {GOOD.replace("\"services\":[", "\"services\":[7,"), null, "settings: field 'services' "},
+            {GOOD.replace("\"name\":\"ask\"", "\"name\":\"\""), null, "settings.services[0].name: "},
+            {GOOD.replace("\"name\":\"ask\"", "\"name\":\" ask\""), null, "settings.services[0].name: "},
+            {GOOD.replace("\"name\":\"ask\"", "\"name\":\"a\\nsk\""), null, "settings.services[0].name: "},
+            {GOOD.replace("\"name\":\"ask\"", "\"name\":\"\\ud800\""), null, "settings.services[0].name: "},
+            {GOOD.replace("\"services\":[", "\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"unsafe\"},"), null,
+                "settings.services[1].name: "},
+            {GOOD.replace("[\"d\"]", "[\"d\",\"d\"]").replace("\"extra\":{}", "\"extra\":{\"role_by_kind\":[\"read\",\"write\"]}"), null,
+                "settings.kinds: "},
+            {GOOD.replace("\"balancers\":2", "\"balancers\":4294967298"), null, "settings.balancers: "},
+            {GOOD.replace("\"send_cap\":4", "\"send_cap\":4294967300"), null, "settings.limits.send_cap: "},
+            {GOOD.replace("\"send_cap\":4", "\"send_cap\":4,\"max_retry_after_s\":-2"), null, "settings.limits.max_retry_after_s: "},
+            {GOOD.replace("\"extra\":{}", "\"customers\":[{\"name\":\"t\",\"quota_per_s\":-5}]"), null, "settings.customers[0].quota_per_s: "},
+            {GOOD.replace("\"extra\":{}", "\"extra\":{\"release_s\":1e12}"), null, "settings.extra.release_s: "},
+            {GOOD.replace("\"rules\":{}", "\"rules\":{\"ask_within_s\":1e12}"), null, "settings.rules.ask_within_s: "},
             {GOOD, "{\"opnai\":{}}", "opnai: "},
             {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"none\""), "openai.models.m.class: "},
             {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"ask\",\"max_tokens\":0"),
