What is held counts from when the reactor heard a read's end

Need: the half of release_s in which a state is held began when the module's actor got to the outcome, behind a crowd's requests and its server's mailbox; on a starved core that took from the release's time. A stream's end waited there too.

Change: the outcome carries the instant of the connection's last word, or of our own close. Outcomes and probes' answers are told to the module first, and so are a reader's and a release's words to their PeerActor. What is due as the outcome comes is released at once; so is a state before a write whose connection would have to be up by now. The timer is told first.

CutTest's two crowds fail without the order.

--- a/src/main/java/copperbeam/routing/Actor.java
+++ b/src/main/java/copperbeam/routing/Actor.java
@@ -42,6 +42,10 @@
         add(urgent, message);
     }
 
+    final void tell(boolean first, M message) {
+        add(first ? urgent : mailbox, message);
+    }
+
     private void add(ConcurrentLinkedQueue<M> queue, M message) {
         queue.add(message);
         if (waiting.getAndIncrement() == 0) {
@@ -51,8 +55,16 @@
 
     /** What it returns takes the message back. */
     public final Future<?> tellLater(Duration after, M message) {
+        return later(after, () -> tell(message));
+    }
+
+    public final Future<?> tellFirstLater(Duration after, M message) {
+        return later(after, () -> tellFirst(message));
+    }
+
+    private Future<?> later(Duration after, Runnable task) {
         try {
-            return turns.schedule(() -> tell(message), Math.max(0, after.toNanos()), TimeUnit.NANOSECONDS);
+            return turns.schedule(task, Math.max(0, after.toNanos()), TimeUnit.NANOSECONDS);
         } catch (RejectedExecutionException e) {
             LOG.finest("asked for a message after the end");
             return CompletableFuture.completedFuture(null);
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -40,8 +40,9 @@
             PeerActor at)
             implements Message {}
 
+    /** {@code at}: when its connection's last word came or it was closed here, however long this message has waited. */
     public record Ended(long request, int number, String server, Outcome outcome, Duration after,
-            boolean stateMissing, Report report, double keptTokens) implements Message {}
+            boolean stateMissing, Report report, double keptTokens, Instant at) implements Message {}
 
     public record ProbeDone(String server, Outcome outcome, Duration after, Report report) implements Message {}
 
@@ -282,7 +283,7 @@
             r.cutReaders.add(e.server());
         }
         boolean reached = e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.NOT_SENT;
-        r.lastEnd = reached || r.lastEnd == null ? clock.instant() : r.lastEnd;
+        r.lastEnd = reached || r.lastEnd == null ? e.at() : r.lastEnd;
         r.mayHold |= e.outcome() == Outcome.READ || !r.cutReaders.isEmpty();
         r.releaseWanted |= e.outcome() == Outcome.OK && !r.cutReaders.isEmpty();
         note(Recorder.What.ENDED, r, e.server(), e.outcome().name(), e.after());
@@ -303,7 +304,12 @@
             release(r);
         }
         if (r.mayHold && !r.out && r.phase == Phase.OPEN) {
-            tellLater(Duration.between(clock.instant(), due(r, LET_GO_SHARE)), new Pinned(r.key, r.attempts));
+            Duration left = Duration.between(clock.instant(), due(r, LET_GO_SHARE));
+            if (left.isNegative()) {
+                release(r); // this word has waited: no time is left for a timer's way
+            } else {
+                tellFirstLater(left, new Pinned(r.key, r.attempts));
+            }
         }
         forget(r);
     }
@@ -374,10 +380,11 @@
             recorder.note(Recorder.What.RULE, a.request(), 0, a.server(), "an attempt that the rules forbid", null);
             throw new IllegalStateException("an attempt that the rules forbid");
         }
+        // no connection could come up by then: the word of a read's end has waited
+        if (r.mayHold && !clock.instant().isBefore(due(r, r.cutReaders.isEmpty() ? CONNECT_SHARE : LET_GO_SHARE))) {
+            release(r);
+        }
         if (!r.cutReaders.isEmpty()) {
-            if (r.mayHold && !clock.instant().isBefore(due(r, LET_GO_SHARE))) {
-                release(r);
-            }
             releases.tell(new ReleaseActor.Taken(r.ask.id()));
         }
         r.out = true;
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -62,9 +62,10 @@
 
     private record Event(Work work, byte[] raw) implements Message {}
 
-    private record Ended(Work work, boolean reusable, double kept) implements Message {}
+    /** {@code at}: when the transport heard it; the mailbox may be long, and what a read left is held from then on. */
+    private record Ended(Work work, boolean reusable, double kept, Instant at) implements Message {}
 
-    private record Broken(Work work, boolean written) implements Message {}
+    private record Broken(Work work, boolean written, Instant at) implements Message {}
 
     private record Expired(Work work) implements Message {}
 
@@ -149,11 +150,13 @@
             event(e.work(), e.raw());
         } else if (m instanceof Ended e) {
             e.work().kept = e.kept();
+            e.work().ended = e.at();
             if (!Double.isNaN(e.kept())) {
                 note(Recorder.What.WORD, e.work(), "kept " + (long) e.kept(), null);
             }
             ended(e.work(), e.reusable());
         } else if (m instanceof Broken e) {
+            e.work().ended = e.at();
             broken(e.work(), e.written());
         } else if (m instanceof Expired e) {
             expired(e.work());
@@ -198,18 +201,19 @@
 
     private void connect(Work work) {
         work.reused = false;
+        work.ended = null;
         // HttpCore looks only now and then: 250 ms became up to 600, in which a read state is held
         Instant now = setup.clock().instant();
         tellLater(Duration.between(now, work.upBy(now.plus(setup.connectTimeout()))), new NotUp(work));
         setup.connector().connect(address, setup.connectTimeout(), new Connector.Watcher() {
             @Override
             public void up(Connection connection) {
-                tell(new Up(work, connection));
+                tell(work.order instanceof Release, new Up(work, connection));
             }
 
             @Override
             public void failed() {
-                tell(new NotUp(work));
+                tell(work.order instanceof Release, new NotUp(work));
             }
 
             @Override
@@ -249,6 +253,8 @@
 
     private void use(Work work, Connection connection) {
         work.connection = connection;
+        // what is held hangs on these, which must not wait behind the events of many streams
+        boolean first = work.order instanceof Release || work.send() != null && work.send().reads();
         Connector.Call call;
         if (work.order instanceof Send s) {
             call = new Connector.AttemptCall(s.ask(), s.reads(), () -> Duration.between(setup.clock().instant(), s.until()),
@@ -273,22 +279,22 @@
 
             @Override
             public void word(Word word, Report report) {
-                tell(new Said(work, word, report));
+                tell(first, new Said(work, word, report));
             }
 
             @Override
             public void event(byte[] raw) {
-                tell(new Event(work, raw));
+                tell(first, new Event(work, raw));
             }
 
             @Override
             public void end(boolean reusable, double kept) {
-                tell(new Ended(work, reusable, kept));
+                tell(first, new Ended(work, reusable, kept, setup.clock().instant()));
             }
 
             @Override
             public void broken(boolean written) {
-                tell(new Broken(work, written));
+                tell(first, new Broken(work, written, setup.clock().instant()));
             }
         });
     }
@@ -419,13 +425,7 @@
             work.whole = true;
             return;
         }
-        settle(work, switch (work.word == null ? Word.ERROR : work.word) {
-            case STREAM -> work.proceeding ? Outcome.OK : Outcome.ERROR;
-            case READ -> Outcome.READ;
-            case HEARD -> Outcome.OK;
-            case TURNED_AWAY, STATE_MISSING -> Outcome.FULL;
-            case ERROR -> Outcome.ERROR;
-        });
+        settle(work, work.answered());
     }
 
     private void broken(Work work, boolean lastByteLeft) {
@@ -482,12 +482,15 @@
         work.expiry.cancel(false); // or the request's body would stay until then
         if (work.order instanceof Send s) {
             attempts.remove(s.request(), work);
-            setup.module().tell(new ModuleActor.Ended(s.request(), s.number(), id, outcome, since(work),
-                    work.word == Word.STATE_MISSING, work.report, work.kept));
+            // behind a crowd's requests a stream's end would come late, and what a read left be held too long; what is told
+            // first keeps its order, an attempt's first event before its end
+            setup.module().tellFirst(new ModuleActor.Ended(s.request(), s.number(), id, outcome, since(work),
+                    work.word == Word.STATE_MISSING, work.report, work.kept,
+                    work.ended == null ? setup.clock().instant() : work.ended));
         } else if (work.order instanceof Release r) {
             setup.releases().tell(new ReleaseActor.Tried(r.ticket(), id, outcome == Outcome.OK));
         } else {
-            setup.module().tell(new ModuleActor.ProbeDone(id, outcome, since(work), work.report));
+            setup.module().tellFirst(new ModuleActor.ProbeDone(id, outcome, since(work), work.report));
         }
     }
 }
--- a/src/main/java/copperbeam/routing/Work.java
+++ b/src/main/java/copperbeam/routing/Work.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.Future;
+import copperbeam.Api.Outcome;
 import copperbeam.Api.Report;
 
 /** One call to a server, from its wait for a connection to its end; its {@link PeerActor} alone reads and changes it. */
@@ -13,6 +14,7 @@
     Instant until;
     Future<?> expiry;
     Instant heard;               // when the last event came
+    Instant ended;               // when its connection's last word came, null where it has none or it was closed here
     Connector.Connection connection;
     boolean reused;
     int unsent;                  // new connections that ended before the last byte left
@@ -40,6 +42,17 @@
         return send() != null && send().upBy().isBefore(usual) ? send().upBy() : usual;
     }
 
+    /** Of a call whose answer is whole. */
+    Outcome answered() {
+        return switch (word == null ? Connector.Word.ERROR : word) {
+            case STREAM -> proceeding ? Outcome.OK : Outcome.ERROR;
+            case READ -> Outcome.READ;
+            case HEARD -> Outcome.OK;
+            case TURNED_AWAY, STATE_MISSING -> Outcome.FULL;
+            case ERROR -> Outcome.ERROR;
+        };
+    }
+
     Runnable granting(byte[] raw) {
         Connector.Connection granted = connection;
         // none any more where the stream was whole before its first event was taken
--- a/src/test/java/copperbeam/routing/CutTest.java
+++ b/src/test/java/copperbeam/routing/CutTest.java
@@ -26,6 +26,8 @@
             {"event cut", "begin 1 2 broken"},
             {"cut break", "begin 1 broken"},
             {"cut", "begin 1 broken"},
+            {"crowd end", "begin 1 end crowd"},
+            {"crowd event break", "begin 1 2 broken crowd"},
         };
     }
 
@@ -40,6 +42,9 @@
                         case "event" -> heard.append(new String((byte[]) args[0], StandardCharsets.US_ASCII)).append(' ') != null;
                         default -> heard.append(method.getName()).append(' ').isEmpty() ? null : null;
                     });
+            int[] crowded = {0};
+            Answer crowd = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
+                    (proxy, method, args) -> ++crowded[0] < 100 || heard.append("crowd ") != null); // gone, each of them
             Connector.Listener[] listener = new Connector.Listener[1];
             Connector.Connection connection = (Connector.Connection) Proxy.newProxyInstance(getClass().getClassLoader(),
                     new Class<?>[] {Connector.Connection.class}, (proxy, method, args) -> {
@@ -59,7 +64,8 @@
                     metrics));
             module.tell(new ModuleActor.Listed(Api.ListKind.FULL, List.of(new Api.Member("s", "z", "k", 0,
                     Api.ServerState.READY, 1, 0)), Map.of("s", peer), null));
-            module.arrive(new Ask("id", "c", "k", null, 1, 0, 1, clock.instant().plus(minute), false, null), answer);
+            Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, clock.instant().plus(minute), false, null);
+            module.arrive(ask, answer);
             settle(turns);
             listener[0].word(Connector.Word.STREAM, null);
             listener[0].event("1".getBytes(StandardCharsets.US_ASCII));
@@ -69,6 +75,11 @@
                 for (String step : order.split(" ")) {
                     switch (step) {
                         case "cut" -> module.tell(new ModuleActor.Cut());
+                        case "crowd" -> {
+                            for (int i = 0; i < 100; i++) {
+                                module.arrive(ask, crowd);
+                            }
+                        }
                         case "event" -> listener[0].event("2".getBytes(StandardCharsets.US_ASCII));
                         case "end" -> listener[0].end(true, Double.NaN);
                         default -> listener[0].broken(true);
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -65,6 +65,19 @@
 
     private enum End { NONE, LEFT, STOP }
 
+    /** What a starved core and a crowd do to the process. */
+    private enum Slow {
+        NOT(0, 0), BUSY(300, 0), BUSIER(450, 0), BUSY_AT_HALF(150, 0), BUSIER_AT_HALF(250, 0), TIMERS(0, 150);
+
+        final Duration moduleBusy;
+        final Duration timersLate;
+
+        Slow(long moduleBusyMs, long timersLateMs) {
+            moduleBusy = Duration.ofMillis(moduleBusyMs);
+            timersLate = Duration.ofMillis(timersLateMs);
+        }
+    }
+
     private static final Duration HEAR = Duration.ofMillis(1); // on the way, each way
     private static final Duration READ = Duration.ofMillis(50);
     private static final Duration LATE_READ = Duration.ofMillis(2600);
@@ -103,13 +116,8 @@
         final Duration within;
         final Set<Integer> cutOff = new HashSet<>();
         boolean ended;                   // the process
-        final ScheduledExecutorService turns = (ScheduledExecutorService) Proxy.newProxyInstance(getClass().getClassLoader(),
-                new Class<?>[] {ScheduledExecutorService.class}, (proxy, method, args) -> later(
-                        Duration.ofNanos(method.getName().equals("schedule") ? (Long) args[1] : 0), () -> {
-                            if (!ended) {
-                                ((Runnable) args[0]).run();
-                            }
-                        }));
+        final ScheduledExecutorService turns;
+        final ScheduledExecutorService moduleTurns;
         Duration now = Duration.ZERO;
         long order;
         Duration heldSince;              // null: nothing is held
@@ -118,12 +126,25 @@
         int connects;
         String broken;
 
-        World(Nature[] natures, int readers, double releaseS) {
+        World(Nature[] natures, int readers, double releaseS, Slow slow) {
             this.natures = natures;
+            turns = turns(Duration.ZERO, slow.timersLate);
+            moduleTurns = turns(slow.moduleBusy, slow.timersLate);
             this.readers = readers;
             within = ModuleTime.span(releaseS).plus(SLACK);
         }
 
+        /** {@code busy}: each mailbox waits so long for its turn; {@code late}: all timers are, by so much. */
+        ScheduledExecutorService turns(Duration busy, Duration late) {
+            return (ScheduledExecutorService) Proxy.newProxyInstance(getClass().getClassLoader(),
+                    new Class<?>[] {ScheduledExecutorService.class}, (proxy, method, args) -> later(
+                            method.getName().equals("schedule") ? Duration.ofNanos((Long) args[1]).plus(late) : busy, () -> {
+                                if (!ended) {
+                                    ((Runnable) args[0]).run();
+                                }
+                            }));
+        }
+
         Due later(Duration after, Runnable task) {
             Due due = new Due(now.plus(after), order++, task);
             dues.add(due);
@@ -132,18 +153,22 @@
 
         void play() throws Exception {
             while (!dues.isEmpty() && dues.peek().at.compareTo(HORIZON) < 0) {
-                Due due = dues.poll();
-                now = due.at;
-                check();
-                if (!due.isCancelled()) {
-                    due.run();
-                    due.get();
-                }
+                step();
             }
             now = HORIZON;
             check();
         }
 
+        void step() throws Exception {
+            Due due = dues.poll();
+            now = due.at;
+            check();
+            if (!due.isCancelled()) {
+                due.run();
+                due.get();
+            }
+        }
+
         void check() {
             if (heldSince != null && out == 0 && broken == null) {
                 Duration since = heldSince.compareTo(lastEnd) > 0 ? heldSince : lastEnd;
@@ -321,9 +346,9 @@
         }
     }
 
-    private static String play(double releaseS, Api.Effect effect, End end, Duration endAt, int readers, Nature... natures)
-            throws Exception {
-        World world = new World(natures, readers, releaseS);
+    private static String play(double releaseS, Api.Effect effect, Slow slow, End end, Duration endAt, int readers,
+            Nature... natures) throws Exception {
+        World world = new World(natures, readers, releaseS, slow);
         boolean[] gone = {false};
         Answer answer = (Answer) Proxy.newProxyInstance(HeldStateTest.class.getClassLoader(), new Class<?>[] {Answer.class},
                 (proxy, method, args) -> switch (method.getName()) {
@@ -342,7 +367,7 @@
                 new Api.Limits(4, true, true, 1), new Api.Rules(0, 0, 3, 2, releaseS, 0), Api.Reports.WITH_PROBES, false, 0,
                 false, true);
         ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
-        ModuleActor module = new ModuleActor(world.turns, world, settings, 7, releases, Recorder.NONE, metrics);
+        ModuleActor module = new ModuleActor(world.moduleTurns, world, settings, 7, releases, Recorder.NONE, metrics);
         PeerActor.Setup setup = setup(world, module, releases, metrics);
         Map<String, PeerActor> peers = new HashMap<>();
         List<Api.Member> members = new ArrayList<>();
@@ -389,7 +414,10 @@
 
     @DataProvider
     public Object[][] settings() {
-        return new Object[][] {{1.0, Api.Effect.SAFE, 0}, {0.5, Api.Effect.UNSAFE, 0}, {0.5, Api.Effect.SAFE, 6}};
+        return new Object[][] {{1.0, Api.Effect.SAFE, 0, Slow.NOT}, {0.5, Api.Effect.UNSAFE, 0, Slow.NOT},
+            {0.5, Api.Effect.SAFE, 6, Slow.NOT}, {1.0, Api.Effect.SAFE, 6, Slow.BUSY},
+            {1.0, Api.Effect.SAFE, 0, Slow.BUSIER}, {0.5, Api.Effect.SAFE, 0, Slow.BUSY_AT_HALF},
+            {0.5, Api.Effect.SAFE, 0, Slow.BUSIER_AT_HALF}, {1.0, Api.Effect.SAFE, 0, Slow.TIMERS}};
     }
 
     /**
@@ -397,7 +425,7 @@
      * or the process is to end.
      */
     @Test(dataProvider = "settings")
-    public void whatIsHeldIsLetGoInTime(double releaseS, Api.Effect effect, int vanished) throws Exception {
+    public void whatIsHeldIsLetGoInTime(double releaseS, Api.Effect effect, int vanished, Slow slow) throws Exception {
         List<String> faults = new ArrayList<>();
         Map<Nature, Integer> with = new TreeMap<>();
         int cases = 0;
@@ -415,10 +443,10 @@
             if (!ordered || Stream.of(natures).noneMatch(x -> x.hears)) {
                 continue;
             }
-            for (int e = 0; e <= 2 * ENDS_MS.length; e++) {
+            for (int e = 0; e <= (slow == Slow.NOT ? 2 * ENDS_MS.length : 0); e++) {
                 End end = e == 0 ? End.NONE : e % 2 == 0 ? End.LEFT : End.STOP;
                 Duration endAt = Duration.ofMillis(e == 0 ? 0 : ENDS_MS[(e - 1) / 2]);
-                String fault = play(releaseS, effect, end, endAt, 2, natures);
+                String fault = play(releaseS, effect, slow, end, endAt, 2, natures);
                 cases++;
                 if (fault != null) {
                     faults.add(List.of(natures) + " " + end + " " + endAt + ": " + fault);
@@ -433,7 +461,7 @@
     /** As where a bad list has been told: who must let go is asked once it is listed. */
     @Test
     public void aReleaseOutlastsAnEmptyList() throws Exception {
-        World world = new World(new Nature[] {Nature.WELL}, 0, 1);
+        World world = new World(new Nature[] {Nature.WELL}, 0, 1, Slow.NOT);
         world.heldSince = Duration.ZERO;
         ReleaseActor releases = new ReleaseActor(world.turns, world, Duration.ofSeconds(2));
         PeerActor peer = new PeerActor(world.turns, "s", new InetSocketAddress("127.0.0.1", 0),
