An Error in one connection's turn ends that connection, and no reactor

Cause: HttpCore's reactor ends with an Error, such as a stack that is used up; its connections close, the next one is handed to the dead reactor and never answered (seen on sockets), and the reactor towards servers has no successor at all. Change: both reactors' handlers make of an Error a break of that connection, logged; what ends a reactor all the same now has its successor begun too. HttpCore's side of a client's connection is a class of its own (RequestDuplexer), moved as it was.

--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -153,6 +153,8 @@
                     unasked(open);
                 }
                 headTime();
+            } catch (Error e) {
+                throw Problems.broken(e);
             } finally {
                 settle();
             }
@@ -181,6 +183,8 @@
                 if (last != null) {
                     last.wrote();
                 }
+            } catch (Error e) {
+                throw Problems.broken(e);
             } finally {
                 settle();
             }
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -14,19 +13,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Logger;
-import org.apache.hc.core5.http.ContentLengthStrategy;
-import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
-import org.apache.hc.core5.http.impl.HttpProcessors;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
-import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
-import org.apache.hc.core5.http.nio.ContentDecoder;
-import org.apache.hc.core5.http.nio.HandlerFactory;
-import org.apache.hc.core5.http.nio.SessionInputBuffer;
-import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
@@ -55,9 +43,8 @@
     private static final int READS_A_TURN = 16; // of what is thrown away, while others wait for the reactor
     private static final int MOST_THROWN_AWAY = 4 << 20;
     private static final int MOST_BODY_READS = ServerExchange.MOST_BODY / BUFFER;
-    private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(BUFFER).setMaxLineLength(8 * 1024)
+    static final Http1Config CONFIG = Http1Config.custom().setBufferSize(BUFFER).setMaxLineLength(8 * 1024)
             .setMaxHeaderCount(100).build();
-    private static final HttpProcessor PROCESSOR = HttpProcessors.server();
 
     private final ClientRoom room;
     private final Front front;
@@ -102,9 +89,12 @@
     /** The first of a reactor's threads to end before its time has another reactor take its place. */
     private Thread thread(Runnable task, String name, AtomicBoolean ended) {
         return new Thread(() -> {
-            task.run();
-            if (!closing.get() && ended.compareAndSet(false, true)) {
-                takeOver();
+            try {
+                task.run();
+            } finally { // an Error ends it too, such as a stack that is used up
+                if (!closing.get() && ended.compareAndSet(false, true)) {
+                    takeOver();
+                }
             }
         }, name);
     }
@@ -152,7 +142,7 @@
         ClientRoom.Client client = room.enter(session, clock.instant());
         handedOn.decrementAndGet(); // after it is in the room: a stop must never see it in neither
         RequestParser parser = new RequestParser(CONFIG);
-        return new Handler(new Duplexer(session, parser, client, (request, context) -> exchange(client)), parser, session,
+        return new Handler(new RequestDuplexer(session, parser, client, (request, context) -> exchange(client)), parser, session,
                 client);
     }
 
@@ -160,47 +150,19 @@
         return new ServerExchange(client, room, client.beyond || room.full() ? this::refuse : front, clock, () -> draining, turnedAway);
     }
 
-    private static final class Duplexer extends ServerHttp1StreamDuplexer {
-        private final Chunks.Turn turn = new Chunks.Turn(ServerExchange.MOST_BODY);
-        private final RequestParser parser;
-        private final ClientRoom.Client client;
-
-        Duplexer(ProtocolIOSession session, RequestParser parser, ClientRoom.Client client,
-                HandlerFactory<AsyncServerExchangeHandler> exchanges) {
-            super(session, PROCESSOR, exchanges, "http", CONFIG, BoundedParser.CODING, null, parser,
-                    DefaultHttpResponseWriterFactory.INSTANCE.create(), null, null, null, null);
-            this.parser = parser;
-            this.client = client;
-        }
-
-        @Override
-        protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
-                SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
-            client.unreadable = parser.unreadable();
-            client.deaf |= client.unreadable != null || client.open() >= ServerExchange.MOST_PIPELINED;
-            if (client.deaf) {
-                // a body without end: HttpCore closes by itself behind the answer to a request that is whole
-                return super.createContentDecoder(Long.MAX_VALUE, channel, buffer, metrics);
-            }
-            return length == ContentLengthStrategy.CHUNKED
-                    ? Chunks.decoder(channel, buffer, CONFIG, metrics, ServerExchange.MOST_BODY, turn)
-                    : super.createContentDecoder(length, channel, buffer, metrics);
-        }
-    }
-
     /** One connection's events, on the reactor's thread. */
     private final class Handler extends ServerHttp1IOEventHandler {
         private final RequestParser parser;
         private final ProtocolIOSession session;
         private final ClientRoom.Client client;
-        private final Duplexer duplexer;
+        private final RequestDuplexer duplexer;
         private boolean listening;   // for the client's close only
         private boolean lingering;   // our side has ended, and what belongs to a request turned away is thrown away
         private int thrownAway;
         private int passedOver;
         private Instant began;       // the request that is not whole yet
 
-        Handler(Duplexer duplexer, RequestParser parser, ProtocolIOSession session,
+        Handler(RequestDuplexer duplexer, RequestParser parser, ProtocolIOSession session,
                 ClientRoom.Client client) {
             super(duplexer);
             this.duplexer = duplexer;
@@ -226,6 +188,8 @@
                 } else if (!sealed) {
                     take(open, bytes);
                 }
+            } catch (Error e) {
+                throw Problems.broken(e);
             } finally {
                 reading.decrementAndGet();
             }
@@ -259,6 +223,8 @@
                 if (client.closeAt != null || leading || client.going()) {
                     times();
                 }
+            } catch (Error e) {
+                throw Problems.broken(e);
             } finally {
                 gone();
             }
--- a/src/main/java/copperbeam/transport/Problems.java
+++ b/src/main/java/copperbeam/transport/Problems.java
@@ -16,4 +16,10 @@
             LOG.log(Level.WARNING, "in a reactor", e);
         }
     }
+
+    /** Of one connection: an Error, as by a stack that is used up, would end the reactor and with it all others. */
+    static IOException broken(Error e) {
+        LOG.log(Level.SEVERE, "a connection's turn failed", e);
+        return new IOException("its turn failed", e);
+    }
 }
--- /dev/null
+++ b/src/main/java/copperbeam/transport/RequestDuplexer.java
@@ -0,0 +1,46 @@
+package copperbeam.transport;
+
+import java.nio.channels.ReadableByteChannel;
+import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.HandlerFactory;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+
+/** HttpCore's side of a client's connection, with bodies bounded and a head that can't be read turned away as others are. */
+final class RequestDuplexer extends ServerHttp1StreamDuplexer {
+    private static final HttpProcessor PROCESSOR = HttpProcessors.server();
+
+    final Chunks.Turn turn = new Chunks.Turn(ServerExchange.MOST_BODY);
+    private final RequestParser parser;
+    private final ClientRoom.Client client;
+
+    RequestDuplexer(ProtocolIOSession session, RequestParser parser, ClientRoom.Client client,
+            HandlerFactory<AsyncServerExchangeHandler> exchanges) {
+        super(session, PROCESSOR, exchanges, "http", HttpFrontServer.CONFIG, BoundedParser.CODING, null, parser,
+                DefaultHttpResponseWriterFactory.INSTANCE.create(), null, null, null, null);
+        this.parser = parser;
+        this.client = client;
+    }
+
+    @Override
+    protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+            SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+        client.unreadable = parser.unreadable();
+        client.deaf |= client.unreadable != null || client.open() >= ServerExchange.MOST_PIPELINED;
+        if (client.deaf) {
+            // a body without end: HttpCore closes by itself behind the answer to a request that is whole
+            return super.createContentDecoder(Long.MAX_VALUE, channel, buffer, metrics);
+        }
+        return length == ContentLengthStrategy.CHUNKED
+                ? Chunks.decoder(channel, buffer, HttpFrontServer.CONFIG, metrics, ServerExchange.MOST_BODY, turn)
+                : super.createContentDecoder(length, channel, buffer, metrics);
+    }
+}
