--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -488,6 +488,18 @@
         assertTrue(of(Refuse.class, b.all).isEmpty());
     }
 
+    /** Where nothing can be called off, half of the time left is kept for a repeat: only while one is allowed. */
+    @ParameterizedTest
+    @CsvSource({"0.5,107.95", "50,104.025"})
+    void aKeyedAttemptIsCutOnlyForARepeatInItsWindow(double window, double until) {
+        RequestClass keyed = new RequestClass("keyed", 3, 0, 3, Effect.KEYED, Group.ALL, window);
+        Bench b = new Bench(settings(new Limits(4, false, false, 0.5), Reports.NEVER, false, TOP, keyed), 5);
+        b.at(100, fleet());
+        b.at(100, new Arrival(1, "keyed", null, "s", "p", 1000, 500, 100, 108));
+        String reader = of(Attempt.class, b.all).get(0).server();
+        assertEquals(until, sent(b.end(100.1, 1, 0, reader, Outcome.READ)).until(), 1e-9);
+    }
+
     /** The server that it went to left the whole list, before its outcome or after it. */
     @ParameterizedTest
     @CsvSource({"ZONE,true", "ZONE,false", "CELL,true", "CELL,false"})
