Chat API: JSON that nests without end is 400 of a client, no event of a server

Gson copies and writes what stands in one another by recursion. A request for a whole answer with 100 KB of brackets ended the reactor `from-clients` with a StackOverflowError, and every chat client's connection with it. An event of 24 KB of brackets was lost in the same Error at its actor, which goes on: its client waited for the 4 s of silence.

Json.nestsTooDeep looks level by level; more than 128 is a bad request, or an event that its server should not have sent (the stream breaks at once). The platform's own front passes bodies and events on unread, as before.

--- a/src/main/java/copperbeam/protocol/Json.java
+++ b/src/main/java/copperbeam/protocol/Json.java
@@ -14,6 +14,8 @@
 import java.io.InputStreamReader;
 import java.io.StringReader;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Gson as this program sets it up. */
 public final class Json {
@@ -21,6 +23,8 @@
     public static final Gson GSON = new GsonBuilder().setObjectToNumberStrategy(ToNumberPolicy.LONG_OR_DOUBLE)
             .disableHtmlEscaping().serializeNulls().create();
 
+    private static final int MOST_DEPTH = 128; // a tool's schema has some ten
+
     private Json() {}
 
     /** One JSON text and nothing more; throws {@link IllegalArgumentException} with what is wrong. */
@@ -38,6 +42,23 @@
         }
     }
 
+    /** Guards a thread's stack: Gson copies and writes what stands in one another by recursion. */
+    public static boolean nestsTooDeep(JsonElement all) {
+        List<JsonElement> level = List.of(all);
+        for (int i = 0; i <= MOST_DEPTH && !level.isEmpty(); i++) {
+            List<JsonElement> next = new ArrayList<>();
+            for (JsonElement e : level) {
+                if (e.isJsonArray()) {
+                    e.getAsJsonArray().forEach(next::add);
+                } else if (e.isJsonObject()) {
+                    e.getAsJsonObject().asMap().values().forEach(next::add);
+                }
+            }
+            level = next;
+        }
+        return !level.isEmpty();
+    }
+
     /** Whether a body is one JSON object and nothing more. */
     public static boolean isObject(byte[] body) {
         try (JsonReader reader = new JsonReader(new InputStreamReader(new ByteArrayInputStream(body),
--- a/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
@@ -79,7 +79,7 @@
         }
         try {
             JsonObject chunk = JsonParser.parseString(data).getAsJsonObject();
-            return chunk.get("choices") instanceof JsonArray ? chunk : null;
+            return chunk.get("choices") instanceof JsonArray && !Json.nestsTooDeep(chunk) ? chunk : null;
         } catch (JsonParseException | IllegalStateException e) {
             return null;
         }
--- a/src/main/java/copperbeam/protocol/openai/ChatRequest.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatRequest.java
@@ -39,6 +39,9 @@
         } catch (JsonParseException | IllegalStateException e) {
             throw ApiError.invalid(null, "The body is not a JSON object.");
         }
+        if (Json.nestsTooDeep(json)) {
+            throw ApiError.invalid(null, "The body nests too deep.");
+        }
         String model = text(json, "model");
         if (model == null) {
             throw ApiError.invalid("model", "You must name a model.");
--- a/src/test/java/copperbeam/sockets/EventsTest.java
+++ b/src/test/java/copperbeam/sockets/EventsTest.java
@@ -182,4 +182,28 @@
             other.join(Line.PATIENCE_MS);
         }
     }
+
+    /** Guards a thread's stack, which whatever is copied or written by recursion can use up. */
+    @Test(dataProvider = "floods")
+    public void whatNestsWithoutEndIsNoEventOfAChat(Flood from) throws Exception {
+        int depth = from == Flood.SERVER ? 12_000 : 50_000; // within what one event and one request may hold
+        String deep = "\"x\":" + "[".repeat(depth) + "]".repeat(depth);
+        try (Site site = new Site(1, 1); Line bad = site.chatClient()) {
+            StandIn writer = site.writers.get(0);
+            StandIn.Script usual = writer.script;
+            if (from == Flood.SERVER) {
+                writer.script = attempts((m, line) -> line.beginStream().chunk(event(1)).chunk("data: {\"choices\":[]," + deep + "}\n\n"));
+            }
+            bad.send(chat("m-ask", from == Flood.SERVER, from == Flood.CLIENT ? "," + deep : ""));
+            long sent = System.nanoTime();
+            Line.Message answer = bad.read();
+            assertEquals(answer.status(), from == Flood.SERVER ? 200 : 400);
+            assertEquals(answer.whole(), from == Flood.CLIENT);
+            assertTrue(System.nanoTime() - sent < 3_000_000_000L, "not as one that is silent for 4 s");
+            writer.script = usual;
+            try (Line good = site.chatClient()) {
+                assertEquals(good.send(chat("m-send", true, "")).read().status(), 200);
+            }
+        }
+    }
 }
