--- a/src/test/java/copperbeam/sockets/EventProbe.java
+++ b/src/test/java/copperbeam/sockets/EventProbe.java
@@ -23,7 +23,7 @@
     private static final long PACE_MS = 25;  // between two of them
     private static final Pattern WRITTEN = Pattern.compile("<(\\d+)>");
 
-    private enum Row { CALM, GARBAGE, NEW_CONNECTIONS, SLOW_READERS, QUICK_READERS, LIST_CHANGES, CROWD }
+    private enum Row { CALM, GARBAGE, NOISE, PIPELINED, EXTENSIONS, ENDLESS, NEW_CONNECTIONS, SLOW_READERS, QUICK_READERS, LIST_CHANGES, CROWD }
 
     private interface Task {
         void run() throws Exception;
@@ -99,8 +99,8 @@
         Thread.sleep(seconds * 1000L);
         over.set(true);
         List<Long> sorted = delays.stream().sorted().collect(Collectors.toList());
-        System.out.printf("%-16s events %6d  p50 %6.1f  p99 %6.1f  worst %6.1f ms  over 300 ms %4d  unserved %4d  others %7d%n", row,
-                sorted.size(), at(sorted, 0.5), at(sorted, 0.99), at(sorted, 1), sorted.stream().filter(d -> d > 300_000_000L).count(),
+        System.out.printf("%-16s events %6d  p50 %6.1f  p99 %6.1f  p99.9 %6.1f  worst %6.1f ms  over 300 ms %4d  unserved %4d  others %7d%n", row,
+                sorted.size(), at(sorted, 0.5), at(sorted, 0.99), at(sorted, 0.999), at(sorted, 1), sorted.stream().filter(d -> d > 300_000_000L).count(),
                 unserved.get(), done.get());
         for (Thread thread : threads) {
             thread.join(2000);
@@ -132,12 +132,15 @@
         switch (row) {
             case CALM -> { }
             case GARBAGE -> {
-                loop(3, () -> garbage("\u0001\u00ff\r\n\n\n: : ".repeat(500), 100));
-                loop(3, () -> garbage("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".repeat(200), 100));
-                loop(3, () -> garbage(Site.request("send", 1500).replaceFirst("Content-Length.*\r\n\r\n\\{\\}",
-                        "Transfer-Encoding: chunked\r\n\r\n") + "1;" + "x".repeat(4000) + "\r\n{\r\n", 1));
-                loop(3, this::endless);
+                for (Row kind : new Row[] {Row.NOISE, Row.PIPELINED, Row.EXTENSIONS, Row.ENDLESS}) {
+                    disturb(kind);
+                }
             }
+            case NOISE -> loop(3, () -> garbage("\u0001\u00ff\r\n\n\n: : ".repeat(500), 100));
+            case PIPELINED -> loop(3, () -> garbage("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".repeat(200), 100));
+            case EXTENSIONS -> loop(3, () -> garbage(Site.request("send", 1500).replaceFirst("Content-Length.*\r\n\r\n\\{\\}",
+                    "Transfer-Encoding: chunked\r\n\r\n") + "1;" + "x".repeat(4000) + "\r\n{\r\n", 1));
+            case ENDLESS -> loop(3, this::endless);
             case NEW_CONNECTIONS -> loop(1, () -> {
                 List<Line> lines = new ArrayList<>();
                 for (int i = 0; i < 100; i++) {
