HeldStateTest asks of each stop that it ends in a bounded time

Need: it was open what a stop may still wait for when nothing else is open and a reader can't be reached.

Change: decided that it waits: the read may end well there, and nobody else would let it go; a kill meanwhile loses nothing that a client asked for. The wait ends with the client's time, release_s and one last round of half of it; the test asks this of each world with a stop.

--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -85,6 +85,7 @@
     private static final Duration LATE_READ = Duration.ofMillis(2600);
     private static final Duration SLACK = Duration.ofMillis(350);
     private static final Duration HORIZON = Duration.ofSeconds(8);
+    private static final Duration WAITS = Duration.ofSeconds(4); // the client
     private static final int MOST_CONNECTS = 500;
     private static final String ID = "id";
 
@@ -118,6 +119,7 @@
         final Duration within;
         final Set<Integer> cutOff = new HashSet<>();
         boolean ended;                   // the process
+        Duration endedAt = HORIZON;
         final ScheduledExecutorService turns;
         final ScheduledExecutorService moduleTurns;
         Duration now = Duration.ZERO;
@@ -380,7 +382,7 @@
         }
         module.tell(new ModuleActor.Listed(Api.ListKind.FULL, members, peers, null));
         releases.tell(new ReleaseActor.Listed(peers));
-        module.arrive(new Ask(ID, "c", "k", null, 100, 0, 10, Instant.EPOCH.plusSeconds(4), false, null), answer);
+        module.arrive(new Ask(ID, "c", "k", null, 100, 0, 10, Instant.EPOCH.plus(WAITS), false, null), answer);
         if (end == End.LEFT) {
             world.later(endAt, () -> {
                 gone[0] = true;
@@ -390,10 +392,18 @@
             world.later(endAt, () -> {
                 module.tell(new ModuleActor.HandOver());
                 module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(
-                        () -> world.ended = true))));
+                        () -> {
+                            world.ended = true;
+                            world.endedAt = world.now;
+                        }))));
             });
         }
         world.play();
+        // the request's time, what is left of release_s, and a last round
+        Duration mostStop = WAITS.plus(ModuleTime.span(2 * releaseS)).plus(SLACK);
+        if (end == End.STOP && world.broken == null && world.endedAt.compareTo(mostStop) > 0) {
+            return "the stop ends at " + world.endedAt;
+        }
         return world.broken;
     }
 
