SpoiltAnswersTest: a spoilt opening fails by what was sent, with no patience in reach

Cause of line 77's other verdict on a busy core: the test's. The second attempt's stand-in shares the core, and a writer that is silent for 1.5 s (the module's patience without probes) is given up and a third attempt made, as it should be.

The rows' conductor now forbids cancels and their clients wait for 60 s, so that an attempt's time is some 30 s, beyond the test's own 10 s: two attempts (or one, where it must not be repeated) are the module's promise and no matter of time. Stricter too: before, an opening that was not noticed would have been given up for its silence after 1.5 s and passed where the class may be repeated; now it must be noticed for what it is.

--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -9,8 +9,16 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.Api;
+import copperbeam.program.Config;
+import copperbeam.program.Node;
+import copperbeam.protocol.openai.ChatModels;
+import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -57,26 +65,40 @@
         });
     }
 
-    /** Spoilt before the first event: an attempt that failed and may have run. */
+    /** Nothing is given up for its silence: cancels are forbidden, and an attempt's time is longer than a test's patience. */
+    private static Node patient(StandIn discovery) throws Exception {
+        Api.Settings settings = Site.parsed(String.format(Site.SETTINGS, 30).replace("\"cancel\":true", "\"cancel\":false"));
+        Duration time = Duration.ofMillis(6 * Line.PATIENCE_MS);
+        ChatModels models = new ChatModels(Map.of("m-ask", new ChatModels.Model("ask", time, 100),
+                "m-send", new ChatModels.Model("send", time, 100)));
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        return new Node(new Config("n0", any, null, null, discovery.address(), 7, settings, null, Duration.ofMillis(250),
+                Duration.ofSeconds(30), Config.Limits.USUAL, new Config.Operator(any, models, null, List.of())));
+    }
+
+    /** Spoilt before the first event: an attempt that failed and may have run, by what was sent and not by its silence. */
     @Test(dataProvider = "openings")
     public void aSpoiltOpeningIsAFailedAttempt(String name, String opening, boolean chat) throws Exception {
-        try (Site site = new Site(1, 2)) {
+        AtomicInteger turn = new AtomicInteger();
+        List<Line> spoilt = new CopyOnWriteArrayList<>();
+        StandIn.Script script = attempts((m, line) -> {
+            if (turn.getAndIncrement() == 0) {
+                spoilt.add(line);
+                line.send(opening);
+            } else {
+                Site.write(m, line);
+            }
+        });
+        try (StandIn reader = new StandIn(Site::read); StandIn one = new StandIn(script); StandIn other = new StandIn(script);
+                StandIn discovery = Conductor.discovery(reader, one, other); Node node = patient(discovery)) {
             for (String requestClass : List.of("ask", "send")) {
-                AtomicInteger turn = new AtomicInteger();
-                List<Line> spoilt = new ArrayList<>();
-                long before = site.attempts(site.writers);
-                site.writers.forEach(w -> w.script = attempts((m, line) -> {
-                    if (turn.getAndIncrement() == 0) {
-                        spoilt.add(line);
-                        line.send(opening);
-                    } else {
-                        Site.write(m, line);
-                    }
-                }));
-                try (Line client = send(site, requestClass, chat)) {
+                turn.set(0);
+                spoilt.clear();
+                try (Line client = new Line(chat ? node.chatAddress() : node.address())) {
+                    client.send(chat ? chat("m-" + requestClass, true, "") : request(requestClass, 6 * Line.PATIENCE_MS));
                     assertEquals(client.read().status(), requestClass.equals("ask") ? 200 : 502);
                 }
-                assertEquals(site.attempts(site.writers) - before, requestClass.equals("ask") ? 2 : 1);
+                assertEquals(turn.get(), requestClass.equals("ask") ? 2 : 1);
                 await("its connection is closed", () -> spoilt.get(0).ended);
             }
         }
