ClientGoneTest: a turn more behind half a head, and the cut read's reset before its reader reads

Cause: two rows still hung on the order of threads.

Change: three turns for that one row; and there the reader reads on only after the conductor has let go of the cut read, which comes behind the reset, within the same second as all else. The other rows and all bounds stay.

--- a/src/test/java/copperbeam/sockets/ClientGoneTest.java
+++ b/src/test/java/copperbeam/sockets/ClientGoneTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -114,6 +115,7 @@
                 Config.Limits.USUAL, Site.parsed(settings), Duration.ofSeconds(4))) {
             CountDownLatch served = new CountDownLatch(1);
             CountDownLatch met = new CountDownLatch(1);
+            CountDownLatch letGo = new CountDownLatch(2); // heads: of the read, and of what lets go of it once it is cut
             StandIn.Script reads = attempts((m, line) -> {
                 met.countDown();
                 served.await();
@@ -132,6 +134,7 @@
                 reader.opening = line -> {
                     Line.Message head = line.head();
                     met.countDown();
+                    letGo.countDown();
                     served.await();
                     reader.seen.add(line.rest(head));
                     throw new IOException("it reads again only on a new connection");
@@ -158,7 +161,8 @@
             }
             long from = System.nanoTime();
             going.go(client);
-            int turns = TURNS + (how.startsWith("hundreds") ? MANY * (MORE.length() + 3) / READ : 0);
+            int turns = TURNS + (how.startsWith("hundreds") ? MANY * (MORE.length() + 3) / READ : 0)
+                    + (how.startsWith("half a head") ? 1 : 0); // HttpCore looks at a close behind one a turn after its read
             for (int i = 0; i < turns; i++) {
                 // of the reactor that reads this client: each front has its own, and another's turns tell nothing of it
                 assertEquals(status(chat ? site.chatClient() : site.client(), HEALTH), 200);
@@ -170,7 +174,10 @@
                 assertTrue(status(site.client(), Site.request("over", "ask", "1u", "", "{}")) != 200);
             }
             assertEquals(open(site), 0, waits + ", " + how + ": not seen");
-            assertTrue(System.nanoTime() - from < KNOWN_NS, waits + ", " + how + ": known late");
+            long left = KNOWN_NS - (System.nanoTime() - from);
+            // the module knows it before its reader's connection is reset, on other threads
+            assertTrue(left > 0 && (waits != Waits.FOR_ITS_BODY_TO_LEAVE || letGo.await(left, TimeUnit.NANOSECONDS)),
+                    waits + ", " + how + ": known late");
             long before = begun(reader, "gone") + begun(writer, "gone");
             served.countDown();
             gate.open.countDown();
