A release outlasts a cut from all servers

Change: it is tried on at one server each release_s, for 16 times as long; the first word heard has all such asked at once. A stop doesn't wait for these. What a cut-off read may leave goes on as before, until its own time. Result: HeldStateTest, LetGoTest, EndTest and DutyActorTest pass; HeldStateTest.aReleaseOutlastsACutFromAll fails without it (held since 4 s, to the end).

--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -44,6 +44,7 @@
     private static final int WIDER = 4;         // at so many times as many after each silence
     private static final int MOST_AT_ONCE = 1024;
     private static final int MOST_AGAIN = 8;    // the same once all have been asked: as where nothing can be reached
+    private static final int OUTLASTS = 16;     // times the usual, where nobody has heard: an outage or a cut from all
 
     private static final class Open {
         final String id;
@@ -57,6 +58,7 @@
         int step;
         int width = 1;
         int most;
+        boolean late;                // nobody has heard in the usual time: asked on, one at a time
 
         Open(Release order) {
             id = order.id();
@@ -109,6 +111,7 @@
             }
         } else if (m instanceof Drain e) {
             idle = e.idle();
+            open.values().removeIf(o -> o.late);
         }
         if (idle != null && open.isEmpty()) {
             idle.run();
@@ -142,16 +145,25 @@
         o.heardFirst |= e.heard() && e.at().equals(o.first);
         if (e.heard() && !o.resting) {
             over(e.ticket(), o);
-        } else if (!o.resting && o.out.isEmpty() && !o.tried.containsAll(peers.keySet())) {
+            // the outage is over, for this one and so for the others
+            Map.copyOf(open).forEach((ticket, other) -> {
+                if (other.late) {
+                    ask(ticket, other);
+                }
+            });
+        } else if (!o.resting && !o.late && o.out.isEmpty() && !o.tried.containsAll(peers.keySet())) {
             ask(e.ticket(), o); // where all have failed, not before the next hedge: refusals come at once
         }
     }
 
     private void ask(long ticket, Open o) {
-        if (clock.instant().isAfter(o.giveUp)) {
+        Instant now = clock.instant();
+        o.late = now.isAfter(o.giveUp);
+        if (o.late && (o.until != null || idle != null || now.isAfter(o.giveUp.plus(within.multipliedBy(OUTLASTS))))) {
             over(ticket, o);
             return;
         }
+        o.width = o.late ? 1 : o.width;
         if (o.tried.containsAll(peers.keySet())) {
             o.tried.clear();
             o.most = peers.isEmpty() ? o.most : MOST_AGAIN;
@@ -164,7 +176,7 @@
             o.out.add(to);
             peers.get(to).tellFirst(new PeerActor.Release(ticket, o.id));
         }
-        tellFirstLater(hedge, new Hedge(ticket, o.step));
+        tellFirstLater(o.late ? within.dividedBy(2) : hedge, new Hedge(ticket, o.step));
     }
 
     private void over(long ticket, Open o) {
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -507,6 +507,34 @@
         assertTrue(worst.compareTo(ModuleTime.span(releaseS / 2)) < 0, "heard after " + worst);
     }
 
+    /** Cut off from all for longer than a release is usually tried: let go once somebody can be reached, and no stop waits for it. */
+    @Test
+    public void aReleaseOutlastsACutFromAll() throws Exception {
+        for (boolean stop : new boolean[] {false, true}) {
+            World world = new World(new Nature[] {Nature.WELL, Nature.WELL}, 0, 1, Slow.NOT);
+            ReleaseActor releases = new ReleaseActor(world.turns, world, Duration.ofSeconds(2));
+            Map<String, PeerActor> peers = new HashMap<>();
+            for (int n = 0; n < 2; n++) {
+                peers.put("s" + n, new PeerActor(world.turns, "s" + n, new InetSocketAddress("127.0.0.1", n),
+                        setup(world, null, releases, null)));
+            }
+            world.cutOff.addAll(List.of(0, 1));
+            releases.tell(new ReleaseActor.Listed(peers));
+            releases.tell(new ReleaseActor.Release(ID, "s0", null));
+            releases.tell(new ReleaseActor.Release("other", "s0", null));
+            world.later(Duration.ofSeconds(4), () -> {
+                if (stop) {
+                    releases.tell(new ReleaseActor.Drain(() -> world.endedAt = world.now));
+                }
+                world.cutOff.clear();
+                world.heldSince = world.now;
+            });
+            world.play();
+            assertNull(stop ? null : world.broken);
+            assertEquals(world.endedAt, stop ? Duration.ofSeconds(4) : HORIZON);
+        }
+    }
+
     /** As where a bad list has been told: who must let go is asked once it is listed. */
     @Test
     public void aReleaseOutlastsAnEmptyList() throws Exception {
