A read whose connection never came up has left nothing, also where it was stopped

Cause: an attempt that was cancelled while its connection was on its way counted as a read that may yet end well. Its release was said again until its client's time and release_s were over, a stop waited for that long, with nothing sent anywhere, and the time of what was held before began anew (this last read only, not forced).

Change: an outcome tells whether the attempt had a connection.

Result: HeldStateTest asks that a stop with nothing sent ends within a second: the three rows with stops fail before (5.1 s of a client's 4), pass now; UnwantedTest, CutTest and LetGoTest pass.

--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -40,9 +40,12 @@
             PeerActor at)
             implements Message {}
 
-    /** {@code at}: when its connection's last word came or it was closed here, however long this message has waited. */
+    /**
+     * {@code up}: it had a connection, else nothing ran. {@code at}: when that connection's last word came or it was closed
+     * here, however long this message has waited.
+     */
     public record Ended(long request, int number, String server, Outcome outcome, Duration after,
-            boolean stateMissing, Report report, double keptTokens, Instant at) implements Message {}
+            boolean stateMissing, Report report, double keptTokens, boolean up, Instant at) implements Message {}
 
     public record ProbeDone(String server, Outcome outcome, Duration after, Report report) implements Message {}
 
@@ -277,12 +280,12 @@
             return;
         }
         r.out = false;
-        boolean mayEndWell = r.reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
+        boolean mayEndWell = e.up() && r.reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
                 || e.outcome() == Outcome.RESET || e.outcome() == Outcome.STALE || e.outcome() == Outcome.ERROR);
         if (mayEndWell) {
             r.cutReaders.add(e.server());
         }
-        boolean reached = e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.NOT_SENT;
+        boolean reached = e.up() && e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.NOT_SENT;
         r.lastEnd = reached || r.lastEnd == null ? e.at() : r.lastEnd;
         r.mayHold |= e.outcome() == Outcome.READ || !r.cutReaders.isEmpty();
         r.releaseWanted |= e.outcome() == Outcome.OK && !r.cutReaders.isEmpty();
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -485,7 +485,7 @@
             // behind a crowd's requests a stream's end would come late, and what a read left be held too long; what is told
             // first keeps its order, an attempt's first event before its end
             setup.module().tellFirst(new ModuleActor.Ended(s.request(), s.number(), id, outcome, since(work),
-                    work.word == Word.STATE_MISSING, work.report, work.kept,
+                    work.word == Word.STATE_MISSING, work.report, work.kept, work.connection != null || work.ended != null,
                     work.ended == null ? setup.clock().instant() : work.ended));
         } else if (work.order instanceof Release r) {
             setup.releases().tell(new ReleaseActor.Tried(r.ticket(), id, outcome == Outcome.OK));
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -128,6 +128,7 @@
         Duration lastEnd = Duration.ZERO; // of an attempt that had a connection
         int out;                         // attempts on open connections
         int connects;
+        boolean sent;                    // something, ever
         String broken;
 
         World(Nature[] natures, int readers, double releaseS, Slow slow) {
@@ -228,6 +229,7 @@
                     later(HEAR, () -> breaks(listener, false));
                 } else if (call instanceof AttemptCall a) {
                     goes = () -> {
+                        sent = true;
                         attempt = true; // out on an open connection, whether or not anything arrives
                         out++;
                         later(HEAR, () -> arrived(listener));
@@ -400,7 +402,7 @@
         }
         world.play();
         // the request's time, what is left of release_s, and a last round
-        Duration mostStop = WAITS.plus(ModuleTime.span(2 * releaseS)).plus(SLACK);
+        Duration mostStop = !world.sent ? endAt.plusSeconds(1) : WAITS.plus(ModuleTime.span(2 * releaseS)).plus(SLACK);
         if (end == End.STOP && world.broken == null && world.endedAt.compareTo(mostStop) > 0) {
             return "the stop ends at " + world.endedAt;
         }
