--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -11,23 +11,59 @@
     private Api() {}
 
     /** What a server can do: read prompts, write answers, or both. */
-    public enum Role { READER, WRITER, MIXED }
+    public enum Role {
+        READER,
+        WRITER,
+        MIXED
+    }
 
     /** Whether repeating a request can do harm. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which servers drop the repeats of a keyed request. */
-    public enum Group { ALL, ZONE, CELL }
+    public enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** How load reports arrive. */
-    public enum Reports { WITH_OUTCOMES, WITH_PROBES, NEVER }
+    public enum Reports {
+        WITH_OUTCOMES,
+        WITH_PROBES,
+        NEVER
+    }
 
-    public enum ListKind { FULL, CACHED, DELTA, FAILED }
+    public enum ListKind {
+        FULL,
+        CACHED,
+        DELTA,
+        FAILED
+    }
 
-    public enum ServerState { GONE, READY, DRAINING }
+    public enum ServerState {
+        GONE,
+        READY,
+        DRAINING
+    }
 
     /** How an attempt or a probe ended. STALE: reset where a kept connection ends, which tells nothing of its server. */
-    public enum Outcome { OK, READ, ERROR, FULL, TIMED_OUT, CONNECT_FAILED, RESET, STALE, CANCELLED, NOT_SENT }
+    public enum Outcome {
+        OK,
+        READ,
+        ERROR,
+        FULL,
+        TIMED_OUT,
+        CONNECT_FAILED,
+        RESET,
+        STALE,
+        CANCELLED,
+        NOT_SENT
+    }
 
     // ---- settings ------------------------------------------------------------------------------
 
@@ -47,8 +83,14 @@
             boolean streamsResume) {}
 
     /** {@code aimPerThousandS} is added to the aim for each 1,000 prompt tokens. */
-    public record RequestClass(String name, double aimS, double aimPerThousandS, double worth, Effect effect,
-            Group group, double windowS) {}
+    public record RequestClass(
+            String name,
+            double aimS,
+            double aimPerThousandS,
+            double worth,
+            Effect effect,
+            Group group,
+            double windowS) {}
 
     /** {@code quotaPerS} counts requests a second over all nodes together. */
     public record Customer(String name, double quotaPerS) {}
@@ -58,32 +100,63 @@
     public record Limits(int maxAttempts, boolean cancel, boolean probes, double maxRetryAfterS) {}
 
     /** {@code askWithinS}: who has not asked for the list for so long counts as told of what was there to ask for. */
-    public record Rules(double coldFrom, double warmWithinS, double fallMultiple, double fallS,
-            double releaseS, double askWithinS) {}
+    public record Rules(
+            double coldFrom,
+            double warmWithinS,
+            double fallMultiple,
+            double fallS,
+            double releaseS,
+            double askWithinS) {}
 
     // ---- events --------------------------------------------------------------------------------
 
-    public sealed interface Event permits Members, Arrival, StreamStarted, AttemptEnded, ClientLeft,
-            TimerFired, Probed, Beside {}
+    public sealed interface Event
+            permits Members, Arrival, StreamStarted, AttemptEnded, ClientLeft, TimerFired, Probed, Beside {}
 
     public record Members(ListKind kind, List<Member> members) implements Event {}
 
     /** {@code launchedAt} is 0 for a server that started long ago. */
-    public record Member(String server, String zone, String kind, long cell, ServerState state, double weight,
-            double launchedAt) {}
+    public record Member(
+            String server, String zone, String kind, long cell, ServerState state, double weight, double launchedAt) {}
 
     /**
      * {@code prefix} is null where the prompt shares no beginning; {@code customer} may be null. {@code resumed}:
      * the rest of a stream that broke is asked for, so that an attempt of it has run, here or elsewhere.
      */
-    public record Arrival(long request, String requestClass, String customer, String session, String prefix,
-            double promptTokens, double prefixTokens, double maxAnswerTokens, double deadline, boolean resumed)
+    public record Arrival(
+            long request,
+            String requestClass,
+            String customer,
+            String session,
+            String prefix,
+            double promptTokens,
+            double prefixTokens,
+            double maxAnswerTokens,
+            double deadline,
+            boolean resumed)
             implements Event {
 
-        public Arrival(long request, String requestClass, String customer, String session, String prefix,
-                double promptTokens, double prefixTokens, double maxAnswerTokens, double deadline) {
-            this(request, requestClass, customer, session, prefix, promptTokens, prefixTokens, maxAnswerTokens,
-                    deadline, false);
+        public Arrival(
+                long request,
+                String requestClass,
+                String customer,
+                String session,
+                String prefix,
+                double promptTokens,
+                double prefixTokens,
+                double maxAnswerTokens,
+                double deadline) {
+            this(
+                    request,
+                    requestClass,
+                    customer,
+                    session,
+                    prefix,
+                    promptTokens,
+                    prefixTokens,
+                    maxAnswerTokens,
+                    deadline,
+                    false);
         }
     }
 
@@ -93,11 +166,27 @@
      * {@code stateMissing}: FULL because there was no read state to fetch. {@code report} may be null. {@code keptTokens}:
      * those of the prompt that a read found kept.
      */
-    public record AttemptEnded(long request, int attempt, String server, Outcome outcome, double latencyS,
-            boolean requestOver, boolean stateMissing, Report report, double keptTokens) implements Event {
+    public record AttemptEnded(
+            long request,
+            int attempt,
+            String server,
+            Outcome outcome,
+            double latencyS,
+            boolean requestOver,
+            boolean stateMissing,
+            Report report,
+            double keptTokens)
+            implements Event {
 
-        public AttemptEnded(long request, int attempt, String server, Outcome outcome, double latencyS,
-                boolean requestOver, boolean stateMissing, Report report) {
+        public AttemptEnded(
+                long request,
+                int attempt,
+                String server,
+                Outcome outcome,
+                double latencyS,
+                boolean requestOver,
+                boolean stateMissing,
+                Report report) {
             this(request, attempt, server, outcome, latencyS, requestOver, stateMissing, report, Double.NaN);
         }
     }
@@ -112,16 +201,33 @@
     public record Probed(String server, Outcome outcome, double latencyS, Report report) implements Event {}
 
     /** A server's own word on its load; each value may be NaN. */
-    public record Report(double slotShare, double waitingRequests, double heldRequests, double memoryShare,
+    public record Report(
+            double slotShare,
+            double waitingRequests,
+            double heldRequests,
+            double memoryShare,
             double waitingThousandTokens) {}
 
     // ---- actions -------------------------------------------------------------------------------
 
-    public sealed interface Action permits Attempt, Refuse, Fail, Cancel, Transfer, Release, Probe, Timer,
-            FollowList, Remark {}
+    public sealed interface Action
+            permits Attempt, Refuse, Fail, Cancel, Transfer, Release, Probe, Timer, FollowList, Remark {}
 
     /** For people: HOME and SPILL are readers, by hash and for their lighter load; the last four are of cancels. */
-    public enum Why { HOME, SPILL, WRITER, DOOR, SLOW, RAN, NO_ATTEMPT_LEFT, NO_TIME, NOT_SENT, OVERTAKEN, SILENT, OVER }
+    public enum Why {
+        HOME,
+        SPILL,
+        WRITER,
+        DOOR,
+        SLOW,
+        RAN,
+        NO_ATTEMPT_LEFT,
+        NO_TIME,
+        NOT_SENT,
+        OVERTAKEN,
+        SILENT,
+        OVER
+    }
 
     /**
      * {@code until}: the time at which the attempt times out; {@code latest}: its last byte may not leave after this
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -1,12 +1,12 @@
 package copperbeam;
 
+import copperbeam.Api.*;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.TreeMap;
-import copperbeam.Api.*;
 
 /** What the module remembers: records and counters, no decision. */
 final class State {
@@ -202,8 +202,8 @@
         private final Map<String, Zone> zones = new TreeMap<>();
 
         Cell of(Member m) {
-            return cells.computeIfAbsent(m.cell(), n -> new Cell(
-                    zones.computeIfAbsent(String.valueOf(m.zone()), z -> new Zone())));
+            return cells.computeIfAbsent(
+                    m.cell(), n -> new Cell(zones.computeIfAbsent(String.valueOf(m.zone()), z -> new Zone())));
         }
 
         /** From sums to shares. */
@@ -249,8 +249,8 @@
     static final class Permits {
         final double launchedAt;
         double at;
-        double due;                  // what has come by then; the whole ones are permits
-        double used;                 // spent or lapsed
+        double due; // what has come by then; the whole ones are permits
+        double used; // spent or lapsed
 
         Permits(double launchedAt, double at, double due) {
             this.launchedAt = launchedAt;
@@ -263,14 +263,14 @@
         final String id;
         Member listed;
         Role role = Role.MIXED;
-        double tokens;               // prompt tokens of this node's attempts under way
-        double waitingTokens;        // the part of them whose stream has not begun
-        double unseenTokens;         // the part of those sent too lately for the last report
+        double tokens; // prompt tokens of this node's attempts under way
+        double waitingTokens; // the part of them whose stream has not begun
+        double unseenTokens; // the part of those sent too lately for the last report
         final ArrayDeque<Try> unseen = new ArrayDeque<>();
         final LinkedHashSet<Try> out = new LinkedHashSet<>();
         final LinkedHashSet<Try> waiting = new LinkedHashSet<>();
-        final Fading delay;          // what its attempts lately waited for a read or a first token
-        double answeredSentAt;       // send time of the newest attempt that was read or has begun to stream
+        final Fading delay; // what its attempts lately waited for a read or a first token
+        double answeredSentAt; // send time of the newest attempt that was read or has begun to stream
         double memoryTokens;
         Report report;
         double reportAt;
@@ -342,16 +342,16 @@
         Try out;
         int sends;
         boolean closed;
-        Api.Why closing;             // given up, and answered as soon as its attempt has ended
+        Api.Why closing; // given up, and answered as soon as its attempt has ended
         boolean holdsState;
         Server reader;
         double lastEnd;
-        Member ranAt;                // where a writer's attempt may have run first, as listed when it was sent
-        double ranSince;             // when that was sent, or what is out
+        Member ranAt; // where a writer's attempt may have run first, as listed when it was sent
+        double ranSince; // when that was sent, or what is out
         String lastTried;
-        Top options;                 // of which one takes the next attempt
-        boolean lookedAgain;         // as those asked first gave no answer
-        boolean counted;             // in the node's demand
+        Top options; // of which one takes the next attempt
+        boolean lookedAgain; // as those asked first gave no answer
+        boolean counted; // in the node's demand
 
         Request(Arrival asked, RequestClass kind) {
             this.asked = asked;
@@ -362,14 +362,14 @@
     static final class Try {
         final Request request;
         final Server server;
-        final Member entry;          // the server's when it was sent: it may leave the list before the outcome
+        final Member entry; // the server's when it was sent: it may leave the list before the outcome
         final int number;
         final boolean reading;
-        final int rank;              // of its server among the options: 0 is the home
+        final int rank; // of its server among the options: 0 is the home
         final double sentAt;
-        final double tokens;         // to be read there, or held
-        double ahead;                // to be read at its server before it, as far as known when it was sent
-        boolean counted = true;      // among its server's unseen tokens
+        final double tokens; // to be read there, or held
+        double ahead; // to be read at its server before it, as far as known when it was sent
+        boolean counted = true; // among its server's unseen tokens
         boolean started;
         boolean cancelled;
 
--- a/src/main/java/copperbeam/handover/SharedState.java
+++ b/src/main/java/copperbeam/handover/SharedState.java
@@ -35,7 +35,8 @@
     private static final BinaryOperator<Duty> LATER_DUTY = BinaryOperator.maxBy(
             Comparator.comparingLong(Duty::turn).thenComparing(Duty::at).thenComparing(Duty::drained));
     private static final Comparator<Map.Entry<String, Life>> BY_START = Comparator.comparing(
-            (Map.Entry<String, Life> life) -> life.getValue().started()).thenComparing(Map.Entry::getKey);
+                    (Map.Entry<String, Life> life) -> life.getValue().started())
+            .thenComparing(Map.Entry::getKey);
 
     /** Nothing by hand, and no process. */
     public static final SharedState EMPTY =
@@ -68,7 +69,11 @@
     }
 
     /** In order; a process never goes back. */
-    public enum Phase { STARTING, SERVING, LEAVING }
+    public enum Phase {
+        STARTING,
+        SERVING,
+        LEAVING
+    }
 
     /**
      * One process.
@@ -105,7 +110,9 @@
      * is told with one start.
      */
     public SharedState merge(SharedState other) {
-        return new SharedState(union(bans, other.bans, LATER_BAN), LATER_DUTY.apply(duty, other.duty),
+        return new SharedState(
+                union(bans, other.bans, LATER_BAN),
+                LATER_DUTY.apply(duty, other.duty),
                 union(lives, other.lives, Life::merge));
     }
 
@@ -129,8 +136,7 @@
 
     /** The conductor drained by hand or back at work; the same state where it is so already. */
     public SharedState duty(boolean drained, Instant at) {
-        return duty.drained() == drained ? this
-                : new SharedState(bans, new Duty(duty.turn() + 1, drained, at), lives);
+        return duty.drained() == drained ? this : new SharedState(bans, new Duty(duty.turn() + 1, drained, at), lives);
     }
 
     /** With what a process says of itself; an earlier phase than is known changes nothing. */
@@ -146,8 +152,12 @@
      */
     public SharedState living(Set<Integer> slots) {
         SortedMap<String, Life> alive = new TreeMap<>(lives);
-        alive.entrySet().removeIf(life -> !slots.contains(life.getValue().slot()) || lives.entrySet().stream()
-                .anyMatch(o -> o.getValue().slot() == life.getValue().slot() && BY_START.compare(o, life) > 0));
+        alive.entrySet()
+                .removeIf(life -> !slots.contains(life.getValue().slot())
+                        || lives.entrySet().stream()
+                                .anyMatch(o ->
+                                        o.getValue().slot() == life.getValue().slot()
+                                                && BY_START.compare(o, life) > 0));
         return new SharedState(bans, duty, alive);
     }
 
@@ -171,7 +181,9 @@
         Life own = lives.get(incarnation);
         return lives.entrySet().stream()
                 .filter(life -> own != null && BY_START.compare(life, Map.entry(incarnation, own)) > 0)
-                .filter(life -> life.getValue().phase() == Phase.SERVING).max(BY_START).map(Map.Entry::getValue);
+                .filter(life -> life.getValue().phase() == Phase.SERVING)
+                .max(BY_START)
+                .map(Map.Entry::getValue);
     }
 
     /** Whether any other process is known. */
@@ -183,26 +195,29 @@
         return new TreeMap<>(Map.of(name, value));
     }
 
-    private static <T> SortedMap<String, T> union(SortedMap<String, T> a, SortedMap<String, T> b,
-            BinaryOperator<T> join) {
+    private static <T> SortedMap<String, T> union(
+            SortedMap<String, T> a, SortedMap<String, T> b, BinaryOperator<T> join) {
         SortedMap<String, T> all = new TreeMap<>(a);
         b.forEach((name, value) -> all.merge(name, value, join));
         return all;
     }
 
     /** A copy, in the order of names whatever the given one's, without the oldest that may be forgotten. */
-    private static <T> SortedMap<String, T> bounded(Map<String, T> all, int most, Predicate<T> forgettable,
-            Function<T, Instant> time) {
+    private static <T> SortedMap<String, T> bounded(
+            Map<String, T> all, int most, Predicate<T> forgettable, Function<T, Instant> time) {
         SortedMap<String, T> kept = new TreeMap<>();
         kept.putAll(all);
         // half a surrogate pair would come back from the file as another name
-        require(StandardCharsets.UTF_8.newEncoder().canEncode(String.join("\n", kept.keySet())),
+        require(
+                StandardCharsets.UTF_8.newEncoder().canEncode(String.join("\n", kept.keySet())),
                 "a name not in Unicode");
         if (all.size() > most) {
-            all.entrySet().stream().filter(e -> forgettable.test(e.getValue()))
+            all.entrySet().stream()
+                    .filter(e -> forgettable.test(e.getValue()))
                     .sorted(Comparator.comparing((Map.Entry<String, T> e) -> time.apply(e.getValue()))
                             .thenComparing(Map.Entry::getKey))
-                    .limit(all.size() - most).forEach(e -> kept.remove(e.getKey()));
+                    .limit(all.size() - most)
+                    .forEach(e -> kept.remove(e.getKey()));
         }
         return Collections.unmodifiableSortedMap(kept);
     }
--- a/src/main/java/copperbeam/handover/StateCodec.java
+++ b/src/main/java/copperbeam/handover/StateCodec.java
@@ -65,7 +65,10 @@
         if (header.length + content.length > MOST_BYTES) {
             throw new IllegalStateException("the state is larger than 1 MiB");
         }
-        return ByteBuffer.allocate(header.length + content.length).put(header).put(content).array();
+        return ByteBuffer.allocate(header.length + content.length)
+                .put(header)
+                .put(content)
+                .array();
     }
 
     /**
@@ -76,25 +79,35 @@
     public static SharedState read(String conductor, byte[] bytes, Instant now) throws Refused {
         byte[] content = content(bytes);
         try {
-            JsonReader in = new JsonReader(new StringReader(
-                    StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(content)).toString()));
+            JsonReader in = new JsonReader(new StringReader(StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(content))
+                    .toString()));
             in.setStrictness(Strictness.STRICT);
             in.beginObject();
             refuse(!text(in, "conductor").equals(conductor), "another conductor's");
             refuse(Duration.between(now, time(in, "written")).compareTo(AHEAD) > 0, "written in the future");
-            SortedMap<String, Ban> bans = map(in, "bans",
-                    ban -> new Ban(number(ban, "turn"), flag(ban, "out"), time(ban, "at")));
+            SortedMap<String, Ban> bans =
+                    map(in, "bans", ban -> new Ban(number(ban, "turn"), flag(ban, "out"), time(ban, "at")));
             field(in, "duty", JsonToken.BEGIN_OBJECT).beginObject();
             Duty duty = new Duty(number(in, "turn"), flag(in, "drained"), time(in, "at"));
             in.endObject();
-            SortedMap<String, Life> lives = map(in, "lives", life -> new Life(time(life, "started"),
-                    Phase.valueOf(text(life, "phase")), Math.toIntExact(number(life, "slot"))));
+            SortedMap<String, Life> lives = map(
+                    in,
+                    "lives",
+                    life -> new Life(
+                            time(life, "started"),
+                            Phase.valueOf(text(life, "phase")),
+                            Math.toIntExact(number(life, "slot"))));
             in.endObject();
             refuse(in.peek() != JsonToken.END_DOCUMENT, "more than one JSON value");
             SharedState state = new SharedState(bans, duty, lives);
             refuse(!state.bans().equals(bans) || !state.lives().equals(lives), "more bans or lives than may be");
             return state;
-        } catch (IOException | IllegalStateException | IllegalArgumentException | ArithmeticException
+        } catch (IOException
+                | IllegalStateException
+                | IllegalArgumentException
+                | ArithmeticException
                 | DateTimeException e) {
             throw new Refused("malformed: " + e.getClass().getSimpleName()); // its message may quote the whole file
         }
@@ -133,17 +146,39 @@
             out.name("bans").beginObject();
             for (var e : state.bans().entrySet()) {
                 Ban ban = e.getValue();
-                out.name(e.getKey()).beginObject().name("turn").value(ban.turn()).name("out").value(ban.out())
-                        .name("at").value(ban.at().toString()).endObject();
+                out.name(e.getKey())
+                        .beginObject()
+                        .name("turn")
+                        .value(ban.turn())
+                        .name("out")
+                        .value(ban.out())
+                        .name("at")
+                        .value(ban.at().toString())
+                        .endObject();
             }
             Duty duty = state.duty();
-            out.endObject().name("duty").beginObject().name("turn").value(duty.turn()).name("drained")
-                    .value(duty.drained()).name("at").value(duty.at().toString()).endObject();
+            out.endObject()
+                    .name("duty")
+                    .beginObject()
+                    .name("turn")
+                    .value(duty.turn())
+                    .name("drained")
+                    .value(duty.drained())
+                    .name("at")
+                    .value(duty.at().toString())
+                    .endObject();
             out.name("lives").beginObject();
             for (var e : state.lives().entrySet()) {
                 Life life = e.getValue();
-                out.name(e.getKey()).beginObject().name("started").value(life.started().toString()).name("phase")
-                        .value(life.phase().name()).name("slot").value(life.slot()).endObject();
+                out.name(e.getKey())
+                        .beginObject()
+                        .name("started")
+                        .value(life.started().toString())
+                        .name("phase")
+                        .value(life.phase().name())
+                        .name("slot")
+                        .value(life.slot())
+                        .endObject();
             }
             out.endObject().endObject();
         } catch (IOException e) {
@@ -154,7 +189,8 @@
 
     /** At the value of the field that must come next; Gson by itself would take "1" for 1 and the other way round. */
     private static JsonReader field(JsonReader in, String name, JsonToken type) throws IOException, Refused {
-        refuse(in.peek() != JsonToken.NAME || !in.nextName().equals(name) || in.peek() != type,
+        refuse(
+                in.peek() != JsonToken.NAME || !in.nextName().equals(name) || in.peek() != type,
                 "malformed: field " + name + " is missing or of another type");
         return in;
     }
--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -32,18 +32,20 @@
     }
 
     private static final Duration NOTICE = Duration.ofMillis(800); // for fronts to learn that we are not healthy
-    private static final Duration EARLY = Duration.ofMillis(850);  // before the kill, at most: streams are cut
-    private static final Duration LATE = Duration.ofMillis(350);   // the same where others are away; for ends and releases
+    private static final Duration EARLY = Duration.ofMillis(850); // before the kill, at most: streams are cut
+    private static final Duration LATE =
+            Duration.ofMillis(350); // the same where others are away; for ends and releases
     private static final Duration ANSWERS = Duration.ofMillis(200); // before that
-    private static final Duration TAKES = Duration.ofMillis(600);  // what comes 0.7 s after SIGTERM must end before the kill
-    private static final Duration LEAST = Duration.ofMillis(700);  // which the platform gives beside its clients' waits
+    private static final Duration TAKES =
+            Duration.ofMillis(600); // what comes 0.7 s after SIGTERM must end before the kill
+    private static final Duration LEAST = Duration.ofMillis(700); // which the platform gives beside its clients' waits
 
     private final Duration allowed;
     private final boolean streamsResume;
     private Step step = Step.WORK;
-    private Duration drained;        // when a drain was asked for, and not taken back
+    private Duration drained; // when a drain was asked for, and not taken back
     private Duration stopped;
-    private boolean succeeded;       // a new process serves at this one's address, and takes what comes
+    private boolean succeeded; // a new process serves at this one's address, and takes what comes
 
     /**
      * {@code allowed}: after so long a stop the process may be killed; {@code streamsResume}: else a stream that is cut is
@@ -140,8 +142,10 @@
         Duration early = allowed.minus(NOTICE).minus(ANSWERS);
         early = early.compareTo(EARLY) < 0 ? early.compareTo(LATE) < 0 ? LATE : early : EARLY;
         Duration cut = allowed.minus(late ? LATE : early);
-        return since.compareTo(cut) >= 0 && streamsResume ? Step.CUT
-                : since.compareTo(cut.minus(ANSWERS)) >= 0 ? Step.ANSWER
-                : !noticed ? Step.SERVE : open ? Step.LEAD_AWAY : Step.CLOSE;
+        return since.compareTo(cut) >= 0 && streamsResume
+                ? Step.CUT
+                : since.compareTo(cut.minus(ANSWERS)) >= 0
+                        ? Step.ANSWER
+                        : !noticed ? Step.SERVE : open ? Step.LEAD_AWAY : Step.CLOSE;
     }
 }
--- a/src/main/java/copperbeam/membership/Bans.java
+++ b/src/main/java/copperbeam/membership/Bans.java
@@ -98,6 +98,7 @@
 
     private static Entry with(Entry e, ServerState state, double launchedAt) {
         Member m = e.member();
-        return new Entry(new Member(m.server(), m.zone(), m.kind(), m.cell(), state, m.weight(), launchedAt), e.address());
+        return new Entry(
+                new Member(m.server(), m.zone(), m.kind(), m.cell(), state, m.weight(), launchedAt), e.address());
     }
 }
--- a/src/main/java/copperbeam/membership/MemberBook.java
+++ b/src/main/java/copperbeam/membership/MemberBook.java
@@ -1,5 +1,10 @@
 package copperbeam.membership;
 
+import copperbeam.Api.ListKind;
+import copperbeam.Api.Member;
+import copperbeam.Api.ServerState;
+import copperbeam.routing.MembershipSource.Change;
+import copperbeam.routing.MembershipSource.Entry;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -7,11 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import copperbeam.Api.ListKind;
-import copperbeam.Api.Member;
-import copperbeam.Api.ServerState;
-import copperbeam.routing.MembershipSource.Change;
-import copperbeam.routing.MembershipSource.Entry;
 
 /**
  * Merges what several tellers say of the same servers, each of them late by a time of its own. What one teller
@@ -32,7 +32,7 @@
     private final Map<String, Known> known = new TreeMap<>();
     private final Map<String, Claim> claims = new TreeMap<>();
     private int teller = Integer.MIN_VALUE; // whose list is the base: the newest that has given one
-    private Instant emptyUntil;             // until when an empty list is not believed
+    private Instant emptyUntil; // until when an empty list is not believed
 
     /** {@code care}: by how much one teller may lag behind another; 0 or more. */
     public MemberBook(Duration care) {
@@ -105,7 +105,7 @@
     /** What was claimed against a drain and has not been contradicted within {@code care}. */
     public Change due(Instant now) {
         List<Entry> told = new ArrayList<>();
-        for (Iterator<Claim> i = claims.values().iterator(); i.hasNext();) {
+        for (Iterator<Claim> i = claims.values().iterator(); i.hasNext(); ) {
             Claim claim = i.next();
             if (!now.isBefore(claim.until())) {
                 i.remove();
@@ -118,7 +118,10 @@
 
     /** When {@link #due} has something to tell; null where nothing is held. */
     public Instant next() {
-        return claims.values().stream().map(Claim::until).min(Instant::compareTo).orElse(null);
+        return claims.values().stream()
+                .map(Claim::until)
+                .min(Instant::compareTo)
+                .orElse(null);
     }
 
     /** Servers remembered, those that have left within {@code care} included. */
@@ -135,7 +138,9 @@
             return false;
         }
         claims.remove(id);
-        boolean same = k != null && rank(k.entry()) == rank(e) && rank(e) > 0
+        boolean same = k != null
+                && rank(k.entry()) == rank(e)
+                && rank(e) > 0
                 && k.entry().member().launchedAt() == e.member().launchedAt();
         // said again by another: the first to have said it keeps the time from which care counts
         known.put(id, same ? new Known(e, by, k.at()) : new Known(e, by, now));
@@ -152,16 +157,22 @@
     }
 
     private void forget(Instant now) {
-        known.values().removeIf(k -> k.entry().member().state() == ServerState.GONE
-                && !now.isBefore(k.at().plus(care)) && !claims.containsKey(id(k.entry())));
+        known.values()
+                .removeIf(k -> k.entry().member().state() == ServerState.GONE
+                        && !now.isBefore(k.at().plus(care))
+                        && !claims.containsKey(id(k.entry())));
     }
 
     private boolean any() {
-        return servers || known.values().stream().anyMatch(k -> k.entry().member().state() != ServerState.GONE);
+        return servers
+                || known.values().stream().anyMatch(k -> k.entry().member().state() != ServerState.GONE);
     }
 
     private List<Entry> listed() {
-        return known.values().stream().map(Known::entry).filter(e -> e.member().state() != ServerState.GONE).toList();
+        return known.values().stream()
+                .map(Known::entry)
+                .filter(e -> e.member().state() != ServerState.GONE)
+                .toList();
     }
 
     /** The further a server is on its way out, the higher. */
@@ -179,7 +190,8 @@
 
     private static Entry gone(Entry e) {
         Member m = e.member();
-        return new Entry(new Member(m.server(), m.zone(), m.kind(), m.cell(), ServerState.GONE, m.weight(),
-                m.launchedAt()), e.address());
+        return new Entry(
+                new Member(m.server(), m.zone(), m.kind(), m.cell(), ServerState.GONE, m.weight(), m.launchedAt()),
+                e.address());
     }
 }
--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -1,13 +1,13 @@
 package copperbeam.membership;
 
+import copperbeam.routing.MembershipSource.Change;
+import copperbeam.routing.MembershipSource.Entry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
-import copperbeam.routing.MembershipSource.Change;
-import copperbeam.routing.MembershipSource.Entry;
 
 /**
  * Which calls a watch on the list has out: the whole list once, unless one is known from before, then one watch after
@@ -76,22 +76,24 @@
     static final Duration SPACE = Duration.ofMillis(100);
     /** After a failure: what is there, at once. Not 0, which is no watch. */
     static final Duration BRIEF = Duration.ofMillis(1);
+
     public static final Duration OVERLAP = Duration.ofSeconds(2); // an old address closes 1.5 s after a move
     /** What one address may know later than another: what counts as told at the new one is there by then. */
     public static final Duration CARE = TOLD.plus(MOVED);
+
     static final int MOST_CALLS = 3;
     static final int MOST_OLD = 2;
 
     private static final class Address {
         final InetSocketAddress at;
-        int teller;                  // anew whenever its versions go back
+        int teller; // anew whenever its versions go back
         boolean listed;
-        int failures;                // in a row; a call that is silent too long is one
+        int failures; // in a row; a call that is silent too long is one
         long version = -1;
-        boolean spaced;              // SPACE has passed since the newest call
-        boolean waits;               // for that with the next
+        boolean spaced; // SPACE has passed since the newest call
+        boolean waits; // for that with the next
         final List<Integer> calls = new ArrayList<>();
-        int last;                    // the newest call; all others that are out have been silent for too long
+        int last; // the newest call; all others that are out have been silent for too long
 
         Address(InetSocketAddress at, int teller) {
             this.at = at;
@@ -99,7 +101,13 @@
         }
     }
 
-    private enum Due { NEXT, SPACE, MOVED, LEAVE, CARE }
+    private enum Due {
+        NEXT,
+        SPACE,
+        MOVED,
+        LEAVE,
+        CARE
+    }
 
     private record Timer(Due what, Address address, int call) {}
 
@@ -172,7 +180,8 @@
             a.teller = ++tellers; // it remembers less than it did, and is as one that lags
         }
         if (listing.full() && book.doubts(a.teller, listing.entries(), now)) {
-            a.listed = false; // asked for whole until it is believed: what it would say of changes leaves out who has left
+            a.listed =
+                    false; // asked for whole until it is believed: what it would say of changes leaves out who has left
             return failed(call, false);
         }
         boolean news = listing.version() > a.version && !listing.entries().isEmpty();
@@ -186,7 +195,8 @@
             boolean first = !a.listed;
             a.listed = true;
             a.version = listing.version();
-            Change change = listing.full() ? book.whole(a.teller, listing.entries(), now)
+            Change change = listing.full()
+                    ? book.whole(a.teller, listing.entries(), now)
                     : book.changes(a.teller, listing.entries(), now);
             tell(change, listing.full() && a == current);
             if (first && a == current) {
@@ -272,7 +282,8 @@
         Duration hold = !a.listed ? Duration.ZERO : a.failures == 0 ? HOLD : BRIEF;
         steps.add(new Ask(call, a.at, a.listed ? a.version : -1, hold));
         wake(SPACE, Due.SPACE, a, call);
-        // stands also where the call fails: a connection that does not come up takes its time, and the pause after it more
+        // stands also where the call fails: a connection that does not come up takes its time, and the pause after it
+        // more
         Duration silent = hold.plus(SILENCE).plus(a.failures > 0 ? backoff.after(a.failures) : Duration.ZERO);
         wake(silent.compareTo(NEXT) < 0 ? silent : NEXT, Due.NEXT, a, call);
     }
@@ -285,8 +296,9 @@
 
     private void wake(Duration after, Due what, Address address, int call) {
         // those of calls that have been followed by another tell nothing
-        timers.values().removeIf(t -> t.what() == what && t.address() == address
-                && (what != Due.NEXT || t.call() != address.last));
+        timers.values()
+                .removeIf(t ->
+                        t.what() == what && t.address() == address && (what != Due.NEXT || t.call() != address.last));
         timers.put(++tokens, new Timer(what, address, call));
         steps.add(new Wake(after.isNegative() ? Duration.ZERO : after, tokens));
     }
--- a/src/main/java/copperbeam/operation/Desk.java
+++ b/src/main/java/copperbeam/operation/Desk.java
@@ -48,17 +48,19 @@
 
     /** One that is out may have left the list meanwhile. */
     private void ban(String call, String server, boolean out, Consumer<String> reply) {
-        bans.tell(new BanActor.Listed(server, listed -> one.execute(() -> {
-            if (!listed && !shared.out(server)) {
-                reply.accept(no("no such server"));
-                return;
-            }
-            try {
-                shared.ban(server, out, () -> said(call, true, reply));
-            } catch (IllegalStateException e) {
-                reply.accept(no(e.getMessage()));
-            }
-        })));
+        bans.tell(new BanActor.Listed(
+                server,
+                listed -> one.execute(() -> {
+                    if (!listed && !shared.out(server)) {
+                        reply.accept(no("no such server"));
+                        return;
+                    }
+                    try {
+                        shared.ban(server, out, () -> said(call, true, reply));
+                    } catch (IllegalStateException e) {
+                        reply.accept(no(e.getMessage()));
+                    }
+                })));
     }
 
     private static void said(String call, boolean done, Consumer<String> reply) {
@@ -90,6 +92,12 @@
     }
 
     private static void line(StringBuilder text, String name, long value, char kind) {
-        text.append("app.").append(name).append(':').append(value).append('|').append(kind).append('\n');
+        text.append("app.")
+                .append(name)
+                .append(':')
+                .append(value)
+                .append('|')
+                .append(kind)
+                .append('\n');
     }
 }
--- a/src/main/java/copperbeam/plugins/WasmHook.java
+++ b/src/main/java/copperbeam/plugins/WasmHook.java
@@ -7,10 +7,10 @@
 import com.dylibso.chicory.wasm.types.FunctionType;
 import com.dylibso.chicory.wasm.types.MemoryLimits;
 import com.dylibso.chicory.wasm.types.ValueType;
-import java.time.Duration;
-import java.util.List;
 import copperbeam.routing.Ask;
 import copperbeam.routing.RequestHook;
+import java.time.Duration;
+import java.util.List;
 
 /**
  * A WebAssembly module that exports {@code on_request(class, prompt_tokens, prefix_tokens, max_answer_tokens:
@@ -19,8 +19,8 @@
  * k + 1 to give it class k. It gets no imports, so it reaches nothing but its own memory.
  */
 public final class WasmHook implements RequestHook {
-    private static final List<ValueType> TAKES = List.of(ValueType.I32, ValueType.I32, ValueType.I32, ValueType.I32,
-            ValueType.I64, ValueType.I64);
+    private static final List<ValueType> TAKES =
+            List.of(ValueType.I32, ValueType.I32, ValueType.I32, ValueType.I32, ValueType.I64, ValueType.I64);
     private static final int LOOK_EVERY = 256; // instructions between looks at the clock
     private static final int LONGEST_REFUSAL_MS = 60_000;
 
@@ -93,9 +93,14 @@
                 start();
             }
             until = System.nanoTime() + time.toNanos();
-            int verdict = (int) instance.export("on_request").apply(classes.indexOf(ask.requestClass()),
-                    (long) ask.promptTokens(), (long) ask.prefixTokens(), (long) ask.maxAnswerTokens(),
-                    hash(ask.session()), hash(ask.prefix()))[0];
+            int verdict = (int) instance.export("on_request")
+                    .apply(
+                            classes.indexOf(ask.requestClass()),
+                            (long) ask.promptTokens(),
+                            (long) ask.prefixTokens(),
+                            (long) ask.maxAnswerTokens(),
+                            hash(ask.session()),
+                            hash(ask.prefix()))[0];
             if (verdict < 0) {
                 return new Verdict(Duration.ofMillis(Math.min(-(long) verdict, LONGEST_REFUSAL_MS)), null);
             }
--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -1,5 +1,19 @@
 package copperbeam.program;
 
+import copperbeam.Api.Kind;
+import copperbeam.Api.ListKind;
+import copperbeam.Api.RequestClass;
+import copperbeam.Api.Settings;
+import copperbeam.membership.Backoff;
+import copperbeam.membership.WatchPlan;
+import copperbeam.plugins.WasmHook;
+import copperbeam.protocol.Json;
+import copperbeam.protocol.discovery.ServerList;
+import copperbeam.protocol.openai.ChatModels;
+import copperbeam.routing.ModuleTime;
+import copperbeam.routing.RequestHook;
+import copperbeam.simhost.Decoder;
+import copperbeam.simhost.Wire;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -15,20 +29,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.stream.Stream;
-import copperbeam.Api.Kind;
-import copperbeam.Api.ListKind;
-import copperbeam.Api.RequestClass;
-import copperbeam.Api.Settings;
-import copperbeam.membership.Backoff;
-import copperbeam.membership.WatchPlan;
-import copperbeam.plugins.WasmHook;
-import copperbeam.protocol.Json;
-import copperbeam.protocol.discovery.ServerList;
-import copperbeam.protocol.openai.ChatModels;
-import copperbeam.routing.ModuleTime;
-import copperbeam.routing.RequestHook;
-import copperbeam.simhost.Decoder;
-import copperbeam.simhost.Wire;
 
 /**
  * All that the program is told at its start. Here and nowhere else it is read, checked and given defaults.
@@ -39,18 +39,27 @@
  * @param known the list as it was last had, or null
  * @param operator what the operator's file adds; nothing of it on the platform
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress control, Path shared,
-        InetSocketAddress discovery, long seed,
-        Settings settings, ServerList known, Duration connectTimeout, Duration connectionIdle, Limits limits,
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress control,
+        Path shared,
+        InetSocketAddress discovery,
+        long seed,
+        Settings settings,
+        ServerList known,
+        Duration connectTimeout,
+        Duration connectionIdle,
+        Limits limits,
         Operator operator) {
 
     private static final double LONGEST_S = 1e9; // twice as long is still a span in nanoseconds
 
     /** {@code chat} and its address may be null: then there is no such front. So may {@code etcd}. */
-    public record Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks,
-            Duration stopWithin) {
+    public record Operator(
+            InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks, Duration stopWithin) {
         private static final Duration LONGEST_WAIT = Duration.ofSeconds(3); // a stop waits for no client for longer
-        private static final Duration KILL_AFTER = Duration.ofMillis(700);  // and the kill comes so much later
+        private static final Duration KILL_AFTER = Duration.ofMillis(700); // and the kill comes so much later
 
         public Operator(InetSocketAddress chatListen, ChatModels chat, Etcd etcd, List<RequestHook> hooks) {
             this(chatListen, chat, etcd, hooks, LONGEST_WAIT.plus(KILL_AFTER));
@@ -121,13 +130,22 @@
         Section limits = raw.section("limits");
         Settings settings = settings(raw);
         Duration kill = kill(raw);
-        Operator operator = operatorFile == null ? new Operator(null, null, null, List.of(), kill)
+        Operator operator = operatorFile == null
+                ? new Operator(null, null, null, List.of(), kill)
                 : operator(Section.file("--operator", operatorFile), Path.of(operatorFile), settings, kill);
         String name = file.text("name", "conductor");
-        return new Config(name, file.address("listen"), file.has("control") ? file.address("control") : null,
+        return new Config(
+                name,
+                file.address("listen"),
+                file.has("control") ? file.address("control") : null,
                 file.has("control") ? folder(environment) : null,
-                operator.etcd() == null ? file.address("discovery") : null, seed(file, name), settings,
-                known(file), limits.span("connect_timeout_s", 0.25), limits.span("conn_idle_s", 30), limits(file),
+                operator.etcd() == null ? file.address("discovery") : null,
+                seed(file, name),
+                settings,
+                known(file),
+                limits.span("connect_timeout_s", 0.25),
+                limits.span("conn_idle_s", 30),
+                limits(file),
                 operator);
     }
 
@@ -147,15 +165,20 @@
             return new Limits(Limits.USUAL.memoryMb(), Math.min(Limits.USUAL.sockets(), descriptors()));
         }
         Section limits = file.section("limits");
-        return new Limits(limits.count("memory_mb", Limits.USUAL.memoryMb(), 16, 1 << 20),
+        return new Limits(
+                limits.count("memory_mb", Limits.USUAL.memoryMb(), 16, 1 << 20),
                 Math.min(limits.count("sockets", Limits.USUAL.sockets(), 256, 1 << 20), descriptors()));
     }
 
     /** What the system lets this process have. Guards against a limit in the file that is above the true one. */
     private static int descriptors() {
         try (Stream<String> lines = Files.lines(Path.of("/proc/self/limits"))) {
-            return lines.filter(l -> l.startsWith("Max open files")).map(l -> l.split("\\s+")[3])
-                    .filter(n -> n.matches("[0-9]{1,9}")).mapToInt(Integer::parseInt).findFirst().orElse(Integer.MAX_VALUE);
+            return lines.filter(l -> l.startsWith("Max open files"))
+                    .map(l -> l.split("\\s+")[3])
+                    .filter(n -> n.matches("[0-9]{1,9}"))
+                    .mapToInt(Integer::parseInt)
+                    .findFirst()
+                    .orElse(Integer.MAX_VALUE);
         } catch (IOException | UncheckedIOException e) {
             return Integer.MAX_VALUE; // a system that does not tell
         }
@@ -185,8 +208,11 @@
         Map<String, Kind> kinds = new LinkedHashMap<>();
         for (RequestClass c : settings.classes()) {
             Section at = raw.sections("services").get(settings.classes().indexOf(c));
-            if (c.name().isEmpty() || c.name().chars().anyMatch(Character::isISOControl) || c.name().startsWith(" ")
-                    || c.name().endsWith(" ") || !StandardCharsets.UTF_8.newEncoder().canEncode(c.name())) {
+            if (c.name().isEmpty()
+                    || c.name().chars().anyMatch(Character::isISOControl)
+                    || c.name().startsWith(" ")
+                    || c.name().endsWith(" ")
+                    || !StandardCharsets.UTF_8.newEncoder().canEncode(c.name())) {
                 throw at.invalid("name", "is not a text that a header can have");
             }
             if (!c.equals(classes.getOrDefault(c.name(), c))) {
@@ -243,7 +269,8 @@
     private static Operator operator(Section file, Path at, Settings settings, Duration kill) throws Invalid {
         file.only(Set.of("openai", "etcd", "plugins", "stop"));
         Section chat = file.has("openai") ? file.section("openai") : null;
-        return new Operator(chat == null ? null : chat.address("listen"),
+        return new Operator(
+                chat == null ? null : chat.address("listen"),
                 chat == null ? null : models(chat, classNames(settings)),
                 file.has("etcd") ? etcd(file.section("etcd")) : null,
                 file.has("plugins") ? hooks(file, at, settings) : List.of(),
@@ -254,11 +281,13 @@
     private static Duration kill(Section settings) throws Invalid {
         Duration longest = Duration.ZERO;
         for (Section service : settings.sections("services")) {
-            boolean told = service.has("give_up_s") && !(service.get("give_up_s") instanceof Number n && n.doubleValue() == 0);
+            boolean told =
+                    service.has("give_up_s") && !(service.get("give_up_s") instanceof Number n && n.doubleValue() == 0);
             Duration wait = told ? service.span("give_up_s", 0) : Operator.LONGEST_WAIT;
             longest = wait.compareTo(longest) > 0 ? wait : longest;
         }
-        return (longest.compareTo(Operator.LONGEST_WAIT) < 0 ? longest : Operator.LONGEST_WAIT).plus(Operator.KILL_AFTER);
+        return (longest.compareTo(Operator.LONGEST_WAIT) < 0 ? longest : Operator.LONGEST_WAIT)
+                .plus(Operator.KILL_AFTER);
     }
 
     private static Duration stopWithin(Section stop, Duration kill) throws Invalid {
@@ -288,7 +317,9 @@
             plugin.only(Set.of("file", "time_ms", "memory_pages"));
             Path wasm = at.toAbsolutePath().resolveSibling(plugin.text("file"));
             try {
-                hooks.add(new WasmHook(plugin.text("file"), Files.readAllBytes(wasm),
+                hooks.add(new WasmHook(
+                        plugin.text("file"),
+                        Files.readAllBytes(wasm),
                         settings.classes().stream().map(RequestClass::name).toList(),
                         Duration.ofMillis(plugin.count("time_ms", 5, 1, 1000)),
                         plugin.count("memory_pages", 16, 1, 256)));
@@ -311,8 +342,12 @@
             if (!classes.contains(model.text("class"))) {
                 throw model.invalid("class", "the settings name no class '" + model.text("class") + "'");
             }
-            byName.put(name, new ChatModels.Model(model.text("class"), model.span("timeout_s", 15),
-                    model.count("max_tokens", 512, 1, 1_000_000)));
+            byName.put(
+                    name,
+                    new ChatModels.Model(
+                            model.text("class"),
+                            model.span("timeout_s", 15),
+                            model.count("max_tokens", 512, 1, 1_000_000)));
         }
         if (byName.isEmpty()) {
             throw chat.invalid("models", "names no model");
@@ -331,7 +366,8 @@
      * an agent's whole list costs nothing, and its count may be its own. Null where there is none.
      */
     WatchPlan.Listing knownListing() {
-        return !knowsServers() || !settings.listMustBeAsked() ? null
+        return !knowsServers() || !settings.listMustBeAsked()
+                ? null
                 : new WatchPlan.Listing(known.version(), true, known.entries());
     }
 
--- a/src/main/java/copperbeam/program/DutyActor.java
+++ b/src/main/java/copperbeam/program/DutyActor.java
@@ -47,8 +47,15 @@
     private volatile boolean healthy = true;
     private volatile boolean stopping;
 
-    DutyActor(ScheduledExecutorService turns, Clock clock, Lifecycle lifecycle, List<HttpFrontServer> fronts,
-            ModuleActor module, ReleaseActor releases, BooleanSupplier othersAway, Consumer<Handover.Beside> besides) {
+    DutyActor(
+            ScheduledExecutorService turns,
+            Clock clock,
+            Lifecycle lifecycle,
+            List<HttpFrontServer> fronts,
+            ModuleActor module,
+            ReleaseActor releases,
+            BooleanSupplier othersAway,
+            Consumer<Handover.Beside> besides) {
         super(turns);
         this.clock = clock;
         from = clock.instant();
@@ -115,14 +122,16 @@
         if (ended.isDone()) {
             return;
         }
-        // each connection that is left is told so by its close: one that has just been answered may have the next request
+        // each connection that is left is told so by its close: one that has just been answered may have the next
+        // request
         // on its way, and it would be lost with the process
         boolean open = fronts.stream().anyMatch(f -> !lifecycle.listens() && f.listening() || f.connected());
         if (!open && lifecycle.stopping()) {
             open = !fronts.stream().allMatch(HttpFrontServer::seal);
         }
         Step due = lifecycle.at(Duration.between(from, clock.instant()), open, othersAway.getAsBoolean());
-        boolean late = stopAt != null && Duration.between(stopAt, clock.instant()).compareTo(LONGEST_STOP) > 0;
+        boolean late =
+                stopAt != null && Duration.between(stopAt, clock.instant()).compareTo(LONGEST_STOP) > 0;
         Step next = late ? Step.END : due;
         healthy = lifecycle.healthy();
         boolean leads = next.compareTo(Step.LEAD_AWAY) >= 0;
--- a/src/main/java/copperbeam/program/Handover.java
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -50,8 +50,8 @@
     private static final Logger LOG = Logger.getLogger(Handover.class.getName());
     private static final Duration LOOK = Duration.ofMillis(200);
 
-    private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1,
-            task -> new Thread(task, "operators"));
+    private final ScheduledThreadPoolExecutor thread =
+            new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "operators"));
     private final Clock clock;
     private final BanActor bans;
     private final SharedFolder folder; // null where there is none
@@ -68,7 +68,7 @@
         this.bans = bans;
         folder = open(at, conductor, clock);
         state = folder == null ? SharedState.EMPTY : folder.state();
-        bans.tell(new BanActor.Out(state.banned(), () -> { })); // before the list is known
+        bans.tell(new BanActor.Out(state.banned(), () -> {})); // before the list is known
     }
 
     private static SharedFolder open(Path at, String conductor, Clock clock) {
@@ -88,14 +88,18 @@
     void begin(Hands its) {
         hands = its;
         thread.execute(this::act);
-        thread.scheduleWithFixedDelay(() -> {
-            try {
-                change(s -> s);
-                act();
-            } catch (RuntimeException e) {
-                LOG.warning("the hand-over goes on after " + e); // else it would never look again
-            }
-        }, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        change(s -> s);
+                        act();
+                    } catch (RuntimeException e) {
+                        LOG.warning("the hand-over goes on after " + e); // else it would never look again
+                    }
+                },
+                LOOK.toMillis(),
+                LOOK.toMillis(),
+                TimeUnit.MILLISECONDS);
     }
 
     /** This process serves once {@code listen} is done, which is tried until it is; never where it stops before. */
@@ -121,11 +125,13 @@
 
     /** This process ends; answers whether another one serves in its place. */
     CompletableFuture<Boolean> leaving() {
-        return CompletableFuture.supplyAsync(() -> {
-            stopping = true;
-            phase(Phase.LEAVING);
-            return folder != null && folder.succeeded();
-        }, thread);
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    stopping = true;
+                    phase(Phase.LEAVING);
+                    return folder != null && folder.succeeded();
+                },
+                thread);
     }
 
     private void phase(Phase phase) {
@@ -147,10 +153,10 @@
     private void act() {
         if (!state.banned().equals(acted.banned())) {
             LOG.info("out by hand: " + state.banned());
-            bans.tell(new BanActor.Out(state.banned(), () -> { }));
+            bans.tell(new BanActor.Out(state.banned(), () -> {}));
         }
         if (state.duty().drained() != acted.duty().drained()) {
-            hands.drain(state.duty().drained(), done -> { });
+            hands.drain(state.duty().drained(), done -> {});
         }
         acted = state;
         Beside now = folder == null ? Beside.NONE : folder.beside(LEAVING);
--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -1,5 +1,8 @@
 package copperbeam.program;
 
+import copperbeam.record.Explain;
+import copperbeam.record.Recording;
+import copperbeam.simhost.SimHost;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
@@ -18,9 +21,6 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import copperbeam.record.Explain;
-import copperbeam.record.Recording;
-import copperbeam.simhost.SimHost;
 import sun.misc.Signal;
 
 /** The command line. */
@@ -80,8 +80,12 @@
     private static Options options() {
         Options options = new Options();
         options.addOption("o", "operator", true, "the operator's file: chat API, list, plug-ins");
-        options.addOption(null, "record", true, "serve: record the last events; written to this file on SIGUSR2, at a"
-                + " broken rule and at the stop; %p is the process id");
+        options.addOption(
+                null,
+                "record",
+                true,
+                "serve: record the last events; written to this file on SIGUSR2, at a"
+                        + " broken rule and at the stop; %p is the process id");
         options.addOption(null, "record-kb", true, "serve: memory for recorded events, 4096 unless set");
         options.addOption("r", "request", true, "explain: one request's life, by its id or number");
         options.addOption(null, "events", false, "explain: each event in a line");
@@ -116,7 +120,8 @@
             return usage(options, 2);
         }
         try {
-            Explain explain = new Explain(Recording.read(Path.of(line.getArgList().get(1))), System.out);
+            Explain explain =
+                    new Explain(Recording.read(Path.of(line.getArgList().get(1))), System.out);
             if (line.hasOption("request") && !explain.request(line.getOptionValue("request"))) {
                 System.err.println("copperbeam: no such request in this recording");
                 return 1;
@@ -134,7 +139,9 @@
 
     private static int serve(CommandLine line) throws InterruptedException {
         Path record = line.hasOption("record")
-                ? Path.of(line.getOptionValue("record").replace("%p", Long.toString(ProcessHandle.current().pid()))) : null;
+                ? Path.of(line.getOptionValue("record")
+                        .replace("%p", Long.toString(ProcessHandle.current().pid())))
+                : null;
         int recordKb;
         try {
             recordKb = Integer.parseInt(line.getOptionValue("record-kb", "4096"));
@@ -163,18 +170,21 @@
         if (record != null) {
             Signal.handle(new Signal("USR2"), signal -> node.record());
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                node.stop();
-                node.record().get(RECORD_TIME.toMillis(), TimeUnit.MILLISECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } catch (ExecutionException | TimeoutException e) {
-                System.err.println("copperbeam: nothing was recorded: " + e);
-            }
-            // the reactors' threads would outlive the hooks; all that was taken is answered by now
-            Runtime.getRuntime().halt(0);
-        }, "stop"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                node.stop();
+                                node.record().get(RECORD_TIME.toMillis(), TimeUnit.MILLISECONDS);
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            } catch (ExecutionException | TimeoutException e) {
+                                System.err.println("copperbeam: nothing was recorded: " + e);
+                            }
+                            // the reactors' threads would outlive the hooks; all that was taken is answered by now
+                            Runtime.getRuntime().halt(0);
+                        },
+                        "stop"));
         System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         node.awaitWarm(); // a start waits for no log
         openLog();
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -1,19 +1,5 @@
 package copperbeam.program;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Path;
-import java.time.Clock;
-import java.time.Duration;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.logging.Logger;
 import copperbeam.Api.ListKind;
 import copperbeam.lifecycle.Lifecycle;
 import copperbeam.operation.BanActor;
@@ -24,22 +10,36 @@
 import copperbeam.protocol.openai.OpenAiFront;
 import copperbeam.protocol.platform.PlatformFront;
 import copperbeam.record.FileRecorder;
-import copperbeam.routing.Metrics;
 import copperbeam.routing.HookActor;
 import copperbeam.routing.Intake;
 import copperbeam.routing.ListActor;
 import copperbeam.routing.MembershipSource;
+import copperbeam.routing.Metrics;
 import copperbeam.routing.ModuleActor;
 import copperbeam.routing.ModuleTime;
 import copperbeam.routing.PeerActor;
 import copperbeam.routing.Recorder;
 import copperbeam.routing.ReleaseActor;
+import copperbeam.transport.AdminServer;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ClientRoom;
 import copperbeam.transport.HttpFrontServer;
-import copperbeam.transport.AdminServer;
 import copperbeam.transport.PlainHttpClient;
 import copperbeam.transport.ServerConnector;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.logging.Logger;
 
 /** One running conductor: its actors, its fronts and its reactors. */
 public final class Node implements AutoCloseable {
@@ -49,8 +49,8 @@
     private static final Duration KNOWN_AFTER = Duration.ofSeconds(2); // of silence the list known before is gone by
     private static final int AWAY = 3; // rests of broken streams asked for lately, from which others must have stopped
 
-    private final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1,
-            task -> new Thread(task, "actors"));
+    private final ScheduledThreadPoolExecutor turns =
+            new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "actors"));
     private final ClientReactor reactor = new ClientReactor();
     private final ModuleActor module;
     private final ReleaseActor releases;
@@ -69,10 +69,10 @@
     private ScheduledThreadPoolExecutor hookTurns;
     private HttpFrontServer chat;
     private volatile InetSocketAddress chatAddress; // the same
-    private AdminServer door;             // null where operators have none
-    private final Handover handover;   // the same
+    private AdminServer door; // null where operators have none
+    private final Handover handover; // the same
     private final AtomicBoolean ready = new AtomicBoolean();
-    private volatile boolean serving;  // at the clients' address
+    private volatile boolean serving; // at the clients' address
 
     public Node(Config config) throws IOException, InterruptedException {
         this(config, null, 0);
@@ -85,18 +85,31 @@
         Clock clock = ModuleTime.steadyClock();
         fileRecorder = record == null ? null : new FileRecorder(turns, clock, config.name(), record, recordBytes);
         Recorder recorder = record == null ? Recorder.NONE : fileRecorder;
-        Duration releaseWithin = ModuleTime.span(Math.max(0.2, config.settings().rules().releaseS()));
+        Duration releaseWithin =
+                ModuleTime.span(Math.max(0.2, config.settings().rules().releaseS()));
         Metrics metrics = new Metrics(config.classNames());
         releases = new ReleaseActor(turns, clock, releaseWithin.multipliedBy(2));
         module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases, recorder, metrics);
-        PeerActor.Setup setup = new PeerActor.Setup(clock, new ServerConnector(reactor), config.connectTimeout(),
+        PeerActor.Setup setup = new PeerActor.Setup(
+                clock,
+                new ServerConnector(reactor),
+                config.connectTimeout(),
                 Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
-                config.connectTimeout(), module, releases, recorder, metrics);
-        list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
+                config.connectTimeout(),
+                module,
+                releases,
+                recorder,
+                metrics);
+        list = new ListActor(
+                turns,
+                (id, at) -> new PeerActor(turns, id, at, setup),
+                module,
+                releases,
                 config.limits().idle());
         BanActor bans = config.control() == null ? null : new BanActor(turns, clock, list);
         handover = bans == null ? null : new Handover(config.shared(), config.name(), clock, bans);
-        MembershipSource.Sink told = bans == null ? change -> list.tell(new ListActor.Told(change, null))
+        MembershipSource.Sink told = bans == null
+                ? change -> list.tell(new ListActor.Told(change, null))
                 : change -> bans.tell(new BanActor.Told(change));
         room = new ClientRoom(config.limits().clients(), config.limits().bodies());
         boolean goesOn = config.operator().etcd() == null && config.knownListing() != null;
@@ -106,8 +119,16 @@
         }
         HttpClient client = new PlainHttpClient(reactor);
         Config.Etcd etcd = config.operator().etcd();
-        discovery = etcd == null ? new DiscoveryWatch(turns, client, clock, config.discovery(),
-                config.knownListing(), config.knowsServers(), config.discoveryBackoff()) : null;
+        discovery = etcd == null
+                ? new DiscoveryWatch(
+                        turns,
+                        client,
+                        clock,
+                        config.discovery(),
+                        config.knownListing(),
+                        config.knowsServers(),
+                        config.discoveryBackoff())
+                : null;
         source = etcd == null ? discovery : new EtcdMembership(turns, client, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             told.changed(change);
@@ -119,15 +140,25 @@
             hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
             intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), rests);
         }
-        HttpFrontServer.TurnedAway turnedAway = (requestClass, status) -> metrics.turnedAway(requestClass,
-                status == 503 ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
-        server = new HttpFrontServer(new PlatformFront(config.classNames(), intake, this::healthy), clock, room, turnedAway);
+        HttpFrontServer.TurnedAway turnedAway = (requestClass, status) ->
+                metrics.turnedAway(requestClass, status == 503 ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
+        server = new HttpFrontServer(
+                new PlatformFront(config.classNames(), intake, this::healthy), clock, room, turnedAway);
         if (config.operator().chat() != null) {
-            chat = new HttpFrontServer(new OpenAiFront(config.operator().chat(), intake, this::healthy,
-                    clock.instant()), clock, room, turnedAway);
+            chat = new HttpFrontServer(
+                    new OpenAiFront(config.operator().chat(), intake, this::healthy, clock.instant()),
+                    clock,
+                    room,
+                    turnedAway);
         }
-        duty = new DutyActor(turns, clock, new Lifecycle(config.operator().stopWithin(),
-                config.settings().streamsResume()), servers(), module, releases, () -> rests.lately() >= AWAY,
+        duty = new DutyActor(
+                turns,
+                clock,
+                new Lifecycle(config.operator().stopWithin(), config.settings().streamsResume()),
+                servers(),
+                module,
+                releases,
+                () -> rests.lately() >= AWAY,
                 beside -> share(beside.another() ? config.limits().half() : config.limits(), beside.part()));
         boolean later = handover != null;
         if (!later) {
@@ -136,20 +167,25 @@
         if (handover != null) {
             module.tell(new ModuleActor.Census());
             handover.begin(duty);
-            door = new AdminServer(config.control(), clock, new Desk(metrics, this::serves, handover, bans, handover.thread()));
+            door = new AdminServer(
+                    config.control(), clock, new Desk(metrics, this::serves, handover, bans, handover.thread()));
         }
         WarmUp.start(config.settings(), client, later ? null : address, () -> {
             warm.countDown();
             ready();
         });
         if (config.knowsServers() && !goesOn) {
-            // with discovery down, the list last known has to do; not before, as a drain that the agent has counts as told
-            turns.schedule(() -> {
-                if (!listed.get()) {
-                    told.changed(config.known().change(ListKind.CACHED));
-                    listed();
-                }
-            }, KNOWN_AFTER.toMillis(), TimeUnit.MILLISECONDS);
+            // with discovery down, the list last known has to do; not before, as a drain that the agent has counts as
+            // told
+            turns.schedule(
+                    () -> {
+                        if (!listed.get()) {
+                            told.changed(config.known().change(ListKind.CACHED));
+                            listed();
+                        }
+                    },
+                    KNOWN_AFTER.toMillis(),
+                    TimeUnit.MILLISECONDS);
         }
         ready();
     }
@@ -234,7 +270,8 @@
     /** Answers what was taken and what still comes, as a {@link Lifecycle} has it, lets go of what is held, and returns. */
     public void stop() throws InterruptedException {
         try {
-            duty.stop(handover != null && handover.leaving().get(LOOK.toMillis(), TimeUnit.MILLISECONDS)).get();
+            duty.stop(handover != null && handover.leaving().get(LOOK.toMillis(), TimeUnit.MILLISECONDS))
+                    .get();
         } catch (ExecutionException | TimeoutException e) {
             LOG.warning("whether another process serves is not known: " + e);
             duty.stop(false).join();
--- a/src/main/java/copperbeam/program/Rehearsal.java
+++ b/src/main/java/copperbeam/program/Rehearsal.java
@@ -48,14 +48,20 @@
 
     static int run() throws IOException, InterruptedException {
         Path file = Files.createTempFile("rehearsal", ".json");
-        try (ServerSocket discovery = listen(); ServerSocket reader = listen(); ServerSocket writer = listen();
+        try (ServerSocket discovery = listen();
+                ServerSocket reader = listen();
+                ServerSocket writer = listen();
                 ServerSocket full = listen()) {
-            String list = String.format(LIST, String.join(",", entry("r", reader, "read"), entry("w", writer, "write"),
-                    entry("f", full, "write")));
+            String list = String.format(
+                    LIST,
+                    String.join(
+                            ",", entry("r", reader, "read"), entry("w", writer, "write"), entry("f", full, "write")));
             serve(discovery, whole("200 OK", list));
             serve(reader, whole("202 Accepted", "{\"cached_tokens\":0}"));
-            serve(writer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + Integer.toHexString(EVENTS.length()) + "\r\n" + EVENTS + "\r\n0\r\n\r\n");
+            serve(
+                    writer,
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + Integer.toHexString(EVENTS.length()) + "\r\n" + EVENTS + "\r\n0\r\n\r\n");
             serve(full, whole("503 Full\r\nX-Not-Processed: 1", ""));
             int free;
             try (ServerSocket next = listen()) {
@@ -116,8 +122,8 @@
 
     private static void answer(Socket connection, String answer) throws IOException {
         try (connection) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(connection.getInputStream(),
-                    StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
             for (String start = in.readLine(); start != null; start = in.readLine()) {
                 int length = 0;
                 for (String header = in.readLine(); !header.isEmpty(); header = in.readLine()) {
@@ -128,8 +134,10 @@
                 for (int i = 0; i < length; i++) {
                     in.read();
                 }
-                connection.getOutputStream().write((start.startsWith("DELETE") ? "HTTP/1.1 204 Gone\r\n\r\n" : answer)
-                        .getBytes(StandardCharsets.US_ASCII));
+                connection
+                        .getOutputStream()
+                        .write((start.startsWith("DELETE") ? "HTTP/1.1 204 Gone\r\n\r\n" : answer)
+                                .getBytes(StandardCharsets.US_ASCII));
             }
         }
     }
@@ -139,13 +147,15 @@
     }
 
     private static void daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                // closed by the other side or at the end
-            }
-        }, "rehearsal");
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        work.run();
+                    } catch (IOException e) {
+                        // closed by the other side or at the end
+                    }
+                },
+                "rehearsal");
         thread.setDaemon(true);
         thread.start();
     }
@@ -154,12 +164,15 @@
     private static int request(InetSocketAddress to, int number, String requestClass) throws IOException {
         try (Socket client = new Socket(to.getAddress(), to.getPort())) {
             client.setSoTimeout(PATIENCE_MS);
-            client.getOutputStream().write(("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: i" + number
-                    + "\r\nX-Priority-Class: " + requestClass + "\r\nX-Route-Key: k\r\nX-Timeout: 2000m"
-                    + "\r\nX-Attrs: prefix=p,prompt_len=9,max_out=9\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
-                    .getBytes(StandardCharsets.US_ASCII));
-            return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).startsWith("HTTP/1.1 200")
-                    ? 1 : 0;
+            client.getOutputStream()
+                    .write(("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: i" + number
+                                    + "\r\nX-Priority-Class: " + requestClass + "\r\nX-Route-Key: k\r\nX-Timeout: 2000m"
+                                    + "\r\nX-Attrs: prefix=p,prompt_len=9,max_out=9\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
+                            .getBytes(StandardCharsets.US_ASCII));
+            return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                            .startsWith("HTTP/1.1 200")
+                    ? 1
+                    : 0;
         }
     }
 }
--- a/src/main/java/copperbeam/program/Reload.java
+++ b/src/main/java/copperbeam/program/Reload.java
@@ -28,7 +28,8 @@
             thread.setDaemon(true);
             return thread;
         });
-        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> one.execute(() -> reload(source, running.join())));
+        SignalHandler before =
+                Signal.handle(new Signal("HUP"), signal -> one.execute(() -> reload(source, running.join())));
         if (before == SignalHandler.SIG_IGN) {
             // the JVM leaves alone what its parent ignores, and says nothing of it
             LOG.warning("SIGHUP is ignored by whoever started this, as nohup does: no configuration will be read anew");
--- a/src/main/java/copperbeam/program/Section.java
+++ b/src/main/java/copperbeam/program/Section.java
@@ -1,6 +1,9 @@
 package copperbeam.program;
 
 import com.google.gson.JsonParseException;
+import copperbeam.protocol.Json;
+import copperbeam.protocol.discovery.ServerList;
+import copperbeam.routing.ModuleTime;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -10,9 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import copperbeam.protocol.Json;
-import copperbeam.protocol.discovery.ServerList;
-import copperbeam.routing.ModuleTime;
 
 /** One object of a configuration file; what it throws names the key at fault by its whole path. */
 final class Section {
@@ -150,7 +150,9 @@
         if (value == null) {
             return absent;
         }
-        if (!(value instanceof Number n) || n.doubleValue() != Math.rint(n.doubleValue()) || n.doubleValue() < least
+        if (!(value instanceof Number n)
+                || n.doubleValue() != Math.rint(n.doubleValue())
+                || n.doubleValue() < least
                 || n.doubleValue() > most) {
             throw invalid(key, "is not a whole number from " + least + " to " + most);
         }
--- a/src/main/java/copperbeam/program/SharedFolder.java
+++ b/src/main/java/copperbeam/program/SharedFolder.java
@@ -30,8 +30,8 @@
 final class SharedFolder implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(SharedFolder.class.getName());
     private static final int SLOTS = 8;
-    private static final int WRITING = 100;  // the byte that whoever writes holds
-    private static final int BEATING = 101;  // the byte that is written so that the file is as old as the last beat
+    private static final int WRITING = 100; // the byte that whoever writes holds
+    private static final int BEATING = 101; // the byte that is written so that the file is as old as the last beat
     private static final Duration BEAT = Duration.ofSeconds(1);
     static final Duration KEPT = Duration.ofSeconds(60); // since anybody lived here; a restart takes a few
 
@@ -41,7 +41,7 @@
     private final Path file;
     private final Path part;
     private final FileChannel channel;
-    private final FileLock own;      // held for life: the system lets go of it whatever ends the process
+    private final FileLock own; // held for life: the system lets go of it whatever ends the process
     private SharedState state = SharedState.EMPTY;
     private Instant beat = Instant.MIN;
     private String complaint = "";
@@ -66,7 +66,8 @@
         int slot = (int) own.position();
         Set<Integer> living = living();
         if (living.size() == 1 && Files.exists(file) && held.plus(KEPT).isBefore(clock.instant())) {
-            LOG.warning(file + " is not taken: nobody has held it for " + Duration.between(held, clock.instant()).toSeconds() + " s");
+            LOG.warning(file + " is not taken: nobody has held it for "
+                    + Duration.between(held, clock.instant()).toSeconds() + " s");
             Files.delete(file);
         }
         change(s -> s.life(incarnation, new Life(clock.instant(), Phase.STARTING, slot)));
@@ -201,7 +202,8 @@
     private SharedState read() throws IOException {
         try {
             SharedState read = Files.exists(file)
-                    ? StateCodec.read(conductor, Files.readAllBytes(file), clock.instant()) : SharedState.EMPTY;
+                    ? StateCodec.read(conductor, Files.readAllBytes(file), clock.instant())
+                    : SharedState.EMPTY;
             complaint = "";
             return read;
         } catch (StateCodec.Refused e) {
--- a/src/main/java/copperbeam/program/WarmUp.java
+++ b/src/main/java/copperbeam/program/WarmUp.java
@@ -1,14 +1,14 @@
 package copperbeam.program;
 
+import copperbeam.Api;
+import copperbeam.Brain;
+import copperbeam.protocol.HttpClient;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import copperbeam.Api;
-import copperbeam.Brain;
-import copperbeam.protocol.HttpClient;
 
 /**
  * Runs the hot path before the first client comes: a throw-away module through a few hundred requests, and
@@ -17,7 +17,7 @@
  */
 final class WarmUp {
     private static final int REQUESTS = 10;
-    private static final int STEPS = 8;  // for each of them
+    private static final int STEPS = 8; // for each of them
     private static final int CALLS = 3;
     private static final Duration SILENCE = Duration.ofSeconds(1);
     private static final int MOST = 64 * 1024; // bytes of an answer; our own have a few
@@ -42,8 +42,14 @@
         }
         // without an id a request is answered 400 by the front, and no attempt is made
         byte[] body = number % 2 == 0 ? null : "{\"stream\":true}".getBytes(StandardCharsets.UTF_8);
-        client.whole(self, body == null ? "GET" : "POST", body == null ? "/healthz" : "/v1/chat/completions", body,
-                new HttpClient.Patience(SILENCE, SILENCE), MOST, answer -> call(client, self, done, warm));
+        client.whole(
+                self,
+                body == null ? "GET" : "POST",
+                body == null ? "/healthz" : "/v1/chat/completions",
+                body,
+                new HttpClient.Patience(SILENCE, SILENCE),
+                MOST,
+                answer -> call(client, self, done, warm));
     }
 
     private static void module(Api.Settings settings) {
@@ -57,24 +63,31 @@
         double now = 1;
         brain.on(now, new Api.Members(Api.ListKind.FULL, members));
         for (int i = 0; i < REQUESTS; i++, now += 0.05) {
-            String requestClass = settings.classes().get(i % settings.classes().size()).name();
-            List<Api.Action> actions = brain.on(now, new Api.Arrival(i, requestClass, null, "s" + i % 40, "p" + i % 7,
-                    2000, 1000, 200, now + 5));
+            String requestClass =
+                    settings.classes().get(i % settings.classes().size()).name();
+            List<Api.Action> actions = brain.on(
+                    now, new Api.Arrival(i, requestClass, null, "s" + i % 40, "p" + i % 7, 2000, 1000, 200, now + 5));
             // guards against a start as long as the attempts that the settings allow, which may be any number
-            for (int attempt = 0; attempt < Math.min(settings.limits().maxAttempts(), STEPS) && !actions.isEmpty(); attempt++) {
+            for (int attempt = 0;
+                    attempt < Math.min(settings.limits().maxAttempts(), STEPS) && !actions.isEmpty();
+                    attempt++) {
                 actions = step(brain, now, i, attempt, actions);
             }
         }
     }
 
     /** Answers what the module asks for: a probe, a look again, a read, and then a whole stream. */
-    private static List<Api.Action> step(Brain brain, double now, long request, int attempt,
-            List<Api.Action> actions) {
+    private static List<Api.Action> step(Brain brain, double now, long request, int attempt, List<Api.Action> actions) {
         List<Api.Action> next = new ArrayList<>();
         for (Api.Action action : actions) {
             if (action instanceof Api.Probe p) {
-                next.addAll(brain.on(now + 0.002, new Api.Probed(p.server(), Api.Outcome.OK, 0.002,
-                        new Api.Report(Double.NaN, Double.NaN, 3, 0.2, Double.NaN))));
+                next.addAll(brain.on(
+                        now + 0.002,
+                        new Api.Probed(
+                                p.server(),
+                                Api.Outcome.OK,
+                                0.002,
+                                new Api.Report(Double.NaN, Double.NaN, 3, 0.2, Double.NaN))));
             } else if (action instanceof Api.Timer t && t.afterS() < 0.1) {
                 next.addAll(brain.on(now + t.afterS(), new Api.TimerFired(t.tag())));
             } else if (action instanceof Api.Attempt a) {
@@ -82,8 +95,17 @@
                 if (!read) {
                     brain.on(now + 0.03, new Api.StreamStarted(request, attempt, a.server(), 0.03));
                 }
-                next.addAll(brain.on(now + 0.04, new Api.AttemptEnded(request, attempt, a.server(),
-                        read ? Api.Outcome.READ : Api.Outcome.OK, 0.04, !read, false, null)));
+                next.addAll(brain.on(
+                        now + 0.04,
+                        new Api.AttemptEnded(
+                                request,
+                                attempt,
+                                a.server(),
+                                read ? Api.Outcome.READ : Api.Outcome.OK,
+                                0.04,
+                                !read,
+                                false,
+                                null)));
             }
         }
         return next;
--- a/src/main/java/copperbeam/protocol/EventSplitter.java
+++ b/src/main/java/copperbeam/protocol/EventSplitter.java
@@ -17,9 +17,9 @@
 
     private final ByteArrayOutputStream part = new ByteArrayOutputStream();
     private final byte[] line = new byte[FIELD];
-    private int length;              // of the line under way, without its end
-    private boolean filled;          // a field has come since the last cut
-    private boolean carriage;        // its last byte so far is a carriage return
+    private int length; // of the line under way, without its end
+    private boolean filled; // a field has come since the last cut
+    private boolean carriage; // its last byte so far is a carriage return
 
     private static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
--- a/src/main/java/copperbeam/protocol/HttpCall.java
+++ b/src/main/java/copperbeam/protocol/HttpCall.java
@@ -1,8 +1,8 @@
 package copperbeam.protocol;
 
+import copperbeam.routing.Ask;
 import java.time.Instant;
 import java.util.Map;
-import copperbeam.routing.Ask;
 
 /**
  * A whole HTTP request as it came from a client.
--- a/src/main/java/copperbeam/protocol/HttpClient.java
+++ b/src/main/java/copperbeam/protocol/HttpClient.java
@@ -12,8 +12,8 @@
     record Patience(Duration connect, Duration silence) {}
 
     /** The returned ends the call early. */
-    Runnable send(InetSocketAddress to, String method, String target, byte[] body, Patience patience,
-            Response response);
+    Runnable send(
+            InetSocketAddress to, String method, String target, byte[] body, Patience patience, Response response);
 
     /** The last call is {@code end} or {@code failed}. */
     interface Response {
@@ -31,7 +31,13 @@
     record Answer(int status, byte[] body, String fault) {}
 
     /** A whole answer, as most calls want it, of at most {@code most} bytes: one without end would take all memory. */
-    default Runnable whole(InetSocketAddress to, String method, String target, byte[] body, Patience patience, int most,
+    default Runnable whole(
+            InetSocketAddress to,
+            String method,
+            String target,
+            byte[] body,
+            Patience patience,
+            int most,
             Consumer<Answer> whole) {
         return send(to, method, target, body, patience, new Response() {
             private final ByteArrayOutputStream all = new ByteArrayOutputStream();
--- a/src/main/java/copperbeam/protocol/Json.java
+++ b/src/main/java/copperbeam/protocol/Json.java
@@ -20,8 +20,11 @@
 /** Gson as this program sets it up. */
 public final class Json {
     /** Whole numbers stay whole, as the settings' decoder wants them. */
-    public static final Gson GSON = new GsonBuilder().setObjectToNumberStrategy(ToNumberPolicy.LONG_OR_DOUBLE)
-            .disableHtmlEscaping().serializeNulls().create();
+    public static final Gson GSON = new GsonBuilder()
+            .setObjectToNumberStrategy(ToNumberPolicy.LONG_OR_DOUBLE)
+            .disableHtmlEscaping()
+            .serializeNulls()
+            .create();
 
     private static final int MOST_DEPTH = 128; // a tool's schema has some ten
 
@@ -38,7 +41,8 @@
             }
             return all;
         } catch (JsonParseException | IOException e) {
-            throw new IllegalArgumentException("no JSON: " + e.getMessage().lines().findFirst().orElse(""), e);
+            throw new IllegalArgumentException(
+                    "no JSON: " + e.getMessage().lines().findFirst().orElse(""), e);
         }
     }
 
@@ -61,8 +65,8 @@
 
     /** Whether a body is one JSON object and nothing more. */
     public static boolean isObject(byte[] body) {
-        try (JsonReader reader = new JsonReader(new InputStreamReader(new ByteArrayInputStream(body),
-                StandardCharsets.UTF_8))) {
+        try (JsonReader reader =
+                new JsonReader(new InputStreamReader(new ByteArrayInputStream(body), StandardCharsets.UTF_8))) {
             reader.setStrictness(Strictness.STRICT);
             if (reader.peek() != JsonToken.BEGIN_OBJECT) {
                 return false;
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -1,5 +1,10 @@
 package copperbeam.protocol.discovery;
 
+import copperbeam.membership.Backoff;
+import copperbeam.membership.WatchPlan;
+import copperbeam.protocol.HttpClient;
+import copperbeam.routing.Actor;
+import copperbeam.routing.MembershipSource;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -11,18 +16,13 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
-import copperbeam.membership.Backoff;
-import copperbeam.membership.WatchPlan;
-import copperbeam.protocol.HttpClient;
-import copperbeam.routing.Actor;
-import copperbeam.routing.MembershipSource;
 
 /** The platform's discovery: makes the calls that a {@link WatchPlan} asks for and tells it what comes back. */
 public final class DiscoveryWatch implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
     private static final HttpClient.Patience PATIENCE = new HttpClient.Patience(WatchPlan.CONNECT, WatchPlan.TOLD);
-    private static final int MOST = 256 * 1024;  // the protocol's, for every body
-    private static final int MOST_LINES = 16;    // of the log, from one good answer to the next
+    private static final int MOST = 256 * 1024; // the protocol's, for every body
+    private static final int MOST_LINES = 16; // of the log, from one good answer to the next
     private static final int LONGEST_LINE = 200; // of what an answer may have in its own words
 
     private sealed interface Message permits Move, Answered, Late, Woken, Stop {}
@@ -59,8 +59,10 @@
             if (m instanceof Move e) {
                 sink = e.sink() == null ? sink : e.sink();
                 LOG.fine(() -> "discovery: to " + e.agent());
-                take(e.sink() == null || known == null ? plan.move(e.agent())
-                        : plan.begin(e.agent(), known, clock.instant()));
+                take(
+                        e.sink() == null || known == null
+                                ? plan.move(e.agent())
+                                : plan.begin(e.agent(), known, clock.instant()));
             } else if (m instanceof Answered e) {
                 Out call = out.remove(e.call());
                 if (call != null) {
@@ -83,7 +85,9 @@
 
         private List<WatchPlan.Step> answered(WatchPlan.Ask ask, HttpClient.Answer a) {
             if (a.status() != 200) {
-                return bad(ask, a.status() >= 400 && a.status() < 500,
+                return bad(
+                        ask,
+                        a.status() >= 400 && a.status() < 500,
                         a.status() == 0 ? a.fault() : "status " + a.status());
             }
             try {
@@ -91,9 +95,13 @@
                 if (ask.from() < 0 && !list.full()) {
                     throw new IllegalArgumentException("changes where the whole list was asked for");
                 }
-                List<WatchPlan.Step> steps = plan.answered(ask.call(),
-                        new WatchPlan.Listing(list.version(), list.full(), list.entries()), clock.instant());
-                if (list.full() && list.entries().isEmpty() && steps.stream().noneMatch(WatchPlan.Tell.class::isInstance)) {
+                List<WatchPlan.Step> steps = plan.answered(
+                        ask.call(),
+                        new WatchPlan.Listing(list.version(), list.full(), list.entries()),
+                        clock.instant());
+                if (list.full()
+                        && list.entries().isEmpty()
+                        && steps.stream().noneMatch(WatchPlan.Tell.class::isInstance)) {
                     say(ask, "names no server, where there were some");
                 } else {
                     said.clear();
@@ -126,7 +134,8 @@
                     Out call = out.remove(s.call());
                     if (call != null) {
                         call.end().run();
-                        if (clock.instant().isAfter(call.asked().plus(call.ask().hold()).plus(WatchPlan.SILENCE))) {
+                        if (clock.instant()
+                                .isAfter(call.asked().plus(call.ask().hold()).plus(WatchPlan.SILENCE))) {
                             say(call.ask(), "no whole answer in time");
                         }
                     }
@@ -139,10 +148,22 @@
         }
 
         private void ask(WatchPlan.Ask s) {
-            String target = s.from() < 0 ? "/v1/servers"
+            String target = s.from() < 0
+                    ? "/v1/servers"
                     : "/v1/servers?from=" + s.from() + "&hold_ms=" + s.hold().toMillis();
-            out.put(s.call(), new Out(s, clock.instant(), client.whole(s.at(), "GET", target, null, PATIENCE, MOST,
-                    answer -> tell(new Answered(s.call(), answer)))));
+            out.put(
+                    s.call(),
+                    new Out(
+                            s,
+                            clock.instant(),
+                            client.whole(
+                                    s.at(),
+                                    "GET",
+                                    target,
+                                    null,
+                                    PATIENCE,
+                                    MOST,
+                                    answer -> tell(new Answered(s.call(), answer)))));
             tellLater(WatchPlan.TOLD, new Late(s.call())); // a byte now and then keeps no call
         }
     }
@@ -157,8 +178,14 @@
      * {@code known}: a list of the same discovery's from before, or null. {@code servers}: there were some when a list
      * was last had.
      */
-    public DiscoveryWatch(ScheduledExecutorService turns, HttpClient client, Clock clock, InetSocketAddress agent,
-            WatchPlan.Listing known, boolean servers, Backoff backoff) {
+    public DiscoveryWatch(
+            ScheduledExecutorService turns,
+            HttpClient client,
+            Clock clock,
+            InetSocketAddress agent,
+            WatchPlan.Listing known,
+            boolean servers,
+            Backoff backoff) {
         this.known = known;
         this.client = client;
         this.clock = clock;
--- a/src/main/java/copperbeam/protocol/discovery/ServerList.java
+++ b/src/main/java/copperbeam/protocol/discovery/ServerList.java
@@ -3,11 +3,6 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
-import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.function.Predicate;
 import copperbeam.Api.ListKind;
 import copperbeam.Api.Member;
 import copperbeam.Api.ServerState;
@@ -15,6 +10,11 @@
 import copperbeam.routing.MembershipSource.Change;
 import copperbeam.routing.MembershipSource.Entry;
 import copperbeam.routing.ModuleTime;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
 
 /** Discovery's answers. Nothing is taken for what it is not: a number in quotes is no number, an id without quotes none. */
 public record ServerList(long version, boolean full, List<Entry> entries) {
@@ -65,8 +65,15 @@
             }
             Long cell = whole(s, "cell");
             Long started = whole(s, "started_ms");
-            return new Entry(new Member(id, text(s, "zone"), text(s, "kind"), cell == null ? 0 : cell, state,
-                    share, ModuleTime.seconds(Duration.ofMillis(started == null ? 0 : started))),
+            return new Entry(
+                    new Member(
+                            id,
+                            text(s, "zone"),
+                            text(s, "kind"),
+                            cell == null ? 0 : cell,
+                            state,
+                            share,
+                            ModuleTime.seconds(Duration.ofMillis(started == null ? 0 : started))),
                     addr == null ? null : address(addr));
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("server " + id + ": " + e.getMessage(), e);
--- a/src/main/java/copperbeam/protocol/etcd/EtcdMembership.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdMembership.java
@@ -1,15 +1,15 @@
 package copperbeam.protocol.etcd;
 
-import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.List;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.logging.Logger;
 import copperbeam.Api.ListKind;
 import copperbeam.membership.WatchPlan;
 import copperbeam.protocol.HttpClient;
 import copperbeam.routing.Actor;
 import copperbeam.routing.MembershipSource;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Logger;
 
 /**
  * The list of servers from etcd: a range for the whole of it, then a watch from the revision after. A watch
@@ -19,7 +19,7 @@
 public final class EtcdMembership implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(EtcdMembership.class.getName());
     private static final HttpClient.Patience PATIENCE = new HttpClient.Patience(WatchPlan.CONNECT, WatchPlan.HOLD);
-    private static final int MOST = 1 << 20;     // of a range, in base64; etcd refuses larger requests itself
+    private static final int MOST = 1 << 20; // of a range, in base64; etcd refuses larger requests itself
     private static final Duration AGAIN = Duration.ofMillis(200);
 
     private sealed interface Message permits Start, Listed, Data, Ended, Again, Stop {}
@@ -43,7 +43,7 @@
         private long revision;
         private int call;
         private EtcdWire.Lines lines;
-        private Runnable cancel = () -> { };
+        private Runnable cancel = () -> {};
 
         Watcher(ScheduledExecutorService turns) {
             super(turns);
@@ -89,16 +89,28 @@
 
         private void ask() {
             int mine = ++call;
-            // each call is made anew after so long, whatever has come of it: a silent one, or one that dribbles, can't be
+            // each call is made anew after so long, whatever has come of it: a silent one, or one that dribbles, can't
+            // be
             // told from one that has nothing to say, and a watch goes on from its revision
             tellLater(WatchPlan.HOLD, new Ended(mine));
             if (!listed) {
-                cancel = client.whole(endpoint, "POST", "/v3/kv/range", EtcdWire.range(prefix), PATIENCE, MOST,
+                cancel = client.whole(
+                        endpoint,
+                        "POST",
+                        "/v3/kv/range",
+                        EtcdWire.range(prefix),
+                        PATIENCE,
+                        MOST,
                         answer -> tell(new Listed(mine, answer)));
                 return;
             }
             lines = new EtcdWire.Lines();
-            cancel = client.send(endpoint, "POST", "/v3/watch", EtcdWire.watch(prefix, revision + 1), PATIENCE,
+            cancel = client.send(
+                    endpoint,
+                    "POST",
+                    "/v3/watch",
+                    EtcdWire.watch(prefix, revision + 1),
+                    PATIENCE,
                     new HttpClient.Response() {
                         @Override
                         public void head(int status) {
@@ -127,7 +139,9 @@
         private void listed(Listed e) {
             if (e.answer().status() != 200) {
                 throw new IllegalArgumentException(
-                        e.answer().status() == 0 ? e.answer().fault() : "status " + e.answer().status());
+                        e.answer().status() == 0
+                                ? e.answer().fault()
+                                : "status " + e.answer().status());
             }
             EtcdWire.Listing listing = EtcdWire.listing(prefix, e.answer().body());
             listed = true;
@@ -161,8 +175,8 @@
     private final Watcher watcher;
 
     /** {@code prefix} ends in a slash. */
-    public EtcdMembership(ScheduledExecutorService turns, HttpClient client, InetSocketAddress endpoint,
-            String prefix) {
+    public EtcdMembership(
+            ScheduledExecutorService turns, HttpClient client, InetSocketAddress endpoint, String prefix) {
         this.client = client;
         this.endpoint = endpoint;
         this.prefix = prefix;
--- a/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
@@ -1,6 +1,9 @@
 package copperbeam.protocol.etcd;
 
 import com.google.gson.JsonParseException;
+import copperbeam.protocol.Json;
+import copperbeam.protocol.discovery.ServerList;
+import copperbeam.routing.MembershipSource.Entry;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -8,10 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import copperbeam.Api.ServerState;
-import copperbeam.protocol.Json;
-import copperbeam.protocol.discovery.ServerList;
-import copperbeam.routing.MembershipSource.Entry;
 
 /** The bodies of etcd's JSON gateway: keys and values in base64, 64-bit numbers as strings. */
 final class EtcdWire {
@@ -25,8 +24,8 @@
 
     private record RangeAnswer(Header header, List<KeyValue> kvs) {}
 
-    private record WatchResult(Header header, boolean created, boolean canceled, long compact_revision,
-            List<Event> events) {}
+    private record WatchResult(
+            Header header, boolean created, boolean canceled, long compact_revision, List<Event> events) {}
 
     private record WatchLine(WatchResult result, Object error) {}
 
@@ -86,8 +85,10 @@
             }
             entries.add(entry(prefix, event.kv, "DELETE".equals(event.type)));
         }
-        return new Change(result.header == null ? 0 : result.header.revision,
-                result.canceled || result.compact_revision > 0, entries);
+        return new Change(
+                result.header == null ? 0 : result.header.revision,
+                result.canceled || result.compact_revision > 0,
+                entries);
     }
 
     private static <T> T parse(byte[] body, Class<T> type) {
@@ -106,7 +107,8 @@
     private static Entry entry(String prefix, KeyValue kv, boolean deleted) {
         String key = text(kv.key);
         String id = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
-        return deleted ? ServerList.left(id)
+        return deleted
+                ? ServerList.left(id)
                 : ServerList.entry(id, ServerList.object(Json.strict(text(kv.value)), "the entry of server " + id));
     }
 
--- a/src/main/java/copperbeam/protocol/openai/ApiError.java
+++ b/src/main/java/copperbeam/protocol/openai/ApiError.java
@@ -2,8 +2,8 @@
 
 import com.google.gson.JsonNull;
 import com.google.gson.JsonObject;
-import java.nio.charset.StandardCharsets;
 import copperbeam.protocol.Json;
+import java.nio.charset.StandardCharsets;
 
 /** An error in the chat API's form. */
 final class ApiError extends Exception {
@@ -35,8 +35,13 @@
     }
 
     static ApiError refused(boolean tried) {
-        return tried ? new ApiError(503, "server_error", null, "overloaded", "The servers are busy; try again later.")
-                : new ApiError(429, "rate_limit_error", null, "rate_limit_exceeded",
+        return tried
+                ? new ApiError(503, "server_error", null, "overloaded", "The servers are busy; try again later.")
+                : new ApiError(
+                        429,
+                        "rate_limit_error",
+                        null,
+                        "rate_limit_exceeded",
                         "Too much is asked for just now; try again later.");
     }
 
--- a/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
@@ -6,13 +6,13 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import copperbeam.protocol.HttpReply;
+import copperbeam.protocol.Json;
+import copperbeam.routing.Answer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
-import copperbeam.protocol.HttpReply;
-import copperbeam.protocol.Json;
-import copperbeam.routing.Answer;
 
 /** A server's events as the chat API gives them: a stream of chunks, or one completion. */
 final class ChatAnswer implements Answer {
@@ -112,7 +112,8 @@
             if (delta.get("content") != null && delta.get("content").isJsonPrimitive()) {
                 content.append(delta.get("content").getAsString());
             }
-            JsonElement reason = chunk.getAsJsonArray("choices").get(0).getAsJsonObject().get("finish_reason");
+            JsonElement reason =
+                    chunk.getAsJsonArray("choices").get(0).getAsJsonObject().get("finish_reason");
             finishReason = reason != null && reason.isJsonPrimitive() ? reason.getAsString() : finishReason;
         }
         usage = chunk.has("usage") ? chunk.get("usage") : usage;
@@ -184,7 +185,8 @@
 
     @Override
     public void fail(Failure why) {
-        ApiError error = why == Failure.TOO_LATE ? ApiError.server(504, "timeout", "No answer came in time.")
+        ApiError error = why == Failure.TOO_LATE
+                ? ApiError.server(504, "timeout", "No answer came in time.")
                 : ApiError.server(502, "upstream_failed", "The request failed; it may have run.");
         reply.whole(error.status, "application/json", Map.of(), error.body());
     }
--- a/src/main/java/copperbeam/protocol/openai/ChatRequest.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatRequest.java
@@ -5,20 +5,28 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import copperbeam.protocol.Json;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import copperbeam.protocol.Json;
 
 /**
  * A chat request, and what the core wants to know of it: session, shared beginning and lengths are drawn from
  * its messages, as this API names none of them.
  */
-record ChatRequest(String model, boolean stream, boolean includeUsage, int maxTokens, String session, String prefix,
-        int promptTokens, int prefixTokens, JsonObject json) {
+record ChatRequest(
+        String model,
+        boolean stream,
+        boolean includeUsage,
+        int maxTokens,
+        String session,
+        String prefix,
+        int promptTokens,
+        int prefixTokens,
+        JsonObject json) {
     private static final int CHARS_A_TOKEN = 4;
     private static final int MOST_TOKENS = 1_000_000;
 
@@ -35,7 +43,8 @@
         }
         JsonObject json;
         try {
-            json = JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject();
+            json = JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                    .getAsJsonObject();
         } catch (JsonParseException | IllegalStateException e) {
             throw ApiError.invalid(null, "The body is not a JSON object.");
         }
@@ -55,9 +64,16 @@
         boolean opening = messages.size() > 1 && (first.role.equals("system") || first.role.equals("developer"));
         JsonElement options = json.get("stream_options");
         boolean usage = options != null && options.isJsonObject() && flag(options.getAsJsonObject(), "include_usage");
-        return new ChatRequest(model, flag(json, "stream"), usage, most, session(text(json, "user"), messages),
-                opening ? hash(first.role, first.text) : null, messages.stream().mapToInt(Message::tokens).sum(),
-                opening ? first.tokens() : 0, json);
+        return new ChatRequest(
+                model,
+                flag(json, "stream"),
+                usage,
+                most,
+                session(text(json, "user"), messages),
+                opening ? hash(first.role, first.text) : null,
+                messages.stream().mapToInt(Message::tokens).sum(),
+                opening ? first.tokens() : 0,
+                json);
     }
 
     /** What a server gets: the client's body, but always as a stream. */
--- a/src/main/java/copperbeam/protocol/openai/OpenAiFront.java
+++ b/src/main/java/copperbeam/protocol/openai/OpenAiFront.java
@@ -2,14 +2,6 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.time.Instant;
-import java.util.HexFormat;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.BooleanSupplier;
 import copperbeam.protocol.Front;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.HttpReply;
@@ -18,6 +10,14 @@
 import copperbeam.routing.Answer;
 import copperbeam.routing.Ask;
 import copperbeam.routing.Intake;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 
 /** The chat API: its requests in, the servers' events out in its form, on the same core as the platform's. */
 public final class OpenAiFront implements Front {
@@ -91,8 +91,16 @@
         String id = HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
         int maxTokens = request.maxTokens() > 0 ? request.maxTokens() : model.maxTokens();
         Duration margin = PlatformFront.MARGIN;
-        Ask ask = new Ask(id, model.requestClass(), request.session(), request.prefix(), request.promptTokens(),
-                request.prefixTokens(), maxTokens, call.arrived().plus(model.timeout()).minus(margin), false,
+        Ask ask = new Ask(
+                id,
+                model.requestClass(),
+                request.session(),
+                request.prefix(),
+                request.promptTokens(),
+                request.prefixTokens(),
+                maxTokens,
+                call.arrived().plus(model.timeout()).minus(margin),
+                false,
                 passed(call, request, model, maxTokens));
         Answer answer = new ChatAnswer(reply, request, id, call.arrived());
         intake.arrive(ask, answer);
@@ -103,8 +111,19 @@
     private static HttpCall passed(HttpCall call, ChatRequest request, ChatModels.Model model, int maxTokens) {
         String attrs = (request.prefix() == null ? "" : "prefix=" + request.prefix() + ",") + "prompt_len="
                 + request.promptTokens() + ",prefix_len=" + request.prefixTokens() + ",max_out=" + maxTokens;
-        return new HttpCall("POST", "/v1/chat/completions", Map.of("x-priority-class", model.requestClass(),
-                "x-route-key", request.session(), "x-attrs", attrs, "content-type", "application/json"),
-                request.forServers(call.body()), call.arrived());
+        return new HttpCall(
+                "POST",
+                "/v1/chat/completions",
+                Map.of(
+                        "x-priority-class",
+                        model.requestClass(),
+                        "x-route-key",
+                        request.session(),
+                        "x-attrs",
+                        attrs,
+                        "content-type",
+                        "application/json"),
+                request.forServers(call.body()),
+                call.arrived());
     }
 }
--- a/src/main/java/copperbeam/protocol/openai/SseData.java
+++ b/src/main/java/copperbeam/protocol/openai/SseData.java
@@ -13,7 +13,9 @@
             if (line.equals("data") || line.startsWith("data:")) {
                 String value = line.length() > 5 ? line.substring(5) : "";
                 value = value.startsWith(" ") ? value.substring(1) : value;
-                data = data == null ? new StringBuilder(value) : data.append('\n').append(value);
+                data = data == null
+                        ? new StringBuilder(value)
+                        : data.append('\n').append(value);
             }
         }
         return data == null ? null : data.toString();
--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -1,12 +1,5 @@
 package copperbeam.protocol.platform;
 
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.util.Locale;
-import java.util.Map;
-import java.util.Set;
-import java.util.function.BooleanSupplier;
-import java.util.regex.Pattern;
 import copperbeam.protocol.BadRequest;
 import copperbeam.protocol.Front;
 import copperbeam.protocol.HttpCall;
@@ -15,12 +8,20 @@
 import copperbeam.routing.Answer;
 import copperbeam.routing.Ask;
 import copperbeam.routing.Intake;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 
 /** The platform's protocol: its headers in, a server's events out as they come. */
 public final class PlatformFront implements Front {
     public static final Duration MARGIN = Duration.ofMillis(20); // for an answer's way back to the client
 
-    // printable, and the same in a path: "a?b" or "%61" in the path of a release would let go of another request's state
+    // printable, and the same in a path: "a?b" or "%61" in the path of a release would let go of another request's
+    // state
     private static final Pattern ID = Pattern.compile("(?!\\.{1,2}$)[!-~&&[^/?#%\\\\]]+");
 
     private final Set<String> classes;
@@ -79,9 +80,17 @@
         if (!Json.isObject(call.body())) {
             throw new BadRequest(400, "the body is not a JSON object");
         }
-        return new Ask(id, requestClass, session, attrs.prefix(), attrs.promptTokens(),
-                attrs.prefixTokens(), attrs.maxAnswerTokens(), call.arrived().plus(timeout).minus(MARGIN),
-                HttpCall.resumes(call.header("x-retried")), call);
+        return new Ask(
+                id,
+                requestClass,
+                session,
+                attrs.prefix(),
+                attrs.promptTokens(),
+                attrs.prefixTokens(),
+                attrs.maxAnswerTokens(),
+                call.arrived().plus(timeout).minus(MARGIN),
+                HttpCall.resumes(call.header("x-retried")),
+                call);
     }
 
     private static void text(HttpReply reply, int status, String text) {
@@ -112,18 +121,22 @@
 
         @Override
         public void refuse(Duration retryAfter, boolean tried) {
-            Map<String, String> advice = retryAfter.isZero() ? Map.of() : Map.of("Retry-After",
-                    String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / 1000.0));
+            Map<String, String> advice = retryAfter.isZero()
+                    ? Map.of()
+                    : Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / 1000.0));
             reply.whole(tried ? 503 : 429, "text/plain", advice, "refused\n".getBytes(StandardCharsets.UTF_8));
         }
 
         @Override
         public void fail(Failure why) {
-            text(reply, switch (why) {
-                case TOO_LATE -> 504;
-                case ID_IN_USE -> 409;
-                default -> 502;
-            }, why == Failure.ID_IN_USE ? "X-Request-ID is that of an open request" : "failed");
+            text(
+                    reply,
+                    switch (why) {
+                        case TOO_LATE -> 504;
+                        case ID_IN_USE -> 409;
+                        default -> 502;
+                    },
+                    why == Failure.ID_IN_USE ? "X-Request-ID is that of an open request" : "failed");
         }
 
         @Override
--- a/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
@@ -1,10 +1,10 @@
 package copperbeam.protocol.platform;
 
+import copperbeam.Api.Report;
+import copperbeam.protocol.BadRequest;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import copperbeam.Api.Report;
-import copperbeam.protocol.BadRequest;
 
 /** Reads and writes the values of the platform's own headers. */
 public final class PlatformHeaders {
@@ -41,12 +41,17 @@
             if (equals <= 0 && !pair.isBlank()) {
                 throw new BadRequest(400, "X-Attrs holds something that is no pair");
             } else if (equals > 0) {
-                pairs.put(pair.substring(0, equals).strip(), pair.substring(equals + 1).strip());
+                pairs.put(
+                        pair.substring(0, equals).strip(),
+                        pair.substring(equals + 1).strip());
             }
         }
         String prefix = pairs.get("prefix");
-        return new Attrs(prefix == null || prefix.isEmpty() ? null : prefix, tokens(pairs, "prompt_len"),
-                tokens(pairs, "prefix_len"), tokens(pairs, "max_out"));
+        return new Attrs(
+                prefix == null || prefix.isEmpty() ? null : prefix,
+                tokens(pairs, "prompt_len"),
+                tokens(pairs, "prefix_len"),
+                tokens(pairs, "max_out"));
     }
 
     private static double tokens(Map<String, String> pairs, String name) throws BadRequest {
@@ -71,16 +76,24 @@
             int equals = pair.indexOf('=');
             try {
                 if (equals > 0) {
-                    metrics.put(pair.substring(0, equals).strip(), Double.valueOf(pair.substring(equals + 1).strip()));
+                    metrics.put(
+                            pair.substring(0, equals).strip(),
+                            Double.valueOf(pair.substring(equals + 1).strip()));
                 }
             } catch (NumberFormatException e) {
                 // a figure that is none is as one that is not told
             }
         }
-        Report report = new Report(figure(metrics, "util", "cpu"), figure(metrics, "queue", "waiting"),
-                figure(metrics, "inflight", "active"), figure(metrics, "x0", "x0"), figure(metrics, "x1", "x1"));
-        boolean empty = Double.isNaN(report.slotShare() + 0) && Double.isNaN(report.waitingRequests())
-                && Double.isNaN(report.heldRequests()) && Double.isNaN(report.memoryShare())
+        Report report = new Report(
+                figure(metrics, "util", "cpu"),
+                figure(metrics, "queue", "waiting"),
+                figure(metrics, "inflight", "active"),
+                figure(metrics, "x0", "x0"),
+                figure(metrics, "x1", "x1"));
+        boolean empty = Double.isNaN(report.slotShare() + 0)
+                && Double.isNaN(report.waitingRequests())
+                && Double.isNaN(report.heldRequests())
+                && Double.isNaN(report.memoryShare())
                 && Double.isNaN(report.waitingThousandTokens());
         return empty ? null : report;
     }
--- a/src/main/java/copperbeam/record/Explain.java
+++ b/src/main/java/copperbeam/record/Explain.java
@@ -24,29 +24,47 @@
     public boolean request(String id) {
         List<Event> life = recording.requests().entrySet().stream()
                 .filter(e -> String.valueOf(e.getKey()).equals(id) || id.equals(id(e.getValue())))
-                .map(Map.Entry::getValue).findFirst().orElse(null);
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElse(null);
         if (life == null) {
             return false;
         }
         Event arrived = Recording.first(life, What.ARRIVED);
         long from = life.get(0).getAtMicros();
-        out.printf(Locale.ROOT, "request %s, number %d, from %s%n", arrived == null ? "(its arrival is lost)"
-                : arrived.getText(), life.get(0).getRequest(), time(from));
+        out.printf(
+                Locale.ROOT,
+                "request %s, number %d, from %s%n",
+                arrived == null ? "(its arrival is lost)" : arrived.getText(),
+                life.get(0).getRequest(),
+                time(from));
         for (Event e : life) {
-            out.printf(Locale.ROOT, "%9.3f ms  %-10s %s%n", (e.getAtMicros() - from) / 1e3,
-                    e.getWhat().name().toLowerCase(Locale.ROOT), more(e));
+            out.printf(
+                    Locale.ROOT,
+                    "%9.3f ms  %-10s %s%n",
+                    (e.getAtMicros() - from) / 1e3,
+                    e.getWhat().name().toLowerCase(Locale.ROOT),
+                    more(e));
         }
         return true;
     }
 
     /** How requests ended, by class, reason and last attempt, and how attempts ended. */
     public void causes() {
-        out.printf(Locale.ROOT, "%s: %d events from %s, %d lost before them%n", recording.header().getName(),
-                recording.events().size(), time(0), recording.header().getLost());
+        out.printf(
+                Locale.ROOT,
+                "%s: %d events from %s, %d lost before them%n",
+                recording.header().getName(),
+                recording.events().size(),
+                time(0),
+                recording.header().getLost());
         Map<String, long[]> ends = new TreeMap<>();
         Map<String, long[]> attempts = new TreeMap<>();
         recording.requests().values().forEach(life -> {
-            count(ends, end(life), life.get(life.size() - 1).getAtMicros() - life.get(0).getAtMicros());
+            count(
+                    ends,
+                    end(life),
+                    life.get(life.size() - 1).getAtMicros() - life.get(0).getAtMicros());
             attempts(life, attempts);
         });
         table("requests: class, end, reason, last attempt", ends);
@@ -55,22 +73,34 @@
 
     /** Each event in a line, those of no request too. */
     public void events() {
-        recording.events().forEach(e -> out.printf(Locale.ROOT, "%s %6d %-10s %s%n", time(e.getAtMicros()),
-                e.getRequest(), e.getWhat().name().toLowerCase(Locale.ROOT), more(e)));
+        recording
+                .events()
+                .forEach(e -> out.printf(
+                        Locale.ROOT,
+                        "%s %6d %-10s %s%n",
+                        time(e.getAtMicros()),
+                        e.getRequest(),
+                        e.getWhat().name().toLowerCase(Locale.ROOT),
+                        more(e)));
     }
 
     private static String end(List<Event> life) {
         Event arrived = Recording.first(life, What.ARRIVED);
         Event attempt = Recording.last(life, What.ENDED);
-        String requestClass = arrived == null ? "?" : Recording.word(arrived, 1)
-                + (arrived.getText().endsWith(" rest") ? " (rest)" : "");
+        String requestClass = arrived == null
+                ? "?"
+                : Recording.word(arrived, 1) + (arrived.getText().endsWith(" rest") ? " (rest)" : "");
         for (Event e : life) {
             switch (e.getWhat()) {
                 case REFUSED, FAILED, SERVED, BROKEN, LEFT -> {
-                    return String.join(", ", requestClass, lower(e), e.getText().isEmpty() ? "-" : e.getText(),
+                    return String.join(
+                            ", ",
+                            requestClass,
+                            lower(e),
+                            e.getText().isEmpty() ? "-" : e.getText(),
                             attempt == null ? "none" : attempt.getText());
                 }
-                default -> { }
+                default -> {}
             }
         }
         return requestClass + ", open";
@@ -87,7 +117,7 @@
                 }
                 case CONNECTION -> connection = e.getText();
                 case ENDED -> count(attempts, role + ", " + connection + ", " + e.getText(), e.getSpanMicros());
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -100,9 +130,14 @@
 
     private void table(String title, Map<String, long[]> rows) {
         out.printf("%n%8s %10s  %s%n", "count", "mean ms", title);
-        rows.entrySet().stream().sorted(Comparator.comparing((Map.Entry<String, long[]> r) -> -r.getValue()[0]))
-                .forEach(r -> out.printf(Locale.ROOT, "%8d %10.1f  %s%n", r.getValue()[0],
-                        r.getValue()[1] / 1e3 / r.getValue()[0], r.getKey()));
+        rows.entrySet().stream()
+                .sorted(Comparator.comparing((Map.Entry<String, long[]> r) -> -r.getValue()[0]))
+                .forEach(r -> out.printf(
+                        Locale.ROOT,
+                        "%8d %10.1f  %s%n",
+                        r.getValue()[0],
+                        r.getValue()[1] / 1e3 / r.getValue()[0],
+                        r.getKey()));
     }
 
     private static String lower(Event e) {
@@ -124,8 +159,12 @@
             case ATTEMPT, CONNECTION, WORD, FIRST, ENDED, CANCEL -> true;
             default -> false;
         };
-        return ((ofAttempt ? "attempt " + e.getAttempt() + " " : "") + (e.getServer().isEmpty() ? "" : e.getServer() + " ")
-                + e.getText() + (e.getSpanMicros() == 0 ? ""
-                : String.format(Locale.ROOT, " (%.3f ms)", e.getSpanMicros() / 1e3))).strip();
+        return ((ofAttempt ? "attempt " + e.getAttempt() + " " : "")
+                        + (e.getServer().isEmpty() ? "" : e.getServer() + " ")
+                        + e.getText()
+                        + (e.getSpanMicros() == 0
+                                ? ""
+                                : String.format(Locale.ROOT, " (%.3f ms)", e.getSpanMicros() / 1e3)))
+                .strip();
     }
 }
--- a/src/main/java/copperbeam/record/FileRecorder.java
+++ b/src/main/java/copperbeam/record/FileRecorder.java
@@ -47,8 +47,11 @@
 
     @Override
     public void note(What what, long request, int attempt, String server, String text, Duration span) {
-        Event.Builder event = Event.newBuilder().setAtMicros(micros(Duration.between(started, clock.instant())))
-                .setWhatValue(what.ordinal() + 1).setRequest(request).setAttempt(attempt);
+        Event.Builder event = Event.newBuilder()
+                .setAtMicros(micros(Duration.between(started, clock.instant())))
+                .setWhatValue(what.ordinal() + 1)
+                .setRequest(request)
+                .setAttempt(attempt);
         if (server != null) {
             event.setServer(server);
         }
@@ -77,8 +80,12 @@
     }
 
     private void write(byte[] events, long lost, CompletableFuture<Boolean> written) {
-        Header header = Header.newBuilder().setFormat(FORMAT).setName(name).setLost(lost)
-                .setStartedMicros(started.getEpochSecond() * 1_000_000 + started.getNano() / 1000).build();
+        Header header = Header.newBuilder()
+                .setFormat(FORMAT)
+                .setName(name)
+                .setLost(lost)
+                .setStartedMicros(started.getEpochSecond() * 1_000_000 + started.getNano() / 1000)
+                .build();
         disk.execute(() -> {
             Path part = file.resolveSibling(file.getFileName() + ".part");
             try {
--- a/src/main/java/copperbeam/routing/Actor.java
+++ b/src/main/java/copperbeam/routing/Actor.java
@@ -92,7 +92,11 @@
             } catch (RuntimeException | Error e) {
                 // one faulty message must not end the actor, and with it every request that it serves; Errors too, as
                 // where no descriptor is left the JVM fails with one
-                LOG.log(Level.SEVERE, getClass().getSimpleName() + " failed on " + message.getClass().getSimpleName(), e);
+                LOG.log(
+                        Level.SEVERE,
+                        getClass().getSimpleName() + " failed on "
+                                + message.getClass().getSimpleName(),
+                        e);
             }
         }
         if (waiting.addAndGet(-done) > 0) {
--- a/src/main/java/copperbeam/routing/Answer.java
+++ b/src/main/java/copperbeam/routing/Answer.java
@@ -5,7 +5,12 @@
 /** The client's side of a request. Exactly one of refuse, fail, end and broken is called, and it comes last. */
 public interface Answer {
     /** Why a request failed. */
-    enum Failure { TOO_LATE, SERVERS_FAILED, STOPPING, ID_IN_USE }
+    enum Failure {
+        TOO_LATE,
+        SERVERS_FAILED,
+        STOPPING,
+        ID_IN_USE
+    }
 
     /** The first event follows at once. */
     void begin();
--- a/src/main/java/copperbeam/routing/Ask.java
+++ b/src/main/java/copperbeam/routing/Ask.java
@@ -10,8 +10,17 @@
  * @param deadline when the client stops waiting for a first token
  * @param resumed the rest of a stream that broke is asked for: it has run
  */
-public record Ask(String id, String requestClass, String session, String prefix, double promptTokens,
-        double prefixTokens, double maxAnswerTokens, Instant deadline, boolean resumed, Payload payload) {
+public record Ask(
+        String id,
+        String requestClass,
+        String session,
+        String prefix,
+        double promptTokens,
+        double prefixTokens,
+        double maxAnswerTokens,
+        Instant deadline,
+        boolean resumed,
+        Payload payload) {
 
     /** What is passed on to a server unchanged. */
     public interface Payload {}
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -1,10 +1,10 @@
 package copperbeam.routing;
 
+import copperbeam.Api.Report;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import copperbeam.Api.Report;
 
 /** Outgoing connections, as the transport makes them. */
 public interface Connector {
@@ -56,7 +56,14 @@
     record ReleaseCall(String id) implements Call {}
 
     /** What a server's answer means. */
-    enum Word { STREAM, READ, TURNED_AWAY, STATE_MISSING, ERROR, HEARD }
+    enum Word {
+        STREAM,
+        READ,
+        TURNED_AWAY,
+        STATE_MISSING,
+        ERROR,
+        HEARD
+    }
 
     /** Called by the transport, in order; the last is {@code end} or {@code broken}. */
     interface Listener {
--- a/src/main/java/copperbeam/routing/HookActor.java
+++ b/src/main/java/copperbeam/routing/HookActor.java
@@ -1,11 +1,11 @@
 package copperbeam.routing;
 
-import java.util.List;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.logging.Logger;
 import copperbeam.Api.Effect;
 import copperbeam.Api.RequestClass;
 import copperbeam.Api.Settings;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Logger;
 
 /**
  * Runs the hooks on a thread of their own, one request after another, and hands on to the module what they
@@ -74,12 +74,24 @@
             LOG.warning("plug-in " + hook.name() + " may not turn " + ask.requestClass() + " into " + name);
             return ask;
         }
-        return new Ask(ask.id(), name, ask.session(), ask.prefix(), ask.promptTokens(), ask.prefixTokens(),
-                ask.maxAnswerTokens(), ask.deadline(), ask.resumed(), ask.payload());
+        return new Ask(
+                ask.id(),
+                name,
+                ask.session(),
+                ask.prefix(),
+                ask.promptTokens(),
+                ask.prefixTokens(),
+                ask.maxAnswerTokens(),
+                ask.deadline(),
+                ask.resumed(),
+                ask.payload());
     }
 
     private Effect effect(String name) {
-        return settings.classes().stream().filter(c -> c.name().equals(name)).map(RequestClass::effect).findFirst()
+        return settings.classes().stream()
+                .filter(c -> c.name().equals(name))
+                .map(RequestClass::effect)
+                .findFirst()
                 .orElse(null);
     }
 }
--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -1,5 +1,7 @@
 package copperbeam.routing;
 
+import copperbeam.Api.ListKind;
+import copperbeam.Api.ServerState;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,8 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BiFunction;
-import copperbeam.Api.ListKind;
-import copperbeam.Api.ServerState;
 
 /**
  * Owns the list of servers and one {@link PeerActor} for each of them, at its address. One that has left is forgotten here: what
@@ -36,8 +36,12 @@
     private int idle;
 
     /** {@code idle}: connections that may stand idle at all servers together. */
-    public ListActor(ScheduledExecutorService turns, BiFunction<String, InetSocketAddress, PeerActor> newPeer,
-            ModuleActor module, ReleaseActor releases, int idle) {
+    public ListActor(
+            ScheduledExecutorService turns,
+            BiFunction<String, InetSocketAddress, PeerActor> newPeer,
+            ModuleActor module,
+            ReleaseActor releases,
+            int idle) {
         super(turns);
         this.newPeer = newPeer;
         this.module = module;
@@ -70,7 +74,7 @@
                 at(id, e.address()).tell(new PeerActor.Listed(e.member().state() == ServerState.DRAINING));
             }
         }
-        for (Iterator<Map.Entry<String, PeerActor>> i = peers.entrySet().iterator(); i.hasNext();) {
+        for (Iterator<Map.Entry<String, PeerActor>> i = peers.entrySet().iterator(); i.hasNext(); ) {
             Map.Entry<String, PeerActor> next = i.next();
             if (left.contains(next.getKey())) {
                 next.getValue().tell(new PeerActor.Gone());
--- a/src/main/java/copperbeam/routing/MembershipSource.java
+++ b/src/main/java/copperbeam/routing/MembershipSource.java
@@ -1,9 +1,9 @@
 package copperbeam.routing;
 
-import java.net.InetSocketAddress;
-import java.util.List;
 import copperbeam.Api.ListKind;
 import copperbeam.Api.Member;
+import java.net.InetSocketAddress;
+import java.util.List;
 
 /** Where the list of servers comes from. */
 public interface MembershipSource {
--- a/src/main/java/copperbeam/routing/Metrics.java
+++ b/src/main/java/copperbeam/routing/Metrics.java
@@ -11,7 +11,12 @@
  */
 public final class Metrics {
     /** How a request ended; where the client had gone, it counts nowhere. */
-    public enum End { ANSWERED, DEFERRED, ERRORED, LEFT }
+    public enum End {
+        ANSWERED,
+        DEFERRED,
+        ERRORED,
+        LEFT
+    }
 
     /** One class's counts. */
     private static final class Counts {
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -1,5 +1,11 @@
 package copperbeam.routing;
 
+import copperbeam.Api;
+import copperbeam.Api.AttemptEnded;
+import copperbeam.Api.ListKind;
+import copperbeam.Api.Outcome;
+import copperbeam.Api.Report;
+import copperbeam.Brain;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -12,20 +18,27 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Logger;
-import copperbeam.Api;
-import copperbeam.Api.AttemptEnded;
-import copperbeam.Api.ListKind;
-import copperbeam.Api.Outcome;
-import copperbeam.Api.Report;
-import copperbeam.Brain;
 
 /**
  * Alone owns the decision module, its timers and the requests that it knows. Turns what happens into the
  * module's events and its actions into messages; decides nothing that the module decides.
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
-    public sealed interface Message permits Listed, Arrive, Left, FirstEvent, Ended, ProbeDone, Fired, Pinned,
-            Drain, TakeNoMore, HandOver, Cut, Census, Beside {}
+    public sealed interface Message
+            permits Listed,
+                    Arrive,
+                    Left,
+                    FirstEvent,
+                    Ended,
+                    ProbeDone,
+                    Fired,
+                    Pinned,
+                    Drain,
+                    TakeNoMore,
+                    HandOver,
+                    Cut,
+                    Census,
+                    Beside {}
 
     /** {@code acted} runs once the module has it; may be null. */
     public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers, Runnable acted)
@@ -36,16 +49,26 @@
     /** The client has gone away; an answer that is unknown or over is passed over. */
     public record Left(Answer answer) implements Message {}
 
-    public record FirstEvent(long request, int number, String server, byte[] raw, Duration after, Runnable drained,
-            PeerActor at)
+    public record FirstEvent(
+            long request, int number, String server, byte[] raw, Duration after, Runnable drained, PeerActor at)
             implements Message {}
 
     /**
      * {@code up}: it had a connection, else nothing ran. {@code at}: when that connection's last word came or it was closed
      * here, however long this message has waited.
      */
-    public record Ended(long request, int number, String server, Outcome outcome, Duration after,
-            boolean stateMissing, Report report, double keptTokens, boolean up, Instant at) implements Message {}
+    public record Ended(
+            long request,
+            int number,
+            String server,
+            Outcome outcome,
+            Duration after,
+            boolean stateMissing,
+            Report report,
+            double keptTokens,
+            boolean up,
+            Instant at)
+            implements Message {}
 
     public record ProbeDone(String server, Outcome outcome, Duration after, Report report) implements Message {}
 
@@ -71,7 +94,11 @@
 
     private record Pinned(long request, int attempts) implements Message {}
 
-    private enum Phase { OPEN, STREAMING, OVER }
+    private enum Phase {
+        OPEN,
+        STREAMING,
+        OVER
+    }
 
     /** From arrival until the final answer is given and no attempt is out. */
     private static final class Request {
@@ -83,10 +110,11 @@
         boolean out;
         PeerActor at;
         String lastReader;
-        boolean reading;             // the last attempt is at a reader
-        final List<String> cutReaders = new ArrayList<>(); // each may hold a state, or come to, that the module was not told of
-        Instant lastEnd;             // of an attempt that had a connection
-        boolean mayHold;             // something, since the last release
+        boolean reading; // the last attempt is at a reader
+        final List<String> cutReaders =
+                new ArrayList<>(); // each may hold a state, or come to, that the module was not told of
+        Instant lastEnd; // of an attempt that had a connection
+        boolean mayHold; // something, since the last release
         boolean releaseWanted;
 
         Request(long key, Ask ask, Answer answer) {
@@ -118,8 +146,14 @@
     private boolean takesNoMore;
     private Runnable idle;
 
-    public ModuleActor(ScheduledExecutorService turns, Clock clock, Api.Settings settings, long seed,
-            ReleaseActor releases, Recorder recorder, Metrics metrics) {
+    public ModuleActor(
+            ScheduledExecutorService turns,
+            Clock clock,
+            Api.Settings settings,
+            long seed,
+            ReleaseActor releases,
+            Recorder recorder,
+            Metrics metrics) {
         super(turns);
         this.metrics = metrics;
         this.recorder = recorder;
@@ -194,10 +228,12 @@
         peers = e.peers();
         for (Api.Member member : e.members()) {
             if (recorder != Recorder.NONE) {
-                recorder.note(Recorder.What.LISTED, 0, 0, member.server(), member.state() + " " + member.launchedAt(),
-                        null);
+                recorder.note(
+                        Recorder.What.LISTED, 0, 0, member.server(), member.state() + " " + member.launchedAt(), null);
             }
-            settings.kinds().stream().filter(k -> k.name().equals(member.kind())).findFirst()
+            settings.kinds().stream()
+                    .filter(k -> k.name().equals(member.kind()))
+                    .findFirst()
                     .ifPresent(k -> roles.put(member.server(), k.role()));
         }
         roles.keySet().retainAll(peers.keySet());
@@ -224,12 +260,24 @@
         byAnswer.put(r.answer, r);
         Ask a = r.ask;
         if (recorder != Recorder.NONE) {
-            note(Recorder.What.ARRIVED, r, null, a.id() + " " + a.requestClass() + " " + a.session() + " "
-                    + (long) a.promptTokens() + (a.resumed() ? " rest" : ""),
+            note(
+                    Recorder.What.ARRIVED,
+                    r,
+                    null,
+                    a.id() + " " + a.requestClass() + " " + a.session() + " " + (long) a.promptTokens()
+                            + (a.resumed() ? " rest" : ""),
                     Duration.between(clock.instant(), a.deadline()));
         }
-        feed(new Api.Arrival(r.key, a.requestClass(), null, a.session(), a.prefix(), a.promptTokens(),
-                a.prefixTokens(), a.maxAnswerTokens(), ModuleTime.seconds(takesNoMore ? clock.instant() : a.deadline()),
+        feed(new Api.Arrival(
+                r.key,
+                a.requestClass(),
+                null,
+                a.session(),
+                a.prefix(),
+                a.promptTokens(),
+                a.prefixTokens(),
+                a.maxAnswerTokens(),
+                ModuleTime.seconds(takesNoMore ? clock.instant() : a.deadline()),
                 a.resumed()));
     }
 
@@ -280,8 +328,13 @@
             return;
         }
         r.out = false;
-        boolean mayEndWell = e.up() && r.reading && (e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.TIMED_OUT
-                || e.outcome() == Outcome.RESET || e.outcome() == Outcome.STALE || e.outcome() == Outcome.ERROR);
+        boolean mayEndWell = e.up()
+                && r.reading
+                && (e.outcome() == Outcome.CANCELLED
+                        || e.outcome() == Outcome.TIMED_OUT
+                        || e.outcome() == Outcome.RESET
+                        || e.outcome() == Outcome.STALE
+                        || e.outcome() == Outcome.ERROR);
         if (mayEndWell) {
             r.cutReaders.add(e.server());
         }
@@ -301,8 +354,16 @@
             }
         }
         boolean over = r.phase == Phase.OVER;
-        feed(new AttemptEnded(r.key, e.number(), e.server(), e.outcome(), ModuleTime.seconds(e.after()), over,
-                e.stateMissing(), e.report(), e.keptTokens()));
+        feed(new AttemptEnded(
+                r.key,
+                e.number(),
+                e.server(),
+                e.outcome(),
+                ModuleTime.seconds(e.after()),
+                over,
+                e.stateMissing(),
+                e.report(),
+                e.keptTokens()));
         if (r.releaseWanted && !r.out) {
             release(r);
         }
@@ -339,10 +400,20 @@
         if (action instanceof Api.Attempt a) {
             attempt(a);
         } else if (action instanceof Api.Refuse a) {
-            finish(a.request(), Recorder.What.REFUSED, a.why(), r -> r.answer.refuse(ModuleTime.span(a.retryAfterS()), r.attempts > 0));
+            finish(
+                    a.request(),
+                    Recorder.What.REFUSED,
+                    a.why(),
+                    r -> r.answer.refuse(ModuleTime.span(a.retryAfterS()), r.attempts > 0));
         } else if (action instanceof Api.Fail a) {
-            finish(a.request(), Recorder.What.FAILED, a.why(), r -> r.answer.fail(clock.instant().plusMillis(100).isAfter(r.ask.deadline())
-                    ? Answer.Failure.TOO_LATE : Answer.Failure.SERVERS_FAILED));
+            finish(
+                    a.request(),
+                    Recorder.What.FAILED,
+                    a.why(),
+                    r -> r.answer.fail(
+                            clock.instant().plusMillis(100).isAfter(r.ask.deadline())
+                                    ? Answer.Failure.TOO_LATE
+                                    : Answer.Failure.SERVERS_FAILED));
         } else if (action instanceof Api.Cancel a) {
             Request r = requests.get(a.request());
             if (r != null && r.out && r.attempts - 1 == a.attempt()) {
@@ -372,14 +443,22 @@
     /** Also of a server that has left the list: one at which an attempt is out may be probed. */
     private PeerActor peer(String server) {
         PeerActor listed = peers.get(server);
-        return listed != null ? listed : requests.values().stream().filter(r -> r.out && r.at.id().equals(server))
-                .map(r -> r.at).findFirst().orElseThrow();
+        return listed != null
+                ? listed
+                : requests.values().stream()
+                        .filter(r -> r.out && r.at.id().equals(server))
+                        .map(r -> r.at)
+                        .findFirst()
+                        .orElseThrow();
     }
 
     private void attempt(Api.Attempt a) {
         Request r = requests.get(a.request());
         PeerActor peer = peers.get(a.server());
-        if (r == null || r.phase != Phase.OPEN || r.out || r.attempts >= settings.limits().maxAttempts()) {
+        if (r == null
+                || r.phase != Phase.OPEN
+                || r.out
+                || r.attempts >= settings.limits().maxAttempts()) {
             recorder.note(Recorder.What.RULE, a.request(), 0, a.server(), "an attempt that the rules forbid", null);
             throw new IllegalStateException("an attempt that the rules forbid");
         }
@@ -397,13 +476,26 @@
         if (r.reading) {
             r.lastReader = a.server();
         }
-        boolean once = !r.reading && settings.classes().stream()
-                .anyMatch(c -> c.name().equals(r.ask.requestClass()) && c.effect() != Api.Effect.SAFE);
-        recorder.note(Recorder.What.ATTEMPT, r.key, r.attempts, a.server(), a.why().name(),
+        boolean once = !r.reading
+                && settings.classes().stream()
+                        .anyMatch(c -> c.name().equals(r.ask.requestClass()) && c.effect() != Api.Effect.SAFE);
+        recorder.note(
+                Recorder.What.ATTEMPT,
+                r.key,
+                r.attempts,
+                a.server(),
+                a.why().name(),
                 Duration.between(clock.instant(), ModuleTime.time(a.until())));
-        peer.tell(new PeerActor.Send(r.key, r.attempts++, r.ask, r.answer, ModuleTime.time(a.until()),
+        peer.tell(new PeerActor.Send(
+                r.key,
+                r.attempts++,
+                r.ask,
+                r.answer,
+                ModuleTime.time(a.until()),
                 Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()),
-                r.mayHold ? due(r, CONNECT_SHARE) : Instant.MAX, once, r.reading));
+                r.mayHold ? due(r, CONNECT_SHARE) : Instant.MAX,
+                once,
+                r.reading));
     }
 
     private void note(Recorder.What what, Request r, String server, String text, Duration span) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -1,5 +1,9 @@
 package copperbeam.routing;
 
+import copperbeam.Api.Outcome;
+import copperbeam.Api.Report;
+import copperbeam.routing.Connector.Connection;
+import copperbeam.routing.Connector.Word;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
@@ -11,15 +15,29 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
-import copperbeam.Api.Outcome;
-import copperbeam.Api.Report;
-import copperbeam.routing.Connector.Connection;
-import copperbeam.routing.Connector.Word;
 
 /** Owns the connections to one server at one address, and the attempts, probes and releases that are out there. */
 public final class PeerActor extends Actor<PeerActor.Message> {
-    public sealed interface Message permits Listed, Gone, Room, Send, Stop, Proceed, Probe, Release, Up, NotUp, Closed,
-            Said, Event, Ended, Broken, Expired, Quiet, Tidy, Let {}
+    public sealed interface Message
+            permits Listed,
+                    Gone,
+                    Room,
+                    Send,
+                    Stop,
+                    Proceed,
+                    Probe,
+                    Release,
+                    Up,
+                    NotUp,
+                    Closed,
+                    Said,
+                    Event,
+                    Ended,
+                    Broken,
+                    Expired,
+                    Quiet,
+                    Tidy,
+                    Let {}
 
     /** {@code drains}: no attempt begins any more, and nothing more is kept idle. */
     public record Listed(boolean drains) implements Message {}
@@ -35,8 +53,17 @@
      * waits for it; {@code once}: must not run twice, so that no kept connection is risked for it;
      * {@code reads}: this server is to read, not to write.
      */
-    public record Send(long request, int number, Ask ask, Answer answer, Instant until, Instant latest, Instant upBy,
-            boolean once, boolean reads) implements Message {
+    public record Send(
+            long request,
+            int number,
+            Ask ask,
+            Answer answer,
+            Instant until,
+            Instant latest,
+            Instant upBy,
+            boolean once,
+            boolean reads)
+            implements Message {
         boolean wanted(Instant now) {
             return !answer.gone() && !now.isAfter(latest);
         }
@@ -78,8 +105,16 @@
     private record Idle(Connection connection, Instant since) {}
 
     /** What all peers share and none of them changes. */
-    public record Setup(Clock clock, Connector connector, Duration connectTimeout, Duration idle,
-            Duration callTimeout, ModuleActor module, ReleaseActor releases, Recorder recorder, Metrics metrics) {}
+    public record Setup(
+            Clock clock,
+            Connector connector,
+            Duration connectTimeout,
+            Duration idle,
+            Duration callTimeout,
+            ModuleActor module,
+            ReleaseActor releases,
+            Recorder recorder,
+            Metrics metrics) {}
 
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
     // of a last byte: nine in ten of the breaks that were on their way came within it
@@ -93,7 +128,7 @@
     private final Map<Long, Work> attempts = new HashMap<>();
     private final Deque<Idle> idle = new ArrayDeque<>();
     private boolean drains;
-    private Duration keep;           // so long a connection may stand idle
+    private Duration keep; // so long a connection may stand idle
     private int mostIdle = 1;
     private Future<?> tidying;
 
@@ -164,7 +199,10 @@
             quiet(e.work());
         } else if (m instanceof Tidy) {
             tidy();
-        } else if (m instanceof Let e && !e.work().done && e.work().connection == e.on() && !unwanted(e.work(), false)) {
+        } else if (m instanceof Let e
+                && !e.work().done
+                && e.work().connection == e.on()
+                && !unwanted(e.work(), false)) {
             e.on().let();
         }
     }
@@ -190,7 +228,11 @@
             // never written on when the server may be closing it: what was written would count as a reset
             if (last.connection().isOpen() && last.since().isAfter(stale)) {
                 work.reused = true;
-                note(Recorder.What.CONNECTION, work, "kept", Duration.between(last.since(), setup.clock().instant()));
+                note(
+                        Recorder.What.CONNECTION,
+                        work,
+                        "kept",
+                        Duration.between(last.since(), setup.clock().instant()));
                 use(work, last.connection());
                 return;
             }
@@ -241,7 +283,9 @@
         if (work.send() == null || !closed && work.send().wanted(setup.clock().instant())) {
             return false;
         }
-        finish(work, work.send().answer().gone() ? Outcome.CANCELLED : closed ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT);
+        finish(
+                work,
+                work.send().answer().gone() ? Outcome.CANCELLED : closed ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT);
         return true;
     }
 
@@ -254,11 +298,16 @@
     private void use(Work work, Connection connection) {
         work.connection = connection;
         // what is held hangs on these, which must not wait behind the events of many streams
-        boolean first = work.order instanceof Release || work.send() != null && work.send().reads();
+        boolean first = work.order instanceof Release
+                || work.send() != null && work.send().reads();
         Connector.Call call;
         if (work.order instanceof Send s) {
-            call = new Connector.AttemptCall(s.ask(), s.reads(), () -> Duration.between(setup.clock().instant(), s.until()),
-                    s.once() || work.reused, () -> s.wanted(setup.clock().instant()));
+            call = new Connector.AttemptCall(
+                    s.ask(),
+                    s.reads(),
+                    () -> Duration.between(setup.clock().instant(), s.until()),
+                    s.once() || work.reused,
+                    () -> s.wanted(setup.clock().instant()));
         } else if (work.order instanceof Release r) {
             call = new Connector.ReleaseCall(r.id());
         } else {
@@ -320,7 +369,7 @@
     /** Closes what has stood idle, well before the server would. */
     private void tidy() {
         Instant stale = setup.clock().instant().minus(keep);
-        for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
+        for (Iterator<Idle> i = idle.iterator(); i.hasNext(); ) {
             Idle next = i.next();
             if (!next.since().isAfter(stale)) {
                 i.remove();
@@ -332,11 +381,12 @@
 
     /** Guards against servers that close what is idle sooner than they say: kept for half of what they bear. */
     private void closed(Connection connection) {
-        for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
+        for (Iterator<Idle> i = idle.iterator(); i.hasNext(); ) {
             Idle next = i.next();
             if (next.connection() == connection) {
                 i.remove();
-                Duration half = Duration.between(next.since(), setup.clock().instant()).dividedBy(2);
+                Duration half =
+                        Duration.between(next.since(), setup.clock().instant()).dividedBy(2);
                 if (half.compareTo(LEAST_KEPT) > 0 && half.compareTo(keep) < 0) {
                     keep = half;
                     if (tidying != null) {
@@ -367,8 +417,15 @@
         } else if (work.word == Word.STREAM) {
             work.offered = true;
             // behind a crowd's requests it would reach its client late
-            setup.module().tellFirst(new ModuleActor.FirstEvent(work.send().request(), work.send().number(), id, raw,
-                    since(work), work.granting(raw), this));
+            setup.module()
+                    .tellFirst(new ModuleActor.FirstEvent(
+                            work.send().request(),
+                            work.send().number(),
+                            id,
+                            raw,
+                            since(work),
+                            work.granting(raw),
+                            this));
         }
     }
 
@@ -463,7 +520,10 @@
     /** Ends a call and its connection, so that no attempt is left out there. */
     private void finish(Work work, Outcome outcome) {
         if (!work.done) {
-            if (work.connection != null && work.word == null && work.send() != null && work.send().answer().gone()) {
+            if (work.connection != null
+                    && work.word == null
+                    && work.send() != null
+                    && work.send().answer().gone()) {
                 work.connection.abort(); // a server that reads late would else begin it
             } else if (work.connection != null) {
                 work.connection.close();
@@ -482,11 +542,21 @@
         work.expiry.cancel(false); // or the request's body would stay until then
         if (work.order instanceof Send s) {
             attempts.remove(s.request(), work);
-            // behind a crowd's requests a stream's end would come late, and what a read left be held too long; what is told
+            // behind a crowd's requests a stream's end would come late, and what a read left be held too long; what is
+            // told
             // first keeps its order, an attempt's first event before its end
-            setup.module().tellFirst(new ModuleActor.Ended(s.request(), s.number(), id, outcome, since(work),
-                    work.word == Word.STATE_MISSING, work.report, work.kept, work.connection != null || work.ended != null,
-                    work.ended == null ? setup.clock().instant() : work.ended));
+            setup.module()
+                    .tellFirst(new ModuleActor.Ended(
+                            s.request(),
+                            s.number(),
+                            id,
+                            outcome,
+                            since(work),
+                            work.word == Word.STATE_MISSING,
+                            work.report,
+                            work.kept,
+                            work.connection != null || work.ended != null,
+                            work.ended == null ? setup.clock().instant() : work.ended));
         } else if (work.order instanceof Release r) {
             setup.releases().tell(new ReleaseActor.Tried(r.ticket(), id, outcome == Outcome.OK));
         } else {
--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -41,24 +41,24 @@
 
     private static final Duration HEDGE = Duration.ofMillis(120); // silence after which others are asked too
     private static final Duration AGAIN = Duration.ofMillis(250); // for a read that may have ended as it was cut
-    private static final int WIDER = 4;         // at so many times as many after each silence
+    private static final int WIDER = 4; // at so many times as many after each silence
     private static final int MOST_AT_ONCE = 1024;
-    private static final int MOST_AGAIN = 8;    // the same once all have been asked: as where nothing can be reached
-    private static final int OUTLASTS = 16;     // times the usual, where nobody has heard: an outage or a cut from all
+    private static final int MOST_AGAIN = 8; // the same once all have been asked: as where nothing can be reached
+    private static final int OUTLASTS = 16; // times the usual, where nobody has heard: an outage or a cut from all
 
     private static final class Open {
         final String id;
         final String first;
         Instant until;
         Instant giveUp;
-        boolean resting;             // heard, and to be said again
-        boolean heardFirst;          // by the server that may yet hold something
+        boolean resting; // heard, and to be said again
+        boolean heardFirst; // by the server that may yet hold something
         final Set<String> tried = new HashSet<>();
         final Set<String> out = new HashSet<>();
         int step;
         int width = 1;
         int most;
-        boolean late;                // nobody has heard in the usual time: asked on, one at a time
+        boolean late; // nobody has heard in the usual time: asked on, one at a time
 
         Open(Release order) {
             id = order.id();
--- a/src/main/java/copperbeam/routing/Work.java
+++ b/src/main/java/copperbeam/routing/Work.java
@@ -1,11 +1,11 @@
 package copperbeam.routing;
 
+import copperbeam.Api.Outcome;
+import copperbeam.Api.Report;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.Future;
-import copperbeam.Api.Outcome;
-import copperbeam.Api.Report;
 
 /** One call to a server, from its wait for a connection to its end; its {@link PeerActor} alone reads and changes it. */
 final class Work {
@@ -13,19 +13,19 @@
     final Instant began;
     Instant until;
     Future<?> expiry;
-    Instant heard;               // when the last event came
-    Instant ended;               // when its connection's last word came, null where it has none or it was closed here
+    Instant heard; // when the last event came
+    Instant ended; // when its connection's last word came, null where it has none or it was closed here
     Connector.Connection connection;
     boolean reused;
-    int unsent;                  // new connections that ended before the last byte left
+    int unsent; // new connections that ended before the last byte left
     boolean done;
-    boolean offered;             // the first event went to the module
+    boolean offered; // the first event went to the module
     boolean proceeding;
-    boolean whole;               // ended well while the first event was still with the module
-    boolean cut;                 // the same, but broken
+    boolean whole; // ended well while the first event was still with the module
+    boolean cut; // the same, but broken
     Connector.Word word;
     Report report;
-    double kept = Double.NaN;    // see Connector.Listener
+    double kept = Double.NaN; // see Connector.Listener
     final Deque<byte[]> held = new ArrayDeque<>();
 
     Work(PeerActor.Message order, Instant began) {
@@ -56,6 +56,6 @@
     Runnable granting(byte[] raw) {
         Connector.Connection granted = connection;
         // none any more where the stream was whole before its first event was taken
-        return granted == null ? () -> { } : () -> granted.grant(raw.length);
+        return granted == null ? () -> {} : () -> granted.grant(raw.length);
     }
 }
--- a/src/main/java/copperbeam/simhost/Decoder.java
+++ b/src/main/java/copperbeam/simhost/Decoder.java
@@ -9,10 +9,10 @@
 import static copperbeam.simhost.Wire.textOrNull;
 import static copperbeam.simhost.Wire.whole;
 
+import copperbeam.Api.*;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import copperbeam.Api.*;
 
 /** Turns wire messages into the module's settings and events: names for names, units for units. */
 public final class Decoder {
@@ -30,8 +30,14 @@
         for (Map<String, Object> s : objects(c, "services")) {
             double more = at(perThousand, classes.size(), Number.class, 0, "aim_us_per_1000_prompt_tokens")
                     .doubleValue();
-            classes.add(new RequestClass(text(s, "name"), number(s, "promise_s"), more * US, number(s, "worth", 0),
-                    effect(textOrNull(s, "semantics")), group(textOrNull(s, "group")), number(s, "window_s", 0)));
+            classes.add(new RequestClass(
+                    text(s, "name"),
+                    number(s, "promise_s"),
+                    more * US,
+                    number(s, "worth", 0),
+                    effect(textOrNull(s, "semantics")),
+                    group(textOrNull(s, "group")),
+                    number(s, "window_s", 0)));
         }
         List<Customer> customers = new ArrayList<>();
         for (Map<String, Object> s : objects(c, "customers")) {
@@ -42,19 +48,38 @@
         List<Object> memory = list(extra, "memory_tokens");
         for (Object name : list(c, "kinds")) {
             int k = kinds.size();
-            kinds.add(new Kind(String.valueOf(name), role(at(roles, k, String.class, "both", "role_by_kind")),
+            kinds.add(new Kind(
+                    String.valueOf(name),
+                    role(at(roles, k, String.class, "both", "role_by_kind")),
                     at(memory, k, Number.class, 0, "memory_tokens").doubleValue()));
         }
-        // figures of a rule that is not told, or told as nothing, are no rule: held to 0 they would allow no send at all
+        // figures of a rule that is not told, or told as nothing, are no rule: held to 0 they would allow no send at
+        // all
         double release = number(extra, "release_s", 0);
         double fall = number(rules, "fall_multiple", 0);
-        return new Settings((int) whole(c, "balancers"), (int) number(c, "self_index", -1), classes, customers, kinds,
-                new Limits((int) whole(limits, "send_cap"), flag(limits, "cancel"), flag(limits, "probing"),
+        return new Settings(
+                (int) whole(c, "balancers"),
+                (int) number(c, "self_index", -1),
+                classes,
+                customers,
+                kinds,
+                new Limits(
+                        (int) whole(limits, "send_cap"),
+                        flag(limits, "cancel"),
+                        flag(limits, "probing"),
                         flag(limits, "retry_after") ? number(limits, "max_retry_after_s", 0) : 0),
-                new Rules(number(rules, "cold_from", 0), fall > 0 ? number(rules, "warm_within_s", 0) : 0,
-                        fall, number(rules, "fall_s", 0), release > 0 ? release : RELEASE_S, number(rules, "ask_within_s", 0)),
-                reports(textOrNull(part(c, "report"), "via")), "subscribe".equals(textOrNull(c, "discovery")),
-                number(part(c, "penalties"), "probe", 0), flag(extra, "local_read"), flag(extra, "resume"));
+                new Rules(
+                        number(rules, "cold_from", 0),
+                        fall > 0 ? number(rules, "warm_within_s", 0) : 0,
+                        fall,
+                        number(rules, "fall_s", 0),
+                        release > 0 ? release : RELEASE_S,
+                        number(rules, "ask_within_s", 0)),
+                reports(textOrNull(part(c, "report"), "via")),
+                "subscribe".equals(textOrNull(c, "discovery")),
+                number(part(c, "penalties"), "probe", 0),
+                flag(extra, "local_read"),
+                flag(extra, "resume"));
     }
 
     /** The event, or null for a message that the module has no use for. */
@@ -64,25 +89,41 @@
             case "update":
                 return new Members(listKind(whole(f, "mode")), members(f));
             case "inbound":
-                return new Arrival(whole(f, "call"), text(f, "lane"), textOrNull(f, "owner"),
-                        textOrNull(f, "session"), textOrNull(f, "shared_prefix"), number(f, "input_len", 0),
-                        number(f, "prefix_len", 0), number(f, "max_tokens", 0), number(f, "valid_until_s"));
+                return new Arrival(
+                        whole(f, "call"),
+                        text(f, "lane"),
+                        textOrNull(f, "owner"),
+                        textOrNull(f, "session"),
+                        textOrNull(f, "shared_prefix"),
+                        number(f, "input_len", 0),
+                        number(f, "prefix_len", 0),
+                        number(f, "max_tokens", 0),
+                        number(f, "valid_until_s"));
             case "started":
-                return new StreamStarted(whole(f, "call"), (int) number(f, "seq_no", 0), text(f, "engine"),
+                return new StreamStarted(
+                        whole(f, "call"),
+                        (int) number(f, "seq_no", 0),
+                        text(f, "engine"),
                         number(f, "delay_seen_s", 0));
             case "ended":
                 Outcome outcome = outcome(text(f, "verdict"));
-                return new AttemptEnded(whole(f, "call"), (int) number(f, "seq_no", 0), text(f, "engine"), outcome,
-                        number(f, "delay_seen_s", 0), flag(f, "complete"),
-                        outcome == Outcome.FULL && number(f, "note", 0) == 1, report(f),
+                return new AttemptEnded(
+                        whole(f, "call"),
+                        (int) number(f, "seq_no", 0),
+                        text(f, "engine"),
+                        outcome,
+                        number(f, "delay_seen_s", 0),
+                        flag(f, "complete"),
+                        outcome == Outcome.FULL && number(f, "note", 0) == 1,
+                        report(f),
                         outcome == Outcome.READ ? number(f, "note", 0) : Double.NaN);
             case "client_gone":
                 return new ClientLeft(whole(f, "call"));
             case "fired":
                 return new TimerFired(text(f, "tag"));
             case "probe_done":
-                return new Probed(text(f, "engine"), outcome(text(f, "verdict")), number(f, "delay_seen_s", 0),
-                        report(f));
+                return new Probed(
+                        text(f, "engine"), outcome(text(f, "verdict")), number(f, "delay_seen_s", 0), report(f));
             case "answer_ahead":
             case "from_peer":
                 return null;
@@ -94,17 +135,28 @@
     private static List<Member> members(Map<String, Object> f) throws Wire.Malformed {
         List<Member> members = new ArrayList<>();
         for (Map<String, Object> h : objects(f, "hosts")) {
-            members.add(new Member(text(h, "engine"), textOrNull(h, "hall"), textOrNull(h, "model"),
-                    (long) number(h, "cluster", 0), state((long) number(h, "stage_state", 0)),
-                    number(h, "weight", 0), number(h, "launched_s", 0)));
+            members.add(new Member(
+                    text(h, "engine"),
+                    textOrNull(h, "hall"),
+                    textOrNull(h, "model"),
+                    (long) number(h, "cluster", 0),
+                    state((long) number(h, "stage_state", 0)),
+                    number(h, "weight", 0),
+                    number(h, "launched_s", 0)));
         }
         return members;
     }
 
     private static Report report(Map<String, Object> f) throws Wire.Malformed {
         Map<String, Object> r = part(f, "report");
-        return r.isEmpty() ? null : new Report(number(r, "cpu", Double.NaN), number(r, "waiting", Double.NaN),
-                number(r, "active", Double.NaN), number(r, "x0", Double.NaN), number(r, "x1", Double.NaN));
+        return r.isEmpty()
+                ? null
+                : new Report(
+                        number(r, "cpu", Double.NaN),
+                        number(r, "waiting", Double.NaN),
+                        number(r, "active", Double.NaN),
+                        number(r, "x0", Double.NaN),
+                        number(r, "x1", Double.NaN));
     }
 
     private static <T> T at(List<Object> list, int index, Class<? extends T> type, T absent, String key)
--- a/src/main/java/copperbeam/simhost/SimHost.java
+++ b/src/main/java/copperbeam/simhost/SimHost.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import copperbeam.Api.*;
+import copperbeam.Brain;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -12,8 +14,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import copperbeam.Api.*;
-import copperbeam.Brain;
 
 /** Hosts one {@link Brain} for each instance on the simulator's wire. Translates, decides nothing. */
 public final class SimHost {
@@ -69,8 +69,8 @@
         }
         long i = Wire.whole(m.fields(), "i");
         if (m.name().equals("start")) {
-            instances.put(i, new Brain(Decoder.settings(Wire.map(m.fields(), "config")),
-                    Wire.whole(m.fields(), "seed")));
+            instances.put(
+                    i, new Brain(Decoder.settings(Wire.map(m.fields(), "config")), Wire.whole(m.fields(), "seed")));
         } else if (m.name().equals("retire")) {
             instances.remove(i);
         } else {
--- a/src/main/java/copperbeam/simhost/Wire.java
+++ b/src/main/java/copperbeam/simhost/Wire.java
@@ -85,7 +85,8 @@
     private static <T> T field(Map<String, Object> m, String key, Class<T> type) throws Malformed {
         Object v = m.get(key);
         if (v != null && !type.isInstance(v)) {
-            throw new Malformed("field '" + key + "' is not a " + type.getSimpleName().toLowerCase());
+            throw new Malformed(
+                    "field '" + key + "' is not a " + type.getSimpleName().toLowerCase());
         }
         return type.cast(v);
     }
--- a/src/main/java/copperbeam/transport/AdminServer.java
+++ b/src/main/java/copperbeam/transport/AdminServer.java
@@ -40,7 +40,7 @@
         final SelectionKey key;
         final Instant since;
         final ByteBuffer line = ByteBuffer.allocate(MOST_LINE);
-        boolean called;              // its line is with the desk
+        boolean called; // its line is with the desk
         ByteBuffer answer;
 
         Caller(SocketChannel channel, Selector selector, Instant since) throws IOException {
@@ -118,8 +118,12 @@
         try {
             for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
                 if (selector.keys().size() > MOST_CALLERS) {
-                    selector.keys().stream().map(SelectionKey::attachment).filter(Caller.class::isInstance)
-                            .map(Caller.class::cast).filter(c -> !c.called).min(Comparator.comparing(c -> c.since))
+                    selector.keys().stream()
+                            .map(SelectionKey::attachment)
+                            .filter(Caller.class::isInstance)
+                            .map(Caller.class::cast)
+                            .filter(c -> !c.called)
+                            .min(Comparator.comparing(c -> c.since))
                             .ifPresent(AdminServer::end);
                 }
                 next.setOption(StandardSocketOptions.TCP_NODELAY, true);
--- a/src/main/java/copperbeam/transport/BoundedParser.java
+++ b/src/main/java/copperbeam/transport/BoundedParser.java
@@ -25,15 +25,18 @@
 final class BoundedParser<T extends HttpMessage> implements NHttpMessageParser<T> {
     static final int MOST_HEAD = 16 * 1024;
     /** Of all heads, read and written: as the settings' names. Else HttpCore takes each byte for a character. */
-    static final CharCodingConfig CODING = CharCodingConfig.custom().setCharset(StandardCharsets.UTF_8)
-            .setMalformedInputAction(CodingErrorAction.REPLACE).setUnmappableInputAction(CodingErrorAction.REPLACE)
+    static final CharCodingConfig CODING = CharCodingConfig.custom()
+            .setCharset(StandardCharsets.UTF_8)
+            .setMalformedInputAction(CodingErrorAction.REPLACE)
+            .setUnmappableInputAction(CodingErrorAction.REPLACE)
             .build();
+
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private final NHttpMessageParser<T> parser;
     private final boolean strict;
-    private int read;                // bytes of whole lines of the head under way
-    private boolean blank;           // the last line read was empty
+    private int read; // bytes of whole lines of the head under way
+    private boolean blank; // the last line read was empty
     private volatile boolean partial;
     private volatile boolean failed;
 
@@ -95,7 +98,8 @@
 
     /** Guards against what HttpCore would pass on as something else: a control character as a space or a question mark. */
     private static void text(HttpMessage head) throws HttpException {
-        if (head instanceof HttpRequest request && !request.getRequestUri().chars().allMatch(c -> c > 32 && c < 127)) {
+        if (head instanceof HttpRequest request
+                && !request.getRequestUri().chars().allMatch(c -> c > 32 && c < 127)) {
             throw new ProtocolException("the target is none");
         }
         for (Header header : head.getHeaders()) {
--- a/src/main/java/copperbeam/transport/Chunks.java
+++ b/src/main/java/copperbeam/transport/Chunks.java
@@ -19,8 +19,13 @@
     private Chunks() {}
 
     /** {@code most}: no chunk is larger. */
-    static Decoder decoder(ReadableByteChannel channel, SessionInputBuffer buffer, Http1Config config,
-            BasicHttpTransportMetrics metrics, int most, Turn turn) {
+    static Decoder decoder(
+            ReadableByteChannel channel,
+            SessionInputBuffer buffer,
+            Http1Config config,
+            BasicHttpTransportMetrics metrics,
+            int most,
+            Turn turn) {
         return new Decoder(new ChunkDecoder(channel, new Sizes(buffer, most, turn), config, metrics));
     }
 
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -32,11 +32,11 @@
     private final boolean hold;
     private volatile boolean let;
     private volatile DataStreamChannel output;
-    private boolean told;            // that only the last byte is left
+    private boolean told; // that only the last byte is left
     private final AtomicInteger owed = new AtomicInteger();
     private volatile CapacityChannel capacity;
     private volatile boolean written; // the last byte is HttpCore's, that may still have it
-    private boolean left;            // and the system has it
+    private boolean left; // and the system has it
     private BooleanSupplier buffered = () -> false;
     private final AtomicInteger held = new AtomicInteger(); // taken in and not granted again
     private volatile boolean over;
@@ -168,7 +168,8 @@
         output = channel;
         int kept = kept();
         if (kept == 0 && !wanted()) {
-            throw new IOException("nobody waits for this call any more"); // ends the connection, the last byte on this side
+            throw new IOException(
+                    "nobody waits for this call any more"); // ends the connection, the last byte on this side
         }
         if (body.remaining() > kept) {
             body.limit(body.limit() - kept);
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -54,24 +54,38 @@
     private static final int MOST_CHUNK = 1 << 20;
     private static final int MOST_A_TURN = 64 * 1024; // bytes read from one connection; a window
     private static final Duration HEAD_TIME = Duration.ofMillis(800); // servers write a head in one piece
-    private static final Http1Config CONFIG = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8 * 1024)
-            .setMaxHeaderCount(100).build();
+    private static final Http1Config CONFIG = Http1Config.custom()
+            .setBufferSize(4096)
+            .setMaxLineLength(8 * 1024)
+            .setMaxHeaderCount(100)
+            .build();
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create()
-            .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl()).build();
+            .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl())
+            .build();
 
     private final DefaultConnectingIOReactor reactor;
 
     public ClientReactor() {
-        IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                .setSoTimeout(Timeout.DISABLED).setSelectInterval(TimeValue.ofMilliseconds(250)).build();
-        reactor = new DefaultConnectingIOReactor((session, life) -> handler(session, (Life) life), config,
-                task -> new Thread(task, "to-servers"), null, Problems::report, null, null);
+        IOReactorConfig config = IOReactorConfig.custom()
+                .setIoThreadCount(1)
+                .setTcpNoDelay(true)
+                .setSoTimeout(Timeout.DISABLED)
+                .setSelectInterval(TimeValue.ofMilliseconds(250))
+                .build();
+        reactor = new DefaultConnectingIOReactor(
+                (session, life) -> handler(session, (Life) life),
+                config,
+                task -> new Thread(task, "to-servers"),
+                null,
+                Problems::report,
+                null,
+                null);
         reactor.start();
     }
 
     static Handler handler(ProtocolIOSession session, Life life) {
-        BoundedParser<HttpResponse> parser = new BoundedParser<>(new DefaultHttpResponseParserFactory(CONFIG).create(),
-                false);
+        BoundedParser<HttpResponse> parser =
+                new BoundedParser<>(new DefaultHttpResponseParserFactory(CONFIG).create(), false);
         return new Handler(new Duplexer(session, parser), parser, session, life);
     }
 
@@ -81,13 +95,23 @@
         private SessionOutputBuffer output;
 
         Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser) {
-            super(session, PROCESSOR, CONFIG, BoundedParser.CODING, null, parser,
-                    DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null);
+            super(
+                    session,
+                    PROCESSOR,
+                    CONFIG,
+                    BoundedParser.CODING,
+                    null,
+                    parser,
+                    DefaultHttpRequestWriterFactory.INSTANCE.create(),
+                    null,
+                    null,
+                    null);
         }
 
         @Override
-        protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
-                SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+        protected ContentDecoder createContentDecoder(
+                long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
+                throws HttpException {
             if (length != ContentLengthStrategy.CHUNKED) {
                 return super.createContentDecoder(length, channel, buffer, metrics);
             }
@@ -96,8 +120,9 @@
         }
 
         @Override
-        protected ContentEncoder createContentEncoder(long length, WritableByteChannel channel,
-                SessionOutputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+        protected ContentEncoder createContentEncoder(
+                long length, WritableByteChannel channel, SessionOutputBuffer buffer, BasicHttpTransportMetrics metrics)
+                throws HttpException {
             output = buffer;
             return super.createContentEncoder(length, channel, buffer, metrics);
         }
@@ -126,8 +151,7 @@
         private Timeout usual;
         private boolean down;
 
-        Handler(Duplexer duplexer, BoundedParser<HttpResponse> parser, ProtocolIOSession session,
-                Life life) {
+        Handler(Duplexer duplexer, BoundedParser<HttpResponse> parser, ProtocolIOSession session, Life life) {
             super(duplexer);
             this.duplexer = duplexer;
             this.parser = parser;
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -32,16 +32,16 @@
         final Instant connected;
         private final AtomicInteger open = new AtomicInteger();
         private volatile Instant idleSince;
-        final boolean beyond;            // the limit: its requests are refused
-        volatile boolean heard;          // a byte has come
-        volatile boolean body;           // of a request whose body is not whole yet
-        boolean deaf;                    // to more requests; the reactor's
-        HttpException unreadable;        // what the last head was not read for; the reactor's
+        final boolean beyond; // the limit: its requests are refused
+        volatile boolean heard; // a byte has come
+        volatile boolean body; // of a request whose body is not whole yet
+        boolean deaf; // to more requests; the reactor's
+        HttpException unreadable; // what the last head was not read for; the reactor's
         final Queue<ServerExchange> whole = new ArrayDeque<>(); // requests that no front has seen; the reactor's
-        volatile boolean ending;         // the end of its last answer is on its way; what more comes is not read
-        volatile Instant closeAt;        // that end is out
-        volatile boolean lingers;        // the same, and of its request more may come: our side ends first
-        private volatile boolean going;  // the thread that reads it is to close it
+        volatile boolean ending; // the end of its last answer is on its way; what more comes is not read
+        volatile Instant closeAt; // that end is out
+        volatile boolean lingers; // the same, and of its request more may come: our side ends first
+        private volatile boolean going; // the thread that reads it is to close it
 
         Client(IOSession session, Instant now, boolean beyond, AtomicInteger all) {
             this.all = all;
@@ -91,7 +91,9 @@
 
         /** Idle for so long, or never heard though it has had the time to speak. */
         boolean quiet(Instant now, Duration span) {
-            return heard ? idleSince.plus(span).isBefore(now) : connected.plus(SILENT).isBefore(now);
+            return heard
+                    ? idleSince.plus(span).isBefore(now)
+                    : connected.plus(SILENT).isBefore(now);
         }
 
         int open() {
@@ -179,12 +181,15 @@
      * read, or half of it, as another thread closes its connection.
      */
     private boolean ask(Predicate<Client> which) {
-        return clients.stream().filter(c -> !c.going && c.idle() && which.test(c)).min(Comparator.comparing(c -> c.idleSince))
+        return clients.stream()
+                .filter(c -> !c.going && c.idle() && which.test(c))
+                .min(Comparator.comparing(c -> c.idleSince))
                 .map(c -> {
                     c.going = true;
                     c.wake();
                     return c;
-                }).isPresent();
+                })
+                .isPresent();
     }
 
     void leave(Client client) {
