--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -1,5 +1,8 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.Front;
+import copperbeam.protocol.HttpCall;
+import copperbeam.protocol.HttpReply;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -24,16 +27,14 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
-import copperbeam.protocol.Front;
-import copperbeam.protocol.HttpCall;
-import copperbeam.protocol.HttpReply;
 
 /** Listens on one address and hands each request to a front. */
 public final class HttpFrontServer implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(HttpFrontServer.class.getName());
     private static final Duration REQUEST_TIME = Duration.ofMillis(2400); // from a request's first byte to its last
     private static final Duration SILENCE = Duration.ofMillis(2400); // of a connection that has never said a word
-    private static final Duration QUIET = Duration.ofMillis(50); // for which a client led away may have a request on its way
+    private static final Duration QUIET =
+            Duration.ofMillis(50); // for which a client led away may have a request on its way
     private static final Duration FLUSH_TIME = Duration.ofSeconds(1); // for a last answer to leave
     private static final Duration LINGER = Duration.ofSeconds(1); // for what follows a request that was turned away
     private static final Duration TICK = Duration.ofMillis(200);
@@ -43,8 +44,11 @@
     private static final int READS_A_TURN = 16; // of what is thrown away, while others wait for the reactor
     private static final int MOST_THROWN_AWAY = 4 << 20;
     private static final int MOST_BODY_READS = ServerExchange.MOST_BODY / BUFFER;
-    static final Http1Config CONFIG = Http1Config.custom().setBufferSize(BUFFER).setMaxLineLength(8 * 1024)
-            .setMaxHeaderCount(100).build();
+    static final Http1Config CONFIG = Http1Config.custom()
+            .setBufferSize(BUFFER)
+            .setMaxLineLength(8 * 1024)
+            .setMaxHeaderCount(100)
+            .build();
 
     private final ClientRoom room;
     private final Front front;
@@ -55,7 +59,8 @@
     private volatile boolean draining;
     private volatile boolean leading;
     private volatile boolean sealed;
-    private final AtomicInteger reading = new AtomicInteger(); // reactors at a client's bytes, or about to look whether they may
+    private final AtomicInteger reading =
+            new AtomicInteger(); // reactors at a client's bytes, or about to look whether they may
     private volatile Acceptor acceptor; // null until it listens
 
     /** A reactor, and how many connections are on their way to it: they end with it. */
@@ -75,28 +80,40 @@
     }
 
     private Inlet inlet() {
-        IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                .setSoTimeout(Timeout.of(TICK)).setSelectInterval(TimeValue.of(TICK)).build();
+        IOReactorConfig config = IOReactorConfig.custom()
+                .setIoThreadCount(1)
+                .setTcpNoDelay(true)
+                .setSoTimeout(Timeout.of(TICK))
+                .setSelectInterval(TimeValue.of(TICK))
+                .build();
         AtomicBoolean ended = new AtomicBoolean();
         AtomicInteger handedOn = new AtomicInteger();
-        DefaultListeningIOReactor next = new DefaultListeningIOReactor((session, attachment) -> handler(session, handedOn),
-                config, task -> thread(task, "from-clients", ended), task -> thread(task, "unused", ended), null,
-                Problems::report, null, null);
+        DefaultListeningIOReactor next = new DefaultListeningIOReactor(
+                (session, attachment) -> handler(session, handedOn),
+                config,
+                task -> thread(task, "from-clients", ended),
+                task -> thread(task, "unused", ended),
+                null,
+                Problems::report,
+                null,
+                null);
         next.start();
         return new Inlet(next, handedOn);
     }
 
     /** The first of a reactor's threads to end before its time has another reactor take its place. */
     private Thread thread(Runnable task, String name, AtomicBoolean ended) {
-        return new Thread(() -> {
-            try {
-                task.run();
-            } finally { // an Error ends it too, such as a stack that is used up
-                if (!closing.get() && ended.compareAndSet(false, true)) {
-                    takeOver();
-                }
-            }
-        }, name);
+        return new Thread(
+                () -> {
+                    try {
+                        task.run();
+                    } finally { // an Error ends it too, such as a stack that is used up
+                        if (!closing.get() && ended.compareAndSet(false, true)) {
+                            takeOver();
+                        }
+                    }
+                },
+                name);
     }
 
     /** Guards against a reactor that ends where no descriptor is left for a moment: nobody would be served again. */
@@ -126,7 +143,8 @@
     private boolean takes() {
         Inlet now = inlet;
         int coming = now.handedOn().get();
-        return now.reactor().getStatus() == IOReactorStatus.ACTIVE && coming < MOST_HANDED_ON
+        return now.reactor().getStatus() == IOReactorStatus.ACTIVE
+                && coming < MOST_HANDED_ON
                 && room.takes(coming, clock.instant());
     }
 
@@ -142,12 +160,16 @@
         ClientRoom.Client client = room.enter(session, clock.instant());
         handedOn.decrementAndGet(); // after it is in the room: a stop must never see it in neither
         RequestParser parser = new RequestParser(CONFIG);
-        return new Handler(new RequestDuplexer(session, parser, client, (request, context) -> exchange(client)), parser, session,
+        return new Handler(
+                new RequestDuplexer(session, parser, client, (request, context) -> exchange(client)),
+                parser,
+                session,
                 client);
     }
 
     private ServerExchange exchange(ClientRoom.Client client) {
-        return new ServerExchange(client, room, client.beyond || room.full() ? this::refuse : front, clock, () -> draining, turnedAway);
+        return new ServerExchange(
+                client, room, client.beyond || room.full() ? this::refuse : front, clock, () -> draining, turnedAway);
     }
 
     /** One connection's events, on the reactor's thread. */
@@ -156,14 +178,13 @@
         private final ProtocolIOSession session;
         private final ClientRoom.Client client;
         private final RequestDuplexer duplexer;
-        private boolean listening;   // for the client's close only
-        private boolean lingering;   // our side has ended, and what belongs to a request turned away is thrown away
+        private boolean listening; // for the client's close only
+        private boolean lingering; // our side has ended, and what belongs to a request turned away is thrown away
         private int thrownAway;
         private int passedOver;
-        private Instant began;       // the request that is not whole yet
+        private Instant began; // the request that is not whole yet
 
-        Handler(RequestDuplexer duplexer, RequestParser parser, ProtocolIOSession session,
-                ClientRoom.Client client) {
+        Handler(RequestDuplexer duplexer, RequestParser parser, ProtocolIOSession session, ClientRoom.Client client) {
             super(duplexer);
             this.duplexer = duplexer;
             this.parser = parser;
@@ -240,8 +261,13 @@
          */
         private void readOn(IOSession open) throws IOException {
             long before = -1;
-            for (int read = 0; read < MOST_BODY_READS && !client.whole.isEmpty() && open.isOpen() && reads(open)
-                    && (before != received() || !duplexer.isOpen()); read++) {
+            for (int read = 0;
+                    read < MOST_BODY_READS
+                            && !client.whole.isEmpty()
+                            && open.isOpen()
+                            && reads(open)
+                            && (before != received() || !duplexer.isOpen());
+                    read++) {
                 before = received();
                 read(open, null);
             }
@@ -340,9 +366,12 @@
             if (client.lingers && flushed && !lingering) {
                 linger();
             }
-            boolean longer = lingering && !draining && !room.crowded(); // else its place is wanted, or the process's end
+            boolean longer =
+                    lingering && !draining && !room.crowded(); // else its place is wanted, or the process's end
             boolean answered = client.closeAt != null
-                    && client.closeAt.plus(longer ? LINGER : flushed ? Duration.ZERO : FLUSH_TIME).isBefore(now);
+                    && client.closeAt
+                            .plus(longer ? LINGER : flushed ? Duration.ZERO : FLUSH_TIME)
+                            .isBefore(now);
             boolean between = !client.busy() && flushed && !parser.partial();
             boolean led = between && (client.going() || leading && client.quiet(now, QUIET));
             if (!between && flushed) {
@@ -368,9 +397,12 @@
         }
         int status = HttpCall.resumes(call.header("x-retried")) ? 500 : 503;
         turnedAway.told(call.header("x-priority-class"), status);
-        reply.whole(status, "text/plain", Map.of("Retry-After", "1", "Connection", "close"),
+        reply.whole(
+                status,
+                "text/plain",
+                Map.of("Retry-After", "1", "Connection", "close"),
                 "too many connections or requests\n".getBytes(StandardCharsets.US_ASCII));
-        return () -> { };
+        return () -> {};
     }
 
     /** {@code shared}: beside another process. Returns the address it has got, of use where port 0 was asked for. */
--- a/src/main/java/copperbeam/transport/PlainHttpClient.java
+++ b/src/main/java/copperbeam/transport/PlainHttpClient.java
@@ -1,5 +1,6 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.HttpClient;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -12,7 +13,6 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
-import copperbeam.protocol.HttpClient;
 
 /** Calls to services beside the servers; keeps one idle connection to each. */
 public final class PlainHttpClient implements HttpClient {
@@ -52,8 +52,8 @@
     }
 
     @Override
-    public Runnable send(InetSocketAddress to, String method, String target, byte[] body, Patience patience,
-            Response response) {
+    public Runnable send(
+            InetSocketAddress to, String method, String target, byte[] body, Patience patience, Response response) {
         Call call = new Call(to, patience, response);
         IOSession idle = kept.remove(to);
         if (idle != null && idle.isOpen()) {
--- a/src/main/java/copperbeam/transport/RequestDuplexer.java
+++ b/src/main/java/copperbeam/transport/RequestDuplexer.java
@@ -22,17 +22,33 @@
     private final RequestParser parser;
     private final ClientRoom.Client client;
 
-    RequestDuplexer(ProtocolIOSession session, RequestParser parser, ClientRoom.Client client,
+    RequestDuplexer(
+            ProtocolIOSession session,
+            RequestParser parser,
+            ClientRoom.Client client,
             HandlerFactory<AsyncServerExchangeHandler> exchanges) {
-        super(session, PROCESSOR, exchanges, "http", HttpFrontServer.CONFIG, BoundedParser.CODING, null, parser,
-                DefaultHttpResponseWriterFactory.INSTANCE.create(), null, null, null, null);
+        super(
+                session,
+                PROCESSOR,
+                exchanges,
+                "http",
+                HttpFrontServer.CONFIG,
+                BoundedParser.CODING,
+                null,
+                parser,
+                DefaultHttpResponseWriterFactory.INSTANCE.create(),
+                null,
+                null,
+                null,
+                null);
         this.parser = parser;
         this.client = client;
     }
 
     @Override
-    protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
-            SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+    protected ContentDecoder createContentDecoder(
+            long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
+            throws HttpException {
         client.unreadable = parser.unreadable();
         client.deaf |= client.unreadable != null || client.open() >= ServerExchange.MOST_PIPELINED;
         if (client.deaf) {
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -1,5 +1,11 @@
 package copperbeam.transport;
 
+import copperbeam.Api.Report;
+import copperbeam.protocol.EventSplitter;
+import copperbeam.protocol.HttpCall;
+import copperbeam.protocol.platform.PlatformHeaders;
+import copperbeam.protocol.platform.PlatformWords;
+import copperbeam.routing.Connector;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -14,17 +20,12 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
-import copperbeam.Api.Report;
-import copperbeam.protocol.EventSplitter;
-import copperbeam.protocol.HttpCall;
-import copperbeam.protocol.platform.PlatformHeaders;
-import copperbeam.protocol.platform.PlatformWords;
-import copperbeam.routing.Connector;
 
 /** The platform's protocol towards servers. */
 public final class ServerConnector implements Connector {
-    private static final String[] PASSED = {"X-Route-Key", "X-Attrs",
-        "X-Retried", "Idempotency-Key", "Content-Type", "Accept"};
+    private static final String[] PASSED = {
+        "X-Route-Key", "X-Attrs", "X-Retried", "Idempotency-Key", "Content-Type", "Accept"
+    };
 
     private final ClientReactor reactor;
 
@@ -171,7 +172,8 @@
 
         @Override
         void head(HttpResponse response) throws HttpException {
-            word = PlatformWords.attempt(call.reads(), response.getCode(), "1".equals(value(response, "X-Not-Processed")));
+            word = PlatformWords.attempt(
+                    call.reads(), response.getCode(), "1".equals(value(response, "X-Not-Processed")));
             stream = word == Word.STREAM;
             if (stream && !response.containsHeader("Transfer-Encoding") && !response.containsHeader("Content-Length")) {
                 throw new ProtocolException("a stream whose end can't be told from a break");
@@ -241,8 +243,8 @@
         @Override
         void whole(boolean reusable) {
             if (probe && word == Word.HEARD) {
-                Report told = PlatformHeaders.report(gathered()
-                        .replaceFirst("(?i)^\\s*X-Server-Load:", "").strip());
+                Report told = PlatformHeaders.report(
+                        gathered().replaceFirst("(?i)^\\s*X-Server-Load:", "").strip());
                 report = told == null ? report : told;
             }
             listener.word(word, report);
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -1,5 +1,8 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.Front;
+import copperbeam.protocol.HttpCall;
+import copperbeam.protocol.HttpReply;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -30,9 +33,6 @@
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
-import copperbeam.protocol.Front;
-import copperbeam.protocol.HttpCall;
-import copperbeam.protocol.HttpReply;
 
 /** One client's request and the answer to it. */
 final class ServerExchange implements AsyncServerExchangeHandler, HttpReply {
@@ -49,7 +49,11 @@
 
     private record Piece(ByteBuffer bytes, Runnable drained) {}
 
-    private enum Last { NONE, WHOLE, CUT }
+    private enum Last {
+        NONE,
+        WHOLE,
+        CUT
+    }
 
     private final ClientRoom.Client client;
     private final ClientRoom room;
@@ -72,11 +76,16 @@
     private HttpContext context;
     private Instant arrived;
     private boolean answered;
-    private boolean unread;          // the rest of the request stays on the connection
-    private int held;                // bytes of the body, counted in the room until all is over
+    private boolean unread; // the rest of the request stays on the connection
+    private int held; // bytes of the body, counted in the room until all is over
     private boolean cutSeen;
 
-    ServerExchange(ClientRoom.Client client, ClientRoom room, Front front, Clock clock, BooleanSupplier draining,
+    ServerExchange(
+            ClientRoom.Client client,
+            ClientRoom room,
+            Front front,
+            Clock clock,
+            BooleanSupplier draining,
             HttpFrontServer.TurnedAway turnedAway) {
         this.turnedAway = turnedAway;
         this.client = client;
@@ -100,7 +109,8 @@
         if (client.unreadable != null) {
             turnAway(ServerSupport.toStatusCode(client.unreadable), ServerSupport.toErrorMessage(client.unreadable));
         } else if (client.deaf) {
-            // nothing behind it is read as a request: by the hundred they would hide their client's close, and take memory
+            // nothing behind it is read as a request: by the hundred they would hide their client's close, and take
+            // memory
             turnAway(busyStatus(), "too many requests on one connection");
         } else if (entity == null) {
             client.whole.add(this);
@@ -163,8 +173,13 @@
         client.session.clearEvent(SelectionKey.OP_READ);
         Header requestClass = request.getFirstHeader("X-Priority-Class");
         turnedAway.told(requestClass == null ? null : requestClass.getValue(), status);
-        whole(status, "text/plain", status >= 500 && client.unreadable == null ? Map.of("Connection", "close", "Retry-After", "1")
-                : Map.of("Connection", "close"), (why + "\n").getBytes(StandardCharsets.US_ASCII));
+        whole(
+                status,
+                "text/plain",
+                status >= 500 && client.unreadable == null
+                        ? Map.of("Connection", "close", "Retry-After", "1")
+                        : Map.of("Connection", "close"),
+                (why + "\n").getBytes(StandardCharsets.US_ASCII));
     }
 
     /** By the connection's handler, once all at hand was read; a client that has gone by then is not heard. */
@@ -178,8 +193,9 @@
             // as one list, so that two ids or spans are none, and not the first of them
             headers.merge(header.getName().toLowerCase(Locale.ROOT), header.getValue(), (a, b) -> a + ", " + b);
         }
-        toldGone = front.accept(new HttpCall(request.getMethod(), request.getPath(), Map.copyOf(headers),
-                body.toByteArray(), arrived), this);
+        toldGone = front.accept(
+                new HttpCall(request.getMethod(), request.getPath(), Map.copyOf(headers), body.toByteArray(), arrived),
+                this);
         if (over.get()) {
             toldGone.run();
         }
@@ -293,7 +309,8 @@
             piece = pieces.peek();
         }
         if (state == Last.WHOLE && over.compareAndSet(false, true)) {
-            // first the end goes to HttpCore: this may be the actors' thread, and the reactor's would see a connection with
+            // first the end goes to HttpCore: this may be the actors' thread, and the reactor's would see a connection
+            // with
             // nothing left to write and close it, or a stop see nothing open
             client.ending = closing || client.ending;
             channel.endStream(null);
--- a/src/test/java/copperbeam/Bench.java
+++ b/src/test/java/copperbeam/Bench.java
@@ -1,8 +1,8 @@
 package copperbeam;
 
+import copperbeam.Api.*;
 import java.util.ArrayList;
 import java.util.List;
-import copperbeam.Api.*;
 
 /** Settings and short ways of writing events for the tests. */
 final class Bench {
@@ -29,12 +29,24 @@
         return settings(limits, reports, writersRead, List.of(), classes);
     }
 
-    static Settings settings(Limits limits, Reports reports, boolean writersRead, List<Customer> customers,
-            RequestClass... classes) {
-        return new Settings(2, -1, List.of(classes), customers,
-                List.of(new Kind("r", Role.READER, 1e5), new Kind("w", Role.WRITER, 1e5),
+    static Settings settings(
+            Limits limits, Reports reports, boolean writersRead, List<Customer> customers, RequestClass... classes) {
+        return new Settings(
+                2,
+                -1,
+                List.of(classes),
+                customers,
+                List.of(
+                        new Kind("r", Role.READER, 1e5),
+                        new Kind("w", Role.WRITER, 1e5),
                         new Kind("m", Role.MIXED, 1e5)),
-                limits, RULES, reports, false, 0.003, writersRead, true);
+                limits,
+                RULES,
+                reports,
+                false,
+                0.003,
+                writersRead,
+                true);
     }
 
     static Settings usual(RequestClass... classes) {
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -3,6 +3,7 @@
 import static copperbeam.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
 
+import copperbeam.Api.*;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -11,7 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import copperbeam.Api.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -26,11 +26,21 @@
         Bench b = new Bench(usual(ONCE, TOP), 7);
         b.at(100, fleet());
         for (double left : new double[] {-1, 0, 0.05}) {
-            assertEquals(List.of(Refuse.class), b.at(100, new Arrival(1, "once", null, "s", null, 9, 0, 9, 100 + left))
-                    .stream().filter(a -> !(a instanceof Timer)).map(Object::getClass).toList());
+            assertEquals(
+                    List.of(Refuse.class),
+                    b.at(100, new Arrival(1, "once", null, "s", null, 9, 0, 9, 100 + left)).stream()
+                            .filter(a -> !(a instanceof Timer))
+                            .map(Object::getClass)
+                            .toList());
         }
-        assertEquals(1, of(Fail.class, b.at(100, new Arrival(2, "once", null, "s", null, 9, 0, 9, 100, true))).size());
-        assertEquals(1, of(Attempt.class, b.at(100, new Arrival(3, "once", null, "s", null, 9, 0, 9, 100.2))).size());
+        assertEquals(
+                1,
+                of(Fail.class, b.at(100, new Arrival(2, "once", null, "s", null, 9, 0, 9, 100, true)))
+                        .size());
+        assertEquals(
+                1,
+                of(Attempt.class, b.at(100, new Arrival(3, "once", null, "s", null, 9, 0, 9, 100.2)))
+                        .size());
     }
 
     // ---- the mechanism -------------------------------------------------------------------------
@@ -53,7 +63,10 @@
         for (int i = 0; i < 2000; i++) {
             List<Action> actions = b.arrive(100, i, LOW, 1);
             refused += of(Refuse.class, actions).size();
-            assertEquals(1, of(Refuse.class, actions).size() + of(Attempt.class, actions).size());
+            assertEquals(
+                    1,
+                    of(Refuse.class, actions).size()
+                            + of(Attempt.class, actions).size());
         }
         assertEquals(0.293 * 2000, refused, 90);
     }
@@ -95,8 +108,10 @@
         int first = refused.indexOf(true);
         assertTrue(first >= 0 && first <= 4, refused.toString());
         assertFalse(refused.subList(first, 9).contains(false), "the rest is over the share");
-        assertFalse(of(Attempt.class, b.at(101.2, new Arrival(99, "top", "c", "s", null, 100, 0, 10, 108)))
-                .isEmpty(), "its part comes back with time");
+        assertFalse(
+                of(Attempt.class, b.at(101.2, new Arrival(99, "top", "c", "s", null, 100, 0, 10, 108)))
+                        .isEmpty(),
+                "its part comes back with time");
     }
 
     @Test
@@ -119,7 +134,8 @@
         for (int i = 0; i < 60; i++) {
             String home = sent(sameBeginning(b, 100 + i * 60, i)).server();
             homes.add(home);
-            String writer = sent(b.end(100.1 + i * 60, i, 0, home, Outcome.READ)).server();
+            String writer =
+                    sent(b.end(100.1 + i * 60, i, 0, home, Outcome.READ)).server();
             writers.add(writer);
             b.start(100.2 + i * 60, i, 1, writer);
         }
@@ -170,8 +186,8 @@
         for (int i = 0; i < 200; i++) {
             double at = 100 + i * 60;
             String home = sent(sameBeginning(b, at, i)).server();
-            String writer = sent(b.at(at + 0.1,
-                    new AttemptEnded(i, 0, home, Outcome.READ, 0.1, false, false, null, 0))).server();
+            String writer = sent(b.at(at + 0.1, new AttemptEnded(i, 0, home, Outcome.READ, 0.1, false, false, null, 0)))
+                    .server();
             b.start(at + 0.2, i, 1, writer);
             b.end(at + 0.3, i, 1, writer, Outcome.OK);
         }
@@ -227,8 +243,14 @@
     @Test
     void aCellsWritersGetTheirShareOnly() {
         Bench b = new Bench(usual(LOW, TOP), 5);
-        b.at(100, full(server("r1", "r", 0), server("w1", "w", 0), server("w2", "w", 1), server("w3", "w", 1),
-                server("w4", "w", 1)));
+        b.at(
+                100,
+                full(
+                        server("r1", "r", 0),
+                        server("w1", "w", 0),
+                        server("w2", "w", 1),
+                        server("w3", "w", 1),
+                        server("w4", "w", 1)));
         int near = 0;
         for (int i = 0; i < 10; i++) {
             near += writtenAt("w1", b, 100 + i, i * 100);
@@ -287,7 +309,10 @@
     }
 
     private static double silenceCheck(List<Action> actions) {
-        return of(Timer.class, actions).stream().filter(t -> t.tag().startsWith("s")).findFirst().orElseThrow()
+        return of(Timer.class, actions).stream()
+                .filter(t -> t.tag().startsWith("s"))
+                .findFirst()
+                .orElseThrow()
                 .afterS();
     }
 
@@ -297,7 +322,10 @@
         Bench b = new Bench(usual(LOW, TOP), 5);
         b.at(100, full(server("r1", "r", 0), server("w1", "w", 0)));
         List<Action> first = b.arrive(100, 1, TOP, 1000);
-        Timer check = of(Timer.class, first).stream().filter(t -> t.tag().startsWith("s")).findFirst().orElseThrow();
+        Timer check = of(Timer.class, first).stream()
+                .filter(t -> t.tag().startsWith("s"))
+                .findFirst()
+                .orElseThrow();
         double patience = check.afterS();
         b.arrive(100 + 0.1 * patience, 2, TOP, 1000);
         b.end(100 + 0.6 * patience, 2, 0, "r1", Outcome.READ);
@@ -328,7 +356,9 @@
             b.at(100.2, new Probed(first, Outcome.OK, 0.01, report(waiting[0], 0.5)));
             b.at(100.2, new Probed(next, Outcome.OK, 0.01, report(waiting[1], 0.5)));
             String lighter = waiting[0] > waiting[1] ? next : first;
-            assertEquals(lighter, sent(sameBeginning(b, 100.3, 30 + (int) waiting[1])).server());
+            assertEquals(
+                    lighter,
+                    sent(sameBeginning(b, 100.3, 30 + (int) waiting[1])).server());
         }
     }
 
@@ -367,14 +397,17 @@
         b.at(100, fleet());
         for (int i = 0; i < 40; i++) {
             String home = sent(b.arrive(100 + i * 0.1, 1000 + i, TOP, 1000)).server();
-            String writer = sent(b.end(100.01 + i * 0.1, 1000 + i, 0, home, Outcome.READ)).server();
+            String writer = sent(b.end(100.01 + i * 0.1, 1000 + i, 0, home, Outcome.READ))
+                    .server();
             b.start(100.02 + i * 0.1, 1000 + i, 1, writer);
             b.end(100.03 + i * 0.1, 1000 + i, 1, writer, Outcome.OK);
         }
         b.at(105, new TimerFired("probes"));
         b.at(105.3, new TimerFired("probes"));
         List<Action> asked = b.arrive(106, 1, TOP, 1000);
-        assertEquals(Set.of("r1", "r2"), new HashSet<>(of(Probe.class, asked).stream().map(Probe::server).toList()));
+        assertEquals(
+                Set.of("r1", "r2"),
+                new HashSet<>(of(Probe.class, asked).stream().map(Probe::server).toList()));
         b.at(106.005, new Probed("r1", Outcome.OK, 0.004, report(0, 0.1)));
         assertEquals("r1", sent(b.at(106.016, new TimerFired("h1.0"))).server(), "who does not answer comes last");
     }
@@ -446,8 +479,10 @@
         b.at(100, fleet());
         b.load(100, 1000, 5);
         assertEquals(1, of(Refuse.class, b.arrive(100, 1, ONCE, 1000)).size(), "a new one is");
-        assertEquals(1, of(Attempt.class, b.at(100, new Arrival(2, ONCE.name(), null, "s", "p", 1000, 500, 100, 108,
-                true))).size());
+        assertEquals(
+                1,
+                of(Attempt.class, b.at(100, new Arrival(2, ONCE.name(), null, "s", "p", 1000, 500, 100, 108, true)))
+                        .size());
         assertEquals(List.of(new Fail(2, Why.NO_TIME)), of(Fail.class, b.at(107.95, new TimerFired("d2.0"))));
         assertTrue(of(Refuse.class, b.all).size() == 1);
     }
@@ -460,7 +495,8 @@
         String writer = sent(b.end(100.1, 1, 0, reader, Outcome.READ)).server();
         List<Action> actions = b.end(100.2, 1, 1, writer, Outcome.ERROR);
         assertEquals(List.of(new Fail(1, Why.RAN)), of(Fail.class, actions));
-        assertTrue(of(Attempt.class, actions).isEmpty() && of(Refuse.class, actions).isEmpty());
+        assertTrue(of(Attempt.class, actions).isEmpty()
+                && of(Refuse.class, actions).isEmpty());
         assertEquals(List.of(new Release(1)), of(Release.class, actions));
     }
 
@@ -471,17 +507,20 @@
         Bench b = new Bench(usual(TOP, new RequestClass("keyed", 3, 0, 3, Effect.KEYED, group, 0.5)), 5);
         b.at(100, fleet());
         b.at(100, new Arrival(1, "keyed", null, "s", "p", 1000, 500, 100, 108));
-        String writer = sent(b.end(100.1, 1, 0, of(Attempt.class, b.all).get(0).server(), Outcome.READ)).server();
+        String writer = sent(b.end(100.1, 1, 0, of(Attempt.class, b.all).get(0).server(), Outcome.READ))
+                .server();
         assertEquals(List.of(new Fail(1, Why.RAN)), of(Fail.class, b.end(100.6, 1, 1, writer, Outcome.ERROR)));
         // one that waits for a server of its group, and one that is out as the deadline comes
         b.at(101, new Arrival(2, "keyed", null, "s", "p", 1000, 500, 100, 109));
-        writer = sent(b.end(101.1, 2, 0, of(Attempt.class, b.all).get(2).server(), Outcome.READ)).server();
+        writer = sent(b.end(101.1, 2, 0, of(Attempt.class, b.all).get(2).server(), Outcome.READ))
+                .server();
         b.at(101.15, full());
         b.end(101.2, 2, 1, writer, Outcome.RESET);
         b.at(101.5, new TimerFired("h2.0"));
         assertEquals(List.of(new Fail(2, Why.RAN)), of(Fail.class, b.at(101.6, new TimerFired("h2.0"))));
         b.at(102, fleet());
-        String reader = sent(b.at(102, new Arrival(3, "keyed", null, "s", "p", 1000, 500, 100, 104))).server();
+        String reader = sent(b.at(102, new Arrival(3, "keyed", null, "s", "p", 1000, 500, 100, 104)))
+                .server();
         sent(b.end(102.1, 3, 0, reader, Outcome.READ));
         assertTrue(of(Cancel.class, b.at(103.9, new TimerFired("s3.1"))).isEmpty(), "nothing could take its place");
         assertEquals(List.of(new Fail(3, Why.NO_TIME)), of(Fail.class, b.at(103.95, new TimerFired("d3.0"))));
@@ -567,7 +606,10 @@
         Bench b = new Bench(usual(LOW, TOP), 5);
         b.at(100, fleet());
         List<Action> first = b.arrive(100, 1, TOP, 1000);
-        Timer check = of(Timer.class, first).stream().filter(t -> t.tag().startsWith("s")).findFirst().orElseThrow();
+        Timer check = of(Timer.class, first).stream()
+                .filter(t -> t.tag().startsWith("s"))
+                .findFirst()
+                .orElseThrow();
         List<Action> silent = b.at(100 + check.afterS(), new TimerFired(check.tag()));
         assertEquals(List.of(new Cancel(1, 0, Why.SILENT)), of(Cancel.class, silent));
         assertTrue(of(Attempt.class, silent).isEmpty());
@@ -583,7 +625,8 @@
         b.arrive(100, 1, TOP, 1000);
         b.end(100.1, 1, 0, "r1", Outcome.READ);
         b.start(100.2, 1, 1, "w1");
-        assertTrue(of(Transfer.class, b.at(101, new Probed("w1", Outcome.TIMED_OUT, 0.25, null))).isEmpty());
+        assertTrue(of(Transfer.class, b.at(101, new Probed("w1", Outcome.TIMED_OUT, 0.25, null)))
+                .isEmpty());
         List<Action> second = b.at(102, new Probed("w1", Outcome.TIMED_OUT, 0.25, null));
         assertEquals(List.of(new Transfer(1)), of(Transfer.class, second));
     }
@@ -630,9 +673,15 @@
         b.at(100, full());
         List<Action> actions = b.arrive(100, 1, TOP, 1000);
         assertTrue(of(Attempt.class, actions).isEmpty());
-        Timer last = of(Timer.class, actions).stream().filter(t -> t.tag().startsWith("d")).findFirst().orElseThrow();
+        Timer last = of(Timer.class, actions).stream()
+                .filter(t -> t.tag().startsWith("d"))
+                .findFirst()
+                .orElseThrow();
         assertTrue(last.afterS() < 8);
-        assertEquals(1, of(Refuse.class, b.at(100 + last.afterS(), new TimerFired(last.tag()))).size());
+        assertEquals(
+                1,
+                of(Refuse.class, b.at(100 + last.afterS(), new TimerFired(last.tag())))
+                        .size());
     }
 
     @Test
@@ -670,11 +719,23 @@
     @Test
     void aListThatMustBeAskedIsFollowedAndAskedAgainAfterAFailure() {
         Settings s = usual(TOP);
-        Settings asked = new Settings(s.nodes(), s.index(), s.classes(), s.customers(), s.kinds(), s.limits(), s.rules(),
-                s.reports(), true, 0, false, false);
+        Settings asked = new Settings(
+                s.nodes(),
+                s.index(),
+                s.classes(),
+                s.customers(),
+                s.kinds(),
+                s.limits(),
+                s.rules(),
+                s.reports(),
+                true,
+                0,
+                false,
+                false);
         Bench b = new Bench(asked, 5);
         assertTrue(b.at(100, new Members(ListKind.CACHED, List.of())).contains(new FollowList()));
-        Timer again = of(Timer.class, b.at(101, new Members(ListKind.FAILED, List.of()))).get(0);
+        Timer again = of(Timer.class, b.at(101, new Members(ListKind.FAILED, List.of())))
+                .get(0);
         assertEquals(List.of(new FollowList()), b.at(102, new TimerFired(again.tag())));
     }
 
@@ -704,7 +765,8 @@
                 b.at(at, new ClientLeft(i));
                 b.end(at + 0.01, i, 0, reader, Outcome.CANCELLED);
             } else {
-                String writer = sent(b.end(at + 0.01, i, 0, reader, Outcome.READ)).server();
+                String writer =
+                        sent(b.end(at + 0.01, i, 0, reader, Outcome.READ)).server();
                 b.start(at + 0.02, i, 1, writer);
                 b.end(at + 0.03, i, 1, writer, i % 4 == 1 ? Outcome.RESET : Outcome.OK);
                 b.at(at + 0.03, new ClientLeft(i));
--- a/src/test/java/copperbeam/ColdBudgetTest.java
+++ b/src/test/java/copperbeam/ColdBudgetTest.java
@@ -2,12 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import copperbeam.State.Permits;
+import copperbeam.State.Rate;
 import java.util.ArrayDeque;
 import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import copperbeam.State.Permits;
-import copperbeam.State.Rate;
 
 /** What all processes together send to one cold server. {@code -Dcold.seeds=1000} prints the table of docs/fleet.md. */
 class ColdBudgetTest {
@@ -43,7 +43,8 @@
         double[] turn = new double[nodes];
         for (int i = 0; i < nodes; i++) {
             own[i] = new Process(i, nodes, "s" + seed, 0);
-            turn[i] = day.equals("upgrade") ? 101 + 6 * random.nextDouble()
+            turn[i] = day.equals("upgrade")
+                    ? 101 + 6 * random.nextDouble()
                     : day.equals("restart") && random.nextDouble() < 0.7 ? 104 : 1e9;
         }
         ArrayDeque<double[]> sends = new ArrayDeque<>();
@@ -51,7 +52,8 @@
         double sum = 0;
         double launched = 100;
         for (double t = 75; t < 113; t -= Math.log(1 - random.nextDouble()) / capacity / PEERS) {
-            int node = random.nextInt(nodes + 4) < nodes / 2 + 4 ? random.nextInt(nodes) / 5 * 5 : random.nextInt(nodes);
+            int node =
+                    random.nextInt(nodes + 4) < nodes / 2 + 4 ? random.nextInt(nodes) / 5 * 5 : random.nextInt(nodes);
             if (t > turn[node]) {
                 leaving[node] = day.equals("upgrade") ? own[node] : null;
                 own[node] = new Process(node, nodes, "s" + seed, t);
@@ -60,7 +62,8 @@
             boolean old = leaving[node] != null && random.nextInt(3) == 0;
             Process p = old ? leaving[node] : own[node];
             p.part = old ? 0.2 : leaving[node] != null ? 0.8 : 1;
-            double weight = day.equals("heavy") ? random.nextInt(12) == 0 ? 6.5 : 0.5 : random.nextInt(5) < 3 ? 0.72 : 1.42;
+            double weight =
+                    day.equals("heavy") ? random.nextInt(12) == 0 ? 6.5 : 0.5 : random.nextInt(5) < 3 ? 0.72 : 1.42;
             if (day.equals("again") && t > 106 && launched < 106) {
                 launched = 106;
                 sends.clear();
@@ -72,7 +75,7 @@
             boolean wants = day.equals("even") ? random.nextInt(PEERS) == 0 : !day.equals("rush") || t > 104;
             if (t >= 100 && p.budget.room(p.permits, p.demand, p.part / PEERS, weight, t) && wants) {
                 p.permits.used += weight;
-                sends.add(new double[]{t, weight});
+                sends.add(new double[] {t, weight});
                 sum += weight;
                 result[2] += weight / allowed(13, capacity);
                 while (sends.peek()[0] <= t - 2) {
@@ -94,15 +97,16 @@
     @ParameterizedTest
     @CsvSource({"2", "14", "20", "30", "100"})
     void noWindowPassesTheBudget(int nodes) {
-        for (String day : new String[]{"storm", "restart", "upgrade", "even", "rush", "heavy", "again"}) {
-            for (double capacity : new double[]{5, 20}) {
+        for (String day : new String[] {"storm", "restart", "upgrade", "even", "rush", "heavy", "again"}) {
+            for (double capacity : new double[] {5, 20}) {
                 double[] worst = new double[3];
                 for (int seed = 0; seed < SEEDS; seed++) {
                     double[] r = play(day, nodes, capacity, seed);
-                    worst = new double[]{Math.max(worst[0], r[0]), Math.max(worst[1], r[1]), worst[2] + r[2] / SEEDS};
+                    worst = new double[] {Math.max(worst[0], r[0]), Math.max(worst[1], r[1]), worst[2] + r[2] / SEEDS};
                 }
                 if (SEEDS >= 1000) {
-                    System.out.printf("%d %.0f %s %.2f %.2f %.2f%n", nodes, capacity, day, worst[0], worst[1], worst[2]);
+                    System.out.printf(
+                            "%d %.0f %s %.2f %.2f %.2f%n", nodes, capacity, day, worst[0], worst[1], worst[2]);
                 }
                 assertTrue(worst[1] <= 1, nodes + " " + day + ": " + worst[1] + " of N + 2 sqrt(N) + 2");
                 // where N is 34 and more, chance stays within what SHARE leaves, and no more than a third lapses unmet
--- a/src/test/java/copperbeam/EmbeddingTest.java
+++ b/src/test/java/copperbeam/EmbeddingTest.java
@@ -2,9 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import copperbeam.Api.*;
 import java.util.ArrayList;
 import java.util.List;
-import copperbeam.Api.*;
 import org.junit.jupiter.api.Test;
 
 /** The README's node. */
@@ -26,9 +26,13 @@
         Transport transport = new Transport();
         Settings settings = Bench.usual(Bench.LOW, Bench.TOP);
         Brain brain = new Brain(settings, 42);
-        brain.on(1, new Members(ListKind.FULL, List.of(
-                new Member("reader:1", "hall", "r", 0, ServerState.READY, 1, 0),
-                new Member("writer:1", "hall", "w", 0, ServerState.READY, 1, 0))));
+        brain.on(
+                1,
+                new Members(
+                        ListKind.FULL,
+                        List.of(
+                                new Member("reader:1", "hall", "r", 0, ServerState.READY, 1, 0),
+                                new Member("writer:1", "hall", "w", 0, ServerState.READY, 1, 0))));
         List<Action> actions = brain.on(2, new Arrival(7, "top", null, "s", "p", 1800, 1200, 256, 10));
         for (Action action : actions) {
             if (action instanceof Attempt a) {
--- a/src/test/java/copperbeam/ModuleDay.java
+++ b/src/test/java/copperbeam/ModuleDay.java
@@ -1,5 +1,6 @@
 package copperbeam;
 
+import copperbeam.Api.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -8,7 +9,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import copperbeam.Api.*;
 
 /**
  * Some modules before servers in virtual time, each under {@link RulesTest.Checker}: readers read one prompt after
@@ -22,7 +22,7 @@
         final RulesTest.Checker checker;
         final Map<Long, List<Due>> out = new HashMap<>();
         final Map<Long, Integer> attempts = new HashMap<>();
-        int turned;                  // requests refused or failed one after another, with no attempt in between
+        int turned; // requests refused or failed one after another, with no attempt in between
         int mostTurned;
         double firstAttempt = Double.MAX_VALUE;
 
@@ -38,7 +38,7 @@
         double freeAt;
         double hungFrom = Double.MAX_VALUE;
         double hungUntil;
-        Outcome fault;               // of each attempt, or null
+        Outcome fault; // of each attempt, or null
         double faultChance = 1;
 
         boolean hung(double at) {
@@ -65,8 +65,8 @@
     final List<Node> nodes = new ArrayList<>();
     final Map<String, Machine> machines = new TreeMap<>();
     final Map<Long, Fate> fates = new TreeMap<>();
-    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.time != b.time
-            ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(
+            (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
     private long order;
     private double now;
 
@@ -99,9 +99,17 @@
         return due;
     }
 
-    Fate ask(double at, Node n, RequestClass c, String session, String prefix, double tokens, double prefixTokens,
+    Fate ask(
+            double at,
+            Node n,
+            RequestClass c,
+            String session,
+            String prefix,
+            double tokens,
+            double prefixTokens,
             double within) {
-        Arrival a = new Arrival(fates.size() + 1, c.name(), null, session, prefix, tokens, prefixTokens, 100, at + within);
+        Arrival a =
+                new Arrival(fates.size() + 1, c.name(), null, session, prefix, tokens, prefixTokens, 100, at + within);
         Fate f = new Fate(a, at);
         fates.put(a.request(), f);
         tell(at, n, a);
@@ -166,8 +174,14 @@
     private void probe(Node n, Machine m) {
         boolean hung = m.hung(now);
         boolean told = settings.reports() != Reports.NEVER;
-        tell(now + (hung ? 0.25 : 0.004), n, new Probed(m.entry.server(), hung ? Outcome.TIMED_OUT : Outcome.OK, 0.004,
-                hung || !told ? null : report(m)));
+        tell(
+                now + (hung ? 0.25 : 0.004),
+                n,
+                new Probed(
+                        m.entry.server(),
+                        hung ? Outcome.TIMED_OUT : Outcome.OK,
+                        0.004,
+                        hung || !told ? null : report(m)));
     }
 
     private Report report(Machine m) {
@@ -176,13 +190,20 @@
 
     private void end(Node n, double at, long request, int number, String server, Outcome o, boolean over) {
         Report report = settings.reports() == Reports.WITH_OUTCOMES ? report(machines.get(server)) : null;
-        n.out.computeIfAbsent(request, r -> new ArrayList<>()).add(tell(at, n,
-                new AttemptEnded(request, number, server, o, at - now, over, false, report, Double.NaN)));
+        n.out.computeIfAbsent(request, r -> new ArrayList<>())
+                .add(tell(
+                        at,
+                        n,
+                        new AttemptEnded(request, number, server, o, at - now, over, false, report, Double.NaN)));
     }
 
     private void attempt(Node n, Attempt a, Machine m, int number) {
         Arrival asked = fates.get(a.request()).asked;
-        Role role = settings.kinds().stream().filter(k -> k.name().equals(m.entry.kind())).findFirst().orElseThrow().role();
+        Role role = settings.kinds().stream()
+                .filter(k -> k.name().equals(m.entry.kind()))
+                .findFirst()
+                .orElseThrow()
+                .role();
         double at = now + 0.05;
         if (role != Role.WRITER && !m.hung(now)) {
             m.freeAt = Math.max(m.freeAt, now) + asked.promptTokens() / m.tokensPerS;
@@ -197,8 +218,8 @@
             o = Outcome.TIMED_OUT;
             at = a.until();
         } else if (o == Outcome.OK) {
-            n.out.computeIfAbsent(a.request(), r -> new ArrayList<>()).add(tell(at, n,
-                    new StreamStarted(a.request(), number, a.server(), at - now)));
+            n.out.computeIfAbsent(a.request(), r -> new ArrayList<>())
+                    .add(tell(at, n, new StreamStarted(a.request(), number, a.server(), at - now)));
             at += 0.3;
         }
         end(n, at, a.request(), number, a.server(), o, o == Outcome.OK);
--- a/src/test/java/copperbeam/ModuleDayTest.java
+++ b/src/test/java/copperbeam/ModuleDayTest.java
@@ -3,16 +3,16 @@
 import static copperbeam.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
 
+import copperbeam.Api.*;
+import copperbeam.ModuleDay.Fate;
+import copperbeam.ModuleDay.Machine;
+import copperbeam.ModuleDay.Node;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import copperbeam.Api.*;
-import copperbeam.ModuleDay.Fate;
-import copperbeam.ModuleDay.Machine;
-import copperbeam.ModuleDay.Node;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -50,8 +50,14 @@
         double worst = 0;
         double worstLarge = 1;
         for (int seed = 0; seed < 5; seed++) {
-            ModuleDay day = new ModuleDay(settings(new Limits(4, true, probes, 0.5),
-                    probes ? Reports.WITH_PROBES : Reports.NEVER, false, LOW, TOP), seed);
+            ModuleDay day = new ModuleDay(
+                    settings(
+                            new Limits(4, true, probes, 0.5),
+                            probes ? Reports.WITH_PROBES : Reports.NEVER,
+                            false,
+                            LOW,
+                            TOP),
+                    seed);
             site(day, 6, 0);
             Machine bad = day.machines.get("r3");
             bad.tokensPerS = trouble.equals("slow") ? 1500 : bad.tokensPerS;
@@ -65,8 +71,15 @@
                 double at = 100 + day.random.nextDouble() * 25;
                 int turns = 1 + day.random.nextInt(5);
                 for (int turn = 0; turn < turns; turn++, at += 1 + day.random.nextDouble() * 3) {
-                    Fate f = day.ask(at, nodes.get(day.random.nextInt(3)), i % 3 == 0 ? LOW : TOP, session,
-                            i % 2 == 0 ? null : "p" + i % 8, 600 * Math.exp(1.2 * gauss(day.random)), 300, 6);
+                    Fate f = day.ask(
+                            at,
+                            nodes.get(day.random.nextInt(3)),
+                            i % 3 == 0 ? LOW : TOP,
+                            session,
+                            i % 2 == 0 ? null : "p" + i % 8,
+                            600 * Math.exp(1.2 * gauss(day.random)),
+                            300,
+                            6);
                     sessions.computeIfAbsent(session, n -> new ArrayList<>()).add(f);
                 }
             }
@@ -122,18 +135,36 @@
     private static Settings draw(SplittableRandom random) {
         List<RequestClass> classes = new ArrayList<>();
         for (int i = random.nextInt(4); i >= 0; i--) {
-            classes.add(new RequestClass("c" + i, pick(random, 0.0, 0.3, 1.0, 4.0), pick(random, 0.0, 0.04),
-                    pick(random, 0.0, 1.0, 3.0), pick(random, Effect.values()), pick(random, Group.values()),
+            classes.add(new RequestClass(
+                    "c" + i,
+                    pick(random, 0.0, 0.3, 1.0, 4.0),
+                    pick(random, 0.0, 0.04),
+                    pick(random, 0.0, 1.0, 3.0),
+                    pick(random, Effect.values()),
+                    pick(random, Group.values()),
                     pick(random, 0.0, 0.2, 0.7, 2.0, 6.0)));
         }
         List<Customer> customers = pick(random, List.of(), List.of(new Customer("a", 0), new Customer("b", 0.5)));
-        List<Kind> kinds = List.of(new Kind("r", Role.READER, 1e5), new Kind("w", Role.WRITER, 0),
-                new Kind("m", Role.MIXED, 5e3));
-        return new Settings(1 + random.nextInt(3), random.nextInt(2) - 1, classes, customers, kinds,
+        List<Kind> kinds =
+                List.of(new Kind("r", Role.READER, 1e5), new Kind("w", Role.WRITER, 0), new Kind("m", Role.MIXED, 5e3));
+        return new Settings(
+                1 + random.nextInt(3),
+                random.nextInt(2) - 1,
+                classes,
+                customers,
+                kinds,
                 new Limits(1 + random.nextInt(4), random.nextInt(4) > 0, random.nextBoolean(), pick(random, 0.0, 2.0)),
-                new Rules(pick(random, 0.1, 0.3, 1.0), pick(random, 0.0, 2.0, 13.0), pick(random, 1.0, 3.0),
-                        pick(random, 0.5, 2.0), pick(random, 0.3, 1.0), pick(random, 0.0, 10.0)),
-                pick(random, Reports.values()), random.nextBoolean(), pick(random, 0.0, 0.003), random.nextBoolean(),
+                new Rules(
+                        pick(random, 0.1, 0.3, 1.0),
+                        pick(random, 0.0, 2.0, 13.0),
+                        pick(random, 1.0, 3.0),
+                        pick(random, 0.5, 2.0),
+                        pick(random, 0.3, 1.0),
+                        pick(random, 0.0, 10.0)),
+                pick(random, Reports.values()),
+                random.nextBoolean(),
+                pick(random, 0.0, 0.003),
+                random.nextBoolean(),
                 random.nextBoolean());
     }
 
@@ -143,8 +174,14 @@
         for (char kind : layout.toCharArray()) {
             int zones = 1 + random.nextInt(3);
             for (int i = random.nextInt(4); i >= 0; i--) {
-                day.machine(new Member("" + kind + i, zones == 1 ? null : "z" + i % zones, "" + kind, i % 3,
-                        ServerState.READY, 1, random.nextInt(3) == 0 ? 99 : 0));
+                day.machine(new Member(
+                        "" + kind + i,
+                        zones == 1 ? null : "z" + i % zones,
+                        "" + kind,
+                        i % 3,
+                        ServerState.READY,
+                        1,
+                        random.nextInt(3) == 0 ? 99 : 0));
             }
         }
         for (int i = 0; i < s.nodes(); i++) {
@@ -154,15 +191,29 @@
         double perS = pick(random, 1.0, 8.0, 40.0);
         for (double t = 100.1; t < 112; t -= Math.log(1 - random.nextDouble()) / perS) {
             Node n = day.nodes.get(random.nextInt(s.nodes()));
-            Fate f = day.ask(t, n, pick(random, s.classes().toArray(new RequestClass[0])), "s" + random.nextInt(20),
-                    pick(random, null, "p1", "p2"), pick(random, 1.0, 300.0, 2000.0, 30_000.0), 1, within);
+            Fate f = day.ask(
+                    t,
+                    n,
+                    pick(random, s.classes().toArray(new RequestClass[0])),
+                    "s" + random.nextInt(20),
+                    pick(random, null, "p1", "p2"),
+                    pick(random, 1.0, 300.0, 2000.0, 30_000.0),
+                    1,
+                    within);
             if (random.nextInt(20) == 0) {
                 day.tell(t + random.nextDouble() * within, n, new ClientLeft(f.asked.request()));
             }
         }
         List<Machine> all = new ArrayList<>(day.machines.values());
         for (Machine m : all) {
-            m.fault = pick(random, null, null, Outcome.ERROR, Outcome.FULL, Outcome.RESET, Outcome.STALE,
+            m.fault = pick(
+                    random,
+                    null,
+                    null,
+                    Outcome.ERROR,
+                    Outcome.FULL,
+                    Outcome.RESET,
+                    Outcome.STALE,
                     Outcome.CONNECT_FAILED);
             m.faultChance = pick(random, 0.1, 0.5, 1.0);
             m.hungFrom = 100 + random.nextDouble() * 60;
@@ -172,16 +223,27 @@
             day.run(t);
             Machine m = pick(random, all.toArray(new Machine[0]));
             Member e = m.entry;
-            m.entry = new Member(e.server(), e.zone(), e.kind(), e.cell(), pick(random, ServerState.values()), 1,
+            m.entry = new Member(
+                    e.server(),
+                    e.zone(),
+                    e.kind(),
+                    e.cell(),
+                    pick(random, ServerState.values()),
+                    1,
                     random.nextBoolean() ? t : e.launchedAt());
             for (Node n : day.nodes) {
-                day.tell(t, n, random.nextInt(8) == 0 ? new Members(ListKind.FULL, List.of()) // and whole at the next
-                        : s.listMustBeAsked() && random.nextInt(4) == 0 ? new Members(ListKind.FAILED, List.of())
-                        : day.list(ListKind.FULL));
+                day.tell(
+                        t,
+                        n,
+                        random.nextInt(8) == 0
+                                ? new Members(ListKind.FULL, List.of()) // and whole at the next
+                                : s.listMustBeAsked() && random.nextInt(4) == 0
+                                        ? new Members(ListKind.FAILED, List.of())
+                                        : day.list(ListKind.FULL));
             }
         }
         day.run(125);
-        day.nodes.forEach(n -> assertTrue(n.checker.lives.values().stream().allMatch(l -> l.over || l.streaming),
-                "all answered"));
+        day.nodes.forEach(n ->
+                assertTrue(n.checker.lives.values().stream().allMatch(l -> l.over || l.streaming), "all answered"));
     }
 }
--- a/src/test/java/copperbeam/RulesTest.java
+++ b/src/test/java/copperbeam/RulesTest.java
@@ -3,6 +3,7 @@
 import static copperbeam.Bench.*;
 import static org.junit.jupiter.api.Assertions.*;
 
+import copperbeam.Api.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,7 +12,6 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
-import copperbeam.Api.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -29,7 +29,7 @@
             String out;
             boolean outMayRun;
             int sends;
-            Member to;                   // as listed when it was sent last
+            Member to; // as listed when it was sent last
             Member ranAt;
             double ranSince;
             boolean held;
@@ -48,7 +48,11 @@
 
         private Role role(String server) {
             String kind = members.get(server).kind();
-            return settings.kinds().stream().filter(k -> k.name().equals(kind)).findFirst().orElseThrow().role();
+            return settings.kinds().stream()
+                    .filter(k -> k.name().equals(kind))
+                    .findFirst()
+                    .orElseThrow()
+                    .role();
         }
 
         void told(double now, Event event) {
@@ -60,7 +64,9 @@
                 m.members().forEach(e -> told.add(e.server()));
             } else if (event instanceof Arrival a) {
                 Life life = new Life();
-                life.kind = settings.classes().stream().filter(c -> c.name().equals(a.requestClass())).findFirst()
+                life.kind = settings.classes().stream()
+                        .filter(c -> c.name().equals(a.requestClass()))
+                        .findFirst()
                         .orElseThrow();
                 life.deadline = a.deadline();
                 lives.put(a.request(), life);
@@ -157,9 +163,13 @@
         void check(double now) {
             for (Map.Entry<Long, Life> e : lives.entrySet()) {
                 Life life = e.getValue();
-                assertTrue(life.over || life.streaming || now <= life.deadline,
+                assertTrue(
+                        life.over || life.streaming || now <= life.deadline,
                         "rule 1: unanswered " + e.getKey() + " at " + now);
-                assertTrue(!life.held || life.out != null || now <= life.heldSince + settings.rules().releaseS(),
+                assertTrue(
+                        !life.held
+                                || life.out != null
+                                || now <= life.heldSince + settings.rules().releaseS(),
                         "rule 5: pinned " + e.getKey() + " at " + now);
             }
         }
@@ -173,8 +183,8 @@
         final SplittableRandom random;
         final Brain brain;
         final Checker checker;
-        final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.time != b.time
-                ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+        final PriorityQueue<Due> queue = new PriorityQueue<>(
+                (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
         final Map<Long, Integer> sends = new HashMap<>();
         final Map<Long, Due> pending = new HashMap<>();
         final double trouble;
@@ -214,8 +224,17 @@
                 Due due = pending.get(c.request());
                 if (due != null && queue.remove(due)) {
                     AttemptEnded e = (AttemptEnded) due.event;
-                    add(now + 0.01, new AttemptEnded(e.request(), e.attempt(), e.server(), Outcome.CANCELLED, 0.1,
-                            checker.lives.get(c.request()).over, false, null));
+                    add(
+                            now + 0.01,
+                            new AttemptEnded(
+                                    e.request(),
+                                    e.attempt(),
+                                    e.server(),
+                                    Outcome.CANCELLED,
+                                    0.1,
+                                    checker.lives.get(c.request()).over,
+                                    false,
+                                    null));
                 }
             } else if (action instanceof Attempt a) {
                 outcome(now, a, sends.merge(a.request(), 1, Integer::sum) - 1);
@@ -229,16 +248,27 @@
             Outcome outcome = reader ? Outcome.READ : Outcome.OK;
             boolean missing = false;
             if (random.nextDouble() < trouble) {
-                outcome = List.of(Outcome.ERROR, Outcome.FULL, Outcome.RESET, Outcome.CONNECT_FAILED,
-                        Outcome.TIMED_OUT).get(random.nextInt(5));
+                outcome = List.of(Outcome.ERROR, Outcome.FULL, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.TIMED_OUT)
+                        .get(random.nextInt(5));
                 missing = outcome == Outcome.FULL && random.nextBoolean();
             }
             if (outcome == Outcome.TIMED_OUT || late > a.until()) {
                 outcome = Outcome.TIMED_OUT;
                 late = a.until();
             }
-            pending.put(a.request(), add(late, new AttemptEnded(a.request(), number, a.server(), outcome, late - now,
-                    outcome == Outcome.OK, missing, report)));
+            pending.put(
+                    a.request(),
+                    add(
+                            late,
+                            new AttemptEnded(
+                                    a.request(),
+                                    number,
+                                    a.server(),
+                                    outcome,
+                                    late - now,
+                                    outcome == Outcome.OK,
+                                    missing,
+                                    report)));
         }
     }
 
@@ -254,17 +284,36 @@
         SplittableRandom random = new SplittableRandom(seed + 1);
         for (int i = 0; i < 400; i++) {
             double t = 100 + i * 0.05;
-            RequestClass c = settings.classes().get(random.nextInt(settings.classes().size()));
-            d.add(t, new Arrival(i, c.name(), null, "s" + i % 50, i % 3 == 0 ? null : "p" + i % 5,
-                    500 + random.nextInt(4000), 300, 100, t + 4 + random.nextDouble() * 6));
+            RequestClass c =
+                    settings.classes().get(random.nextInt(settings.classes().size()));
+            d.add(
+                    t,
+                    new Arrival(
+                            i,
+                            c.name(),
+                            null,
+                            "s" + i % 50,
+                            i % 3 == 0 ? null : "p" + i % 5,
+                            500 + random.nextInt(4000),
+                            300,
+                            100,
+                            t + 4 + random.nextDouble() * 6));
             if (i % 40 == 7) {
                 d.add(t + random.nextDouble(), new ClientLeft(i - 1));
             }
             if (i % 25 == 3) {
                 Member m = fleet.get(random.nextInt(fleet.size()));
                 ServerState state = ServerState.values()[random.nextInt(3)];
-                d.add(t, new Members(ListKind.DELTA, List.of(server(m.server(), m.kind(), (int) m.cell(), state,
-                        random.nextBoolean() ? t : m.launchedAt()))));
+                d.add(
+                        t,
+                        new Members(
+                                ListKind.DELTA,
+                                List.of(server(
+                                        m.server(),
+                                        m.kind(),
+                                        (int) m.cell(),
+                                        state,
+                                        random.nextBoolean() ? t : m.launchedAt()))));
             }
         }
         d.run(140);
@@ -326,15 +375,21 @@
             b.end(100.01 + i * 0.02, i, 0, to, Outcome.READ);
             b.at(100.01 + i * 0.02, new ClientLeft(i));
         }
-        b.at(110, full(server("r9", "r", 0, ServerState.READY, 109), server("r2", "r", 0), server("r3", "r", 0),
-                server("r4", "r", 0)));
+        b.at(
+                110,
+                full(
+                        server("r9", "r", 0, ServerState.READY, 109),
+                        server("r2", "r", 0),
+                        server("r3", "r", 0),
+                        server("r4", "r", 0)));
         int cold = 0;
         for (int i = 1000; i < 1100; i++) {
             String to = sent(b.arrive(110 + i * 1e-4, i, TOP, 1000)).server();
             cold += to.equals("r9") ? 1 : 0;
         }
         // 50 a second over four servers, for two seconds, by half of the nodes: 25 is what a peer carries
-        assertTrue(cold > 0 && cold <= 25 * RULES.fallMultiple() * RULES.coldFrom(), "sent to the cold server: " + cold);
+        assertTrue(
+                cold > 0 && cold <= 25 * RULES.fallMultiple() * RULES.coldFrom(), "sent to the cold server: " + cold);
     }
 
     /** Found on milwaukee big-1 at full size: each of 150 nodes let one request pass, together five times the budget. */
@@ -349,8 +404,13 @@
                 b.end(100.1 + i, i, 0, to, Outcome.READ);
                 b.at(100.2 + i, new ClientLeft(i));
             }
-            b.at(120, full(server("r9", "r", 0, ServerState.READY, 120), server("r2", "r", 0),
-                    server("r3", "r", 0), server("r4", "r", 0)));
+            b.at(
+                    120,
+                    full(
+                            server("r9", "r", 0, ServerState.READY, 120),
+                            server("r2", "r", 0),
+                            server("r3", "r", 0),
+                            server("r4", "r", 0)));
             for (int i = 100; i < 104; i++) {
                 List<Attempt> sends = of(Attempt.class, b.arrive(120 + (i - 100) * 0.5, i, TOP, 1000));
                 cold += sends.stream().anyMatch(a -> a.server().equals("r9")) ? 1 : 0;
@@ -373,8 +433,11 @@
                 b.at(100.01 + i * 0.02, new ClientLeft(i));
             }
             Member fresh = server("r9", "r", 0, ServerState.READY, 109);
-            b.at(110, run == 0 ? full(fresh, server("r2", "r", 0), server("r3", "r", 0), server("r4", "r", 0))
-                    : full(fresh, server("r2", "r", 0)));
+            b.at(
+                    110,
+                    run == 0
+                            ? full(fresh, server("r2", "r", 0), server("r3", "r", 0), server("r4", "r", 0))
+                            : full(fresh, server("r2", "r", 0)));
             for (int i = 1000; i < 1060; i++) {
                 List<Attempt> sends = of(Attempt.class, b.arrive(110 + i * 1e-4, i, TOP, 1000));
                 cold[run] += sends.stream().anyMatch(a -> a.server().equals("r9")) ? 1 : 0;
--- a/src/test/java/copperbeam/ci/KnownRedTest.java
+++ b/src/test/java/copperbeam/ci/KnownRedTest.java
@@ -27,7 +27,9 @@
     }
 
     private static String fails(String name) {
-        return ends(name, "<failure message=\"a &lt; b\" type=\"E\"><![CDATA[E: <error/>\n<testcase name=\"x\">]]></failure>");
+        return ends(
+                name,
+                "<failure message=\"a &lt; b\" type=\"E\"><![CDATA[E: <error/>\n<testcase name=\"x\">]]></failure>");
     }
 
     private static String report(String... cases) {
@@ -36,8 +38,8 @@
     }
 
     private static String suite(int tests, int failures, String cases) {
-        return "<?xml version=\"1.0\"?>\n<testsuite name=\"a.FirstTest\" tests=\"" + tests + "\" errors=\"0\" skipped=\"0\" failures=\""
-                + failures + "\">\n" + cases + "</testsuite>\n";
+        return "<?xml version=\"1.0\"?>\n<testsuite name=\"a.FirstTest\" tests=\"" + tests
+                + "\" errors=\"0\" skipped=\"0\" failures=\"" + failures + "\">\n" + cases + "</testsuite>\n";
     }
 
     @DataProvider
@@ -53,11 +55,22 @@
             {"# why\n\n" + LINE, both, 0, 0, "known red, passed over: " + LINE},
             {LINE, report(ONE, passes("two")), 0, 1, "listed, but passes: a.FirstTest#two\n"},
             {LINE, report(TWO, fails("one")), 0, 1, "fails and is not listed: a.FirstTest#one\n"},
-            {LINE, report(TWO, ends("one", "<error type=\"E\"/>")).replace("errors=\"0", "errors=\"1"), 0, 1,
-                "fails and is not listed: a.FirstTest#one\n"},
+            {
+                LINE,
+                report(TWO, ends("one", "<error type=\"E\"/>")).replace("errors=\"0", "errors=\"1"),
+                0,
+                1,
+                "fails and is not listed: a.FirstTest#one\n"
+            },
             {LINE, report(TWO, fails("")), 0, 1, "not listed: a.FirstTest#\n"},
-            {LINE, report(TWO, ends("one", "<system-out><![CDATA[<failure ]]]]><![CDATA[> <error/>]]></system-out>"))
-                .replace("failures=\"2", "failures=\"1"), 0, 0, "passed over"},
+            {
+                LINE,
+                report(TWO, ends("one", "<system-out><![CDATA[<failure ]]]]><![CDATA[> <error/>]]></system-out>"))
+                        .replace("failures=\"2", "failures=\"1"),
+                0,
+                0,
+                "passed over"
+            },
             {LINE, report(ONE), 0, 1, "listed, but did not run: a.FirstTest#two\n"},
             {LINE, report(ONE, ends("two", "<skipped/>")), 0, 1, "listed, but is skipped: a.FirstTest#two\n"},
             {LINE.replace("First", "Second"), both, 0, 1, "did not run: a.SecondTest#two\n"},
@@ -66,8 +79,13 @@
             {LINE.replace("two", "two[2]"), rows, 0, 1, "fails and is not listed: a.FirstTest#two(int)[1]\n"},
             {LINE, rows, 0, 1, "listed, but passes: a.FirstTest#two(int)[2]\n"},
             {LINE, report(fails("two(int)[1]"), fails("two(int)[12]")), 0, 0, "passed over: " + LINE},
-            {LINE.replace("two", "two[1]"), report(fails("two(int)[1]"), fails("two(int)[12]")), 0, 1,
-                "not listed: a.FirstTest#two(int)[12]\n"},
+            {
+                LINE.replace("two", "two[1]"),
+                report(fails("two(int)[1]"), fails("two(int)[12]")),
+                0,
+                1,
+                "not listed: a.FirstTest#two(int)[12]\n"
+            },
             // something else went wrong
             {LINE, null, 1, 1, "[ERROR] COMPILATION ERROR"},
             {LINE, both, 1, 1, CLOSING},
@@ -78,8 +96,13 @@
             {LINE, suite(2, 2, ONE + TWO), 0, 1, "says 2 tests, 2 failed, and has 2, 1"},
             // the form
             {LINE + LINE.replace("#two", "#one"), report(TWO, fails("one")), 0, 0, "passed over: a.FirstTest#one "},
-            {LINE + LINE.replace("two", "b") + LINE.replace("two", "c") + LINE.replace("two", "d"), null, -1, 1,
-                "KNOWN-RED.txt:4: more than three"},
+            {
+                LINE + LINE.replace("two", "b") + LINE.replace("two", "c") + LINE.replace("two", "d"),
+                null,
+                -1,
+                1,
+                "KNOWN-RED.txt:4: more than three"
+            },
             {LINE + LINE, null, -1, 1, "KNOWN-RED.txt:2: listed twice"},
             {LINE.replace("issue 7", "7"), null, -1, 1, "KNOWN-RED.txt:1: not of the form"},
             {LINE.replace("issue 7", "issue 7 | 8"), null, -1, 1, "not of the form"},
@@ -92,13 +115,15 @@
 
     /** Maven's status -1: it must not be called. */
     @Test(dataProvider = "rows")
-    public void onlyWhatIsListedMayFail(String list, String report, int maven, int status, String says) throws Exception {
+    public void onlyWhatIsListedMayFail(String list, String report, int maven, int status, String says)
+            throws Exception {
         Path root = root(list, report, maven);
         String said = run(root, status);
         assertTrue(said.contains(says), said);
         assertEquals(Files.exists(root.resolve("called")), maven >= 0, said);
         if (maven >= 0) {
-            assertEquals(Files.readString(root.resolve("called")),
+            assertEquals(
+                    Files.readString(root.resolve("called")),
                     "-B verify" + (list == null ? "" : " -Dmaven.test.failure.ignore=true") + "\n");
         }
         if (report != null) {
@@ -147,11 +172,15 @@
         if (report != null) {
             Files.writeString(root.resolve("made/TEST-a.FirstTest.xml"), report);
         }
-        Files.writeString(root.resolve("log"), report == null ? "[ERROR] COMPILATION ERROR\n" : "[INFO] Tests run: 2\n" + CLOSING + "\n");
+        Files.writeString(
+                root.resolve("log"),
+                report == null ? "[ERROR] COMPILATION ERROR\n" : "[INFO] Tests run: 2\n" + CLOSING + "\n");
         Path mvn = root.resolve("bin/mvn");
         Files.createDirectories(mvn.getParent());
-        Files.writeString(mvn, "#!/bin/sh\necho \"$@\" > called\nmkdir -p target\ncp -r made target/surefire-reports\ncat log\n"
-                + "echo done\nexit " + maven + "\n");
+        Files.writeString(
+                mvn,
+                "#!/bin/sh\necho \"$@\" > called\nmkdir -p target\ncp -r made target/surefire-reports\ncat log\n"
+                        + "echo done\nexit " + maven + "\n");
         assertTrue(mvn.toFile().setExecutable(true));
         return root;
     }
--- a/src/test/java/copperbeam/handover/SharedStateTest.java
+++ b/src/test/java/copperbeam/handover/SharedStateTest.java
@@ -30,11 +30,14 @@
         SortedMap<String, Ban> bans = new TreeMap<>();
         SortedMap<String, Life> lives = new TreeMap<>();
         for (int i = random.nextInt(12); i > 0; i--) {
-            bans.put("server \"é\"" + random.nextInt(5),
+            bans.put(
+                    "server \"é\"" + random.nextInt(5),
                     new Ban(1 + random.nextInt(2), random.nextBoolean(), time(random)));
             int life = random.nextInt(12);
-            lives.put("life" + life, new Life(Instant.ofEpochSecond(life * 7 % 6),
-                    Phase.values()[random.nextInt(3)], random.nextInt(3)));
+            lives.put(
+                    "life" + life,
+                    new Life(
+                            Instant.ofEpochSecond(life * 7 % 6), Phase.values()[random.nextInt(3)], random.nextInt(3)));
         }
         return new SharedState(bans, new Duty(random.nextInt(3), random.nextBoolean(), time(random)), lives);
     }
@@ -61,8 +64,9 @@
     /** Words: turn, {@code o} where out or drained, and time. */
     @DataProvider
     public Object[][] bans() {
-        return new Object[][] {{"2 8", "1o9", "2 8"}, {"1 8", "1o9", "1o9"}, {"1o8", "1 9", "1 9"},
-            {"1 9", "1o9", "1o9"}};
+        return new Object[][] {
+            {"2 8", "1o9", "2 8"}, {"1 8", "1o9", "1o9"}, {"1o8", "1 9", "1 9"}, {"1 9", "1o9", "1o9"}
+        };
     }
 
     @Test(dataProvider = "bans")
@@ -74,8 +78,8 @@
         long turn = words.charAt(0) - '0';
         boolean out = words.charAt(1) == 'o';
         Instant at = Instant.ofEpochSecond(words.charAt(2) - '0');
-        return new SharedState(new TreeMap<>(Map.of("s", new Ban(turn, out, at))), new Duty(turn, out, at),
-                new TreeMap<>());
+        return new SharedState(
+                new TreeMap<>(Map.of("s", new Ban(turn, out, at))), new Duty(turn, out, at), new TreeMap<>());
     }
 
     /**
@@ -106,8 +110,12 @@
 
         void check(int p) {
             assertEquals(states[p].duty().drained(), turns[p][0] % 2 == 1);
-            assertEquals(states[p].banned(), IntStream.range(1, 4).filter(i -> turns[p][i] % 2 == 1)
-                    .mapToObj(i -> "s" + i).collect(Collectors.toSet()));
+            assertEquals(
+                    states[p].banned(),
+                    IntStream.range(1, 4)
+                            .filter(i -> turns[p][i] % 2 == 1)
+                            .mapToObj(i -> "s" + i)
+                            .collect(Collectors.toSet()));
         }
     }
 
@@ -150,7 +158,9 @@
         assertEquals(full.banned().size(), SharedState.MOST_BANS);
         assertThrows(IllegalStateException.class, () -> full.ban("c", true, Instant.EPOCH));
         assertSame(full.ban("a", true, Instant.MAX), full);
-        assertTrue(full.ban("a", false, Instant.EPOCH).ban("c", true, Instant.EPOCH).out("c"));
+        assertTrue(full.ban("a", false, Instant.EPOCH)
+                .ban("c", true, Instant.EPOCH)
+                .out("c"));
         assertEquals(full.merge(state.ban("c", true, Instant.EPOCH)).banned().size(), SharedState.MOST_BANS + 1);
         assertThrows(IllegalArgumentException.class, () -> SharedState.EMPTY.ban("\ud800", true, Instant.EPOCH));
     }
@@ -190,7 +200,8 @@
         SharedState state = SharedState.EMPTY;
         for (String life : lives.split(" ")) {
             Phase phase = Phase.values()["TSL".indexOf(life.charAt(2))];
-            state = state.life(life.substring(0, 1),
+            state = state.life(
+                    life.substring(0, 1),
                     new Life(Instant.ofEpochSecond(life.charAt(1) - '0'), phase, life.charAt(3) - '0'));
         }
         Set<Integer> used = slots.chars().mapToObj(c -> c - '0').collect(Collectors.toSet());
--- a/src/test/java/copperbeam/handover/StateCodecTest.java
+++ b/src/test/java/copperbeam/handover/StateCodecTest.java
@@ -23,8 +23,12 @@
 /** The file: what is read is what was written, or nothing. */
 public class StateCodecTest {
     private static final Instant NOW = Instant.parse("2026-12-01T10:00:00.000000001Z");
-    private static final SharedState SAMPLE = SharedState.EMPTY.ban("b:1", true, NOW).ban("é \"\\\n", true, NOW)
-            .ban("b:1", false, NOW).duty(true, NOW).life("p1", new Life(NOW, Phase.SERVING, 0))
+    private static final SharedState SAMPLE = SharedState.EMPTY
+            .ban("b:1", true, NOW)
+            .ban("é \"\\\n", true, NOW)
+            .ban("b:1", false, NOW)
+            .duty(true, NOW)
+            .life("p1", new Life(NOW, Phase.SERVING, 0))
             .life("p2", new Life(NOW, Phase.STARTING, 7));
     private static final byte[] FILE = StateCodec.write("c", SAMPLE, NOW);
     private static final String JSON = text(FILE).substring(text(FILE).indexOf('\n') + 1);
@@ -157,8 +161,33 @@
     /** Whatever the JSON: refused, or a state that can be written and read again. */
     @Test
     public void noForgedContentDoesHarm() throws Refused {
-        String[] bits = {"", "{", "}", "[", "\"", ":", ",", "null", "-1", "1e999", "0", "\\u0000", "\\ud800", "x",
-            "true", "{}", "\"turn\":", "9223372036854775807", "2026", "-", "+1000000000", "é", "\n", "/*", "LEAVING"};
+        String[] bits = {
+            "",
+            "{",
+            "}",
+            "[",
+            "\"",
+            ":",
+            ",",
+            "null",
+            "-1",
+            "1e999",
+            "0",
+            "\\u0000",
+            "\\ud800",
+            "x",
+            "true",
+            "{}",
+            "\"turn\":",
+            "9223372036854775807",
+            "2026",
+            "-",
+            "+1000000000",
+            "é",
+            "\n",
+            "/*",
+            "LEAVING"
+        };
         Random random = new Random(4);
         int believed = 0;
         for (int run = 0; run < 20_000; run++) {
--- a/src/test/java/copperbeam/lifecycle/LifecycleTest.java
+++ b/src/test/java/copperbeam/lifecycle/LifecycleTest.java
@@ -19,16 +19,33 @@
     public Object[][] stops() {
         return new Object[][] {
             {"nothing is open", true, "0 799 800 801", "SERVE SERVE CLOSE END"},
-            {"clients are led away once fronts know", true, "0o 800o 2649o 2650 2651",
-                "SERVE LEAD_AWAY LEAD_AWAY ANSWER END"},
+            {
+                "clients are led away once fronts know",
+                true,
+                "0o 800o 2649o 2650 2651",
+                "SERVE LEAD_AWAY LEAD_AWAY ANSWER END"
+            },
             {"what the system had taken is served first", true, "800 801o 2000o 2001", "CLOSE CLOSE CLOSE END"},
             {"and gets its answer in time", true, "800 801o 2650o 2850o", "CLOSE CLOSE ANSWER CUT"},
-            {"open requests are answered, then streams cut", true, "0o 2650o 2849o 2850o 2900",
-                "SERVE ANSWER ANSWER CUT END"},
-            {"later where others are away", true, "0oa 2850oa 3149oa 3150oa 3349oa 3350oa 3360",
-                "SERVE LEAD_AWAY LEAD_AWAY ANSWER ANSWER CUT END"},
+            {
+                "open requests are answered, then streams cut",
+                true,
+                "0o 2650o 2849o 2850o 2900",
+                "SERVE ANSWER ANSWER CUT END"
+            },
+            {
+                "later where others are away",
+                true,
+                "0oa 2850oa 3149oa 3150oa 3349oa 3350oa 3360",
+                "SERVE LEAD_AWAY LEAD_AWAY ANSWER ANSWER CUT END"
+            },
             {"no way back to what was left", true, "2700o 2800oa 2860oa", "ANSWER ANSWER ANSWER"},
-            {"streams that can't resume are not cut", false, "0o 2650o 3350o 9000o 9001", "SERVE ANSWER ANSWER ANSWER END"},
+            {
+                "streams that can't resume are not cut",
+                false,
+                "0o 2650o 3350o 9000o 9001",
+                "SERVE ANSWER ANSWER ANSWER END"
+            },
             {"something to let go holds the end", true, "900o 1000o 1100 1101", "LEAD_AWAY LEAD_AWAY CLOSE END"},
             {"an end is one", true, "899 900 901o 5000o", "CLOSE END END END"},
         };
@@ -40,8 +57,11 @@
         plan.stop(Duration.ZERO);
         StringBuilder seen = new StringBuilder();
         for (String at : times.split(" ")) {
-            seen.append(plan.at(Duration.ofMillis(Long.parseLong(at.replaceAll("[oa]", ""))), at.contains("o"),
-                    at.contains("a"))).append(' ');
+            seen.append(plan.at(
+                            Duration.ofMillis(Long.parseLong(at.replaceAll("[oa]", ""))),
+                            at.contains("o"),
+                            at.contains("a")))
+                    .append(' ');
         }
         assertEquals(seen.toString().strip(), steps, name);
     }
@@ -59,12 +79,19 @@
             {"a stop of a drained one may end at once", "10d 2000s 2000 2001", "CLOSE- END-"},
             {"no way back from a stop", "10d 2000s 2001r 2001o", "LEAD_AWAY-"},
             {"no drain in a stop", "2000s 2001d 2010", "SERVE-"},
-            {"a successor serves: led away at once", "1000S 1000o 2000s 2000o 5149o 5150o 5350o 5360",
-                "LEAD_AWAY+ LEAD_AWAY+ LEAD_AWAY+ ANSWER+ CUT+ END+"},
+            {
+                "a successor serves: led away at once",
+                "1000S 1000o 2000s 2000o 5149o 5150o 5350o 5360",
+                "LEAD_AWAY+ LEAD_AWAY+ LEAD_AWAY+ ANSWER+ CUT+ END+"
+            },
             {"and gone by the stop", "1000S 1500 2000s 2000", "LEAD_AWAY+ END+"},
             {"the successor dies: back to work", "1000S 1500o 2000N 2000o 3000s 3000o", "LEAD_AWAY+ WORK+ SERVE-"},
             {"it comes during the stop", "2000s 2100o 2200S 2200o", "SERVE- LEAD_AWAY+"},
-            {"it dies during the stop: as if none had come", "2000S 2100s 2200N 2200o 4550o 4750o", "SERVE- LEAD_AWAY- ANSWER-"},
+            {
+                "it dies during the stop: as if none had come",
+                "2000S 2100s 2200N 2200o 4550o 4750o",
+                "SERVE- LEAD_AWAY- ANSWER-"
+            },
             {"drained, and a successor: still no yes", "10d 2000S 2000o", "LEAD_AWAY-"},
             {"drained, and the successor dies", "10d 2000S 2000o 2100N 2100o", "LEAD_AWAY- LEAD_AWAY-"},
         };
@@ -118,13 +145,20 @@
     /** Milliseconds: until the kill, the answers, the cut, and both where others are away. */
     @DataProvider
     public Object[][] kills() {
-        return new Object[][] {{40_000, 38_950, 39_150, 39_450, 39_650}, {3700, 2650, 2850, 3150, 3350},
-            {2200, 1150, 1350, 1650, 1850}, {1850, 800, 1000, 1300, 1500}, {1700, 800, 1000, 1150, 1350},
-            {1200, 650, 850, 650, 850}, {700, 150, 350, 150, 350}};
+        return new Object[][] {
+            {40_000, 38_950, 39_150, 39_450, 39_650},
+            {3700, 2650, 2850, 3150, 3350},
+            {2200, 1150, 1350, 1650, 1850},
+            {1850, 800, 1000, 1300, 1500},
+            {1700, 800, 1000, 1150, 1350},
+            {1200, 650, 850, 650, 850},
+            {700, 150, 350, 150, 350}
+        };
     }
 
     @Test(dataProvider = "kills")
-    public void allIsAnsweredAndCutBeforeTheKillHoweverSoonItComes(int kill, int answers, int cut, int lateAnswers, int lateCut) {
+    public void allIsAnsweredAndCutBeforeTheKillHoweverSoonItComes(
+            int kill, int answers, int cut, int lateAnswers, int lateCut) {
         for (boolean away : new boolean[] {false, true}) {
             Lifecycle plan = new Lifecycle(Duration.ofMillis(kill), true);
             plan.stop(Duration.ZERO);
@@ -132,7 +166,11 @@
             int to = away ? lateCut : cut;
             for (int[] row : new int[][] {{from - 1, 0}, {from, 1}, {to - 1, 1}, {to, 2}}) {
                 Step step = plan.at(Duration.ofMillis(row[0]), true, away);
-                assertEquals(step, row[1] == 2 ? Step.CUT : row[1] == 1 ? Step.ANSWER : row[0] < 800 ? Step.SERVE : Step.LEAD_AWAY);
+                assertEquals(
+                        step,
+                        row[1] == 2
+                                ? Step.CUT
+                                : row[1] == 1 ? Step.ANSWER : row[0] < 800 ? Step.SERVE : Step.LEAD_AWAY);
             }
         }
     }
--- a/src/test/java/copperbeam/membership/BansTest.java
+++ b/src/test/java/copperbeam/membership/BansTest.java
@@ -54,7 +54,8 @@
                 default -> bans.told(change(what));
             };
             for (Entry e : change.entries()) {
-                seen = e.member().state().name().toLowerCase().charAt(0) + "" + (long) e.member().launchedAt();
+                seen = e.member().state().name().toLowerCase().charAt(0) + ""
+                        + (long) e.member().launchedAt();
             }
             all.add(seen);
         }
@@ -64,9 +65,13 @@
     private static Change change(String what) {
         ListKind kind = what.startsWith("*") ? ListKind.FULL : ListKind.DELTA;
         String one = what.replace("*", "");
-        ServerState state = one.startsWith("+") ? ServerState.READY : one.startsWith("~") ? ServerState.DRAINING : ServerState.GONE;
-        return new Change(kind, one.isEmpty() ? List.of() : List.of(entry("a", state, one.length() > 1
-                ? Double.parseDouble(one.substring(1)) : 0)));
+        ServerState state =
+                one.startsWith("+") ? ServerState.READY : one.startsWith("~") ? ServerState.DRAINING : ServerState.GONE;
+        return new Change(
+                kind,
+                one.isEmpty()
+                        ? List.of()
+                        : List.of(entry("a", state, one.length() > 1 ? Double.parseDouble(one.substring(1)) : 0)));
     }
 
     private static Entry entry(String id, ServerState state, double start) {
@@ -92,9 +97,10 @@
                 } else {
                     change = bans.set(out.remove(id) || !out.add(id) ? out : out, Instant.ofEpochSecond(i));
                 }
-                change.entries().forEach(e -> module.put(e.member().server(), e.member().state()));
-                told.forEach((s, state) -> assertEquals(module.get(s),
-                        state == ServerState.READY && out.contains(s) ? ServerState.DRAINING : state));
+                change.entries()
+                        .forEach(e -> module.put(e.member().server(), e.member().state()));
+                told.forEach((s, state) -> assertEquals(
+                        module.get(s), state == ServerState.READY && out.contains(s) ? ServerState.DRAINING : state));
             }
         }
     }
--- a/src/test/java/copperbeam/membership/MemberBookTest.java
+++ b/src/test/java/copperbeam/membership/MemberBookTest.java
@@ -4,6 +4,11 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.Api.ListKind;
+import copperbeam.Api.Member;
+import copperbeam.Api.ServerState;
+import copperbeam.routing.MembershipSource.Change;
+import copperbeam.routing.MembershipSource.Entry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -14,11 +19,6 @@
 import java.util.stream.Collectors;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import copperbeam.Api.ListKind;
-import copperbeam.Api.Member;
-import copperbeam.Api.ServerState;
-import copperbeam.routing.MembershipSource.Change;
-import copperbeam.routing.MembershipSource.Entry;
 
 /** Who said what, and whose word holds. */
 public class MemberBookTest {
@@ -26,21 +26,28 @@
 
     /** {@code a+0}: a is active and started at 0 s; {@code -} leaving; {@code x} left. */
     static List<Entry> entries(String text) {
-        return Arrays.stream(text.split(" ")).filter(w -> !w.isEmpty()).map(w -> {
-            ServerState state = switch (w.charAt(1)) {
-                case '+' -> ServerState.READY;
-                case '-' -> ServerState.DRAINING;
-                default -> ServerState.GONE;
-            };
-            return new Entry(new Member(w.substring(0, 1), "z", "k", 0, state, 1, Double.parseDouble(w.substring(2))),
-                    new InetSocketAddress("127.0.0.1", 1));
-        }).toList();
+        return Arrays.stream(text.split(" "))
+                .filter(w -> !w.isEmpty())
+                .map(w -> {
+                    ServerState state = switch (w.charAt(1)) {
+                        case '+' -> ServerState.READY;
+                        case '-' -> ServerState.DRAINING;
+                        default -> ServerState.GONE;
+                    };
+                    return new Entry(
+                            new Member(w.substring(0, 1), "z", "k", 0, state, 1, Double.parseDouble(w.substring(2))),
+                            new InetSocketAddress("127.0.0.1", 1));
+                })
+                .toList();
     }
 
     private static String text(List<Entry> entries) {
-        return entries.stream().map(Entry::member).sorted(Comparator.comparing(Member::server))
-                .map(m -> m.server() + "-+x".charAt(m.state() == ServerState.DRAINING ? 0
-                        : m.state() == ServerState.READY ? 1 : 2) + (int) m.launchedAt())
+        return entries.stream()
+                .map(Entry::member)
+                .sorted(Comparator.comparing(Member::server))
+                .map(m -> m.server()
+                        + "-+x".charAt(m.state() == ServerState.DRAINING ? 0 : m.state() == ServerState.READY ? 1 : 2)
+                        + (int) m.launchedAt())
                 .collect(Collectors.joining(" "));
     }
 
@@ -79,9 +86,11 @@
         for (String step : day.split(";")) {
             Instant now = Instant.EPOCH.plusSeconds(Long.parseLong(step.substring(step.indexOf('@') + 1)));
             String told = step.substring(0, step.indexOf('@'));
-            Change change = told.equals("due") ? book.due(now) : told.charAt(1) == '='
-                    ? book.whole(told.charAt(0) - '0', entries(told.substring(2)), now)
-                    : book.changes(told.charAt(0) - '0', entries(told.substring(2)), now);
+            Change change = told.equals("due")
+                    ? book.due(now)
+                    : told.charAt(1) == '='
+                            ? book.whole(told.charAt(0) - '0', entries(told.substring(2)), now)
+                            : book.changes(told.charAt(0) - '0', entries(told.substring(2)), now);
             use(user, change);
         }
         assertEquals(text(List.copyOf(user.values())), held, name);
--- a/src/test/java/copperbeam/membership/OneClockTest.java
+++ b/src/test/java/copperbeam/membership/OneClockTest.java
@@ -4,6 +4,13 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.fail;
 
+import copperbeam.Api.ServerState;
+import copperbeam.membership.WatchPlan.Ask;
+import copperbeam.membership.WatchPlan.Drop;
+import copperbeam.membership.WatchPlan.Listing;
+import copperbeam.membership.WatchPlan.Step;
+import copperbeam.membership.WatchPlan.Tell;
+import copperbeam.membership.WatchPlan.Wake;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -15,13 +22,6 @@
 import java.util.SplittableRandom;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import copperbeam.Api.ServerState;
-import copperbeam.membership.WatchPlan.Ask;
-import copperbeam.membership.WatchPlan.Drop;
-import copperbeam.membership.WatchPlan.Listing;
-import copperbeam.membership.WatchPlan.Step;
-import copperbeam.membership.WatchPlan.Tell;
-import copperbeam.membership.WatchPlan.Wake;
 
 /**
  * The watch against the protocol's one clock, in virtual time (ms): an address with two spells of trouble and a drain,
@@ -29,8 +29,9 @@
  * drain counts as told is worked out here, from the protocol's words and the calls that fell silent, not from the plan.
  */
 public class OneClockTest {
-    private static final InetSocketAddress[] AT = {new InetSocketAddress("127.0.0.1", 1),
-        new InetSocketAddress("127.0.0.1", 2)};
+    private static final InetSocketAddress[] AT = {
+        new InetSocketAddress("127.0.0.1", 1), new InetSocketAddress("127.0.0.1", 2)
+    };
     private static final int GRACE = 1000 - 150; // from told to acted on, less what the actors and the machine may take
     private static final int MOVE = 1000;
     private static final int CALL = 5000; // from a call to the end of the next, where it must be asked for
@@ -44,8 +45,8 @@
     }
 
     /** {@code dribbles}: on silent calls a byte comes now and then. {@code late}: what an answer takes. */
-    private record Day(boolean pushed, boolean moves, Spell first, Spell second, boolean dribbles, int late,
-            int drain) {
+    private record Day(
+            boolean pushed, boolean moves, Spell first, Spell second, boolean dribbles, int late, int drain) {
         /** From when on, at that time or later, new calls are answered for so long. */
         int reached(int time, int span) {
             for (Spell s : List.of(first, second)) {
@@ -82,17 +83,21 @@
         int order;
         int asks;
         int known = NEVER;
-        boolean refused;             // since the last answer
+        boolean refused; // since the last answer
 
         Play(Day day) {
             this.day = day;
             Duration first = Duration.ofMillis(day.pushed() ? 100 : 500);
-            plan = new WatchPlan(new Backoff(first, day.pushed() ? first : Duration.ofSeconds(10),
-                    new SplittableRandom(day.drain())));
+            plan = new WatchPlan(new Backoff(
+                    first, day.pushed() ? first : Duration.ofSeconds(10), new SplittableRandom(day.drain())));
             at(day.first().from(), () -> trouble(day.first()));
             at(day.second().from(), () -> trouble(day.second()));
-            at(0, () -> take(day.pushed() ? plan.move(AT[0])
-                    : plan.begin(AT[0], new Listing(10, true, entries("a+0")), instant())));
+            at(
+                    0,
+                    () -> take(
+                            day.pushed()
+                                    ? plan.move(AT[0])
+                                    : plan.begin(AT[0], new Listing(10, true, entries("a+0")), instant())));
             if (day.moves()) {
                 at(MOVE, () -> take(plan.move(AT[1])));
             }
@@ -119,8 +124,9 @@
                     out.remove(d.call());
                 } else if (s instanceof Wake w) {
                     at(now + (int) w.after().toMillis(), () -> take(plan.woken(w.token(), instant())));
-                } else if (s instanceof Tell t && t.change().entries().stream()
-                        .anyMatch(e -> e.member().state() == ServerState.DRAINING)) {
+                } else if (s instanceof Tell t
+                        && t.change().entries().stream()
+                                .anyMatch(e -> e.member().state() == ServerState.DRAINING)) {
                     known = now;
                 }
             }
@@ -146,8 +152,12 @@
                 at(now + wait + day.late(), () -> {
                     if (out.remove(a.call()) != null) {
                         boolean drains = hears <= now - day.late();
-                        answered(a, new Listing(drains ? 11 : 10, a.from() < 0,
-                                entries(drains ? "a-0" : a.from() < 0 ? "a+0" : "")));
+                        answered(
+                                a,
+                                new Listing(
+                                        drains ? 11 : 10,
+                                        a.from() < 0,
+                                        entries(drains ? "a-0" : a.from() < 0 ? "a+0" : "")));
                     }
                 });
             }
@@ -186,7 +196,9 @@
 
         int told() {
             // nobody can tell a silent call from one that may wait before that wait is over
-            int wait = silent.isEmpty() ? 0 : silent.get(0).asked() + (int) silent.get(0).ask().hold().toMillis();
+            int wait = silent.isEmpty()
+                    ? 0
+                    : silent.get(0).asked() + (int) silent.get(0).ask().hold().toMillis();
             int last = Math.max(wait, day.drain());
             int moved = day.moves() ? MOVE + 4000 : 0;
             int told = Math.max(day.reached(last, GRACE), moved);
@@ -197,7 +209,8 @@
                 // the first silence counts; where the list is asked for and more than three calls in a row were silent,
                 // each counts for itself: who must not overrun a service cannot always have three more out in time
                 int n = silent.size();
-                told = Math.max(told, silent.get(day.pushed() || n <= 3 ? 0 : n - 1).told());
+                told = Math.max(
+                        told, silent.get(day.pushed() || n <= 3 ? 0 : n - 1).told());
             }
             if (!day.pushed()) {
                 // and whatever became of the calls, six seconds after discovery could be reached for long enough
@@ -223,8 +236,14 @@
                             Spell first = new Spell((kinds & 1) > 0, from, length);
                             Spell second = new Spell((kinds & 2) > 0, from + length + gap, again);
                             for (int drain = 200; drain < 16_000; drain += 790) {
-                                Day day = new Day(pushed, moves, first, second, (kinds & 4) > 0,
-                                        (kinds & 8) > 0 ? 200 : 1, drain);
+                                Day day = new Day(
+                                        pushed,
+                                        moves,
+                                        first,
+                                        second,
+                                        (kinds & 4) > 0,
+                                        (kinds & 8) > 0 ? 200 : 1,
+                                        drain);
                                 Play play = new Play(day);
                                 if (play.known > play.told() + GRACE) {
                                     fail(day + ": known at " + play.known + ", told at " + play.told() + ", silent "
--- a/src/test/java/copperbeam/membership/TroubleOrdersTest.java
+++ b/src/test/java/copperbeam/membership/TroubleOrdersTest.java
@@ -5,6 +5,13 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.fail;
 
+import copperbeam.Api.ServerState;
+import copperbeam.membership.WatchPlan.Ask;
+import copperbeam.membership.WatchPlan.Drop;
+import copperbeam.membership.WatchPlan.Listing;
+import copperbeam.membership.WatchPlan.Step;
+import copperbeam.membership.WatchPlan.Tell;
+import copperbeam.membership.WatchPlan.Wake;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -16,13 +23,6 @@
 import java.util.SplittableRandom;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import copperbeam.Api.ServerState;
-import copperbeam.membership.WatchPlan.Ask;
-import copperbeam.membership.WatchPlan.Drop;
-import copperbeam.membership.WatchPlan.Listing;
-import copperbeam.membership.WatchPlan.Step;
-import copperbeam.membership.WatchPlan.Tell;
-import copperbeam.membership.WatchPlan.Wake;
 
 /**
  * The watch through every order of what can become of a call, in virtual time (ms): the first calls of an outage meet
@@ -30,10 +30,11 @@
  * worst moment for it to be back: none of the calls out will hear of it.
  */
 public class TroubleOrdersTest {
-    private static final InetSocketAddress[] AT = {new InetSocketAddress("127.0.0.1", 1),
-        new InetSocketAddress("127.0.0.1", 2)};
+    private static final InetSocketAddress[] AT = {
+        new InetSocketAddress("127.0.0.1", 1), new InetSocketAddress("127.0.0.1", 2)
+    };
     private static final int ORDER = 5;
-    private static final int OUTAGE = 6;    // more refusals than the backoff needs to be at its longest
+    private static final int OUTAGE = 6; // more refusals than the backoff needs to be at its longest
     private static final int MACHINE = 150; // of the second in which to act, what actors and sockets may take
     private static final int TOLD = 6000;
     private static final int MOVED = 4000;
@@ -41,7 +42,14 @@
 
     /** {@code after}: ms to its end, NEVER where only the program's own clock ends it. */
     private enum Trouble {
-        REFUSED(0), RESET(100), SILENT(TOLD), HALF(100_000), GARBLED(1), NOT_TAKEN(1), LATE(400), LATER(1500),
+        REFUSED(0),
+        RESET(100),
+        SILENT(TOLD),
+        HALF(100_000),
+        GARBLED(1),
+        NOT_TAKEN(1),
+        LATE(400),
+        LATER(1500),
         NO_CONNECTION(750); // a select interval after WatchPlan.CONNECT
 
         final int after;
@@ -76,15 +84,16 @@
         int now;
         int order;
         int asked;
-        int back;                    // when the last of the troubled calls began
-        boolean seen;                // that it is trouble
+        int back; // when the last of the troubled calls began
+        boolean seen; // that it is trouble
         int known = -1;
 
         Play(Trouble[] troubles, boolean pushed, boolean moves, int seed) {
             this.troubles = troubles;
             this.moves = moves;
             Duration first = Duration.ofMillis(pushed ? 100 : 500);
-            plan = new WatchPlan(new Backoff(first, pushed ? first : Duration.ofSeconds(10), new SplittableRandom(seed)));
+            plan = new WatchPlan(
+                    new Backoff(first, pushed ? first : Duration.ofSeconds(10), new SplittableRandom(seed)));
             take(plan.begin(AT[0], new Listing(10, true, entries("a+0")), Instant.EPOCH));
             if (moves) {
                 take(plan.move(AT[1]));
@@ -108,8 +117,9 @@
                     out.remove(d.call());
                 } else if (s instanceof Wake w) {
                     at((int) w.after().toMillis(), () -> take(plan.woken(w.token(), Instant.EPOCH.plusMillis(now))));
-                } else if (s instanceof Tell t && t.change().entries().stream()
-                        .anyMatch(e -> e.member().state() == ServerState.DRAINING)) {
+                } else if (s instanceof Tell t
+                        && t.change().entries().stream()
+                                .anyMatch(e -> e.member().state() == ServerState.DRAINING)) {
                     known = now;
                 }
             }
@@ -131,8 +141,12 @@
                 }
                 if (trouble == null || trouble.answers()) {
                     boolean whole = a.from() < 0;
-                    take(plan.answered(a.call(), trouble == null ? new Listing(11, whole, entries("a-0"))
-                            : new Listing(10, whole, entries(whole ? "a+0" : "")), Instant.EPOCH.plusMillis(now)));
+                    take(plan.answered(
+                            a.call(),
+                            trouble == null
+                                    ? new Listing(11, whole, entries("a-0"))
+                                    : new Listing(10, whole, entries(whole ? "a+0" : "")),
+                            Instant.EPOCH.plusMillis(now)));
                 } else {
                     take(plan.failed(a.call(), trouble == Trouble.NOT_TAKEN));
                 }
@@ -152,7 +166,9 @@
             // every other day after a longer outage, in which failures have piled up
             Trouble[] troubles = new Trouble[day % 2 * OUTAGE + ORDER];
             Arrays.fill(troubles, Trouble.REFUSED);
-            for (int i = troubles.length - ORDER, rest = day / 2; i < troubles.length; i++, rest /= Trouble.values().length) {
+            for (int i = troubles.length - ORDER, rest = day / 2;
+                    i < troubles.length;
+                    i++, rest /= Trouble.values().length) {
                 troubles[i] = Trouble.values()[rest % Trouble.values().length];
             }
             Play play = new Play(troubles, pushed, moves, day);
--- a/src/test/java/copperbeam/membership/WatchPlanTest.java
+++ b/src/test/java/copperbeam/membership/WatchPlanTest.java
@@ -5,6 +5,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.Api.ServerState;
+import copperbeam.membership.WatchPlan.Ask;
+import copperbeam.membership.WatchPlan.Drop;
+import copperbeam.membership.WatchPlan.Listing;
+import copperbeam.membership.WatchPlan.Step;
+import copperbeam.membership.WatchPlan.Tell;
+import copperbeam.membership.WatchPlan.Wake;
+import copperbeam.routing.MembershipSource.Entry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -16,22 +24,17 @@
 import java.util.TreeMap;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import copperbeam.Api.ServerState;
-import copperbeam.membership.WatchPlan.Ask;
-import copperbeam.membership.WatchPlan.Drop;
-import copperbeam.membership.WatchPlan.Listing;
-import copperbeam.membership.WatchPlan.Step;
-import copperbeam.membership.WatchPlan.Tell;
-import copperbeam.membership.WatchPlan.Wake;
-import copperbeam.routing.MembershipSource.Entry;
 
 /**
  * The watch against agents that hear of changes at times of their own, over all orders in which the steps of a
  * small script can come: none is sampled.
  */
 public class WatchPlanTest {
-    private static final InetSocketAddress[] AT = {new InetSocketAddress("127.0.0.1", 1),
-        new InetSocketAddress("127.0.0.1", 2), new InetSocketAddress("127.0.0.1", 3)};
+    private static final InetSocketAddress[] AT = {
+        new InetSocketAddress("127.0.0.1", 1),
+        new InetSocketAddress("127.0.0.1", 2),
+        new InetSocketAddress("127.0.0.1", 3)
+    };
     private static final Duration SHORT_MOST = Duration.ofMillis(100);
     private static final Backoff SHORT = new Backoff(SHORT_MOST, SHORT_MOST, new SplittableRandom(1));
     /** The registry's versions: a drains and starts again; b stays. */
@@ -48,7 +51,7 @@
         int registry;
         int moves;
         int silences;
-        boolean told;                // that a drains in its first life
+        boolean told; // that a drains in its first life
         final int versions;
         final int mostSilences;
 
@@ -80,7 +83,11 @@
                 }
             }
             Entry a = user.get("a");
-            assertFalse(told && a != null && a.member().state() == ServerState.READY && a.member().launchedAt() == 0,
+            assertFalse(
+                    told
+                            && a != null
+                            && a.member().state() == ServerState.READY
+                            && a.member().launchedAt() == 0,
                     "a is used again though it was told to drain");
             for (InetSocketAddress at : AT) {
                 assertTrue(out.values().stream().filter(o -> o.at().equals(at)).count() <= WatchPlan.MOST_CALLS);
@@ -88,8 +95,10 @@
         }
 
         Ask open(int agent) {
-            return out.values().stream().filter(a -> a.at().equals(AT[agent])
-                    && (a.from() < 0 || a.from() < 10 + heard[agent])).findFirst().orElse(null);
+            return out.values().stream()
+                    .filter(a -> a.at().equals(AT[agent]) && (a.from() < 0 || a.from() < 10 + heard[agent]))
+                    .findFirst()
+                    .orElse(null);
         }
 
         /** What can happen next. */
@@ -152,9 +161,14 @@
 
     private static Listing listing(Ask ask, int version) {
         boolean full = ask.from() < 0;
-        return new Listing(10 + version, full,
-                full ? entries(LISTS[version]) : entries(LISTS[version]).stream()
-                        .filter(e -> e.member().server().equals("a")).toList());
+        return new Listing(
+                10 + version,
+                full,
+                full
+                        ? entries(LISTS[version])
+                        : entries(LISTS[version]).stream()
+                                .filter(e -> e.member().server().equals("a"))
+                                .toList());
     }
 
     /** How many of the registry's versions come, and how often all that is out is silent. */
@@ -215,7 +229,9 @@
         w.answer(first(w, 2), 2);
         assertEquals(w.user.get("a").member().state(), ServerState.DRAINING);
         // the old one is left once the new one has been listened to for a while
-        w.wakes.stream().filter(x -> x.after().equals(WatchPlan.OVERLAP)).toList()
+        w.wakes.stream()
+                .filter(x -> x.after().equals(WatchPlan.OVERLAP))
+                .toList()
                 .forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
         assertTrue(w.out.values().stream().allMatch(a -> a.at().equals(AT[2])));
     }
@@ -258,9 +274,12 @@
             List.copyOf(w.wakes).forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
         }
         Wake silent = w.wakes.get(w.wakes.size() - 1);
-        assertTrue(between(silent.after().minus(WatchPlan.SILENCE), WatchPlan.PAUSE), "and silence is no reason to ask more");
+        assertTrue(
+                between(silent.after().minus(WatchPlan.SILENCE), WatchPlan.PAUSE),
+                "and silence is no reason to ask more");
         w.answer(first(w, 0), 0);
-        assertEquals(w.wakes.get(w.wakes.size() - 1).after(), WatchPlan.HOLD.plus(WatchPlan.SILENCE), "all is well again");
+        assertEquals(
+                w.wakes.get(w.wakes.size() - 1).after(), WatchPlan.HOLD.plus(WatchPlan.SILENCE), "all is well again");
         w.wakes.clear();
         w.take(w.plan.failed(w.out.remove(first(w, 0).call()).call(), false));
         assertTrue(between(w.wakes.get(0).after(), Duration.ofMillis(500)));
@@ -274,7 +293,10 @@
         Ask ask = (Ask) steps.get(0);
         assertEquals(List.of(ask.from(), ask.hold()), List.of(10L, WatchPlan.HOLD));
         List<Step> more = plan.answered(ask.call(), new Listing(11, false, entries("a-0")), Instant.EPOCH);
-        assertEquals(((Tell) more.stream().filter(Tell.class::isInstance).findFirst().orElseThrow()).change().entries(),
+        assertEquals(
+                ((Tell) more.stream().filter(Tell.class::isInstance).findFirst().orElseThrow())
+                        .change()
+                        .entries(),
                 entries("a-0"));
         Ask next = (Ask) more.stream().filter(Ask.class::isInstance).findFirst().orElseThrow();
         assertEquals(next.from(), 11);
@@ -324,7 +346,8 @@
         w.answer(first(w, 0), 0);
         Ask a = w.out.remove(first(w, 0).call());
         w.take(w.plan.answered(a.call(), new Listing(3, false, entries("a+0")), Instant.EPOCH));
-        assertEquals(w.user.get("a").member().state(), ServerState.DRAINING, "changes against another list say nothing");
+        assertEquals(
+                w.user.get("a").member().state(), ServerState.DRAINING, "changes against another list say nothing");
         Ask whole = w.out.remove(first(w, 0).call());
         assertTrue(whole.from() < 0);
         w.take(w.plan.answered(whole.call(), new Listing(3, true, entries("a+0 b+0")), Instant.EPOCH));
@@ -337,19 +360,26 @@
     /** Answers that bring nothing new, at once and for ever: one call each {@code SPACE}, and none waits for longer. */
     @Test
     public void anAddressThatAnswersAtOnceIsNeitherSpunAtNorLeft() {
-        for (Listing nothing : List.of(new Listing(10, false, List.of()), new Listing(10, true, entries("a+0 b+0")),
-                new Listing(11, false, List.of()), new Listing(3, true, entries("a+0 b+0")))) {
+        for (Listing nothing : List.of(
+                new Listing(10, false, List.of()),
+                new Listing(10, true, entries("a+0 b+0")),
+                new Listing(11, false, List.of()),
+                new Listing(3, true, entries("a+0 b+0")))) {
             World w = listed();
             for (int i = 0; i < 50; i++) {
                 Ask a = w.out.remove(first(w, 0).call());
                 w.take(w.plan.answered(a.call(), nothing, Instant.EPOCH));
                 assertTrue(w.out.isEmpty(), nothing + ": asked at once");
-                Wake space = w.wakes.stream().filter(x -> x.after().equals(WatchPlan.SPACE)).reduce((x, y) -> y).orElseThrow();
+                Wake space = w.wakes.stream()
+                        .filter(x -> x.after().equals(WatchPlan.SPACE))
+                        .reduce((x, y) -> y)
+                        .orElseThrow();
                 w.take(w.plan.woken(space.token(), Instant.EPOCH));
                 assertEquals(w.out.size(), 1);
             }
             Ask held = w.out.remove(first(w, 0).call());
-            w.wakes.stream().filter(x -> x.after().equals(WatchPlan.SPACE)).reduce((x, y) -> y).stream().toList()
+            w.wakes.stream().filter(x -> x.after().equals(WatchPlan.SPACE)).reduce((x, y) -> y).stream()
+                    .toList()
                     .forEach(x -> w.take(w.plan.woken(x.token(), Instant.EPOCH)));
             w.take(w.plan.answered(held.call(), nothing, Instant.EPOCH));
             assertEquals(w.out.size(), 1, "one that has waited is followed at once");
@@ -395,6 +425,9 @@
     }
 
     private static Ask first(World w, int agent) {
-        return w.out.values().stream().filter(a -> a.at().equals(AT[agent])).findFirst().orElseThrow();
+        return w.out.values().stream()
+                .filter(a -> a.at().equals(AT[agent]))
+                .findFirst()
+                .orElseThrow();
     }
 }
--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -4,14 +4,14 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import copperbeam.Api;
+import copperbeam.Brain;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
-import copperbeam.Api;
-import copperbeam.Brain;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -64,9 +64,13 @@
     public void whatIsNotToldStopsNoChoice() throws Exception {
         Config c = read(GOOD, null, Map.of());
         Brain brain = new Brain(c.settings(), c.seed());
-        brain.on(1, new Api.Members(Api.ListKind.FULL, List.of(
-                new Api.Member("warm", null, "d", 0, Api.ServerState.READY, 0, 0),
-                new Api.Member("cold", null, "d", 0, Api.ServerState.READY, 0, 0.9))));
+        brain.on(
+                1,
+                new Api.Members(
+                        Api.ListKind.FULL,
+                        List.of(
+                                new Api.Member("warm", null, "d", 0, Api.ServerState.READY, 0, 0),
+                                new Api.Member("cold", null, "d", 0, Api.ServerState.READY, 0, 0.9))));
         List<Api.Action> actions = brain.on(1, new Api.Arrival(1, "none", null, null, null, 100, 0, 10, 5));
         assertTrue(actions.stream().anyMatch(a -> a instanceof Api.Attempt), actions.toString());
     }
@@ -89,30 +93,68 @@
     @DataProvider
     public Object[][] odd() {
         return new Object[][] {
-            {"", ""}, {",\"give_up_s\":6.0", ""}, {"\"promise_s\":1.0", "\"promise_s\":0"}, {"\"late_share\":0.1", "\"late_share\":0"},
-            {"\"share\":0.5", "\"share\":0"}, {"\"quota_per_s\":5.0", "\"quota_per_s\":0"},
-            {"\"customers\":[{\"name\":\"t\",\"quota_per_s\":5.0,\"share\":0.5}],", ""}, {"\"zones\":[\"z\"],", ""},
-            {"\"worth\":3.0", "\"worth\":0"}, {",\"worth\":1.0", ""}, {"\"window_s\":5.0", "\"window_s\":0"}, {"\"group\":\"zone\",", ""},
-            {"\"self_index\":1", "\"self_index\":7"}, {"\"self_index\":1,", ""}, {"\"self_index\":1", "\"self_index\":-3"},
-            {"\"balancers\":2", "\"balancers\":1"}, {"\"balancers\":2", "\"balancers\":1000000"},
-            {"\"kinds\":[\"r\",\"w\"],", ""}, {"\"role_by_kind\":[\"read\",\"write\"],", ""}, {"\"memory_tokens\":[1000,1000],", ""},
-            {"[40000.0,0,0]", "[]"}, {"\"release_s\":1.0", "\"release_s\":0"}, {"\"release_s\":1.0,", ""},
-            {"\"rules\":{\"ask_within_s\":10.0,\"cold_from\":0.28,\"fall_multiple\":3.0,\"fall_s\":2.0,\"warm_within_s\":13.0},", ""},
-            {"\"fall_multiple\":3.0", "\"fall_multiple\":0"}, {"\"fall_s\":2.0", "\"fall_s\":0"}, {"\"warm_within_s\":13.0", "\"warm_within_s\":0"},
-            {"\"cold_from\":0.28", "\"cold_from\":0"}, {"\"cold_from\":0.28", "\"cold_from\":1"}, {"\"ask_within_s\":10.0,", ""},
-            {"\"probe\":0.0024", "\"probe\":0"}, {"\"penalties\":{\"probe\":0.0024},", ""}, {"\"probing\":true,", ""}, {"\"cancel\":true,", ""},
-            {",\"retry_after\":true,\"max_retry_after_s\":2.0", ""}, {"\"report\":{\"via\":\"on_probe\",\"fields\":[\"active\",\"x0\"]},", ""},
-            {"\"send_cap\":4", "\"send_cap\":2"}, {"\"send_cap\":4", "\"send_cap\":1000"}, {"\"send_cap\":4", "\"send_cap\":4.0"},
+            {"", ""},
+            {",\"give_up_s\":6.0", ""},
+            {"\"promise_s\":1.0", "\"promise_s\":0"},
+            {"\"late_share\":0.1", "\"late_share\":0"},
+            {"\"share\":0.5", "\"share\":0"},
+            {"\"quota_per_s\":5.0", "\"quota_per_s\":0"},
+            {"\"customers\":[{\"name\":\"t\",\"quota_per_s\":5.0,\"share\":0.5}],", ""},
+            {"\"zones\":[\"z\"],", ""},
+            {"\"worth\":3.0", "\"worth\":0"},
+            {",\"worth\":1.0", ""},
+            {"\"window_s\":5.0", "\"window_s\":0"},
+            {"\"group\":\"zone\",", ""},
+            {"\"self_index\":1", "\"self_index\":7"},
+            {"\"self_index\":1,", ""},
+            {"\"self_index\":1", "\"self_index\":-3"},
+            {"\"balancers\":2", "\"balancers\":1"},
+            {"\"balancers\":2", "\"balancers\":1000000"},
+            {"\"kinds\":[\"r\",\"w\"],", ""},
+            {"\"role_by_kind\":[\"read\",\"write\"],", ""},
+            {"\"memory_tokens\":[1000,1000],", ""},
+            {"[40000.0,0,0]", "[]"},
+            {"\"release_s\":1.0", "\"release_s\":0"},
+            {"\"release_s\":1.0,", ""},
+            {
+                "\"rules\":{\"ask_within_s\":10.0,\"cold_from\":0.28,\"fall_multiple\":3.0,\"fall_s\":2.0,\"warm_within_s\":13.0},",
+                ""
+            },
+            {"\"fall_multiple\":3.0", "\"fall_multiple\":0"},
+            {"\"fall_s\":2.0", "\"fall_s\":0"},
+            {"\"warm_within_s\":13.0", "\"warm_within_s\":0"},
+            {"\"cold_from\":0.28", "\"cold_from\":0"},
+            {"\"cold_from\":0.28", "\"cold_from\":1"},
+            {"\"ask_within_s\":10.0,", ""},
+            {"\"probe\":0.0024", "\"probe\":0"},
+            {"\"penalties\":{\"probe\":0.0024},", ""},
+            {"\"probing\":true,", ""},
+            {"\"cancel\":true,", ""},
+            {",\"retry_after\":true,\"max_retry_after_s\":2.0", ""},
+            {"\"report\":{\"via\":\"on_probe\",\"fields\":[\"active\",\"x0\"]},", ""},
+            {"\"send_cap\":4", "\"send_cap\":2"},
+            {"\"send_cap\":4", "\"send_cap\":1000"},
+            {"\"send_cap\":4", "\"send_cap\":4.0"},
             {"\"memory_mb\":192,\"sockets\":1024", "\"memory_mb\":192.0,\"sockets\":1024.0"},
-            {"\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},", ""}, {"\"cores\"", "\"new\":{\"key\":[null]},\"cores\""},
-            {"\"zones\"", "\"new\":{\"key\":[null]},\"zones\""}, {"\"name\":\"ask\"", "\"new\":-1,\"name\":\"\u00f1and\u00fa \u65e5\u672c\u8a9e.,:;=/\\\"\""},
+            {"\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},", ""},
+            {"\"cores\"", "\"new\":{\"key\":[null]},\"cores\""},
+            {"\"zones\"", "\"new\":{\"key\":[null]},\"zones\""},
+            {"\"name\":\"ask\"", "\"new\":-1,\"name\":\"\u00f1and\u00fa \u65e5\u672c\u8a9e.,:;=/\\\"\""},
             {"\"send_cap\":4", "\"send_cap\":2147483647"},
-            {"\"promise_s\":1.0", "\"promise_s\":1e300"}, {"\"window_s\":5.0", "\"window_s\":1e300"},
-            {"\"promise_s\":1.0", "\"promise_s\":-1"}, {"\"window_s\":5.0", "\"window_s\":-1"}, {"\"release_s\":1.0", "\"release_s\":-1"},
-            {"\"worth\":3.0", "\"worth\":-1"}, {"\"fall_s\":2.0", "\"fall_s\":-1"}, {"\"warm_within_s\":13.0", "\"warm_within_s\":1e300"},
-            {"\"quota_per_s\":5.0", "\"quota_per_s\":1e300"}, {"\"customers\":[", "\"customers\":[{\"name\":\"t\"},"},
-            {"[1000,1000]", "[-1,1e300]"}, {"\"send_cap\":4", "\"conn_idle_s\":null,\"send_cap\":4"},
-            {"\"name\":\"ask\"", "\"name\":\"" + "long".repeat(100) + "\""}, {"[\"r\",\"w\"]", "[\"\u00e9 1\",\"" + "w".repeat(300) + "\"]"},
+            {"\"promise_s\":1.0", "\"promise_s\":1e300"},
+            {"\"window_s\":5.0", "\"window_s\":1e300"},
+            {"\"promise_s\":1.0", "\"promise_s\":-1"},
+            {"\"window_s\":5.0", "\"window_s\":-1"},
+            {"\"release_s\":1.0", "\"release_s\":-1"},
+            {"\"worth\":3.0", "\"worth\":-1"},
+            {"\"fall_s\":2.0", "\"fall_s\":-1"},
+            {"\"warm_within_s\":13.0", "\"warm_within_s\":1e300"},
+            {"\"quota_per_s\":5.0", "\"quota_per_s\":1e300"},
+            {"\"customers\":[", "\"customers\":[{\"name\":\"t\"},"},
+            {"[1000,1000]", "[-1,1e300]"},
+            {"\"send_cap\":4", "\"conn_idle_s\":null,\"send_cap\":4"},
+            {"\"name\":\"ask\"", "\"name\":\"" + "long".repeat(100) + "\""},
+            {"[\"r\",\"w\"]", "[\"\u00e9 1\",\"" + "w".repeat(300) + "\"]"},
         };
     }
 
@@ -121,12 +163,25 @@
     public void whatIsTakenServesEachClass(String usual, String odd) throws Exception {
         assertTrue(WHOLE.contains(usual), usual);
         Api.Settings settings = read(WHOLE.replace(usual, odd), null, Map.of()).settings();
-        List<String> kinds = settings.kinds().isEmpty() ? List.of("none") : settings.kinds().stream().map(Api.Kind::name).toList();
+        List<String> kinds = settings.kinds().isEmpty()
+                ? List.of("none")
+                : settings.kinds().stream().map(Api.Kind::name).toList();
         WarmUp.start(settings, null, null, () -> {});
         Brain brain = new Brain(settings, 7);
-        brain.on(1, new Api.Members(Api.ListKind.FULL, kinds.stream()
-                .map(k -> new Api.Member(k, null, k, 0, Api.ServerState.READY, 0, settings.rules().fallMultiple() > 0 ? 0 : 0.9))
-                .toList()));
+        brain.on(
+                1,
+                new Api.Members(
+                        Api.ListKind.FULL,
+                        kinds.stream()
+                                .map(k -> new Api.Member(
+                                        k,
+                                        null,
+                                        k,
+                                        0,
+                                        Api.ServerState.READY,
+                                        0,
+                                        settings.rules().fallMultiple() > 0 ? 0 : 0.9))
+                                .toList()));
         for (int i = 0; i < settings.classes().size(); i++) {
             assertTrue(served(brain, settings, i), settings.classes().get(i) + " is not served");
         }
@@ -135,8 +190,10 @@
     /** Each attempt goes well at once, as do probes; timers of less than a second are waited for, one after another. */
     private static boolean served(Brain brain, Api.Settings settings, int request) {
         double now = 2 + 10 * request;
-        ArrayDeque<Api.Action> todo = new ArrayDeque<>(brain.on(now, new Api.Arrival(request,
-                settings.classes().get(request).name(), "t", "s", "p", 1000, 500, 10, now + 50)));
+        ArrayDeque<Api.Action> todo = new ArrayDeque<>(brain.on(
+                now,
+                new Api.Arrival(
+                        request, settings.classes().get(request).name(), "t", "s", "p", 1000, 500, 10, now + 50)));
         int attempts = 0;
         while (!todo.isEmpty() && now < 7 + 10 * request) {
             Api.Action action = todo.poll();
@@ -145,14 +202,20 @@
             } else if (action instanceof Api.Probe p) {
                 todo.addAll(brain.on(now, new Api.Probed(p.server(), Api.Outcome.OK, 0.001, null)));
             } else if (action instanceof Api.Attempt a) {
-                boolean reads = settings.kinds().stream().anyMatch(k -> k.name().equals(a.server()) && k.role() == Api.Role.READER);
+                boolean reads = settings.kinds().stream()
+                        .anyMatch(k -> k.name().equals(a.server()) && k.role() == Api.Role.READER);
                 if (!reads) {
                     brain.on(now, new Api.StreamStarted(request, attempts, a.server(), 0.01));
-                    brain.on(now, new Api.AttemptEnded(request, attempts, a.server(), Api.Outcome.OK, 0.02, true, false, null));
+                    brain.on(
+                            now,
+                            new Api.AttemptEnded(
+                                    request, attempts, a.server(), Api.Outcome.OK, 0.02, true, false, null));
                     return true;
                 }
-                todo.addAll(brain.on(now, new Api.AttemptEnded(request, attempts++, a.server(), Api.Outcome.READ, 0, false,
-                        false, null, 0)));
+                todo.addAll(brain.on(
+                        now,
+                        new Api.AttemptEnded(
+                                request, attempts++, a.server(), Api.Outcome.READ, 0, false, false, null, 0)));
             }
         }
         return false;
@@ -161,11 +224,19 @@
     /** The platform kills 0.7 s after the longest deadline, counted as 3 s at most; the operator's word goes before. */
     @DataProvider
     public Object[][] deadlines() {
-        return new Object[][] {{"", null, 3700}, {"\"give_up_s\":6,", null, 3700}, {"\"give_up_s\":3.0,", null, 3700},
-            {"\"give_up_s\":1.5,", null, 2200}, {"\"give_up_s\":1,", OPERATOR, 1700}, {"\"give_up_s\":0,", null, 3700},
-            {"\"give_up_s\":1,\"promise_s\":1,\"semantics\":\"safe\"},{\"name\":\"longer\",\"give_up_s\":2,", null, 2700},
+        return new Object[][] {
+            {"", null, 3700},
+            {"\"give_up_s\":6,", null, 3700},
+            {"\"give_up_s\":3.0,", null, 3700},
+            {"\"give_up_s\":1.5,", null, 2200},
+            {"\"give_up_s\":1,", OPERATOR, 1700},
+            {"\"give_up_s\":0,", null, 3700},
+            {"\"give_up_s\":1,\"promise_s\":1,\"semantics\":\"safe\"},{\"name\":\"longer\",\"give_up_s\":2,", null, 2700
+            },
             {"\"give_up_s\":1,\"promise_s\":1,\"semantics\":\"safe\"},{\"name\":\"untold\",", null, 3700},
-            {"\"give_up_s\":1,", "{\"stop\":{\"within_s\":5}}", 5000}, {"\"give_up_s\":1,", "{\"stop\":{}}", 1700}};
+            {"\"give_up_s\":1,", "{\"stop\":{\"within_s\":5}}", 5000},
+            {"\"give_up_s\":1,", "{\"stop\":{}}", 1700}
+        };
     }
 
     @Test(dataProvider = "deadlines")
@@ -177,7 +248,9 @@
     @DataProvider
     public Object[][] faulty() {
         return new Object[][] {
-            {"", null, "the file: "}, {"{", null, "GW_CONFIG: "}, {GOOD.replace("\"settings\"", "\"x\""), null, "settings: "},
+            {"", null, "the file: "},
+            {"{", null, "GW_CONFIG: "},
+            {GOOD.replace("\"settings\"", "\"x\""), null, "settings: "},
             {GOOD.replace("127.0.0.4:3000", "here"), null, "listen: "},
             {GOOD.replace("\"discovery\"", "\"x\""), null, "discovery: "},
             {GOOD.replace("8c1f30d27a5be964", "xyz"), null, "seed: "},
@@ -196,28 +269,55 @@
             {GOOD.replace("\"rules\":{}", "\"rules\":[]"), null, "settings: field 'rules' "},
             {GOOD.replace("\"limits\":{\"send_cap\":4,\"conn_idle_s\":12}", "\"limits\":4"), null, "settings.limits: "},
             {GOOD.replace("\"balancers\":2", "\"balancers\":2.5"), null, "settings: field 'balancers' "},
-            {GOOD.replace("\"balancers\":2", "\"balancers\":2,\"self_index\":\"a\""), null, "settings: field 'self_index' "},
+            {
+                GOOD.replace("\"balancers\":2", "\"balancers\":2,\"self_index\":\"a\""),
+                null,
+                "settings: field 'self_index' "
+            },
             {GOOD.replace("\"seed\"", "\"limits\":{\"sockets\":900.5},\"seed\""), null, "limits.sockets: "},
-            {GOOD.replace("\"extra\":{}", "\"extra\":{\"role_by_kind\":[\"paint\"]}"), null, "settings: unknown role 'paint'"},
+            {
+                GOOD.replace("\"extra\":{}", "\"extra\":{\"role_by_kind\":[\"paint\"]}"),
+                null,
+                "settings: unknown role 'paint'"
+            },
             {GOOD.replace("\"services\":[", "\"services\":[7,"), null, "settings: field 'services' "},
             {GOOD.replace("\"name\":\"ask\"", "\"name\":\"\""), null, "settings.services[0].name: "},
             {GOOD.replace("\"name\":\"ask\"", "\"name\":\" ask\""), null, "settings.services[0].name: "},
             {GOOD.replace("\"name\":\"ask\"", "\"name\":\"a\\nsk\""), null, "settings.services[0].name: "},
             {GOOD.replace("\"name\":\"ask\"", "\"name\":\"\\ud800\""), null, "settings.services[0].name: "},
-            {GOOD.replace("\"services\":[", "\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"unsafe\"},"), null,
-                "settings.services[1].name: "},
-            {GOOD.replace("[\"d\"]", "[\"d\",\"d\"]").replace("\"extra\":{}", "\"extra\":{\"role_by_kind\":[\"read\",\"write\"]}"), null,
-                "settings.kinds: "},
+            {
+                GOOD.replace(
+                        "\"services\":[", "\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"unsafe\"},"),
+                null,
+                "settings.services[1].name: "
+            },
+            {
+                GOOD.replace("[\"d\"]", "[\"d\",\"d\"]")
+                        .replace("\"extra\":{}", "\"extra\":{\"role_by_kind\":[\"read\",\"write\"]}"),
+                null,
+                "settings.kinds: "
+            },
             {GOOD.replace("\"balancers\":2", "\"balancers\":4294967298"), null, "settings.balancers: "},
             {GOOD.replace("\"send_cap\":4", "\"send_cap\":4294967300"), null, "settings.limits.send_cap: "},
-            {GOOD.replace("\"send_cap\":4", "\"send_cap\":4,\"max_retry_after_s\":-2"), null, "settings.limits.max_retry_after_s: "},
-            {GOOD.replace("\"extra\":{}", "\"customers\":[{\"name\":\"t\",\"quota_per_s\":-5}]"), null, "settings.customers[0].quota_per_s: "},
+            {
+                GOOD.replace("\"send_cap\":4", "\"send_cap\":4,\"max_retry_after_s\":-2"),
+                null,
+                "settings.limits.max_retry_after_s: "
+            },
+            {
+                GOOD.replace("\"extra\":{}", "\"customers\":[{\"name\":\"t\",\"quota_per_s\":-5}]"),
+                null,
+                "settings.customers[0].quota_per_s: "
+            },
             {GOOD.replace("\"extra\":{}", "\"extra\":{\"release_s\":1e12}"), null, "settings.extra.release_s: "},
             {GOOD.replace("\"rules\":{}", "\"rules\":{\"ask_within_s\":1e12}"), null, "settings.rules.ask_within_s: "},
             {GOOD, "{\"opnai\":{}}", "opnai: "},
             {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"none\""), "openai.models.m.class: "},
-            {GOOD, OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"ask\",\"max_tokens\":0"),
-                "openai.models.m.max_tokens: "},
+            {
+                GOOD,
+                OPERATOR.replace("\"class\":\"ask\"", "\"class\":\"ask\",\"max_tokens\":0"),
+                "openai.models.m.max_tokens: "
+            },
             {GOOD, "{\"etcd\":{\"endpoint\":\"127.0.0.1:1\",\"prefix\":\"x\"}}", "etcd.prefix: "},
             {GOOD, "{\"stop\":{\"within_s\":1.9}}", "stop.within_s: "},
             {GOOD, "{\"stop\":{\"within\":3}}", "stop.within: "},
@@ -234,8 +334,9 @@
     /** The operator's example in the repository is one that loads. */
     @Test
     public void theExampleLoads() throws Exception {
-        String settings = GOOD.replace("\"semantics\":\"safe\"}", "\"semantics\":\"safe\"},{\"name\":\"send\","
-                + "\"promise_s\":3,\"semantics\":\"unsafe\"}");
+        String settings = GOOD.replace(
+                "\"semantics\":\"safe\"}",
+                "\"semantics\":\"safe\"},{\"name\":\"send\"," + "\"promise_s\":3,\"semantics\":\"unsafe\"}");
         Path file = Files.writeString(Files.createTempFile("config", ".json"), settings);
         Config c = Config.read(Map.of("GW_CONFIG", file.toString()), "deploy/operator.example.json");
         assertEquals(c.operator().hooks().size(), 1);
--- a/src/test/java/copperbeam/program/DutyActorTest.java
+++ b/src/test/java/copperbeam/program/DutyActorTest.java
@@ -90,7 +90,8 @@
     }
 
     private static final class Parts implements AutoCloseable {
-        final ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "actors"));
+        final ScheduledThreadPoolExecutor turns =
+                new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "actors"));
         final HttpFrontServer front;
         final ModuleActor module;
         final DutyActor duty;
@@ -98,16 +99,36 @@
 
         @SuppressWarnings("unchecked")
         Parts(Clock clock) throws Exception {
-            front = new HttpFrontServer((call, reply) -> {
-                reply.whole(200, "text/plain", Map.of(), new byte[0]);
-                return () -> { };
-            }, clock, new ClientRoom(10, 1 << 20), (requestClass, status) -> { });
+            front = new HttpFrontServer(
+                    (call, reply) -> {
+                        reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                        return () -> {};
+                    },
+                    clock,
+                    new ClientRoom(10, 1 << 20),
+                    (requestClass, status) -> {});
             ReleaseActor releases = new ReleaseActor(turns, clock, Duration.ofSeconds(2));
-            module = new ModuleActor(turns, clock, Decoder.settings(Json.GSON.fromJson("{\"balancers\":1,"
-                    + "\"kinds\":[\"d\"],\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"safe\"}],\"limits\":{\"send_cap\":4},"
-                    + "\"rules\":{},\"extra\":{}}", Map.class)), 1, releases, Recorder.NONE, new Metrics(Set.of("ask")));
-            duty = new DutyActor(turns, clock, new Lifecycle(Duration.ofMillis(3700), true), List.of(front), module, releases,
-                    () -> false, beside -> { });
+            module = new ModuleActor(
+                    turns,
+                    clock,
+                    Decoder.settings(Json.GSON.fromJson(
+                            "{\"balancers\":1,"
+                                    + "\"kinds\":[\"d\"],\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"safe\"}],\"limits\":{\"send_cap\":4},"
+                                    + "\"rules\":{},\"extra\":{}}",
+                            Map.class)),
+                    1,
+                    releases,
+                    Recorder.NONE,
+                    new Metrics(Set.of("ask")));
+            duty = new DutyActor(
+                    turns,
+                    clock,
+                    new Lifecycle(Duration.ofMillis(3700), true),
+                    List.of(front),
+                    module,
+                    releases,
+                    () -> false,
+                    beside -> {});
             address = front.listen(new InetSocketAddress("127.0.0.1", 0), false);
         }
 
@@ -133,7 +154,8 @@
     @Test(dataProvider = "threads")
     public void whoIsOnTheWayInIsServedBeforeTheEnd(String thread) throws Exception {
         Held clock = new Held(thread);
-        try (Parts parts = new Parts(clock); Socket client = new Socket(parts.address.getAddress(), parts.address.getPort())) {
+        try (Parts parts = new Parts(clock);
+                Socket client = new Socket(parts.address.getAddress(), parts.address.getPort())) {
             client.setSoTimeout(PATIENCE_MS);
             client.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             assertTrue(clock.looked.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
@@ -143,7 +165,8 @@
             clock.awaitTurns(end);
             assertFalse(end.isDone(), "it ends though a client is on its way in");
             clock.go.countDown();
-            BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
             assertEquals(in.readLine(), "HTTP/1.1 200 OK");
             clock.advance(Duration.ofMillis(100)); // its connection closes
             end.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -158,11 +181,25 @@
             CompletableFuture<Void> end = parts.duty.stop(false);
             clock.awaitTurns(end); // it has found that nothing is open
             CompletableFuture<String> told = new CompletableFuture<>();
-            Answer answer = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
-                    (proxy, method, args) -> method.getName().equals("gone") ? false
+            Answer answer = (Answer) Proxy.newProxyInstance(
+                    getClass().getClassLoader(),
+                    new Class<?>[] {Answer.class},
+                    (proxy, method, args) -> method.getName().equals("gone")
+                            ? false
                             : tell(told, method.getName() + (end.isDone() ? " after the end" : "")));
             parts.turns.execute(() -> {
-                parts.module.arrive(new Ask("id", "ask", "k", null, 40, 0, 9, clock.instant().plusSeconds(8), false, null),
+                parts.module.arrive(
+                        new Ask(
+                                "id",
+                                "ask",
+                                "k",
+                                null,
+                                40,
+                                0,
+                                9,
+                                clock.instant().plusSeconds(8),
+                                false,
+                                null),
                         answer);
                 clock.advance(Duration.ofSeconds(1));
             });
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -23,9 +23,20 @@
     @DataProvider
     public Object[][] timeouts() {
         return new Object[][] {
-            {"4800m", Duration.ofMillis(4800)}, {"250u", Duration.ofNanos(250_000)}, {" 1m ", Duration.ofMillis(1)},
-            {null, null}, {"", null}, {"m", null}, {"12", null}, {"-5m", null}, {"0m", null}, {"1.5m", null},
-            {"99999999999999999999m", null}, {"999999999999m", null}, {"5s", null}, {"\u0665m", null},
+            {"4800m", Duration.ofMillis(4800)},
+            {"250u", Duration.ofNanos(250_000)},
+            {" 1m ", Duration.ofMillis(1)},
+            {null, null},
+            {"", null},
+            {"m", null},
+            {"12", null},
+            {"-5m", null},
+            {"0m", null},
+            {"1.5m", null},
+            {"99999999999999999999m", null},
+            {"999999999999m", null},
+            {"5s", null},
+            {"\u0665m", null},
         };
     }
 
@@ -43,8 +54,13 @@
         return new Object[][] {
             {"prefix=5c,prompt_len=5120,prefix_len=2048,max_out=800", new Attrs("5c", 5120, 2048, 800)},
             {" max_out = 7 , other=x", new Attrs(null, 0, 0, 7)},
-            {null, new Attrs(null, 0, 0, 0)}, {"", new Attrs(null, 0, 0, 0)}, {"prefix=", new Attrs(null, 0, 0, 0)},
-            {"prompt_len", null}, {"prompt_len=-1", null}, {"max_out=1e3", null}, {"=5", null},
+            {null, new Attrs(null, 0, 0, 0)},
+            {"", new Attrs(null, 0, 0, 0)},
+            {"prefix=", new Attrs(null, 0, 0, 0)},
+            {"prompt_len", null},
+            {"prompt_len=-1", null},
+            {"max_out=1e3", null},
+            {"=5", null},
         };
     }
 
@@ -64,7 +80,10 @@
             {"inflight=7,queue=2,util=0.61", new Report(0.61, 2, 7, no, no)},
             {"active=3,x0=0.5", new Report(no, no, 3, 0.5, no)},
             {"x1=4, inflight=junk, x0=NaN", new Report(no, no, no, no, 4)},
-            {"", null}, {null, null}, {"inflight", null}, {"other=5", null},
+            {"", null},
+            {null, null},
+            {"inflight", null},
+            {"other=5", null},
         };
     }
 
@@ -76,9 +95,16 @@
     @DataProvider
     public Object[][] words() {
         return new Object[][] {
-            {200, false, Word.STREAM}, {202, false, Word.ERROR}, {410, true, Word.STATE_MISSING},
-            {410, false, Word.ERROR}, {503, true, Word.TURNED_AWAY}, {504, true, Word.TURNED_AWAY},
-            {503, false, Word.ERROR}, {504, false, Word.ERROR}, {500, true, Word.ERROR}, {404, false, Word.ERROR},
+            {200, false, Word.STREAM},
+            {202, false, Word.ERROR},
+            {410, true, Word.STATE_MISSING},
+            {410, false, Word.ERROR},
+            {503, true, Word.TURNED_AWAY},
+            {504, true, Word.TURNED_AWAY},
+            {503, false, Word.ERROR},
+            {504, false, Word.ERROR},
+            {500, true, Word.ERROR},
+            {404, false, Word.ERROR},
         };
     }
 
@@ -86,8 +112,9 @@
     public void words(int status, boolean notProcessed, Word expected) {
         assertEquals(PlatformWords.attempt(false, status, notProcessed), expected);
         // a reader's differs only in its own word
-        assertEquals(PlatformWords.attempt(true, status, notProcessed), status == 200 ? Word.ERROR
-                : status == 202 ? Word.READ : expected);
+        assertEquals(
+                PlatformWords.attempt(true, status, notProcessed),
+                status == 200 ? Word.ERROR : status == 202 ? Word.READ : expected);
     }
 
     @DataProvider
@@ -124,7 +151,8 @@
             List<String> events = new ArrayList<>();
             EventSplitter splitter = new EventSplitter();
             splitter.take(ByteBuffer.wrap(bytes, 0, cut), e -> events.add(new String(e, StandardCharsets.UTF_8)));
-            splitter.take(ByteBuffer.wrap(bytes, cut, bytes.length - cut),
+            splitter.take(
+                    ByteBuffer.wrap(bytes, cut, bytes.length - cut),
                     e -> events.add(new String(e, StandardCharsets.UTF_8)));
             splitter.end(e -> events.add(new String(e, StandardCharsets.UTF_8)));
             assertEquals(events, expected);
@@ -133,8 +161,16 @@
 
     @DataProvider
     public Object[][] noEvents() {
-        return new Object[][] {{"what\n"}, {"data: 1\n2f\r\n"}, {"\r\n2f\r\n"}, {"dat: 1\n"}, {"events: 1\n"},
-            {"data: " + "x".repeat(40_000)}, {" data: 1\n"}, {"dat"}};
+        return new Object[][] {
+            {"what\n"},
+            {"data: 1\n2f\r\n"},
+            {"\r\n2f\r\n"},
+            {"dat: 1\n"},
+            {"events: 1\n"},
+            {"data: " + "x".repeat(40_000)},
+            {" data: 1\n"},
+            {"dat"}
+        };
     }
 
     /** Where a server has lost its count, what it takes for an event is handed on by nobody. */
@@ -151,18 +187,29 @@
     public Object[][] faultyLists() {
         String server = "{\"version\":1,\"servers\":[%s]}";
         return new Object[][] {
-            {"", "no object"}, {"{}", "names no servers"}, {"[", "no JSON"}, {"[]", "no object"}, {"null", "no object"},
-            {"{\"version\":\"x\",\"servers\":[]}", "version is not"}, {"{\"version\":\"1\",\"servers\":[]}", "version is not"},
-            {"{\"version\":1.5,\"servers\":[]}", "version is not"}, {"{\"servers\":[]}", "no version"},
+            {"", "no object"},
+            {"{}", "names no servers"},
+            {"[", "no JSON"},
+            {"[]", "no object"},
+            {"null", "no object"},
+            {"{\"version\":\"x\",\"servers\":[]}", "version is not"},
+            {"{\"version\":\"1\",\"servers\":[]}", "version is not"},
+            {"{\"version\":1.5,\"servers\":[]}", "version is not"},
+            {"{\"servers\":[]}", "no version"},
             {"{\"version\":1,\"full\":\"true\",\"servers\":[]}", "full is not"},
-            {"{\"version\":1,\"servers\":7}", "names no servers"}, {"{\"version\":1,\"servers\":{}}", "names no servers"},
-            {"{\"version\":1,\"servers\":[]", "no JSON"}, {"{\"version\":1,\"servers\":[]}}", "no JSON"},
-            {"{version=1;servers:[]}", "no JSON"}, {"[".repeat(9999), "no JSON"},
-            {String.format(server, "7"), "no object"}, {String.format(server, "null"), "no object"},
+            {"{\"version\":1,\"servers\":7}", "names no servers"},
+            {"{\"version\":1,\"servers\":{}}", "names no servers"},
+            {"{\"version\":1,\"servers\":[]", "no JSON"},
+            {"{\"version\":1,\"servers\":[]}}", "no JSON"},
+            {"{version=1;servers:[]}", "no JSON"},
+            {"[".repeat(9999), "no JSON"},
+            {String.format(server, "7"), "no object"},
+            {String.format(server, "null"), "no object"},
             {String.format(server, "{\"id\":7,\"addr\":\"1.2.3.4:5\"}"), "id is not"},
             {String.format(server, "{\"id\":\"a\",\"addr\":5}"), "addr is not"},
             {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"state\":true}"), "state is not"},
-            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"started_ms\":\"soon\"}"), "started_ms is not"},
+            {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"started_ms\":\"soon\"}"), "started_ms is not"
+            },
             {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"weight\":-1}"), "weight"},
             {String.format(server, "{\"id\":\"a\",\"addr\":\"1.2.3.4:5\",\"weight\":1e999}"), "weight"},
             {String.format(server, "{\"id\":\"a\",\"addr\":\"256.2.3.4:5\"}"), "host:port"},
@@ -176,8 +223,8 @@
 
     @Test(dataProvider = "faultyLists")
     public void faultyList(String json, String told) {
-        IllegalArgumentException e = org.testng.Assert.expectThrows(IllegalArgumentException.class,
-                () -> ServerList.parse(json).change(copperbeam.Api.ListKind.FULL));
+        IllegalArgumentException e = org.testng.Assert.expectThrows(
+                IllegalArgumentException.class, () -> ServerList.parse(json).change(copperbeam.Api.ListKind.FULL));
         assertEquals(e.getMessage().contains(told), true, e.getMessage());
     }
 }
--- a/src/test/java/copperbeam/record/RecorderTest.java
+++ b/src/test/java/copperbeam/record/RecorderTest.java
@@ -50,7 +50,10 @@
             Deque<Event> all = new ArrayDeque<>();
             int added = 0;
             for (int i = random.nextInt(300); i > 0; i--) {
-                Event e = Event.newBuilder().setAtMicros(i).setText("x".repeat(random.nextInt(60))).build();
+                Event e = Event.newBuilder()
+                        .setAtMicros(i)
+                        .setText("x".repeat(random.nextInt(60)))
+                        .build();
                 ring.add(e);
                 all.addLast(e);
                 added++;
@@ -106,10 +109,11 @@
         Path file = Files.createTempDirectory("recorder").resolve("log");
         FileRecorder recorder = new FileRecorder(turns, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), "n3", file, 8192);
         turns.submit(() -> {
-            life(recorder, 1, "one", Recorder.What.REFUSED, "NO_TIME");
-            life(recorder, 2, "two", Recorder.What.REFUSED, "NO_TIME");
-            life(recorder, 3, "three", Recorder.What.SERVED, null);
-        }).get();
+                    life(recorder, 1, "one", Recorder.What.REFUSED, "NO_TIME");
+                    life(recorder, 2, "two", Recorder.What.REFUSED, "NO_TIME");
+                    life(recorder, 3, "three", Recorder.What.SERVED, null);
+                })
+                .get();
         assertTrue(recorder.dump().get(10, TimeUnit.SECONDS));
         String causes = explained(file, Explain::causes);
         assertTrue(causes.contains("       2        0.0  ask, refused, NO_TIME, RESET\n"), causes);
@@ -134,10 +138,11 @@
         Path file = Files.createTempDirectory("recorder").resolve("log");
         FileRecorder recorder = new FileRecorder(turns, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), "n3", file, 8192);
         turns.submit(() -> {
-            for (int i = 1; i < 9; i++) {
-                recorder.note(Recorder.What.RULE, i, 0, null, "late", null);
-            }
-        }).get();
+                    for (int i = 1; i < 9; i++) {
+                        recorder.note(Recorder.What.RULE, i, 0, null, "late", null);
+                    }
+                })
+                .get();
         long until = System.nanoTime() + 10_000_000_000L;
         while (!Files.exists(file) && System.nanoTime() < until) {
             Thread.onSpinWait();
--- a/src/test/java/copperbeam/routing/ActorTest.java
+++ b/src/test/java/copperbeam/routing/ActorTest.java
@@ -11,7 +11,9 @@
 public class ActorTest {
     @DataProvider
     public Object[][] faults() {
-        return new Object[][] {{new IllegalStateException("a fault")}, {new NoClassDefFoundError("no descriptor is left")}};
+        return new Object[][] {
+            {new IllegalStateException("a fault")}, {new NoClassDefFoundError("no descriptor is left")}
+        };
     }
 
     /** Guards against an actor that is silent for good, and all requests with it, after the JVM has failed once. */
--- a/src/test/java/copperbeam/routing/CutTest.java
+++ b/src/test/java/copperbeam/routing/CutTest.java
@@ -36,34 +36,68 @@
         ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1);
         try {
             StringBuilder heard = new StringBuilder();
-            Answer answer = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
+            Answer answer = (Answer) Proxy.newProxyInstance(
+                    getClass().getClassLoader(),
+                    new Class<?>[] {Answer.class},
                     (proxy, method, args) -> switch (method.getName()) {
                         case "gone" -> false;
-                        case "event" -> heard.append(new String((byte[]) args[0], StandardCharsets.US_ASCII)).append(' ') != null;
+                        case "event" ->
+                            heard.append(new String((byte[]) args[0], StandardCharsets.US_ASCII))
+                                            .append(' ')
+                                    != null;
                         default -> heard.append(method.getName()).append(' ').isEmpty() ? null : null;
                     });
             int[] crowded = {0};
-            Answer crowd = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
-                    (proxy, method, args) -> ++crowded[0] < 100 || heard.append("crowd ") != null); // gone, each of them
+            Answer crowd = (Answer) Proxy.newProxyInstance(
+                    getClass().getClassLoader(),
+                    new Class<?>[] {Answer.class},
+                    (proxy, method, args) ->
+                            ++crowded[0] < 100 || heard.append("crowd ") != null); // gone, each of them
             Connector.Listener[] listener = new Connector.Listener[1];
-            Connector.Connection connection = (Connector.Connection) Proxy.newProxyInstance(getClass().getClassLoader(),
-                    new Class<?>[] {Connector.Connection.class}, (proxy, method, args) -> {
+            Connector.Connection connection = (Connector.Connection) Proxy.newProxyInstance(
+                    getClass().getClassLoader(), new Class<?>[] {Connector.Connection.class}, (proxy, method, args) -> {
                         listener[0] = method.getName().equals("call") ? (Connector.Listener) args[1] : listener[0];
-                        return method.getReturnType() == boolean.class ? method.getName().equals("isOpen") : null;
+                        return method.getReturnType() == boolean.class
+                                ? method.getName().equals("isOpen")
+                                : null;
                     });
             Duration minute = Duration.ofMinutes(1);
             Clock clock = Clock.systemUTC();
             Metrics metrics = new Metrics(List.of("c"));
             ReleaseActor releases = new ReleaseActor(turns, clock, minute);
-            Api.Settings settings = new Api.Settings(1, 0, List.of(new Api.RequestClass("c", 1, 0, 1, Api.Effect.SAFE,
-                    Api.Group.ALL, 0)), List.of(), List.of(), new Api.Limits(4, true, false, 1), new Api.Rules(1, 0, 1, 1, 1, 1),
-                    Api.Reports.NEVER, false, 0, true, true);
+            Api.Settings settings = new Api.Settings(
+                    1,
+                    0,
+                    List.of(new Api.RequestClass("c", 1, 0, 1, Api.Effect.SAFE, Api.Group.ALL, 0)),
+                    List.of(),
+                    List.of(),
+                    new Api.Limits(4, true, false, 1),
+                    new Api.Rules(1, 0, 1, 1, 1, 1),
+                    Api.Reports.NEVER,
+                    false,
+                    0,
+                    true,
+                    true);
             ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, metrics);
-            PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
-                    (to, timeout, watcher) -> watcher.up(connection), minute, minute, minute, module, releases, Recorder.NONE,
-                    metrics));
-            module.tell(new ModuleActor.Listed(Api.ListKind.FULL, List.of(new Api.Member("s", "z", "k", 0,
-                    Api.ServerState.READY, 1, 0)), Map.of("s", peer), null));
+            PeerActor peer = new PeerActor(
+                    turns,
+                    "s",
+                    new InetSocketAddress("127.0.0.1", 1),
+                    new PeerActor.Setup(
+                            clock,
+                            (to, timeout, watcher) -> watcher.up(connection),
+                            minute,
+                            minute,
+                            minute,
+                            module,
+                            releases,
+                            Recorder.NONE,
+                            metrics));
+            module.tell(new ModuleActor.Listed(
+                    Api.ListKind.FULL,
+                    List.of(new Api.Member("s", "z", "k", 0, Api.ServerState.READY, 1, 0)),
+                    Map.of("s", peer),
+                    null));
             Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, clock.instant().plus(minute), false, null);
             module.arrive(ask, answer);
             settle(turns);
@@ -72,20 +106,21 @@
             settle(turns);
             assertEquals(heard.toString(), "begin 1 ");
             turns.submit(() -> {
-                for (String step : order.split(" ")) {
-                    switch (step) {
-                        case "cut" -> module.tell(new ModuleActor.Cut());
-                        case "crowd" -> {
-                            for (int i = 0; i < 100; i++) {
-                                module.arrive(ask, crowd);
+                        for (String step : order.split(" ")) {
+                            switch (step) {
+                                case "cut" -> module.tell(new ModuleActor.Cut());
+                                case "crowd" -> {
+                                    for (int i = 0; i < 100; i++) {
+                                        module.arrive(ask, crowd);
+                                    }
+                                }
+                                case "event" -> listener[0].event("2".getBytes(StandardCharsets.US_ASCII));
+                                case "end" -> listener[0].end(true, Double.NaN);
+                                default -> listener[0].broken(true);
                             }
                         }
-                        case "event" -> listener[0].event("2".getBytes(StandardCharsets.US_ASCII));
-                        case "end" -> listener[0].end(true, Double.NaN);
-                        default -> listener[0].broken(true);
-                    }
-                }
-            }).get();
+                    })
+                    .get();
             settle(turns);
             assertEquals(heard.toString().strip(), told);
         } finally {
@@ -96,7 +131,7 @@
     /** Each turn of an actor may ask for one of another. */
     private static void settle(ScheduledThreadPoolExecutor turns) throws Exception {
         for (int i = 0; i < 20; i++) {
-            turns.submit(() -> { }).get();
+            turns.submit(() -> {}).get();
         }
     }
 }
--- a/src/test/java/copperbeam/routing/FirstEventTest.java
+++ b/src/test/java/copperbeam/routing/FirstEventTest.java
@@ -32,7 +32,8 @@
                 if (method.getName().equals("call")) {
                     listener.set((Connector.Listener) args[1]);
                 } else if (method.getName().equals("close")) {
-                    stillWaiting[0] = arrived.getCount(); // the module's word on a first event of a request that it doesn't know
+                    stillWaiting[0] =
+                            arrived.getCount(); // the module's word on a first event of a request that it doesn't know
                 }
                 return method.getReturnType() == boolean.class ? true : null;
             });
@@ -44,32 +45,49 @@
                 }
                 return null;
             });
-            Answer answer = proxy(Answer.class, (proxy, method, args) -> method.getName().equals("gone") ? false : null);
+            Answer answer = proxy(
+                    Answer.class, (proxy, method, args) -> method.getName().equals("gone") ? false : null);
             Clock clock = Clock.systemUTC();
             Duration minute = Duration.ofMinutes(1);
             Instant until = clock.instant().plus(minute);
             Metrics metrics = new Metrics(List.of("c"));
             ReleaseActor releases = new ReleaseActor(turns, clock, minute);
-            Api.Settings settings = new Api.Settings(1, 0, List.of(), List.of(), List.of(), new Api.Limits(4, false, false, 1),
-                    new Api.Rules(1, 0, 1, 1, 1, 1), Api.Reports.NEVER, false, 0, false, false);
+            Api.Settings settings = new Api.Settings(
+                    1,
+                    0,
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    new Api.Limits(4, false, false, 1),
+                    new Api.Rules(1, 0, 1, 1, 1, 1),
+                    Api.Reports.NEVER,
+                    false,
+                    0,
+                    false,
+                    false);
             ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, metrics);
-            PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
-                    connector, minute, minute, minute, module, releases, Recorder.NONE, metrics));
+            PeerActor peer = new PeerActor(
+                    turns,
+                    "s",
+                    new InetSocketAddress("127.0.0.1", 1),
+                    new PeerActor.Setup(
+                            clock, connector, minute, minute, minute, module, releases, Recorder.NONE, metrics));
             Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, until, false, null);
             peer.tell(new PeerActor.Send(1, 0, ask, answer, until, until, Instant.MAX, false, false));
-            turns.submit(() -> { }).get();
+            turns.submit(() -> {}).get();
             watcher.get().up(connection);
-            turns.submit(() -> { }).get();
-            turns.submit(() -> { // all of this comes before any actor's turn
-                for (int i = 0; i < CROWD; i++) {
-                    module.arrive(ask, quick);
-                }
-                listener.get().word(Connector.Word.STREAM, null);
-                listener.get().event(new byte[] {'\n'});
-            });
+            turns.submit(() -> {}).get();
+            turns.submit(
+                    () -> { // all of this comes before any actor's turn
+                        for (int i = 0; i < CROWD; i++) {
+                            module.arrive(ask, quick);
+                        }
+                        listener.get().word(Connector.Word.STREAM, null);
+                        listener.get().event(new byte[] {'\n'});
+                    });
             assertTrue(arrived.await(10, TimeUnit.SECONDS));
-            turns.submit(() -> { }).get();
-            turns.submit(() -> { }).get();
+            turns.submit(() -> {}).get();
+            turns.submit(() -> {}).get();
             assertTrue(stillWaiting[0] > CROWD / 2, stillWaiting[0] + " of the crowd were still waiting");
         } finally {
             turns.shutdownNow();
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -43,18 +43,22 @@
 public class HeldStateTest {
     /** What a server does. Of those that hear a release, any one lets go of all that is held for its request. */
     private enum Nature {
-        WELL(true), FULL(true),
+        WELL(true),
+        FULL(true),
         /** After the last byte, without a word. */
         RESETS(true),
         /** Its read ends well as the connection breaks. */
         RESETS_AS_READ(true),
-        REFUSES(false), VANISHED(false), HANGS(false),
+        REFUSES(false),
+        VANISHED(false),
+        HANGS(false),
         /** Its connections break before the last byte has left. */
         BREAKS(false),
         /** Cut off as soon as a connection is up: nothing arrives. */
         DIES(false),
         /** Cut off once it has the request, of which it knows nothing: the read ends well, soon or late. */
-        READS_CUT_OFF(false), READS_LATE_CUT_OFF(false);
+        READS_CUT_OFF(false),
+        READS_LATE_CUT_OFF(false);
 
         final boolean hears;
 
@@ -65,11 +69,20 @@
 
     private static final Logger MODULE = Logger.getLogger(ModuleActor.class.getName());
 
-    private enum End { NONE, LEFT, STOP }
+    private enum End {
+        NONE,
+        LEFT,
+        STOP
+    }
 
     /** What a starved core and a crowd do to the process. */
     private enum Slow {
-        NOT(0, 0), BUSY(300, 0), BUSIER(450, 0), BUSY_AT_HALF(150, 0), BUSIER_AT_HALF(250, 0), TIMERS(0, 150);
+        NOT(0, 0),
+        BUSY(300, 0),
+        BUSIER(450, 0),
+        BUSY_AT_HALF(150, 0),
+        BUSIER_AT_HALF(250, 0),
+        TIMERS(0, 150);
 
         final Duration moduleBusy;
         final Duration timersLate;
@@ -118,17 +131,17 @@
         final int readers;
         final Duration within;
         final Set<Integer> cutOff = new HashSet<>();
-        boolean ended;                   // the process
+        boolean ended; // the process
         Duration endedAt = HORIZON;
         final ScheduledExecutorService turns;
         final ScheduledExecutorService moduleTurns;
         Duration now = Duration.ZERO;
         long order;
-        Duration heldSince;              // null: nothing is held
+        Duration heldSince; // null: nothing is held
         Duration lastEnd = Duration.ZERO; // of an attempt that had a connection
-        int out;                         // attempts on open connections
+        int out; // attempts on open connections
         int connects;
-        boolean sent;                    // something, ever
+        boolean sent; // something, ever
         String broken;
 
         World(Nature[] natures, int readers, double releaseS, Slow slow) {
@@ -141,9 +154,14 @@
 
         /** {@code busy}: each mailbox waits so long for its turn; {@code late}: all timers are, by so much. */
         ScheduledExecutorService turns(Duration busy, Duration late) {
-            return (ScheduledExecutorService) Proxy.newProxyInstance(getClass().getClassLoader(),
-                    new Class<?>[] {ScheduledExecutorService.class}, (proxy, method, args) -> later(
-                            method.getName().equals("schedule") ? Duration.ofNanos((Long) args[1]).plus(late) : busy, () -> {
+            return (ScheduledExecutorService) Proxy.newProxyInstance(
+                    getClass().getClassLoader(),
+                    new Class<?>[] {ScheduledExecutorService.class},
+                    (proxy, method, args) -> later(
+                            method.getName().equals("schedule")
+                                    ? Duration.ofNanos((Long) args[1]).plus(late)
+                                    : busy,
+                            () -> {
                                 if (!ended) {
                                     ((Runnable) args[0]).run();
                                 }
@@ -178,7 +196,8 @@
             if (heldSince != null && out == 0 && broken == null) {
                 Duration since = heldSince.compareTo(lastEnd) > 0 ? heldSince : lastEnd;
                 if (now.minus(since).compareTo(within) > 0) {
-                    broken = "held since " + heldSince + ", last end " + lastEnd + (ended ? ", the process has ended" : "");
+                    broken = "held since " + heldSince + ", last end " + lastEnd
+                            + (ended ? ", the process has ended" : "");
                 }
             }
         }
@@ -215,7 +234,7 @@
             final int server;
             final Nature nature;
             boolean open = true;
-            boolean attempt;             // one is out here
+            boolean attempt; // one is out here
             Runnable goes;
 
             Link(int server) {
@@ -276,15 +295,16 @@
                     }
                     case FULL -> answer(Word.TURNED_AWAY, listener);
                     case RESETS -> after(HEAR, () -> breaks(listener, true));
-                    case RESETS_AS_READ -> after(READ, () -> {
-                        hold();
-                        breaks(listener, true);
-                    });
+                    case RESETS_AS_READ ->
+                        after(READ, () -> {
+                            hold();
+                            breaks(listener, true);
+                        });
                     case READS_CUT_OFF, READS_LATE_CUT_OFF -> {
                         cutOff.add(server);
                         later(nature == Nature.READS_CUT_OFF ? READ : LATE_READ, this::hold);
                     }
-                    default -> { }
+                    default -> {}
                 }
             }
 
@@ -352,11 +372,14 @@
         }
     }
 
-    private static String play(double releaseS, Api.Effect effect, Slow slow, End end, Duration endAt, int readers,
-            Nature... natures) throws Exception {
+    private static String play(
+            double releaseS, Api.Effect effect, Slow slow, End end, Duration endAt, int readers, Nature... natures)
+            throws Exception {
         World world = new World(natures, readers, releaseS, slow);
         boolean[] gone = {false};
-        Answer answer = (Answer) Proxy.newProxyInstance(HeldStateTest.class.getClassLoader(), new Class<?>[] {Answer.class},
+        Answer answer = (Answer) Proxy.newProxyInstance(
+                HeldStateTest.class.getClassLoader(),
+                new Class<?>[] {Answer.class},
                 (proxy, method, args) -> switch (method.getName()) {
                     case "gone" -> gone[0];
                     case "event" -> {
@@ -368,10 +391,19 @@
                     default -> null;
                 });
         Metrics metrics = new Metrics(List.of("c"));
-        Api.Settings settings = new Api.Settings(1, 0, List.of(new Api.RequestClass("c", 1.5, 0, 3, effect, Api.Group.ALL, 9)),
-                List.of(), List.of(new Api.Kind("r", Role.READER, 1e6), new Api.Kind("w", Role.WRITER, 1e6)),
-                new Api.Limits(4, true, true, 1), new Api.Rules(0, 0, 3, 2, releaseS, 0), Api.Reports.WITH_PROBES, false, 0,
-                false, true);
+        Api.Settings settings = new Api.Settings(
+                1,
+                0,
+                List.of(new Api.RequestClass("c", 1.5, 0, 3, effect, Api.Group.ALL, 9)),
+                List.of(),
+                List.of(new Api.Kind("r", Role.READER, 1e6), new Api.Kind("w", Role.WRITER, 1e6)),
+                new Api.Limits(4, true, true, 1),
+                new Api.Rules(0, 0, 3, 2, releaseS, 0),
+                Api.Reports.WITH_PROBES,
+                false,
+                0,
+                false,
+                true);
         ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
         ModuleActor module = new ModuleActor(world.moduleTurns, world, settings, 7, releases, Recorder.NONE, metrics);
         PeerActor.Setup setup = setup(world, module, releases, metrics);
@@ -393,27 +425,42 @@
         } else if (end == End.STOP) {
             world.later(endAt, () -> {
                 module.tell(new ModuleActor.HandOver());
-                module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(
-                        () -> {
-                            world.ended = true;
-                            world.endedAt = world.now;
-                        }))));
+                module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(() -> {
+                    world.ended = true;
+                    world.endedAt = world.now;
+                }))));
             });
         }
         world.play();
         // the request's time, what is left of release_s, and a last round
-        Duration mostStop = !world.sent ? endAt.plusSeconds(1) : WAITS.plus(ModuleTime.span(2 * releaseS)).plus(SLACK);
+        Duration mostStop = !world.sent
+                ? endAt.plusSeconds(1)
+                : WAITS.plus(ModuleTime.span(2 * releaseS)).plus(SLACK);
         if (end == End.STOP && world.broken == null && world.endedAt.compareTo(mostStop) > 0) {
             return "the stop ends at " + world.endedAt;
         }
         return world.broken;
     }
 
-    private static final Nature[] READERS = {Nature.WELL, Nature.RESETS_AS_READ, Nature.READS_CUT_OFF,
-        Nature.READS_LATE_CUT_OFF, Nature.VANISHED, Nature.HANGS};
+    private static final Nature[] READERS = {
+        Nature.WELL,
+        Nature.RESETS_AS_READ,
+        Nature.READS_CUT_OFF,
+        Nature.READS_LATE_CUT_OFF,
+        Nature.VANISHED,
+        Nature.HANGS
+    };
     private static final Nature[] OTHER_READERS = {Nature.WELL, Nature.VANISHED, Nature.HANGS};
-    private static final Nature[] WRITERS = {Nature.WELL, Nature.FULL, Nature.RESETS, Nature.REFUSES, Nature.VANISHED,
-        Nature.HANGS, Nature.BREAKS, Nature.DIES};
+    private static final Nature[] WRITERS = {
+        Nature.WELL,
+        Nature.FULL,
+        Nature.RESETS,
+        Nature.REFUSES,
+        Nature.VANISHED,
+        Nature.HANGS,
+        Nature.BREAKS,
+        Nature.DIES
+    };
     private static final int[] ENDS_MS = {3, 54, 69, 300, 900, 2500};
 
     @BeforeClass
@@ -428,11 +475,17 @@
 
     @DataProvider
     public Object[][] settings() {
-        return new Object[][] {{1.0, Api.Effect.SAFE, 0, Slow.NOT}, {0.5, Api.Effect.UNSAFE, 0, Slow.NOT},
-            {0.5, Api.Effect.SAFE, 6, Slow.NOT}, {1.0, Api.Effect.SAFE, 6, Slow.BUSY},
-            {1.0, Api.Effect.SAFE, 0, Slow.BUSIER}, {0.5, Api.Effect.SAFE, 0, Slow.BUSY_AT_HALF},
+        return new Object[][] {
+            {1.0, Api.Effect.SAFE, 0, Slow.NOT},
+            {0.5, Api.Effect.UNSAFE, 0, Slow.NOT},
+            {0.5, Api.Effect.SAFE, 6, Slow.NOT},
+            {1.0, Api.Effect.SAFE, 6, Slow.BUSY},
+            {1.0, Api.Effect.SAFE, 0, Slow.BUSIER},
+            {0.5, Api.Effect.SAFE, 0, Slow.BUSY_AT_HALF},
             {0.5, Api.Effect.SAFE, 0, Slow.BUSIER_AT_HALF},
-            {1.0, Api.Effect.SAFE, 0, Slow.TIMERS}, {0.5, Api.Effect.SAFE, 0, Slow.TIMERS}};
+            {1.0, Api.Effect.SAFE, 0, Slow.TIMERS},
+            {0.5, Api.Effect.SAFE, 0, Slow.TIMERS}
+        };
     }
 
     /**
@@ -469,8 +522,11 @@
                 }
             }
         }
-        assertEquals(faults.size(), 0, "of " + cases + ", with " + with + ", as "
-                + String.join("\n", faults.subList(0, Math.min(30, faults.size()))) + "\n");
+        assertEquals(
+                faults.size(),
+                0,
+                "of " + cases + ", with " + with + ", as "
+                        + String.join("\n", faults.subList(0, Math.min(30, faults.size()))) + "\n");
     }
 
     @DataProvider
@@ -495,8 +551,13 @@
             ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
             Map<String, PeerActor> peers = new HashMap<>();
             for (int n = 0; n < natures.length; n++) {
-                peers.put("s" + n, new PeerActor(world.turns, "s" + n, new InetSocketAddress("127.0.0.1", n),
-                        setup(world, null, releases, null)));
+                peers.put(
+                        "s" + n,
+                        new PeerActor(
+                                world.turns,
+                                "s" + n,
+                                new InetSocketAddress("127.0.0.1", n),
+                                setup(world, null, releases, null)));
             }
             releases.tell(new ReleaseActor.Listed(peers));
             releases.tell(new ReleaseActor.Release(ID, "s0", null));
@@ -517,8 +578,13 @@
             ReleaseActor releases = new ReleaseActor(world.turns, world, Duration.ofSeconds(2));
             Map<String, PeerActor> peers = new HashMap<>();
             for (int n = 0; n < 2; n++) {
-                peers.put("s" + n, new PeerActor(world.turns, "s" + n, new InetSocketAddress("127.0.0.1", n),
-                        setup(world, null, releases, null)));
+                peers.put(
+                        "s" + n,
+                        new PeerActor(
+                                world.turns,
+                                "s" + n,
+                                new InetSocketAddress("127.0.0.1", n),
+                                setup(world, null, releases, null)));
             }
             world.cutOff.addAll(List.of(0, 1));
             releases.tell(new ReleaseActor.Listed(peers));
@@ -543,8 +609,8 @@
         World world = new World(new Nature[] {Nature.WELL}, 0, 1, Slow.NOT);
         world.heldSince = Duration.ZERO;
         ReleaseActor releases = new ReleaseActor(world.turns, world, Duration.ofSeconds(2));
-        PeerActor peer = new PeerActor(world.turns, "s", new InetSocketAddress("127.0.0.1", 0),
-                setup(world, null, releases, null));
+        PeerActor peer = new PeerActor(
+                world.turns, "s", new InetSocketAddress("127.0.0.1", 0), setup(world, null, releases, null));
         releases.tell(new ReleaseActor.Release(ID, "s", null));
         world.later(Duration.ofSeconds(1), () -> releases.tell(new ReleaseActor.Listed(Map.of("s", peer))));
         world.play();
@@ -553,7 +619,7 @@
 
     private static PeerActor.Setup setup(World world, ModuleActor module, ReleaseActor releases, Metrics metrics) {
         Duration connect = Duration.ofMillis(250);
-        return new PeerActor.Setup(world, world, connect, Duration.ofSeconds(15), connect, module, releases, Recorder.NONE,
-                metrics);
+        return new PeerActor.Setup(
+                world, world, connect, Duration.ofSeconds(15), connect, module, releases, Recorder.NONE, metrics);
     }
 }
--- a/src/test/java/copperbeam/routing/LongDayTest.java
+++ b/src/test/java/copperbeam/routing/LongDayTest.java
@@ -7,7 +7,6 @@
 import copperbeam.Api.Limits;
 import copperbeam.Api.ListKind;
 import copperbeam.Api.Member;
-import copperbeam.Api.Report;
 import copperbeam.Api.Role;
 import copperbeam.Api.Rules;
 import copperbeam.Api.ServerState;
@@ -26,36 +25,63 @@
 /** Servers that come under ever new ids leave nothing behind. */
 public class LongDayTest {
     private static Change change(ListKind kind, int id, ServerState state) {
-        return new Change(kind, List.of(new Entry(new Member("s" + id, "z", "r", 0, state, 1, 0),
-                new InetSocketAddress("127.0.0.1", 1))));
+        return new Change(
+                kind,
+                List.of(new Entry(
+                        new Member("s" + id, "z", "r", 0, state, 1, 0), new InetSocketAddress("127.0.0.1", 1))));
     }
 
     @Test
     public void peersOfServersThatLeftAreForgotten() throws Exception {
         ScheduledThreadPoolExecutor turns = new ScheduledThreadPoolExecutor(1);
         try {
-            Settings settings = new Settings(1, 0, List.of(new Api.RequestClass("c", 1, 0, 1, Api.Effect.SAFE,
-                    Api.Group.ALL, 0)), List.of(), List.of(new Kind("r", Role.READER, 1)),
-                    new Limits(4, true, false, 1), new Rules(1, 1, 3, 2, 1, 0), Api.Reports.NEVER, false, 0, false, true);
+            Settings settings = new Settings(
+                    1,
+                    0,
+                    List.of(new Api.RequestClass("c", 1, 0, 1, Api.Effect.SAFE, Api.Group.ALL, 0)),
+                    List.of(),
+                    List.of(new Kind("r", Role.READER, 1)),
+                    new Limits(4, true, false, 1),
+                    new Rules(1, 1, 3, 2, 1, 0),
+                    Api.Reports.NEVER,
+                    false,
+                    0,
+                    false,
+                    true);
             ReleaseActor releases = new ReleaseActor(turns, Clock.systemUTC(), Duration.ofSeconds(1));
-            ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), settings, 1, releases, Recorder.NONE,
-                    new Metrics(List.of()));
-            PeerActor.Setup setup = new PeerActor.Setup(Clock.systemUTC(), null, Duration.ofSeconds(1),
-                    Duration.ofSeconds(1), Duration.ofSeconds(1), module, releases, Recorder.NONE, null);
+            ModuleActor module = new ModuleActor(
+                    turns, Clock.systemUTC(), settings, 1, releases, Recorder.NONE, new Metrics(List.of()));
+            PeerActor.Setup setup = new PeerActor.Setup(
+                    Clock.systemUTC(),
+                    null,
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(1),
+                    module,
+                    releases,
+                    Recorder.NONE,
+                    null);
             List<WeakReference<PeerActor>> made = new ArrayList<>();
-            ListActor list = new ListActor(turns, (id, at) -> {
-                PeerActor peer = new PeerActor(turns, id, at, setup);
-                made.add(new WeakReference<>(peer));
-                return peer;
-            }, module, releases, 10);
+            ListActor list = new ListActor(
+                    turns,
+                    (id, at) -> {
+                        PeerActor peer = new PeerActor(turns, id, at, setup);
+                        made.add(new WeakReference<>(peer));
+                        return peer;
+                    },
+                    module,
+                    releases,
+                    10);
             int all = 3000;
             for (int i = 0; i < all; i++) {
-                list.tell(new ListActor.Told(change(i % 100 == 0 ? ListKind.FULL : ListKind.DELTA, i, ServerState.READY), null));
+                list.tell(new ListActor.Told(
+                        change(i % 100 == 0 ? ListKind.FULL : ListKind.DELTA, i, ServerState.READY), null));
                 if (i % 100 >= 50) {
                     list.tell(new ListActor.Told(change(ListKind.DELTA, i, ServerState.GONE), null));
                 }
             }
-            // not before all are told of: collections one after another take a busy core from the actors that they wait for
+            // not before all are told of: collections one after another take a busy core from the actors that they wait
+            // for
             long until = System.nanoTime() + Duration.ofSeconds(30).toNanos();
             while (turns.submit(made::size).get() < all && System.nanoTime() < until) {
                 Thread.sleep(5);
@@ -65,7 +91,9 @@
             long left = all;
             while (left > 51 && System.nanoTime() < until) {
                 System.gc();
-                left = turns.submit(() -> made.stream().filter(p -> p.get() != null).count()).get();
+                left = turns.submit(
+                                () -> made.stream().filter(p -> p.get() != null).count())
+                        .get();
             }
             // those of the last whole list and after it that have not left
             assertEquals(left, 50);
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -17,9 +17,20 @@
 
 /** An attempt whose client goes, whose time for a repeat ends or whose server drains, at each point before its last byte leaves. */
 public class UnwantedTest {
-    private enum When { BEFORE_IT_BEGINS, BEFORE_IT_HAS_A_CONNECTION, BEFORE_ITS_LAST_BYTE_GOES, BEFORE_ITS_CONNECTION_BREAKS }
+    private enum When {
+        BEFORE_IT_BEGINS,
+        BEFORE_IT_HAS_A_CONNECTION,
+        BEFORE_ITS_LAST_BYTE_GOES,
+        BEFORE_ITS_CONNECTION_BREAKS
+    }
 
-    private enum Why { GONE, LATE, DRAINS, LEFT, WANTED }
+    private enum Why {
+        GONE,
+        LATE,
+        DRAINS,
+        LEFT,
+        WANTED
+    }
 
     /** A server that a test plays; all on the thread of the actors. */
     private static final class Server implements Connector, Connector.Connection {
@@ -119,20 +130,45 @@
             Ahead clock = new Ahead();
             Server server = new Server();
             boolean[] gone = {false};
-            Answer answer = (Answer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Answer.class},
+            Answer answer = (Answer) Proxy.newProxyInstance(
+                    getClass().getClassLoader(),
+                    new Class<?>[] {Answer.class},
                     (proxy, method, args) -> method.getName().equals("gone") ? gone[0] : null);
             Duration minute = Duration.ofMinutes(1);
             Metrics metrics = new Metrics(List.of("c"));
             ReleaseActor releases = new ReleaseActor(turns, clock, minute);
-            Api.Settings settings = new Api.Settings(1, 0, List.of(), List.of(), List.of(), new Api.Limits(4, false, false, 1),
-                    new Api.Rules(1, 0, 1, 1, 1, 1), Api.Reports.NEVER, false, 0, false, false);
+            Api.Settings settings = new Api.Settings(
+                    1,
+                    0,
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    new Api.Limits(4, false, false, 1),
+                    new Api.Rules(1, 0, 1, 1, 1, 1),
+                    Api.Reports.NEVER,
+                    false,
+                    0,
+                    false,
+                    false);
             ModuleActor module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, metrics);
-            PeerActor peer = new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(clock,
-                    server, minute, minute, minute, module, releases, Recorder.NONE, metrics));
+            PeerActor peer = new PeerActor(
+                    turns,
+                    "s",
+                    new InetSocketAddress("127.0.0.1", 1),
+                    new PeerActor.Setup(
+                            clock, server, minute, minute, minute, module, releases, Recorder.NONE, metrics));
             Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, Instant.EPOCH.plus(minute), false, null);
             List<Runnable> steps = List.of(
-                    () -> peer.tell(new PeerActor.Send(1, 0, ask, answer, Instant.EPOCH.plus(minute),
-                            Instant.EPOCH.plusSeconds(1), Instant.MAX, true, false)),
+                    () -> peer.tell(new PeerActor.Send(
+                            1,
+                            0,
+                            ask,
+                            answer,
+                            Instant.EPOCH.plus(minute),
+                            Instant.EPOCH.plusSeconds(1),
+                            Instant.MAX,
+                            true,
+                            false)),
                     () -> server.watcher.up(server),
                     () -> server.listener.held(),
                     () -> server.listener.broken(false));
@@ -149,7 +185,7 @@
                 }
                 if (i != 2 || last == 2) {
                     turns.submit(steps.get(i)).get();
-                    turns.submit(() -> { }).get(); // the actor's turn has come before this one
+                    turns.submit(() -> {}).get(); // the actor's turn has come before this one
                 }
             }
             long until = System.nanoTime() + Duration.ofSeconds(10).toNanos();
--- a/src/test/java/copperbeam/simhost/SimHostTest.java
+++ b/src/test/java/copperbeam/simhost/SimHostTest.java
@@ -23,7 +23,9 @@
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
     private int run(String input) throws Exception {
-        return SimHost.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
+        return SimHost.run(
+                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                out,
                 new PrintStream(err, true, StandardCharsets.UTF_8));
     }
 
@@ -40,7 +42,8 @@
         String[] lines = out.toString(StandardCharsets.UTF_8).split("\n");
         assertEquals("{\"eor\":{\"frame\":1}}", lines[0]);
         String sends = out.toString(StandardCharsets.UTF_8);
-        assertTrue(sends.contains("{\"attempt\":{\"i\":3,\"call\":4503599627370495,\"engine\":\"x:1\",\"try_until_s\":"));
+        assertTrue(
+                sends.contains("{\"attempt\":{\"i\":3,\"call\":4503599627370495,\"engine\":\"x:1\",\"try_until_s\":"));
         assertTrue(sends.indexOf("\"engine\":\"y:1\"") > sends.indexOf("{\"eor\":{\"frame\":2}}"));
         assertEquals("{\"eor\":{\"frame\":3}}", lines[lines.length - 1]);
         assertEquals("", err.toString(StandardCharsets.UTF_8));
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -33,7 +33,10 @@
     private static final int MARGIN_MS = 20; // of the front
     private static final int LAPSE_MS = 300;
 
-    private enum Waits { FOR_A_CONNECTION, FOR_A_FAILED_ATTEMPT }
+    private enum Waits {
+        FOR_A_CONNECTION,
+        FOR_A_FAILED_ATTEMPT
+    }
 
     @DataProvider
     public Object[][] waits() {
@@ -49,17 +52,19 @@
             CountDownLatch met = new CountDownLatch(1);
             AtomicReference<String> told = new AtomicReference<>();
             AtomicBoolean failed = new AtomicBoolean();
-            StandIn reader = new StandIn(attempts((m, line) -> {
-                met.countDown();
-                if (!late && failed.compareAndSet(false, true)) {
-                    Thread.sleep(LAPSE_MS);
-                    on.set(System.nanoTime());
-                    line.answer(500, "");
-                } else {
-                    told.set(m.header("X-Timeout"));
-                    Site.read(m, line);
-                }
-            }), late ? 1 : 50);
+            StandIn reader = new StandIn(
+                    attempts((m, line) -> {
+                        met.countDown();
+                        if (!late && failed.compareAndSet(false, true)) {
+                            Thread.sleep(LAPSE_MS);
+                            on.set(System.nanoTime());
+                            line.answer(500, "");
+                        } else {
+                            told.set(m.header("X-Timeout"));
+                            Site.read(m, line);
+                        }
+                    }),
+                    late ? 1 : 50);
             StandIn writer = new StandIn(Site::write);
             site.readers.add(reader);
             site.writers.add(writer);
@@ -98,7 +103,8 @@
         CountDownLatch go = new CountDownLatch(1);
         CountDownLatch held = new CountDownLatch(1);
         AtomicReference<Duration> left = new AtomicReference<>(Duration.ofSeconds(5));
-        try (StandIn server = new StandIn(Site::read); ClientReactor reactor = new ClientReactor()) {
+        try (StandIn server = new StandIn(Site::read);
+                ClientReactor reactor = new ClientReactor()) {
             ServerConnector connector = new ServerConnector(reactor);
             Connector.Connection first = up(connector, server.address());
             Connector.Connection second = up(connector, server.address());
@@ -107,7 +113,7 @@
                 hold(go);
             });
             held.await();
-            CompletableFuture<Boolean> answered = call(second, left, () -> { });
+            CompletableFuture<Boolean> answered = call(second, left, () -> {});
             left.set(Duration.ofSeconds(1));
             go.countDown();
             answered.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -133,7 +139,9 @@
             StandIn late = new StandIn(Site::write, 1);
             site.readers.add(reader);
             site.writers.addAll(List.of(fails, late));
-            try (Line one = new Line(late.address()); Line two = new Line(late.address()); Line client = site.client()) {
+            try (Line one = new Line(late.address());
+                    Line two = new Line(late.address());
+                    Line client = site.client()) {
                 list(site, Site.entry(reader, "prefill", "active") + "," + Site.entry(fails, "decode", "active"), 2);
                 client.send(Site.request("ask", CLIENT_MS));
                 met.await();
@@ -144,7 +152,8 @@
                     Thread.sleep(10); // the window's time is what this waits for
                 }
                 late.open();
-                assertEquals(client.read().status(), 502); // it may have run, and a repeat would not be dropped any more
+                assertEquals(
+                        client.read().status(), 502); // it may have run, and a repeat would not be dropped any more
                 await("its connection came up", () -> late.lines.size() == 3);
                 assertEquals(late.attempts(), 0);
             }
@@ -153,9 +162,12 @@
 
     private static Site site(String effect, double windowS) throws Exception {
         // nothing is called off for its silence, and what is held waits for its connection
-        String settings = String.format(Site.SETTINGS, "30").replace("\"cancel\":true", "\"cancel\":false")
-                .replace("\"release_s\":1", "\"release_s\":20").replace("\"semantics\":\"safe\"",
-                "\"semantics\":\"" + effect + "\",\"group\":\"all\",\"window_s\":" + windowS);
+        String settings = String.format(Site.SETTINGS, "30")
+                .replace("\"cancel\":true", "\"cancel\":false")
+                .replace("\"release_s\":1", "\"release_s\":20")
+                .replace(
+                        "\"semantics\":\"safe\"",
+                        "\"semantics\":\"" + effect + "\",\"group\":\"all\",\"window_s\":" + windowS);
         return new Site(0, 0, 30, null, List.of(), Config.Limits.USUAL, Site.parsed(settings), Duration.ofSeconds(8));
     }
 
@@ -192,10 +204,11 @@
     }
 
     /** {@code answered} runs on the reactor's thread. */
-    private static CompletableFuture<Boolean> call(Connector.Connection on, AtomicReference<Duration> left, Runnable answered) {
+    private static CompletableFuture<Boolean> call(
+            Connector.Connection on, AtomicReference<Duration> left, Runnable answered) {
         CompletableFuture<Boolean> end = new CompletableFuture<>();
-        HttpCall call = new HttpCall("POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII),
-                Instant.now());
+        HttpCall call = new HttpCall(
+                "POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII), Instant.now());
         Ask ask = new Ask("id", "ask", "k", null, 40, 0, 9, Instant.now().plusSeconds(8), false, call);
         on.call(new Connector.AttemptCall(ask, true, left::get, false, () -> true), new Connector.Listener() {
             @Override
