--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -57,7 +57,9 @@
             {POST + "X-Route-Key: a\u0000b\r\nContent-Length: 2\r\n\r\n{}", 400},
             {POST.replace("completions", "completions?\u0001") + "Content-Length: 2\r\n\r\n{}", 400},
             {POST.replace("completions", "completions?\u00e9") + "Content-Length: 2\r\n\r\n{}", 400},
-            {POST, -1}, {POST + "Content-Length: 20\r\n\r\n{", -1}, {"", -1},
+            {POST, -1},
+            {POST + "Content-Length: 20\r\n\r\n{", -1},
+            {"", -1},
         };
         List<Object[]> all = new ArrayList<>();
         for (Object[] one : cases) {
@@ -70,7 +72,8 @@
     /** {@code status} 0: a close at once; -1: a close within 3 s, as the rest never comes. Nothing is passed on. */
     @Test(dataProvider = "unreadable")
     public void whatCantBeReadIsAnErrorAndAClose(String text, int status, boolean chat) throws Exception {
-        try (Site site = new Site(1, 1); Line client = chat ? site.chatClient() : site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = chat ? site.chatClient() : site.client()) {
             long from = System.nanoTime();
             client.send(text);
             if (status > 0) {
@@ -86,17 +89,32 @@
     @DataProvider
     public Object[][] untrue() {
         return new Object[][] {
-            {"ID: a", "ID: a\r\nX-Request-ID: b"}, {"4000m", "4000m\r\nX-Timeout: 1m"}, {"ID: a", "ID: a?b"},
-            {"ID: a", "ID: .."}, {"ID: a", "ID: %61"}, {"ID: a", "ID: a#b"}, {"ID: a", "ID: a\\b"}, {"ID: a", "ID: ../a"},
-            {"X-Request-ID: a\r\n", ""}, {"4000m", "-1m"}, {"4000m", "99999999999999999999m"}, {"=4", "=NaN"}, {"=4", "=-4"},
+            {"ID: a", "ID: a\r\nX-Request-ID: b"},
+            {"4000m", "4000m\r\nX-Timeout: 1m"},
+            {"ID: a", "ID: a?b"},
+            {"ID: a", "ID: .."},
+            {"ID: a", "ID: %61"},
+            {"ID: a", "ID: a#b"},
+            {"ID: a", "ID: a\\b"},
+            {"ID: a", "ID: ../a"},
+            {"X-Request-ID: a\r\n", ""},
+            {"4000m", "-1m"},
+            {"4000m", "99999999999999999999m"},
+            {"=4", "=NaN"},
+            {"=4", "=-4"},
         };
     }
 
     /** Of the platform's headers: a contradiction, or an id that is another one in the path of a release. */
     @Test(dataProvider = "untrue")
     public void headersThatCantBeTrueAreAnError(String good, String bad) throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
-            assertEquals(client.send(POST.replace(good, bad) + "Content-Length: 2\r\n\r\n{}").read().status(), 400);
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
+            assertEquals(
+                    client.send(POST.replace(good, bad) + "Content-Length: 2\r\n\r\n{}")
+                            .read()
+                            .status(),
+                    400);
             assertEquals(site.attempts(site.readers), 0);
         }
     }
@@ -104,7 +122,8 @@
     /** Guards against a head that trickles: each byte alone is in time. */
     @Test
     public void aTrickledHeadIsCutOff() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             long from = System.nanoTime();
             boolean[] cut = {false};
             await("cut off", () -> {
@@ -123,7 +142,9 @@
     @Test
     public void theIdOfAnOpenRequestIsAnErrorThatLeavesItAlone() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (Site site = new Site(1, 1); Line first = site.client(); Line second = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line first = site.client();
+                Line second = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 go.await();
                 Site.write(m, line);
@@ -142,7 +163,9 @@
     @Test
     public void aFloodOnOneConnectionIsBounded() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (Site site = new Site(1, 1); Line flood = site.client(); Line good = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line flood = site.client();
+                Line good = site.client()) {
             site.readers.get(0).script = attempts((m, line) -> {
                 if (!m.header("X-Request-ID").equals("good")) {
                     go.await();
@@ -155,7 +178,8 @@
             }
             flood.send(all.toString());
             await("some read", () -> site.attempts(site.readers) == 8);
-            assertEquals(good.send(request("good", "ask", "5000m", "", "{}")).read().status(), 200);
+            assertEquals(
+                    good.send(request("good", "ask", "5000m", "", "{}")).read().status(), 200);
             assertEquals(site.attempts(site.readers), 9);
             go.countDown();
             for (int i = 0; i < 8; i++) {
@@ -173,26 +197,32 @@
         AtomicReference<HttpReply> first = new AtomicReference<>();
         CountDownLatch busy = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
-            heard.add(call.path());
-            if (call.path().equals("/first")) {
-                first.set(reply);
-                return () -> { };
-            }
-            if (call.path().equals("/holds")) {
-                busy.countDown();
-                try {
-                    go.await(); // the reactor does nothing else meanwhile
-                } catch (InterruptedException e) {
-                    throw new AssertionError(e);
-                }
-            }
-            reply.whole(200, "text/plain", Map.of(), new byte[0]);
-            return () -> { };
-        }, Clock.systemUTC(), new ClientRoom(10, 1000), (c, status) -> { })) {
+        try (HttpFrontServer server = new HttpFrontServer(
+                (call, reply) -> {
+                    heard.add(call.path());
+                    if (call.path().equals("/first")) {
+                        first.set(reply);
+                        return () -> {};
+                    }
+                    if (call.path().equals("/holds")) {
+                        busy.countDown();
+                        try {
+                            go.await(); // the reactor does nothing else meanwhile
+                        } catch (InterruptedException e) {
+                            throw new AssertionError(e);
+                        }
+                    }
+                    reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                    return () -> {};
+                },
+                Clock.systemUTC(),
+                new ClientRoom(10, 1000),
+                (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             server.drain(true);
-            try (Line client = new Line(at); Line holds = new Line(at); Line last = new Line(at)) {
+            try (Line client = new Line(at);
+                    Line holds = new Line(at);
+                    Line last = new Line(at)) {
                 client.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHo");
                 await("asked", () -> first.get() != null);
                 holds.send("GET /holds HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -202,7 +232,11 @@
                 go.countDown();
                 assertEquals(client.read().header("Connection"), "close");
                 assertTrue(client.awaitClosed());
-                assertEquals(last.send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n").read().status(), 200);
+                assertEquals(
+                        last.send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n")
+                                .read()
+                                .status(),
+                        200);
                 assertEquals(heard, List.of("/first", "/holds", "/last"));
             }
         }
@@ -228,7 +262,12 @@
         }
     }
 
-    private enum Until { ITS_TIME, ITS_BYTES, A_DRAIN, A_CROWD }
+    private enum Until {
+        ITS_TIME,
+        ITS_BYTES,
+        A_DRAIN,
+        A_CROWD
+    }
 
     @DataProvider
     public Object[][] turnedAway() {
@@ -238,7 +277,8 @@
             {POST + "Content-Length: 62914560\r\n\r\n{", 413, Until.A_DRAIN},
             {POST + "Content-Length: 62914560\r\n\r\n{", 413, Until.A_CROWD},
             {POST + "Content-Length: 90000\r\n\r\n" + "x".repeat(5000), 503, Until.ITS_TIME},
-            {POST + "X: y\r\n".repeat(2000), 431, Until.ITS_TIME}, {"nonsense\r\n\r\n", 400, Until.ITS_TIME},
+            {POST + "X: y\r\n".repeat(2000), 431, Until.ITS_TIME},
+            {"nonsense\r\n\r\n", 400, Until.ITS_TIME},
             {"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(9), 503, Until.ITS_TIME},
             {"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(8) + "nonsense\r\n\r\n", 400, Until.ITS_TIME},
         };
@@ -249,12 +289,17 @@
     public void whoIsTurnedAwayMayGoOnWriting(String text, int status, Until until) throws Exception {
         Stands clock = new Stands();
         ClientRoom room = new ClientRoom(10, 1000);
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
-            reply.whole(200, "text/plain", Map.of(), new byte[0]);
-            return () -> { };
-        }, clock, room, (c, s) -> { })) {
+        try (HttpFrontServer server = new HttpFrontServer(
+                (call, reply) -> {
+                    reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                    return () -> {};
+                },
+                clock,
+                room,
+                (c, s) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
-            try (Line client = new Line(at); Line other = new Line(at)) {
+            try (Line client = new Line(at);
+                    Line other = new Line(at)) {
                 client.send(text);
                 Line.Message answer = client.read();
                 while (answer.status() == 200) {
@@ -265,7 +310,11 @@
                 clock.now = clock.now.plusMillis(300);
                 for (int i = 0; i < 4; i++) {
                     client.send("x".repeat(64 * 1024));
-                    assertEquals(other.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n").read().status(), 200); // a turn
+                    assertEquals(
+                            other.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                                    .read()
+                                    .status(),
+                            200); // a turn
                     assertNull(client.head());
                 }
                 assertEquals(room.size(), 2);
@@ -289,18 +338,23 @@
     @Test
     public void bodiesThatWaitAreBounded() throws Exception {
         ClientRoom room = new ClientRoom(10, 1000);
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
-            if (call.body().length < 900) {
-                reply.whole(200, "text/plain", Map.of(), new byte[0]);
-            }
-            return () -> { };
-        }, Clock.systemUTC(), room, (c, status) -> { })) {
+        try (HttpFrontServer server = new HttpFrontServer(
+                (call, reply) -> {
+                    if (call.body().length < 900) {
+                        reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                    }
+                    return () -> {};
+                },
+                Clock.systemUTC(),
+                room,
+                (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             try (Line second = new Line(at)) {
                 try (Line first = new Line(at)) {
                     first.send(Site.post("x".repeat(900)));
                     await("held", () -> room.bytes() == 900);
-                    Line.Message refused = second.send(Site.post("x".repeat(200))).read();
+                    Line.Message refused =
+                            second.send(Site.post("x".repeat(200))).read();
                     assertEquals(refused.status(), 503);
                     assertEquals(refused.header("Retry-After"), "1");
                     assertTrue(second.awaitClosed());
@@ -318,7 +372,8 @@
     @Test
     public void resetClientsTakeNoRoom() throws Exception {
         ClientRoom room = new ClientRoom(500, 1 << 20);
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> () -> { }, Clock.systemUTC(), room, (c, status) -> { })) {
+        try (HttpFrontServer server =
+                new HttpFrontServer((call, reply) -> () -> {}, Clock.systemUTC(), room, (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             for (int i = 0; i < 1000; i++) {
                 Line client = new Line(at);
@@ -337,7 +392,10 @@
             for (int i = 0; i < 90; i++) {
                 Line stays = site.client();
                 crowd.add(stays);
-                stays.send(i % 3 == 0 ? "POST /v1/chat/completions HTTP/1.1\r\nHost" : "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+                stays.send(
+                        i % 3 == 0
+                                ? "POST /v1/chat/completions HTTP/1.1\r\nHost"
+                                : "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
                 if (i % 3 != 0) {
                     stays.read();
                 }
@@ -362,7 +420,8 @@
                 silent.add(i % 2 == 0 ? site.client() : site.chatClient());
             }
             await("served", () -> {
-                try (Line client = site.client(); Line other = site.chatClient()) {
+                try (Line client = site.client();
+                        Line other = site.chatClient()) {
                     return client.send(request("ask", 4000)).read().status() == 200
                             && other.send(chat("m-ask", true, "")).read().status() == 200;
                 } catch (IOException | NullPointerException e) {
--- a/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
+++ b/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
@@ -34,8 +34,10 @@
 
 /** A watch whose discovery answers what is no answer, or whose machine takes no connection for a while. */
 public class BadDiscoveryTest {
-    private static final String A = "{\"id\":\"a\",\"addr\":\"127.0.0.1:1\",\"zone\":\"z\",\"kind\":\"k\",\"state\":\"%s\"}";
-    private static final String B = "{\"id\":\"b\",\"addr\":\"127.0.0.1:2\",\"zone\":\"z\",\"kind\":\"k\",\"state\":\"active\"}";
+    private static final String A =
+            "{\"id\":\"a\",\"addr\":\"127.0.0.1:1\",\"zone\":\"z\",\"kind\":\"k\",\"state\":\"%s\"}";
+    private static final String B =
+            "{\"id\":\"b\",\"addr\":\"127.0.0.1:2\",\"zone\":\"z\",\"kind\":\"k\",\"state\":\"active\"}";
 
     /** Ms from when discovery can be reached; the second of a pushed list and one more for a busy core. */
     private static long most(boolean pushed) {
@@ -66,7 +68,13 @@
         Watched(InetSocketAddress at, boolean pushed) {
             logger.addHandler(handler);
             Duration first = Duration.ofMillis(pushed ? 100 : 500);
-            watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(), at, null, false,
+            watch = new DiscoveryWatch(
+                    turns,
+                    new PlainHttpClient(reactor),
+                    Clock.systemUTC(),
+                    at,
+                    null,
+                    false,
                     new Backoff(first, pushed ? first : Duration.ofSeconds(10), new SplittableRandom(1)));
             watch.start(change -> heard.addAll(change.entries()));
         }
@@ -100,20 +108,25 @@
     @Test(dataProvider = "modes")
     public void spoiltAnswersChangeNothingAndDelayNoDrain(boolean pushed) throws Exception {
         String drain = String.format(A, "leaving");
-        List<StandIn.Script> spoilt = List.of((m, line) -> {
-                    line.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + list(8, false, drain).substring(0, 30));
+        List<StandIn.Script> spoilt = List.of(
+                (m, line) -> {
+                    line.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
+                            + list(8, false, drain).substring(0, 30));
                     while (!line.ended) {
                         line.send(" ");
                         Thread.sleep(300);
                     }
-                }, (m, line) -> line.answer(200, list(8, false, drain).substring(0, 60)),
-                (m, line) -> line.answer(200, list(8, true, "")  + "x"),
+                },
+                (m, line) -> line.answer(200, list(8, false, drain).substring(0, 60)),
+                (m, line) -> line.answer(200, list(8, true, "") + "x"),
                 (m, line) -> line.answer(200, "{\"full\":true,\"servers\":[]}"),
                 (m, line) -> line.answer(200, list(8, true, B + ",{\"id\":\"c\"}")),
                 (m, line) -> line.answer(200, list(8, false, B + ",{\"id\":7,\"addr\":\"127.0.0.1:3\"}")),
-                (m, line) -> line.answer(503, list(8, true, B)), (m, line) -> line.send("HTTP/9 what\r\n\r\n"),
+                (m, line) -> line.answer(503, list(8, true, B)),
+                (m, line) -> line.send("HTTP/9 what\r\n\r\n"),
                 (m, line) -> {
-                    line.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(8, true, B));
+                    line.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                            .chunk(list(8, true, B));
                     while (!line.ended) {
                         line.chunk(" ".repeat(10_000));
                     }
@@ -141,10 +154,19 @@
                 }
                 long ms = (System.nanoTime() - last.get(spoilt.size() - 1)) / 1_000_000;
                 assertTrue(ms < most(pushed), ms + " ms after the last spoilt answer");
-                assertEquals(w.heard.stream().map(e -> e.member().server() + e.member().state()).toList(),
+                assertEquals(
+                        w.heard.stream()
+                                .map(e -> e.member().server() + e.member().state())
+                                .toList(),
                         List.of("aREADY", "aDRAINING"));
-                for (String why : List.of("no JSON", "no version", "server c: no addr", "id is not a text", "status 503",
-                        "a body above 262144 bytes", "no whole answer in time")) {
+                for (String why : List.of(
+                        "no JSON",
+                        "no version",
+                        "server c: no addr",
+                        "id is not a text",
+                        "status 503",
+                        "a body above 262144 bytes",
+                        "no whole answer in time")) {
                     assertTrue(w.log.stream().anyMatch(l -> l.contains(why)), why + " in " + w.log);
                 }
                 assertTrue(w.log.size() <= spoilt.size(), "" + w.log);
@@ -156,7 +178,8 @@
     @DataProvider
     public Object[][] statuses() {
         return Stream.of(101, 103, 201, 204, 206, 301, 302, 304, 307, 308)
-                .flatMap(s -> Stream.of(new Object[] {s, true}, new Object[] {s, false})).toArray(Object[][]::new);
+                .flatMap(s -> Stream.of(new Object[] {s, true}, new Object[] {s, false}))
+                .toArray(Object[][]::new);
     }
 
     /** No answer but 200 is one, and no Location is followed: logged, nothing changes, and the call is made anew. */
@@ -164,7 +187,8 @@
     public void anotherStatusIsAFailedCall(int status, boolean pushed) throws Exception {
         String body = list(8, true, B);
         List<Long> calls = new CopyOnWriteArrayList<>();
-        try (StandIn agent = new StandIn(null); StandIn elsewhere = new StandIn((m, line) -> line.answer(200, body))) {
+        try (StandIn agent = new StandIn(null);
+                StandIn elsewhere = new StandIn((m, line) -> line.answer(200, body))) {
             agent.script = (m, line) -> {
                 calls.add(System.nanoTime());
                 if (calls.size() == 1) {
@@ -175,8 +199,12 @@
                             + (none ? "\r\n" : "Content-Length: " + body.length() + "\r\n\r\n" + body));
                     line.read();
                 } else {
-                    line.answer(200, list(9, !m.path().contains("from="), m.path().contains("from=9") ? ""
-                            : String.format(A, "leaving")));
+                    line.answer(
+                            200,
+                            list(
+                                    9,
+                                    !m.path().contains("from="),
+                                    m.path().contains("from=9") ? "" : String.format(A, "leaving")));
                     Thread.sleep(200);
                 }
             };
@@ -186,23 +214,38 @@
                 assertTrue(ms < 6000, ms + " ms");
                 assertTrue(w.heard.stream().allMatch(e -> e.member().server().equals("a")), "" + w.heard);
                 assertEquals(elsewhere.seen.size(), 0);
-                await("the reason", () -> w.log.stream().anyMatch(l -> l.contains(status < 200 ? "no whole answer" : "status " + status)));
+                await(
+                        "the reason",
+                        () -> w.log.stream()
+                                .anyMatch(l -> l.contains(status < 200 ? "no whole answer" : "status " + status)));
             }
         }
     }
 
     /** What a new address does until it is good. */
     private static final Map<String, StandIn.Script> TROUBLES = Map.of(
-            "garbles", (m, line) -> line.send("HTTP/9 what\r\n\r\n"), "closes", (m, line) -> line.close(),
-            "is silent", (m, line) -> line.read(), "has no such path", (m, line) -> line.answer(404, "no"),
-            "answers by half", (m, line) -> line.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{\"version\":9").read(),
-            "has other lists", (m, line) -> line.answer(200, list(99, true, B + ",{\"id\":\"c\"}")),
-            "tells changes", (m, line) -> line.answer(200, list(99, false, B)),
-            "has heard of nobody", (m, line) -> line.answer(200, list(1, true, "")));
+            "garbles",
+            (m, line) -> line.send("HTTP/9 what\r\n\r\n"),
+            "closes",
+            (m, line) -> line.close(),
+            "is silent",
+            (m, line) -> line.read(),
+            "has no such path",
+            (m, line) -> line.answer(404, "no"),
+            "answers by half",
+            (m, line) -> line.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{\"version\":9")
+                    .read(),
+            "has other lists",
+            (m, line) -> line.answer(200, list(99, true, B + ",{\"id\":\"c\"}")),
+            "tells changes",
+            (m, line) -> line.answer(200, list(99, false, B)),
+            "has heard of nobody",
+            (m, line) -> line.answer(200, list(1, true, "")));
 
     @DataProvider
     public Object[][] moves() {
-        return TROUBLES.keySet().stream().flatMap(t -> Stream.of(new Object[] {t, true}, new Object[] {t, false}))
+        return TROUBLES.keySet().stream()
+                .flatMap(t -> Stream.of(new Object[] {t, true}, new Object[] {t, false}))
                 .toArray(Object[][]::new);
     }
 
@@ -220,10 +263,14 @@
             for (int i = 0; i < 200 && watch && !(drains.get() && m.path().contains("from=7&")); i++) {
                 Thread.sleep(5);
             }
-            line.answer(200, drains.get() ? list(8, !watch, m.path().contains("from=8") ? "" : String.format(A, "leaving"))
-                    : list(7, !watch, watch ? "" : String.format(A, "active") + "," + B));
+            line.answer(
+                    200,
+                    drains.get()
+                            ? list(8, !watch, m.path().contains("from=8") ? "" : String.format(A, "leaving"))
+                            : list(7, !watch, watch ? "" : String.format(A, "active") + "," + B));
         };
-        try (StandIn old = new StandIn(first); StandIn next = new StandIn(null)) {
+        try (StandIn old = new StandIn(first);
+                StandIn next = new StandIn(null)) {
             next.script = (m, line) -> {
                 if (good.get()) {
                     boolean watch = m.path().contains("from=");
@@ -241,12 +288,18 @@
                 await("in trouble", () -> next.seen.size() >= 2);
                 drains.set(true);
                 await("the old address's drain", w::drains);
-                assertTrue(w.heard.stream().allMatch(e -> e.member().server().equals("a") || e.member().state() == ServerState.READY),
+                assertTrue(
+                        w.heard.stream()
+                                .allMatch(e -> e.member().server().equals("a")
+                                        || e.member().state() == ServerState.READY),
                         "" + w.heard);
                 good.set(true);
                 long from = System.nanoTime();
-                await("the new one's", () -> w.heard.stream().anyMatch(e -> e.member().server().equals("b")
-                        && e.member().state() == ServerState.DRAINING));
+                await(
+                        "the new one's",
+                        () -> w.heard.stream()
+                                .anyMatch(e -> e.member().server().equals("b")
+                                        && e.member().state() == ServerState.DRAINING));
                 long ms = (System.nanoTime() - from) / 1_000_000;
                 assertTrue(ms < most(pushed), ms + " ms");
                 assertTrue(w.heard.stream().noneMatch(e -> e.member().server().equals("c")), "" + w.heard);
@@ -265,8 +318,11 @@
                 gaps.add((System.nanoTime() - answered.get()) / 1_000_000);
             }
             boolean watch = m.path().contains("from=");
-            line.answer(200, drains.get() ? list(8, !watch, String.format(A, "leaving"))
-                    : list(7, !watch, watch ? "" : String.format(A, "active")));
+            line.answer(
+                    200,
+                    drains.get()
+                            ? list(8, !watch, String.format(A, "leaving"))
+                            : list(7, !watch, watch ? "" : String.format(A, "active")));
             answered.set(System.nanoTime());
         })) {
             long from = System.nanoTime();
@@ -300,8 +356,12 @@
                         Thread one = new Thread(() -> {
                             try (line) {
                                 for (Line.Message m = line.read(); m != null; m = line.read()) {
-                                    line.answer(200, list(9, !m.path().contains("from="),
-                                            m.path().contains("from=9") ? "" : String.format(A, "leaving")));
+                                    line.answer(
+                                            200,
+                                            list(
+                                                    9,
+                                                    !m.path().contains("from="),
+                                                    m.path().contains("from=9") ? "" : String.format(A, "leaving")));
                                     Thread.sleep(200);
                                 }
                             } catch (Exception e) {
--- a/src/test/java/copperbeam/sockets/ClientGoneTest.java
+++ b/src/test/java/copperbeam/sockets/ClientGoneTest.java
@@ -31,7 +31,8 @@
  */
 public class ClientGoneTest {
     private static final long KNOWN_NS = 1_000_000_000L; // in any case; short of any time-out
-    // of the reactor: HttpCore reads a close in one and acts on it in the next, where another connection's bytes may come up first
+    // of the reactor: HttpCore reads a close in one and acts on it in the next, where another connection's bytes may
+    // come up first
     private static final int TURNS = 3;
     private static final int MANY = 300;
     private static final String MORE = Site.request("more", "ask", "5000m", "prompt_len=9", "{\"a\":\"gone\"}");
@@ -40,7 +41,13 @@
     private static final String LARGE = "\",\"b\":\"" + "x".repeat(240 * 1024);
 
     /** Where the request waits as its client goes; {@code cancel}: the settings allow to give up attempts. */
-    private enum Waits { FOR_A_SERVER, FOR_A_CONNECTION, FOR_ITS_READ, FOR_A_PLUGIN, FOR_ITS_BODY_TO_LEAVE }
+    private enum Waits {
+        FOR_A_SERVER,
+        FOR_A_CONNECTION,
+        FOR_ITS_READ,
+        FOR_A_PLUGIN,
+        FOR_ITS_BODY_TO_LEAVE
+    }
 
     private interface Going {
         void go(Line client) throws Exception;
@@ -53,18 +60,27 @@
         {"resets", (Going) Line::reset},
         {"ends its sending", (Going) Line::halfClose},
         {"half a head, then closes", (Going) c -> c.send("POST /v1/ch").close()},
-        {"half a body, then closes", (Going) c -> c.send("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
-                + "Content-Length: 9\r\n\r\n{").close()},
+        {
+            "half a body, then closes",
+            (Going) c -> c.send("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + "Content-Length: 9\r\n\r\n{")
+                    .close()
+        },
         {"no head, then closes", (Going) c -> c.send("nonsense\r\n\r\n").close()},
-        {"too much, then closes", (Going) c -> c.send("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
-                + "Content-Length: 900000\r\n\r\n{").close()},
-        {"hundreds more, then closes", (Going) c -> {
-            StringBuilder more = new StringBuilder();
-            for (int i = 0; i < MANY; i++) {
-                more.append(MORE.replace("more", "more" + i));
+        {
+            "too much, then closes",
+            (Going) c -> c.send("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + "Content-Length: 900000\r\n\r\n{")
+                    .close()
+        },
+        {
+            "hundreds more, then closes",
+            (Going) c -> {
+                StringBuilder more = new StringBuilder();
+                for (int i = 0; i < MANY; i++) {
+                    more.append(MORE.replace("more", "more" + i));
+                }
+                c.send(more.toString()).close();
             }
-            c.send(more.toString()).close();
-        }},
+        },
     };
 
     /** Holds each request with the word in it until it is let go. */
@@ -94,8 +110,13 @@
                     // what the system has taken can only be ended where that is allowed
                     if (cancel || waits != Waits.FOR_ITS_BODY_TO_LEAVE) {
                         // the module knows nothing of what is at a plug-in, but the conductor's own close can be seen
-                        rows.add(new Object[] {chat, waits, cancel, "closes", waits == Waits.FOR_A_PLUGIN
-                                ? (Going) Line::halfClose : CLOSES});
+                        rows.add(new Object[] {
+                            chat,
+                            waits,
+                            cancel,
+                            "closes",
+                            waits == Waits.FOR_A_PLUGIN ? (Going) Line::halfClose : CLOSES
+                        });
                     }
                 }
             }
@@ -112,11 +133,19 @@
         Gate gate = new Gate();
         boolean listed = waits != Waits.FOR_A_SERVER;
         String settings = String.format(Site.SETTINGS, "30").replace("\"cancel\":true", "\"cancel\":" + cancel);
-        try (Site site = new Site(0, 0, 30, null, waits == Waits.FOR_A_PLUGIN ? List.of(gate) : List.of(),
-                Config.Limits.USUAL, Site.parsed(settings), Duration.ofSeconds(4))) {
+        try (Site site = new Site(
+                0,
+                0,
+                30,
+                null,
+                waits == Waits.FOR_A_PLUGIN ? List.of(gate) : List.of(),
+                Config.Limits.USUAL,
+                Site.parsed(settings),
+                Duration.ofSeconds(4))) {
             CountDownLatch served = new CountDownLatch(1);
             CountDownLatch met = new CountDownLatch(1);
-            CountDownLatch letGo = new CountDownLatch(2); // heads: of the read, and of what lets go of it once it is cut
+            CountDownLatch letGo =
+                    new CountDownLatch(2); // heads: of the read, and of what lets go of it once it is cut
             StandIn.Script reads = attempts((m, line) -> {
                 met.countDown();
                 served.await();
@@ -151,8 +180,10 @@
             }
             Line client = chat ? site.chatClient() : site.client();
             String word = "gone" + (waits == Waits.FOR_ITS_BODY_TO_LEAVE ? LARGE : "");
-            client.send(chat ? Site.chat("m-ask", true, ",\"a\":\"" + word + "\"")
-                    : Site.request("id", "ask", "5000m", "prompt_len=40", "{\"a\":\"" + word + "\"}"));
+            client.send(
+                    chat
+                            ? Site.chat("m-ask", true, ",\"a\":\"" + word + "\"")
+                            : Site.request("id", "ask", "5000m", "prompt_len=40", "{\"a\":\"" + word + "\"}"));
             if (waits == Waits.FOR_ITS_READ || waits == Waits.FOR_ITS_BODY_TO_LEAVE) {
                 met.await();
             } else if (waits == Waits.FOR_A_PLUGIN) {
@@ -162,8 +193,11 @@
             }
             long from = System.nanoTime();
             going.go(client);
-            int turns = TURNS + (how.startsWith("hundreds") ? MANY * (MORE.length() + 3) / READ : 0)
-                    + (how.startsWith("half a head") ? 1 : 0); // HttpCore looks at a close behind one a turn after its read
+            int turns = TURNS
+                    + (how.startsWith("hundreds") ? MANY * (MORE.length() + 3) / READ : 0)
+                    + (how.startsWith("half a head")
+                            ? 1
+                            : 0); // HttpCore looks at a close behind one a turn after its read
             for (int i = 0; i < turns; i++) {
                 // of the reactor that reads this client: each front has its own, and another's turns tell nothing of it
                 assertEquals(status(chat ? site.chatClient() : site.client(), HEALTH), 200);
@@ -177,7 +211,8 @@
             assertEquals(open(site), 0, waits + ", " + how + ": not seen");
             long left = KNOWN_NS - (System.nanoTime() - from);
             // the module knows it before its reader's connection is reset, on other threads
-            assertTrue(left > 0 && (waits != Waits.FOR_ITS_BODY_TO_LEAVE || letGo.await(left, TimeUnit.NANOSECONDS)),
+            assertTrue(
+                    left > 0 && (waits != Waits.FOR_ITS_BODY_TO_LEAVE || letGo.await(left, TimeUnit.NANOSECONDS)),
                     waits + ", " + how + ": known late");
             long before = begun(reader, "gone") + begun(writer, "gone");
             served.countDown();
@@ -188,7 +223,7 @@
             if (!listed) {
                 site.changes.add(list);
             }
-            reader.opening = line -> { };
+            reader.opening = line -> {};
             // the same id again: it is free, and all that came before it has had its turn
             await("the id is free", () -> asked(site) == 200);
             await("nothing is open", () -> open(site) == 0);
@@ -206,20 +241,26 @@
         CountDownLatch go = new CountDownLatch(1);
         List<String> heard = new CopyOnWriteArrayList<>();
         ClientRoom room = new ClientRoom(100, 1 << 20);
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
-            heard.add(call.path());
-            if (call.path().equals("/first")) {
-                busy.countDown();
-                try {
-                    go.await(); // the reactor does nothing else meanwhile
-                } catch (InterruptedException e) {
-                    throw new AssertionError(e);
-                }
-            }
-            return () -> { };
-        }, Clock.systemUTC(), room, (c, status) -> { })) {
+        try (HttpFrontServer server = new HttpFrontServer(
+                (call, reply) -> {
+                    heard.add(call.path());
+                    if (call.path().equals("/first")) {
+                        busy.countDown();
+                        try {
+                            go.await(); // the reactor does nothing else meanwhile
+                        } catch (InterruptedException e) {
+                            throw new AssertionError(e);
+                        }
+                    }
+                    return () -> {};
+                },
+                Clock.systemUTC(),
+                room,
+                (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
-            try (Line first = new Line(at); Line half = new Line(at); Line last = new Line(at)) {
+            try (Line first = new Line(at);
+                    Line half = new Line(at);
+                    Line last = new Line(at)) {
                 Line many = new Line(at);
                 Line large = new Line(at);
                 await("connected", () -> room.size() == 5);
@@ -227,7 +268,8 @@
                 busy.await();
                 half.send("GET /half HTTP/1.1\r\nHost: x\r\n\r\n").halfClose();
                 many.send("GET /many HTTP/1.1\r\nHost: x\r\n\r\n".repeat(200)).close();
-                large.send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n" + Site.post("x".repeat(9000))).close();
+                large.send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n" + Site.post("x".repeat(9000)))
+                        .close();
                 last.send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
                 go.countDown();
                 await("the last is heard", () -> heard.contains("/last"));
--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -22,10 +22,10 @@
     private static final int TICKS_PER_S = 100; // of /proc/PID/stat on Linux
     static final int START_MS = 30_000; // which the platform lets a start take; a busy core gives it a tenth
 
-    final Path folder;               // also where its processes share what they know
+    final Path folder; // also where its processes share what they know
     final Path log;
     final InetSocketAddress address;
-    final InetSocketAddress door;    // null where operators have none
+    final InetSocketAddress door; // null where operators have none
     final Process process;
     private final String limits;
 
@@ -53,16 +53,29 @@
         this(discovery, 1024, 192, List.of(more), ":", earlier.folder, earlier.address, freeAddress());
     }
 
-    private Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more, String shell, Path folder,
-            InetSocketAddress address, InetSocketAddress door) throws IOException {
+    private Conductor(
+            StandIn discovery,
+            int sockets,
+            int memoryMb,
+            List<String> more,
+            String shell,
+            Path folder,
+            InetSocketAddress address,
+            InetSocketAddress door)
+            throws IOException {
         this.folder = folder;
         this.address = address;
         this.door = door;
         log = folder.resolve(door == null ? "log" : "log" + door.getPort());
         this.limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
         configure(discovery.host());
-        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + sockets + " && " + shell + " && exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        List<String> command = new ArrayList<>(List.of(
+                "sh",
+                "-c",
+                "ulimit -n " + sockets + " && " + shell + " && exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
                 "-Xmx64m"));
         more.stream().filter(o -> o.startsWith("-X")).forEach(command::add);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve"));
@@ -97,8 +110,10 @@
     /** Replaces the file whole, as operators do. */
     void configure(String discovery) throws IOException {
         Path next = folder.resolve("next");
-        Files.writeString(next, "{\"listen\":\"127.0.0.1:" + address.getPort() + "\",\"discovery\":\"" + discovery
-                + "\",\"limits\":" + limits + ",\"settings\":" + settings() + "}");
+        Files.writeString(
+                next,
+                "{\"listen\":\"127.0.0.1:" + address.getPort() + "\",\"discovery\":\"" + discovery + "\",\"limits\":"
+                        + limits + ",\"settings\":" + settings() + "}");
         Files.move(next, folder.resolve("config.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
     }
 
@@ -109,7 +124,9 @@
     }
 
     void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     boolean healthy() {
@@ -138,7 +155,8 @@
         try {
             Site.await("ready", START_MS, this::ready);
         } catch (AssertionError e) {
-            throw new AssertionError(e.getMessage() + (process.isAlive() ? ", and it lives: " : ", it ended: ") + logged(), e);
+            throw new AssertionError(
+                    e.getMessage() + (process.isAlive() ? ", and it lives: " : ", it ended: ") + logged(), e);
         }
         return this;
     }
@@ -161,13 +179,19 @@
     /** How many processes listen at the clients' address, as the system has it. */
     int listeners() {
         String listens = String.format(".* (0000000000000000FFFF0000)?0100007F:%04X [0:]+ 0A .*", address.getPort());
-        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").map(Path::of).filter(Files::exists).mapToInt(table -> {
-            try {
-                return (int) Files.readAllLines(table).stream().filter(l -> l.matches(listens)).count();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }).sum();
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6")
+                .map(Path::of)
+                .filter(Files::exists)
+                .mapToInt(table -> {
+                    try {
+                        return (int) Files.readAllLines(table).stream()
+                                .filter(l -> l.matches(listens))
+                                .count();
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                })
+                .sum();
     }
 
     boolean logged(String text) {
@@ -198,8 +222,7 @@
             if (watch) {
                 Thread.sleep(500);
             }
-            line.answer(200, "{\"version\":7,\"full\":" + !watch + ",\"servers\":["
-                    + (watch ? "" : entries) + "]}");
+            line.answer(200, "{\"version\":7,\"full\":" + !watch + ",\"servers\":[" + (watch ? "" : entries) + "]}");
         });
     }
 }
--- a/src/test/java/copperbeam/sockets/ConnectTimeTest.java
+++ b/src/test/java/copperbeam/sockets/ConnectTimeTest.java
@@ -23,11 +23,23 @@
         ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
         CompletableFuture<String> ended = new CompletableFuture<>();
         Recorder recorder = (what, request, attempt, server, text, span) -> ended.complete(text);
-        ModuleActor module = new ModuleActor(turns, Clock.systemUTC(), Site.settings(30), 7, null, recorder,
-                new Metrics(List.of("ask")));
-        new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), new PeerActor.Setup(Clock.systemUTC(),
-                (to, timeout, watcher) -> { }, Duration.ofMillis(50), Duration.ofSeconds(15), Duration.ofHours(1), module,
-                null, recorder, null)).tell(new PeerActor.Probe());
+        ModuleActor module = new ModuleActor(
+                turns, Clock.systemUTC(), Site.settings(30), 7, null, recorder, new Metrics(List.of("ask")));
+        new PeerActor(
+                        turns,
+                        "s",
+                        new InetSocketAddress("127.0.0.1", 1),
+                        new PeerActor.Setup(
+                                Clock.systemUTC(),
+                                (to, timeout, watcher) -> {},
+                                Duration.ofMillis(50),
+                                Duration.ofSeconds(15),
+                                Duration.ofHours(1),
+                                module,
+                                null,
+                                recorder,
+                                null))
+                .tell(new PeerActor.Probe());
         assertEquals(ended.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS), "CONNECT_FAILED");
         turns.shutdownNow();
     }
--- a/src/test/java/copperbeam/sockets/CostProbe.java
+++ b/src/test/java/copperbeam/sockets/CostProbe.java
@@ -37,13 +37,17 @@
         }
         ScheduledExecutorService clients = Executors.newScheduledThreadPool(CLIENTS);
         try (StandIn list = new StandIn((m, line) -> {
-            boolean watch = m.path().contains("from=");
-            if (watch) {
-                Thread.sleep(2500);
-            }
-            line.answer(200, "{\"version\":7,\"full\":" + !watch + ",\"servers\":["
-                    + (watch ? "" : String.join(",", entries)) + "]}");
-        }); Conductor conductor = new Conductor(list, 1024, 192, Arrays.asList(args).subList(2, args.length))) {
+                    boolean watch = m.path().contains("from=");
+                    if (watch) {
+                        Thread.sleep(2500);
+                    }
+                    line.answer(
+                            200,
+                            "{\"version\":7,\"full\":" + !watch + ",\"servers\":["
+                                    + (watch ? "" : String.join(",", entries)) + "]}");
+                });
+                Conductor conductor =
+                        new Conductor(list, 1024, 192, Arrays.asList(args).subList(2, args.length))) {
             conductor.awaitHealthy();
             AtomicInteger done = new AtomicInteger();
             AtomicInteger wrong = new AtomicInteger();
@@ -51,18 +55,28 @@
                 Line client = new Line(conductor.address);
                 String name = "c" + i + "-";
                 AtomicInteger sent = new AtomicInteger();
-                clients.scheduleAtFixedRate(() -> {
-                    try {
-                        String id = name + sent.getAndIncrement();
-                        String body = "{\"model\":\"m\",\"text\":\"" + "x".repeat(4000) + "\"}";
-                        Line.Message answer = client.send(request(id, sent.get() % 3 == 0 ? "send" : "ask", "5000m",
-                                "prefix=p" + sent.get() % 5 + ",prompt_len=1000,prefix_len=500,max_out=100", body)).read();
-                        done.incrementAndGet();
-                        wrong.addAndGet(answer.status() == 200 ? 0 : 1);
-                    } catch (Exception e) {
-                        wrong.incrementAndGet();
-                    }
-                }, 1_000_000L * i / rate, 1_000_000L * CLIENTS / rate, TimeUnit.MICROSECONDS);
+                clients.scheduleAtFixedRate(
+                        () -> {
+                            try {
+                                String id = name + sent.getAndIncrement();
+                                String body = "{\"model\":\"m\",\"text\":\"" + "x".repeat(4000) + "\"}";
+                                Line.Message answer = client.send(request(
+                                                id,
+                                                sent.get() % 3 == 0 ? "send" : "ask",
+                                                "5000m",
+                                                "prefix=p" + sent.get() % 5
+                                                        + ",prompt_len=1000,prefix_len=500,max_out=100",
+                                                body))
+                                        .read();
+                                done.incrementAndGet();
+                                wrong.addAndGet(answer.status() == 200 ? 0 : 1);
+                            } catch (Exception e) {
+                                wrong.incrementAndGet();
+                            }
+                        },
+                        1_000_000L * i / rate,
+                        1_000_000L * CLIENTS / rate,
+                        TimeUnit.MICROSECONDS);
             }
             CountDownLatch never = new CountDownLatch(1);
             long cpu = conductor.cpuMs();
@@ -71,8 +85,9 @@
                 never.await(SPAN_S, TimeUnit.SECONDS);
                 long now = conductor.cpuMs();
                 int all = done.get();
-                System.out.printf("%3d s  %6d requests  %5d not served  %.2f ms of CPU a request%n", at, all - before,
-                        wrong.get(), (now - cpu) / (double) Math.max(1, all - before));
+                System.out.printf(
+                        "%3d s  %6d requests  %5d not served  %.2f ms of CPU a request%n",
+                        at, all - before, wrong.get(), (now - cpu) / (double) Math.max(1, all - before));
                 cpu = now;
                 before = all;
             }
--- a/src/test/java/copperbeam/sockets/EndTest.java
+++ b/src/test/java/copperbeam/sockets/EndTest.java
@@ -29,7 +29,9 @@
     @Test
     public void aStopIsOverOnceEachConnectionIsClosed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (Site site = new Site(1, 1); Line client = site.client(); Line idle = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client();
+                Line idle = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 line.beginStream().chunk("data: 1\n\n");
                 go.await();
@@ -50,8 +52,11 @@
     /** Guards against a front that stays away for good: asked again as the other front could not listen yet, it said no. */
     @Test
     public void aFrontThatListensAgainSaysSoEachTime() throws Exception {
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> () -> { }, Clock.systemUTC(),
-                new ClientRoom(10, 1 << 20), (requestClass, status) -> { })) {
+        try (HttpFrontServer server = new HttpFrontServer(
+                (call, reply) -> () -> {},
+                Clock.systemUTC(),
+                new ClientRoom(10, 1 << 20),
+                (requestClass, status) -> {})) {
             server.listen(new InetSocketAddress("127.0.0.1", 0), true);
             server.stopListening();
             await("again", server::listenAgain);
@@ -63,14 +68,21 @@
     @Test
     public void aStreamIsCutBeforeAKillThatShortDeadlinesBringSooner() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
-        try (StandIn reader = new StandIn(Site::read); StandIn writer = new StandIn(attempts((m, line) -> {
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn writer = new StandIn(attempts((m, line) -> {
                     line.beginStream().chunk("data: 1\n\n");
                     never.await();
-                })); StandIn discovery = Conductor.discovery(reader, writer)) {
-            Path file = Files.writeString(Files.createTempFile("config", ".json"), "{\"listen\":\"127.0.0.1:0\",\"discovery\":\""
-                    + discovery.host() + "\",\"settings\":" + String.format(Site.SETTINGS, 30.0).replace("\"semantics\"",
-                    "\"give_up_s\":1.5,\"semantics\"") + "}");
-            try (Node node = new Node(Config.read(Map.of("GW_CONFIG", file.toString()), null)); Line client = new Line(node.address())) {
+                }));
+                StandIn discovery = Conductor.discovery(reader, writer)) {
+            Path file = Files.writeString(
+                    Files.createTempFile("config", ".json"),
+                    "{\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+                            + discovery.host() + "\",\"settings\":"
+                            + String.format(Site.SETTINGS, 30.0)
+                                    .replace("\"semantics\"", "\"give_up_s\":1.5,\"semantics\"")
+                            + "}");
+            try (Node node = new Node(Config.read(Map.of("GW_CONFIG", file.toString()), null));
+                    Line client = new Line(node.address())) {
                 client.send(request("ask", 1500)).head();
                 assertEquals(client.readChunk(), "data: 1\n\n");
                 Instant stopped = Instant.now();
@@ -93,8 +105,16 @@
     @Test
     public void nothingIsSentOnLateInAStopWhereStreamsCantResume() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (Site site = new Site(1, 1, 30, null, List.of(), Config.Limits.USUAL, Site.parsed(String.format(Site.SETTINGS, 30.0)
-                .replace("\"resume\":true", "\"resume\":false")), Duration.ofMillis(250)); Line client = site.client();
+        try (Site site = new Site(
+                        1,
+                        1,
+                        30,
+                        null,
+                        List.of(),
+                        Config.Limits.USUAL,
+                        Site.parsed(String.format(Site.SETTINGS, 30.0).replace("\"resume\":true", "\"resume\":false")),
+                        Duration.ofMillis(250));
+                Line client = site.client();
                 Line idle = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 line.beginStream().chunk("data: 1\n\n");
@@ -118,10 +138,14 @@
     /** Guards against a request on a connection that comes as the end is decided: unread, it is sent once more. */
     @Test
     public void nothingIsReadUnderASeal() throws Exception {
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
-            reply.whole(200, "text/plain", Map.of(), new byte[0]);
-            return () -> { };
-        }, Clock.systemUTC(), new ClientRoom(10, 1 << 20), (requestClass, status) -> { });
+        try (HttpFrontServer server = new HttpFrontServer(
+                        (call, reply) -> {
+                            reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                            return () -> {};
+                        },
+                        Clock.systemUTC(),
+                        new ClientRoom(10, 1 << 20),
+                        (requestClass, status) -> {});
                 Line client = new Line(server.listen(new InetSocketAddress("127.0.0.1", 0), false))) {
             await("sealed", server::seal);
             client.send(request("ask", 8000));
--- a/src/test/java/copperbeam/sockets/EtcdMembershipTest.java
+++ b/src/test/java/copperbeam/sockets/EtcdMembershipTest.java
@@ -58,14 +58,19 @@
             ranges.add("{\"header\":{\"revision\":\"7\"}}");
             try (Site site = new Site(1, 1, 30, new Config.Etcd(etcd.address(), PREFIX), List.of())) {
                 await("watch", () -> watches(etcd, 8) == 1);
-                told.add(event(8, "{\"kv\":" + kv(site.readers.get(0), "prefill", "active") + "},{\"kv\":"
-                        + kv(site.writers.get(0), "decode", "active") + "}"));
+                told.add(event(
+                        8,
+                        "{\"kv\":" + kv(site.readers.get(0), "prefill", "active") + "},{\"kv\":"
+                                + kv(site.writers.get(0), "decode", "active") + "}"));
                 serves(site, 200);
                 told.add("");
                 await("goes on from the revision after the last", () -> watches(etcd, 9) == 1);
 
-                told.add(event(9, "{\"type\":\"DELETE\",\"kv\":{\"key\":\""
-                        + base64(PREFIX + "s" + site.writers.get(0).address().getPort()) + "\"}}"));
+                told.add(event(
+                        9,
+                        "{\"type\":\"DELETE\",\"kv\":{\"key\":\""
+                                + base64(PREFIX + "s"
+                                        + site.writers.get(0).address().getPort()) + "\"}}"));
                 await("deleted", () -> {
                     long at = site.attempts(site.writers);
                     try (Line client = site.client()) {
@@ -88,6 +93,7 @@
 
     private static long watches(StandIn etcd, int from) {
         return etcd.count(m -> m.path().equals("/v3/watch")
-                && m.text().contains("\"start_revision\":\"" + from + "\"") && m.text().contains(base64(PREFIX)));
+                && m.text().contains("\"start_revision\":\"" + from + "\"")
+                && m.text().contains(base64(PREFIX)));
     }
 }
--- a/src/test/java/copperbeam/sockets/EventProbe.java
+++ b/src/test/java/copperbeam/sockets/EventProbe.java
@@ -18,12 +18,24 @@
  * <pre>java -cp target/test-classes:target/classes:... copperbeam.sockets.EventProbe SECONDS [ROW ...]</pre>
  */
 public final class EventProbe {
-    private static final int CLIENTS = 16;   // half of them at each front
-    private static final int EVENTS = 40;    // of a stream
-    private static final long PACE_MS = 25;  // between two of them
+    private static final int CLIENTS = 16; // half of them at each front
+    private static final int EVENTS = 40; // of a stream
+    private static final long PACE_MS = 25; // between two of them
     private static final Pattern WRITTEN = Pattern.compile("<(\\d+)>");
 
-    private enum Row { CALM, GARBAGE, NOISE, PIPELINED, EXTENSIONS, ENDLESS, NEW_CONNECTIONS, SLOW_READERS, QUICK_READERS, LIST_CHANGES, CROWD }
+    private enum Row {
+        CALM,
+        GARBAGE,
+        NOISE,
+        PIPELINED,
+        EXTENSIONS,
+        ENDLESS,
+        NEW_CONNECTIONS,
+        SLOW_READERS,
+        QUICK_READERS,
+        LIST_CHANGES,
+        CROWD
+    }
 
     private interface Task {
         void run() throws Exception;
@@ -52,7 +64,8 @@
     }
 
     private static String event(String text) {
-        return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"},\"finish_reason\":null}]}\n\n";
+        return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text
+                + "\"},\"finish_reason\":null}]}\n\n";
     }
 
     private void write(Line.Message m, Line line) throws Exception {
@@ -99,9 +112,17 @@
         Thread.sleep(seconds * 1000L);
         over.set(true);
         List<Long> sorted = delays.stream().sorted().collect(Collectors.toList());
-        System.out.printf("%-16s events %6d  p50 %6.1f  p99 %6.1f  p99.9 %6.1f  worst %6.1f ms  over 300 ms %4d  unserved %4d  others %7d%n", row,
-                sorted.size(), at(sorted, 0.5), at(sorted, 0.99), at(sorted, 0.999), at(sorted, 1), sorted.stream().filter(d -> d > 300_000_000L).count(),
-                unserved.get(), done.get());
+        System.out.printf(
+                "%-16s events %6d  p50 %6.1f  p99 %6.1f  p99.9 %6.1f  worst %6.1f ms  over 300 ms %4d  unserved %4d  others %7d%n",
+                row,
+                sorted.size(),
+                at(sorted, 0.5),
+                at(sorted, 0.99),
+                at(sorted, 0.999),
+                at(sorted, 1),
+                sorted.stream().filter(d -> d > 300_000_000L).count(),
+                unserved.get(),
+                done.get());
         for (Thread thread : threads) {
             thread.join(2000);
         }
@@ -114,14 +135,15 @@
 
     private void stream(boolean chat) throws Exception {
         try (Line line = chat ? site.chatClient() : site.client()) {
-            Line.Message head = line.send(chat ? Site.chat("m-ask", true, "") : Site.request("ask", 1500)).head();
+            Line.Message head = line.send(chat ? Site.chat("m-ask", true, "") : Site.request("ask", 1500))
+                    .head();
             if (head.status() != 200) {
                 unserved.incrementAndGet();
                 return;
             }
             for (String chunk = line.readChunk(); chunk != null && !chunk.isEmpty(); chunk = line.readChunk()) {
                 long now = System.nanoTime();
-                for (Matcher m = WRITTEN.matcher(chunk); m.find();) {
+                for (Matcher m = WRITTEN.matcher(chunk); m.find(); ) {
                     delays.add(now - Long.parseLong(m.group(1)));
                 }
             }
@@ -130,7 +152,7 @@
 
     private void disturb(Row row) throws Exception {
         switch (row) {
-            case CALM -> { }
+            case CALM -> {}
             case GARBAGE -> {
                 for (Row kind : new Row[] {Row.NOISE, Row.PIPELINED, Row.EXTENSIONS, Row.ENDLESS}) {
                     disturb(kind);
@@ -138,24 +160,33 @@
             }
             case NOISE -> loop(3, () -> garbage("\u0001\u00ff\r\n\n\n: : ".repeat(500), 100));
             case PIPELINED -> loop(3, () -> garbage("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".repeat(200), 100));
-            case EXTENSIONS -> loop(3, () -> garbage(Site.request("send", 1500).replaceFirst("Content-Length.*\r\n\r\n\\{\\}",
-                    "Transfer-Encoding: chunked\r\n\r\n") + "1;" + "x".repeat(4000) + "\r\n{\r\n", 1));
+            case EXTENSIONS ->
+                loop(
+                        3,
+                        () -> garbage(
+                                Site.request("send", 1500)
+                                                .replaceFirst(
+                                                        "Content-Length.*\r\n\r\n\\{\\}",
+                                                        "Transfer-Encoding: chunked\r\n\r\n")
+                                        + "1;" + "x".repeat(4000) + "\r\n{\r\n",
+                                1));
             case ENDLESS -> loop(3, this::endless);
-            case NEW_CONNECTIONS -> loop(1, () -> {
-                List<Line> lines = new ArrayList<>();
-                for (int i = 0; i < 100; i++) {
-                    lines.add(site.client());
-                }
-                for (Line line : lines) {
-                    line.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
-                }
-                for (Line line : lines) {
-                    line.read();
-                    line.close();
-                    done.incrementAndGet();
-                }
-                Thread.sleep(200);
-            });
+            case NEW_CONNECTIONS ->
+                loop(1, () -> {
+                    List<Line> lines = new ArrayList<>();
+                    for (int i = 0; i < 100; i++) {
+                        lines.add(site.client());
+                    }
+                    for (Line line : lines) {
+                        line.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+                    }
+                    for (Line line : lines) {
+                        line.read();
+                        line.close();
+                        done.incrementAndGet();
+                    }
+                    Thread.sleep(200);
+                });
             case SLOW_READERS -> loop(8, () -> read(50));
             case QUICK_READERS -> loop(2, () -> read(0));
             case LIST_CHANGES -> {
@@ -165,19 +196,27 @@
                 }
                 loop(1, () -> {
                     String state = done.getAndIncrement() % 2 == 0 ? "active" : "leaving";
-                    site.changes.add(more.stream().map(s -> Site.entry(s, "prefill", state)).collect(Collectors.joining(",")));
+                    site.changes.add(more.stream()
+                            .map(s -> Site.entry(s, "prefill", state))
+                            .collect(Collectors.joining(",")));
                     Thread.sleep(300);
                 });
             }
-            case CROWD -> loop(48, () -> {
-                try (Line line = site.client()) {
-                    for (int i = 0; i < 20; i++) {
-                        line.send(Site.request("quick" + System.nanoTime(), "ask", i % 2 == 0 ? "1500m" : "25m",
-                                "prompt_len=40,max_out=9", "{}")).read();
-                        done.incrementAndGet();
+            case CROWD ->
+                loop(48, () -> {
+                    try (Line line = site.client()) {
+                        for (int i = 0; i < 20; i++) {
+                            line.send(Site.request(
+                                            "quick" + System.nanoTime(),
+                                            "ask",
+                                            i % 2 == 0 ? "1500m" : "25m",
+                                            "prompt_len=40,max_out=9",
+                                            "{}"))
+                                    .read();
+                            done.incrementAndGet();
+                        }
                     }
-                }
-            });
+                });
         }
     }
 
@@ -194,7 +233,8 @@
     private void endless() throws Exception {
         String chunks = ("1;" + "x".repeat(2000) + "\r\n{\r\n").repeat(50);
         try (Line line = site.client()) {
-            line.send(Site.request("send", 1500).replaceFirst("Content-Length.*\r\n\r\n\\{\\}", "Transfer-Encoding: chunked\r\n\r\n"));
+            line.send(Site.request("send", 1500)
+                    .replaceFirst("Content-Length.*\r\n\r\n\\{\\}", "Transfer-Encoding: chunked\r\n\r\n"));
             while (!over.get()) {
                 line.send(chunks);
                 done.incrementAndGet();
@@ -206,7 +246,9 @@
     private void read(int pauseMs) throws Exception {
         try (Line line = site.client()) {
             line.send(Site.request("send", 1500)).head();
-            for (String chunk = line.readChunk(); !over.get() && chunk != null && !chunk.isEmpty(); chunk = line.readChunk()) {
+            for (String chunk = line.readChunk();
+                    !over.get() && chunk != null && !chunk.isEmpty();
+                    chunk = line.readChunk()) {
                 Thread.sleep(pauseMs);
                 done.incrementAndGet();
             }
--- a/src/test/java/copperbeam/sockets/EventsTest.java
+++ b/src/test/java/copperbeam/sockets/EventsTest.java
@@ -50,21 +50,42 @@
         String end = chunk(DONE) + END;
         Map<String, List<String>> forms = new java.util.LinkedHashMap<>();
         forms.put("half of the next behind it", List.of(CHUNKED + chunk(event(1) + half), chunk(rest), end));
-        forms.put("a byte of the next behind it", List.of(CHUNKED + chunk(event(1) + "d"), chunk(event(2).substring(1)), end));
+        forms.put(
+                "a byte of the next behind it",
+                List.of(CHUNKED + chunk(event(1) + "d"), chunk(event(2).substring(1)), end));
         forms.put("its chunk goes on", List.of(CHUNKED + size(event(1) + event(2)) + event(1), event(2) + "\r\n", end));
-        forms.put("its chunk's end is not here", List.of(CHUNKED + size(event(1)) + event(1), "\r\n" + chunk(event(2)), end));
-        forms.put("the next chunk's size behind it", List.of(CHUNKED + chunk(event(1)) + size(event(2)), event(2), "\r\n" + end));
-        forms.put("over two chunks", List.of(CHUNKED + chunk(event(1).substring(0, 30)) + chunk(event(1).substring(30)), end));
+        forms.put(
+                "its chunk's end is not here",
+                List.of(CHUNKED + size(event(1)) + event(1), "\r\n" + chunk(event(2)), end));
+        forms.put(
+                "the next chunk's size behind it",
+                List.of(CHUNKED + chunk(event(1)) + size(event(2)), event(2), "\r\n" + end));
+        forms.put(
+                "over two chunks",
+                List.of(CHUNKED + chunk(event(1).substring(0, 30)) + chunk(event(1).substring(30)), end));
         forms.put("three in a chunk", List.of(CHUNKED + chunk(event(1) + event(2) + event(3)), end));
         forms.put("in the same write as the end", List.of(CHUNKED + chunk(event(1)), chunk(event(2)) + end));
         forms.put("all in one write", List.of(CHUNKED + chunk(event(1)) + chunk(event(2)) + end));
-        forms.put("a comment behind it", List.of(CHUNKED + chunk(event(1) + ": X-Server-Load: queue=1\n"), chunk("\n" + event(2)), end));
-        forms.put("lines that end with CR LF", List.of(CHUNKED + chunk(event(1).replace("\n", "\r\n") + "data"),
-                chunk(event(2).substring(4).replace("\n", "\r\n")), end));
+        forms.put(
+                "a comment behind it",
+                List.of(CHUNKED + chunk(event(1) + ": X-Server-Load: queue=1\n"), chunk("\n" + event(2)), end));
+        forms.put(
+                "lines that end with CR LF",
+                List.of(
+                        CHUNKED + chunk(event(1).replace("\n", "\r\n") + "data"),
+                        chunk(event(2).substring(4).replace("\n", "\r\n")),
+                        end));
         forms.put("the end is not here", List.of(CHUNKED + chunk(event(1)), chunk(DONE), END));
-        forms.put("a report behind the last", List.of(CHUNKED + chunk(event(1)), chunk(DONE), chunk(": X-Server-Load: queue=1\n\n"), END));
-        forms.put("a length, no chunks", List.of(HEAD + "Content-Length: " + (event(1) + event(2) + DONE).length() + "\r\n\r\n"
-                + event(1) + half, rest, DONE));
+        forms.put(
+                "a report behind the last",
+                List.of(CHUNKED + chunk(event(1)), chunk(DONE), chunk(": X-Server-Load: queue=1\n\n"), END));
+        forms.put(
+                "a length, no chunks",
+                List.of(
+                        HEAD + "Content-Length: " + (event(1) + event(2) + DONE).length() + "\r\n\r\n" + event(1)
+                                + half,
+                        rest,
+                        DONE));
         List<Object[]> rows = new ArrayList<>();
         forms.forEach((name, writes) -> {
             for (boolean chat : new boolean[] {false, true}) {
@@ -79,7 +100,8 @@
     @Test(dataProvider = "forms")
     public void anEventWaitsForNothing(String form, boolean chat, boolean bytes, List<String> writes) throws Exception {
         Semaphore confirmed = new Semaphore(0);
-        try (Site site = new Site(1, 1); Line client = chat ? site.chatClient() : site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = chat ? site.chatClient() : site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 for (String write : writes) {
                     for (int i = 0; i < write.length(); i += bytes ? 1 : write.length()) {
@@ -117,7 +139,10 @@
         return write.contains("[DONE]") ? "[DONE]" : "";
     }
 
-    private enum Flood { SERVER, CLIENT }
+    private enum Flood {
+        SERVER,
+        CLIENT
+    }
 
     @DataProvider
     public Object[][] floods() {
@@ -132,7 +157,9 @@
         AtomicBoolean enough = new AtomicBoolean();
         String block = chunk(event(1)).repeat(200);
         String body = "1\r\n{\r\n".repeat(4000);
-        try (Site site = new Site(1, 2); Line client = site.client(); Line flooded = site.client()) {
+        try (Site site = new Site(1, 2);
+                Line client = site.client();
+                Line flooded = site.client()) {
             site.writers.forEach(w -> w.script = attempts((m, line) -> {
                 line.beginStream();
                 if (m.header("X-Priority-Class").equals("send")) {
@@ -159,7 +186,8 @@
                         }
                         flooding.release(); // its end too was passed on
                     } else {
-                        flooded.send(request("send", 1500).replaceFirst("Content-Length.*\r\n\r\n\\{\\}", "Transfer-Encoding: chunked\r\n\r\n"));
+                        flooded.send(request("send", 1500)
+                                .replaceFirst("Content-Length.*\r\n\r\n\\{\\}", "Transfer-Encoding: chunked\r\n\r\n"));
                         for (int i = 0; !enough.get(); i++) {
                             flooded.send(body);
                             flooding.release(i == 10 ? 1 : 0);
@@ -188,11 +216,13 @@
     public void whatNestsWithoutEndIsNoEventOfAChat(Flood from) throws Exception {
         int depth = from == Flood.SERVER ? 12_000 : 50_000; // within what one event and one request may hold
         String deep = "\"x\":" + "[".repeat(depth) + "]".repeat(depth);
-        try (Site site = new Site(1, 1); Line bad = site.chatClient()) {
+        try (Site site = new Site(1, 1);
+                Line bad = site.chatClient()) {
             StandIn writer = site.writers.get(0);
             StandIn.Script usual = writer.script;
             if (from == Flood.SERVER) {
-                writer.script = attempts((m, line) -> line.beginStream().chunk(event(1)).chunk("data: {\"choices\":[]," + deep + "}\n\n"));
+                writer.script = attempts((m, line) ->
+                        line.beginStream().chunk(event(1)).chunk("data: {\"choices\":[]," + deep + "}\n\n"));
             }
             bad.send(chat("m-ask", from == Flood.SERVER, from == Flood.CLIENT ? "," + deep : ""));
             long sent = System.nanoTime();
--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -12,9 +12,9 @@
 import copperbeam.routing.Answer;
 import copperbeam.routing.Ask;
 import copperbeam.routing.Connector;
-import copperbeam.routing.Metrics;
 import copperbeam.routing.ListActor;
 import copperbeam.routing.MembershipSource;
+import copperbeam.routing.Metrics;
 import copperbeam.routing.ModuleActor;
 import copperbeam.routing.PeerActor;
 import copperbeam.routing.Recorder;
@@ -43,7 +43,11 @@
  * 2 ms a busy machine may give a server no turn.
  */
 public class HeldBackTest {
-    private enum Meets { RESET, RESET_AFTER_EVENT, SERVED }
+    private enum Meets {
+        RESET,
+        RESET_AFTER_EVENT,
+        SERVED
+    }
 
     /** What a connection to the writer meets, by the number of those before it. */
     private interface Plan {
@@ -76,14 +80,23 @@
             ReleaseActor releases = new ReleaseActor(turns, clock, patience);
             Metrics metrics = new Metrics(List.of("ask", "send"));
             module = new ModuleActor(turns, clock, Site.settings(30), 7, releases, Recorder.NONE, metrics);
-            PeerActor.Setup setup = new PeerActor.Setup(clock, new Withholding(new ServerConnector(reactor),
-                    writer.address(), plan), patience, patience, patience, module, releases, Recorder.NONE,
+            PeerActor.Setup setup = new PeerActor.Setup(
+                    clock,
+                    new Withholding(new ServerConnector(reactor), writer.address(), plan),
+                    patience,
+                    patience,
+                    patience,
+                    module,
+                    releases,
+                    Recorder.NONE,
                     metrics);
-            ListActor list = new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases,
-                    10);
+            ListActor list =
+                    new ListActor(turns, (id, at) -> new PeerActor(turns, id, at, setup), module, releases, 10);
             CountDownLatch listed = new CountDownLatch(1);
-            list.tell(new ListActor.Told(new MembershipSource.Change(ListKind.FULL,
-                    List.of(entry("r", reader, "prefill"), entry("w", writer, "decode"))), listed::countDown));
+            list.tell(new ListActor.Told(
+                    new MembershipSource.Change(
+                            ListKind.FULL, List.of(entry("r", reader, "prefill"), entry("w", writer, "decode"))),
+                    listed::countDown));
             assertTrue(listed.await(Line.PATIENCE_MS, TimeUnit.MILLISECONDS));
         }
 
@@ -93,8 +106,8 @@
 
         /** What the client is told, the stream's events or a word. */
         String send(String id) throws Exception {
-            HttpCall call = new HttpCall("POST", "/v1/chat/completions", Map.of(),
-                    "{}".getBytes(StandardCharsets.US_ASCII), Instant.now());
+            HttpCall call = new HttpCall(
+                    "POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII), Instant.now());
             Told told = new Told(passed);
             module.arrive(new Ask(id, "send", "k", null, 40, 0, 9, Instant.now().plusSeconds(8), false, call), told);
             return told.last.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/copperbeam/sockets/KnownListTest.java
+++ b/src/test/java/copperbeam/sockets/KnownListTest.java
@@ -20,22 +20,33 @@
     @Test
     public void nothingGoesByAnOlderListBeforeTheAgentsIsIn() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
-        try (StandIn reader = new StandIn(Site::read); StandIn drains = new StandIn(Site::write);
-                StandIn writer = new StandIn(Site::write); StandIn discovery = new StandIn((m, line) -> {
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn drains = new StandIn(Site::write);
+                StandIn writer = new StandIn(Site::write);
+                StandIn discovery = new StandIn((m, line) -> {
                     if (m.path().contains("from=")) {
                         Thread.sleep(500);
                     } else {
                         told.await();
                     }
-                    line.answer(200, list(9, !m.path().contains("from="), Site.entry(reader, "prefill", "active"),
-                            Site.entry(drains, "decode", "leaving"), Site.entry(writer, "decode", "active")));
+                    line.answer(
+                            200,
+                            list(
+                                    9,
+                                    !m.path().contains("from="),
+                                    Site.entry(reader, "prefill", "active"),
+                                    Site.entry(drains, "decode", "leaving"),
+                                    Site.entry(writer, "decode", "active")));
                 })) {
-            String known = list(1, true, Site.entry(reader, "prefill", "active"), Site.entry(drains, "decode", "active"));
-            try (Node node = node(discovery, known); Line client = new Line(node.address())) {
+            String known =
+                    list(1, true, Site.entry(reader, "prefill", "active"), Site.entry(drains, "decode", "active"));
+            try (Node node = node(discovery, known);
+                    Line client = new Line(node.address())) {
                 client.send(request("send", 8000));
                 await("asked for the list", () -> !discovery.seen.isEmpty());
                 await("a while of the request's time", new java.util.function.BooleanSupplier() {
-                    private final long until = System.nanoTime() + Duration.ofMillis(400).toNanos();
+                    private final long until =
+                            System.nanoTime() + Duration.ofMillis(400).toNanos();
 
                     @Override
                     public boolean getAsBoolean() {
@@ -60,8 +71,10 @@
     @Test(dataProvider = "starts")
     public void nobodyIsTurnedAwayForAnAgentThatHasHeardOfNobody(String how) throws Exception {
         CountDownLatch heard = new CountDownLatch(1);
-        try (StandIn reader = new StandIn(Site::read); StandIn old = new StandIn(Site::write);
-                StandIn writer = new StandIn(Site::write); StandIn discovery = new StandIn((m, line) -> {
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn old = new StandIn(Site::write);
+                StandIn writer = new StandIn(Site::write);
+                StandIn discovery = new StandIn((m, line) -> {
                     if (heard.getCount() > 0 && how.equals("silent")) {
                         heard.await();
                     }
@@ -69,11 +82,21 @@
                     if (watch) {
                         Thread.sleep(500);
                     }
-                    line.answer(200, watch ? list(2, false) : heard.getCount() > 0 ? list(1, true)
-                            : list(2, true, Site.entry(reader, "prefill", "active"), Site.entry(writer, "decode", "active")));
+                    line.answer(
+                            200,
+                            watch
+                                    ? list(2, false)
+                                    : heard.getCount() > 0
+                                            ? list(1, true)
+                                            : list(
+                                                    2,
+                                                    true,
+                                                    Site.entry(reader, "prefill", "active"),
+                                                    Site.entry(writer, "decode", "active")));
                 })) {
             String known = list(1, true, Site.entry(reader, "prefill", "active"), Site.entry(old, "decode", "active"));
-            try (Node node = node(discovery, known); Line client = new Line(node.address())) {
+            try (Node node = node(discovery, known);
+                    Line client = new Line(node.address())) {
                 assertEquals(client.send(request("send", 8000)).read().status(), 200);
                 assertEquals(old.attempts(), 1);
                 heard.countDown();
@@ -89,13 +112,15 @@
     @Test
     public void nobodyIsReadyByAListWithoutServers() throws Exception {
         CountDownLatch heard = new CountDownLatch(1);
-        try (StandIn reader = new StandIn(Site::read); StandIn discovery = new StandIn((m, line) -> {
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn discovery = new StandIn((m, line) -> {
                     heard.await();
                     boolean watch = m.path().contains("from=");
                     Thread.sleep(watch ? 500 : 0);
                     line.answer(200, watch ? list(2, false) : list(2, true, Site.entry(reader, "prefill", "active")));
-                }); Node node = node(discovery, list(1, true))) {
-            for (long until = System.nanoTime() + Duration.ofMillis(2500).toNanos(); System.nanoTime() < until;) {
+                });
+                Node node = node(discovery, list(1, true))) {
+            for (long until = System.nanoTime() + Duration.ofMillis(2500).toNanos(); System.nanoTime() < until; ) {
                 assertEquals(health(node), 503);
                 Thread.sleep(50);
             }
@@ -113,9 +138,19 @@
     }
 
     private static Node node(StandIn discovery, String known) throws Exception {
-        return new Node(new Config("n0", new InetSocketAddress("127.0.0.1", 0), null, null, discovery.address(), 7,
-                Site.settings(30), ServerList.parse(known), Duration.ofMillis(250), Duration.ofSeconds(30),
-                Config.Limits.USUAL, new Config.Operator(null, null, null, List.of())));
+        return new Node(new Config(
+                "n0",
+                new InetSocketAddress("127.0.0.1", 0),
+                null,
+                null,
+                discovery.address(),
+                7,
+                Site.settings(30),
+                ServerList.parse(known),
+                Duration.ofMillis(250),
+                Duration.ofSeconds(30),
+                Config.Limits.USUAL,
+                new Config.Operator(null, null, null, List.of())));
     }
 
     private static String list(int version, boolean full, String... entries) {
--- a/src/test/java/copperbeam/sockets/LeavingServerTest.java
+++ b/src/test/java/copperbeam/sockets/LeavingServerTest.java
@@ -33,8 +33,10 @@
     /** The drain is told while the connection that was chosen for an attempt still comes up. */
     @Test(dataProvider = "words")
     public void whatHasNotBegunBeginsNoMore(String word) throws Exception {
-        try (Site site = site(String.format(Site.SETTINGS, "30")); StandIn late = new StandIn(Site::read, 1);
-                StandIn other = new StandIn(Site::read); StandIn writer = new StandIn(Site::write)) {
+        try (Site site = site(String.format(Site.SETTINGS, "30"));
+                StandIn late = new StandIn(Site::read, 1);
+                StandIn other = new StandIn(Site::read);
+                StandIn writer = new StandIn(Site::write)) {
             List<Line> queue = new ArrayList<>();
             for (int i = 0; i < 2; i++) {
                 queue.add(new Line(late.address()));
@@ -59,7 +61,8 @@
     public void aSilentServerThatHasLeftHoldsNoRequest() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
         try (Site site = site(String.format(Site.SETTINGS, "30").replace("\"probing\":false", "\"probing\":true"));
-                StandIn silent = new StandIn(attempts((m, line) -> never.await())); StandIn other = new StandIn(Site::read);
+                StandIn silent = new StandIn(attempts((m, line) -> never.await()));
+                StandIn other = new StandIn(Site::read);
                 StandIn writer = new StandIn(Site::write)) {
             tell(site, Site.entry(silent, "prefill", "active") + "," + Site.entry(writer, "decode", "active"));
             Line client = site.client().send(request("ask", 9000));
@@ -75,10 +78,13 @@
     @Test
     public void aServerAtANewAddressIsSentToThere() throws Exception {
         CountDownLatch moved = new CountDownLatch(1);
-        try (Site site = site(String.format(Site.SETTINGS, "30")); StandIn first = new StandIn(attempts((m, line) -> {
-            moved.await();
-            Site.read(m, line);
-        })); StandIn next = new StandIn(Site::read); StandIn writer = new StandIn(Site::write)) {
+        try (Site site = site(String.format(Site.SETTINGS, "30"));
+                StandIn first = new StandIn(attempts((m, line) -> {
+                    moved.await();
+                    Site.read(m, line);
+                }));
+                StandIn next = new StandIn(Site::read);
+                StandIn writer = new StandIn(Site::write)) {
             String entry = Site.entry(first, "prefill", "active");
             tell(site, entry + "," + Site.entry(writer, "decode", "active"));
             try (Line client = site.client().send(request("ask", 9000))) {
@@ -96,9 +102,11 @@
     /** Its handshake is sent and not answered, as the system has it. */
     private static boolean connecting(StandIn to) {
         try {
-            String sent = String.format(".*:[0-9A-F]{4} [0-9A-F]+:%04X 02 .*", to.address().getPort());
+            String sent = String.format(
+                    ".*:[0-9A-F]{4} [0-9A-F]+:%04X 02 .*", to.address().getPort());
             for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
-                if (java.nio.file.Files.readAllLines(java.nio.file.Path.of(table)).stream().anyMatch(l -> l.matches(sent))) {
+                if (java.nio.file.Files.readAllLines(java.nio.file.Path.of(table)).stream()
+                        .anyMatch(l -> l.matches(sent))) {
                     return true;
                 }
             }
--- a/src/test/java/copperbeam/sockets/LetGoTest.java
+++ b/src/test/java/copperbeam/sockets/LetGoTest.java
@@ -15,7 +15,8 @@
     /** Asked one after another the eleventh would hear it after 1.2 s; what failed has one second. */
     @Test
     public void aReleaseIsHeardThoughTheFirstTenAreSilent() throws Exception {
-        try (Site site = new Site(1, 14); Line client = site.client()) {
+        try (Site site = new Site(1, 14);
+                Line client = site.client()) {
             AtomicInteger asked = new AtomicInteger();
             AtomicLong failed = new AtomicLong();
             AtomicLong heard = new AtomicLong();
@@ -24,7 +25,8 @@
                     line.answer(204, "");
                 }
             };
-            site.readers.get(0).script = (m, line) -> (m.method().equals("DELETE") ? late : (StandIn.Script) Site::read).run(m, line);
+            site.readers.get(0).script =
+                    (m, line) -> (m.method().equals("DELETE") ? late : (StandIn.Script) Site::read).run(m, line);
             site.writers.forEach(w -> w.script = (m, line) -> {
                 if (m.method().equals("DELETE")) {
                     late.run(m, line);
--- a/src/test/java/copperbeam/sockets/LimitsTest.java
+++ b/src/test/java/copperbeam/sockets/LimitsTest.java
@@ -27,7 +27,8 @@
     /** Guards against an end of listening for good where a connection could not be accepted. */
     @Test
     public void aStormOfConnectionsIsOutlived() throws Exception {
-        try (StandIn reader = new StandIn(Site::read); StandIn writer = new StandIn(Site::write);
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn writer = new StandIn(Site::write);
                 StandIn discovery = Conductor.discovery(reader, writer);
                 Conductor conductor = new Conductor(discovery, 256, 64)) {
             conductor.awaitHealthy();
@@ -42,10 +43,12 @@
             long until = System.nanoTime() + Line.PATIENCE_MS * 1_000_000L;
             await("healthy again", conductor::healthy);
             // beside it the room is short, so that a request may be refused; it is served all the same, and soon
-            for (int served = 0; served < 5;) {
+            for (int served = 0; served < 5; ) {
                 Line.Message answer = ask(conductor);
                 served += answer.status() == 200 ? 1 : 0;
-                assertTrue(answer.status() == 200 || answer.status() == 503 && answer.header("Retry-After") != null, answer.text());
+                assertTrue(
+                        answer.status() == 200 || answer.status() == 503 && answer.header("Retry-After") != null,
+                        answer.text());
                 assertTrue(System.nanoTime() < until, "served " + served);
             }
             for (Line line : storm) {
@@ -76,7 +79,9 @@
             Thread.sleep(slow.get());
             Site.read(m, line);
         });
-        try (StandIn reader = new StandIn(read); StandIn writer = new StandIn(Site::write); StandIn other = new StandIn(Site::write);
+        try (StandIn reader = new StandIn(read);
+                StandIn writer = new StandIn(Site::write);
+                StandIn other = new StandIn(Site::write);
                 StandIn discovery = Conductor.discovery(reader, writer, other);
                 Conductor conductor = new Conductor(discovery, 1024, 64, List.of(), "ulimit -n " + limit)) {
             await("healthy", conductor::healthy);
@@ -106,8 +111,10 @@
             discovery.script = (m, line) -> {
                 if (m.path().contains("from=")) {
                     told.incrementAndGet();
-                    line.answer(200, "{\"version\":8,\"full\":false,\"servers\":["
-                            + Site.entry(other, "decode", "leaving") + "]}");
+                    line.answer(
+                            200,
+                            "{\"version\":8,\"full\":false,\"servers\":[" + Site.entry(other, "decode", "leaving")
+                                    + "]}");
                 } else {
                     there.run(m, line);
                 }
@@ -115,13 +122,15 @@
             await("discovery is asked anew, and from its change on", () -> told.get() > 1);
             discovery.script = there;
             long before = other.attempts();
-            await("served", () -> { // a few may be refused yet, as the servers were slow
-                try (Line client = new Line(conductor.address)) {
-                    return client.send(request("send", 5000)).read().status() == 200;
-                } catch (IOException e) {
-                    throw new UncheckedIOException(e);
-                }
-            });
+            await(
+                    "served",
+                    () -> { // a few may be refused yet, as the servers were slow
+                        try (Line client = new Line(conductor.address)) {
+                            return client.send(request("send", 5000)).read().status() == 200;
+                        } catch (IOException e) {
+                            throw new UncheckedIOException(e);
+                        }
+                    });
             assertEquals(other.attempts(), before);
             for (Line line : burst) {
                 line.close();
--- a/src/test/java/copperbeam/sockets/Line.java
+++ b/src/test/java/copperbeam/sockets/Line.java
@@ -37,7 +37,7 @@
     }
 
     private final Socket socket;
-    volatile boolean ended;          // a stand-in has done with it
+    volatile boolean ended; // a stand-in has done with it
     private final InputStream in;
 
     Line(Socket socket) throws IOException {
@@ -52,7 +52,8 @@
     }
 
     Line send(String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8)); // once: the other side may close behind it
+        socket.getOutputStream()
+                .write(text.getBytes(StandardCharsets.UTF_8)); // once: the other side may close behind it
         return this;
     }
 
@@ -92,7 +93,9 @@
         }
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (String line = line(); line != null && !line.isEmpty(); line = line()) {
-            headers.put(line.substring(0, line.indexOf(':')), line.substring(line.indexOf(':') + 1).strip());
+            headers.put(
+                    line.substring(0, line.indexOf(':')),
+                    line.substring(line.indexOf(':') + 1).strip());
         }
         return new Message(start, headers, new byte[0], true);
     }
--- a/src/test/java/copperbeam/sockets/MovedListTest.java
+++ b/src/test/java/copperbeam/sockets/MovedListTest.java
@@ -21,12 +21,18 @@
     @Test
     public void aDrainIsKeptThroughAMove() throws Exception {
         CountDownLatch moved = new CountDownLatch(1);
-        try (StandIn reader = new StandIn(Site::read); StandIn drains = new StandIn(Site::write);
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn drains = new StandIn(Site::write);
                 StandIn stays = new StandIn(Site::write);
                 StandIn first = new StandIn((m, line) -> {
                     if (!m.path().contains("from=")) {
-                        line.answer(200, list(7, true, Site.entry(reader, "prefill", "active"),
-                                Site.entry(drains, "decode", "active")));
+                        line.answer(
+                                200,
+                                list(
+                                        7,
+                                        true,
+                                        Site.entry(reader, "prefill", "active"),
+                                        Site.entry(drains, "decode", "active")));
                     } else if (m.path().contains("from=7&")) {
                         moved.await(); // on its way as the address moves
                         line.answer(200, list(8, false, Site.entry(drains, "decode", "leaving")));
@@ -39,8 +45,16 @@
                     if (watch) {
                         Thread.sleep(500);
                     }
-                    line.answer(200, watch ? list(7, false) : list(7, true, Site.entry(reader, "prefill", "active"),
-                            Site.entry(drains, "decode", "active"), Site.entry(stays, "decode", "active")));
+                    line.answer(
+                            200,
+                            watch
+                                    ? list(7, false)
+                                    : list(
+                                            7,
+                                            true,
+                                            Site.entry(reader, "prefill", "active"),
+                                            Site.entry(drains, "decode", "active"),
+                                            Site.entry(stays, "decode", "active")));
                 });
                 Conductor conductor = new Conductor(first, 1024, 192)) {
             conductor.awaitHealthy();
@@ -63,8 +77,10 @@
     /** Guards against a new address that takes connections and says nothing on the first of them. */
     @Test
     public void aSilentConnectionHidesNoList() throws Exception {
-        try (StandIn reader = new StandIn(Site::read); StandIn old = new StandIn(Site::write);
-                StandIn next = new StandIn(Site::write); StandIn first = Conductor.discovery(reader, old)) {
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn old = new StandIn(Site::write);
+                StandIn next = new StandIn(Site::write);
+                StandIn first = Conductor.discovery(reader, old)) {
             StandIn list = Conductor.discovery(reader, next);
             StandIn.Script whole = list.script;
             AtomicBoolean givenUp = new AtomicBoolean();
@@ -81,7 +97,8 @@
                     }
                 }
             };
-            try (list; Conductor conductor = new Conductor(first, 1024, 192)) {
+            try (list;
+                    Conductor conductor = new Conductor(first, 1024, 192)) {
                 conductor.awaitHealthy();
                 conductor.configure(list.host());
                 conductor.signal("HUP");
--- a/src/test/java/copperbeam/sockets/NoLookUpTest.java
+++ b/src/test/java/copperbeam/sockets/NoLookUpTest.java
@@ -4,8 +4,8 @@
 import static org.testng.Assert.assertEquals;
 
 import copperbeam.Api.Report;
-import copperbeam.routing.Connector;
 import copperbeam.protocol.HttpClient;
+import copperbeam.routing.Connector;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.PlainHttpClient;
 import copperbeam.transport.ServerConnector;
@@ -21,16 +21,26 @@
  */
 public class NoLookUpTest {
     private static InetSocketAddress nameless(StandIn server) throws Exception {
-        return new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 0, 0, 1}), server.address().getPort());
+        return new InetSocketAddress(
+                InetAddress.getByAddress(new byte[] {127, 0, 0, 1}),
+                server.address().getPort());
     }
 
     @Test
     public void noNameIsAskedForWhenDiscoveryIsCalled() throws Exception {
-        try (StandIn server = new StandIn((m, line) -> line.answer(200, "{}")); ClientReactor reactor = new ClientReactor()) {
+        try (StandIn server = new StandIn((m, line) -> line.answer(200, "{}"));
+                ClientReactor reactor = new ClientReactor()) {
             InetSocketAddress at = nameless(server);
             CountDownLatch answered = new CountDownLatch(1);
-            new PlainHttpClient(reactor).whole(at, "GET", "/v1/servers", null,
-                    new HttpClient.Patience(Duration.ofSeconds(5), Duration.ofSeconds(5)), 9, a -> answered.countDown());
+            new PlainHttpClient(reactor)
+                    .whole(
+                            at,
+                            "GET",
+                            "/v1/servers",
+                            null,
+                            new HttpClient.Patience(Duration.ofSeconds(5), Duration.ofSeconds(5)),
+                            9,
+                            a -> answered.countDown());
             await("answered", () -> answered.getCount() == 0);
             assertEquals(at.getAddress().toString(), "/127.0.0.1");
         }
@@ -38,7 +48,8 @@
 
     @Test
     public void noNameIsAskedForWhenAServerIsCalled() throws Exception {
-        try (StandIn server = new StandIn((m, line) -> line.answer(200, "")); ClientReactor reactor = new ClientReactor()) {
+        try (StandIn server = new StandIn((m, line) -> line.answer(200, ""));
+                ClientReactor reactor = new ClientReactor()) {
             InetSocketAddress at = nameless(server);
             CountDownLatch heard = new CountDownLatch(1);
             new ServerConnector(reactor).connect(at, Duration.ofSeconds(5), new Connector.Watcher() {
--- a/src/test/java/copperbeam/sockets/OpenAiFrontTest.java
+++ b/src/test/java/copperbeam/sockets/OpenAiFrontTest.java
@@ -40,7 +40,8 @@
 
     @Test
     public void streamsChunksInTheApisForm() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.chatClient()) {
             Line.Message answer = client.send(chat("m-ask", true, "")).read();
             assertEquals(answer.status(), 200);
             assertEquals(answer.header("Content-Type"), "text/event-stream");
@@ -50,31 +51,39 @@
             JsonObject first = json(data.get(0));
             assertEquals(first.get("object").getAsString(), "chat.completion.chunk");
             assertEquals(first.get("model").getAsString(), "m-ask");
-            JsonObject delta = first.getAsJsonArray("choices").get(0).getAsJsonObject().getAsJsonObject("delta");
+            JsonObject delta =
+                    first.getAsJsonArray("choices").get(0).getAsJsonObject().getAsJsonObject("delta");
             assertEquals(delta.get("role").getAsString(), "assistant");
             assertEquals(delta.get("content").getAsString(), "ab");
             assertEquals(json(data.get(1)).get("id"), first.get("id"));
 
-            Line.Message usage = client.send(chat("m-ask", true, ",\"stream_options\":{\"include_usage\":true}")).read();
+            Line.Message usage = client.send(chat("m-ask", true, ",\"stream_options\":{\"include_usage\":true}"))
+                    .read();
             assertEquals(data(usage.text()).size(), 4);
             assertNotEquals(json(data(usage.text()).get(0)).get("id"), first.get("id"));
 
             Line.Message passed = site.readers.get(0).seen.get(0);
             assertEquals(passed.header("X-Priority-Class"), "ask");
             assertTrue(passed.header("X-Attrs").endsWith(",prompt_len=3,prefix_len=2,max_out=100"));
-            assertEquals(passed.header("X-Route-Key"), site.readers.get(0).seen.get(1).header("X-Route-Key"));
+            assertEquals(
+                    passed.header("X-Route-Key"),
+                    site.readers.get(0).seen.get(1).header("X-Route-Key"));
         }
     }
 
     @Test
     public void gathersACompletion() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
-            JsonObject answer = json(client.send(chat("m-send", false, ",\"max_tokens\":7")).read().text());
+        try (Site site = new Site(1, 1);
+                Line client = site.chatClient()) {
+            JsonObject answer = json(client.send(chat("m-send", false, ",\"max_tokens\":7"))
+                    .read()
+                    .text());
             assertEquals(answer.get("object").getAsString(), "chat.completion");
             JsonObject choice = answer.getAsJsonArray("choices").get(0).getAsJsonObject();
             assertEquals(choice.getAsJsonObject("message").get("content").getAsString(), "abc\u00e8");
             assertEquals(choice.get("finish_reason").getAsString(), "stop");
-            assertEquals(answer.getAsJsonObject("usage").get("completion_tokens").getAsInt(), 2);
+            assertEquals(
+                    answer.getAsJsonObject("usage").get("completion_tokens").getAsInt(), 2);
             Line.Message passed = site.writers.get(0).seen.get(0);
             assertTrue(json(passed.text()).get("stream").getAsBoolean());
             assertTrue(passed.header("X-Attrs").endsWith("max_out=7"));
@@ -83,10 +92,15 @@
 
     @Test
     public void listsModels() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
-            JsonObject list = json(client.send("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n").read().text());
+        try (Site site = new Site(1, 1);
+                Line client = site.chatClient()) {
+            JsonObject list = json(client.send("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .read()
+                    .text());
             assertEquals(list.getAsJsonArray("data").size(), 2);
-            JsonObject one = json(client.send("GET /v1/models/m-ask HTTP/1.1\r\nHost: x\r\n\r\n").read().text());
+            JsonObject one = json(client.send("GET /v1/models/m-ask HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .read()
+                    .text());
             assertEquals(one.get("id").getAsString(), "m-ask");
         }
     }
@@ -98,7 +112,8 @@
             {post("{\"model\":\"m-ask\"}"), 400, "messages"},
             {post("{\"model\":\"m-ask\",\"messages\":[]}"), 400, "messages"},
             {post("{\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"), 400, "model"},
-            {post("{\"model\":\"m-ask\",\"messages\":[{\"role\":\"user\",\"content\":5}]}"), 400, "messages[0].content"},
+            {post("{\"model\":\"m-ask\",\"messages\":[{\"role\":\"user\",\"content\":5}]}"), 400, "messages[0].content"
+            },
             {chat("m-ask", true, ",\"n\":2"), 400, "n"},
             {chat("m-ask", true, ",\"max_tokens\":-1"), 400, "max_tokens"},
             {chat("m-none", true, ""), 404, "model"},
@@ -109,20 +124,23 @@
 
     @Test(dataProvider = "faulty")
     public void faultsAreTheApisErrorObjects(String text, int status, String param) throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.chatClient()) {
             Line.Message answer = client.send(text).read();
             assertEquals(answer.status(), status);
             JsonObject error = json(answer.text()).getAsJsonObject("error");
             assertEquals(error.get("type").getAsString(), "invalid_request_error");
-            assertEquals(error.get("param").isJsonNull() ? null : error.get("param").getAsString(), param);
+            assertEquals(
+                    error.get("param").isJsonNull() ? null : error.get("param").getAsString(), param);
             assertEquals(site.attempts(site.readers), 0);
         }
     }
 
     @Test
     public void aTimeOutIs504AndARefusalCarriesRetryAfter() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.chatClient()) {
-            site.writers.get(0).script = attempts((m, line) -> { });
+        try (Site site = new Site(1, 1);
+                Line client = site.chatClient()) {
+            site.writers.get(0).script = attempts((m, line) -> {});
             Line.Message late = client.send(chat("m-send", true, "")).read();
             assertEquals(late.status(), 504);
             assertEquals(json(late.text()).getAsJsonObject("error").get("code").getAsString(), "timeout");
@@ -136,13 +154,16 @@
     @Test
     public void aClientThatLeavesBetweenTwoEventsOfASendEndsItOnce() throws Exception {
         try (Site site = new Site(2, 2)) {
-            site.writers.forEach(w -> w.script = attempts((m, line) -> line.beginStream()
-                    .chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n")));
+            site.writers.forEach(w -> w.script = attempts((m, line) ->
+                    line.beginStream().chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n")));
             try (Line client = site.chatClient()) {
                 client.send(chat("m-send", true, "")).head();
                 assertTrue(client.readChunk().contains("\"a\""));
             }
-            StandIn ran = site.writers.stream().filter(w -> w.attempts() > 0).findFirst().orElseThrow();
+            StandIn ran = site.writers.stream()
+                    .filter(w -> w.attempts() > 0)
+                    .findFirst()
+                    .orElseThrow();
             await("closed", () -> ran.lines.get(0).ended);
             // the core is as it was: the next request is served, and nothing of the first was sent again
             site.writers.forEach(w -> w.script = Site::write);
@@ -155,7 +176,8 @@
 
     @Test
     public void aMalformedEventEndsTheStreamAsBroken() throws Exception {
-        try (Site site = new Site(1, 2); Line client = site.chatClient()) {
+        try (Site site = new Site(1, 2);
+                Line client = site.chatClient()) {
             site.writers.forEach(w -> w.script = attempts((m, line) -> line.beginStream()
                     .chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n")
                     .chunk("data: {\"choices\":[{\n\n")));
@@ -174,7 +196,8 @@
      */
     @Test
     public void bothDialectsAreServedAlike() throws Exception {
-        Api.Settings patient = Site.parsed(String.format(Site.SETTINGS, "30").replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":1000"));
+        Api.Settings patient = Site.parsed(
+                String.format(Site.SETTINGS, "30").replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":1000"));
         for (boolean openAi : new boolean[] {false, true}) {
             AtomicInteger asked = new AtomicInteger();
             Set<Integer> failed = ConcurrentHashMap.newKeySet();
@@ -191,8 +214,10 @@
                     asked.set(i);
                     boolean send = i % 3 == 0;
                     try (Line client = openAi ? site.chatClient() : site.client()) {
-                        client.send(openAi ? chat(send ? "m-send" : "m-ask", true, "")
-                                : request(send ? "send" : "ask", 2000));
+                        client.send(
+                                openAi
+                                        ? chat(send ? "m-send" : "m-ask", true, "")
+                                        : request(send ? "send" : "ask", 2000));
                         assertEquals(client.read().status(), send && i % 5 == 4 ? 502 : 200, openAi + ", request " + i);
                     }
                 }
@@ -200,7 +225,8 @@
                 Set<String> sends = new HashSet<>();
                 for (StandIn writer : site.writers) {
                     for (Line.Message m : writer.seen) {
-                        if (m.method().equals("POST") && m.header("X-Priority-Class").equals("send")) {
+                        if (m.method().equals("POST")
+                                && m.header("X-Priority-Class").equals("send")) {
                             assertTrue(sends.add(m.header("X-Request-ID")), "a send ran twice");
                         }
                     }
--- a/src/test/java/copperbeam/sockets/OperatorsTest.java
+++ b/src/test/java/copperbeam/sockets/OperatorsTest.java
@@ -44,7 +44,9 @@
         for (String line : text.split("\n")) {
             if (line.startsWith("app.")) {
                 assertTrue(line.matches("app\\.[a-z_.]+:[0-9]+\\|[cg]"), line);
-                metrics.put(line.substring(4, line.indexOf(':')), Long.valueOf(line.substring(line.indexOf(':') + 1, line.indexOf('|'))));
+                metrics.put(
+                        line.substring(4, line.indexOf(':')),
+                        Long.valueOf(line.substring(line.indexOf(':') + 1, line.indexOf('|'))));
             }
         }
         return metrics;
@@ -56,8 +58,18 @@
 
     @DataProvider
     public Object[][] words() {
-        return new Object[][] {{"PING", "ACK"}, {"ping", "NAK"}, {"", "NAK"}, {"DETACH", "NAK"}, {"DETACH nobody", "NAK"},
-            {"ATTACH nobody", "NAK"}, {"DETACH a b", "NAK"}, {"PING 1", "NAK"}, {"REJOIN", "ACK"}, {"PING\r", "ACK"}};
+        return new Object[][] {
+            {"PING", "ACK"},
+            {"ping", "NAK"},
+            {"", "NAK"},
+            {"DETACH", "NAK"},
+            {"DETACH nobody", "NAK"},
+            {"ATTACH nobody", "NAK"},
+            {"DETACH a b", "NAK"},
+            {"PING 1", "NAK"},
+            {"REJOIN", "ACK"},
+            {"PING\r", "ACK"}
+        };
     }
 
     @Test
@@ -76,7 +88,8 @@
         try (Site site = new Site(1, 1)) {
             List<Socket> silent = new ArrayList<>();
             for (int i = 0; i < 300; i++) {
-                Socket s = new Socket(site.node.door().getAddress(), site.node.door().getPort());
+                Socket s = new Socket(
+                        site.node.door().getAddress(), site.node.door().getPort());
                 s.getOutputStream().write(i % 3 == 0 ? new byte[0] : i % 3 == 1 ? "PI".getBytes() : new byte[300]);
                 silent.add(s);
             }
@@ -90,7 +103,8 @@
     /** Once the answer is yes nothing new is sent there, whatever discovery says; back it is used again, as cold. */
     @Test
     public void whatIsOutGetsNothing() throws Exception {
-        try (Site site = new Site(1, 2); Line client = site.client()) {
+        try (Site site = new Site(1, 2);
+                Line client = site.client()) {
             StandIn out = site.writers.get(0);
             assertEquals(call(site, "DETACH " + id(out)), "ACK\n");
             assertEquals(call(site, "DETACH " + id(out)), "ACK\n");
@@ -118,7 +132,10 @@
     /** Not healthy at once, what is open goes on, idle connections are closed, and back again. */
     @Test
     public void clientsAreSentAway() throws Exception {
-        try (Site site = new Site(1, 1); Line idle = site.client(); Line busy = site.client(); Line next = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line idle = site.client();
+                Line busy = site.client();
+                Line next = site.client()) {
             CountDownLatch go = new CountDownLatch(1);
             site.writers.get(0).script = attempts((m, line) -> {
                 line.beginStream().chunk("data: 1\n\n");
@@ -159,8 +176,13 @@
         try (Site site = new Site(1, 1)) {
             Map<String, Long> counted = new TreeMap<>();
             StandIn writer = site.writers.get(0);
-            StandIn.Script[] scripts = {Site::write, attempts((m, line) -> line.reset()), attempts((m, line) -> line.answer(500, "")),
-                Site::write, attempts((m, line) -> line.answer(503, "", "X-Not-Processed: 1\r\n"))};
+            StandIn.Script[] scripts = {
+                Site::write,
+                attempts((m, line) -> line.reset()),
+                attempts((m, line) -> line.answer(500, "")),
+                Site::write,
+                attempts((m, line) -> line.answer(503, "", "X-Not-Processed: 1\r\n"))
+            };
             for (int i = 0; i < 15; i++) {
                 writer.script = scripts[i % scripts.length];
                 String requestClass = i % 2 == 0 ? "ask" : "send";
@@ -173,8 +195,14 @@
             }
             Map<String, Long> told = metrics(site.node.door());
             counted.forEach((name, count) -> assertEquals(told.get(name), count, name + " of " + told));
-            assertEquals(told.entrySet().stream().filter(e -> e.getKey().startsWith("transactions.") && !e.getKey().endsWith("sends"))
-                    .mapToLong(Map.Entry::getValue).sum(), 15, told.toString());
+            assertEquals(
+                    told.entrySet().stream()
+                            .filter(e -> e.getKey().startsWith("transactions.")
+                                    && !e.getKey().endsWith("sends"))
+                            .mapToLong(Map.Entry::getValue)
+                            .sum(),
+                    15,
+                    told.toString());
             assertEquals((long) told.get("sends"), site.attempts(site.readers) + site.attempts(site.writers));
             assertEquals((long) told.get("current"), 0);
             await("the list is counted", () -> metrics(site.node.door()).get("cluster_size") == 2);
@@ -183,7 +211,8 @@
                 go.await();
                 Site.write(m, line);
             });
-            // opened only now: a connection that says nothing for 2.4 s is closed, and on a busy core the above takes longer
+            // opened only now: a connection that says nothing for 2.4 s is closed, and on a busy core the above takes
+            // longer
             try (Line client = site.client()) {
                 client.send(request("ask", 4000));
                 await("one is open", () -> metrics(site.node.door()).get("current") == 1);
--- a/src/test/java/copperbeam/sockets/OtherSitesTest.java
+++ b/src/test/java/copperbeam/sockets/OtherSitesTest.java
@@ -15,8 +15,18 @@
 public class OtherSitesTest {
     @DataProvider
     public Object[][] names() {
-        return new Object[][] {{"n"}, {"two words"}, {"long-".repeat(200)}, {"a.b_c--d~0"}, {"größer"}, {"ĝis-antaŭe"},
-            {"問い合わせ"}, {"приём"}, {"e\u0301te\u0301"}, {"\uD83D\uDC1F"}};
+        return new Object[][] {
+            {"n"},
+            {"two words"},
+            {"long-".repeat(200)},
+            {"a.b_c--d~0"},
+            {"größer"},
+            {"ĝis-antaŭe"},
+            {"問い合わせ"},
+            {"приём"},
+            {"e\u0301te\u0301"},
+            {"\uD83D\uDC1F"}
+        };
     }
 
     @Test(dataProvider = "names")
@@ -36,7 +46,8 @@
     /** Servers know a repeat by its key; one without it is none that its client sent. */
     @Test
     public void theKeyOfARepeatGoesToReaderAndWriter() throws Exception {
-        Api.Settings settings = Site.parsed(String.format(Site.SETTINGS, 30.0).replace("\"safe\"", "\"keyed\",\"window_s\":1.6"));
+        Api.Settings settings =
+                Site.parsed(String.format(Site.SETTINGS, 30.0).replace("\"safe\"", "\"keyed\",\"window_s\":1.6"));
         try (Site site = new Site(1, 1, 30, null, List.of(), Config.Limits.USUAL, settings, Duration.ofMillis(250));
                 Line client = site.client()) {
             client.send(request("ask", 5000).replace("X-Route-Key", "idempotency-key: 369b60ebb8\r\nX-Route-Key"));
@@ -54,10 +65,12 @@
     /** A 1xx is no answer yet, whoever sends it and however many there are. */
     @Test(dataProvider = "interim")
     public void anInterimAnswerIsPassedOver(int status, boolean reads) throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             StandIn server = (reads ? site.readers : site.writers).get(0);
             server.script = Site.attempts((m, line) -> {
-                line.send("HTTP/1.1 " + status + " x\r\nLink: y\r\n\r\n").send(("HTTP/1.1 " + status + " x\r\n\r\n").repeat(3));
+                line.send("HTTP/1.1 " + status + " x\r\nLink: y\r\n\r\n")
+                        .send(("HTTP/1.1 " + status + " x\r\n\r\n").repeat(3));
                 if (reads) {
                     Site.read(m, line);
                 } else {
@@ -77,11 +90,13 @@
     @Test
     public void aServerThatSwitchesProtocolsHasFailed() throws Exception {
         for (String requestClass : List.of("ask", "send")) {
-            try (Site site = new Site(1, 2); Line client = site.client()) {
+            try (Site site = new Site(1, 2);
+                    Line client = site.client()) {
                 java.util.concurrent.atomic.AtomicInteger turn = new java.util.concurrent.atomic.AtomicInteger();
                 site.writers.forEach(w -> w.script = Site.attempts((m, line) -> {
                     if (turn.getAndIncrement() == 0) {
-                        line.send("HTTP/1.1 101 x\r\nUpgrade: y\r\nConnection: Upgrade\r\n\r\n").read();
+                        line.send("HTTP/1.1 101 x\r\nUpgrade: y\r\nConnection: Upgrade\r\n\r\n")
+                                .read();
                     } else {
                         Site.write(m, line);
                     }
--- a/src/test/java/copperbeam/sockets/PlainHttpClientTest.java
+++ b/src/test/java/copperbeam/sockets/PlainHttpClientTest.java
@@ -43,12 +43,13 @@
         CountDownLatch met = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         try (StandIn service = new StandIn((m, line) -> {
-            if (m.path().equals("/next")) {
-                met.countDown();
-                go.await();
-            }
-            line.answer(200, "{}");
-        }); ClientReactor reactor = new ClientReactor()) {
+                    if (m.path().equals("/next")) {
+                        met.countDown();
+                        go.await();
+                    }
+                    line.answer(200, "{}");
+                });
+                ClientReactor reactor = new ClientReactor()) {
             HttpClient client = new PlainHttpClient(reactor);
             HttpClient.Patience patience = new HttpClient.Patience(Duration.ofSeconds(5), Duration.ofSeconds(9));
             Told first = new Told();
--- a/src/test/java/copperbeam/sockets/PluginTest.java
+++ b/src/test/java/copperbeam/sockets/PluginTest.java
@@ -45,7 +45,7 @@
             {constant(-5), "ask", 429, null},
             {constant(2), "ask", 200, "send"},
             {constant(1), "send", 200, "send"}, // may not become one that is repeated
-            {constant(3), "ask", 200, "ask"},   // there is no such class
+            {constant(3), "ask", 200, "ask"}, // there is no such class
             {FOREVER, "ask", 200, "ask"},
             {TRAP, "send", 200, "send"},
         };
@@ -54,7 +54,8 @@
     @Test(dataProvider = "verdicts")
     public void aPluginRefusesOrReclassesAndNeverStopsTheService(byte[] code, String asked, int status, String seen)
             throws Exception {
-        try (Site site = new Site(1, 1, 30, null, List.of(hook(module(code, 1)))); Line client = site.client()) {
+        try (Site site = new Site(1, 1, 30, null, List.of(hook(module(code, 1))));
+                Line client = site.client()) {
             for (int i = 0; i < 2; i++) {
                 Line.Message answer = client.send(request(asked, 5000)).read();
                 assertEquals(answer.status(), status);
@@ -76,9 +77,15 @@
     @Test
     public void theExampleRefusesLongPrompts() throws Exception {
         WasmHook hook = hook(Files.readAllBytes(Path.of("deploy/plugins/refuse-long.wasm")));
-        try (Site site = new Site(1, 1, 30, null, List.of(hook)); Line client = site.client()) {
-            assertEquals(client.send(request("a", "ask", "5000m", "prompt_len=16000", "{}")).read().status(), 200);
-            Line.Message refused = client.send(request("b", "ask", "5000m", "prompt_len=16001", "{}")).read();
+        try (Site site = new Site(1, 1, 30, null, List.of(hook));
+                Line client = site.client()) {
+            assertEquals(
+                    client.send(request("a", "ask", "5000m", "prompt_len=16000", "{}"))
+                            .read()
+                            .status(),
+                    200);
+            Line.Message refused = client.send(request("b", "ask", "5000m", "prompt_len=16001", "{}"))
+                    .read();
             assertEquals(refused.status(), 429);
             assertEquals(refused.header("Retry-After"), "2.000");
         }
--- a/src/test/java/copperbeam/sockets/ReactorEndTest.java
+++ b/src/test/java/copperbeam/sockets/ReactorEndTest.java
@@ -16,15 +16,20 @@
     /** As by a stack that is used up: it ends its own connection, and neither those beside it nor their reactor. */
     @Test
     public void anErrorEndsItsConnectionAlone() throws Exception {
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
-            if (call.path().equals("/fails")) {
-                throw new StackOverflowError("wanted");
-            }
-            reply.whole(200, "text/plain", Map.of(), new byte[0]);
-            return () -> { };
-        }, Clock.systemUTC(), new ClientRoom(10, 1000), (c, status) -> { })) {
+        try (HttpFrontServer server = new HttpFrontServer(
+                (call, reply) -> {
+                    if (call.path().equals("/fails")) {
+                        throw new StackOverflowError("wanted");
+                    }
+                    reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                    return () -> {};
+                },
+                Clock.systemUTC(),
+                new ClientRoom(10, 1000),
+                (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
-            try (Line bad = new Line(at); Line beside = new Line(at)) {
+            try (Line bad = new Line(at);
+                    Line beside = new Line(at)) {
                 assertEquals(beside.send(String.format(GET, "x")).read().status(), 200);
                 assertTrue(bad.send(String.format(GET, "fails")).awaitClosed());
                 assertEquals(beside.send(String.format(GET, "x")).read().status(), 200);
--- a/src/test/java/copperbeam/sockets/ReadyProbe.java
+++ b/src/test/java/copperbeam/sockets/ReadyProbe.java
@@ -23,8 +23,13 @@
  */
 public final class ReadyProbe {
     private static final int REQUESTS = 20;
-    private static final String[] FIGURES = {"CPU ms to ready", "ms to ready", "ms of the first answer",
-        "ms of the slowest of the next", "CPU ms of the first " + REQUESTS + " answers"};
+    private static final String[] FIGURES = {
+        "CPU ms to ready",
+        "ms to ready",
+        "ms of the first answer",
+        "ms of the slowest of the next",
+        "CPU ms of the first " + REQUESTS + " answers"
+    };
 
     private ReadyProbe() {}
 
@@ -43,9 +48,11 @@
         }
         for (int f = 0; f < FIGURES.length; f++) {
             int figure = f;
-            double[] sorted = starts.stream().mapToDouble(s -> s[figure]).sorted().toArray();
-            System.out.printf("%-34s median %7.1f  worst %7.1f%n", FIGURES[f], sorted[sorted.length / 2],
-                    sorted[sorted.length - 1]);
+            double[] sorted =
+                    starts.stream().mapToDouble(s -> s[figure]).sorted().toArray();
+            System.out.printf(
+                    "%-34s median %7.1f  worst %7.1f%n",
+                    FIGURES[f], sorted[sorted.length / 2], sorted[sorted.length - 1]);
         }
         System.exit(0);
     }
@@ -66,21 +73,29 @@
         Path file = folder.resolve("config.json");
         InetSocketAddress listen = Conductor.freeAddress();
         String settings = String.format(Site.SETTINGS, 30);
-        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen.getPort() + "\",\"discovery\":\""
-                + discovery.host() + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"settings\":"
-                + (words.contains("known") ? settings.replaceFirst("\\{", "{\"discovery\":\"subscribe\",") : settings)
-                + (words.contains("known") ? ",\"known\":" + list : "") + "}");
+        Files.writeString(
+                file,
+                "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen.getPort() + "\",\"discovery\":\""
+                        + discovery.host() + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"settings\":"
+                        + (words.contains("known")
+                                ? settings.replaceFirst("\\{", "{\"discovery\":\"subscribe\",")
+                                : settings)
+                        + (words.contains("known") ? ",\"known\":" + list : "") + "}");
         ProcessBuilder run = new ProcessBuilder("sh", "-c", runLine(words));
         run.environment().put("GW_CONFIG", file.toString());
         run.environment().put("TMPDIR", folder.toString());
         if (words.contains("door")) {
-            run.environment().put("GW_CONTROL", "127.0.0.1:" + Conductor.freeAddress().getPort());
+            run.environment()
+                    .put("GW_CONTROL", "127.0.0.1:" + Conductor.freeAddress().getPort());
         }
         long from = System.nanoTime();
-        Process process = run.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        Process process = run.redirectErrorStream(true)
+                .redirectOutput(folder.resolve("log").toFile())
+                .start();
         try (discovery) {
             while (!healthy(listen)) {
-                if (!process.isAlive() || System.nanoTime() - from > Duration.ofSeconds(60).toNanos()) {
+                if (!process.isAlive()
+                        || System.nanoTime() - from > Duration.ofSeconds(60).toNanos()) {
                     throw new IllegalStateException(Files.readString(folder.resolve("log")));
                 }
                 LockSupport.parkNanos(Duration.ofMillis(10).toNanos());
@@ -92,8 +107,13 @@
                 answers[i] = answer(listen, i);
             }
             long served = Conductor.cpuMs(process);
-            return new double[] {ready, wall, answers[0], IntStream.range(1, REQUESTS).mapToDouble(i -> answers[i]).max()
-                    .getAsDouble(), served - ready};
+            return new double[] {
+                ready,
+                wall,
+                answers[0],
+                IntStream.range(1, REQUESTS).mapToDouble(i -> answers[i]).max().getAsDouble(),
+                served - ready
+            };
         } finally {
             process.destroyForcibly().waitFor();
         }
@@ -114,8 +134,10 @@
     }
 
     private static String runLine(List<String> words) throws IOException {
-        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run ="))
-                .findAny().orElseThrow();
+        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run ="))
+                .findAny()
+                .orElseThrow();
         String run = Json.GSON.fromJson(line.substring(line.indexOf('"')), String.class);
         List<String> options = words.stream().filter(w -> w.startsWith("-X")).toList();
         return run.replace(" -jar ", " " + String.join(" ", options) + " -jar ");
@@ -133,8 +155,9 @@
         long from = System.nanoTime();
         try (Line line = new Line(at)) {
             String id = "first" + number;
-            Line.Message m = line.send(Site.request(id, number % 2 == 0 ? "ask" : "send", "9000m",
-                    "prefix=p,prompt_len=1000,max_out=9", "{}")).read();
+            Line.Message m = line.send(Site.request(
+                            id, number % 2 == 0 ? "ask" : "send", "9000m", "prefix=p,prompt_len=1000,max_out=9", "{}"))
+                    .read();
             if (m.status() != 200) {
                 throw new IllegalStateException(m.start() + " " + m.text());
             }
--- a/src/test/java/copperbeam/sockets/RecordTest.java
+++ b/src/test/java/copperbeam/sockets/RecordTest.java
@@ -21,7 +21,8 @@
     public void aSignalWritesWhatHappened() throws Exception {
         Path log = Files.createTempDirectory("record").resolve("log");
         try (StandIn reader = new StandIn(Site.attempts((m, line) -> line.answer(202, "{\"cached_tokens\":4096}")));
-                StandIn writer = new StandIn(Site::write); StandIn list = Conductor.discovery(reader, writer);
+                StandIn writer = new StandIn(Site::write);
+                StandIn list = Conductor.discovery(reader, writer);
                 Conductor conductor = new Conductor(list, 1024, 192, List.of("--record", log.toString()))) {
             conductor.awaitHealthy();
             try (Line client = new Line(conductor.address)) {
@@ -33,9 +34,17 @@
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             assertTrue(new Explain(Recording.read(log), new PrintStream(out, true)).request("told"));
             String life = out.toString();
-            for (String step : List.of("arrived", "attempt 0 s" + reader.address().getPort() + " HOME",
-                    "connection attempt 0", "READ", "kept 4096", "attempt 1 s" + writer.address().getPort() + " WRITER", "STREAM",
-                    "first", "OK", "served")) {
+            for (String step : List.of(
+                    "arrived",
+                    "attempt 0 s" + reader.address().getPort() + " HOME",
+                    "connection attempt 0",
+                    "READ",
+                    "kept 4096",
+                    "attempt 1 s" + writer.address().getPort() + " WRITER",
+                    "STREAM",
+                    "first",
+                    "OK",
+                    "served")) {
                 assertTrue(life.contains(step), step + " is missing in\n" + life);
             }
             Files.delete(log);
@@ -48,9 +57,10 @@
     @Test
     public void withoutItsClassesStayOut() throws Exception {
         Path classes = Files.createTempDirectory("classes").resolve("log");
-        try (StandIn reader = new StandIn(Site::read); StandIn writer = new StandIn(Site::write);
-                StandIn list = Conductor.discovery(reader, writer); Conductor conductor = new Conductor(list, 1024, 192,
-                        List.of("-Xlog:class+load:file=" + classes))) {
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn writer = new StandIn(Site::write);
+                StandIn list = Conductor.discovery(reader, writer);
+                Conductor conductor = new Conductor(list, 1024, 192, List.of("-Xlog:class+load:file=" + classes))) {
             conductor.awaitHealthy();
             try (Line client = new Line(conductor.address)) {
                 assertEquals(client.send(request("ask", 5000)).read().status(), 200);
--- a/src/test/java/copperbeam/sockets/ReloadTest.java
+++ b/src/test/java/copperbeam/sockets/ReloadTest.java
@@ -16,7 +16,8 @@
     @Test
     public void anIgnoredHangupIsToldAtTheStart() throws Exception {
         for (String shell : List.of(":", "trap '' HUP")) {
-            try (StandIn server = new StandIn(Site::read); StandIn discovery = Conductor.discovery(server, server);
+            try (StandIn server = new StandIn(Site::read);
+                    StandIn discovery = Conductor.discovery(server, server);
                     Conductor conductor = new Conductor(discovery, 1024, 192, List.of(), shell)) {
                 conductor.awaitHealthy();
                 assertEquals(conductor.logged("SIGHUP is ignored"), !shell.equals(":"), shell);
@@ -28,20 +29,27 @@
     @Test
     public void aHangupMovesDiscoveryAndDisturbsNothing() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (StandIn reader = new StandIn(Site::read); StandIn old = new StandIn(attempts((m, line) -> {
-            go.await();
-            Site.write(m, line);
-        })); StandIn next = new StandIn(Site::write); StandIn first = Conductor.discovery(reader, old);
-                StandIn second = Conductor.discovery(reader, next); StandIn third = Conductor.discovery(reader, next);
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn old = new StandIn(attempts((m, line) -> {
+                    go.await();
+                    Site.write(m, line);
+                }));
+                StandIn next = new StandIn(Site::write);
+                StandIn first = Conductor.discovery(reader, old);
+                StandIn second = Conductor.discovery(reader, next);
+                StandIn third = Conductor.discovery(reader, next);
                 Conductor conductor = new Conductor(first, 1024, 192)) {
             conductor.awaitHealthy();
-            try (Line open = new Line(conductor.address); Line client = new Line(conductor.address)) {
+            try (Line open = new Line(conductor.address);
+                    Line client = new Line(conductor.address)) {
                 open.send(request("ask", 60_000));
                 await("written", () -> old.attempts() == 1);
 
                 conductor.configure(second.host());
                 conductor.signal("HUP");
-                await("watched at the new address", () -> second.count(m -> m.path().contains("from=7&")) > 0);
+                await(
+                        "watched at the new address",
+                        () -> second.count(m -> m.path().contains("from=7&")) > 0);
                 first.close();
                 assertEquals(client.send(request("send", 5000)).read().status(), 200);
                 assertEquals(next.attempts(), 1);
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -32,13 +32,15 @@
 
 /** Each rule once, on real sockets. */
 public class RulesOnSocketsTest {
-    private static final StandIn.Script SILENT = attempts((m, line) -> { });
+    private static final StandIn.Script SILENT = attempts((m, line) -> {});
 
     @Test
     public void eventsAreRelayedUnchangedAndConnectionsKept() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             for (int i = 0; i < 2; i++) {
-                Line.Message answer = client.send(request("id" + i, "ask", "5000m", "prefix=p,prompt_len=40", "{\"a\":1}"))
+                Line.Message answer = client.send(
+                                request("id" + i, "ask", "5000m", "prefix=p,prompt_len=40", "{\"a\":1}"))
                         .read();
                 assertEquals(answer.status(), 200);
                 assertEquals(answer.text(), EVENTS);
@@ -57,8 +59,13 @@
     @Test
     public void aLargeBodyIsPassedOnWhole() throws Exception {
         String body = "{\"a\":\"" + "x".repeat(250 * 1024) + "\"}";
-        try (Site site = new Site(1, 1); Line client = site.client()) {
-            assertEquals(client.send(request("id", "send", "5000m", "prompt_len=9", body)).read().status(), 200);
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
+            assertEquals(
+                    client.send(request("id", "send", "5000m", "prompt_len=9", body))
+                            .read()
+                            .status(),
+                    200);
             assertEquals(site.writers.get(0).seen.get(0).text(), body);
         }
     }
@@ -66,7 +73,8 @@
     @Test
     public void eachEventIsPassedOnAtOnce() throws Exception {
         CountDownLatch seen = new CountDownLatch(1);
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 line.beginStream().chunk("data: 1\n\n");
                 seen.await();
@@ -83,7 +91,8 @@
     /** Rule 1: silence everywhere still ends in one answer before the client gives up. */
     @Test
     public void aSilentWriterIsAnsweredForInTime() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             site.writers.get(0).script = SILENT;
             long from = System.nanoTime();
             assertEquals(client.send(request("send", 700)).read().status(), 504);
@@ -102,7 +111,15 @@
             {"send", attempts((m, line) -> line.answer(503, "")), 502, 1},
             {"send", attempts((m, line) -> line.answer(503, "", "X-Not-Processed: 1\r\n")), 200, 2},
             {"send", attempts((m, line) -> line.answer(410, "", "X-Not-Processed: 1\r\n")), 200, 2},
-            {"send", attempts((m, line) -> { line.beginStream(); line.reset(); }), 502, 1},
+            {
+                "send",
+                attempts((m, line) -> {
+                    line.beginStream();
+                    line.reset();
+                }),
+                502,
+                1
+            },
             {"ask", reset, 200, 2},
             {"ask", attempts((m, line) -> line.answer(504, "")), 200, 2},
             {"ask", attempts((m, line) -> line.answer(504, "", "X-Not-Processed: 1\r\n")), 200, 2},
@@ -113,7 +130,8 @@
     @Test(dataProvider = "writersThatFail")
     public void onlyWhatIsHarmlessIsSentAgain(String requestClass, StandIn.Script first, int status, int writes)
             throws Exception {
-        try (Site site = new Site(1, 2); Line client = site.client()) {
+        try (Site site = new Site(1, 2);
+                Line client = site.client()) {
             AtomicInteger turn = new AtomicInteger();
             StandIn.Script script = (m, line) -> {
                 boolean fails = m.method().equals("POST") && turn.getAndIncrement() == 0;
@@ -142,7 +160,8 @@
     /** Guards against a second copy: the next attempt comes after the first one's connection is closed. */
     @Test
     public void neverTwoAttemptsAtOnce() throws Exception {
-        try (Site site = new Site(1, 2); Line client = site.client()) {
+        try (Site site = new Site(1, 2);
+                Line client = site.client()) {
             AtomicInteger turn = new AtomicInteger();
             AtomicReference<Line> first = new AtomicReference<>();
             AtomicReference<Boolean> closed = new AtomicReference<>();
@@ -189,9 +208,11 @@
      */
     @Test
     public void aStateIsLetGoWhenItsRequestFails() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> line.answer(500, ""));
-            assertEquals(client.send(request("r1", "send", "4000m", "", "{}")).read().status(), 502);
+            assertEquals(
+                    client.send(request("r1", "send", "4000m", "", "{}")).read().status(), 502);
             await("released", () -> site.releases() > 0);
             assertEquals(site.readers.get(0).seen.get(1).path(), "/state/r1");
         }
@@ -203,8 +224,11 @@
      */
     @Test
     public void aStateIsLetGoWhileConnectionsFailToComeUp() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client(); StandIn gone = StandIn.vanished()) {
-            site.changes.add(Site.entry(site.writers.get(0), "decode", "left") + "," + Site.entry(gone, "decode", "active"));
+        try (Site site = new Site(1, 1);
+                Line client = site.client();
+                StandIn gone = StandIn.vanished()) {
+            site.changes.add(
+                    Site.entry(site.writers.get(0), "decode", "left") + "," + Site.entry(gone, "decode", "active"));
             await("next watch", () -> site.discovery.count(m -> m.path().contains("from=2&")) > 0);
             AtomicLong read = new AtomicLong();
             AtomicLong released = new AtomicLong();
@@ -221,7 +245,8 @@
     /** A release is tried elsewhere where the server asked first does not answer. */
     @Test
     public void aReleaseIsTakenElsewhere() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             StandIn reader = site.readers.get(0);
             reader.script = (m, line) -> {
                 if (m.method().equals("POST")) {
@@ -252,7 +277,8 @@
     @Test
     public void aClientThatLeavesAStreamEndsIt() throws Exception {
         try (Site site = new Site(1, 1)) {
-            site.writers.get(0).script = attempts((m, line) -> line.beginStream().chunk("data: 1\n\n"));
+            site.writers.get(0).script =
+                    attempts((m, line) -> line.beginStream().chunk("data: 1\n\n"));
             try (Line client = site.client()) {
                 client.send(request("send", 8000)).head();
                 assertEquals(client.readChunk(), "data: 1\n\n");
@@ -265,7 +291,8 @@
     @Test
     public void aBrokenStreamEndsWithoutTheLastChunk() throws Exception {
         CountDownLatch seen = new CountDownLatch(1);
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 line.beginStream().chunk("data: 1\n\n");
                 seen.await();
@@ -282,7 +309,8 @@
     /** Guards against a queue without bounds: a client that does not read stops its server's stream. */
     @Test
     public void aSlowClientHoldsItsServerBack() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             String event = "data: " + "x".repeat(8000) + "\n\n";
             AtomicInteger sent = new AtomicInteger();
             int all = 4000;
@@ -321,7 +349,8 @@
     /** Guards against writing on a connection as its server closes it: kept for half of the limit only. */
     @Test
     public void idleConnectionsAreClosedEarly() throws Exception {
-        try (Site site = new Site(1, 1, 2); Line client = site.client()) {
+        try (Site site = new Site(1, 1, 2);
+                Line client = site.client()) {
             assertEquals(client.send(request("send", 4000)).read().status(), 200);
             long from = System.nanoTime();
             await("closed", () -> site.readers.get(0).lines.get(0).ended);
@@ -352,24 +381,30 @@
     /** Guards the limit on descriptors: an idle connection makes room, and without one a request is refused. */
     @Test
     public void clientsBeyondTheLimitMakeRoomOrAreRefused() throws Exception {
-        List<CountDownLatch> go = Stream.generate(() -> new CountDownLatch(1)).limit(5).toList(); // by arrival
+        List<CountDownLatch> go =
+                Stream.generate(() -> new CountDownLatch(1)).limit(5).toList(); // by arrival
         AtomicInteger slowOnes = new AtomicInteger();
         AtomicInteger ended = new AtomicInteger(); // of these, in the conductor's books too
         Ahead clock = new Ahead();
         ClientRoom room = new ClientRoom(4, 1 << 20);
-        try (HttpFrontServer server = new HttpFrontServer((call, reply) -> {
-            if (call.path().equals("/slow")) {
-                CountDownLatch turn = go.get(slowOnes.getAndIncrement());
-                new Thread(() -> {
-                    hold(turn);
-                    reply.whole(200, "text/plain", Map.of(), new byte[0]);
-                    ended.incrementAndGet();
-                }).start();
-            } else {
-                reply.whole(200, "text/plain", Map.of(), new byte[0]);
-            }
-            return () -> { };
-        }, clock, room, (c, status) -> { })) {
+        try (HttpFrontServer server = new HttpFrontServer(
+                (call, reply) -> {
+                    if (call.path().equals("/slow")) {
+                        CountDownLatch turn = go.get(slowOnes.getAndIncrement());
+                        new Thread(() -> {
+                                    hold(turn);
+                                    reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                                    ended.incrementAndGet();
+                                })
+                                .start();
+                    } else {
+                        reply.whole(200, "text/plain", Map.of(), new byte[0]);
+                    }
+                    return () -> {};
+                },
+                clock,
+                room,
+                (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             String slow = "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n";
             List<Line> all = new ArrayList<>();
@@ -389,7 +424,8 @@
             // one after another, as each that closes makes place: the last two find half of it free
             for (int i = 0; i < 4; i++) {
                 int left = 4 - i;
-                // a client may have its answer, and its connection be closed, before the thread that answered counts it as ended
+                // a client may have its answer, and its connection be closed, before the thread that answered counts it
+                // as ended
                 await("those before have left", () -> room.size() == left && ended.get() == 4 - left);
                 go.get(i).countDown();
                 Line.Message answer = all.get(i + 1).read();
@@ -447,7 +483,9 @@
     @Test
     public void aStopAnswersWhatWasTaken() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (Site site = new Site(1, 1); Line first = site.client(); Line idle = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line first = site.client();
+                Line idle = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 go.await();
                 Site.write(m, line);
@@ -476,13 +514,20 @@
     /** Guards against a kill that finds requests open: what would last longer is given its end in time. */
     @Test
     public void aStopHandsOverWhatWouldLastTooLong() throws Exception {
-        try (Site site = new Site(1, 1); Line stream = site.client(); Line kept = site.client();
-                Line read = site.client(); Line write = site.client(); Line rest = site.client();
+        try (Site site = new Site(1, 1);
+                Line stream = site.client();
+                Line kept = site.client();
+                Line read = site.client();
+                Line write = site.client();
+                Line rest = site.client();
                 Line unread = site.client()) {
             StandIn writer = site.writers.get(0);
             writer.script = attempts((m, line) -> {
                 line.beginStream().chunk("data: 1\n\n");
-                await("its end", () -> m.header("X-Request-ID").equals("kept") && site.get("/healthz").status() == 503);
+                await(
+                        "its end",
+                        () -> m.header("X-Request-ID").equals("kept")
+                                && site.get("/healthz").status() == 503);
                 line.lastChunk();
             });
             kept.send(request("kept", "ask", "60000m", "", "{}")).head();
@@ -494,7 +539,8 @@
             site.readers.get(0).script = SILENT;
             read.send(request("read", "ask", "60000m", "", "{}"));
             await("read", () -> site.attempts(site.readers) == 4);
-            rest.send(request("rest", "send", "60000m", "", "{}").replace("X-Route-Key", "X-Retried: again\r\nX-Route-Key"));
+            rest.send(request("rest", "send", "60000m", "", "{}")
+                    .replace("X-Route-Key", "X-Retried: again\r\nX-Route-Key"));
             await("read too", () -> site.attempts(site.readers) == 5);
             unread.send(request("unread", "send", "60000m", "", "{}"));
             await("and this", () -> site.attempts(site.readers) == 6);
@@ -519,7 +565,8 @@
     /** Guards what must not run twice: on a kept connection that its server resets, it would have failed. */
     @Test
     public void whatMustNotRunTwiceRisksNoKeptConnection() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             StandIn writer = site.writers.get(0);
             Map<Line, Integer> turns = new ConcurrentHashMap<>();
             writer.script = attempts((m, line) -> {
@@ -542,7 +589,8 @@
     /** Servers may close what is idle sooner than the settings say. */
     @Test
     public void connectionsAreKeptForHalfOfWhatTheirServerBears() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             StandIn reader = site.readers.get(0);
             assertEquals(client.send(request("ask", 4000)).read().status(), 200);
             pause();
--- a/src/test/java/copperbeam/sockets/SilentWatchTest.java
+++ b/src/test/java/copperbeam/sockets/SilentWatchTest.java
@@ -3,6 +3,12 @@
 import static copperbeam.sockets.Site.await;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.Api.ServerState;
+import copperbeam.membership.Backoff;
+import copperbeam.protocol.discovery.DiscoveryWatch;
+import copperbeam.routing.MembershipSource.Entry;
+import copperbeam.transport.ClientReactor;
+import copperbeam.transport.PlainHttpClient;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
@@ -11,12 +17,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.testng.annotations.Test;
-import copperbeam.Api.ServerState;
-import copperbeam.membership.Backoff;
-import copperbeam.protocol.discovery.DiscoveryWatch;
-import copperbeam.routing.MembershipSource.Entry;
-import copperbeam.transport.ClientReactor;
-import copperbeam.transport.PlainHttpClient;
 
 /** One watch on sockets, begun anew after a silence. */
 public class SilentWatchTest {
@@ -38,7 +38,8 @@
         ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
         List<Entry> heard = new CopyOnWriteArrayList<>();
         Backoff backoff = new Backoff(Duration.ofMillis(100), Duration.ofMillis(100), new SplittableRandom(1));
-        try (ClientReactor reactor = new ClientReactor(); StandIn agent = new StandIn(null)) {
+        try (ClientReactor reactor = new ClientReactor();
+                StandIn agent = new StandIn(null)) {
             agent.script = (m, line) -> {
                 switch (agent.seen.size()) {
                     case 1 -> line.answer(200, list(7, true, String.format(ENTRY, "active")));
@@ -54,8 +55,8 @@
                     default -> line.answer(200, list(8, false, String.format(ENTRY, "leaving")));
                 }
             };
-            DiscoveryWatch watch = new DiscoveryWatch(turns, new PlainHttpClient(reactor), Clock.systemUTC(),
-                    agent.address(), null, false, backoff);
+            DiscoveryWatch watch = new DiscoveryWatch(
+                    turns, new PlainHttpClient(reactor), Clock.systemUTC(), agent.address(), null, false, backoff);
             watch.start(change -> heard.addAll(change.entries()));
             await("listed", () -> heard.size() == 1);
             await("asked", () -> agent.seen.size() >= 2);
--- a/src/test/java/copperbeam/sockets/Site.java
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -61,18 +61,31 @@
     }
 
     /** {@code etcd} null: the list comes by the platform's discovery. */
-    Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks)
-            throws Exception {
+    Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks) throws Exception {
         this(readerCount, writerCount, idleS, etcd, hooks, Config.Limits.USUAL);
     }
 
-    Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks,
-            Config.Limits limits) throws Exception {
+    Site(
+            int readerCount,
+            int writerCount,
+            double idleS,
+            Config.Etcd etcd,
+            List<RequestHook> hooks,
+            Config.Limits limits)
+            throws Exception {
         this(readerCount, writerCount, idleS, etcd, hooks, limits, settings(idleS), Duration.ofMillis(250));
     }
 
-    Site(int readerCount, int writerCount, double idleS, Config.Etcd etcd, List<RequestHook> hooks,
-            Config.Limits limits, Api.Settings settings, Duration connectTimeout) throws Exception {
+    Site(
+            int readerCount,
+            int writerCount,
+            double idleS,
+            Config.Etcd etcd,
+            List<RequestHook> hooks,
+            Config.Limits limits,
+            Api.Settings settings,
+            Duration connectTimeout)
+            throws Exception {
         for (int i = 0; i < readerCount; i++) {
             readers.add(new StandIn(Site::read));
         }
@@ -80,11 +93,24 @@
             writers.add(new StandIn(Site::write));
         }
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
-        ChatModels models = new ChatModels(Map.of("m-ask", new ChatModels.Model("ask", Duration.ofSeconds(2), 100),
-                "m-send", new ChatModels.Model("send", Duration.ofSeconds(2), 100)));
-        node = new Node(new Config("n0", any, etcd == null ? any : null, null, discovery.address(), 7, settings, null,
-                connectTimeout, Duration.ofMillis((long) (idleS * 1000)), limits, new Config.Operator(any, models, etcd,
-                hooks)));
+        ChatModels models = new ChatModels(Map.of(
+                "m-ask",
+                new ChatModels.Model("ask", Duration.ofSeconds(2), 100),
+                "m-send",
+                new ChatModels.Model("send", Duration.ofSeconds(2), 100)));
+        node = new Node(new Config(
+                "n0",
+                any,
+                etcd == null ? any : null,
+                null,
+                discovery.address(),
+                7,
+                settings,
+                null,
+                connectTimeout,
+                Duration.ofMillis((long) (idleS * 1000)),
+                limits,
+                new Config.Operator(any, models, etcd, hooks)));
         if (etcd == null) {
             await("listening", () -> node.address().getPort() != 0 && node.chatAddress() != null);
             await("healthy", () -> get("/healthz").status() == 200);
@@ -136,8 +162,9 @@
         if (change != null) {
             version++;
         }
-        line.answer(200, "{\"version\":" + version + ",\"full\":false,\"servers\":[" + (change == null ? "" : change)
-                + "]}");
+        line.answer(
+                200,
+                "{\"version\":" + version + ",\"full\":false,\"servers\":[" + (change == null ? "" : change) + "]}");
     }
 
     private String list(boolean full) {
@@ -148,9 +175,10 @@
     }
 
     static String entry(StandIn server, String kind, String state) {
-        return String.format("{\"id\":\"s%d\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"%s\",\"cell\":0,"
-                + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":0}", server.address().getPort(), server.host(), kind,
-                state);
+        return String.format(
+                "{\"id\":\"s%d\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"%s\",\"cell\":0,"
+                        + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":0}",
+                server.address().getPort(), server.host(), kind, state);
     }
 
     Line.Message get(String path) {
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -28,7 +28,8 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
     private static final String FIRST = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"}}]}\n\n";
 
-    private static final int MOST_HELD = 128 * 1024; // events of 0.9 KB: more than all buffers of the system between them
+    private static final int MOST_HELD =
+            128 * 1024; // events of 0.9 KB: more than all buffers of the system between them
 
     private static String chunk(String text) {
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
@@ -67,13 +68,25 @@
 
     /** Nothing is given up for its silence: cancels are forbidden, and an attempt's time is longer than a test's patience. */
     private static Node patient(StandIn discovery) throws Exception {
-        Api.Settings settings = Site.parsed(String.format(Site.SETTINGS, 30).replace("\"cancel\":true", "\"cancel\":false"));
+        Api.Settings settings =
+                Site.parsed(String.format(Site.SETTINGS, 30).replace("\"cancel\":true", "\"cancel\":false"));
         Duration time = Duration.ofMillis(6 * Line.PATIENCE_MS);
-        ChatModels models = new ChatModels(Map.of("m-ask", new ChatModels.Model("ask", time, 100),
-                "m-send", new ChatModels.Model("send", time, 100)));
+        ChatModels models = new ChatModels(Map.of(
+                "m-ask", new ChatModels.Model("ask", time, 100), "m-send", new ChatModels.Model("send", time, 100)));
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
-        return new Node(new Config("n0", any, null, null, discovery.address(), 7, settings, null, Duration.ofMillis(250),
-                Duration.ofSeconds(30), Config.Limits.USUAL, new Config.Operator(any, models, null, List.of())));
+        return new Node(new Config(
+                "n0",
+                any,
+                null,
+                null,
+                discovery.address(),
+                7,
+                settings,
+                null,
+                Duration.ofMillis(250),
+                Duration.ofSeconds(30),
+                Config.Limits.USUAL,
+                new Config.Operator(any, models, null, List.of())));
     }
 
     /** Spoilt before the first event: an attempt that failed and may have run, by what was sent and not by its silence. */
@@ -89,13 +102,17 @@
                 Site.write(m, line);
             }
         });
-        try (StandIn reader = new StandIn(Site::read); StandIn one = new StandIn(script); StandIn other = new StandIn(script);
-                StandIn discovery = Conductor.discovery(reader, one, other); Node node = patient(discovery)) {
+        try (StandIn reader = new StandIn(Site::read);
+                StandIn one = new StandIn(script);
+                StandIn other = new StandIn(script);
+                StandIn discovery = Conductor.discovery(reader, one, other);
+                Node node = patient(discovery)) {
             for (String requestClass : List.of("ask", "send")) {
                 turn.set(0);
                 spoilt.clear();
                 try (Line client = new Line(chat ? node.chatAddress() : node.address())) {
-                    client.send(chat ? chat("m-" + requestClass, true, "") : request(requestClass, 6 * Line.PATIENCE_MS));
+                    client.send(
+                            chat ? chat("m-" + requestClass, true, "") : request(requestClass, 6 * Line.PATIENCE_MS));
                     assertEquals(client.read().status(), requestClass.equals("ask") ? 200 : 502);
                 }
                 assertEquals(turn.get(), requestClass.equals("ask") ? 2 : 1);
@@ -107,7 +124,9 @@
     @DataProvider
     public Object[][] words() {
         List<Object[]> all = new ArrayList<>();
-        for (int status : new int[] {200, 201, 202, 203, 204, 206, 301, 302, 304, 307, 308, 400, 404, 409, 410, 429, 500, 503, 504}) {
+        for (int status :
+                new int[] {200, 201, 202, 203, 204, 206, 301, 302, 304, 307, 308, 400, 404, 409, 410, 429, 500, 503, 504
+                }) {
             for (boolean reads : new boolean[] {true, false}) {
                 if (status != (reads ? 202 : 200)) {
                     all.add(new Object[] {status, reads});
@@ -120,8 +139,10 @@
     /** A word that is not its role's: an attempt that failed and may have run, and nothing of it is passed on. */
     @Test(dataProvider = "words")
     public void aWordOfAnotherRoleIsAFailedAttempt(int status, boolean reads) throws Exception {
-        String bad = status == 204 || status == 304 ? "HTTP/1.1 " + status + " x\r\n\r\n" : "HTTP/1.1 " + status
-                + " x\r\nLocation: /v1/chat/completions\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("data: bad\n\n") + "0\r\n\r\n";
+        String bad = status == 204 || status == 304
+                ? "HTTP/1.1 " + status + " x\r\n\r\n"
+                : "HTTP/1.1 " + status + " x\r\nLocation: /v1/chat/completions\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + chunk("data: bad\n\n") + "0\r\n\r\n";
         try (Site site = new Site(2, 2)) {
             for (String requestClass : List.of("ask", "send")) {
                 boolean harmless = reads || requestClass.equals("ask"); // what a reader does has no effect
@@ -136,12 +157,14 @@
                     }
                 }));
                 try (Line client = site.client()) {
-                    Line.Message answer = client.send(request(requestClass, 4000)).read();
+                    Line.Message answer =
+                            client.send(request(requestClass, 4000)).read();
                     assertEquals(answer.status(), harmless ? 200 : 502);
                     assertEquals(answer.text(), harmless ? EVENTS : "failed\n");
                 }
                 assertEquals(turn.get(), harmless ? 2 : 1);
-                assertEquals((long) OperatorsTest.metrics(site.node.door()).get("transactions." + requestClass + ".errored"),
+                assertEquals(
+                        (long) OperatorsTest.metrics(site.node.door()).get("transactions." + requestClass + ".errored"),
                         harmless ? 0 : 1);
             }
         }
@@ -150,8 +173,10 @@
     @DataProvider
     public Object[][] middles() {
         return withFronts(new Object[][] {
-            {"noise for a size", "zz\r\n"}, {"a negative size", "-5\r\n" + FIRST},
-            {"gigabytes", "C0000000\r\ndata: x\n\n"}, {"a size too small", "3\r\n" + FIRST + "\r\n"},
+            {"noise for a size", "zz\r\n"},
+            {"a negative size", "-5\r\n" + FIRST},
+            {"gigabytes", "C0000000\r\ndata: x\n\n"},
+            {"a size too small", "3\r\n" + FIRST + "\r\n"},
             {"a size too large", "60\r\n" + FIRST + "\r\n" + chunk(FIRST)},
             {"an event without end", chunk("data: " + "x".repeat(40_000))},
             {"silence", ""},
@@ -179,7 +204,10 @@
     public Object[][] good() {
         String stream = chunk(EVENTS.replace("\u00e8", "e")) + "0\r\n\r\n";
         return withFronts(new Object[][] {
-            {"ahead", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + HEAD + "\r\n" + stream},
+            {
+                "ahead",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + HEAD + "\r\n" + stream
+            },
             {"report", HEAD + "X-Server-Load: inflight=\u0001,=,x0=-7\r\n\r\n" + stream},
             {"behind", HEAD + "\r\n" + stream + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"},
             {"behind, half a line", HEAD + "\r\n" + stream + "HTTP/1.1 4"},
@@ -206,8 +234,10 @@
     /** On a kept connection, before the next request, as it is written or as it waits for its last byte: none is spent on it. */
     @Test
     public void halfALineOnAKeptConnectionCostsNoAttempt() throws Exception {
-        List<Line> carried = new CopyOnWriteArrayList<>(); // an attempt; the newest connection may be one that came up late
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        List<Line> carried =
+                new CopyOnWriteArrayList<>(); // an attempt; the newest connection may be one that came up late
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             site.readers.get(0).script = attempts((m, line) -> {
                 carried.add(line);
                 Site.read(m, line);
@@ -225,7 +255,10 @@
     public Object[][] halves() {
         String next = "data: {\"choices\":[{\"index\":0";
         return new Object[][] {
-            {"half a size", "2"}, {"a size alone", "40\r\n"}, {"half a chunk", "40\r\n" + next}, {"half an event", chunk(next)},
+            {"half a size", "2"},
+            {"a size alone", "40\r\n"},
+            {"half a chunk", "40\r\n" + next},
+            {"half an event", chunk(next)},
         };
     }
 
@@ -249,7 +282,8 @@
     /** Guards against an event lost beside the break of its stream, and with it a stream taken for none. */
     @Test
     public void anEventBesideABreakIsPassedOn() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             site.writers.get(0).script = attempts((m, line) -> {
                 line.send(HEAD + "\r\n" + chunk(FIRST));
                 line.close();
@@ -263,7 +297,8 @@
     /** Guards the memory: a client that takes nothing holds up a server that sends without end, and loses nothing by it. */
     @Test
     public void aFloodThatNobodyTakesIsHeldUp() throws Exception {
-        try (Site site = new Site(1, 1); Line client = site.client()) {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
             AtomicInteger sent = new AtomicInteger();
             site.writers.get(0).script = attempts((m, line) -> {
                 line.send(HEAD + "\r\n");
--- a/src/test/java/copperbeam/sockets/StandIn.java
+++ b/src/test/java/copperbeam/sockets/StandIn.java
@@ -23,7 +23,7 @@
     }
 
     private final ServerSocket socket;
-    volatile Opening opening = line -> { };
+    volatile Opening opening = line -> {};
     final List<Line.Message> seen = new CopyOnWriteArrayList<>();
     final List<Line> lines = new CopyOnWriteArrayList<>();
     volatile Script script;
--- a/src/test/java/copperbeam/sockets/UpgradeTest.java
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -39,7 +39,7 @@
         final StandIn reader = new StandIn(Site::read);
         final List<StandIn> writers = new ArrayList<>();
         final StandIn discovery;
-        final CountDownLatch told = new CountDownLatch(1);   // what lateDiscovery waits for
+        final CountDownLatch told = new CountDownLatch(1); // what lateDiscovery waits for
         private volatile CountDownLatch held = new CountDownLatch(1); // what streams of requests "held..." wait for
         final Path folder = Files.createTempDirectory("conductor");
         final List<Conductor> all = new ArrayList<>();
@@ -104,7 +104,8 @@
         /** A stream that stands after its first event. */
         Line hold() throws Exception {
             Line client = client();
-            client.send(request("held" + System.nanoTime(), "ask", "60000m", "prompt_len=40", "{}")).head();
+            client.send(request("held" + System.nanoTime(), "ask", "60000m", "prompt_len=40", "{}"))
+                    .head();
             assertEquals(client.readChunk(), "data: first\n\n");
             return client;
         }
@@ -126,8 +127,15 @@
         /** Of the processes, as any of them reads it. */
         List<SharedState.Phase> phases() {
             try {
-                return StateCodec.read(Conductor.NAME, Files.readAllBytes(folder.resolve(Conductor.NAME + ".state")),
-                        Instant.now()).lives().values().stream().map(SharedState.Life::phase).toList();
+                return StateCodec.read(
+                                Conductor.NAME,
+                                Files.readAllBytes(folder.resolve(Conductor.NAME + ".state")),
+                                Instant.now())
+                        .lives()
+                        .values()
+                        .stream()
+                        .map(SharedState.Life::phase)
+                        .toList();
             } catch (IOException | StateCodec.Refused e) {
                 throw new AssertionError(e);
             }
@@ -174,7 +182,8 @@
         }
 
         private long sent() {
-            return reader.attempts() + writers.stream().mapToLong(StandIn::attempts).sum();
+            return reader.attempts()
+                    + writers.stream().mapToLong(StandIn::attempts).sum();
         }
 
         @Override
@@ -217,8 +226,11 @@
                     if (requestClass.equals("send")) {
                         sends.add(id);
                     }
-                    Line.Message answer = line.send(request(id, requestClass, "8000m", "prompt_len=40", "{}")).read();
-                    if (answer == null || answer.status() != 200 || !answer.whole()
+                    Line.Message answer = line.send(request(id, requestClass, "8000m", "prompt_len=40", "{}"))
+                            .read();
+                    if (answer == null
+                            || answer.status() != 200
+                            || !answer.whole()
                             || !answer.text().equals("data: first\n\n" + Site.EVENTS)) {
                         faults.add(id + ": " + (answer == null ? "closed" : answer.start() + " " + answer.text()));
                     }
@@ -285,7 +297,8 @@
             load.end();
             assertEquals(fleet.writers.get(0).attempts(), 0, "out since the first process");
             for (StandIn server : List.of(fleet.reader, fleet.writers.get(1))) {
-                Map<String, Long> times = server.seen.stream().filter(m -> m.method().equals("POST"))
+                Map<String, Long> times = server.seen.stream()
+                        .filter(m -> m.method().equals("POST"))
                         .collect(Collectors.groupingBy(m -> m.header("X-Request-ID"), Collectors.counting()));
                 load.sends.forEach(id -> assertEquals(times.get(id), Long.valueOf(1), id));
             }
@@ -293,11 +306,17 @@
     }
 
     /** What the processes have come to when one is killed. */
-    private enum Step { STARTING, SERVING, LEAVING, IDLE }
+    private enum Step {
+        STARTING,
+        SERVING,
+        LEAVING,
+        IDLE
+    }
 
     @DataProvider
     public Object[][] kills() {
-        return Stream.of(Step.values()).flatMap(s -> Stream.of(new Object[] {s, true}, new Object[] {s, false}))
+        return Stream.of(Step.values())
+                .flatMap(s -> Stream.of(new Object[] {s, true}, new Object[] {s, false}))
                 .toArray(Object[][]::new);
     }
 
@@ -374,7 +393,12 @@
             fleet.usesAgain(out);
             for (String call : List.of("DETACH " + id(out), "LAMEDUCK", "REJOIN", "ATTACH " + id(out))) {
                 Conductor at = both.get(call.equals("LAMEDUCK") || call.equals("REJOIN") ? back : said);
-                assertEquals(Files.readAllLines(at.log).stream().filter(l -> l.endsWith(": " + call)).count(), 1, call);
+                assertEquals(
+                        Files.readAllLines(at.log).stream()
+                                .filter(l -> l.endsWith(": " + call))
+                                .count(),
+                        1,
+                        call);
             }
         }
     }
@@ -442,11 +466,14 @@
     @DataProvider
     public Object[][] files() {
         return new Object[][] {
-            {"not a copperbeam state file", (UnaryOperator<byte[]>) whole -> {
-                byte[] any = whole.clone();
-                new Random(3).nextBytes(any);
-                return any;
-            }},
+            {
+                "not a copperbeam state file",
+                (UnaryOperator<byte[]>) whole -> {
+                    byte[] any = whole.clone();
+                    new Random(3).nextBytes(any);
+                    return any;
+                }
+            },
             {"truncated", (UnaryOperator<byte[]>) whole -> Arrays.copyOf(whole, whole.length - 1)},
             {"another conductor's", (UnaryOperator<byte[]>) whole -> file("n1", whole)},
             {null, UnaryOperator.identity()},
@@ -467,8 +494,10 @@
         try (Fleet fleet = new Fleet()) {
             StandIn out = fleet.writers.get(0);
             Path state = fleet.folder.resolve(Conductor.NAME + ".state");
-            Files.write(state, spoil.apply(StateCodec.write(Conductor.NAME,
-                    SharedState.EMPTY.ban(id(out), true, Instant.now()), Instant.now())));
+            Files.write(
+                    state,
+                    spoil.apply(StateCodec.write(
+                            Conductor.NAME, SharedState.EMPTY.ban(id(out), true, Instant.now()), Instant.now())));
             Conductor one = fleet.next();
             assertTrue(one.healthy());
             if (why == null) {
--- a/src/test/java/copperbeam/transport/AcceptorTest.java
+++ b/src/test/java/copperbeam/transport/AcceptorTest.java
@@ -15,10 +15,14 @@
     @Test
     public void itsThreadEndsThoughNobodyTakesWhatIsThere() throws Exception {
         CountDownLatch asked = new CountDownLatch(2);
-        Acceptor acceptor = new Acceptor(ANY, false, () -> {
-            asked.countDown();
-            return false;
-        }, channel -> { });
+        Acceptor acceptor = new Acceptor(
+                ANY,
+                false,
+                () -> {
+                    asked.countDown();
+                    return false;
+                },
+                channel -> {});
         try (SocketChannel client = SocketChannel.open(acceptor.address())) {
             asked.await(); // it has waited at least once
             acceptor.abandon();
--- a/src/test/java/copperbeam/transport/FairTurnTest.java
+++ b/src/test/java/copperbeam/transport/FairTurnTest.java
@@ -17,15 +17,22 @@
     /** A server and a client that are quicker than we are: for each event that is taken another has come. */
     @Test
     public void aTurnOfOutputEnds() throws Exception {
-        IOSession session = (IOSession) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {IOSession.class},
+        IOSession session = (IOSession) Proxy.newProxyInstance(
+                getClass().getClassLoader(),
+                new Class<?>[] {IOSession.class},
                 (proxy, method, args) -> method.getReturnType() == int.class ? 0 : null);
         ClientRoom room = new ClientRoom(10, 1000);
         Clock clock = Clock.systemUTC();
-        ServerExchange exchange = new ServerExchange(room.enter(session, clock.instant()), room, (call, reply) -> () -> { },
-                clock, () -> false, (requestClass, status) -> { });
+        ServerExchange exchange = new ServerExchange(
+                room.enter(session, clock.instant()),
+                room,
+                (call, reply) -> () -> {},
+                clock,
+                () -> false,
+                (requestClass, status) -> {});
         AtomicInteger events = new AtomicInteger();
-        DataStreamChannel channel = (DataStreamChannel) Proxy.newProxyInstance(getClass().getClassLoader(),
-                new Class<?>[] {DataStreamChannel.class}, (proxy, method, args) -> {
+        DataStreamChannel channel = (DataStreamChannel) Proxy.newProxyInstance(
+                getClass().getClassLoader(), new Class<?>[] {DataStreamChannel.class}, (proxy, method, args) -> {
                     if (!method.getName().equals("write")) {
                         return null;
                     }
--- a/src/test/java/copperbeam/transport/LastByteTest.java
+++ b/src/test/java/copperbeam/transport/LastByteTest.java
@@ -29,12 +29,14 @@
     private static final class System {
         final Queue<Command> commands = new ArrayDeque<>();
         final ReentrantLock lock = new ReentrantLock();
-        final ProtocolIOSession session = (ProtocolIOSession) Proxy.newProxyInstance(getClass().getClassLoader(),
-                new Class<?>[] {ProtocolIOSession.class}, (proxy, method, args) -> call(method.getName(), args));
+        final ProtocolIOSession session = (ProtocolIOSession) Proxy.newProxyInstance(
+                getClass().getClassLoader(),
+                new Class<?>[] {ProtocolIOSession.class},
+                (proxy, method, args) -> call(method.getName(), args));
         final IOEventHandler handler;
         final StringBuilder taken = new StringBuilder();
         int room = Integer.MAX_VALUE;
-        boolean reset;               // known to the system alone
+        boolean reset; // known to the system alone
         boolean ended;
         boolean open = true;
 
