Linter: javac -Xlint -Werror, and Checkstyle with a small list in mvn verify

Need: nothing looked at the code but the formatter. Star imports, types and packages without Javadoc, and the compiler's warnings were nobody's to see.

Change: javac runs with -Xlint:all -Werror for main and test code; left out is "processing" alone, as the tests' annotations belong to no processor. protoc's code gives no warning and needs nothing set aside. sun.misc.Signal, for which the JDK has no substitute, can't have its warning suppressed in place: ignore.symbol.file takes the warning, and IllegalImport in config/checkstyle.xml forbids every other class of sun, com.sun and jdk instead. Star imports stay allowed for three classes of ours whose nested types are a vocabulary (Api, State, Bench). Brain.java and ColdBudget.java are not left out and needed no change.

Mended: 70 findings of Checkstyle and 104 compiler warnings.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -38,6 +38,7 @@
         NEVER
     }
 
+    /** What a message from the list of servers holds. */
     public enum ListKind {
         FULL,
         CACHED,
@@ -45,6 +46,7 @@
         FAILED
     }
 
+    /** Whether a server takes new work; GONE removes it from the list. */
     public enum ServerState {
         GONE,
         READY,
@@ -95,8 +97,10 @@
     /** {@code quotaPerS} counts requests a second over all nodes together. */
     public record Customer(String name, double quotaPerS) {}
 
+    /** A kind of server and the tokens of read state (KV cache) that one holds. */
     public record Kind(String name, Role role, double memoryTokens) {}
 
+    /** What the site allows: attempts of a request in all, cancels, probes, and the longest retry advice. */
     public record Limits(int maxAttempts, boolean cancel, boolean probes, double maxRetryAfterS) {}
 
     /** {@code askWithinS}: who has not asked for the list for so long counts as told of what was there to ask for. */
@@ -110,9 +114,11 @@
 
     // ---- events --------------------------------------------------------------------------------
 
+    /** What a node tells the module. */
     public sealed interface Event
             permits Members, Arrival, StreamStarted, AttemptEnded, ClientLeft, TimerFired, Probed, Beside {}
 
+    /** The list of servers, or a change of it. */
     public record Members(ListKind kind, List<Member> members) implements Event {}
 
     /** {@code launchedAt} is 0 for a server that started long ago. */
@@ -160,6 +166,7 @@
         }
     }
 
+    /** The first event of an answer came, {@code latencyS} after the attempt began. */
     public record StreamStarted(long request, int attempt, String server, double latencyS) implements Event {}
 
     /**
@@ -191,13 +198,16 @@
         }
     }
 
+    /** The client closed its connection before the end of its answer. */
     public record ClientLeft(long request) implements Event {}
 
     /** Another process decides for the same node beside this one, or does no more: {@code part} of the node's is for this one. */
     public record Beside(double part) implements Event {}
 
+    /** A {@link Timer} has run out. */
     public record TimerFired(String tag) implements Event {}
 
+    /** How a health probe ended; {@code report} may be null. */
     public record Probed(String server, Outcome outcome, double latencyS, Report report) implements Event {}
 
     /** A server's own word on its load; each value may be NaN. */
@@ -210,6 +220,7 @@
 
     // ---- actions -------------------------------------------------------------------------------
 
+    /** What the module asks of a node. */
     public sealed interface Action
             permits Attempt, Refuse, Fail, Cancel, Transfer, Release, Probe, Timer, FollowList, Remark {}
 
@@ -238,8 +249,10 @@
     /** {@code retryAfterS} 0: no advice. */
     public record Refuse(long request, double retryAfterS, Why why) implements Action {}
 
+    /** Gives the request its final answer: it can not be completed. */
     public record Fail(long request, Why why) implements Action {}
 
+    /** Closes an attempt that is out. */
     public record Cancel(long request, int attempt, Why why) implements Action {}
 
     /** Ends a running stream in good order, so that its client resumes it elsewhere. */
@@ -248,11 +261,15 @@
     /** Lets go of every read state held for the request. */
     public record Release(long request) implements Action {}
 
+    /** Sends a health probe to the server. */
     public record Probe(String server) implements Action {}
 
+    /** Asks for a {@link TimerFired} with the same tag after the span. */
     public record Timer(double afterS, String tag) implements Action {}
 
+    /** Subscribes to the list of servers. */
     public record FollowList() implements Action {}
 
+    /** A line for the log. */
     public record Remark(String text) implements Action {}
 }
--- a/src/main/java/copperbeam/handover/StateCodec.java
+++ b/src/main/java/copperbeam/handover/StateCodec.java
@@ -42,6 +42,8 @@
 
     /** A file that is not believed; the message says why. */
     public static final class Refused extends Exception {
+        private static final long serialVersionUID = 1L;
+
         private Refused(String reason) {
             super(reason);
         }
--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -254,6 +254,7 @@
                 }
                 case LEAVE -> leave(t.address());
                 case CARE -> tell(book.due(now), false);
+                default -> throw new AssertionError(t.what());
             }
         }
         return done();
--- a/src/main/java/copperbeam/operation/BanActor.java
+++ b/src/main/java/copperbeam/operation/BanActor.java
@@ -11,6 +11,7 @@
 
 /** Owns which servers are out by hand; the list goes through here on its way to {@link ListActor}. */
 public final class BanActor extends Actor<BanActor.Message> {
+    /** What this actor is told. */
     public sealed interface Message permits Told, Out, Listed {}
 
     /** By the source of the list. */
--- a/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
@@ -12,6 +12,7 @@
 
     private PlatformHeaders() {}
 
+    /** The sizes of a request in tokens; {@code prefix} is null where nothing is shared. */
     public record Attrs(String prefix, double promptTokens, double prefixTokens, double maxAnswerTokens) {}
 
     /** A number and {@code m} for milliseconds or {@code u} for microseconds. */
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -11,6 +11,7 @@
     /** Calls exactly one of the watcher's first two, then {@code closed} once for a connection that was up. */
     void connect(InetSocketAddress to, Duration timeout, Watcher watcher);
 
+    /** Is told of a connection as it opens and closes. */
     interface Watcher {
         void up(Connection connection);
 
@@ -40,6 +41,7 @@
         void abort();
     }
 
+    /** What a connection is asked to carry. */
     sealed interface Call permits AttemptCall, ProbeCall, ReleaseCall {}
 
     /**
@@ -51,8 +53,10 @@
     record AttemptCall(Ask ask, boolean reads, Supplier<Duration> patience, boolean hold, BooleanSupplier wanted)
             implements Call {}
 
+    /** A health probe. */
     record ProbeCall() implements Call {}
 
+    /** A release of the read state that belongs to the request with this id. */
     record ReleaseCall(String id) implements Call {}
 
     /** What a server's answer means. */
--- a/src/main/java/copperbeam/routing/HookActor.java
+++ b/src/main/java/copperbeam/routing/HookActor.java
@@ -12,6 +12,7 @@
  * let pass. They may refuse and may change a class; the rules stay as they are.
  */
 public final class HookActor extends Actor<HookActor.Message> implements Intake {
+    /** What this actor is told. */
     public sealed interface Message permits Arrive {}
 
     private record Arrive(Ask ask, Answer answer) implements Message {}
--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -18,6 +18,7 @@
  * is still out there has its peer by itself. Guards against a day on which servers come under ever new ids.
  */
 public final class ListActor extends Actor<ListActor.Message> {
+    /** What this actor is told. */
     public sealed interface Message permits Told, Idle {}
 
     /** {@code acted} runs once the module has it; may be null. */
--- a/src/main/java/copperbeam/routing/MembershipSource.java
+++ b/src/main/java/copperbeam/routing/MembershipSource.java
@@ -7,10 +7,13 @@
 
 /** Where the list of servers comes from. */
 public interface MembershipSource {
+    /** A server and the address of its listener. */
     record Entry(Member member, InetSocketAddress address) {}
 
+    /** A whole list, or what has changed in it. */
     record Change(ListKind kind, List<Entry> entries) {}
 
+    /** Who is told of changes. */
     interface Sink {
         void changed(Change change);
     }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -24,6 +24,7 @@
  * module's events and its actions into messages; decides nothing that the module decides.
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Intake {
+    /** What this actor is told. */
     public sealed interface Message
             permits Listed,
                     Arrive,
@@ -44,11 +45,13 @@
     public record Listed(ListKind kind, List<Api.Member> members, Map<String, PeerActor> peers, Runnable acted)
             implements Message {}
 
+    /** A request has come. */
     public record Arrive(Ask ask, Answer answer) implements Message {}
 
     /** The client has gone away; an answer that is unknown or over is passed over. */
     public record Left(Answer answer) implements Message {}
 
+    /** The first event of an attempt's stream; {@code drained} runs once the client has taken it. */
     public record FirstEvent(
             long request, int number, String server, byte[] raw, Duration after, Runnable drained, PeerActor at)
             implements Message {}
@@ -70,6 +73,7 @@
             Instant at)
             implements Message {}
 
+    /** A health probe has ended. */
     public record ProbeDone(String server, Outcome outcome, Duration after, Report report) implements Message {}
 
     /** Runs {@code idle} as soon as no request is open. */
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -18,6 +18,7 @@
 
 /** Owns the connections to one server at one address, and the attempts, probes and releases that are out there. */
 public final class PeerActor extends Actor<PeerActor.Message> {
+    /** What this actor is told. */
     public sealed interface Message
             permits Listed,
                     Gone,
@@ -75,8 +76,10 @@
     /** The module's side has taken the first event. */
     public record Proceed(long request, int number) implements Message {}
 
+    /** Sends a health probe. */
     public record Probe() implements Message {}
 
+    /** Asks the server to release the read state of the request with this id. */
     public record Release(long ticket, String id) implements Message {}
 
     private record Up(Work work, Connection connection) implements Message {}
--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -17,8 +17,10 @@
  * because the one asked was down, or four in five are.
  */
 public final class ReleaseActor extends Actor<ReleaseActor.Message> {
+    /** What this actor is told. */
     public sealed interface Message permits Listed, Release, Taken, Tried, Hedge, Again, Drain {}
 
+    /** The servers that can be asked now, by their ids. */
     public record Listed(Map<String, PeerActor> peers) implements Message {}
 
     /**
@@ -30,6 +32,7 @@
     /** An attempt is out again: what a cut read may yet leave is let go after it. */
     public record Taken(String id) implements Message {}
 
+    /** One server was asked for a release; {@code heard}: it confirmed. */
     public record Tried(long ticket, String at, boolean heard) implements Message {}
 
     /** Runs {@code idle} as soon as nothing is left to let go. */
--- a/src/test/java/copperbeam/ModuleDayTest.java
+++ b/src/test/java/copperbeam/ModuleDayTest.java
@@ -1,7 +1,7 @@
 package copperbeam;
 
 import static copperbeam.Bench.*;
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import copperbeam.Api.*;
 import copperbeam.ModuleDay.Fate;
--- a/src/test/java/copperbeam/RulesTest.java
+++ b/src/test/java/copperbeam/RulesTest.java
@@ -1,7 +1,10 @@
 package copperbeam;
 
 import static copperbeam.Bench.*;
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import copperbeam.Api.*;
 import java.util.ArrayList;
--- a/src/test/java/copperbeam/program/DutyActorTest.java
+++ b/src/test/java/copperbeam/program/DutyActorTest.java
@@ -113,7 +113,8 @@
                     clock,
                     Decoder.settings(Json.GSON.fromJson(
                             "{\"balancers\":1,"
-                                    + "\"kinds\":[\"d\"],\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"safe\"}],\"limits\":{\"send_cap\":4},"
+                                    + "\"kinds\":[\"d\"],\"services\":[{\"name\":\"ask\",\"promise_s\":1,\"semantics\":\"safe\"}],"
+                                    + "\"limits\":{\"send_cap\":4},"
                                     + "\"rules\":{},\"extra\":{}}",
                             Map.class)),
                     1,
--- a/src/test/java/copperbeam/simhost/SimHostTest.java
+++ b/src/test/java/copperbeam/simhost/SimHostTest.java
@@ -1,6 +1,7 @@
 package copperbeam.simhost;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -122,6 +122,7 @@
     }
 
     /** A repeat of a keyed class is not written once its window is over, though it was ordered within it. */
+    @SuppressWarnings("try") // two connections only fill the queue of the server
     @Test
     public void aKeyedRepeatIsNotWrittenAfterItsWindow() throws Exception {
         int windowMs = 1500;
@@ -139,8 +140,8 @@
             StandIn late = new StandIn(Site::write, 1);
             site.readers.add(reader);
             site.writers.addAll(List.of(fails, late));
-            try (Line one = new Line(late.address());
-                    Line two = new Line(late.address());
+            try (Line firstInQueue = new Line(late.address());
+                    Line secondInQueue = new Line(late.address());
                     Line client = site.client()) {
                 list(site, Site.entry(reader, "prefill", "active") + "," + Site.entry(fails, "decode", "active"), 2);
                 client.send(Site.request("ask", CLIENT_MS));
--- a/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
+++ b/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
@@ -10,6 +10,7 @@
 import copperbeam.routing.MembershipSource.Entry;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.PlainHttpClient;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -84,7 +85,7 @@
         }
 
         @Override
-        public void close() throws Exception {
+        public void close() throws IOException {
             watch.stop();
             logger.removeHandler(handler);
             turns.shutdownNow();
--- a/src/test/java/copperbeam/sockets/EventProbe.java
+++ b/src/test/java/copperbeam/sockets/EventProbe.java
@@ -217,6 +217,7 @@
                         }
                     }
                 });
+            default -> throw new AssertionError(row);
         }
     }
 
--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -22,6 +22,7 @@
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ServerConnector;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -114,7 +115,7 @@
         }
 
         @Override
-        public void close() throws Exception {
+        public void close() throws IOException {
             turns.shutdownNow();
             reactor.close();
             reader.close();
--- a/src/test/java/copperbeam/sockets/OperatorsTest.java
+++ b/src/test/java/copperbeam/sockets/OperatorsTest.java
@@ -22,7 +22,7 @@
 public class OperatorsTest {
     static String call(java.net.InetSocketAddress door, String line) {
         try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
-            socket.setSoTimeout((int) Line.PATIENCE_MS);
+            socket.setSoTimeout(Line.PATIENCE_MS);
             for (byte b : (line + "\n").getBytes(StandardCharsets.US_ASCII)) {
                 socket.getOutputStream().write(b); // cut at each byte
             }
--- a/src/test/java/copperbeam/sockets/ReloadTest.java
+++ b/src/test/java/copperbeam/sockets/ReloadTest.java
@@ -26,6 +26,7 @@
     }
 
     /** Guards against the JVM's end on SIGHUP, and against a list that goes on coming from the old address. */
+    @SuppressWarnings("try") // the first address is closed in the middle
     @Test
     public void aHangupMovesDiscoveryAndDisturbsNothing() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
--- a/src/test/java/copperbeam/sockets/Site.java
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -7,6 +7,7 @@
 import copperbeam.protocol.openai.ChatModels;
 import copperbeam.routing.RequestHook;
 import copperbeam.simhost.Decoder;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -254,7 +255,7 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         if (!closed) {
             closed = true;
             node.close();
--- a/src/test/java/copperbeam/sockets/UpgradeTest.java
+++ b/src/test/java/copperbeam/sockets/UpgradeTest.java
@@ -187,7 +187,7 @@
         }
 
         @Override
-        public void close() throws Exception {
+        public void close() throws IOException {
             told.countDown();
             held.countDown();
             all.forEach(Conductor::close);
--- a/src/test/java/copperbeam/transport/AcceptorTest.java
+++ b/src/test/java/copperbeam/transport/AcceptorTest.java
@@ -12,6 +12,7 @@
     private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
 
     /** A connection is there that nobody takes, as the reactor has ended: two hundred such threads took a whole core. */
+    @SuppressWarnings("try") // the connection only waits to be accepted
     @Test
     public void itsThreadEndsThoughNobodyTakesWhatIsThere() throws Exception {
         CountDownLatch asked = new CountDownLatch(2);
