A request gets its final answer also where a plug-in hangs or a turn of the module fails

Cause: HookActor handed requests on from the hooks' one thread, so that one hook that hangs, or throws an Error, left its request and all behind it without an answer. ModuleActor.feed gave up all actions behind one that threw, and what its caller does next (Proceed for a stream, forget); an attempt at a server without a peer left its request out for good, so that its id stayed taken and a stop waited for it.

Change: each action is tried by itself and feed never throws. ModuleActor looks each 100 ms for requests that are open 150 ms past their deadline, fails them and tells the module that they have ended. HookActor answers by a timer on the actors' thread at the deadline; whoever answers or hands on claims the request first. Errors of hooks are passed over as exceptions are.

--- a/src/main/java/copperbeam/plugins/WasmHook.java
+++ b/src/main/java/copperbeam/plugins/WasmHook.java
@@ -108,7 +108,7 @@
                 throw new IllegalStateException("it names class " + (verdict - 1) + ", which there is not");
             }
             return verdict == 0 ? Verdict.PASS : new Verdict(null, classes.get(verdict - 1));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             instance = null; // its memory may be half changed
             throw e;
         }
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -138,7 +138,7 @@
         Intake intake = rests;
         if (!config.operator().hooks().isEmpty()) {
             hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
-            intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), rests);
+            intake = new HookActor(hookTurns, turns, clock, config.operator().hooks(), config.settings(), rests);
         }
         HttpFrontServer.TurnedAway turnedAway = (requestClass, status) ->
                 metrics.turnedAway(requestClass, status == 503 ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -38,6 +39,7 @@
                     HandOver,
                     Cut,
                     Census,
+                    Sweep,
                     Beside {}
 
     /** {@code acted} runs once the module has it; may be null. */
@@ -94,6 +96,9 @@
 
     private record Pinned(long request, int attempts) implements Message {}
 
+    /** Looks for requests that are open beyond their deadline. */
+    private record Sweep() implements Message {}
+
     private enum Phase {
         OPEN,
         STREAMING,
@@ -129,6 +134,9 @@
     private static final double LET_GO_SHARE = 0.5; // of the time in which what is held must be taken or let go
     private static final double CONNECT_SHARE = 0.6; // the same, until a connection for an attempt must be up
     private static final Duration LATE = Duration.ofMillis(100); // an answer's grace after its request's time
+    // after its deadline a request is failed here, as the module has not answered it; and how often that is looked at
+    private static final Duration OVERDUE = Duration.ofMillis(150);
+    private static final Duration SWEEP_INTERVAL = Duration.ofMillis(100);
 
     private final Clock clock;
     private final Brain brain;
@@ -144,6 +152,7 @@
     private Map<String, PeerActor> peers = Map.of();
     private long keys;
     private boolean takesNoMore;
+    private boolean sweeping; // the next sweep is scheduled
     private Runnable idle;
 
     public ModuleActor(
@@ -196,6 +205,8 @@
         } else if (m instanceof Census) {
             metrics.cluster(new Metrics.Cluster(peers.size(), brain.avoided()));
             tellLater(CENSUS, m);
+        } else if (m instanceof Sweep) {
+            sweep();
         }
         if (idle != null && requests.isEmpty()) {
             idle.run();
@@ -213,15 +224,62 @@
         tellFirst(new Left(answer)); // behind a crowd's requests it would come after attempts that it forbids
     }
 
+    /**
+     * Never throws: one failed action must not lose the final answers behind it, nor what its caller does next. What a
+     * request misses by it is made good by {@link #sweep}.
+     */
     private void feed(Api.Event event) {
-        for (Api.Action action : brain.on(ModuleTime.seconds(clock.instant()), event)) {
-            act(action);
+        try {
+            for (Api.Action action : brain.on(ModuleTime.seconds(clock.instant()), event)) {
+                tryAction(action);
+            }
+        } catch (RuntimeException | Error e) {
+            LOG.log(Level.SEVERE, "the module failed on " + event, e);
         }
         // not before all actions are done: a release may follow the final answer of the same request
         closing.forEach(this::forget);
         closing.clear();
     }
 
+    private void tryAction(Api.Action action) {
+        try {
+            act(action);
+        } catch (RuntimeException | Error e) {
+            LOG.log(Level.SEVERE, "an action failed: " + action, e);
+        }
+    }
+
+    /** Guards against requests that would never get a final answer, as the module failed on them or lost count of them. */
+    private void sweep() {
+        Instant due = clock.instant().minus(OVERDUE);
+        requests.values().stream()
+                .filter(r -> r.phase == Phase.OPEN && r.ask.deadline().isBefore(due))
+                .toList()
+                .forEach(this::overdue);
+        sweeping = false;
+        scheduleSweep();
+    }
+
+    private void scheduleSweep() {
+        if (!sweeping && !requests.isEmpty()) {
+            sweeping = true;
+            tellFirstLater(SWEEP_INTERVAL, new Sweep());
+        }
+    }
+
+    private void overdue(Request r) {
+        LOG.warning("no final answer by its deadline: " + r.ask.id());
+        note(Recorder.What.RULE, r, null, "no final answer by its deadline", null);
+        over(r, Metrics.End.ERRORED);
+        try {
+            r.answer.fail(Answer.Failure.TOO_LATE);
+        } catch (RuntimeException | Error e) {
+            LOG.log(Level.SEVERE, "an answer failed: " + r.ask.id(), e);
+        }
+        feed(new Api.ClientLeft(r.key)); // the module calls off what is out, and lets go of what is held
+        forget(r);
+    }
+
     // ---- what happens --------------------------------------------------------------------------
 
     private void listed(Listed e) {
@@ -258,6 +316,7 @@
         Request r = new Request(++keys, e.ask(), e.answer());
         requests.put(r.key, r);
         byAnswer.put(r.answer, r);
+        scheduleSweep();
         Ask a = r.ask;
         if (recorder != Recorder.NONE) {
             note(
@@ -456,6 +515,7 @@
         Request r = requests.get(a.request());
         PeerActor peer = peers.get(a.server());
         if (r == null
+                || peer == null
                 || r.phase != Phase.OPEN
                 || r.out
                 || r.attempts >= settings.limits().maxAttempts()) {
@@ -510,8 +570,8 @@
                 note(Recorder.What.RULE, r, null, "a final answer after its time", null);
             }
             over(r, what == Recorder.What.REFUSED ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
+            closing.add(r); // first, as the answer may fail
             answer.accept(r);
-            closing.add(r);
         }
     }
 
--- /dev/null
+++ b/src/test/java/copperbeam/routing/FinalAnswerTest.java
@@ -0,0 +1,131 @@
+package copperbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.Api;
+import copperbeam.protocol.Json;
+import copperbeam.simhost.Decoder;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Each request gets one final answer by its time, also where a turn of the module's actor fails on it. */
+public class FinalAnswerTest {
+    private static final String SETTINGS = """
+            {"balancers":1,"kinds":["one"],"services":[{"name":"ask","promise_s":1.5,"semantics":"safe","worth":3}],
+             "limits":{"send_cap":4,"cancel":true,"probing":false,"retry_after":true,"max_retry_after_s":2,
+                       "conn_idle_s":30,"connect_timeout_s":0.25},
+             "rules":{"cold_from":0.28,"warm_within_s":13,"fall_multiple":3,"fall_s":2},
+             "report":{"via":"on_probe"}}
+            """;
+    private static final Duration TIME = Duration.ofMillis(300);
+    private static final Duration SLACK = Duration.ofMillis(500); // later is as good as never
+
+    /** Notes how it was ended, and fails as it is told where that is asked for. */
+    private static final class Client implements Answer {
+        final LinkedBlockingQueue<String> ends = new LinkedBlockingQueue<>();
+        final boolean fails;
+
+        Client(boolean fails) {
+            this.fails = fails;
+        }
+
+        private void end(String how) {
+            ends.add(how);
+            if (fails) {
+                throw new IllegalStateException("its connection is broken");
+            }
+        }
+
+        @Override
+        public void begin() {}
+
+        @Override
+        public boolean event(byte[] raw, Runnable drained) {
+            return true;
+        }
+
+        @Override
+        public void end() {
+            end("end");
+        }
+
+        @Override
+        public void broken() {
+            end("broken");
+        }
+
+        @Override
+        public void refuse(Duration retryAfter, boolean tried) {
+            end("refused");
+        }
+
+        @Override
+        public void fail(Failure why) {
+            end(why.name());
+        }
+    }
+
+    private final Clock clock = Clock.systemUTC();
+    private ScheduledThreadPoolExecutor turns;
+    private ModuleActor module;
+
+    @BeforeMethod
+    @SuppressWarnings("unchecked")
+    public void begin() throws Exception {
+        turns = new ScheduledThreadPoolExecutor(1);
+        Api.Settings settings = Decoder.settings((Map<String, Object>) Json.GSON.fromJson(SETTINGS, Map.class));
+        ReleaseActor releases = new ReleaseActor(turns, clock, Duration.ofMinutes(1));
+        module = new ModuleActor(turns, clock, settings, 7, releases, Recorder.NONE, new Metrics(List.of("ask")));
+    }
+
+    @AfterMethod
+    public void end() {
+        turns.shutdownNow();
+    }
+
+    private Ask ask(String id, Duration time) {
+        return new Ask(id, "ask", "k", null, 40, 0, 9, clock.instant().plus(time), false, null);
+    }
+
+    private void listed(Map<String, PeerActor> peers) {
+        Api.Member member = new Api.Member("s", "z", "one", 0, Api.ServerState.READY, 1, 0);
+        module.tell(new ModuleActor.Listed(Api.ListKind.FULL, List.of(member), peers, null));
+    }
+
+    /** The module's attempt fails in the actor, and nothing ever comes of it. */
+    @Test
+    public void aRequestWhoseAttemptFailsHereIsAnsweredByItsTime() throws Exception {
+        listed(Map.of()); // the module knows a server for which there is no peer
+        Client client = new Client(false);
+        module.arrive(ask("a", TIME), client);
+        assertTrue(client.ends.poll(TIME.plus(SLACK).toMillis(), TimeUnit.MILLISECONDS) != null, "no answer");
+        CountDownLatch idle = new CountDownLatch(1);
+        module.tell(new ModuleActor.Drain(idle::countDown));
+        assertTrue(idle.await(1, TimeUnit.SECONDS), "it is still open");
+        assertEquals(client.ends.size(), 0, "a second answer");
+    }
+
+    /** The request is over all the same, and those behind it get theirs. */
+    @Test
+    public void anAnswerThatFailsLosesNoOther() throws Exception {
+        Client broken = new Client(true);
+        Client next = new Client(false);
+        module.arrive(ask("a", Duration.ZERO), broken);
+        module.arrive(ask("a", Duration.ZERO), next); // its id is free again
+        assertEquals(broken.ends.poll(1, TimeUnit.SECONDS), "refused");
+        assertEquals(next.ends.poll(1, TimeUnit.SECONDS), "refused");
+        CountDownLatch idle = new CountDownLatch(1);
+        module.tell(new ModuleActor.Drain(idle::countDown));
+        assertTrue(idle.await(1, TimeUnit.SECONDS), "it is still open");
+    }
+}
--- a/src/test/java/copperbeam/sockets/PluginTest.java
+++ b/src/test/java/copperbeam/sockets/PluginTest.java
@@ -2,14 +2,18 @@
 
 import static copperbeam.sockets.Site.request;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import copperbeam.plugins.WasmHook;
+import copperbeam.routing.Ask;
+import copperbeam.routing.RequestHook;
 import java.io.ByteArrayOutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -68,6 +72,62 @@
         }
     }
 
+    /** Each request gets its final answer by its time: the one in the hook that hangs, and those behind it. */
+    @Test
+    public void aHookThatHangsLeavesNoRequestWithoutItsAnswer() throws Exception {
+        CountDownLatch open = new CountDownLatch(1);
+        RequestHook hangs = hook(ask -> {
+            open.await();
+            return RequestHook.Verdict.PASS;
+        });
+        try (Site site = new Site(1, 1, 30, null, List.of(hangs));
+                Line first = site.client();
+                Line second = site.client();
+                Line chat = site.chatClient()) {
+            long from = System.nanoTime();
+            first.send(request("ask", 500));
+            second.send(request("send", 500));
+            chat.send(Site.chat("m-ask", true, "")); // whose time is 2 s
+            assertEquals(first.read().status(), 504);
+            assertEquals(second.read().status(), 504);
+            assertTrue(System.nanoTime() - from < 1_000_000_000L);
+            assertEquals(chat.read().status(), 504);
+            assertTrue(System.nanoTime() - from < 2_500_000_000L);
+            open.countDown();
+            assertEquals(first.send(request("ask", 5000)).read().status(), 200);
+            assertEquals(site.attempts(site.readers), 1); // nothing of those that were answered
+        }
+    }
+
+    @Test
+    public void aHookThatFailsWithAnErrorIsPassedOver() throws Exception {
+        RequestHook fails = hook(ask -> {
+            throw new StackOverflowError();
+        });
+        try (Site site = new Site(1, 1, 30, null, List.of(fails));
+                Line client = site.client()) {
+            assertEquals(client.send(request("ask", 5000)).read().status(), 200);
+        }
+    }
+
+    private interface Decision {
+        RequestHook.Verdict on(Ask ask) throws Exception;
+    }
+
+    private static RequestHook hook(Decision decision) {
+        return new RequestHook() {
+            @Override
+            public String name() {
+                return "test";
+            }
+
+            @Override
+            public Verdict onRequest(Ask ask) throws Exception {
+                return decision.on(ask);
+            }
+        };
+    }
+
     @Test
     public void aModuleThatWantsTooMuchDoesNotLoad() {
         expectThrows(IllegalArgumentException.class, () -> hook(module(constant(0), 17)));
