--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -138,7 +138,8 @@
         Intake intake = resumedStreams;
         if (!config.operator().hooks().isEmpty()) {
             hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
-            intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), resumedStreams);
+            intake = new HookActor(
+                    hookTurns, turns, clock, config.operator().hooks(), config.settings(), resumedStreams);
         }
         HttpFrontServer.TurnedAway turnedAway = (requestClass, status) ->
                 metrics.turnedAway(requestClass, status == 503 ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
@@ -168,9 +169,7 @@
             module.tell(new ModuleActor.Census());
             handover.begin(lifecycle);
             door = new AdminServer(
-                    config.control(),
-                    clock,
-                    new Desk(metrics, this::serves, handover, bans, handover.thread()));
+                    config.control(), clock, new Desk(metrics, this::serves, handover, bans, handover.thread()));
         }
         WarmUp.start(config.settings(), client, later ? null : address, () -> {
             warm.countDown();
