Servers: an answer before the request's last byte ends the sending, or is no answer

Cause: what came before the last byte of a request had left was taken for its answer whatever connection it came on, and the rest of the request still left afterwards. (1) On a kept connection a late second answer to the call before, read while the next call's last byte was held, was passed on as the answer to the next call. (2) An early refusal (503, X-Not-Processed) settled the attempt as never run, and its last byte, in HttpCore's buffer or let go with that turn, left with the next turn of output: an attempt that begins after its end.

Change: on a connection that has carried a call, an answer before the last byte ends the connection and the call has not run, so that it is tried on a new one. On a new connection the answer counts, nothing more is written, and the reactor itself closes the connection as the answer ends. The played system of the test refuses writes after a close now, as a socket does.

Seen failing on: LastByteTest.theByteStaysBehindAnAnswer (the last byte left, 'expected [false] but found [true]') and aLateSecondAnswerIsNoAnswerToTheNextCall ('whole' and 'sent' in place of 'has not run').

--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.RequestNotExecutedException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
@@ -38,6 +39,8 @@
     private volatile boolean written; // the last byte is HttpCore's, that may still have it
     private boolean left; // and the system has it
     private BooleanSupplier buffered = () -> false;
+    private boolean reusedConnection;
+    private boolean answeredEarly; // its answer began before its last byte had left
     private final AtomicInteger held = new AtomicInteger(); // taken in and not granted again
     private volatile boolean over;
     private boolean whole;
@@ -80,9 +83,18 @@
     /** The system took all but the last byte. */
     void held() {}
 
-    /** {@code buffered}: of what was written on the connection the system has not taken the end. */
-    final void on(BooleanSupplier buffered) {
+    /**
+     * {@code buffered}: of what was written on the connection the system has not taken the end. {@code reused}: the
+     * connection has carried a call before.
+     */
+    final void on(BooleanSupplier buffered, boolean reused) {
         this.buffered = buffered;
+        reusedConnection = reused;
+    }
+
+    /** Nothing more of the request may leave: its outcome is settled by the answer that came before its last byte. */
+    final boolean answeredEarly() {
+        return answeredEarly;
     }
 
     /** The byte that was held back is the next to be handed to the system. */
@@ -198,6 +210,13 @@
     @Override
     public final void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
             throws HttpException {
+        if (body != null && (!written || buffered.getAsBoolean())) {
+            if (reusedConnection) {
+                // no server can have begun this request: what comes belongs to the call before, such as a second answer
+                throw new ProtocolException("an answer to an earlier call");
+            }
+            answeredEarly = true;
+        }
         Header connection = response.getFirstHeader("Connection");
         closing = connection != null && connection.getValue().equalsIgnoreCase("close");
         head(response);
@@ -243,8 +262,7 @@
     /** After the last byte at hand was read; {@code open}: the connection lives on. */
     final void settle(boolean open) {
         if (whole) {
-            // an answer that came before the request was out leaves the rest of it on the connection
-            whole(open && !closing && written);
+            whole(open && !closing && !answeredEarly);
         }
     }
 
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.WritableByteChannel;
 import java.time.Duration;
 import java.time.Instant;
@@ -150,6 +151,7 @@
         private Instant headSince;
         private Timeout usual;
         private boolean down;
+        private boolean used; // by an earlier call
 
         Handler(Duplexer duplexer, BoundedParser<HttpResponse> parser, ProtocolIOSession session, Life life) {
             super(duplexer);
@@ -160,7 +162,8 @@
         }
 
         void begin(ClientExchange next) {
-            next.on(duplexer::buffered);
+            next.on(duplexer::buffered, used);
+            used = true;
             exchange = next;
         }
 
@@ -201,6 +204,10 @@
                     return;
                 }
             }
+            if (current != null && current.answeredEarly()) {
+                open.clearEvent(SelectionKey.OP_WRITE);
+                return;
+            }
             try {
                 super.outputReady(open);
                 ClientExchange last = exchange;
@@ -266,6 +273,11 @@
             ClientExchange last = exchange;
             if (last != null && last.ended()) {
                 exchange = null;
+                if (last.answeredEarly()) {
+                    session.close(
+                            CloseMode.IMMEDIATE); // here, as the rest of the request would leave with the next turn
+                    open = false;
+                }
                 last.settle(open && !duplexer.turn.spent());
             }
             if (!open && !down) {
--- a/src/test/java/copperbeam/transport/LastByteTest.java
+++ b/src/test/java/copperbeam/transport/LastByteTest.java
@@ -39,6 +39,7 @@
         boolean reset; // known to the system alone
         boolean ended;
         boolean open = true;
+        String answer = ""; // unread yet
 
         System() throws IOException {
             handler = ClientReactor.handler(session, new ClientReactor.Life() {
@@ -53,7 +54,7 @@
 
         private Object call(String name, Object[] args) throws IOException {
             return switch (name) {
-                case "read" -> read();
+                case "read" -> read((ByteBuffer) args[0]);
                 case "write" -> write((ByteBuffer) args[0]);
                 case "getLock" -> lock;
                 case "getHandler" -> handler;
@@ -67,16 +68,22 @@
             };
         }
 
-        private int read() throws IOException {
+        private int read(ByteBuffer to) throws IOException {
             if (reset) {
                 throw new IOException("reset");
             }
+            if (!answer.isEmpty()) {
+                to.put(answer.getBytes(StandardCharsets.US_ASCII));
+                int count = answer.length();
+                answer = "";
+                return count;
+            }
             return ended ? -1 : 0;
         }
 
         private int write(ByteBuffer from) throws IOException {
-            if (reset) {
-                throw new IOException("reset");
+            if (reset || !open) {
+                throw new IOException(open ? "reset" : "closed");
             }
             byte[] bytes = new byte[Math.min(room, from.remaining())];
             from.get(bytes);
@@ -246,4 +253,56 @@
             assertFalse(system.taken.toString().endsWith(BODY));
         }
     }
+
+    private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: ";
+
+    /** The outcome is settled by then: a last byte that followed would begin what counts as not begun. */
+    @Test
+    public void theByteStaysBehindAnAnswer() throws Exception {
+        for (String answer : List.of("0\r\n\r\n", "2\r\n\r\nno", "2\r\n\r\n")) {
+            for (boolean input : new boolean[] {false, true}) {
+                for (int at = 0; at < 3; at++) {
+                    System system = new System();
+                    system.room = at == 0 ? 0 : Integer.MAX_VALUE;
+                    Exchange exchange = at == 2 ? untilItGoes(system) : begin(system, at == 1);
+                    if (at == 1) {
+                        system.turn(false);
+                        exchange.let();
+                    }
+                    exchange.told.clear();
+                    system.answer = REFUSAL + answer;
+                    system.room = Integer.MAX_VALUE;
+                    system.turn(input || at < 2);
+                    for (int i = 0; i < 4 && system.open; i++) {
+                        system.turn(false);
+                    }
+                    assertFalse(system.taken.toString().endsWith(BODY), answer + at);
+                    boolean whole = !answer.endsWith("\n") || answer.startsWith("0");
+                    assertEquals(exchange.told, whole ? List.of("whole") : List.of());
+                    assertEquals(system.open, !whole);
+                }
+            }
+        }
+    }
+
+    /** On a connection that has carried a call, what comes before the last byte left is a second answer to that call. */
+    @Test
+    public void aLateSecondAnswerIsNoAnswerToTheNextCall() throws Exception {
+        for (int at = 0; at < 2; at++) {
+            System system = new System();
+            untilItGoes(system);
+            system.turn(false);
+            system.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+            system.turn(true);
+            assertTrue(system.open);
+            system.taken.setLength(0);
+            Exchange next = at == 0 ? begin(system, true) : untilItGoes(system);
+            next.told.clear();
+            system.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+            system.turn(true);
+            assertEquals(next.told, List.of("has not run"));
+            assertFalse(system.open);
+            assertFalse(system.taken.toString().endsWith(BODY));
+        }
+    }
 }
