The module begins no attempt once its request's time is up

Cause: the deadline was the business of its own timer alone. A word that came before that timer's (an outcome goes ahead of a crowd's messages, the timer's word does not; or all are due at once after a stall of the process) made the module send once more, with 1 ms as the time left.

Change: Brain.advance looks at the time before each attempt, not at the arrival alone.

Seen failing without it: BrainTest.nothingMoreIsSentOnceTheTimeIsUp on (an attempt 2 s after the deadline).

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -271,9 +271,8 @@
         classTokens.computeIfAbsent(a.requestClass(), c -> new Mean(LEARN)).add(a.promptTokens());
         timer(a.deadline() - now - ANSWER_MARGIN_S, 'd', r, 0);
         boolean droppable = mayRefuse(r) && (overShare(a.customer()) || droppable(r.kind));
-        boolean late = a.deadline() - now <= ANSWER_MARGIN_S; // no attempt could be answered in time
-        if (late || droppable && random.nextDouble() < refusalChance(saturation())) {
-            close(r, late ? Why.NO_TIME : Why.DOOR);
+        if (droppable && random.nextDouble() < refusalChance(saturation())) {
+            close(r, Why.DOOR);
             return;
         }
         advance(r);
@@ -413,8 +412,9 @@
         boolean noTaker = lastSend && !r.holdsState && !settings.writersRead()
                 && writers.stream().noneMatch(s -> s.role == Role.MIXED);
         boolean ran = r.ranAt != null && (r.kind.effect() == Effect.UNSAFE || windowOver(r));
-        if (ran || r.sends >= most || noTaker) {
-            close(r, ran ? Why.RAN : Why.NO_ATTEMPT_LEFT);
+        boolean over = r.asked.deadline() - now <= ANSWER_MARGIN_S; // no attempt could be answered in time
+        if (over || ran || r.sends >= most || noTaker) {
+            close(r, over ? Why.NO_TIME : ran ? Why.RAN : Why.NO_ATTEMPT_LEFT);
             return;
         }
         if (r.options == null) {
@@ -661,8 +661,8 @@
             s.restUntil = now + s.rest;
         }
         boolean redo = (reading || harmless(r.kind)) && r.sends < settings.limits().maxAttempts();
-        double left = r.asked.deadline() - ANSWER_MARGIN_S - now;
-        double until = now + Math.max(left, 0.001);
+        double until = r.asked.deadline() - ANSWER_MARGIN_S;
+        double left = until - now;
         if (redo) {
             if (!settings.limits().cancel()) {
                 double cut = now + Math.max(left * ATTEMPT_SHARE, Math.min(left, patience(t)));
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -43,6 +43,19 @@
                         .size());
     }
 
+    /** A word that comes late, as behind a stall of the process or a crowd's messages, before the deadline's own timer. */
+    @Test
+    void nothingMoreIsSentOnceTheTimeIsUp() {
+        Bench b = new Bench(usual(LOW, TOP), 7);
+        b.at(100, fleet());
+        Attempt read = of(Attempt.class, b.arrive(100, 1, TOP, 1)).get(0);
+        List<Action> actions = b.end(110, 1, 0, read.server(), Outcome.READ); // its deadline was 108
+        assertEquals(0, of(Attempt.class, actions).size());
+        assertEquals(
+                1, of(Refuse.class, actions).size() + of(Fail.class, actions).size());
+        assertEquals(1, of(Release.class, actions).size());
+    }
+
     // ---- the mechanism -------------------------------------------------------------------------
 
     @Test
