A cut reads what its stream's server has sent before it closes

Cause: the peer closed the connection on the word of the cut, whatever stood unread in the system's buffer: a stream that its server had ended by then was broken, and its client asked for the rest of what was whole.

Change: PeerActor.Cut beside Stop: the transport reads what is there (Connection.readOut, on the reactor's own turn) and the stop follows what that told.

Seen failing without it: AttemptTimeTest.whatHasComeIsReadBeforeACut with readOut at once; CutTest, row 'unread cut', with Stop in place of Cut.

--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -34,6 +34,9 @@
         /** The server has sent all that it may, as what it sent has not been taken. */
         boolean heldBack();
 
+        /** Runs {@code read} once what the server has sent by now was read and told, as far as the window goes. */
+        void readOut(Runnable read);
+
         void close();
 
         /** The same, and what the system still has of the call does not leave. */
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -515,10 +515,10 @@
         }
     }
 
-    /** The peer has the last word: a stream whose end it has by then is passed on whole. */
+    /** The peer has the last word: a stream whose end is there by then, read or not, is passed on whole. */
     private void transfer(Request r) {
         if (r != null && r.phase == Phase.STREAMING) {
-            r.at.tell(new PeerActor.Stop(r.key, r.attempts - 1));
+            r.at.tell(new PeerActor.Cut(r.key, r.attempts - 1));
         }
     }
 
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -24,6 +24,7 @@
                     Room,
                     Send,
                     Stop,
+                    Cut,
                     Proceed,
                     Probe,
                     Release,
@@ -72,6 +73,9 @@
     /** Closes the connection of an attempt, whatever it does. */
     public record Stop(long request, int number) implements Message {}
 
+    /** The same for a stream, once all that its server has sent by now was passed on: its end may be among it. */
+    public record Cut(long request, int number) implements Message {}
+
     /** The module's side has taken the first event. */
     public record Proceed(long request, int number) implements Message {}
 
@@ -166,6 +170,11 @@
             if (work != null) {
                 finish(work, Outcome.CANCELLED);
             }
+        } else if (m instanceof Cut e) {
+            Work work = out(e.request(), e.number());
+            if (work != null && work.connection != null) {
+                work.connection.readOut(() -> tell(new Stop(e.request(), e.number())));
+            }
         } else if (m instanceof Proceed e) {
             Work work = out(e.request(), e.number());
             if (work != null) {
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -4,9 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.WritableByteChannel;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
@@ -53,6 +55,7 @@
 
     private static final int MOST_CHUNK = 1 << 20;
     private static final int MOST_A_TURN = 64 * 1024; // bytes read from one connection; a window
+    private static final int MOST_TURNS_READ_OUT = 16;
     private static final Duration HEAD_TIME = Duration.ofMillis(800); // servers write a head in one piece
     private static final Http1Config CONFIG = Http1Config.custom()
             .setBufferSize(4096)
@@ -147,6 +150,7 @@
         private final ProtocolIOSession session;
         private final Life life;
         private volatile ClientExchange exchange;
+        private final AtomicReference<Runnable> readOut = new AtomicReference<>();
         private Instant headSince;
         private Timeout usual;
         private boolean down;
@@ -164,6 +168,34 @@
             exchange = next;
         }
 
+        /** From any thread. */
+        void readOut(Runnable then) {
+            readOut.set(then);
+            session.setEvent(SelectionKey.OP_WRITE); // whose turn comes after that of what can be read
+            if (!session.isOpen()) {
+                hasReadOut();
+            }
+        }
+
+        private void hasReadOut() {
+            Runnable then = readOut.getAndSet(null);
+            if (then != null) {
+                then.run();
+            }
+        }
+
+        private void readAll(IOSession open) throws IOException {
+            long before = -1;
+            for (int turn = 0; turn < MOST_TURNS_READ_OUT && open.isOpen() && before != received(); turn++) {
+                before = received();
+                inputReady(open, null);
+            }
+        }
+
+        private long received() {
+            return duplexer.getEndpointDetails().getReceivedBytesCount();
+        }
+
         @Override
         public void inputReady(IOSession open, ByteBuffer bytes) throws IOException {
             duplexer.turn.begin();
@@ -186,6 +218,13 @@
 
         @Override
         public void outputReady(IOSession open) throws IOException {
+            if (readOut.get() != null) {
+                try {
+                    readAll(open);
+                } finally {
+                    hasReadOut();
+                }
+            }
             ClientExchange current = exchange;
             if (current != null && current.unwanted()) {
                 exception(open, new IOException("nobody waits for this call any more"));
@@ -271,6 +310,7 @@
             if (!open && !down) {
                 down = true;
                 life.down();
+                hasReadOut();
             }
         }
     }
@@ -318,6 +358,11 @@
         session.enqueue(new RequestExecutionCommand(exchange, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
+    /** Runs {@code then} once what has come on this connection by now was read, or the connection has closed. */
+    static void readOut(IOSession session, Runnable then) {
+        ((Handler) session.getHandler()).readOut(then);
+    }
+
     @Override
     public void close() throws IOException {
         reactor.close(CloseMode.IMMEDIATE);
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -102,6 +102,11 @@
             return current != null && current.windowUsed();
         }
 
+        @Override
+        public void readOut(Runnable read) {
+            ClientReactor.readOut(session, read);
+        }
+
         @Override
         public void close() {
             session.close(CloseMode.GRACEFUL);
--- a/src/test/java/copperbeam/routing/CutTest.java
+++ b/src/test/java/copperbeam/routing/CutTest.java
@@ -26,6 +26,7 @@
             {"event cut", "begin 1 2 broken"},
             {"cut break", "begin 1 broken"},
             {"cut", "begin 1 broken"},
+            {"unread cut", "begin 1 2 end"},
             {"crowd end", "begin 1 end crowd"},
             {"crowd event break", "begin 1 2 broken crowd"},
         };
@@ -57,6 +58,13 @@
             Connector.Connection connection = (Connector.Connection) Proxy.newProxyInstance(
                     getClass().getClassLoader(), new Class<?>[] {Connector.Connection.class}, (proxy, method, args) -> {
                         listener[0] = method.getName().equals("call") ? (Connector.Listener) args[1] : listener[0];
+                        if (method.getName().equals("readOut")) {
+                            if (order.startsWith("unread")) {
+                                listener[0].event("2".getBytes(StandardCharsets.US_ASCII));
+                                listener[0].end(true, Double.NaN);
+                            }
+                            ((Runnable) args[0]).run();
+                        }
                         return method.getReturnType() == boolean.class
                                 ? method.getName().equals("isOpen")
                                 : null;
@@ -108,6 +116,7 @@
             turns.submit(() -> {
                         for (String step : order.split(" ")) {
                             switch (step) {
+                                case "unread" -> {}
                                 case "cut" -> module.tell(new ModuleActor.Cut());
                                 case "crowd" -> {
                                     for (int i = 0; i < 100; i++) {
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -359,6 +359,11 @@
                 return false;
             }
 
+            @Override
+            public void readOut(Runnable read) {
+                read.run();
+            }
+
             @Override
             public void close() {
                 open = false;
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -68,6 +68,11 @@
             return false;
         }
 
+        @Override
+        public void readOut(Runnable read) {
+            read.run();
+        }
+
         @Override
         public void close() {
             done += "close ";
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -121,6 +121,41 @@
         }
     }
 
+    /** The reactor is held as an answer ends and its connection is cut: what stands in the system's buffer is read first. */
+    @Test
+    public void whatHasComeIsReadBeforeACut() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch answer = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        AtomicReference<Duration> left = new AtomicReference<>(Duration.ofSeconds(5));
+        try (StandIn server = new StandIn((m, line) -> {
+                    asked.countDown();
+                    answer.await();
+                    Site.read(m, line);
+                    answered.countDown();
+                });
+                StandIn other = new StandIn(Site::read);
+                ClientReactor reactor = new ClientReactor()) {
+            ServerConnector connector = new ServerConnector(reactor);
+            Connector.Connection cut = up(connector, server.address());
+            Connector.Connection holds = up(connector, other.address());
+            CompletableFuture<Boolean> end = call(cut, left, () -> {});
+            asked.await();
+            call(holds, left, () -> {
+                held.countDown();
+                hold(go);
+            });
+            held.await();
+            answer.countDown();
+            answered.await();
+            cut.readOut(cut::close);
+            go.countDown();
+            assertTrue(end.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS), "its end was there");
+        }
+    }
+
     /** A repeat of a keyed class is not written once its window is over, though it was ordered within it. */
     @Test
     public void aKeyedRepeatIsNotWrittenAfterItsWindow() throws Exception {
--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -248,6 +248,11 @@
             return on.heldBack();
         }
 
+        @Override
+        public void readOut(Runnable read) {
+            on.readOut(read);
+        }
+
         @Override
         public void close() {
             on.close();
