Settings drawn from seeds: what the pages allow is taken, what can't be meant is named

Cause: no test drew whole configurations.

The rows of ConfigTest that had negative spans, a negative worth and a negative memory taken now want them refused by key, which is as strict: a bad configuration has to name its key, and no page gives such figures a meaning.

GeneratedSettings draws each field over its range and corners; 3,000 drawn and 3,000 spoilt ones pass.

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -3,6 +3,7 @@
 import copperbeam.Api.Kind;
 import copperbeam.Api.ListKind;
 import copperbeam.Api.RequestClass;
+import copperbeam.Api.Role;
 import copperbeam.Api.Settings;
 import copperbeam.membership.Backoff;
 import copperbeam.membership.WatchPlan;
@@ -22,6 +23,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,7 +55,10 @@
         Limits limits,
         Operator operator) {
 
-    private static final double LONGEST_S = 1e9; // twice as long is still a span in nanoseconds
+    private static final int MOST_MEMORY_MB = 1 << 20; // more changes nothing
+    private static final int LONGEST_NAME = 8 * 1024; // bytes of a class's name; half of the longest head
+    private static final Duration LEAST_DISCOVERY_WAIT =
+            Duration.ofMillis(100); // below the 200 ms after which a watch is new
 
     /** {@code chat} and its address may be null: then there is no such front. So may {@code etcd}. */
     public record Operator(
@@ -166,8 +171,8 @@
         }
         Section limits = file.section("limits");
         return new Limits(
-                limits.count("memory_mb", Limits.USUAL.memoryMb(), 16, 1 << 20),
-                Math.min(limits.count("sockets", Limits.USUAL.sockets(), 256, 1 << 20), descriptors()));
+                limits.atMostCount("memory_mb", Limits.USUAL.memoryMb(), 16, MOST_MEMORY_MB),
+                Math.min(limits.count("sockets", Limits.USUAL.sockets(), 256, Integer.MAX_VALUE), descriptors()));
     }
 
     /** What the system lets this process have. Guards against a limit in the file that is above the true one. */
@@ -194,20 +199,45 @@
         }
         raw.count("balancers", 1, 1, Integer.MAX_VALUE); // beyond it a number wraps round to a smaller one
         raw.section("limits").count("send_cap", 1, 1, Integer.MAX_VALUE);
+        raw.count("self_index", -1, Integer.MIN_VALUE, Integer.MAX_VALUE);
+        if (raw.has("discovery") && !Set.of("automatic", "subscribe").contains(raw.get("discovery"))) {
+            throw raw.invalid("discovery", "is neither automatic nor subscribe");
+        }
         if (settings.classes().isEmpty()) {
             throw raw.invalid("services", "names no class");
         }
         names(raw, settings);
         amounts(raw);
+        roles(raw, settings);
         return settings;
     }
 
+    /** Guards against kinds of servers that together can't serve any request. */
+    private static void roles(Section raw, Settings settings) throws Invalid {
+        Set<Role> roles = EnumSet.noneOf(Role.class);
+        settings.kinds().forEach(k -> roles.add(k.role()));
+        boolean all = roles.isEmpty() || roles.contains(Role.MIXED); // some can read and write
+        boolean alone = all || roles.contains(Role.WRITER) && settings.writersRead();
+        if (!alone && roles.size() < 2) {
+            throw raw.section("extra")
+                    .invalid(
+                            "role_by_kind",
+                            "names no kind that can " + (roles.contains(Role.READER) ? "write" : "read"));
+        }
+        if (!alone && settings.limits().maxAttempts() < 2) {
+            throw raw.section("limits").invalid("send_cap", "is 1, and each request needs a read and a write");
+        }
+    }
+
     /** Guards against a class that no header can name, and one that may be repeated and, by its namesake, may not. */
     private static void names(Section raw, Settings settings) throws Invalid {
         Map<String, RequestClass> classes = new LinkedHashMap<>();
         Map<String, Kind> kinds = new LinkedHashMap<>();
         for (RequestClass c : settings.classes()) {
             Section at = raw.sections("services").get(settings.classes().indexOf(c));
+            if (c.name().getBytes(StandardCharsets.UTF_8).length > LONGEST_NAME) {
+                throw at.invalid("name", "is longer than " + LONGEST_NAME + " bytes");
+            }
             if (c.name().isEmpty()
                     || c.name().chars().anyMatch(Character::isISOControl)
                     || c.name().startsWith(" ")
@@ -228,17 +258,30 @@
         }
     }
 
-    /** Guards against advice to come back in the past, and against spans that no clock can reckon with. */
+    /** Guards against figures that mean nothing below 0, and against spans that no clock can reckon with. */
     private static void amounts(Section raw) throws Invalid {
-        raw.section("limits").notNegative("max_retry_after_s");
+        for (Section service : raw.sections("services")) {
+            service.notNegative("promise_s", "give_up_s", "window_s", "worth");
+        }
         for (Section customer : raw.has("customers") ? raw.sections("customers") : List.<Section>of()) {
             customer.notNegative("quota_per_s");
         }
+        raw.section("limits").notNegative("max_retry_after_s");
+        if (raw.has("penalties")) {
+            raw.section("penalties").notNegative("probe");
+        }
         if (raw.has("rules")) {
-            raw.section("rules").atMost("ask_within_s", LONGEST_S);
+            Section rules = raw.section("rules");
+            rules.notNegative("cold_from", "warm_within_s", "fall_multiple", "fall_s", "drain_grace_s", "ask_within_s");
+            rules.atMost("cold_from", 1);
+            rules.atMost("ask_within_s", Section.LONGEST_S);
         }
         if (raw.has("extra")) {
-            raw.section("extra").atMost("release_s", LONGEST_S);
+            Section extra = raw.section("extra");
+            extra.notNegative("release_s");
+            extra.noneNegative("aim_us_per_1000_prompt_tokens");
+            extra.noneNegative("memory_tokens");
+            extra.atMost("release_s", Section.LONGEST_S);
         }
     }
 
@@ -259,6 +302,9 @@
         if (value == null) {
             return name.hashCode() ^ System.nanoTime();
         }
+        if (value instanceof Number n && n.doubleValue() != Math.rint(n.doubleValue())) {
+            throw file.invalid("seed", "is not a whole number");
+        }
         try {
             return value instanceof Number n ? n.longValue() : Long.parseUnsignedLong(value.toString(), 16);
         } catch (NumberFormatException e) {
@@ -382,10 +428,11 @@
      * Where an agent tells the list unasked, asking costs nothing.
      */
     Backoff discoveryBackoff() {
-        Duration soon = Duration.ofMillis(100); // below the 200 ms after which a watch is new
+        Duration soon = LEAST_DISCOVERY_WAIT;
         Duration first = settings.listMustBeAsked() ? soon.multipliedBy(5) : soon;
         double within = settings.rules().askWithinS();
-        Duration longest = within > 0 ? ModuleTime.span(within) : WatchPlan.TOLD;
+        // a shorter one is kept by no service: calls without a pause would only overrun it
+        Duration longest = within > 0 ? ModuleTime.span(Math.max(within, ModuleTime.seconds(soon))) : WatchPlan.TOLD;
         return new Backoff(first, settings.listMustBeAsked() ? longest : first, new SplittableRandom(seed));
     }
 
--- a/src/main/java/copperbeam/program/Section.java
+++ b/src/main/java/copperbeam/program/Section.java
@@ -16,6 +16,8 @@
 
 /** One object of a configuration file; what it throws names the key at fault by its whole path. */
 final class Section {
+    static final double LONGEST_S = 1e9; // twice as long is still a span in nanoseconds
+
     private final String path;
     private final Map<String, Object> values;
 
@@ -136,13 +138,22 @@
         }
     }
 
-    /** A span above 0, in seconds unless the key's name says otherwise. */
+    /** A span above 0, in seconds unless the key's name says otherwise. One that no clock can reckon with is the longest. */
     Duration span(String key, double absent) throws Config.Invalid {
         Object value = has(key) ? values.get(key) : Double.valueOf(absent);
-        if (!(value instanceof Number n) || !(n.doubleValue() > 0) || n.doubleValue() > 1e6) {
+        if (!(value instanceof Number n) || !(n.doubleValue() > 0)) {
             throw invalid(key, "is not a span of seconds above 0");
         }
-        return ModuleTime.span(n.doubleValue());
+        return ModuleTime.span(Math.min(n.doubleValue(), LONGEST_S));
+    }
+
+    /** A number of at least {@code least}; its fraction is left out, and what is above {@code most} counts as that. */
+    int atMostCount(String key, int absent, int least, int most) throws Config.Invalid {
+        Object value = has(key) ? values.get(key) : Integer.valueOf(absent);
+        if (!(value instanceof Number n) || !(n.doubleValue() >= least)) {
+            throw invalid(key, "is not a number from " + least + " on");
+        }
+        return (int) Math.min(n.doubleValue(), most);
     }
 
     int count(String key, int absent, int least, int most) throws Config.Invalid {
@@ -167,8 +178,26 @@
     }
 
     /** Of a number that may be left out. */
-    void notNegative(String key) throws Config.Invalid {
-        if (get(key) instanceof Number n && n.doubleValue() < 0) {
+    void notNegative(String... keys) throws Config.Invalid {
+        for (String key : keys) {
+            notNegative(key, values.get(key));
+        }
+    }
+
+    /** Of a list of numbers that may be left out. */
+    void noneNegative(String key) throws Config.Invalid {
+        if (get(key) instanceof List<?> list) {
+            for (int i = 0; i < list.size(); i++) {
+                notNegative(key + "[" + i + "]", list.get(i));
+            }
+        }
+    }
+
+    private void notNegative(String key, Object value) throws Config.Invalid {
+        if (value != null && !(value instanceof Number)) {
+            throw invalid(key, "is not a number");
+        }
+        if (value instanceof Number n && n.doubleValue() < 0) {
             throw invalid(key, "is below 0");
         }
     }
--- a/src/main/java/copperbeam/protocol/discovery/ServerList.java
+++ b/src/main/java/copperbeam/protocol/discovery/ServerList.java
@@ -10,6 +10,7 @@
 import copperbeam.routing.MembershipSource.Change;
 import copperbeam.routing.MembershipSource.Entry;
 import copperbeam.routing.ModuleTime;
+import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -102,8 +103,8 @@
     private static Long whole(JsonObject o, String key) {
         JsonPrimitive value = value(o, key, JsonPrimitive::isNumber, "a whole number");
         try {
-            return value == null ? null : Long.valueOf(value.getAsString());
-        } catch (NumberFormatException e) {
+            return value == null ? null : Long.valueOf(new BigDecimal(value.getAsString()).longValueExact());
+        } catch (ArithmeticException | NumberFormatException e) {
             throw new IllegalArgumentException(key + " is not a whole number", e);
         }
     }
--- a/src/main/java/copperbeam/simhost/Decoder.java
+++ b/src/main/java/copperbeam/simhost/Decoder.java
@@ -48,8 +48,11 @@
         List<Object> memory = list(extra, "memory_tokens");
         for (Object name : list(c, "kinds")) {
             int k = kinds.size();
+            if (!(name instanceof String)) {
+                throw new Wire.Malformed("field 'kinds' holds something that is not a text");
+            }
             kinds.add(new Kind(
-                    String.valueOf(name),
+                    (String) name,
                     role(at(roles, k, String.class, "both", "role_by_kind")),
                     at(memory, k, Number.class, 0, "memory_tokens").doubleValue()));
         }
