--- /dev/null
+++ b/src/test/java/copperbeam/model/Exchange.java
@@ -0,0 +1,234 @@
+package copperbeam.model;
+
+import copperbeam.Api.Report;
+import copperbeam.routing.Connector.AttemptCall;
+import copperbeam.routing.Connector.Call;
+import copperbeam.routing.Connector.Listener;
+import copperbeam.routing.Connector.ReleaseCall;
+import copperbeam.routing.Connector.Word;
+import java.time.Duration;
+
+/** One call on a connection, and what comes back. */
+final class Exchange {
+    private static final long RETRANSMIT = 20 * VirtualTime.MILLI;
+
+    private final World world;
+    private final Link link;
+    private final Listener listener;
+    private final Call plain;
+    final AttemptCall call; // null for probes and releases
+    final ModelServer.Fault fault;
+    Attempt attempt;
+    private boolean over; // the listener has had its last word
+    private boolean lastByteLeft;
+    private long closedAt = Long.MAX_VALUE; // by the process, as the server hears it
+    private boolean aborted;
+    private long toldUntil = Long.MAX_VALUE;
+    private int unread;
+
+    Exchange(Link link, Call call, Listener listener) {
+        world = link.world;
+        this.link = link;
+        this.plain = call;
+        this.call = call instanceof AttemptCall a ? a : null;
+        this.listener = listener;
+        fault = this.call == null ? null : link.server.drawFault();
+    }
+
+    String requestId() {
+        return call.ask().id();
+    }
+
+    double tokens() {
+        return call.ask().promptTokens();
+    }
+
+    // ---- to the server -------------------------------------------------------------------------
+
+    /** The head is written. */
+    void leave() {
+        if (!link.isOpen()) {
+            toldBroken();
+            return;
+        }
+        if (call == null) {
+            if (plain instanceof ReleaseCall r) {
+                link.toServer(() -> link.server.release(this, r.id()));
+            } else {
+                link.toServer(() -> link.server.probe(this));
+            }
+            return;
+        }
+        ClientRequest request = world.requests.get(requestId());
+        attempt = new Attempt(request, link.process, link.server, request.attempts.size());
+        request.attempts.add(attempt);
+        Duration told = call.patience().get();
+        toldUntil = world.time.now() + told.toNanos();
+        world.log(
+                request,
+                "head of attempt " + attempt.number + " to " + link.server + " tells " + told.toMillis() + " ms"
+                        + (call.hold() ? ", held" : "") + (fault == null ? "" : ", will meet " + fault));
+        world.rules(r -> r.headLeft(attempt, told));
+        if (fault == ModelServer.Fault.RESET_BEFORE_LAST_BYTE && call.hold()) {
+            link.serverResets();
+        }
+        world.clientMayLeaveNow(request);
+        if (call.hold()) {
+            link.process.reactor(world.reactorTurn(), () -> {
+                if (link.isOpen() && !over) {
+                    listener.held();
+                }
+            });
+        } else {
+            link.process.reactor(world.random.nextInt(8) == 0 ? world.reactorTurn() : 0, this::lastByte);
+        }
+    }
+
+    void lastByte() {
+        if (!link.isOpen() || over || lastByteLeft) {
+            return;
+        }
+        if (!call.wanted().getAsBoolean()) {
+            world.log(attempt.request, "not wanted any more");
+            link.close();
+            return;
+        }
+        lastByteLeft = true;
+        attempt.lastByteAt = world.time.now();
+        world.log(attempt.request, "last byte of attempt " + attempt.number + " to " + link.server);
+        world.rules(r -> r.lastByteLeft(attempt));
+        listener.sent();
+        world.clientMayLeaveNow(attempt.request);
+        link.toServer(() -> {
+            if (!aborted) {
+                world.rules(r -> r.lastByteArrived(attempt));
+                link.server.attempt(this);
+            }
+        });
+    }
+
+    void closedByProcess(boolean abort) {
+        aborted = abort;
+        attemptOver(Attempt.Proof.NONE);
+        tellClose();
+    }
+
+    /** The server's machine hears of a close once it can be reached. */
+    private void tellClose() {
+        if (link.server.reachable(link.process)) {
+            closedAt = Math.min(closedAt, world.time.now() + world.latency());
+        } else if (link.server.running) {
+            world.time.after(RETRANSMIT, this::tellClose);
+        }
+    }
+
+    void closedByServer() {
+        closedAt = Math.min(closedAt, world.time.now());
+    }
+
+    boolean closedAtServer() {
+        return world.time.now() >= closedAt;
+    }
+
+    /** The time for which its process waits, by its own word, is over. */
+    boolean overAtServer() {
+        return world.time.now() >= toldUntil;
+    }
+
+    /** Nobody waits for it any more, and for so long that the server surely knows. */
+    boolean goneAtServer(long since) {
+        return world.time.now() - since >= Math.min(closedAt, toldUntil);
+    }
+
+    // ---- from the server -----------------------------------------------------------------------
+
+    void answer(Word word, Report report, double kept) {
+        Attempt.Proof proof =
+                word == Word.TURNED_AWAY || word == Word.STATE_MISSING ? Attempt.Proof.NEVER_RAN : Attempt.Proof.NONE;
+        link.toProcess(0, () -> {
+            if (!over) {
+                if (attempt != null) {
+                    world.log(attempt.request, "attempt " + attempt.number + " hears " + word);
+                }
+                listener.word(word, report);
+            }
+        });
+        end(kept, proof);
+    }
+
+    void word(Word word, Report report) {
+        link.toProcess(0, () -> {
+            if (!over) {
+                listener.word(word, report);
+            }
+        });
+    }
+
+    void event(byte[] raw) {
+        link.toProcess(0, () -> {
+            if (!over) {
+                unread += raw.length;
+                listener.event(raw);
+            }
+        });
+    }
+
+    void end(double kept) {
+        end(kept, Attempt.Proof.NONE);
+    }
+
+    private void end(double kept, Attempt.Proof proof) {
+        boolean reusable = world.random.nextInt(10) > 0;
+        link.toProcess(0, () -> {
+            if (!over) {
+                over = true;
+                if (attempt != null) {
+                    attempt.endHeardAt = world.time.now();
+                }
+                attemptOver(proof);
+                link.done(this, reusable);
+                listener.end(reusable, kept);
+            }
+        });
+    }
+
+    void reset() {
+        link.serverResets();
+    }
+
+    /** The process heard that the connection is gone. */
+    void broken() {
+        attemptOver(lastByteLeft ? Attempt.Proof.NONE : Attempt.Proof.NEVER_RAN);
+        toldBroken();
+    }
+
+    void toldBroken() {
+        if (!over) {
+            over = true;
+            listener.broken(lastByteLeft || call == null);
+        }
+    }
+
+    private void attemptOver(Attempt.Proof proof) {
+        if (attempt != null && attempt.overAt < 0) {
+            attempt.overAt = world.time.now();
+            attempt.proof = lastByteLeft ? proof : Attempt.Proof.NEVER_RAN;
+            world.log(attempt.request, "attempt " + attempt.number + " is over, " + attempt.proof);
+            world.rules(r -> r.attemptOver(attempt));
+        }
+    }
+
+    // ---- the window ----------------------------------------------------------------------------
+
+    int unread() {
+        return unread;
+    }
+
+    void granted(int bytes) {
+        unread -= bytes;
+    }
+
+    boolean heldBack() {
+        return unread > 32_767;
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/model/Link.java
@@ -0,0 +1,174 @@
+package copperbeam.model;
+
+import copperbeam.routing.Connector.Call;
+import copperbeam.routing.Connector.Connection;
+import copperbeam.routing.Connector.Listener;
+import copperbeam.routing.Connector.Watcher;
+
+/** One connection from a process to a server: each of its ends may close before the other knows. */
+final class Link implements Connection {
+    final World world;
+    final ModelProcess process;
+    final ModelServer server;
+    private final int life; // the server's, in which it was made
+    private final Watcher watcher;
+    private boolean open = true; // at the process
+    private boolean serverClosed;
+    private long nextAt; // what comes keeps its order
+    private Exchange current;
+    private long idleSince;
+
+    Link(World world, ModelProcess process, ModelServer server, int life, Watcher watcher) {
+        this.world = world;
+        this.process = process;
+        this.server = server;
+        this.life = life;
+        this.watcher = watcher;
+        idleSince = world.time.now();
+        watchIdle();
+    }
+
+    /** The server closes what has stood idle; sometimes its word of that is late. */
+    private void watchIdle() {
+        long since = idleSince;
+        long limit = world.settings.connectionIdle().toNanos();
+        world.time.after(limit, () -> {
+            if (open && current == null && idleSince == since) {
+                serverClosed = true;
+                toProcess(world.random.nextInt(10) == 0 ? 20 * VirtualTime.MILLI : 0, this::lost);
+            }
+        });
+    }
+
+    /** The connection still has its two ends, and what is sent there arrives. */
+    boolean carries() {
+        return !serverClosed && server.life == life && server.reachable(process);
+    }
+
+    boolean reset() {
+        return serverClosed || server.life != life;
+    }
+
+    /** Runs it at the process after its way there, behind all that was sent before; lost where nothing passes. */
+    void toProcess(long more, Runnable task) {
+        nextAt = Math.max(nextAt + 1, world.time.now() + world.latency() + more);
+        world.time.at(nextAt, () -> {
+            if (open && !process.ended() && !server.vanished && !server.cutFrom.contains(process.index)) {
+                task.run();
+            }
+        });
+    }
+
+    void toServer(Runnable task) {
+        world.time.after(world.latency(), () -> {
+            if (carries()) {
+                task.run();
+            } else if (reset() && !server.vanished && !server.cutFrom.contains(process.index)) {
+                toProcess(0, this::lost);
+            }
+        });
+    }
+
+    /** The server's end is gone and the process hears of it. */
+    void lost() {
+        if (open) {
+            open = false;
+            world.links.remove(this);
+            Exchange broken = current;
+            current = null;
+            if (broken != null) {
+                broken.broken();
+            }
+            watcher.closed(this);
+        }
+    }
+
+    void serverResets() {
+        serverClosed = true;
+        if (current != null) {
+            current.closedByServer();
+        }
+        toProcess(0, this::lost);
+    }
+
+    void done(Exchange x, boolean reusable) {
+        if (current == x) {
+            current = null;
+            idleSince = world.time.now();
+            if (reusable) {
+                watchIdle();
+            }
+        }
+    }
+
+    @Override
+    public boolean isOpen() {
+        return open;
+    }
+
+    @Override
+    public void call(Call call, Listener listener) {
+        Exchange x = new Exchange(this, call, listener);
+        current = x;
+        process.reactor(world.reactorTurn(), x::leave);
+    }
+
+    @Override
+    public void let() {
+        Exchange x = current;
+        if (x != null) {
+            process.reactor(world.reactorTurn(), x::lastByte);
+        }
+    }
+
+    @Override
+    public void grant(int bytes) {
+        if (current != null) {
+            current.granted(bytes);
+        }
+    }
+
+    @Override
+    public boolean heldBack() {
+        return current != null && current.heldBack();
+    }
+
+    @Override
+    public void close() {
+        close(false);
+    }
+
+    @Override
+    public void abort() {
+        close(true);
+    }
+
+    private void close(boolean abort) {
+        if (!open) {
+            return;
+        }
+        open = false;
+        world.links.remove(this);
+        Exchange cut = current;
+        current = null;
+        if (cut != null) {
+            cut.closedByProcess(abort);
+        }
+        process.reactor(world.reactorTurn(), () -> {
+            if (cut != null) {
+                cut.toldBroken();
+            }
+            watcher.closed(this);
+        });
+    }
+
+    /** The process has died. */
+    void drop() {
+        open = false;
+        world.links.remove(this);
+        if (current != null) {
+            current.closedByProcess(false);
+            current = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/model/ModelProcess.java
@@ -0,0 +1,161 @@
+package copperbeam.model;
+
+import copperbeam.Api;
+import copperbeam.Api.ListKind;
+import copperbeam.routing.Answer;
+import copperbeam.routing.Ask;
+import copperbeam.routing.ListActor;
+import copperbeam.routing.MembershipSource;
+import copperbeam.routing.Metrics;
+import copperbeam.routing.ModuleActor;
+import copperbeam.routing.ModuleTime;
+import copperbeam.routing.PeerActor;
+import copperbeam.routing.Recorder;
+import copperbeam.routing.ReleaseActor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+
+/** One process of the program below its sockets: the actors as the program puts them together. */
+final class ModelProcess {
+    final World world;
+    final int index;
+    final String zone;
+    final VirtualTime.Thread thread = new VirtualTime.Thread();
+    private final ModuleActor module;
+    private final ReleaseActor releases;
+    private final ListActor list;
+    private final Map<Long, ClientRequest> byKey = new HashMap<>(); // as the module numbers them
+    private boolean ended;
+    boolean killed; // and so owes nothing
+    boolean takesClients = true;
+
+    ModelProcess(World world, int index, String zone, long seed) {
+        this.world = world;
+        this.index = index;
+        this.zone = zone;
+        ScheduledExecutorService turns = world.time.executor(thread);
+        Api.Settings settings = world.settings.settings();
+        Api.Settings own = new Api.Settings(
+                settings.nodes(),
+                index,
+                settings.classes(),
+                settings.customers(),
+                settings.kinds(),
+                settings.limits(),
+                settings.rules(),
+                settings.reports(),
+                settings.listMustBeAsked(),
+                settings.probePrice(),
+                settings.writersRead(),
+                settings.streamsResume());
+        Metrics metrics = new Metrics(world.settings.giveUp().keySet());
+        Duration releaseWithin = ModuleTime.span(Math.max(0.2, settings.rules().releaseS()));
+        releases = new ReleaseActor(turns, world.time, releaseWithin.multipliedBy(2));
+        Recorder recorder = (what, request, attempt, server, text, span) -> {
+            if (what == Recorder.What.ARRIVED) {
+                byKey.put(request, world.requests.get(text.substring(0, text.indexOf(' '))));
+            }
+            if (byKey.containsKey(request)) {
+                String more = server == null ? " " + text : " " + server + " " + text;
+                world.log(byKey.get(request), "module notes " + what + " of attempt " + attempt + more);
+            }
+        };
+        module = new ModuleActor(
+                turns, world.time, own, seed, releases, world.logs() ? recorder : Recorder.NONE, metrics);
+        PeerActor.Setup setup = new PeerActor.Setup(
+                world.time,
+                new Network(world, this),
+                world.settings.connectTimeout(),
+                world.settings.connectionIdle().dividedBy(2),
+                world.settings.connectTimeout(),
+                module,
+                releases,
+                world.logs() ? recorder : Recorder.NONE,
+                metrics);
+        list = new ListActor(
+                turns,
+                (id, address) -> new PeerActor(turns, id, address, setup),
+                module,
+                releases,
+                world.settings.idle());
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    /** Runs it on the thread of the sockets, unless the process has ended by then. */
+    void reactor(long after, Runnable task) {
+        world.time.after(after, () -> {
+            if (!ended) {
+                task.run();
+            }
+        });
+    }
+
+    void tell(ListKind kind, List<ModelServer> servers) {
+        List<MembershipSource.Entry> entries = servers.stream()
+                .map(s -> new MembershipSource.Entry(s.member(), new InetSocketAddress("127.0.0.1", s.port)))
+                .toList();
+        servers.forEach(s -> world.rules(r -> r.told(this, s, s.state, s.launchedAt)));
+        list.tell(new ListActor.Told(new MembershipSource.Change(kind, entries), null));
+    }
+
+    void arrive(Ask ask, Answer answer) {
+        module.arrive(ask, answer);
+    }
+
+    void left(Answer answer) {
+        module.left(answer);
+    }
+
+    void takeNoMore() {
+        module.tell(new ModuleActor.TakeNoMore());
+    }
+
+    void handOver() {
+        module.tell(new ModuleActor.HandOver());
+    }
+
+    void cut() {
+        module.tell(new ModuleActor.Cut());
+    }
+
+    /** Once nothing can come any more. */
+    void drain(Runnable done) {
+        module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(done))));
+    }
+
+    /** By itself, or by a kill. */
+    void end() {
+        ended = true;
+        takesClients = false;
+        thread.end();
+        List.copyOf(world.links).stream().filter(l -> l.process == this).forEach(Link::drop);
+    }
+
+    void kill() {
+        killed = true;
+        world.open().stream().filter(r -> r.process == this).forEach(r -> r.excused = true);
+        end();
+    }
+
+    /** The kill that ends a stop which has not ended by itself: what is not a stream should have its answer by now. */
+    void killAtStop() {
+        world.open().stream()
+                .filter(r -> r.process == this && r.streamingSince < 0)
+                .forEach(r -> world.broken("unanswered at the end of a stop", r, null));
+        kill();
+    }
+
+    void ifAlive(Consumer<ModelProcess> what) {
+        if (!ended) {
+            what.accept(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/model/ModelTest.java
@@ -0,0 +1,91 @@
+package copperbeam.model;
+
+import static org.testng.Assert.assertNull;
+
+import copperbeam.routing.Actor;
+import copperbeam.routing.ModuleActor;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * The program's layers below its sockets, in drawn worlds over virtual time, under rules written from the pages alone.
+ * {@code -Dmodel.worlds=10000} plays more of them, {@code -Dmodel.from=7} begins with that seed.
+ */
+public class ModelTest {
+    private static final int WORLDS = Integer.getInteger("model.worlds", 250);
+    private static final int LOGGED = 2; // worlds for each rule
+    private static final long FROM = Long.getLong("model.from", 1);
+    private static final Logger MODULE = Logger.getLogger(ModuleActor.class.getName());
+    private static final Logger ACTORS = Logger.getLogger(Actor.class.getName());
+
+    private final Handler faults = new Handler() {
+        @Override
+        public void publish(LogRecord record) {
+            if (record.getLevel().intValue() >= Level.SEVERE.intValue()) {
+                failure = record.getMessage() + ": " + record.getThrown();
+            }
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    };
+    private String failure; // of an actor
+    private final Map<String, Integer> ends = new TreeMap<>();
+
+    @BeforeClass
+    public void listen() {
+        MODULE.setLevel(Level.WARNING);
+        ACTORS.addHandler(faults);
+    }
+
+    @AfterClass
+    public void listenNoMore() {
+        MODULE.setLevel(null);
+        ACTORS.removeHandler(faults);
+    }
+
+    /** Mostly one process or a handful, where more orders of events are seen in the same time. */
+    static int processes(long seed) {
+        int draw = (int) Math.floorMod(seed * 31 + 7, 20L);
+        return draw < 8 ? 1 : draw < 15 ? 5 : draw < 19 ? 20 + draw % 3 * 5 : 100;
+    }
+
+    @Test
+    public void noRuleIsBroken() throws Exception {
+        Map<String, List<Long>> broken = new TreeMap<>();
+        StringBuilder logs = new StringBuilder();
+        for (long seed = FROM; seed < FROM + WORLDS; seed++) {
+            String first = play(seed, false);
+            if (first != null) {
+                String kind = first.lines().findFirst().orElseThrow().replaceAll("\\(.*|[-0-9.]+", "#");
+                List<Long> seeds = broken.computeIfAbsent(kind, k -> new ArrayList<>());
+                seeds.add(seed);
+                if (seeds.size() <= LOGGED) {
+                    logs.append(play(seed, true)).append('\n');
+                }
+            }
+        }
+        System.out.println("model: " + WORLDS + " worlds from seed " + FROM + ", requests by end " + ends);
+        assertNull(broken.isEmpty() ? null : "of " + WORLDS + " worlds, seeds by rule: " + broken + "\n" + logs);
+    }
+
+    private String play(long seed, boolean logs) throws Exception {
+        failure = null;
+        World world = new World(seed, processes(seed), new DrawnSettings(), logs);
+        String broken = world.play();
+        world.ends().forEach((end, count) -> ends.merge(end, count, Integer::sum));
+        return broken != null ? broken : failure == null ? null : "seed " + seed + ": " + failure;
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/model/World.java
@@ -0,0 +1,384 @@
+package copperbeam.model;
+
+import copperbeam.Api;
+import copperbeam.Api.ListKind;
+import copperbeam.routing.Ask;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** One seeded world: processes of the program before one set of servers, clients, faults, and rules that watch. */
+final class World {
+    private static final long TRAFFIC = 7 * VirtualTime.SECOND;
+    private static final long FRONT_MARGIN = 20 * VirtualTime.MILLI; // as the platform's front takes it off
+    private static final long CHECK = 20 * VirtualTime.MILLI;
+    private static final int SESSIONS = 60;
+
+    private record Line(long at, ClientRequest request, ModelServer server, String text) {}
+
+    final long seed;
+    final SplittableRandom random;
+    final VirtualTime time = new VirtualTime();
+    final WorldSettings settings;
+    final List<ModelServer> servers = new ArrayList<>();
+    final List<ModelProcess> processes = new ArrayList<>();
+    final Map<String, ClientRequest> requests = new LinkedHashMap<>();
+    final Map<String, ModelServer> stateOwners = new HashMap<>(); // of read states, by request
+    final Set<Link> links = new LinkedHashSet<>();
+    final boolean drainsTurnAway;
+    final long reportEach;
+    long heldUp; // what a process was held up at most by a busy core
+
+    private final List<Rule> rules = new ArrayList<>();
+    private final List<Line> lines = new ArrayList<>();
+    private final boolean logs;
+    private final Map<ClientRequest, Integer> events = new HashMap<>();
+    private final Set<ClientRequest> open = new LinkedHashSet<>();
+    private final boolean[] reported = new boolean[5];
+    private final double meanTokens;
+    private final double[] classFactor;
+    private final int meanAnswer;
+    private final double leaveChance;
+    private final double leaveNowChance;
+    private final double retryChance;
+    private final double slowClients;
+    private final int zones;
+    private String broken;
+    private int ids;
+
+    World(long seed, int processCount, WorldSettings.Source source, boolean logs) {
+        this.seed = seed;
+        this.logs = logs;
+        random = new SplittableRandom(seed);
+        settings = source.draw(seed, processCount);
+        zones = 1 + random.nextInt(2);
+        drainsTurnAway = random.nextBoolean();
+        reportEach = (140 + random.nextInt(800)) * VirtualTime.MILLI;
+        for (int i = 0; i < reported.length; i++) {
+            reported[i] = random.nextBoolean();
+        }
+        meanAnswer = 40 + random.nextInt(160);
+        classFactor = new double[settings.settings().classes().size()];
+        for (int i = 0; i < classFactor.length; i++) {
+            classFactor[i] = random.nextInt(3) == 0 ? 1 + random.nextInt(6) : 1;
+        }
+        double base = 300 + random.nextInt(2000);
+        for (int i = 0; i < classFactor.length; i++) {
+            classFactor[i] *= base;
+        }
+        meanTokens = java.util.Arrays.stream(classFactor).average().orElseThrow();
+        leaveChance = random.nextInt(3) == 0 ? 0.1 : 0.01;
+        leaveNowChance = random.nextInt(3) == 0 ? 0.05 : 0.005;
+        retryChance = random.nextDouble();
+        slowClients = random.nextInt(4) == 0 ? 0.1 : 0;
+        rules.add(new AnswerRules(this));
+        rules.add(new AttemptRules(this));
+        rules.add(new DrainRule(this));
+        rules.add(new HeldRule(this));
+        rules.add(new ColdRule(this));
+        makeServers(processCount);
+        for (int i = 0; i < processCount; i++) {
+            start(i);
+        }
+        traffic();
+        new Faults(this).draw();
+    }
+
+    private void makeServers(int processCount) {
+        int count = processCount == 1 ? 2 + random.nextInt(5) : 4 + random.nextInt(4 + processCount / 3);
+        List<Api.Kind> kinds = settings.settings().kinds();
+        for (int i = 0; i < Math.max(count, kinds.size()); i++) {
+            addServer(kinds.get(i < kinds.size() ? i : random.nextInt(kinds.size())), 0);
+        }
+    }
+
+    ModelServer addServer(Api.Kind kind, double launchedAt) {
+        int zone = random.nextInt(zones);
+        ModelServer server =
+                new ModelServer(this, servers.size(), "zone" + zone, zone * 10L + random.nextInt(2), kind, launchedAt);
+        servers.add(server);
+        return server;
+    }
+
+    ModelProcess start(int index) {
+        ModelProcess p = new ModelProcess(this, index, "zone" + index % zones, random.nextLong());
+        if (index < processes.size()) {
+            processes.set(index, p);
+        } else {
+            processes.add(p);
+        }
+        p.tell(ListKind.CACHED, listed());
+        return p;
+    }
+
+    /** The list as discovery has it. */
+    List<ModelServer> listed() {
+        return servers.stream().filter(s -> s.state != Api.ServerState.GONE).toList();
+    }
+
+    // ---- traffic -------------------------------------------------------------------------------
+
+    private void traffic() {
+        boolean oneAttempt = settings.settings().limits().maxAttempts() == 1; // nobody reads for another then
+        double reads = listed().stream()
+                .filter(s -> s.role == Api.Role.MIXED || !oneAttempt && s.role == Api.Role.READER)
+                .mapToDouble(ModelServer::capacity)
+                .sum();
+        double writes = listed().stream()
+                .filter(s -> s.role != Api.Role.READER)
+                .mapToDouble(ModelServer::capacity)
+                .sum();
+        double perS = Math.max(1, Math.min(reads, writes)) * (0.2 + 0.7 * random.nextDouble());
+        double burst = random.nextInt(3) == 0 ? 1 + random.nextDouble() : 1;
+        long burstAt = (long) (random.nextDouble() * TRAFFIC);
+        long at = 0;
+        while (at < TRAFFIC) {
+            double now = at > burstAt && at < burstAt + 2 * VirtualTime.SECOND ? perS * burst : perS;
+            at += (long) (-Math.log(1 - random.nextDouble()) / now * 1e9);
+            time.at(at, () -> client(random.nextInt(classFactor.length), 0, false));
+        }
+    }
+
+    double meanTokens() {
+        return meanTokens;
+    }
+
+    double meanStreamSeconds(long eventGap) {
+        return (1 + meanAnswer / 8) * eventGap / 1e9;
+    }
+
+    private void client(int requestClass, int retries, boolean resumed) {
+        List<ModelProcess> takers =
+                processes.stream().filter(p -> p.takesClients).toList();
+        if (!takers.isEmpty()) {
+            send(takers.get(random.nextInt(takers.size())), requestClass, retries, resumed);
+        }
+    }
+
+    private void send(ModelProcess p, int requestClass, int retries, boolean resumed) {
+        Api.RequestClass c = settings.settings().classes().get(requestClass);
+        double tokens = Math.max(20, Math.min(100_000, -Math.log(1 - random.nextDouble()) * classFactor[requestClass]));
+        boolean shared = random.nextInt(3) > 0;
+        long waits = (long) (settings.giveUp().get(c.name()).toNanos() * (0.5 + 0.5 * random.nextDouble()));
+        long deadline = time.now() + waits;
+        long way = latency();
+        Ask ask = new Ask(
+                "r" + ids++,
+                c.name(),
+                "session" + random.nextInt(SESSIONS),
+                shared ? "prefix" + random.nextInt(6) : null,
+                Math.floor(tokens),
+                shared ? Math.floor(tokens / 2) : 0,
+                8 + random.nextInt(2 * meanAnswer),
+                time.instant(time.now() + way + waits - FRONT_MARGIN),
+                resumed,
+                null);
+        ClientRequest request =
+                new ClientRequest(this, p, ask, retries, time.now() + way, deadline, random.nextDouble() < slowClients);
+        p.reactor(way, () -> {
+            requests.put(ask.id(), request);
+            open.add(request);
+            log(
+                    request,
+                    "arrives at process " + p.index + ", " + (long) tokens + " tokens, waits "
+                            + waits / VirtualTime.MILLI + " ms" + (resumed ? ", resumed" : ""));
+            rules(r -> r.arrived(request));
+            p.arrive(ask, request);
+            if (random.nextDouble() < leaveChance) {
+                long after = random.nextInt(3) == 0
+                        ? (long) (random.nextDouble() * 5e6)
+                        : (long) (random.nextDouble() * waits);
+                time.after(after, () -> leave(request));
+            }
+        });
+    }
+
+    void leave(ClientRequest request) {
+        if (!request.over()) {
+            request.leftAt = time.now();
+            log(request, "its client leaves");
+            rules(r -> r.clientLeft(request));
+            request.process.reactor(reactorTurn(), () -> request.process.left(request));
+        }
+    }
+
+    void clientMayLeaveNow(ClientRequest request) {
+        if (random.nextDouble() < leaveNowChance) {
+            time.after(random.nextInt(2_000_000), () -> leave(request));
+        }
+    }
+
+    void clientMayRetry(ClientRequest request, Duration advice) {
+        Api.RequestClass c = settings.requestClass(request.ask.requestClass());
+        boolean may = request.ending == ClientRequest.Final.REFUSED || c.effect() == Api.Effect.SAFE;
+        if (may && request.retries < 3 && random.nextDouble() < retryChance) {
+            long after = advice.toNanos() + (long) (random.nextDouble() * 3e8);
+            time.after(after, () -> client(settings.settings().classes().indexOf(c), request.retries + 1, false));
+        }
+    }
+
+    void clientMayResume(ClientRequest request) {
+        if (settings.settings().streamsResume() && request.leftAt < 0 && request.retries < 3) {
+            Api.RequestClass c = settings.requestClass(request.ask.requestClass());
+            time.after(
+                    (long) (random.nextDouble() * 3e8),
+                    () -> client(settings.settings().classes().indexOf(c), request.retries + 1, true));
+        }
+    }
+
+    List<ClientRequest> open() {
+        open.removeIf(ClientRequest::over);
+        return List.copyOf(open);
+    }
+
+    int eventsOf(ClientRequest request) {
+        return events.getOrDefault(request, 0);
+    }
+
+    void countEvent(ClientRequest request) {
+        events.merge(request, 1, Integer::sum);
+    }
+
+    // ---- network and servers -------------------------------------------------------------------
+
+    long latency() {
+        return 200_000 + random.nextInt(800_000);
+    }
+
+    /** Until the thread of the sockets comes to it. */
+    long reactorTurn() {
+        return random.nextInt(20) == 0 ? random.nextInt(5_000_000) : random.nextInt(100_000);
+    }
+
+    /** A connection that comes up late: at any time, or just as the time of an open request is up. */
+    long lateConnect(ModelProcess process) {
+        if (random.nextInt(2) == 0) {
+            List<ClientRequest> candidates = open().stream()
+                    .filter(r -> r.process == process && r.streamingSince < 0)
+                    .toList();
+            if (!candidates.isEmpty()) {
+                ClientRequest r = candidates.get(random.nextInt(candidates.size()));
+                return Math.max(0, r.clientDeadline - 71 * VirtualTime.MILLI + random.nextInt(2_000_000) - time.now());
+            }
+        }
+        return (long) (random.nextDouble() * VirtualTime.SECOND);
+    }
+
+    boolean reports(int field) {
+        return reported[field];
+    }
+
+    void hold(String requestId, ModelServer server) {
+        stateOwners.put(requestId, server);
+        log(requests.get(requestId), "held at " + server);
+        rules(r -> r.held(requestId));
+    }
+
+    void letGo(String requestId) {
+        if (stateOwners.remove(requestId) != null) {
+            log(requests.get(requestId), "let go");
+            rules(r -> r.letGo(requestId));
+        }
+    }
+
+    void resetConnections(ModelServer server) {
+        List.copyOf(links).stream().filter(l -> l.server == server).forEach(Link::serverResets);
+    }
+
+    // ---- rules and log -------------------------------------------------------------------------
+
+    void rules(Consumer<Rule> what) {
+        rules.forEach(what);
+    }
+
+    boolean logs() {
+        return logs;
+    }
+
+    void log(ClientRequest request, String text) {
+        if (logs) {
+            lines.add(new Line(time.now(), request, null, text));
+        }
+    }
+
+    void log(ModelServer server, String text) {
+        if (logs) {
+            lines.add(new Line(time.now(), null, server, text));
+        }
+    }
+
+    static String time(long nanos) {
+        return String.format(Locale.ROOT, "%.6f", nanos / 1e9);
+    }
+
+    /** Keeps the first break of a rule, with what led to it. */
+    void broken(String what, ClientRequest request, ModelServer server) {
+        if (broken != null) {
+            return;
+        }
+        StringBuilder text = new StringBuilder();
+        text.append(time(time.now())).append(": ").append(what).append(" (").append(request == null ? server : request);
+        text.append(")\nseed ")
+                .append(seed)
+                .append(", ")
+                .append(processes.size())
+                .append(" processes, ");
+        text.append(servers.size()).append(" servers, ").append(settings).append('\n');
+        for (Line line : lines) {
+            boolean concerned = line.request != null && line.request == request
+                    || line.server != null
+                            && (request == null
+                                    ? line.server == server
+                                    : request.attempts.stream().anyMatch(a -> a.server == line.server));
+            if (concerned) {
+                text.append(time(line.at)).append(' ');
+                text.append(line.request == null ? line.server : line.request)
+                        .append(": ")
+                        .append(line.text)
+                        .append('\n');
+            }
+        }
+        broken = text.toString();
+    }
+
+    /** How many requests ended in which way, for a look at what worlds are like. */
+    Map<String, Integer> ends() {
+        Map<String, Integer> ends = new TreeMap<>();
+        for (ClientRequest r : requests.values()) {
+            String end = r.ending != null ? r.ending.name() : r.leftAt >= 0 ? "LEFT" : "LOST WITH ITS PROCESS";
+            ends.merge(end, 1, Integer::sum);
+            ends.merge("attempts", r.attempts.size(), Integer::sum);
+        }
+        return ends;
+    }
+
+    /** Null, or which rule was broken and how. */
+    String play() throws Exception {
+        long longest = settings.giveUp().values().stream()
+                .mapToLong(Duration::toNanos)
+                .max()
+                .orElseThrow();
+        long end = TRAFFIC + longest + 12 * VirtualTime.SECOND;
+        for (long at = CHECK; at < end && broken == null; at += CHECK) {
+            time.run(at);
+            rules.forEach(Rule::check);
+            if (at > TRAFFIC + 5 * VirtualTime.SECOND && open().isEmpty() && stateOwners.isEmpty()) {
+                break;
+            }
+        }
+        rules.forEach(Rule::finish);
+        if (broken == null && !open().isEmpty()) {
+            broken("not over at the world's end", open().iterator().next(), null);
+        }
+        return broken;
+    }
+}
