--- a/src/test/java/copperbeam/model/Link.java
+++ b/src/test/java/copperbeam/model/Link.java
@@ -133,6 +133,11 @@
         return current != null && current.heldBack();
     }
 
+    @Override
+    public void readOut(Runnable read) {
+        process.reactor(world.reactorTurn(), read);
+    }
+
     @Override
     public void close() {
         close(false);
