Names: LifecycleActor, ResumedStreamCounter, ReleaseTest

Need: DutyActor, Rests, Handover.Hands and LetGoTest had to be explained before they could be read.

Change: DutyActor is LifecycleActor, as it owns the Lifecycle; Rests is ResumedStreamCounter, its window and bound are called so; Handover.Hands is Handover.ChangeListener; DutyActorTest and LetGoTest are LifecycleActorTest and ReleaseTest. No behaviour changes.

--- a/src/main/java/copperbeam/program/Handover.java
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -27,7 +27,7 @@
     }
 
     /** What changes for this process. */
-    interface Hands {
+    interface ChangeListener {
         /** Sends clients away, or ends that; {@code done} false where a stop is under way. */
         void drain(boolean drained, Consumer<Boolean> done);
 
@@ -60,7 +60,7 @@
     private Beside beside = Beside.NONE;
     private Phase phase = Phase.STARTING; // but for a process that serves in place of this one
     private boolean stopping;
-    private Hands hands;
+    private ChangeListener listener;
 
     /** Takes up what an earlier process has left; {@code folder} null: there is none to share. */
     Handover(Path at, String conductor, Clock clock, BanActor bans) {
@@ -85,8 +85,8 @@
     }
 
     /** From now on acts on what others write. */
-    void begin(Hands its) {
-        hands = its;
+    void begin(ChangeListener its) {
+        listener = its;
         thread.execute(this::act);
         thread.scheduleWithFixedDelay(
                 () -> {
@@ -156,7 +156,7 @@
             bans.tell(new BanActor.Out(state.banned(), () -> {}));
         }
         if (state.duty().drained() != acted.duty().drained()) {
-            hands.drain(state.duty().drained(), done -> {});
+            listener.drain(state.duty().drained(), done -> {});
         }
         acted = state;
         Beside now = folder == null ? Beside.NONE : folder.beside(LEAVING);
@@ -166,7 +166,7 @@
                 phase(now.succeeded() ? Phase.LEAVING : phase);
             }
             beside = now;
-            hands.beside(now);
+            listener.beside(now);
         }
     }
 
@@ -191,7 +191,7 @@
         }
         change(s -> s.duty(drained, clock.instant()));
         acted = new SharedState(acted.bans(), state.duty(), acted.lives());
-        hands.drain(drained, done);
+        listener.drain(drained, done);
         act(); // as in ban()
     }
 
--- a/src/main/java/copperbeam/program/DutyActor.java
+++ b/src/main/java/copperbeam/program/LifecycleActor.java
@@ -16,7 +16,7 @@
 import java.util.function.Consumer;
 
 /** Owns the conductor's {@link Lifecycle} and carries its steps out: drains by hand and the stop. */
-final class DutyActor extends Actor<DutyActor.Message> implements Handover.Hands {
+final class LifecycleActor extends Actor<LifecycleActor.Message> implements Handover.ChangeListener {
     sealed interface Message permits Drain, Stop, Succeeded, Tick {}
 
     private record Drain(boolean drained, Consumer<Boolean> done) implements Message {}
@@ -47,7 +47,7 @@
     private volatile boolean healthy = true;
     private volatile boolean stopping;
 
-    DutyActor(
+    LifecycleActor(
             ScheduledExecutorService turns,
             Clock clock,
             Lifecycle lifecycle,
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -47,7 +47,7 @@
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     private static final Duration LOOK = Duration.ofMillis(500); // at a stop, for whether another process serves
     private static final Duration KNOWN_AFTER = Duration.ofSeconds(2); // of silence the list known before is gone by
-    private static final int AWAY = 3; // rests of broken streams asked for lately, from which others must have stopped
+    private static final int MIN_RESUMED_STREAMS = 3; // of late; so many say that others have stopped
 
     private final ScheduledThreadPoolExecutor turns =
             new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "actors"));
@@ -62,9 +62,9 @@
     private final Config config;
     private final ListActor list;
     private final ClientRoom room;
-    private final DutyActor duty;
+    private final LifecycleActor lifecycle;
     private volatile InetSocketAddress address; // null until it listens
-    private final Rests rests;
+    private final ResumedStreamCounter resumedStreams;
     private final FileRecorder fileRecorder; // null where nothing is recorded
     private ScheduledThreadPoolExecutor hookTurns;
     private HttpFrontServer chat;
@@ -134,11 +134,11 @@
             told.changed(change);
             listed();
         });
-        rests = new Rests(module, clock);
-        Intake intake = rests;
+        resumedStreams = new ResumedStreamCounter(module, clock);
+        Intake intake = resumedStreams;
         if (!config.operator().hooks().isEmpty()) {
             hookTurns = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "plug-ins"));
-            intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), rests);
+            intake = new HookActor(hookTurns, config.operator().hooks(), config.settings(), resumedStreams);
         }
         HttpFrontServer.TurnedAway turnedAway = (requestClass, status) ->
                 metrics.turnedAway(requestClass, status == 503 ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
@@ -151,14 +151,14 @@
                     room,
                     turnedAway);
         }
-        duty = new DutyActor(
+        lifecycle = new LifecycleActor(
                 turns,
                 clock,
                 new Lifecycle(config.operator().stopWithin(), config.settings().streamsResume()),
                 servers(),
                 module,
                 releases,
-                () -> rests.lately() >= AWAY,
+                () -> resumedStreams.recent() >= MIN_RESUMED_STREAMS,
                 beside -> share(beside.another() ? config.limits().half() : config.limits(), beside.part()));
         boolean later = handover != null;
         if (!later) {
@@ -166,7 +166,7 @@
         }
         if (handover != null) {
             module.tell(new ModuleActor.Census());
-            handover.begin(duty);
+            handover.begin(lifecycle);
             door = new AdminServer(
                     config.control(), clock, new Desk(metrics, this::serves, handover, bans, handover.thread()));
         }
@@ -259,22 +259,23 @@
     }
 
     private boolean healthy() {
-        return listed.get() && warm.getCount() == 0 && duty.healthy();
+        return listed.get() && warm.getCount() == 0 && lifecycle.healthy();
     }
 
     /** Whether requests would be served, whoever is told to come. */
     private boolean serves() {
-        return serving && !duty.stopping();
+        return serving && !lifecycle.stopping();
     }
 
     /** Answers what was taken and what still comes, as a {@link Lifecycle} has it, lets go of what is held, and returns. */
     public void stop() throws InterruptedException {
         try {
-            duty.stop(handover != null && handover.leaving().get(LOOK.toMillis(), TimeUnit.MILLISECONDS))
+            lifecycle
+                    .stop(handover != null && handover.leaving().get(LOOK.toMillis(), TimeUnit.MILLISECONDS))
                     .get();
         } catch (ExecutionException | TimeoutException e) {
             LOG.warning("whether another process serves is not known: " + e);
-            duty.stop(false).join();
+            lifecycle.stop(false).join();
         }
     }
 
--- a/src/main/java/copperbeam/program/Rests.java
+++ b/src/main/java/copperbeam/program/ResumedStreamCounter.java
@@ -12,15 +12,15 @@
  * Counts the clients that ask here for the rest of a stream: where some come within seconds, another conductor has cut
  * theirs and is not back yet. Conductors share nothing, so that this is all that one learns of another.
  */
-final class Rests implements Intake {
-    private static final Duration LATELY = Duration.ofSeconds(5); // a restart's length
-    private static final int MOST = 16;
+final class ResumedStreamCounter implements Intake {
+    private static final Duration WINDOW = Duration.ofSeconds(5); // a restart's length
+    private static final int MOST_COUNTED = 16;
 
     private final Intake next;
     private final Clock clock;
-    private final ConcurrentLinkedDeque<Instant> seen = new ConcurrentLinkedDeque<>();
+    private final ConcurrentLinkedDeque<Instant> arrivals = new ConcurrentLinkedDeque<>();
 
-    Rests(Intake next, Clock clock) {
+    ResumedStreamCounter(Intake next, Clock clock) {
         this.next = next;
         this.clock = clock;
     }
@@ -28,9 +28,9 @@
     @Override
     public void arrive(Ask ask, Answer answer) {
         if (ask.resumed()) {
-            seen.addLast(clock.instant());
-            if (seen.size() > MOST) {
-                seen.pollFirst();
+            arrivals.addLast(clock.instant());
+            if (arrivals.size() > MOST_COUNTED) {
+                arrivals.pollFirst();
             }
         }
         next.arrive(ask, answer);
@@ -41,9 +41,9 @@
         next.left(answer);
     }
 
-    /** {@link #MOST} at most. */
-    long lately() {
-        Instant from = clock.instant().minus(LATELY);
-        return seen.stream().filter(at -> at.isAfter(from)).count();
+    /** {@link #MOST_COUNTED} at most. */
+    long recent() {
+        Instant from = clock.instant().minus(WINDOW);
+        return arrivals.stream().filter(at -> at.isAfter(from)).count();
     }
 }
--- a/src/test/java/copperbeam/program/DutyActorTest.java
+++ b/src/test/java/copperbeam/program/LifecycleActorTest.java
@@ -37,7 +37,7 @@
 import org.testng.annotations.Test;
 
 /** The end of a stop with something on its way that no connection or request shows yet. */
-public class DutyActorTest {
+public class LifecycleActorTest {
     private static final int PATIENCE_MS = 10_000;
 
     /** Goes on as a test says; holds the thread of one name at each look. */
@@ -94,7 +94,7 @@
                 new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "actors"));
         final HttpFrontServer front;
         final ModuleActor module;
-        final DutyActor duty;
+        final LifecycleActor lifecycle;
         final InetSocketAddress address;
 
         @SuppressWarnings("unchecked")
@@ -121,7 +121,7 @@
                     releases,
                     Recorder.NONE,
                     new Metrics(Set.of("ask")));
-            duty = new DutyActor(
+            lifecycle = new LifecycleActor(
                     turns,
                     clock,
                     new Lifecycle(Duration.ofMillis(3700), true),
@@ -160,7 +160,7 @@
             client.setSoTimeout(PATIENCE_MS);
             client.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             assertTrue(clock.looked.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
-            CompletableFuture<Void> end = parts.duty.stop(false);
+            CompletableFuture<Void> end = parts.lifecycle.stop(false);
             clock.awaitTurns(end);
             clock.advance(Duration.ofSeconds(1)); // fronts know, and nothing is open
             clock.awaitTurns(end);
@@ -179,7 +179,7 @@
     public void whatIsOpenWithoutAClientIsEndedBeforeTheEnd() throws Exception {
         Held clock = new Held("none");
         try (Parts parts = new Parts(clock)) {
-            CompletableFuture<Void> end = parts.duty.stop(false);
+            CompletableFuture<Void> end = parts.lifecycle.stop(false);
             clock.awaitTurns(end); // it has found that nothing is open
             CompletableFuture<String> told = new CompletableFuture<>();
             Answer answer = (Answer) Proxy.newProxyInstance(
--- a/src/test/java/copperbeam/sockets/LetGoTest.java
+++ b/src/test/java/copperbeam/sockets/ReleaseTest.java
@@ -11,7 +11,7 @@
 import org.testng.annotations.Test;
 
 /** What is held is let go in time though servers are silent or cut off; each order forced. */
-public class LetGoTest {
+public class ReleaseTest {
     /** Asked one after another the eleventh would hear it after 1.2 s; what failed has one second. */
     @Test
     public void aReleaseIsHeardThoughTheFirstTenAreSilent() throws Exception {
