Names: OperatorCommands, PlatformStatus, and Drain for the shared state of a drain

Need: Desk, PlatformWords and Duty had to be explained; AdminServer.Desk and operation.Desk had one name for two things.

Change: operation.Desk is OperatorCommands and AdminServer.Desk is AdminServer.CommandHandler; PlatformWords, which gives the meaning of status codes, is PlatformStatus; SharedState.Duty is SharedState.Drain. No behaviour changes.

--- a/src/main/java/copperbeam/handover/SharedState.java
+++ b/src/main/java/copperbeam/handover/SharedState.java
@@ -26,21 +26,21 @@
  * @param bans by server; those put back are kept, so that an older ban does not come back in a merge
  * @param lives by incarnation, a name that no other process of this conductor ever has
  */
-public record SharedState(SortedMap<String, Ban> bans, Duty duty, SortedMap<String, Life> lives) {
+public record SharedState(SortedMap<String, Ban> bans, Drain drain, SortedMap<String, Life> lives) {
     static final int MOST_BANS = 4096;
     static final int MOST_LIVES = 8;
 
     private static final BinaryOperator<Ban> LATER_BAN = BinaryOperator.maxBy(
             Comparator.comparingLong(Ban::turn).thenComparing(Ban::at).thenComparing(Ban::out));
-    private static final BinaryOperator<Duty> LATER_DUTY = BinaryOperator.maxBy(
-            Comparator.comparingLong(Duty::turn).thenComparing(Duty::at).thenComparing(Duty::drained));
+    private static final BinaryOperator<Drain> LATER_DRAIN = BinaryOperator.maxBy(
+            Comparator.comparingLong(Drain::turn).thenComparing(Drain::at).thenComparing(Drain::drained));
     private static final Comparator<Map.Entry<String, Life>> BY_START = Comparator.comparing(
                     (Map.Entry<String, Life> life) -> life.getValue().started())
             .thenComparing(Map.Entry::getKey);
 
     /** Nothing by hand, and no process. */
     public static final SharedState EMPTY =
-            new SharedState(new TreeMap<>(), new Duty(0, false, Instant.EPOCH), new TreeMap<>());
+            new SharedState(new TreeMap<>(), new Drain(0, false, Instant.EPOCH), new TreeMap<>());
 
     /**
      * A server left out by hand, or put back.
@@ -61,9 +61,9 @@
      * @param turn from 0, which is before any word by hand
      * @param at as in {@link Ban}
      */
-    public record Duty(long turn, boolean drained, Instant at) {
-        public Duty {
-            require(turn >= 0, "a duty's turn below 0");
+    public record Drain(long turn, boolean drained, Instant at) {
+        public Drain {
+            require(turn >= 0, "a drain's turn below 0");
             Objects.requireNonNull(at);
         }
     }
@@ -99,20 +99,20 @@
 
     /** Copies the maps and forgets what is beyond the bounds; an IllegalArgumentException on a name not in Unicode. */
     public SharedState {
-        Objects.requireNonNull(duty);
+        Objects.requireNonNull(drain);
         bans = bounded(bans, MOST_BANS, ban -> !ban.out(), Ban::at);
         lives = bounded(lives, MOST_LIVES, life -> true, Life::started);
     }
 
     /**
-     * Both as one: of each ban and of the duty the higher turn, then the later time, then out or drained; of each life
+     * Both as one: of each ban and of the drain the higher turn, then the later time, then out or drained; of each life
      * the later phase. Commutative and idempotent; associative too as long as no put-back is forgotten and each life
      * is told with one start.
      */
     public SharedState merge(SharedState other) {
         return new SharedState(
                 union(bans, other.bans, LATER_BAN),
-                LATER_DUTY.apply(duty, other.duty),
+                LATER_DRAIN.apply(drain, other.drain),
                 union(lives, other.lives, Life::merge));
     }
 
@@ -131,17 +131,19 @@
             throw new IllegalStateException(MOST_BANS + " servers are left out by hand already");
         }
         long turn = bans.containsKey(server) ? bans.get(server).turn() + 1 : 1;
-        return merge(new SharedState(single(server, new Ban(turn, out, at)), duty, lives));
+        return merge(new SharedState(single(server, new Ban(turn, out, at)), drain, lives));
     }
 
     /** The conductor drained by hand or back at work; the same state where it is so already. */
-    public SharedState duty(boolean drained, Instant at) {
-        return duty.drained() == drained ? this : new SharedState(bans, new Duty(duty.turn() + 1, drained, at), lives);
+    public SharedState drain(boolean drained, Instant at) {
+        return drain.drained() == drained
+                ? this
+                : new SharedState(bans, new Drain(drain.turn() + 1, drained, at), lives);
     }
 
     /** With what a process says of itself; an earlier phase than is known changes nothing. */
     public SharedState life(String incarnation, Life life) {
-        return merge(new SharedState(bans, duty, single(incarnation, life)));
+        return merge(new SharedState(bans, drain, single(incarnation, life)));
     }
 
     /**
@@ -158,7 +160,7 @@
                                 .anyMatch(o ->
                                         o.getValue().slot() == life.getValue().slot()
                                                 && BY_START.compare(o, life) > 0));
-        return new SharedState(bans, duty, alive);
+        return new SharedState(bans, drain, alive);
     }
 
     /** Whether a server is left out by hand. */
--- a/src/main/java/copperbeam/handover/StateCodec.java
+++ b/src/main/java/copperbeam/handover/StateCodec.java
@@ -5,7 +5,7 @@
 import com.google.gson.stream.JsonToken;
 import com.google.gson.stream.JsonWriter;
 import copperbeam.handover.SharedState.Ban;
-import copperbeam.handover.SharedState.Duty;
+import copperbeam.handover.SharedState.Drain;
 import copperbeam.handover.SharedState.Life;
 import copperbeam.handover.SharedState.Phase;
 import java.io.IOException;
@@ -92,7 +92,7 @@
             SortedMap<String, Ban> bans =
                     map(in, "bans", ban -> new Ban(number(ban, "turn"), flag(ban, "out"), time(ban, "at")));
             field(in, "duty", JsonToken.BEGIN_OBJECT).beginObject();
-            Duty duty = new Duty(number(in, "turn"), flag(in, "drained"), time(in, "at"));
+            Drain drain = new Drain(number(in, "turn"), flag(in, "drained"), time(in, "at"));
             in.endObject();
             SortedMap<String, Life> lives = map(
                     in,
@@ -103,7 +103,7 @@
                             Math.toIntExact(number(life, "slot"))));
             in.endObject();
             refuse(in.peek() != JsonToken.END_DOCUMENT, "more than one JSON value");
-            SharedState state = new SharedState(bans, duty, lives);
+            SharedState state = new SharedState(bans, drain, lives);
             refuse(!state.bans().equals(bans) || !state.lives().equals(lives), "more bans or lives than may be");
             return state;
         } catch (IOException
@@ -158,16 +158,16 @@
                         .value(ban.at().toString())
                         .endObject();
             }
-            Duty duty = state.duty();
+            Drain drain = state.drain();
             out.endObject()
                     .name("duty")
                     .beginObject()
                     .name("turn")
-                    .value(duty.turn())
+                    .value(drain.turn())
                     .name("drained")
-                    .value(duty.drained())
+                    .value(drain.drained())
                     .name("at")
-                    .value(duty.at().toString())
+                    .value(drain.at().toString())
                     .endObject();
             out.name("lives").beginObject();
             for (var e : state.lives().entrySet()) {
--- a/src/main/java/copperbeam/operation/Desk.java
+++ b/src/main/java/copperbeam/operation/OperatorCommands.java
@@ -12,8 +12,8 @@
  * The words of the operators' door. A call that only asks is answered on the door's thread from what others have
  * published; one that changes something is yes once its owner has acted.
  */
-public final class Desk implements AdminServer.Desk {
-    private static final Logger LOG = Logger.getLogger(Desk.class.getName());
+public final class OperatorCommands implements AdminServer.CommandHandler {
+    private static final Logger LOG = Logger.getLogger(OperatorCommands.class.getName());
     private static final String YES = "ACK\n";
 
     private final Metrics metrics;
@@ -23,7 +23,7 @@
     private final Executor one;
 
     /** {@code one}: one thread, on which calls that change something follow each other. */
-    public Desk(Metrics metrics, BooleanSupplier serves, Shared shared, BanActor bans, Executor one) {
+    public OperatorCommands(Metrics metrics, BooleanSupplier serves, Shared shared, BanActor bans, Executor one) {
         this.metrics = metrics;
         this.serves = serves;
         this.shared = shared;
--- a/src/main/java/copperbeam/program/Handover.java
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -155,8 +155,8 @@
             LOG.info("out by hand: " + state.banned());
             bans.tell(new BanActor.Out(state.banned(), () -> {}));
         }
-        if (state.duty().drained() != acted.duty().drained()) {
-            listener.drain(state.duty().drained(), done -> {});
+        if (state.drain().drained() != acted.drain().drained()) {
+            listener.drain(state.drain().drained(), done -> {});
         }
         acted = state;
         Beside now = folder == null ? Beside.NONE : folder.beside(LEAVING);
@@ -178,7 +178,7 @@
     @Override
     public void ban(String server, boolean out, Runnable done) {
         change(s -> s.ban(server, out, clock.instant()));
-        acted = new SharedState(state.bans(), acted.duty(), acted.lives());
+        acted = new SharedState(state.bans(), acted.drain(), acted.lives());
         bans.tell(new BanActor.Out(state.banned(), done));
         act(); // on what was read with it: said at another's door just before, it would never be looked at again
     }
@@ -189,8 +189,8 @@
             done.accept(false);
             return;
         }
-        change(s -> s.duty(drained, clock.instant()));
-        acted = new SharedState(acted.bans(), state.duty(), acted.lives());
+        change(s -> s.drain(drained, clock.instant()));
+        acted = new SharedState(acted.bans(), state.drain(), acted.lives());
         listener.drain(drained, done);
         act(); // as in ban()
     }
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -3,7 +3,7 @@
 import copperbeam.Api.ListKind;
 import copperbeam.lifecycle.Lifecycle;
 import copperbeam.operation.BanActor;
-import copperbeam.operation.Desk;
+import copperbeam.operation.OperatorCommands;
 import copperbeam.protocol.HttpClient;
 import copperbeam.protocol.discovery.DiscoveryWatch;
 import copperbeam.protocol.etcd.EtcdMembership;
@@ -168,7 +168,9 @@
             module.tell(new ModuleActor.Census());
             handover.begin(lifecycle);
             door = new AdminServer(
-                    config.control(), clock, new Desk(metrics, this::serves, handover, bans, handover.thread()));
+                    config.control(),
+                    clock,
+                    new OperatorCommands(metrics, this::serves, handover, bans, handover.thread()));
         }
         WarmUp.start(config.settings(), client, later ? null : address, () -> {
             warm.countDown();
--- a/src/main/java/copperbeam/protocol/platform/PlatformWords.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformStatus.java
@@ -5,8 +5,8 @@
 import copperbeam.routing.Connector.Word;
 
 /** What a server's status means on the platform. */
-public final class PlatformWords {
-    private PlatformWords() {}
+public final class PlatformStatus {
+    private PlatformStatus() {}
 
     /**
      * {@code reads}: at a reader; {@code notProcessed}: the answer says that nothing ran. Guards against the other role's
--- a/src/main/java/copperbeam/transport/AdminServer.java
+++ b/src/main/java/copperbeam/transport/AdminServer.java
@@ -25,7 +25,7 @@
  */
 public final class AdminServer implements AutoCloseable {
     /** Takes a line, on the door's thread; {@code reply} from any thread, once. */
-    public interface Desk {
+    public interface CommandHandler {
         void call(String line, Consumer<String> reply);
     }
 
@@ -40,7 +40,7 @@
         final SelectionKey key;
         final Instant since;
         final ByteBuffer line = ByteBuffer.allocate(MOST_LINE);
-        boolean called; // its line is with the desk
+        boolean called; // its line is with the handler
         ByteBuffer answer;
 
         Caller(SocketChannel channel, Selector selector, Instant since) throws IOException {
@@ -54,7 +54,7 @@
     private record Reply(Caller to, String text) {}
 
     private final Clock clock;
-    private final Desk desk;
+    private final CommandHandler handler;
     private final Selector selector;
     private final ServerSocketChannel listener;
     private final InetSocketAddress address;
@@ -63,9 +63,9 @@
     private volatile boolean closed;
 
     /** Listens from now on. */
-    public AdminServer(InetSocketAddress at, Clock clock, Desk desk) throws IOException {
+    public AdminServer(InetSocketAddress at, Clock clock, CommandHandler handler) throws IOException {
         this.clock = clock;
-        this.desk = desk;
+        this.handler = handler;
         selector = Selector.open();
         listener = ServerSocketChannel.open();
         try {
@@ -164,7 +164,7 @@
         if (end < c.line.position()) {
             c.called = true;
             c.key.interestOps(0);
-            desk.call(new String(c.line.array(), 0, end, StandardCharsets.UTF_8).strip(), text -> {
+            handler.call(new String(c.line.array(), 0, end, StandardCharsets.UTF_8).strip(), text -> {
                 replies.add(new Reply(c, text));
                 selector.wakeup();
             });
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -4,7 +4,7 @@
 import copperbeam.protocol.EventSplitter;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.platform.PlatformHeaders;
-import copperbeam.protocol.platform.PlatformWords;
+import copperbeam.protocol.platform.PlatformStatus;
 import copperbeam.routing.Connector;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -172,7 +172,7 @@
 
         @Override
         void head(HttpResponse response) throws HttpException {
-            word = PlatformWords.attempt(
+            word = PlatformStatus.attempt(
                     call.reads(), response.getCode(), "1".equals(value(response, "X-Not-Processed")));
             stream = word == Word.STREAM;
             if (stream && !response.containsHeader("Transfer-Encoding") && !response.containsHeader("Content-Length")) {
@@ -195,7 +195,7 @@
             if (stream && !events.end(listener::event)) {
                 listener.broken(true);
             } else {
-                listener.end(reusable, word == Word.READ ? PlatformWords.keptTokens(gathered()) : Double.NaN);
+                listener.end(reusable, word == Word.READ ? PlatformStatus.keptTokens(gathered()) : Double.NaN);
             }
         }
 
@@ -231,7 +231,7 @@
         @Override
         void head(HttpResponse response) {
             int status = response.getCode();
-            word = probe ? PlatformWords.probe(status) : PlatformWords.release(status);
+            word = probe ? PlatformStatus.probe(status) : PlatformStatus.release(status);
             report = PlatformHeaders.report(value(response, "X-Server-Load"));
         }
 
--- a/src/test/java/copperbeam/handover/SharedStateTest.java
+++ b/src/test/java/copperbeam/handover/SharedStateTest.java
@@ -7,7 +7,7 @@
 import static org.testng.Assert.assertTrue;
 
 import copperbeam.handover.SharedState.Ban;
-import copperbeam.handover.SharedState.Duty;
+import copperbeam.handover.SharedState.Drain;
 import copperbeam.handover.SharedState.Life;
 import copperbeam.handover.SharedState.Phase;
 import java.time.Instant;
@@ -39,7 +39,7 @@
                     new Life(
                             Instant.ofEpochSecond(life * 7 % 6), Phase.values()[random.nextInt(3)], random.nextInt(3)));
         }
-        return new SharedState(bans, new Duty(random.nextInt(3), random.nextBoolean(), time(random)), lives);
+        return new SharedState(bans, new Drain(random.nextInt(3), random.nextBoolean(), time(random)), lives);
     }
 
     private static Instant time(Random random) {
@@ -79,12 +79,12 @@
         boolean out = words.charAt(1) == 'o';
         Instant at = Instant.ofEpochSecond(words.charAt(2) - '0');
         return new SharedState(
-                new TreeMap<>(Map.of("s", new Ban(turn, out, at))), new Duty(turn, out, at), new TreeMap<>());
+                new TreeMap<>(Map.of("s", new Ban(turn, out, at))), new Drain(turn, out, at), new TreeMap<>());
     }
 
     /**
      * Two processes and one file. A change takes a turn from even to odd or back, so the oracle counts turns: of the
-     * duty (0) and of servers, as known to process 0, process 1 and in the file (2). Odd is out; more turns win.
+     * drain (0) and of servers, as known to process 0, process 1 and in the file (2). Odd is out; more turns win.
      */
     private static final class Pair {
         final SharedState[] states = {SharedState.EMPTY, SharedState.EMPTY};
@@ -103,13 +103,13 @@
 
         void byHand(int p, int what, boolean out, Instant at) {
             SharedState before = states[p];
-            states[p] = what == 0 ? before.duty(out, at) : before.ban("s" + what, out, at);
+            states[p] = what == 0 ? before.drain(out, at) : before.ban("s" + what, out, at);
             assertEquals(states[p] == before, turns[p][what] % 2 == 1 == out, "the same again changes nothing");
             turns[p][what] += states[p] == before ? 0 : 1;
         }
 
         void check(int p) {
-            assertEquals(states[p].duty().drained(), turns[p][0] % 2 == 1);
+            assertEquals(states[p].drain().drained(), turns[p][0] % 2 == 1);
             assertEquals(
                     states[p].banned(),
                     IntStream.range(1, 4)
@@ -149,7 +149,7 @@
         for (int i = 0; i < SharedState.MOST_BANS; i++) {
             many.put("s" + i, new Ban(1, i >= 2, Instant.ofEpochSecond(i)));
         }
-        SharedState state = new SharedState(many, SharedState.EMPTY.duty(), new TreeMap<>());
+        SharedState state = new SharedState(many, SharedState.EMPTY.drain(), new TreeMap<>());
         assertEquals(state.bans().size(), SharedState.MOST_BANS);
         state = state.ban("a", true, Instant.EPOCH);
         assertFalse(state.bans().containsKey("s0"), "the oldest put-back goes first");
--- a/src/test/java/copperbeam/handover/StateCodecTest.java
+++ b/src/test/java/copperbeam/handover/StateCodecTest.java
@@ -27,7 +27,7 @@
             .ban("b:1", true, NOW)
             .ban("é \"\\\n", true, NOW)
             .ban("b:1", false, NOW)
-            .duty(true, NOW)
+            .drain(true, NOW)
             .life("p1", new Life(NOW, Phase.SERVING, 0))
             .life("p2", new Life(NOW, Phase.STARTING, 7));
     private static final byte[] FILE = StateCodec.write("c", SAMPLE, NOW);
@@ -81,7 +81,7 @@
         Path directory = Files.createTempDirectory("handover");
         Path state = directory.resolve("state");
         Path temporary = directory.resolve("state.tmp");
-        SharedState next = SAMPLE.duty(false, NOW);
+        SharedState next = SAMPLE.drain(false, NOW);
         byte[] file = StateCodec.write("c", next, NOW);
         for (int dies = 0; dies <= file.length; dies++) {
             Files.write(state, FILE);
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -8,7 +8,7 @@
 import copperbeam.protocol.discovery.ServerList;
 import copperbeam.protocol.platform.PlatformHeaders;
 import copperbeam.protocol.platform.PlatformHeaders.Attrs;
-import copperbeam.protocol.platform.PlatformWords;
+import copperbeam.protocol.platform.PlatformStatus;
 import copperbeam.routing.Connector.Word;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -110,10 +110,10 @@
 
     @Test(dataProvider = "words")
     public void words(int status, boolean notProcessed, Word expected) {
-        assertEquals(PlatformWords.attempt(false, status, notProcessed), expected);
+        assertEquals(PlatformStatus.attempt(false, status, notProcessed), expected);
         // a reader's differs only in its own word
         assertEquals(
-                PlatformWords.attempt(true, status, notProcessed),
+                PlatformStatus.attempt(true, status, notProcessed),
                 status == 200 ? Word.ERROR : status == 202 ? Word.READ : expected);
     }
 
@@ -128,7 +128,7 @@
 
     @Test(dataProvider = "reads")
     public void reads(String body, double kept) {
-        assertEquals(PlatformWords.keptTokens(body), kept);
+        assertEquals(PlatformStatus.keptTokens(body), kept);
     }
 
     @DataProvider
