Names: ServerCall, and the timers' messages of PeerActor and ModuleActor

Need: Work, Said, Quiet, Tidy, Let and Pinned didn't say what they are or ask for.

Change: routing.Work is ServerCall. PeerActor's Said is Answered, Quiet is SilenceCheck, Tidy is IdleCheck, Let is SendLastByte; ModuleActor's Pinned is StateDue: half of the time has passed in which a read state must be fetched or released. Nothing is moved and no behaviour changes.

--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -33,7 +33,7 @@
                     Ended,
                     ProbeDone,
                     Fired,
-                    Pinned,
+                    StateDue,
                     Drain,
                     TakeNoMore,
                     HandOver,
@@ -96,7 +96,7 @@
 
     private record Fired(String tag) implements Message {}
 
-    private record Pinned(long request, int attempts) implements Message {}
+    private record StateDue(long request, int attempts) implements Message {}
 
     private enum Phase {
         OPEN,
@@ -184,8 +184,8 @@
             feed(new Api.Probed(e.server(), e.outcome(), ModuleTime.seconds(e.after()), e.report()));
         } else if (m instanceof Fired e) {
             feed(new Api.TimerFired(e.tag()));
-        } else if (m instanceof Pinned e) {
-            pinned(e);
+        } else if (m instanceof StateDue e) {
+            stateDue(e);
         } else if (m instanceof Drain e) {
             idle = e.idle();
         } else if (m instanceof TakeNoMore) {
@@ -376,7 +376,7 @@
             if (left.isNegative()) {
                 release(r); // this word has waited: no time is left for a timer's way
             } else {
-                tellFirstLater(left, new Pinned(r.key, r.attempts));
+                tellFirstLater(left, new StateDue(r.key, r.attempts));
             }
         }
         forget(r);
@@ -391,7 +391,7 @@
      * Guards against a read that ended well just as its connection closed: its state is held though the module
      * was told otherwise, and while no attempt is out it counts as pinned.
      */
-    private void pinned(Pinned e) {
+    private void stateDue(StateDue e) {
         Request r = requests.get(e.request());
         if (r != null && r.phase == Phase.OPEN && !r.out && r.attempts == e.attempts() && r.mayHold) {
             release(r);
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -31,14 +31,14 @@
                     Up,
                     NotUp,
                     Closed,
-                    Said,
+                    Answered,
                     Event,
                     Ended,
                     Broken,
                     Expired,
-                    Quiet,
-                    Tidy,
-                    Let {}
+                    SilenceCheck,
+                    IdleCheck,
+                    SendLastByte {}
 
     /** {@code drains}: no attempt begins any more, and nothing more is kept idle. */
     public record Listed(boolean drains) implements Message {}
@@ -82,28 +82,28 @@
     /** Asks the server to release the read state of the request with this id. */
     public record Release(long ticket, String id) implements Message {}
 
-    private record Up(Work work, Connection connection) implements Message {}
+    private record Up(ServerCall work, Connection connection) implements Message {}
 
-    private record NotUp(Work work) implements Message {}
+    private record NotUp(ServerCall work) implements Message {}
 
     private record Closed(Connection connection) implements Message {}
 
-    private record Said(Work work, Word word, Report report) implements Message {}
+    private record Answered(ServerCall work, Word word, Report report) implements Message {}
 
-    private record Event(Work work, byte[] raw) implements Message {}
+    private record Event(ServerCall work, byte[] raw) implements Message {}
 
     /** {@code at}: when the transport heard it; the mailbox may be long, and what a read left is held from then on. */
-    private record Ended(Work work, boolean reusable, double kept, Instant at) implements Message {}
+    private record Ended(ServerCall work, boolean reusable, double kept, Instant at) implements Message {}
 
-    private record Broken(Work work, boolean written, Instant at) implements Message {}
+    private record Broken(ServerCall work, boolean written, Instant at) implements Message {}
 
-    private record Expired(Work work) implements Message {}
+    private record Expired(ServerCall work) implements Message {}
 
-    private record Quiet(Work work) implements Message {}
+    private record SilenceCheck(ServerCall work) implements Message {}
 
-    private record Tidy() implements Message {}
+    private record IdleCheck() implements Message {}
 
-    private record Let(Work work, Connection on) implements Message {}
+    private record SendLastByte(ServerCall work, Connection on) implements Message {}
 
     private record Idle(Connection connection, Instant since) {}
 
@@ -128,7 +128,7 @@
     private final String id;
     private final InetSocketAddress address;
     private final Setup setup;
-    private final Map<Long, Work> attempts = new HashMap<>();
+    private final Map<Long, ServerCall> attempts = new HashMap<>();
     private final Deque<Idle> idle = new ArrayDeque<>();
     private boolean drains;
     private Duration keep; // so long a connection may stand idle
@@ -158,19 +158,19 @@
             mostIdle = e.idle();
             thin();
         } else if (m instanceof Send e) {
-            Work work = new Work(e, setup.clock().instant());
+            ServerCall work = new ServerCall(e, setup.clock().instant());
             attempts.put(e.request(), work);
             begin(work, e.until());
         } else if (m instanceof Probe || m instanceof Release) {
-            Work work = new Work(m, setup.clock().instant());
+            ServerCall work = new ServerCall(m, setup.clock().instant());
             begin(work, work.began.plus(setup.callTimeout()));
         } else if (m instanceof Stop e) {
-            Work work = out(e.request(), e.number());
+            ServerCall work = out(e.request(), e.number());
             if (work != null) {
                 finish(work, Outcome.CANCELLED);
             }
         } else if (m instanceof Proceed e) {
-            Work work = out(e.request(), e.number());
+            ServerCall work = out(e.request(), e.number());
             if (work != null) {
                 proceed(work);
             }
@@ -180,7 +180,7 @@
             expired(e.work());
         } else if (m instanceof Closed e) {
             closed(e.connection());
-        } else if (m instanceof Said e) {
+        } else if (m instanceof Answered e) {
             note(Recorder.What.WORD, e.work(), e.word().name(), null);
             e.work().word = e.word();
             e.work().report = e.report();
@@ -198,11 +198,11 @@
             broken(e.work(), e.written());
         } else if (m instanceof Expired e) {
             expired(e.work());
-        } else if (m instanceof Quiet e) {
-            quiet(e.work());
-        } else if (m instanceof Tidy) {
+        } else if (m instanceof SilenceCheck e) {
+            checkSilence(e.work());
+        } else if (m instanceof IdleCheck) {
             tidy();
-        } else if (m instanceof Let e
+        } else if (m instanceof SendLastByte e
                 && !e.work().done
                 && e.work().connection == e.on()
                 && !unwanted(e.work(), false)) {
@@ -210,14 +210,14 @@
         }
     }
 
-    private Work out(long request, int number) {
-        Work work = attempts.get(request);
+    private ServerCall out(long request, int number) {
+        ServerCall work = attempts.get(request);
         return work == null || work.send().number() != number ? null : work;
     }
 
     // ---- connections ---------------------------------------------------------------------------
 
-    private void begin(Work work, Instant until) {
+    private void begin(ServerCall work, Instant until) {
         work.until = until;
         work.expiry = tellLater(Duration.between(work.began, until), new Expired(work));
         if (unwanted(work, true)) {
@@ -244,7 +244,7 @@
         connect(work);
     }
 
-    private void connect(Work work) {
+    private void connect(ServerCall work) {
         work.reused = false;
         work.ended = null;
         // HttpCore looks only now and then: 250 ms became up to 600, in which a read state is held
@@ -268,7 +268,7 @@
         });
     }
 
-    private void up(Work work, Connection connection) {
+    private void up(ServerCall work, Connection connection) {
         if (work.done || unwanted(work, true)) {
             keep(connection);
         } else {
@@ -281,7 +281,7 @@
      * Ends an attempt that may not be written any more, though the module chose it: its client has gone, the time for a
      * repeat is over, or, for its {@code first} byte, its server drains. Guards against connections that come up late.
      */
-    private boolean unwanted(Work work, boolean first) {
+    private boolean unwanted(ServerCall work, boolean first) {
         boolean closed = first && drains;
         if (work.send() == null || !closed && work.send().wanted(setup.clock().instant())) {
             return false;
@@ -292,13 +292,13 @@
         return true;
     }
 
-    private void note(Recorder.What what, Work work, String text, Duration span) {
+    private void note(Recorder.What what, ServerCall work, String text, Duration span) {
         if (work.order instanceof Send s) {
             setup.recorder().note(what, s.request(), s.number(), id, text, span);
         }
     }
 
-    private void use(Work work, Connection connection) {
+    private void use(ServerCall work, Connection connection) {
         work.connection = connection;
         // what is held hangs on these, which must not wait behind the events of many streams
         boolean first = work.order instanceof Release
@@ -326,12 +326,12 @@
 
             @Override
             public void held() {
-                tellLater(HOLD, new Let(work, connection));
+                tellLater(HOLD, new SendLastByte(work, connection));
             }
 
             @Override
             public void word(Word word, Report report) {
-                tell(first, new Said(work, word, report));
+                tell(first, new Answered(work, word, report));
             }
 
             @Override
@@ -359,7 +359,7 @@
         idle.add(new Idle(connection, setup.clock().instant()));
         thin();
         if (tidying == null) {
-            tidying = tellLater(keep, new Tidy());
+            tidying = tellLater(keep, new IdleCheck());
         }
     }
 
@@ -379,7 +379,7 @@
                 next.connection().close();
             }
         }
-        tidying = idle.isEmpty() ? null : tellLater(keep.dividedBy(4), new Tidy());
+        tidying = idle.isEmpty() ? null : tellLater(keep.dividedBy(4), new IdleCheck());
     }
 
     /** Guards against servers that close what is idle sooner than they say: kept for half of what they bear. */
@@ -395,7 +395,7 @@
                     if (tidying != null) {
                         tidying.cancel(false);
                     }
-                    tidying = tellLater(keep, new Tidy());
+                    tidying = tellLater(keep, new IdleCheck());
                 }
             }
         }
@@ -408,7 +408,7 @@
 
     // ---- what comes back -----------------------------------------------------------------------
 
-    private void event(Work work, byte[] raw) {
+    private void event(ServerCall work, byte[] raw) {
         if (work.done || work.send() == null) {
             return;
         }
@@ -432,7 +432,7 @@
         }
     }
 
-    private void proceed(Work work) {
+    private void proceed(ServerCall work) {
         work.proceeding = true;
         while (!work.held.isEmpty() && !work.done) {
             pass(work, work.held.poll());
@@ -441,7 +441,7 @@
             settle(work, work.whole ? Outcome.OK : Outcome.RESET);
         }
         if (!work.done) {
-            tellLater(SILENCE, new Quiet(work));
+            tellLater(SILENCE, new SilenceCheck(work));
         }
     }
 
@@ -449,28 +449,28 @@
      * Guards against a stream that stops without its connection closing, as where the server has lost its
      * count of a chunk: its client would wait for good. A client that takes nothing is no silence.
      */
-    private void quiet(Work work) {
+    private void checkSilence(ServerCall work) {
         if (work.done) {
             return;
         }
         Duration silent = Duration.between(work.heard, setup.clock().instant());
         if (work.connection != null && work.connection.heldBack()) {
             work.heard = setup.clock().instant();
-            tellLater(SILENCE, new Quiet(work));
+            tellLater(SILENCE, new SilenceCheck(work));
         } else if (silent.compareTo(SILENCE) < 0) {
-            tellLater(SILENCE.minus(silent), new Quiet(work));
+            tellLater(SILENCE.minus(silent), new SilenceCheck(work));
         } else {
             finish(work, Outcome.RESET);
         }
     }
 
-    private void pass(Work work, byte[] raw) {
+    private void pass(ServerCall work, byte[] raw) {
         if (!work.send().answer().event(raw, work.granting(raw))) {
             finish(work, Outcome.RESET);
         }
     }
 
-    private void ended(Work work, boolean reusable) {
+    private void ended(ServerCall work, boolean reusable) {
         if (work.done) {
             return;
         }
@@ -488,7 +488,7 @@
         settle(work, work.answered());
     }
 
-    private void broken(Work work, boolean lastByteLeft) {
+    private void broken(ServerCall work, boolean lastByteLeft) {
         if (work.done) {
             return;
         }
@@ -512,7 +512,7 @@
         }
     }
 
-    private void expired(Work work) {
+    private void expired(ServerCall work) {
         if (work.done || work.offered) {
             return;
         }
@@ -521,7 +521,7 @@
     }
 
     /** Ends a call and its connection, so that no attempt is left out there. */
-    private void finish(Work work, Outcome outcome) {
+    private void finish(ServerCall work, Outcome outcome) {
         if (!work.done) {
             if (work.connection != null
                     && work.word == null
@@ -535,11 +535,11 @@
         }
     }
 
-    private Duration since(Work work) {
+    private Duration since(ServerCall work) {
         return Duration.between(work.began, setup.clock().instant());
     }
 
-    private void settle(Work work, Outcome outcome) {
+    private void settle(ServerCall work, Outcome outcome) {
         work.done = true;
         work.held.clear();
         work.expiry.cancel(false); // or the request's body would stay until then
--- a/src/main/java/copperbeam/routing/Work.java
+++ b/src/main/java/copperbeam/routing/ServerCall.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.Future;
 
 /** One call to a server, from its wait for a connection to its end; its {@link PeerActor} alone reads and changes it. */
-final class Work {
+final class ServerCall {
     final PeerActor.Message order;
     final Instant began;
     Instant until;
@@ -28,7 +28,7 @@
     double kept = Double.NaN; // see Connector.Listener
     final Deque<byte[]> held = new ArrayDeque<>();
 
-    Work(PeerActor.Message order, Instant began) {
+    ServerCall(PeerActor.Message order, Instant began) {
         this.order = order;
         this.began = began;
     }
