--- a/src/test/java/copperbeam/model/Faults.java
+++ b/src/test/java/copperbeam/model/Faults.java
@@ -79,6 +79,7 @@
             case HOLD_UP -> process().thread.block(world.time.now() + (long) (random.nextDouble() * world.heldUp));
             case KILL -> kill(process());
             case STOP -> stop(process());
+            default -> throw new IllegalStateException("unknown fault " + kind);
         }
     }
 
