--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -174,7 +174,7 @@
                 finish(work, Outcome.CANCELLED);
             }
         } else if (m instanceof Cut e) {
-            Work work = out(e.request(), e.number());
+            ServerCall work = out(e.request(), e.number());
             if (work != null && work.connection != null) {
                 work.connection.readOut(() -> tell(new Stop(e.request(), e.number())));
             }
