Servers: nothing leaves after an attempt's own time, old heads, refusals without their end

Causes, each by reading and then forced: - As a last byte left, the client's going and the window for repeats were asked, but not the attempt's own time: that was a timer's message in the mailbox alone, so that where it came late a connection was made, a held byte let go or a broken connection replaced after the request's deadline. - X-Timeout is told with the head, and the last byte may leave long after it (a held byte, a server that reads late): the server then counts from more time than is left. - A 503, 504 or 410 with X-Not-Processed whose body broke off was a reset that may have run, so that what must not run twice failed though nothing had run. One whose body never came, and an error likewise, was waited for until the client's time was over.

Change: Send.wanted asks for the attempt's time too (what has not left by then has not run); a last byte does not follow a head that tells over 0.1 s more than is left (the connection ends, the call has not run and is made anew); a refusal counts from its head on; an answer that is no stream has 0.8 s from its head to its end.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -49,7 +49,8 @@
     public record Room(int idle) implements Message {}
 
     /**
-     * {@code latest}: its last byte may not leave after this; {@code upBy}: its connection must be up by then, as what is held
+     * {@code until}: so long it is waited for, and its last byte leaves by then if ever; {@code latest}: its last byte may not
+     * leave after this, and no other attempt's either; {@code upBy}: its connection must be up by then, as what is held
      * waits for it; {@code once}: must not run twice, so that no kept connection is risked for it;
      * {@code reads}: this server is to read, not to write.
      */
@@ -65,7 +66,7 @@
             boolean reads)
             implements Message {
         boolean wanted(Instant now) {
-            return !answer.gone() && !now.isAfter(latest);
+            return !answer.gone() && !now.isAfter(latest) && !now.isAfter(until);
         }
     }
 
@@ -119,6 +120,8 @@
     private static final Duration SILENCE = Duration.ofSeconds(4); // of a stream; its client may wait for 5
     // of a last byte: nine in ten of the breaks that were on their way came within it
     private static final Duration HOLD = Duration.ofMillis(2);
+    private static final Duration SHORT_ANSWER =
+            Duration.ofMillis(800); // from the head of one that is no stream to its end
     private static final int MOST_UNSENT = 3; // new connections for one attempt
     private static final Duration LEAST_KEPT = Duration.ofMillis(100); // shorter is a close after an answer
 
@@ -181,6 +184,9 @@
             note(Recorder.What.WORD, e.work(), e.word().name(), null);
             e.work().word = e.word();
             e.work().report = e.report();
+            if (e.word() != Word.STREAM) {
+                endBy(e.work(), SHORT_ANSWER);
+            }
         } else if (m instanceof Event e) {
             event(e.work(), e.raw());
         } else if (m instanceof Ended e) {
@@ -220,25 +226,46 @@
         if (unwanted(work, true)) {
             return;
         }
-        Instant stale = setup.clock().instant().minus(keep);
         // what is written on a kept connection as its server closes it may have run, and nobody can tell
         boolean fresh = work.send() != null && work.send().once();
-        while (!fresh && !idle.isEmpty()) {
-            Idle last = idle.pollLast();
+        Idle kept = fresh ? null : takeIdle();
+        if (kept == null) {
+            connect(work);
+            return;
+        }
+        work.reused = true;
+        note(
+                Recorder.What.CONNECTION,
+                work,
+                "kept",
+                Duration.between(kept.since(), setup.clock().instant()));
+        use(work, kept.connection());
+    }
+
+    /** The connection used last, or null. */
+    private Idle takeIdle() {
+        Instant now = setup.clock().instant();
+        for (Iterator<Idle> i = idle.descendingIterator(); i.hasNext(); ) {
+            Idle next = i.next();
             // never written on when the server may be closing it: what was written would count as a reset
-            if (last.connection().isOpen() && last.since().isAfter(stale)) {
-                work.reused = true;
-                note(
-                        Recorder.What.CONNECTION,
-                        work,
-                        "kept",
-                        Duration.between(last.since(), setup.clock().instant()));
-                use(work, last.connection());
-                return;
+            if (!next.connection().isOpen() || !next.since().isAfter(now.minus(keep))) {
+                i.remove();
+                next.connection().close();
+            } else {
+                i.remove();
+                return next;
             }
-            last.connection().close();
         }
-        connect(work);
+        return null;
+    }
+
+    /** Guards against an answer that does not end: its call would wait for as long as its client. */
+    private void endBy(Work work, Duration within) {
+        Duration left = Duration.between(setup.clock().instant(), work.until);
+        if (!work.done && within.compareTo(left) < 0) {
+            work.expiry.cancel(false);
+            work.expiry = tellLater(within, new Expired(work));
+        }
     }
 
     private void connect(Work work) {
@@ -275,17 +302,21 @@
     }
 
     /**
-     * Ends an attempt that may not be written any more, though the module chose it: its client has gone, the time for a
-     * repeat is over, or, for its {@code first} byte, its server drains. Guards against connections that come up late.
+     * Ends an attempt that may not be written any more, though the module chose it: its client has gone, its own time or that
+     * for any repeat is over, or, for its {@code first} byte, its server drains. Guards against connections that come up late.
      */
     private boolean unwanted(Work work, boolean first) {
         boolean closed = first && drains;
-        if (work.send() == null || !closed && work.send().wanted(setup.clock().instant())) {
+        Instant now = setup.clock().instant();
+        if (work.send() == null || !closed && work.send().wanted(now)) {
             return false;
         }
+        boolean repeatsOver = now.isAfter(work.send().latest());
         finish(
                 work,
-                work.send().answer().gone() ? Outcome.CANCELLED : closed ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT);
+                work.send().answer().gone()
+                        ? Outcome.CANCELLED
+                        : repeatsOver && !closed ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
         return true;
     }
 
@@ -504,6 +535,8 @@
         } else if (written && work.reused && work.word == null) {
             dropIdle(); // the others here may have ended as well
             finish(work, Outcome.STALE);
+        } else if (work.refused()) {
+            finish(work, Outcome.FULL);
         } else {
             finish(work, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
@@ -514,7 +547,8 @@
             return;
         }
         // a connection that never came up proves that nothing ran
-        finish(work, work.connection == null ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT);
+        Outcome silent = work.connection == null ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT;
+        finish(work, work.refused() ? Outcome.FULL : work.word == null ? silent : Outcome.ERROR);
     }
 
     /** Ends a call and its connection, so that no attempt is left out there. */
--- a/src/main/java/copperbeam/routing/Work.java
+++ b/src/main/java/copperbeam/routing/Work.java
@@ -42,6 +42,11 @@
         return send() != null && send().upBy().isBefore(usual) ? send().upBy() : usual;
     }
 
+    /** The head of its answer says that nothing ran, whatever becomes of the rest. */
+    boolean refused() {
+        return word == Connector.Word.TURNED_AWAY || word == Connector.Word.STATE_MISSING;
+    }
+
     /** Of a call whose answer is whole. */
     Outcome answered() {
         return switch (word == null ? Connector.Word.ERROR : word) {
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -27,6 +27,8 @@
         "X-Route-Key", "X-Attrs", "X-Retried", "Idempotency-Key", "Content-Type", "Accept"
     };
 
+    private static final Duration MOST_TOLD_TOO_MUCH = Duration.ofMillis(100); // of the time that is left
+
     private final ClientReactor reactor;
 
     public ServerConnector(ClientReactor reactor) {
@@ -150,6 +152,7 @@
         private final Listener listener;
         private final AttemptCall call;
         private final EventSplitter events = new EventSplitter();
+        private Duration patienceTold = Duration.ZERO;
         private boolean stream;
         private Word word;
 
@@ -162,12 +165,15 @@
         /** Guards against a time that is over by then: the call may have waited for its turn on the reactor. */
         @Override
         void leaves(HttpRequest head) {
-            head.setHeader("X-Timeout", PlatformHeaders.timeout(call.patience().get()));
+            patienceTold = call.patience().get();
+            head.setHeader("X-Timeout", PlatformHeaders.timeout(patienceTold));
         }
 
+        /** Guards also against a head that has grown old: where a body leaves late, its server was told too much time. */
         @Override
         boolean wanted() {
-            return call.wanted().getAsBoolean();
+            Duration passed = patienceTold.minus(call.patience().get());
+            return call.wanted().getAsBoolean() && passed.compareTo(MOST_TOLD_TOO_MUCH) <= 0;
         }
 
         @Override
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -27,6 +27,7 @@
     private enum Why {
         GONE,
         LATE,
+        OVER,
         DRAINS,
         LEFT,
         WANTED
@@ -113,6 +114,10 @@
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.WANTED, "connect call connect "},
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.GONE, "connect call abort "},
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.LATE, "connect call close "},
+            {When.BEFORE_IT_BEGINS, Why.OVER, ""},
+            {When.BEFORE_IT_HAS_A_CONNECTION, Why.OVER, "connect "},
+            {When.BEFORE_ITS_LAST_BYTE_GOES, Why.OVER, "connect call close "},
+            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.OVER, "connect call close "},
             {When.BEFORE_IT_BEGINS, Why.DRAINS, ""},
             {When.BEFORE_IT_BEGINS, Why.LEFT, ""},
             {When.BEFORE_IT_HAS_A_CONNECTION, Why.DRAINS, "connect close "},
@@ -165,7 +170,7 @@
                             ask,
                             answer,
                             Instant.EPOCH.plus(minute),
-                            Instant.EPOCH.plusSeconds(1),
+                            why == Why.OVER ? Instant.MAX : Instant.EPOCH.plusSeconds(1),
                             Instant.MAX,
                             true,
                             false)),
@@ -176,7 +181,7 @@
             for (int i = 0; i <= last; i++) {
                 if (i == last && why != Why.WANTED) {
                     gone[0] = why == Why.GONE;
-                    clock.by = Duration.ofSeconds(why == Why.LATE ? 2 : 0);
+                    clock.by = Duration.ofSeconds(why == Why.LATE ? 2 : why == Why.OVER ? 61 : 0);
                     if (why == Why.DRAINS) {
                         peer.tell(new PeerActor.Listed(true));
                     } else if (why == Why.LEFT) {
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -121,6 +121,25 @@
         }
     }
 
+    /** The head left long before the last byte may: its server would take what it was told then for what is left. */
+    @Test
+    public void aHeadThatHasGrownOldIsNotFollowedByItsLastByte() throws Exception {
+        for (int passedMs : new int[] {0, 200}) {
+            AtomicReference<Duration> left = new AtomicReference<>(Duration.ofSeconds(5));
+            try (StandIn server = new StandIn(Site::read);
+                    ClientReactor reactor = new ClientReactor()) {
+                Connector.Connection connection = up(new ServerConnector(reactor), server.address());
+                CompletableFuture<Boolean> answered = call(connection, left, true, () -> {}, () -> {
+                    left.updateAndGet(l -> l.minusMillis(passedMs));
+                    connection.let();
+                });
+                assertEquals(answered.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS), Boolean.valueOf(passedMs == 0));
+                await("its end", () -> passedMs == 0 || !server.lines.isEmpty() && server.lines.get(0).ended);
+                assertEquals(server.attempts(), passedMs == 0 ? 1 : 0);
+            }
+        }
+    }
+
     /** A repeat of a keyed class is not written once its window is over, though it was ordered within it. */
     @Test
     public void aKeyedRepeatIsNotWrittenAfterItsWindow() throws Exception {
@@ -206,16 +225,27 @@
     /** {@code answered} runs on the reactor's thread. */
     private static CompletableFuture<Boolean> call(
             Connector.Connection on, AtomicReference<Duration> left, Runnable answered) {
+        return call(on, left, false, answered, () -> {});
+    }
+
+    private static CompletableFuture<Boolean> call(
+            Connector.Connection on,
+            AtomicReference<Duration> left,
+            boolean hold,
+            Runnable answered,
+            Runnable toldHeld) {
         CompletableFuture<Boolean> end = new CompletableFuture<>();
         HttpCall call = new HttpCall(
                 "POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII), Instant.now());
         Ask ask = new Ask("id", "ask", "k", null, 40, 0, 9, Instant.now().plusSeconds(8), false, call);
-        on.call(new Connector.AttemptCall(ask, true, left::get, false, () -> true), new Connector.Listener() {
+        on.call(new Connector.AttemptCall(ask, true, left::get, hold, () -> true), new Connector.Listener() {
             @Override
             public void sent() {}
 
             @Override
-            public void held() {}
+            public void held() {
+                toldHeld.run();
+            }
 
             @Override
             public void word(Connector.Word word, Report report) {
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -183,6 +183,48 @@
         });
     }
 
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {{503, true}, {503, false}, {504, true}, {504, false}, {410, true}, {410, false}};
+    }
+
+    /** Its head says that nothing ran, so that what must not run twice is sent again, whatever becomes of the body. */
+    @Test(dataProvider = "refusals")
+    public void aRefusalWithoutItsEndHasNotRun(int status, boolean closes) throws Exception {
+        AtomicInteger turn = new AtomicInteger();
+        try (Site site = new Site(1, 2);
+                Line client = site.client()) {
+            StandIn.Script script = attempts((m, line) -> {
+                if (turn.getAndIncrement() > 0) {
+                    Site.write(m, line);
+                    return;
+                }
+                line.send("HTTP/1.1 " + status + " x\r\nX-Not-Processed: 1\r\nContent-Length: 9\r\n\r\nno");
+                if (closes) {
+                    line.close();
+                }
+            });
+            site.writers.forEach(w -> w.script = script);
+            assertEquals(client.send(request("send", 4000)).read().status(), 200);
+            assertEquals(turn.get(), 2);
+        }
+    }
+
+    /** Guards against one that waits for as long as its client: what else than a refusal may have run. */
+    @Test
+    public void anErrorThatDoesNotEndIsAFailedAttempt() throws Exception {
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
+            site.writers.get(0).script =
+                    attempts((m, line) -> line.send("HTTP/1.1 500 x\r\nContent-Length: 9\r\n\r\nno"));
+            long sent = System.nanoTime();
+            assertEquals(
+                    client.send(request("send", 6 * Line.PATIENCE_MS)).read().status(), 502);
+            assertTrue(System.nanoTime() - sent < Duration.ofMillis(3000).toNanos());
+            assertEquals(site.attempts(site.writers), 1);
+        }
+    }
+
     /** Spoilt later: the client's connection ends, without the last chunk and without what no server sent. */
     @Test(dataProvider = "middles")
     public void aStreamSpoiltLaterEndsItsClientsConnection(String name, String middle, boolean chat) throws Exception {
