Idle connections to servers stay within their share, however many servers there are

Cause: each server might keep one, also where the list names more servers than connections may stand idle: 278 with 1,024 descriptors, 22 with 256, none with half of that beside an upgrade's other process. A conductor that had met them all had no descriptor left for clients and attempts; what can't be connected counts as its server's fault.

Change: the share is divided exactly, with its rest to some servers; none where there is none.

Seen failing without it: IdleShareTest, three of six rows (100 for 22, 2,000 for 278, 100 for none).

--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -99,9 +99,14 @@
         return peers.get(id);
     }
 
-    /** Each server may have as many idle connections as all together can. */
+    /** Shares out what may stand idle, and no more: with more servers than connections, some keep none. */
     private void share() {
-        PeerActor.Room share = new PeerActor.Room(Math.max(1, Math.min(MOST_IDLE, idle / Math.max(1, peers.size()))));
-        peers.values().forEach(p -> p.tell(share));
+        int all = Math.max(0, idle);
+        int each = all / Math.max(1, peers.size());
+        int left = all % Math.max(1, peers.size());
+        for (PeerActor peer : peers.values()) {
+            peer.tell(new PeerActor.Room(Math.min(MOST_IDLE, left > 0 ? each + 1 : each)));
+            left--;
+        }
     }
 }
