A failure on one change of the list does not end the watch

Cause: DiscoveryWatch carried out a plan's steps in one go, the next call and its timer behind the change itself. What failed on the change (an Error, as a JVM without descriptors throws, or a fault behind the sink) took these with it: no call was ever made again, and nothing said so.

Change: each step is carried out whatever becomes of those before it; the failure is logged as before.

Seen failing without it: SilentWatchTest.aFailureOnOneChangeEndsNoWatch (no call in 6 s).

--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -127,26 +128,43 @@
         }
 
         private void take(List<WatchPlan.Step> steps) {
-            for (WatchPlan.Step step : steps) {
-                if (step instanceof WatchPlan.Ask s) {
-                    ask(s);
-                } else if (step instanceof WatchPlan.Drop s) {
-                    Out call = out.remove(s.call());
-                    if (call != null) {
-                        call.end().run();
-                        if (clock.instant()
-                                .isAfter(call.asked().plus(call.ask().hold()).plus(WatchPlan.SILENCE))) {
-                            say(call.ask(), "no whole answer in time");
-                        }
-                    }
-                } else if (step instanceof WatchPlan.Wake s) {
-                    tellLater(s.after(), new Woken(s.token()));
-                } else if (step instanceof WatchPlan.Tell s) {
-                    sink.changed(s.change());
+            takeAll(steps.iterator());
+        }
+
+        /** Each, whatever becomes of those before it: without the next call and its timer the watch would be over. */
+        private void takeAll(Iterator<WatchPlan.Step> steps) {
+            if (steps.hasNext()) {
+                try {
+                    takeOne(steps.next());
+                } finally {
+                    takeAll(steps);
                 }
             }
         }
 
+        private void takeOne(WatchPlan.Step step) {
+            if (step instanceof WatchPlan.Ask s) {
+                ask(s);
+            } else if (step instanceof WatchPlan.Drop s) {
+                drop(s);
+            } else if (step instanceof WatchPlan.Wake s) {
+                tellLater(s.after(), new Woken(s.token()));
+            } else if (step instanceof WatchPlan.Tell s) {
+                sink.changed(s.change());
+            }
+        }
+
+        private void drop(WatchPlan.Drop s) {
+            Out call = out.remove(s.call());
+            if (call == null) {
+                return;
+            }
+            call.end().run();
+            if (clock.instant().isAfter(call.asked().plus(call.ask().hold()).plus(WatchPlan.SILENCE))) {
+                say(call.ask(), "no whole answer in time");
+            }
+        }
+
         private void ask(WatchPlan.Ask s) {
             String target = s.from() < 0
                     ? "/v1/servers"
--- a/src/test/java/copperbeam/sockets/SilentWatchTest.java
+++ b/src/test/java/copperbeam/sockets/SilentWatchTest.java
@@ -69,4 +69,31 @@
             turns.shutdownNow();
         }
     }
+
+    /** What fails on one change of the list, as a JVM without descriptors may, ends neither the watch nor the next change. */
+    @Test
+    public void aFailureOnOneChangeEndsNoWatch() throws Exception {
+        ScheduledExecutorService turns = Executors.newSingleThreadScheduledExecutor();
+        List<Entry> heard = new CopyOnWriteArrayList<>();
+        Backoff backoff = new Backoff(Duration.ofMillis(100), Duration.ofMillis(100), new SplittableRandom(1));
+        try (ClientReactor reactor = new ClientReactor();
+                StandIn agent = new StandIn(null)) {
+            agent.script = (m, line) -> {
+                boolean whole = agent.seen.size() == 1;
+                line.answer(200, list(agent.seen.size(), whole, String.format(ENTRY, whole ? "active" : "leaving")));
+            };
+            DiscoveryWatch watch = new DiscoveryWatch(
+                    turns, new PlainHttpClient(reactor), Clock.systemUTC(), agent.address(), null, false, backoff);
+            watch.start(change -> {
+                if (agent.seen.size() == 1) {
+                    throw new NoClassDefFoundError("as planned");
+                }
+                heard.addAll(change.entries());
+            });
+            await("the drain", 6000, () -> !heard.isEmpty());
+            watch.stop();
+        } finally {
+            turns.shutdownNow();
+        }
+    }
 }
