Servers: a kept connection settles for 30 ms before it carries the next call

Cause: connections were used again at once, the last first. A server's second answer to one call, some milliseconds behind the first, came on a connection that carried the next call by then and was passed on as that call's answer: a client got the events of another's request, whole, with a 200. A late second 204 or 202 was taken for the answer to a release or a read in the same way. Nothing in an answer tells whose it is.

Change: PeerActor.takeIdle uses the connection used last of those that have rested for SETTLING; one that is younger stays idle, and a second answer that comes meanwhile closes it. Calls closer together than that have a second connection, which is kept as well.

Two tests counted connections of calls that follow each other at once (SpoiltAnswersTest.aGoodStreamWith..., RulesOnSocketsTest.eventsAreRelayedUnchangedAndConnectionsKept, whatMustNotRunTwice...): they wait 50 ms between the calls and ask for the same counts.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -122,6 +122,8 @@
     private static final Duration HOLD = Duration.ofMillis(2);
     private static final Duration SHORT_ANSWER =
             Duration.ofMillis(800); // from the head of one that is no stream to its end
+    // a second answer comes some milliseconds behind the first, and would be taken for that to the next call
+    private static final Duration SETTLING = Duration.ofMillis(30);
     private static final int MOST_UNSENT = 3; // new connections for one attempt
     private static final Duration LEAST_KEPT = Duration.ofMillis(100); // shorter is a close after an answer
 
@@ -242,7 +244,7 @@
         use(work, kept.connection());
     }
 
-    /** The connection used last, or null. */
+    /** The connection used last of those that have settled, or null. */
     private Idle takeIdle() {
         Instant now = setup.clock().instant();
         for (Iterator<Idle> i = idle.descendingIterator(); i.hasNext(); ) {
@@ -251,7 +253,7 @@
             if (!next.connection().isOpen() || !next.since().isAfter(now.minus(keep))) {
                 i.remove();
                 next.connection().close();
-            } else {
+            } else if (!next.since().isAfter(now.minus(SETTLING))) {
                 i.remove();
                 return next;
             }
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -32,6 +32,8 @@
 
 /** Each rule once, on real sockets. */
 public class RulesOnSocketsTest {
+    private static final int SETTLED_MS = 50; // a kept connection carries no other call for 30
+
     private static final StandIn.Script SILENT = attempts((m, line) -> {});
 
     @Test
@@ -44,6 +46,7 @@
                         .read();
                 assertEquals(answer.status(), 200);
                 assertEquals(answer.text(), EVENTS);
+                Thread.sleep(SETTLED_MS);
             }
             Line.Message passed = site.writers.get(0).seen.get(1);
             assertEquals(passed.header("X-Request-ID"), "id1");
@@ -580,6 +583,7 @@
                 assertEquals(client.send(request("send", 4000)).read().status(), 200);
             }
             assertEquals(writer.attempts(), 3);
+            Thread.sleep(SETTLED_MS);
             // one that may run twice takes the risk, and is sent again
             assertEquals(client.send(request("ask", 4000)).read().status(), 200);
             assertEquals(writer.attempts(), 5);
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -28,6 +29,9 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
     private static final String FIRST = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"}}]}\n\n";
 
+    private static final int SETTLING_MS = 30;
+    private static final int SETTLED_MS = 50; // a kept connection carries no other call for 30
+
     private static final int MOST_HELD =
             128 * 1024; // events of 0.9 KB: more than all buffers of the system between them
 
@@ -267,12 +271,47 @@
                     assertEquals(served.status(), 200);
                     assertTrue(served.whole() && served.text().contains("[DONE]"));
                 }
+                Thread.sleep(SETTLED_MS);
             }
             assertEquals(site.writers.get(0).lines.size(), name.startsWith("behind") ? 3 : 1);
             assertEquals(site.attempts(site.writers), 3);
         }
     }
 
+    /** Some milliseconds behind the first, on either side of the next request: that gets its own answer. */
+    @Test
+    public void aLateSecondAnswerIsPassedOnToNobody() throws Exception {
+        int inTime = 0;
+        for (int round = 0; inTime < 10 && round < 40; round++) {
+            int behindMs = 2 + round % 10 * 2;
+            AtomicInteger turn = new AtomicInteger();
+            AtomicLong tookMs = new AtomicLong();
+            try (Site site = new Site(1, 1);
+                    Line client = site.client()) {
+                site.writers.get(0).script = attempts((m, line) -> {
+                    int number = turn.incrementAndGet();
+                    String answer = HEAD + "\r\n" + chunk("data: " + number + "\n\n") + "0\r\n\r\n";
+                    line.send(answer);
+                    if (number == 1) {
+                        long first = System.nanoTime();
+                        Thread.sleep(behindMs);
+                        tookMs.set((System.nanoTime() - first) / 1_000_000);
+                        line.send(answer);
+                    }
+                });
+                assertEquals(client.send(request("ask", 4000)).read().text(), "data: 1\n\n");
+                String next = client.send(request("ask", 4000)).read().text();
+                await("its second answer was sent", () -> tookMs.get() > 0);
+                if (tookMs.get()
+                        < SETTLING_MS) { // else the machine was busy, and it came later than this guards against
+                    assertEquals(next, "data: 2\n\n", behindMs + " ms behind");
+                    inTime++;
+                }
+            }
+        }
+        assertEquals(inTime, 10);
+    }
+
     /** On a kept connection, before the next request, as it is written or as it waits for its last byte: none is spent on it. */
     @Test
     public void halfALineOnAKeptConnectionCostsNoAttempt() throws Exception {
