Servers: an attempt that ends with no word is reset, not closed, whatever has ended it

Cause: only the client's going reset the connection of an attempt that no server had answered; a time-out, a cancel or a window's end closed it in good order, and what the system still had of the request's body was delivered once its server read on: the request began there after its end.

Change: PeerActor.finish resets in each of these cases, so that what the other side's system has not taken stays.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -556,11 +556,8 @@
     /** Ends a call and its connection, so that no attempt is left out there. */
     private void finish(Work work, Outcome outcome) {
         if (!work.done) {
-            if (work.connection != null
-                    && work.word == null
-                    && work.send() != null
-                    && work.send().answer().gone()) {
-                work.connection.abort(); // a server that reads late would else begin it
+            if (work.connection != null && work.word == null && work.send() != null) {
+                work.connection.abort(); // a server that reads late would else begin what has ended
             } else if (work.connection != null) {
                 work.connection.close();
             }
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -12,6 +12,7 @@
 import copperbeam.routing.Connector;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ServerConnector;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -140,6 +142,31 @@
         }
     }
 
+    /** More than the system of a server that reads nothing takes: the rest must not leave it once the attempt has ended. */
+    @Test
+    public void aBodyThatWaitsForRoomStaysOnceItsTimeIsOver() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        List<Line.Message> read = new CopyOnWriteArrayList<>();
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
+            site.readers.get(0).opening = line -> {
+                Line.Message head = line.head();
+                if (head.method().equals("POST")) {
+                    answered.await();
+                    read.add(line.rest(head));
+                }
+                throw new IOException("it reads again only on a new connection");
+            };
+            String body = "{\"a\":\"" + "x".repeat(240 * 1024) + "\"}";
+            client.send(Site.request("id", "ask", "1000m", "prompt_len=40", body));
+            assertTrue(client.read().status() != 200);
+            answered.countDown();
+            List<Line> lines = site.readers.get(0).lines;
+            await("its server has read on", () -> !lines.isEmpty() && lines.get(0).ended);
+            assertTrue(read.stream().noneMatch(Line.Message::whole), "begun after its end");
+        }
+    }
+
     /** A repeat of a keyed class is not written once its window is over, though it was ordered within it. */
     @Test
     public void aKeyedRepeatIsNotWrittenAfterItsWindow() throws Exception {
