IdleConnections: what carries no call, apart from PeerActor

Need: PeerActor held the pool of idle connections beside the attempts. It keeps the timer; the pool has its own file, with standard names. No behaviour changes.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -8,10 +8,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -103,8 +100,6 @@
 
     private record Let(Work work, Connection on) implements Message {}
 
-    private record Idle(Connection connection, Instant since) {}
-
     /** What all peers share and none of them changes. */
     public record Setup(
             Clock clock,
@@ -122,19 +117,14 @@
     private static final Duration HOLD = Duration.ofMillis(2);
     private static final Duration SHORT_ANSWER =
             Duration.ofMillis(800); // from the head of one that is no stream to its end
-    // a second answer comes some milliseconds behind the first, and would be taken for that to the next call
-    private static final Duration SETTLING = Duration.ofMillis(30);
     private static final int MOST_UNSENT = 3; // new connections for one attempt
-    private static final Duration LEAST_KEPT = Duration.ofMillis(100); // shorter is a close after an answer
 
     private final String id;
     private final InetSocketAddress address;
     private final Setup setup;
     private final Map<Long, Work> attempts = new HashMap<>();
-    private final Deque<Idle> idle = new ArrayDeque<>();
+    private final IdleConnections idle;
     private boolean drains;
-    private Duration keep; // so long a connection may stand idle
-    private int mostIdle = 1;
     private Future<?> tidying;
 
     public PeerActor(ScheduledExecutorService turns, String id, InetSocketAddress address, Setup setup) {
@@ -142,7 +132,7 @@
         this.id = id;
         this.address = address;
         this.setup = setup;
-        keep = setup.idle();
+        idle = new IdleConnections(setup.clock(), setup.idle());
     }
 
     public String id() {
@@ -155,10 +145,9 @@
             drains = e.drains();
         } else if (m instanceof Gone) {
             drains = true;
-            dropIdle();
+            idle.closeAll();
         } else if (m instanceof Room e) {
-            mostIdle = e.idle();
-            thin();
+            idle.limit(e.idle());
         } else if (m instanceof Send e) {
             Work work = new Work(e, setup.clock().instant());
             attempts.put(e.request(), work);
@@ -230,7 +219,7 @@
         }
         // what is written on a kept connection as its server closes it may have run, and nobody can tell
         boolean fresh = work.send() != null && work.send().once();
-        Idle kept = fresh ? null : takeIdle();
+        IdleConnections.Idle kept = fresh ? null : idle.take();
         if (kept == null) {
             connect(work);
             return;
@@ -244,23 +233,6 @@
         use(work, kept.connection());
     }
 
-    /** The connection used last of those that have settled, or null. */
-    private Idle takeIdle() {
-        Instant now = setup.clock().instant();
-        for (Iterator<Idle> i = idle.descendingIterator(); i.hasNext(); ) {
-            Idle next = i.next();
-            // never written on when the server may be closing it: what was written would count as a reset
-            if (!next.connection().isOpen() || !next.since().isAfter(now.minus(keep))) {
-                i.remove();
-                next.connection().close();
-            } else if (!next.since().isAfter(now.minus(SETTLING))) {
-                i.remove();
-                return next;
-            }
-        }
-        return null;
-    }
-
     /** Guards against an answer that does not end: its call would wait for as long as its client. */
     private void endBy(Work work, Duration within) {
         Duration left = Duration.between(setup.clock().instant(), work.until);
@@ -386,56 +358,26 @@
             connection.close();
             return;
         }
-        idle.add(new Idle(connection, setup.clock().instant()));
-        thin();
+        idle.add(connection);
         if (tidying == null) {
-            tidying = tellLater(keep, new Tidy());
-        }
-    }
-
-    private void thin() {
-        while (idle.size() > mostIdle) {
-            idle.pollFirst().connection().close();
+            tidying = tellLater(idle.lifetime(), new Tidy());
         }
     }
 
-    /** Closes what has stood idle, well before the server would. */
     private void tidy() {
-        Instant stale = setup.clock().instant().minus(keep);
-        for (Iterator<Idle> i = idle.iterator(); i.hasNext(); ) {
-            Idle next = i.next();
-            if (!next.since().isAfter(stale)) {
-                i.remove();
-                next.connection().close();
-            }
-        }
-        tidying = idle.isEmpty() ? null : tellLater(keep.dividedBy(4), new Tidy());
+        idle.closeStale();
+        tidying = idle.isEmpty() ? null : tellLater(idle.lifetime().dividedBy(4), new Tidy());
     }
 
-    /** Guards against servers that close what is idle sooner than they say: kept for half of what they bear. */
     private void closed(Connection connection) {
-        for (Iterator<Idle> i = idle.iterator(); i.hasNext(); ) {
-            Idle next = i.next();
-            if (next.connection() == connection) {
-                i.remove();
-                Duration half =
-                        Duration.between(next.since(), setup.clock().instant()).dividedBy(2);
-                if (half.compareTo(LEAST_KEPT) > 0 && half.compareTo(keep) < 0) {
-                    keep = half;
-                    if (tidying != null) {
-                        tidying.cancel(false);
-                    }
-                    tidying = tellLater(keep, new Tidy());
-                }
+        if (idle.closed(connection)) {
+            if (tidying != null) {
+                tidying.cancel(false);
             }
+            tidying = tellLater(idle.lifetime(), new Tidy());
         }
     }
 
-    private void dropIdle() {
-        idle.forEach(i -> i.connection().close());
-        idle.clear();
-    }
-
     // ---- what comes back -----------------------------------------------------------------------
 
     private void event(Work work, byte[] raw) {
@@ -535,7 +477,7 @@
         } else if (work.offered && !work.proceeding) {
             work.cut = true;
         } else if (written && work.reused && work.word == null) {
-            dropIdle(); // the others here may have ended as well
+            idle.closeAll(); // the others here may have ended as well
             finish(work, Outcome.STALE);
         } else if (work.refused()) {
             finish(work, Outcome.FULL);
