An attempt whose outcome is lost by an Error ends 1 s after its time

Observed: LimitsTest.aBurstLeavesDescriptorsForAllElse[0] fails now and then on a busy machine with "never: served" (on one run of four, load 30 on 10 cores): a process without a free descriptor can't read a class, PeerActor.settle failed with a NoClassDefFoundError for ModuleActor$Ended, and the attempts' outcomes were lost. Their server counted as busy for good and all that came was refused (1,386 of 1,386 in 10 s); their requests stayed out, so that a stop waited for them.

FinalAnswerTest.anAttemptWhoseOutcomeIsLostEndsAllTheSame fails with that taken out (still out after 3 s) and passes with it; HeldStateTest, CutTest and UnwantedTest pass.

--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -113,6 +113,7 @@
         Phase phase = Phase.OPEN;
         int attempts;
         boolean out;
+        Instant until; // when the attempt that is out should have ended, unless it is a stream
         PeerActor at;
         String lastReader;
         boolean reading; // the last attempt is at a reader
@@ -136,6 +137,7 @@
     private static final Duration LATE = Duration.ofMillis(100); // an answer's grace after its request's time
     // after its deadline a request is failed here, as the module has not answered it; and how often that is looked at
     private static final Duration OVERDUE = Duration.ofMillis(150);
+    private static final Duration LOST = Duration.ofSeconds(1); // an outcome that has not come so long after its time
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(100);
 
     private final Clock clock;
@@ -251,11 +253,15 @@
 
     /** Guards against requests that would never get a final answer, as the module failed on them or lost count of them. */
     private void sweep() {
-        Instant due = clock.instant().minus(OVERDUE);
-        requests.values().stream()
-                .filter(r -> r.phase == Phase.OPEN && r.ask.deadline().isBefore(due))
-                .toList()
-                .forEach(this::overdue);
+        Instant now = clock.instant();
+        for (Request r : List.copyOf(requests.values())) {
+            if (r.phase == Phase.OPEN && r.ask.deadline().plus(OVERDUE).isBefore(now)) {
+                overdue(r);
+            }
+            if (r.phase != Phase.STREAMING && r.out && r.until.plus(LOST).isBefore(now)) {
+                outcomeLost(r, now);
+            }
+        }
         sweeping = false;
         scheduleSweep();
     }
@@ -280,6 +286,15 @@
         forget(r);
     }
 
+    /** Guards against a server that counts as busy for good, and a stop that waits: its peer failed on the outcome. */
+    private void outcomeLost(Request r, Instant now) {
+        LOG.warning("no outcome of an attempt by its time: " + r.ask.id() + " at " + r.at.id());
+        int number = r.attempts - 1;
+        r.at.tell(new PeerActor.Stop(r.key, number));
+        Duration after = Duration.between(r.until, now);
+        ended(new Ended(r.key, number, r.at.id(), Outcome.TIMED_OUT, after, false, null, Double.NaN, true, now));
+    }
+
     // ---- what happens --------------------------------------------------------------------------
 
     private void listed(Listed e) {
@@ -530,6 +545,7 @@
             releases.tell(new ReleaseActor.Taken(r.ask.id()));
         }
         r.out = true;
+        r.until = ModuleTime.time(a.until());
         r.at = peer;
         r.releaseWanted = false;
         r.reading = roles.get(a.server()) == Api.Role.READER;
@@ -551,7 +567,7 @@
                 r.attempts++,
                 r.ask,
                 r.answer,
-                ModuleTime.time(a.until()),
+                r.until,
                 Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()),
                 r.mayHold ? due(r, CONNECT_SHARE) : Instant.MAX,
                 once,
--- a/src/test/java/copperbeam/routing/FinalAnswerTest.java
+++ b/src/test/java/copperbeam/routing/FinalAnswerTest.java
@@ -6,8 +6,12 @@
 import copperbeam.Api;
 import copperbeam.protocol.Json;
 import copperbeam.simhost.Decoder;
+import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -115,6 +119,48 @@
         assertEquals(client.ends.size(), 0, "a second answer");
     }
 
+    /** As of a process without descriptors, whose peer fails on each message once its attempt is out. */
+    @Test
+    public void anAttemptWhoseOutcomeIsLostEndsAllTheSame() throws Exception {
+        Broken peersClock = new Broken();
+        Connector connector = (to, timeout, watcher) -> peersClock.broken = true;
+        ReleaseActor releases = new ReleaseActor(turns, clock, Duration.ofMinutes(1));
+        Duration never = Duration.ofDays(1);
+        Metrics metrics = new Metrics(List.of("ask"));
+        PeerActor.Setup setup = new PeerActor.Setup(
+                peersClock, connector, never, never, never, module, releases, Recorder.NONE, metrics);
+        listed(Map.of("s", new PeerActor(turns, "s", new InetSocketAddress("127.0.0.1", 1), setup)));
+        Client client = new Client(false);
+        module.arrive(ask("a", TIME), client);
+        assertTrue(client.ends.poll(TIME.plus(SLACK).toMillis(), TimeUnit.MILLISECONDS) != null, "no answer");
+        CountDownLatch idle = new CountDownLatch(1);
+        module.tell(new ModuleActor.Drain(idle::countDown));
+        assertTrue(idle.await(3, TimeUnit.SECONDS), "it is still out");
+        assertTrue(peersClock.broken);
+    }
+
+    private static final class Broken extends Clock {
+        volatile boolean broken;
+
+        @Override
+        public Instant instant() {
+            if (broken) {
+                throw new NoClassDefFoundError("a class that could not be read");
+            }
+            return Instant.now();
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+    }
+
     /** The request is over all the same, and those behind it get theirs. */
     @Test
     public void anAnswerThatFailsLosesNoOther() throws Exception {
