The time for a connection bounds no answer to a probe or a release

Root cause: Node gave connect_timeout_s to PeerActor as the time for the whole answer to a probe or a release. Where it is shorter than such an answer takes (0.02 s) no release was ever heard and was said again and again, and each probe of a busy server counted as its silence; where it is long (60 s) such calls, and connections on their way up, stood at a silent server until the descriptors were gone.

Change: those answers have 0.25 s at least and 1 s at most; the site's usual 0.25 s stays as it was. A connection on its way up is given up after 4 s, behind the system's second repeat, where the settings allow more.

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -57,6 +57,8 @@
 
     private static final int MOST_MEMORY_MB = 1 << 20; // more changes nothing
     private static final int LONGEST_NAME = 8 * 1024; // bytes of a class's name; half of the longest head
+    // behind the system's second repeat: later nothing comes, and sockets on their way to a silent server would pile up
+    private static final Duration LONGEST_CONNECT = Duration.ofSeconds(4);
     private static final Duration LEAST_DISCOVERY_WAIT =
             Duration.ofMillis(100); // below the 200 ms after which a watch is new
 
@@ -148,12 +150,16 @@
                 seed(file, name),
                 settings,
                 known(file),
-                limits.span("connect_timeout_s", 0.25),
+                shorter(limits.span("connect_timeout_s", 0.25), LONGEST_CONNECT),
                 limits.span("conn_idle_s", 30),
                 limits(file),
                 operator);
     }
 
+    private static Duration shorter(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
     private static Path folder(Map<String, String> environment) {
         String path = environment.get("TMPDIR");
         return path == null || path.isEmpty() ? null : Path.of(path);
@@ -332,8 +338,7 @@
             Duration wait = told ? service.span("give_up_s", 0) : Operator.LONGEST_WAIT;
             longest = wait.compareTo(longest) > 0 ? wait : longest;
         }
-        return (longest.compareTo(Operator.LONGEST_WAIT) < 0 ? longest : Operator.LONGEST_WAIT)
-                .plus(Operator.KILL_AFTER);
+        return shorter(longest, Operator.LONGEST_WAIT).plus(Operator.KILL_AFTER);
     }
 
     private static Duration stopWithin(Section stop, Duration kill) throws Invalid {
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -43,6 +43,8 @@
 
 /** One running conductor: its actors, its fronts and its reactors. */
 public final class Node implements AutoCloseable {
+    private static final Duration LEAST_CALL = Duration.ofMillis(250);
+    private static final Duration LONGEST_CALL = Duration.ofSeconds(1);
     private static final double IDLE_SHARE = 0.5; // of the servers' limit for which we keep idle connections
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     private static final Duration LOOK = Duration.ofMillis(500); // at a stop, for whether another process serves
@@ -95,7 +97,7 @@
                 new ServerConnector(reactor),
                 config.connectTimeout(),
                 Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
-                config.connectTimeout(),
+                callTimeout(config.connectTimeout()),
                 module,
                 releases,
                 recorder,
@@ -190,6 +192,15 @@
         ready();
     }
 
+    /**
+     * For the answer to a probe or a release. Guards against answers that are never heard where connections come up soon, and
+     * against calls that pile up at a silent server where they may take long.
+     */
+    private static Duration callTimeout(Duration connectTimeout) {
+        Duration least = connectTimeout.compareTo(LEAST_CALL) < 0 ? LEAST_CALL : connectTimeout;
+        return least.compareTo(LONGEST_CALL) < 0 ? least : LONGEST_CALL;
+    }
+
     /**
      * Where there is a door, not before this process is ready: beside another one that serves it would say no to the
      * front, and in a crowd a start on half a core took 3.2 s, 1.4 s without the crowd's connections.
--- a/src/test/java/copperbeam/program/ConfigTest.java
+++ b/src/test/java/copperbeam/program/ConfigTest.java
@@ -49,6 +49,12 @@
         assertEquals(read(GOOD, null, Map.of()).operator().chat(), null);
     }
 
+    @Test
+    public void aConnectionIsGivenUpByTheSystemsSecondRepeat() throws Exception {
+        String slow = GOOD.replace("\"conn_idle_s\"", "\"connect_timeout_s\":60,\"conn_idle_s\"");
+        assertEquals(read(slow, null, Map.of()).connectTimeout(), Duration.ofSeconds(4));
+    }
+
     /** Only a discovery that must be asked, one service with one count of versions, is asked for what the list lacks. */
     @Test
     public void theKnownListIsGoneOnFromOnlyWhereTheListMustBeAsked() throws Exception {
--- a/src/test/java/copperbeam/sockets/OtherSitesTest.java
+++ b/src/test/java/copperbeam/sockets/OtherSitesTest.java
@@ -2,6 +2,7 @@
 
 import static copperbeam.sockets.Site.request;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import copperbeam.Api;
 import copperbeam.program.Config;
@@ -57,6 +58,39 @@
         }
     }
 
+    /** The time for a connection is none for an answer: where it is short, releases were never heard, and probes were silence. */
+    @Test
+    public void anAnswerMayTakeLongerThanAConnection() throws Exception {
+        Api.Settings settings =
+                Site.parsed(String.format(Site.SETTINGS, 30.0).replace("\"probing\":false", "\"probing\":true"));
+        try (Site site = new Site(2, 2, 30, null, List.of(), Config.Limits.USUAL, settings, Duration.ofMillis(20));
+                Line client = site.client();
+                Line other = site.client()) {
+            site.readers.forEach(s -> s.script = late(Site::read));
+            site.writers.forEach(s -> s.script = late((m, line) -> line.read())); // no answer before the end
+            client.send(request("ask", 5000));
+            Site.await("written", () -> site.attempts(site.writers) == 1);
+            client.close();
+            Site.await("let go", () -> site.releases() > 0);
+            Thread.sleep(1000); // a release that is not heard is said again within it
+            assertTrue(site.releases() <= 2, "releases: " + site.releases());
+            site.writers.forEach(s -> s.script = late(Site::write));
+            assertEquals(other.send(request("send", 5000)).read().status(), 200);
+        }
+    }
+
+    /** Later than a connection takes, and well before an answer is late. */
+    private static StandIn.Script late(StandIn.Script attempts) {
+        return (m, line) -> {
+            if (m.method().equals("POST")) {
+                attempts.run(m, line);
+            } else {
+                Thread.sleep(60);
+                line.answer(m.method().equals("DELETE") ? 204 : 200, "");
+            }
+        };
+    }
+
     @DataProvider
     public Object[][] interim() {
         return new Object[][] {{100, true}, {100, false}, {102, true}, {103, false}, {199, true}, {199, false}};
