Tenants: X-Tenant-Id is read, weighed and passed on

Root cause: neither front nor module of a real conductor read the request's tenant; ModuleActor told the module that no request had one.

Change: Ask has a customer, from X-Tenant-Id. The same mistake elsewhere: HookActor built a new Ask for a request of another class, and keeps the customer now; the chat API has no tenants. The header goes on to servers.

--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -83,6 +83,7 @@
         return new Ask(
                 id,
                 requestClass,
+                call.header("x-tenant-id"),
                 session,
                 attrs.prefix(),
                 attrs.promptTokens(),
--- a/src/main/java/copperbeam/routing/HookActor.java
+++ b/src/main/java/copperbeam/routing/HookActor.java
@@ -77,6 +77,7 @@
         return new Ask(
                 ask.id(),
                 name,
+                ask.customer(),
                 ask.session(),
                 ask.prefix(),
                 ask.promptTokens(),
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -271,7 +271,7 @@
         feed(new Api.Arrival(
                 r.key,
                 a.requestClass(),
-                null,
+                a.customer(),
                 a.session(),
                 a.prefix(),
                 a.promptTokens(),
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -24,7 +24,7 @@
 /** The platform's protocol towards servers. */
 public final class ServerConnector implements Connector {
     private static final String[] PASSED = {
-        "X-Route-Key", "X-Attrs", "X-Retried", "Idempotency-Key", "Content-Type", "Accept"
+        "X-Tenant-Id", "X-Route-Key", "X-Attrs", "X-Retried", "Idempotency-Key", "Content-Type", "Accept"
     };
 
     private final ClientReactor reactor;
--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BinaryOperator;
 import java.util.logging.Logger;
 import java.util.stream.Stream;
 
@@ -28,6 +29,7 @@
     final InetSocketAddress door; // null where operators have none
     final Process process;
     private final String limits;
+    private final BinaryOperator<String> file; // null for the usual one
 
     Conductor(StandIn discovery, int sockets, int memoryMb) throws IOException {
         this(discovery, sockets, memoryMb, List.of());
@@ -53,6 +55,20 @@
         this(discovery, 1024, 192, List.of(more), ":", earlier.folder, earlier.address, freeAddress());
     }
 
+    /** With a door and a file of its own; {@code file}: its text, by the addresses of clients and of discovery. */
+    Conductor(StandIn discovery, BinaryOperator<String> file, List<String> more) throws IOException {
+        this(
+                discovery,
+                1024,
+                192,
+                more,
+                ":",
+                Files.createTempDirectory("conductor"),
+                freeAddress(),
+                freeAddress(),
+                file);
+    }
+
     private Conductor(
             StandIn discovery,
             int sockets,
@@ -63,7 +79,22 @@
             InetSocketAddress address,
             InetSocketAddress door)
             throws IOException {
+        this(discovery, sockets, memoryMb, more, shell, folder, address, door, null);
+    }
+
+    private Conductor(
+            StandIn discovery,
+            int sockets,
+            int memoryMb,
+            List<String> more,
+            String shell,
+            Path folder,
+            InetSocketAddress address,
+            InetSocketAddress door,
+            BinaryOperator<String> file)
+            throws IOException {
         this.folder = folder;
+        this.file = file;
         this.address = address;
         this.door = door;
         log = folder.resolve(door == null ? "log" : "log" + door.getPort());
@@ -109,11 +140,17 @@
 
     /** Replaces the file whole, as operators do. */
     void configure(String discovery) throws IOException {
+        String listen = "127.0.0.1:" + address.getPort();
+        replaceFile(
+                file != null
+                        ? file.apply(listen, discovery)
+                        : "{\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\",\"limits\":" + limits
+                                + ",\"settings\":" + settings() + "}");
+    }
+
+    void replaceFile(String text) throws IOException {
         Path next = folder.resolve("next");
-        Files.writeString(
-                next,
-                "{\"listen\":\"127.0.0.1:" + address.getPort() + "\",\"discovery\":\"" + discovery + "\",\"limits\":"
-                        + limits + ",\"settings\":" + settings() + "}");
+        Files.writeString(next, text);
         Files.move(next, folder.resolve("config.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
     }
 
--- a/src/test/java/copperbeam/sockets/OtherSitesTest.java
+++ b/src/test/java/copperbeam/sockets/OtherSitesTest.java
@@ -6,6 +6,7 @@
 
 import copperbeam.Api;
 import copperbeam.program.Config;
+import copperbeam.routing.RequestHook;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -91,6 +92,34 @@
         };
     }
 
+    /** Work over a tenant's share goes first where servers are full, also that of the class of most worth. */
+    @Test
+    public void whatATenantSendsOverItsShareIsRefusedFirst() throws Exception {
+        tenantOverItsShare(List.of());
+    }
+
+    static void tenantOverItsShare(List<RequestHook> hooks) throws Exception {
+        Api.Settings settings = Site.parsed(String.format(Site.SETTINGS, 30.0)
+                .replace(
+                        "\"balancers\"", "\"customers\":[{\"name\":\"größer AG\",\"quota_per_s\":0.001}],\"balancers\"")
+                .replace("on_probe", "inline"));
+        try (Site site = new Site(2, 2, 30, null, hooks, Config.Limits.USUAL, settings, Duration.ofMillis(250));
+                Line client = site.client()) {
+            String full = "X-Server-Load: inflight=1,x0=4.4\r\n";
+            site.readers.forEach(
+                    s -> s.script = Site.attempts((m, line) -> line.answer(202, "{\"cached_tokens\":0}", full)));
+            for (String tenant : List.of("another", "größer AG", "another")) {
+                int refused = 0;
+                for (int i = 0; i < 12; i++) {
+                    client.send(
+                            request("ask", 5000).replace("X-Route-Key", "X-Tenant-Id: " + tenant + "\r\nX-Route-Key"));
+                    refused += client.read().status() == 429 ? 1 : 0;
+                }
+                assertTrue(tenant.equals("another") ? refused == 0 : refused >= 8, refused + " of " + tenant);
+            }
+        }
+    }
+
     @DataProvider
     public Object[][] interim() {
         return new Object[][] {{100, true}, {100, false}, {102, true}, {103, false}, {199, true}, {199, false}};
--- a/src/test/java/copperbeam/sockets/PluginTest.java
+++ b/src/test/java/copperbeam/sockets/PluginTest.java
@@ -68,6 +68,12 @@
         }
     }
 
+    /** A verdict on a request's class is none on whose it is. */
+    @Test
+    public void aRequestOfAnotherClassIsStillItsTenants() throws Exception {
+        OtherSitesTest.tenantOverItsShare(List.of(hook(module(constant(1), 1))));
+    }
+
     @Test
     public void aModuleThatWantsTooMuchDoesNotLoad() {
         expectThrows(IllegalArgumentException.class, () -> hook(module(constant(0), 17)));
