--- /dev/null
+++ b/src/test/java/copperbeam/model/GeneratedWorlds.java
@@ -0,0 +1,51 @@
+package copperbeam.model;
+
+import copperbeam.Api;
+import copperbeam.simhost.Decoder;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Worlds under whole configurations drawn by {@link GeneratedSettings}, read as the program reads them. */
+final class GeneratedWorlds implements WorldSettings.Source {
+    private static final Duration LONGEST = Duration.ofSeconds(15); // of a client's patience; worlds are shorter
+
+    @Override
+    public WorldSettings draw(long seed, int processes) {
+        GeneratedSettings drawn = GeneratedSettings.draw(seed);
+        Map<String, Object> map = drawn.settings();
+        map.put("balancers", processes);
+        map.put("self_index", null);
+        map.put("discovery", "automatic");
+        if (map.get("kinds") == null) {
+            map.put("kinds", List.of("none"));
+        }
+        Map<String, Duration> giveUp = new LinkedHashMap<>();
+        for (Object service : (List<?>) map.get("services")) {
+            Map<?, ?> c = (Map<?, ?>) service;
+            double told = c.get("give_up_s") instanceof Double s ? s : 0;
+            Duration wait = Duration.ofMillis((long) (1000 * (told > 0 ? told : 5)));
+            giveUp.put((String) c.get("name"), wait.compareTo(LONGEST) < 0 ? wait : LONGEST);
+        }
+        Api.Settings settings;
+        try {
+            settings = Decoder.settings(map);
+        } catch (java.io.IOException e) {
+            throw new IllegalStateException(drawn.toString(), e);
+        }
+        return new WorldSettings(
+                settings,
+                span(map, "limits", "connect_timeout_s", 0.25, 4),
+                span(map, "limits", "conn_idle_s", 30, 3600),
+                64,
+                span(map, "rules", "drain_grace_s", 1, 60),
+                Duration.ofMillis(8),
+                giveUp);
+    }
+
+    private static Duration span(Map<String, Object> map, String part, String key, double absent, double most) {
+        Object told = map.get(part) instanceof Map<?, ?> section ? section.get(key) : null;
+        return Duration.ofMillis((long) (1000 * Math.min(told instanceof Double s ? s : absent, most)));
+    }
+}
