Model test: a preempted core; the list's order is the same in each run

Need: Map.copyOf's order differs from one JVM to the next, and with it the order in which servers were asked to let go, so that a seed that failed could pass the next time.

--- a/src/main/java/copperbeam/routing/ListActor.java
+++ b/src/main/java/copperbeam/routing/ListActor.java
@@ -4,6 +4,7 @@
 import copperbeam.Api.ServerState;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -83,7 +84,8 @@
         }
         addresses.keySet().retainAll(peers.keySet());
         share();
-        Map<String, PeerActor> known = Map.copyOf(peers);
+        // a copy whose order is the same in each run, as Map.copyOf's is not: the order in which servers hear a release
+        Map<String, PeerActor> known = Collections.unmodifiableMap(new HashMap<>(peers));
         module.tellFirst(new ModuleActor.Listed(change.kind(), members, known, told.acted()));
         releases.tell(new ReleaseActor.Listed(known));
     }
--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -146,7 +146,7 @@
         if (e.heard() && !o.resting) {
             over(e.ticket(), o);
             // the outage is over, for this one and so for the others
-            Map.copyOf(open).forEach((ticket, other) -> {
+            new HashMap<>(open).forEach((ticket, other) -> {
                 if (other.late) {
                     ask(ticket, other);
                 }
--- a/src/test/java/copperbeam/model/ClientRequest.java
+++ b/src/test/java/copperbeam/model/ClientRequest.java
@@ -113,6 +113,7 @@
             ending = how;
             endedAt = world.time.now();
         }
+        world.mayPreempt(process);
     }
 
     @Override
--- a/src/test/java/copperbeam/model/Faults.java
+++ b/src/test/java/copperbeam/model/Faults.java
@@ -46,7 +46,7 @@
             }
         }
         if (heldUp) {
-            world.heldUp = 300 * VirtualTime.MILLI;
+            world.heldUp += 300 * VirtualTime.MILLI;
         }
     }
 
--- a/src/test/java/copperbeam/model/World.java
+++ b/src/test/java/copperbeam/model/World.java
@@ -54,6 +54,7 @@
     private final double slowClients;
     private final int zones;
     private final boolean slowCore;
+    private String load;
     private String broken;
     private int ids;
 
@@ -65,6 +66,7 @@
         random = new SplittableRandom(seed);
         settings = source.draw(seed, processCount);
         slowCore = random.nextInt(4) == 0;
+        heldUp = slowCore ? 100 * VirtualTime.MILLI : 0;
         zones = 1 + random.nextInt(2);
         drainsTurnAway = random.nextBoolean();
         reportEach = (140 + random.nextInt(800)) * VirtualTime.MILLI;
@@ -152,6 +154,14 @@
         double burst = random.nextInt(3) == 0 ? 1.5 + 0.8 * random.nextDouble() : 1;
         long burstAt = (long) (random.nextDouble() * TRAFFIC);
         long burstEnd = burstAt + (long) ((2 + 7.5 * random.nextDouble()) * VirtualTime.SECOND);
+        load = String.format(
+                Locale.ROOT,
+                "%.1f requests/s of %.1f, %.1f times as many from %s to %s",
+                perS,
+                Math.min(reads, writes),
+                burst,
+                time(burstAt),
+                time(burstEnd));
         long at = 0;
         while (at < TRAFFIC) {
             double now = at > burstAt && at < burstEnd ? perS * burst : perS;
@@ -271,9 +281,17 @@
         return random.nextInt(20) == 0 ? random.nextInt(5_000_000) : random.nextInt(100_000);
     }
 
-    /** Of the core, for one turn of an actor. */
+    /** Of the core, for one turn of an actor; others may have the core in between. */
     long taskCost() {
-        return random.nextInt(slowCore ? 400_000 : 20_000);
+        boolean preempted = slowCore && random.nextInt(300) == 0;
+        return random.nextInt(preempted ? 30_000_000 : slowCore ? 100_000 : 20_000);
+    }
+
+    /** Another thread may get the core just as something is decided, and the actors' thread goes on later. */
+    void mayPreempt(ModelProcess process) {
+        if (slowCore && random.nextInt(50) == 0) {
+            process.thread.block(time.now() + random.nextInt(20_000_000));
+        }
     }
 
     /** A connection that comes up late: at any time, or just as the time of an open request is up. */
@@ -349,7 +367,12 @@
                 .append(", ")
                 .append(processes.size())
                 .append(" processes, ");
-        text.append(servers.size()).append(" servers, ").append(settings).append('\n');
+        text.append(servers.size())
+                .append(" servers, ")
+                .append(settings)
+                .append('\n')
+                .append(load)
+                .append('\n');
         for (Line line : lines) {
             boolean concerned = line.request != null && line.request == request
                     || line.server != null
