A request's last byte does not leave once its final answer is given

Cause: the module's answer and the cancel of its attempt are two messages' work. Until the peer's actor has its turn for the cancel, the transport may write the last byte; it asked for the client's going, the window and the attempt's time, but not whether the request has ended. On a starved core, or in a stop (whose answers come before the attempt's time is up), that is milliseconds. Change: the transport asks the request's phase as well, in the one place where a last byte leaves (PeerActor.Send.wanted).

--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -105,7 +105,7 @@
         final long key;
         final Ask ask;
         final Answer answer;
-        Phase phase = Phase.OPEN;
+        volatile Phase phase = Phase.OPEN; // read by the transport too, as an attempt's last byte leaves
         int attempts;
         boolean out;
         PeerActor at;
@@ -495,7 +495,8 @@
                 Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()),
                 r.mayHold ? due(r, CONNECT_SHARE) : Instant.MAX,
                 once,
-                r.reading));
+                r.reading,
+                () -> r.phase == Phase.OVER));
     }
 
     private void note(Recorder.What what, Request r, String server, String text, Duration span) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BooleanSupplier;
 
 /** Owns the connections to one server at one address, and the attempts, probes and releases that are out there. */
 public final class PeerActor extends Actor<PeerActor.Message> {
@@ -52,7 +53,7 @@
      * {@code until}: so long it is waited for, and its last byte leaves by then if ever; {@code latest}: its last byte may not
      * leave after this, and no other attempt's either; {@code upBy}: its connection must be up by then, as what is held
      * waits for it; {@code once}: must not run twice, so that no kept connection is risked for it;
-     * {@code reads}: this server is to read, not to write.
+     * {@code reads}: this server is to read, not to write; {@code over}: the request has had its end, asked from any thread.
      */
     public record Send(
             long request,
@@ -63,10 +64,16 @@
             Instant latest,
             Instant upBy,
             boolean once,
-            boolean reads)
+            boolean reads,
+            BooleanSupplier over)
             implements Message {
+        /** Nobody waits for it any more. */
+        boolean ended() {
+            return answer.gone() || over.getAsBoolean();
+        }
+
         boolean wanted(Instant now) {
-            return !answer.gone() && !now.isAfter(latest) && !now.isAfter(until);
+            return !ended() && !now.isAfter(latest) && !now.isAfter(until);
         }
     }
 
@@ -316,7 +323,7 @@
         boolean repeatsOver = now.isAfter(work.send().latest());
         finish(
                 work,
-                work.send().answer().gone()
+                work.send().ended()
                         ? Outcome.CANCELLED
                         : repeatsOver && !closed ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
         return true;
--- a/src/test/java/copperbeam/routing/FirstEventTest.java
+++ b/src/test/java/copperbeam/routing/FirstEventTest.java
@@ -73,7 +73,7 @@
                     new PeerActor.Setup(
                             clock, connector, minute, minute, minute, module, releases, Recorder.NONE, metrics));
             Ask ask = new Ask("id", "c", "k", null, 1, 0, 1, until, false, null);
-            peer.tell(new PeerActor.Send(1, 0, ask, answer, until, until, Instant.MAX, false, false));
+            peer.tell(new PeerActor.Send(1, 0, ask, answer, until, until, Instant.MAX, false, false, () -> false));
             turns.submit(() -> {}).get();
             watcher.get().up(connection);
             turns.submit(() -> {}).get();
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -178,7 +178,8 @@
                             why == Why.OVER ? Instant.MAX : Instant.EPOCH.plusSeconds(1),
                             Instant.MAX,
                             true,
-                            false)),
+                            false,
+                            () -> false)),
                     () -> server.watcher.up(server),
                     () -> server.listener.held(),
                     () -> server.listener.broken(false));
