--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -12,6 +12,7 @@
 import copperbeam.routing.Connector;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ServerConnector;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -121,6 +123,50 @@
         }
     }
 
+    /** The head left long before the last byte may: its server would take what it was told then for what is left. */
+    @Test
+    public void aHeadThatHasGrownOldIsNotFollowedByItsLastByte() throws Exception {
+        for (int passedMs : new int[] {0, 200}) {
+            AtomicReference<Duration> left = new AtomicReference<>(Duration.ofSeconds(5));
+            try (StandIn server = new StandIn(Site::read);
+                    ClientReactor reactor = new ClientReactor()) {
+                Connector.Connection connection = up(new ServerConnector(reactor), server.address());
+                CompletableFuture<Boolean> answered = call(connection, left, true, () -> {}, () -> {
+                    left.updateAndGet(l -> l.minusMillis(passedMs));
+                    connection.let();
+                });
+                assertEquals(answered.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS), Boolean.valueOf(passedMs == 0));
+                await("its end", () -> passedMs == 0 || !server.lines.isEmpty() && server.lines.get(0).ended);
+                assertEquals(server.attempts(), passedMs == 0 ? 1 : 0);
+            }
+        }
+    }
+
+    /** More than the system of a server that reads nothing takes: the rest must not leave it once the attempt has ended. */
+    @Test
+    public void aBodyThatWaitsForRoomStaysOnceItsTimeIsOver() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        List<Line.Message> read = new CopyOnWriteArrayList<>();
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
+            site.readers.get(0).opening = line -> {
+                Line.Message head = line.head();
+                if (head.method().equals("POST")) {
+                    answered.await();
+                    read.add(line.rest(head));
+                }
+                throw new IOException("it reads again only on a new connection");
+            };
+            String body = "{\"a\":\"" + "x".repeat(240 * 1024) + "\"}";
+            client.send(Site.request("id", "ask", "1000m", "prompt_len=40", body));
+            assertTrue(client.read().status() != 200);
+            answered.countDown();
+            List<Line> lines = site.readers.get(0).lines;
+            await("its server has read on", () -> !lines.isEmpty() && lines.get(0).ended);
+            assertTrue(read.stream().noneMatch(Line.Message::whole), "begun after its end");
+        }
+    }
+
     /** A repeat of a keyed class is not written once its window is over, though it was ordered within it. */
     @Test
     public void aKeyedRepeatIsNotWrittenAfterItsWindow() throws Exception {
@@ -206,16 +252,27 @@
     /** {@code answered} runs on the reactor's thread. */
     private static CompletableFuture<Boolean> call(
             Connector.Connection on, AtomicReference<Duration> left, Runnable answered) {
+        return call(on, left, false, answered, () -> {});
+    }
+
+    private static CompletableFuture<Boolean> call(
+            Connector.Connection on,
+            AtomicReference<Duration> left,
+            boolean hold,
+            Runnable answered,
+            Runnable toldHeld) {
         CompletableFuture<Boolean> end = new CompletableFuture<>();
         HttpCall call = new HttpCall(
                 "POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII), Instant.now());
         Ask ask = new Ask("id", "ask", "k", null, 40, 0, 9, Instant.now().plusSeconds(8), false, call);
-        on.call(new Connector.AttemptCall(ask, true, left::get, false, () -> true), new Connector.Listener() {
+        on.call(new Connector.AttemptCall(ask, true, left::get, hold, () -> true), new Connector.Listener() {
             @Override
             public void sent() {}
 
             @Override
-            public void held() {}
+            public void held() {
+                toldHeld.run();
+            }
 
             @Override
             public void word(Connector.Word word, Report report) {
