Servers: a switch of protocols or informational heads without end are a failed attempt

Cause: heads of 1xx were passed over, however many and whatever they said, so that behind a 101 an attempt waited for as long as its client or the module did.

Change: a 101, and the ninth informational head, end the connection; the attempt may have run.

Seen failing with the mend out: SpoiltAnswersTest.aSpoiltOpeningIsAFailedAttempt, 4 new rows (nothing in 10 s). Passed now with the whole of SpoiltAnswersTest and LastByteTest.

--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.RequestNotExecutedException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
@@ -26,6 +27,7 @@
     private static final int WINDOW = 65_535; // HttpCore's, until more is granted
 
     private static final int MOST_GATHERED = 4096;
+    private static final int MOST_INFORMATIONAL = 8; // heads before an answer
 
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
     private final HttpRequest request;
@@ -39,6 +41,7 @@
     private volatile boolean written; // the last byte is HttpCore's, that may still have it
     private boolean left; // and the system has it
     private BooleanSupplier buffered = () -> false;
+    private int informational;
     private boolean reusedConnection;
     private boolean answeredEarly; // its answer began before its last byte had left
     private final AtomicInteger held = new AtomicInteger(); // taken in and not granted again
@@ -204,8 +207,13 @@
         return hold && !let ? Math.min(1, body.remaining()) : 0;
     }
 
+    /** Guards against a server that never comes to its answer: behind a switch of protocols, or heads without end. */
     @Override
-    public final void consumeInformation(HttpResponse response, HttpContext context) {}
+    public final void consumeInformation(HttpResponse response, HttpContext context) throws HttpException {
+        if (response.getCode() == HttpStatus.SC_SWITCHING_PROTOCOLS || ++informational > MOST_INFORMATIONAL) {
+            throw new ProtocolException("informational heads in place of an answer");
+        }
+    }
 
     @Override
     public final void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -62,6 +62,8 @@
             {"a head without end", HEAD + "X-More: "},
             {"a line without end", HEAD + "X: " + "x".repeat(20_000)},
             {"headers without end", HEAD + "X: y\r\n".repeat(200)},
+            {"another protocol", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"},
+            {"information without end", "HTTP/1.1 102 Processing\r\n\r\n".repeat(20)},
             {"no length", "HTTP/1.1 200 OK\r\n\r\n" + FIRST},
             {"noise for a size", HEAD + "\r\nzz\r\n"},
             {"a negative size", HEAD + "\r\n-5\r\n" + FIRST},
