Module: no class is refused for its own work's time, long prompts or cut reads

Cause: (1) the SLOW curve set the whole time to a first token against the aim, so that a class whose aim an idle fleet can't meet was refused with nobody in front; now only the waiting counts, against what the aim leaves beside the work, or three usual prompts' work within the deadline where that is more. (2) 60,000 waiting tokens were overload whatever the prompts; now five usual prompts where that is more. (3) Own sends too late for a report of held requests counted twice. (4) A read was cut though no attempts for another read and its writer were left.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -21,8 +21,11 @@
     private static final double CURVE_FACTOR = 300; // the post's multiplier
     private static final double CURVE_POWER = 5; // the post's exponent
     private static final double WAITING_THRESHOLD = 60_000; // prompt tokens waiting at a server
+    private static final double WAITING_PROMPTS = 5; // or so many usual prompts, where these are longer
     private static final double MEMORY_THRESHOLD = 4.5; // share of memory held
     private static final double CERTAIN = 0.32; // saturation from which the curve refuses all
+    private static final double QUIET_WAITS = 3; // usual prompts' work; what quiet days may bring
+    private static final double SERVICE_SPAN_S = 300; // s in which service times follow slower servers
     private static final double DELAY_LEARN = 0.25; // weight of one new latency in what attempts wait
     private static final double DELAY_FADE_S = 2; // s in which a latency seen fades without a new one
     private static final double RETRY_ADVICE_S = 0.25; // a refused client may return after a report
@@ -87,10 +90,14 @@
     private final List<Server> reading = new ArrayList<>();
     private Cells cells = new Cells();
     private final Mean promptTokens = new Mean(LEARN);
+    private final Mean promptSquares = new Mean(LEARN);
     private final Mean readTokens = new Mean(LEARN); // read anew
     private final Mean readWork = new Mean(LEARN);   // the same with what was ahead of it
     private final Mean readSeconds = new Mean(LEARN);
     private final Mean keptShare = new Mean(LEARN); // of their beginnings, found by reads at home
+    private final ServiceTime readTime = new ServiceTime(SERVICE_SPAN_S, LEARN);
+    private final ServiceTime fetchTime = new ServiceTime(SERVICE_SPAN_S, LEARN); // writers, to a first token
+    private final ServiceTime bothTime = new ServiceTime(SERVICE_SPAN_S, LEARN); // the same, read in place
     private final Pace askPace = new Pace(PACE_LEARN);
     private final Pace readPace = new Pace(PACE_LEARN);
     private final Pace writePace = new Pace(PACE_LEARN);
@@ -203,15 +210,11 @@
             followAgain = Math.min(followAgain * 2, LONGEST_FOLLOW_S);
             return;
         }
-        if (m.kind() != ListKind.CACHED) {
-            followAgain = FOLLOW_AGAIN_S;
-        }
+        followAgain = m.kind() == ListKind.CACHED ? followAgain : FOLLOW_AGAIN_S;
         if (m.kind() != ListKind.DELTA) {
             servers.values().forEach(s -> s.listed = null);
         }
-        for (Member e : m.members()) {
-            member(e);
-        }
+        m.members().forEach(this::member);
         // one that has left is forgotten once nothing is out there: new ones come under ever new ids
         servers.values().removeIf(s -> s.out.isEmpty()
                 && (s.listed == null || s.listed.state() == ServerState.GONE));
@@ -267,6 +270,7 @@
         Request r = new Request(a, classes.getOrDefault(a.requestClass(), careful));
         requests.put(a.request(), r);
         promptTokens.add(a.promptTokens());
+        promptSquares.add(a.promptTokens() * a.promptTokens());
         beginnings.add(now, a.prefix());
         classTokens.computeIfAbsent(a.requestClass(), c -> new Mean(LEARN)).add(a.promptTokens());
         timer(a.deadline() - now - ANSWER_MARGIN_S, 'd', r, 0);
@@ -279,47 +283,53 @@
         advance(r);
     }
 
-    private static double aimS(Request r) {
-        double more = r.kind.aimPerThousandS() * r.asked.promptTokens() / 1000;
-        return Math.max(r.kind.aimS() + more, MIN_PATIENCE_S);
-    }
-
     /**
-     * When the first token would come, by what own attempts meet now and by reports. Set against the aim it
-     * goes through the same curve, for protected requests too: where every answer would be late, a part in
-     * time earns more. Guards against any overload that dropping low worth cannot lift.
+     * The chance to refuse, by the same curve, what waits so long that it misses its aim: where every answer
+     * would be late, a part in time earns more. For protected requests too: guards against any overload that
+     * dropping low worth cannot lift. What the work itself takes, refusing makes no shorter: where the aim
+     * leaves little beside it, as much waiting is borne as quiet days bring, within the deadline.
      */
-    private double firstTokenS(Server first, double anew) {
-        double sum = 0;
-        int count = 0;
-        for (Server s : writers) {
-            if (!s.resting && hasRoom(s)) {
-                sum += expected(s, writeDelay);
-                count++;
-            }
-        }
+    private double slowChance(Request r, Server first, int rank) {
+        double prompt = r.asked.promptTokens();
+        double aim = Math.max(r.kind.aimS() + r.kind.aimPerThousandS() * prompt / 1000, MIN_PATIENCE_S);
+        double work = workS(first, anew(r, rank), prompt);
+        double left = r.asked.deadline() - ANSWER_MARGIN_S - now;
+        double usual = QUIET_WAITS * workS(first, usualPrompt(), usualPrompt());
+        double room = Math.max(aim - work, Math.min(left - work, usual));
+        return refusalChance(CERTAIN * waitS(first) / Math.max(room, 0.001));
+    }
+
+    /** What an idle fleet takes to the first token. */
+    private double workS(Server first, double anew, double prompt) {
+        return first.role != Role.READER ? bothTime.of(prompt) : readTime.of(anew) + fetchTime.of(prompt);
+    }
+
+    /** The prompt that a token belongs to in the mean: long ones have more of them. */
+    private double usualPrompt() {
+        return promptSquares.value / Math.max(promptTokens.value, 1);
+    }
+
+    /** The waiting before a first token, by what own attempts meet now and by reports. */
+    private double waitS(Server first) {
+        double writing = writers.stream().filter(s -> !s.resting && hasRoom(s))
+                .mapToDouble(s -> waitS(s, writeDelay)).average().orElse(0);
         // a node of a large fleet meets each reader too seldom to go by what it met; reports may be late
         boolean told = first.role == Role.READER && fresh(first) && readWork.value > 0;
-        double most = told ? (ahead(first) + anew) * readSeconds.value / readWork.value : Double.MAX_VALUE;
-        return Math.min(most, expected(first, readDelay)) + (count == 0 ? 0 : sum / count);
+        double most = told ? ahead(first) * readSeconds.value / readWork.value : Double.MAX_VALUE;
+        return Math.min(most, waitS(first, readDelay)) + writing;
     }
 
     /**
-     * What attempts wait: lately seen, or the oldest's age since the newest answered send. One whose answer
-     * seems lost tells nothing of a queue. A server where nothing is met is as the rest of its stage.
+     * What attempts wait beside their work: lately seen, or the oldest's age since the newest answered send.
+     * One whose answer seems lost tells nothing of a queue. A server where nothing is met is as its stage.
      */
-    private double expected(Server s, Fading stage) {
-        Try oldest = null;
-        for (Try t : s.waiting) {
-            if (!lost(t)) {
-                oldest = t;
-                break;
-            }
-        }
+    private double waitS(Server s, Fading stage) {
+        Try oldest = s.waiting.stream().filter(t -> !lost(t)).findFirst().orElse(null);
         if (oldest == null && now - s.delay.seenAt >= DELAY_FADE_S) {
             return stage.at(now);
         }
-        double age = oldest == null ? 0 : now - Math.max(oldest.sentAt, s.answeredSentAt);
+        double age = oldest == null ? 0
+                : now - Math.max(oldest.sentAt, s.answeredSentAt) - oldest.service.of(oldest.tokens);
         return Math.max(age, s.delay.at(now));
     }
 
@@ -337,9 +347,11 @@
 
     private void sawDelay(Try t, double latency) {
         (t.reading ? readPace : writePace).add(latency);
-        (t.reading ? readDelay : writeDelay).add(now, latency);
+        t.service.add(now, latency, t.tokens);
+        double waited = latency - t.service.of(t.tokens);
+        (t.reading ? readDelay : writeDelay).add(now, waited);
         t.server.answeredSentAt = Math.max(t.server.answeredSentAt, t.sentAt);
-        t.server.delay.add(now, latency);
+        t.server.delay.add(now, waited);
     }
 
     static double refusalChance(double saturation) {
@@ -348,15 +360,9 @@
 
     /** Below the top worth; with equal worths the class with the loosest aim. */
     private boolean droppable(RequestClass c) {
-        double top = 0;
-        double least = Double.MAX_VALUE;
-        double loosest = 0;
-        for (RequestClass other : settings.classes()) {
-            top = Math.max(top, other.worth());
-            least = Math.min(least, other.worth());
-            loosest = Math.max(loosest, other.aimS());
-        }
-        return c.worth() < top || least == top && c.aimS() == loosest;
+        List<RequestClass> all = settings.classes();
+        return all.stream().anyMatch(o -> c.worth() < o.worth())
+                || all.stream().allMatch(o -> c.worth() == o.worth() && c.aimS() >= o.aimS());
     }
 
     /** Work beyond a customer's share is worth little. A node keeps its part of the share by itself. */
@@ -372,33 +378,30 @@
     private double saturation() {
         double sum = 0;
         double heard = 0;
-        for (List<Server> stage : List.of(readers, writers)) {
-            for (Server s : stage) {
-                if (s.report != null && !s.resting) {
-                    double weight = Math.exp((s.reportAt - now) / REPORT_LIFE_S);
-                    sum += weight * saturation(s);
-                    heard += weight;
-                }
+        for (Server s : servers.values()) {
+            if (ready(s) && s.report != null && !s.resting) {
+                double weight = Math.exp((s.reportAt - now) / REPORT_LIFE_S);
+                sum += weight * saturation(s);
+                heard += weight;
             }
         }
         return sum / Math.max(heard, FEW_HEARD);
     }
 
     private double saturation(Server s) {
-        return Math.max((reportedTokens(s) + s.unseenTokens) / WAITING_THRESHOLD,
+        double most = Math.max(WAITING_THRESHOLD, WAITING_PROMPTS * usualPrompt());
+        return Math.max((reportedTokens(s) + s.unseenTokens) / most,
                 State.or0(s.report.memoryShare()) / MEMORY_THRESHOLD);
     }
 
     /** Prompt tokens waiting by the last report: told, or the queue, or the waiting part of all it holds. */
     private double reportedTokens(Server s) {
-        if (!Double.isNaN(s.report.waitingThousandTokens())) {
-            return s.report.waitingThousandTokens() * 1000;
-        }
-        if (!Double.isNaN(s.report.waitingRequests())) {
-            return s.report.waitingRequests() * promptTokens.value;
-        }
-        boolean held = !Double.isNaN(s.report.heldRequests()) && s.tokens > 0;
-        return s.waitingTokens * (held ? s.report.heldRequests() * promptTokens.value / s.tokens : 1);
+        double told = s.report.waitingThousandTokens() * 1000;
+        double queue = s.report.waitingRequests() * promptTokens.value;
+        double all = s.report.heldRequests() * promptTokens.value / Math.max(s.tokens, 1);
+        double seen = s.waitingTokens - s.unseenTokens; // what is not is added as such
+        seen *= Double.isNaN(all) ? 1 : all;
+        return !Double.isNaN(told) ? told : !Double.isNaN(queue) ? queue : seen;
     }
 
     // ---- the next step -------------------------------------------------------------------------
@@ -410,8 +413,7 @@
         letGoAt(r, now);
         int most = settings.limits().maxAttempts();
         boolean lastSend = r.sends + 1 >= most;
-        boolean noTaker = lastSend && !r.holdsState && !settings.writersRead()
-                && writers.stream().noneMatch(s -> s.role == Role.MIXED);
+        boolean noTaker = lastSend && !r.holdsState && !readInPlace();
         boolean ran = r.ranAt != null && (r.kind.effect() == Effect.UNSAFE || windowOver(r));
         if (ran || r.sends >= most || noTaker) {
             close(r, ran ? Why.RAN : Why.NO_ATTEMPT_LEFT);
@@ -436,7 +438,7 @@
         }
         r.options = null;
         boolean slow = s != null && r.sends == 0 && mayRefuse(r)
-                && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s, anew(r, rank)) / aimS(r));
+                && random.nextDouble() < slowChance(r, s, rank);
         if (!slow && !r.counted) { // what is held too: a start among cold servers alone had no part of them
             r.counted = true;
             demand.add(now, weight(r));
@@ -451,6 +453,10 @@
         }
     }
 
+    private boolean readInPlace() {
+        return settings.writersRead() || writers.stream().anyMatch(s -> s.role == Role.MIXED);
+    }
+
     /**
      * Asks those about to be used for their load, as far as the price allows. Guards against long stale
      * word where a node seldom meets a server, and against fresh silence: who does not answer comes last.
@@ -650,7 +656,9 @@
 
     private void send(Request r, Server s, int rank, Why why) {
         boolean reading = s.role == Role.READER;
-        Try t = new Try(r, s, r.sends++, rank, reading ? anew(r, rank) : r.asked.promptTokens(), now);
+        ServiceTime service = reading ? readTime : r.holdsState ? fetchTime : bothTime;
+        double tokens = reading ? anew(r, rank) : r.asked.promptTokens();
+        Try t = new Try(r, s, r.sends++, rank, tokens, service, now);
         t.ahead = reading ? ahead(s) : 0;
         r.out = t;
         r.lastTried = s.id;
@@ -660,7 +668,8 @@
         if (s.resting && now >= s.restUntil) {
             s.restUntil = now + s.rest;
         }
-        boolean redo = (reading || harmless(r.kind)) && r.sends < settings.limits().maxAttempts();
+        int more = reading && !readInPlace() ? 2 : 1; // a writer's attempt has to be left after the next read
+        boolean redo = (reading || harmless(r.kind)) && r.sends + more <= settings.limits().maxAttempts();
         double left = r.asked.deadline() - ANSWER_MARGIN_S - now;
         double until = now + Math.max(left, 0.001);
         if (redo) {
@@ -767,18 +776,11 @@
             }
             case FULL -> {
                 r.holdsState &= !e.stateMissing();
-                if (!e.stateMissing()) {
-                    t.server.fullUntil = now + FULL_S;
-                }
-            }
-            case NOT_SENT -> {
-                close(r, Why.NOT_SENT);
-                return;
+                t.server.fullUntil = e.stateMissing() ? t.server.fullUntil : now + FULL_S;
             }
+            case NOT_SENT -> r.closing = Why.NOT_SENT;
             case CONNECT_FAILED -> { }
-            default -> {
-                r.ranAt = t.reading || r.ranAt != null ? r.ranAt : t.entry;
-            }
+            default -> r.ranAt = t.reading || r.ranAt != null ? r.ranAt : t.entry;
         }
         if (r.closing != null) {
             close(r, r.closing);
@@ -924,12 +926,10 @@
             bench(s, false);
         }
         if (s.strikes >= SILENT_STRIKES && settings.streamsResume()) {
-            for (Try t : List.copyOf(s.out)) {
-                if (t.started && !t.request.closed) {
-                    t.request.closed = true;
-                    actions.add(new Transfer(t.request.asked.request()));
-                }
-            }
+            s.out.stream().filter(t -> t.started && !t.request.closed).forEach(t -> {
+                t.request.closed = true;
+                actions.add(new Transfer(t.request.asked.request()));
+            });
         }
     }
 
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -62,6 +62,52 @@
         }
     }
 
+    /** The least lately seen. It grows by no more than a factor of e in each span, however much greater all is. */
+    private static final class Least {
+        private final double span;
+        private double value = Double.POSITIVE_INFINITY;
+        private double at;
+
+        Least(double span) {
+            this.span = span;
+        }
+
+        void add(double now, double sample) {
+            value = Math.min(sample, value * Math.exp((now - at) / span));
+            at = now;
+        }
+
+        /** 0 before any was seen. */
+        double value() {
+            return Double.isInfinite(value) ? 0 : value;
+        }
+    }
+
+    /** How long work takes that waits for none: by its tokens, and no less than the shortest took. */
+    static final class ServiceTime {
+        private final Least seconds;
+        private final Least perToken; // of works above the mean: in short ones it is little of the time
+        private final Mean tokens;
+
+        ServiceTime(double span, double learn) {
+            seconds = new Least(span);
+            perToken = new Least(span);
+            tokens = new Mean(learn);
+        }
+
+        void add(double now, double latency, double its) {
+            tokens.add(its);
+            seconds.add(now, latency);
+            if (its >= tokens.value) {
+                perToken.add(now, latency / Math.max(its, 1));
+            }
+        }
+
+        double of(double its) {
+            return Math.max(seconds.value(), perToken.value() * its);
+        }
+    }
+
     /** A mean that fades to 0 without new samples. */
     static final class Fading {
         final double weight;
@@ -368,18 +414,20 @@
         final int rank; // of its server among the options: 0 is the home
         final double sentAt;
         final double tokens; // to be read there, or held
+        final ServiceTime service; // of attempts of its sort
         double ahead; // to be read at its server before it, as far as known when it was sent
         boolean counted = true; // among its server's unseen tokens
         boolean started;
         boolean cancelled;
 
-        Try(Request request, Server server, int number, int rank, double tokens, double sentAt) {
+        Try(Request request, Server server, int number, int rank, double tokens, ServiceTime service, double sentAt) {
             this.request = request;
             this.server = server;
             entry = server.listed;
             this.number = number;
             this.rank = rank;
             this.tokens = tokens;
+            this.service = service;
             this.sentAt = sentAt;
             reading = server.role == Role.READER;
         }
--- a/src/test/java/copperbeam/ModuleDay.java
+++ b/src/test/java/copperbeam/ModuleDay.java
@@ -14,11 +14,17 @@
  * Some modules before servers in virtual time, each under {@link RulesTest.Checker}: readers read one prompt after
  * another, writers begin at once. No simulator of load: it shows what is sent, refused, held and never answered.
  */
-final class ModuleDay {
-    record Due(double time, long order, Node node, Event event) {}
+class ModuleDay {
+    /** An event for a node, or what happens elsewhere then. */
+    record Due(double time, long order, Node node, Event event, Runnable other) {}
+
+    /** Decides as the module does. */
+    interface Decider {
+        List<Action> on(double now, Event event);
+    }
 
     static final class Node {
-        final Brain brain;
+        final Decider decider;
         final RulesTest.Checker checker;
         final Map<Long, List<Due>> out = new HashMap<>();
         final Map<Long, Integer> attempts = new HashMap<>();
@@ -26,8 +32,8 @@
         int mostTurned;
         double firstAttempt = Double.MAX_VALUE;
 
-        Node(Settings settings, long seed) {
-            brain = new Brain(settings, seed);
+        Node(Settings settings, Decider decider) {
+            this.decider = decider;
             checker = new RulesTest.Checker(settings);
         }
     }
@@ -67,8 +73,9 @@
     final Map<Long, Fate> fates = new TreeMap<>();
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+    boolean ruled = true; // by the checker of the module's rules
     private long order;
-    private double now;
+    double now;
 
     ModuleDay(Settings settings, long seed) {
         this.settings = settings;
@@ -83,7 +90,11 @@
 
     /** A node that starts then, with the list as it is. */
     Node node(double at) {
-        Node n = new Node(settings, nodes.size() + 1);
+        return node(at, new Brain(settings, nodes.size() + 1)::on);
+    }
+
+    Node node(double at, Decider decider) {
+        Node n = new Node(settings, decider);
         nodes.add(n);
         tell(at, n, list(ListKind.CACHED));
         return n;
@@ -94,11 +105,19 @@
     }
 
     Due tell(double at, Node n, Event event) {
-        Due due = new Due(at, order++, n, event);
+        Due due = new Due(at, order++, n, event, null);
         queue.add(due);
         return due;
     }
 
+    void at(double time, Runnable what) {
+        queue.add(new Due(time, order++, null, null, what));
+    }
+
+    void forget(Due due) {
+        queue.remove(due);
+    }
+
     Fate ask(
             double at,
             Node n,
@@ -108,8 +127,21 @@
             double tokens,
             double prefixTokens,
             double within) {
-        Arrival a =
-                new Arrival(fates.size() + 1, c.name(), null, session, prefix, tokens, prefixTokens, 100, at + within);
+        return ask(at, n, c, session, prefix, tokens, prefixTokens, within, 100);
+    }
+
+    Fate ask(
+            double at,
+            Node n,
+            RequestClass c,
+            String session,
+            String prefix,
+            double tokens,
+            double prefixTokens,
+            double within,
+            double answer) {
+        Arrival a = new Arrival(
+                fates.size() + 1, c.name(), null, session, prefix, tokens, prefixTokens, answer, at + within);
         Fate f = new Fate(a, at);
         fates.put(a.request(), f);
         tell(at, n, a);
@@ -125,24 +157,34 @@
         while (!queue.isEmpty() && queue.peek().time <= until) {
             Due d = queue.poll();
             now = d.time;
-            if (now > checked + 0.1) {
+            if (ruled && now > checked + 0.1) {
                 nodes.forEach(n -> n.checker.check(now));
                 checked = now;
             }
+            if (d.other != null) {
+                d.other.run();
+                continue;
+            }
             if (d.event instanceof AttemptEnded e) {
                 d.node.out.remove(e.request());
                 fates.get(e.request()).answered |= e.outcome() == Outcome.OK;
             }
-            d.node.checker.told(now, d.event);
-            List<Action> actions = d.node.brain.on(now, d.event);
-            d.node.checker.did(now, actions);
+            if (ruled) {
+                d.node.checker.told(now, d.event);
+            }
+            List<Action> actions = d.node.decider.on(now, d.event);
+            if (ruled) {
+                d.node.checker.did(now, actions);
+            }
             actions.forEach(a -> act(d.node, a));
         }
         now = until;
-        nodes.forEach(n -> n.checker.check(now));
+        if (ruled) {
+            nodes.forEach(n -> n.checker.check(now));
+        }
     }
 
-    private void act(Node n, Action action) {
+    void act(Node n, Action action) {
         if (action instanceof Timer t) {
             tell(now + t.afterS(), n, new TimerFired(t.tag()));
         } else if (action instanceof Probe p) {
@@ -184,7 +226,7 @@
                         hung || !told ? null : report(m)));
     }
 
-    private Report report(Machine m) {
+    Report report(Machine m) {
         return new Report(Double.NaN, Double.NaN, Double.NaN, 0.3, Math.max(0, m.freeAt - now) * m.tokensPerS / 1000);
     }
 
@@ -197,7 +239,7 @@
                         new AttemptEnded(request, number, server, o, at - now, over, false, report, Double.NaN)));
     }
 
-    private void attempt(Node n, Attempt a, Machine m, int number) {
+    void attempt(Node n, Attempt a, Machine m, int number) {
         Arrival asked = fates.get(a.request()).asked;
         Role role = settings.kinds().stream()
                 .filter(k -> k.name().equals(m.entry.kind()))
