SlowStartTest: a class of ten times the others' work, all servers in slow start (red)

Whole modules in virtual time, 1 to 100 processes, all servers replaced at once or the processes started with them.

--- a/src/test/java/copperbeam/ModuleDay.java
+++ b/src/test/java/copperbeam/ModuleDay.java
@@ -46,6 +46,9 @@
         }
     }
 
+    /** An attempt of any node. */
+    record Send(double at, String server, long request) {}
+
     /** What became of one request. */
     static final class Fate {
         final Arrival asked;
@@ -65,6 +68,7 @@
     final List<Node> nodes = new ArrayList<>();
     final Map<String, Machine> machines = new TreeMap<>();
     final Map<Long, Fate> fates = new TreeMap<>();
+    final List<Send> sends = new ArrayList<>();
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
     private long order;
@@ -83,7 +87,12 @@
 
     /** A node that starts then, with the list as it is. */
     Node node(double at) {
-        Node n = new Node(settings, nodes.size() + 1);
+        return node(at, settings, nodes.size() + 1);
+    }
+
+    /** The same with settings of its own. */
+    Node node(double at, Settings settings, long seed) {
+        Node n = new Node(settings, seed);
         nodes.add(n);
         tell(at, n, list(ListKind.CACHED));
         return n;
@@ -158,6 +167,7 @@
             n.turned = 0;
             n.firstAttempt = Math.min(n.firstAttempt, now);
             fates.get(a.request()).attempts++;
+            sends.add(new Send(now, a.server(), a.request()));
             attempt(n, a, machines.get(a.server()), n.attempts.merge(a.request(), 1, Integer::sum) - 1);
         } else if (action instanceof Refuse a) {
             turned(n, a.request());
--- /dev/null
+++ b/src/test/java/copperbeam/SlowStartTest.java
@@ -0,0 +1,285 @@
+package copperbeam;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import copperbeam.Api.*;
+import copperbeam.ModuleDay.Fate;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Whole modules in virtual time before servers that are all in slow start: the sum that each server is sent, and what
+ * each class is served beside a reference that sees all processes and keeps the same sum.
+ */
+class SlowStartTest {
+    private static final int SEEDS = Integer.getInteger("slowstart.seeds", 3);
+    private static final double START = 100;
+    private static final double HEAVY_SHARE = 1 / 12.0;
+    private static final double LIGHT_TOKENS = 600;
+    private static final double DEADLINE_S = 6;
+    private static final RequestClass LIGHT = Bench.cls("light", 6, 3, Effect.SAFE, Group.ALL);
+    private static final RequestClass HEAVY = Bench.cls("heavy", 6, 3, Effect.SAFE, Group.ALL);
+    private static final RequestClass BEST_EFFORT = Bench.cls("best effort", 9, 1, Effect.SAFE, Group.ALL);
+
+    /** The processes, servers of each role, requests of mean work a second that a warm one takes, and costs 1:ratio. */
+    private record World(int nodes, int peers, double capacity, double ratio, boolean restarted, Rules rules) {
+        double meanTokens() {
+            return LIGHT_TOKENS * (1 + HEAVY_SHARE * (ratio - 1));
+        }
+
+        double weight(Fate f) {
+            return (f.asked.requestClass().equals(HEAVY.name()) ? ratio : 1) * LIGHT_TOKENS / meanTokens();
+        }
+
+        /** N: what the windows that ends at this age may hold. */
+        double budget(double age) {
+            return rules.fallMultiple() * capacity * (present(age) - present(age - rules.fallS()));
+        }
+
+        /** The capacity surely present, added up from the start; before it as at it. */
+        private double present(double age) {
+            double warming = Math.max(0, Math.min(age, rules.warmWithinS()));
+            double grown = (1 - rules.coldFrom())
+                    * warming
+                    * warming
+                    * warming
+                    / 3
+                    / rules.warmWithinS()
+                    / rules.warmWithinS();
+            return rules.coldFrom() * Math.min(age, warming) + grown + Math.max(0, age - warming) * (age > 0 ? 1 : 0);
+        }
+
+        /** The bound of the rule on calls in a window. */
+        double bound(double age) {
+            double n = budget(age);
+            return n < 30 ? n + 3 * Math.sqrt(n) + 3 : n + 2 * Math.sqrt(n) + 2;
+        }
+
+        /** Whether its whole time lies in the slow start. */
+        boolean counts(Fate f) {
+            return f.at >= START && cold(f.asked.deadline());
+        }
+
+        boolean cold(double at) {
+            return at < START + rules.warmWithinS();
+        }
+    }
+
+    /** Sums over all seeds. */
+    private static final class Totals {
+        double sum; // highest window against its bound
+        int heavy;
+        int heavyServed;
+        int heavyReference;
+        int light;
+        int lightServed;
+        int lightReference;
+
+        @Override
+        public String toString() {
+            return String.format(
+                    "sum %.2f, heavy %d: %d (reference %d), light %d: %d (reference %d)",
+                    sum, heavy, heavyServed, heavyReference, light, lightServed, lightReference);
+        }
+    }
+
+    private static ModuleDay play(World world, long seed) {
+        Settings usual = Bench.usual(LIGHT, HEAVY, BEST_EFFORT);
+        List<ModuleDay.Node> nodes = new ArrayList<>();
+        ModuleDay day = null;
+        for (int i = 0; i < world.nodes; i++) {
+            Settings s = new Settings(
+                    world.nodes,
+                    i,
+                    usual.classes(),
+                    usual.customers(),
+                    usual.kinds(),
+                    new Limits(4, true, false, 0.5),
+                    world.rules,
+                    Reports.NEVER,
+                    false,
+                    0.003,
+                    false,
+                    true);
+            if (day == null) {
+                day = new ModuleDay(s, seed);
+                servers(day, world, world.restarted ? START : 0);
+            }
+            nodes.add(day.node(world.restarted ? START : START - 25, s, seed * 1000 + i));
+        }
+        double perS = world.capacity * world.peers;
+        boolean replaced = world.restarted;
+        double from = world.restarted ? START : START - 25;
+        double until = START + world.rules.warmWithinS();
+        for (double t = from; t < until; t -= Math.log(1 - day.random.nextDouble()) / perS) {
+            boolean heavy = day.random.nextDouble() < HEAVY_SHARE;
+            day.ask(
+                    t,
+                    nodes.get(day.random.nextInt(world.nodes)),
+                    heavy ? HEAVY : LIGHT,
+                    "s" + day.random.nextInt(1000),
+                    null,
+                    LIGHT_TOKENS * (heavy ? world.ratio : 1),
+                    0,
+                    DEADLINE_S);
+        }
+        if (!replaced) {
+            day.run(START);
+            servers(day, world, START);
+            for (ModuleDay.Node n : nodes) {
+                day.tell(START, n, day.list(ListKind.FULL));
+            }
+        }
+        day.run(until + 2 * DEADLINE_S);
+        return day;
+    }
+
+    private static void servers(ModuleDay day, World world, double launched) {
+        for (int i = 0; i < world.peers; i++) {
+            day.machine(Bench.server("r" + i, "r", i % 2, ServerState.READY, launched)).tokensPerS = 1e6;
+            day.machine(Bench.server("w" + i, "w", i % 2, ServerState.READY, launched));
+        }
+    }
+
+    private static double highest(World world, ModuleDay day) {
+        Map<String, ArrayDeque<double[]>> windows = new HashMap<>();
+        Map<String, Double> sums = new HashMap<>();
+        double highest = 0;
+        for (ModuleDay.Send s : day.sends) {
+            if (s.at() < START || !world.cold(s.at())) {
+                continue;
+            }
+            double weight = world.weight(day.fates.get(s.request()));
+            ArrayDeque<double[]> window = windows.computeIfAbsent(s.server(), n -> new ArrayDeque<>());
+            double sum = sums.getOrDefault(s.server(), 0.0) + weight;
+            window.add(new double[] {s.at(), weight});
+            while (window.peek()[0] <= s.at() - world.rules.fallS()) {
+                sum -= window.poll()[1];
+            }
+            sums.put(s.server(), sum);
+            highest = Math.max(highest, sum / world.bound(s.at() - START));
+        }
+        return highest;
+    }
+
+    /** First come, first served by the servers with the most room under N, or one request beyond where N is smaller. */
+    private static final class Reference {
+        final World world;
+        final List<ArrayDeque<double[]>> windows = new ArrayList<>();
+        final double[] sums;
+
+        Reference(World world) {
+            this.world = world;
+            sums = new double[world.peers];
+            for (int i = 0; i < world.peers; i++) {
+                windows.add(new ArrayDeque<>());
+            }
+        }
+
+        boolean send(double at, double weight) {
+            int best = 0;
+            for (int i = 0; i < world.peers; i++) {
+                ArrayDeque<double[]> w = windows.get(i);
+                while (!w.isEmpty() && w.peek()[0] <= at - world.rules.fallS()) {
+                    sums[i] -= w.poll()[1];
+                }
+                best = sums[i] < sums[best] ? i : best;
+            }
+            double n = world.budget(at - START);
+            if (world.cold(at) && sums[best] + weight > n && (weight <= n || sums[best] > 1e-9)) {
+                return false;
+            }
+            windows.get(best).add(new double[] {at, weight});
+            sums[best] += weight;
+            return true;
+        }
+    }
+
+    private static void reference(World world, ModuleDay day, Totals totals) {
+        Reference reader = new Reference(world);
+        Reference writer = new Reference(world);
+        List<Fate> waiting = new ArrayList<>();
+        List<Fate> all = new ArrayList<>(day.fates.values());
+        int next = 0;
+        for (double t = START - DEADLINE_S; t < START + world.rules.warmWithinS() + DEADLINE_S; t += 0.02) {
+            while (next < all.size() && all.get(next).at <= t) {
+                waiting.add(all.get(next++));
+            }
+            double now = t;
+            boolean[] full = new boolean[1];
+            waiting.removeIf(f -> {
+                if (f.asked.deadline() < now + 0.5) {
+                    return true;
+                }
+                if (f.at < START || full[0]) {
+                    return f.at < START;
+                }
+                double weight = world.weight(f);
+                if (!reader.send(now, weight) || !writer.send(now, weight)) {
+                    full[0] = true;
+                    return false;
+                }
+                if (!world.counts(f)) {
+                    return true;
+                }
+                if (f.asked.requestClass().equals(HEAVY.name())) {
+                    totals.heavyReference++;
+                } else {
+                    totals.lightReference++;
+                }
+                return true;
+            });
+        }
+    }
+
+    private static Totals all(World world) {
+        Totals t = new Totals();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            ModuleDay day = play(world, seed);
+            t.sum = Math.max(t.sum, highest(world, day));
+            for (Fate f : day.fates.values()) {
+                if (!world.counts(f)) {
+                    continue;
+                }
+                if (f.asked.requestClass().equals(HEAVY.name())) {
+                    t.heavy++;
+                    t.heavyServed += f.answered ? 1 : 0;
+                } else {
+                    t.light++;
+                    t.lightServed += f.answered ? 1 : 0;
+                }
+            }
+            reference(world, day, t);
+        }
+        return t;
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "1, 6, 5, 10, 13, false",
+        "5, 6, 5, 10, 13, false",
+        "5, 6, 20, 50, 40, false",
+        "14, 6, 5, 10, 13, false",
+        "14, 6, 5, 10, 13, true",
+        "30, 15, 5, 10, 13, false",
+        "100, 50, 5, 10, 13, false",
+        "100, 50, 5, 50, 40, false",
+        "100, 10, 20, 10, 13, true",
+        "100, 2, 20, 10, 13, true",
+    })
+    void theHeaviestClassIsServed(
+            int nodes, int peers, double capacity, double ratio, double warmWithin, boolean restarted) {
+        Rules rules = new Rules(0.28, warmWithin, 3, 2, 1, 10);
+        Totals t = all(new World(nodes, peers, capacity, ratio, restarted, rules));
+        System.out.println(
+                nodes + " " + peers + " " + capacity + " " + ratio + " " + warmWithin + " " + restarted + ": " + t);
+        assertTrue(t.sum <= 1, "sum of the calls in slow start: " + t);
+        assertTrue(t.heavyServed >= t.heavyReference / 2, "heavy requests served: " + t);
+        assertTrue(t.lightServed >= t.lightReference / 2, "light requests served: " + t);
+    }
+}
