Slow start: processes without history don't pass the sum; demand counts requests from the start

Cause: demand was counted from the time of the first request (for one request in 2 s twice the truth in the first seconds, summed over all processes) and in weights that few samples tell badly.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -159,6 +159,7 @@
     }
 
     private void begin() {
+        demand.from = begun ? demand.from : now; // not the first request's time: chance
         if (!begun && settings.listMustBeAsked()) {
             actions.add(new FollowList());
         }
@@ -249,7 +250,7 @@
         s.memoryTokens = kind == null ? 0 : kind.memoryTokens();
         s.lastWord = s.lastWord == 0 ? now : s.lastWord;
         if (s.permits == null || s.permits.launchedAt != e.launchedAt()) {
-            s.permits = cold.permits(s.id, e.launchedAt(), demand.from < 0 ? now : demand.from);
+            s.permits = cold.permits(s.id, e.launchedAt(), demand.from);
         }
         if (e.launchedAt() > before) {
             s.report = null;
@@ -439,7 +440,7 @@
                 && random.nextDouble() < refusalChance(CERTAIN * firstTokenS(s, anew(r, rank)) / aimS(r));
         if (!slow && !r.counted) { // what is held too: a start among cold servers alone had no part of them
             r.counted = true;
-            demand.add(now, weight(r));
+            demand.add(now, 1); // what all weigh in the mean
         }
         if (s == null) { // none can take it now
             letGoAt(r, now + HOLD_S);
@@ -621,8 +622,7 @@
     /** 1 for a server that may be sent to, a little for one only where there is no other, else 0. */
     private double fitness(Server s, Request r) {
         return !ready(s) || now < s.fullUntil || !allowed(r, s) || !coldRoom(s, r) ? 0
-                : s.resting && now < s.restUntil || mute(s) || s.id.equals(r.lastTried)
-                        ? LAST * LAST * LAST : 1;
+            : s.resting && now < s.restUntil || mute(s) || s.id.equals(r.lastTried) ? LAST * LAST * LAST : 1;
     }
 
     /** A keyed request that may have run goes on only where its repeats are dropped. */
@@ -656,7 +656,7 @@
         r.lastTried = s.id;
         r.ranSince = reading || r.ranAt != null ? r.ranSince : now;
         s.sent(t);
-        s.permits.used += weight(r);
+        s.permits.used += s.permits.launchedAt <= 0 ? 0 : weight(r);
         if (s.resting && now >= s.restUntil) {
             s.restUntil = now + s.rest;
         }
@@ -776,9 +776,7 @@
                 return;
             }
             case CONNECT_FAILED -> { }
-            default -> {
-                r.ranAt = t.reading || r.ranAt != null ? r.ranAt : t.entry;
-            }
+            default -> r.ranAt = t.reading || r.ranAt != null ? r.ranAt : t.entry;
         }
         if (r.closing != null) {
             close(r, r.closing);
@@ -977,14 +975,16 @@
 
     // ---- cold budget ---------------------------------------------------------------------------
 
-    /** A request weighs as the mean prompt of its class, against that of all. */
+    /** The mean prompt of its class, against that of all; few met leave the lightest class to be expected. */
     private double weight(Request r) {
-        return classTokens.get(r.asked.requestClass()).value / Math.max(promptTokens.value, 1);
+        double least = classTokens.values().stream().mapToDouble(m -> m.value).min().orElse(1);
+        double mean = least + (promptTokens.value - least) * promptTokens.count / (promptTokens.count + FEW);
+        return classTokens.get(r.asked.requestClass()).value / Math.max(mean, 1);
     }
 
     /** By the most servers seen ready, not the few that a release leaves, whose load is no guide. */
     private boolean coldRoom(Server s, Request r) {
         int peers = Math.max(s.role == Role.READER ? mostReaders : mostWriters, 1);
-        return cold.room(s.permits, demand, part / peers, weight(r), now);
+        return s.permits.launchedAt <= 0 || cold.room(s.permits, demand, part / peers, weight(r), now);
     }
 }
