--- a/src/test/java/copperbeam/ModuleDay.java
+++ b/src/test/java/copperbeam/ModuleDay.java
@@ -52,6 +52,9 @@
         }
     }
 
+    /** An attempt of any node. */
+    record Send(double at, String server, long request) {}
+
     /** What became of one request. */
     static final class Fate {
         final Arrival asked;
@@ -71,6 +74,7 @@
     final List<Node> nodes = new ArrayList<>();
     final Map<String, Machine> machines = new TreeMap<>();
     final Map<Long, Fate> fates = new TreeMap<>();
+    final List<Send> sends = new ArrayList<>();
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
     boolean ruled = true; // by the checker of the module's rules
@@ -93,6 +97,11 @@
         return node(at, new Brain(settings, nodes.size() + 1)::on);
     }
 
+    /** The same with settings of its own. */
+    Node node(double at, Settings settings, long seed) {
+        return node(at, new Brain(settings, seed)::on);
+    }
+
     Node node(double at, Decider decider) {
         Node n = new Node(settings, decider);
         nodes.add(n);
@@ -200,6 +209,7 @@
             n.turned = 0;
             n.firstAttempt = Math.min(n.firstAttempt, now);
             fates.get(a.request()).attempts++;
+            sends.add(new Send(now, a.server(), a.request()));
             attempt(n, a, machines.get(a.server()), n.attempts.merge(a.request(), 1, Integer::sum) - 1);
         } else if (action instanceof Refuse a) {
             turned(n, a.request());
