Chunks that can't be read are a 400 that leaves earlier requests their answers

Cause: HttpCore closes the connection at once where a chunk's size, its end or a trailer can't be read, also over the answer that is owed to an open request on it; alone, the client met a close (or, with a bad trailer, 2.4 s of silence) in place of a 4xx.

Change: RequestDuplexer.ChunkedBody turns such a request away as one that is too large, and what follows is thrown away. Two rows of BadClientsTest that took a close without an answer want a 400 now.

--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -36,6 +36,7 @@
         volatile boolean heard; // a byte has come
         volatile boolean body; // of a request whose body is not whole yet
         boolean deaf; // to more requests; the reactor's
+        ServerExchange reading; // the request whose head came last; the reactor's
         HttpException unreadable; // what the last head was not read for; the reactor's
         final Queue<ServerExchange> whole = new ArrayDeque<>(); // requests that no front has seen; the reactor's
         volatile boolean ending; // the end of its last answer is on its way; what more comes is not read
--- a/src/main/java/copperbeam/transport/RequestDuplexer.java
+++ b/src/main/java/copperbeam/transport/RequestDuplexer.java
@@ -1,8 +1,16 @@
 package copperbeam.transport;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.util.List;
 import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.ParseException;
+import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
@@ -56,7 +64,61 @@
             return super.createContentDecoder(Long.MAX_VALUE, channel, buffer, metrics);
         }
         return length == ContentLengthStrategy.CHUNKED
-                ? Chunks.decoder(channel, buffer, HttpFrontServer.CONFIG, metrics, ServerExchange.MOST_BODY, turn)
+                ? new ChunkedBody(
+                        Chunks.decoder(
+                                channel, buffer, HttpFrontServer.CONFIG, metrics, ServerExchange.MOST_BODY, turn),
+                        super.createContentDecoder(Long.MAX_VALUE, channel, buffer, metrics))
                 : super.createContentDecoder(length, channel, buffer, metrics);
     }
+
+    /**
+     * Chunks, or, from where they can't be read, a body without end that is thrown away. Guards against HttpCore's close at
+     * once, with the answers to earlier requests owed.
+     */
+    private final class ChunkedBody implements ContentDecoder {
+        private final Chunks.Decoder chunks;
+        private final ContentDecoder rest;
+        private boolean unreadable;
+
+        ChunkedBody(Chunks.Decoder chunks, ContentDecoder rest) {
+            this.chunks = chunks;
+            this.rest = rest;
+        }
+
+        @Override
+        public int read(ByteBuffer to) throws IOException {
+            if (unreadable) {
+                return rest.read(to);
+            }
+            int count = 0;
+            try {
+                count = chunks.read(to);
+            } catch (IOException e) {
+                if (!malformed(e)) {
+                    throw e;
+                }
+            }
+            if (malformed(chunks.late())) {
+                unreadable = true;
+                client.reading.unreadable("the chunks of the body can not be read");
+            }
+            return count;
+        }
+
+        private static boolean malformed(IOException e) {
+            return e instanceof MessageConstraintException
+                    || e != null && e.getCause() instanceof ParseException // a trailer that is none
+                    || e instanceof MalformedChunkCodingException && !(e instanceof TruncatedChunkException);
+        }
+
+        @Override
+        public boolean isCompleted() {
+            return !unreadable && chunks.isCompleted();
+        }
+
+        @Override
+        public List<? extends Header> getTrailers() {
+            return chunks.getTrailers();
+        }
+    }
 }
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -108,6 +108,7 @@
         responses = channel;
         context = ctx;
         arrived = clock.instant();
+        client.reading = this;
         client.body = entity != null;
         if (client.unreadable != null) {
             turnAway(ServerSupport.toStatusCode(client.unreadable), ServerSupport.toErrorMessage(client.unreadable));
@@ -159,6 +160,13 @@
         }
     }
 
+    /** Its body can't be read to its end. */
+    void unreadable(String why) {
+        if (!answered) {
+            turnAway(400, why);
+        }
+    }
+
     /** What has run may fail, but is never refused: its client would ask for it from the beginning. */
     private int busyStatus() {
         Header retried = request.getFirstHeader("X-Retried");
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -46,8 +46,9 @@
             {POST + "Content-Length: " + HIDDEN.length() + "\r\nTransfer-Encoding: chunked\r\n\r\n" + HIDDEN, 400},
             {POST + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", 400},
             {POST + "Transfer-Encoding: gzip\r\n\r\n{}", 400},
-            {POST + "Transfer-Encoding: chunked\r\n\r\n-2\r\n{}\r\n0\r\n\r\n", 0},
-            {POST + "Transfer-Encoding: chunked\r\n\r\nC0000000\r\n{}", 0},
+            {POST + "Transfer-Encoding: chunked\r\n\r\n-2\r\n{}\r\n0\r\n\r\n", 400},
+            {POST + "Transfer-Encoding: chunked\r\n\r\nC0000000\r\n{}", 400},
+            {POST + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nno trailer\r\n\r\n", 400},
             {POST + "Content-Length: 62914560\r\n\r\n{", 413},
             {POST + "X: y\r\n".repeat(2000), 431},
             {POST + "X: " + "y".repeat(20_000), 431},
@@ -69,7 +70,7 @@
         return all.toArray(Object[][]::new);
     }
 
-    /** {@code status} 0: a close at once; -1: a close within 3 s, as the rest never comes. Nothing is passed on. */
+    /** {@code status} -1: a close within 3 s, as the rest never comes. Nothing is passed on. */
     @Test(dataProvider = "unreadable")
     public void whatCantBeReadIsAnErrorAndAClose(String text, int status, boolean chat) throws Exception {
         try (Site site = new Site(1, 1);
@@ -284,6 +285,12 @@
             {"POST / HTTP/2.0\r\nHost: x\r\nContent-Length: 90000\r\n\r\nx", 505, Until.ITS_TIME},
             {"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(9), 503, Until.ITS_TIME},
             {"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(8) + "nonsense\r\n\r\n", 400, Until.ITS_TIME},
+            {POST + "Transfer-Encoding: chunked\r\n\r\n-2\r\n{}", 400, Until.ITS_TIME},
+            {
+                "GET / HTTP/1.1\r\nHost: x\r\n\r\n" + POST + "Transfer-Encoding: chunked\r\n\r\nno size\r\n",
+                400,
+                Until.ITS_TIME
+            },
         };
     }
 
@@ -383,6 +390,42 @@
         };
     }
 
+    @DataProvider
+    public Object[][] unreadableBehind() {
+        String get = "GET /second HTTP/1.1\r\n";
+        return new Object[][] {
+            {"nonsense\r\n\r\n", 400},
+            {get + "\r\n", 400},
+            {get.replace("1.1", "2.0") + "Host: x\r\n\r\n", 505},
+            {POST + "Content-Length: 62914560\r\n\r\n{", 413},
+            {POST + "Transfer-Encoding: chunked\r\n\r\n-2\r\n{}", 400},
+            {POST + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nno trailer\r\n\r\n", 400},
+        };
+    }
+
+    /** Answers come in order, the open request's first, whatever is wrong behind it. */
+    @Test(dataProvider = "unreadableBehind")
+    public void whatCantBeReadBehindAnOpenRequestLeavesThatItsAnswer(String behind, int status) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Site site = new Site(1, 1);
+                Line client = site.client()) {
+            site.writers.get(0).script = attempts((m, line) -> {
+                go.await();
+                Site.write(m, line);
+            });
+            client.send(request("send", 5000));
+            await("written", () -> site.attempts(site.writers) == 1);
+            client.send(behind);
+            assertEquals(site.get("/healthz").status(), 200); // a turn
+            assertEquals(site.get("/healthz").status(), 200);
+            go.countDown();
+            assertEquals(client.read().text(), Site.EVENTS);
+            assertEquals(client.read().status(), status);
+            assertTrue(client.awaitClosed());
+            assertEquals(site.attempts(site.readers), 1);
+        }
+    }
+
     /** Some clients end a body with an empty line that its length does not count. */
     @Test
     public void anEmptyLineBehindABodyIsNoRequest() throws Exception {
