--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.UnaryOperator;
 import java.util.logging.Logger;
 import java.util.stream.Stream;
 
@@ -28,6 +29,7 @@
     final InetSocketAddress door; // null where operators have none
     final Process process;
     private final String limits;
+    private final UnaryOperator<String> settings;
 
     Conductor(StandIn discovery, int sockets, int memoryMb) throws IOException {
         this(discovery, sockets, memoryMb, List.of());
@@ -40,17 +42,49 @@
 
     /** {@code shell}: run by the shell before the conductor takes its place. */
     Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more, String shell) throws IOException {
-        this(discovery, sockets, memoryMb, more, shell, Files.createTempDirectory("conductor"), freeAddress(), null);
+        this(
+                discovery,
+                sockets,
+                memoryMb,
+                more,
+                shell,
+                Files.createTempDirectory("conductor"),
+                freeAddress(),
+                null,
+                s -> s);
+    }
+
+    /** {@code settings}: makes its own of the usual ones. */
+    Conductor(StandIn discovery, UnaryOperator<String> settings) throws IOException {
+        this(
+                discovery,
+                1024,
+                192,
+                List.of(),
+                ":",
+                Files.createTempDirectory("conductor"),
+                freeAddress(),
+                null,
+                settings);
     }
 
     /** The first process of a conductor with a door. */
     Conductor(StandIn discovery, Path folder, String... more) throws IOException {
-        this(discovery, 1024, 192, List.of(more), ":", folder, freeAddress(), freeAddress());
+        this(discovery, 1024, 192, List.of(more), ":", folder, freeAddress(), freeAddress(), Conductor::patient);
     }
 
     /** A further process of the same conductor, with a door of its own. */
     Conductor(StandIn discovery, Conductor earlier, String... more) throws IOException {
-        this(discovery, 1024, 192, List.of(more), ":", earlier.folder, earlier.address, freeAddress());
+        this(
+                discovery,
+                1024,
+                192,
+                List.of(more),
+                ":",
+                earlier.folder,
+                earlier.address,
+                freeAddress(),
+                Conductor::patient);
     }
 
     private Conductor(
@@ -61,8 +95,10 @@
             String shell,
             Path folder,
             InetSocketAddress address,
-            InetSocketAddress door)
+            InetSocketAddress door,
+            UnaryOperator<String> settings)
             throws IOException {
+        this.settings = settings;
         this.folder = folder;
         this.address = address;
         this.door = door;
@@ -113,14 +149,13 @@
         Files.writeString(
                 next,
                 "{\"listen\":\"127.0.0.1:" + address.getPort() + "\",\"discovery\":\"" + discovery + "\",\"limits\":"
-                        + limits + ",\"settings\":" + settings() + "}");
+                        + limits + ",\"settings\":" + settings.apply(String.format(Site.SETTINGS, 30)) + "}");
         Files.move(next, folder.resolve("config.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
     }
 
     /** A conductor with a door, as in upgrades, has no late answers on a busy machine: the module refuses a part of those. */
-    private String settings() {
-        String settings = String.format(Site.SETTINGS, 30);
-        return door == null ? settings : settings.replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":60");
+    private static String patient(String settings) {
+        return settings.replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":60");
     }
 
     void signal(String name) throws Exception {
