--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -97,30 +97,6 @@
         }
     }
 
-    /** The reactor is held from the call to the write: what is told is what is left then. */
-    @Test
-    public void theTimeToldIsThatOfTheWrite() throws Exception {
-        CountDownLatch go = new CountDownLatch(1);
-        CountDownLatch held = new CountDownLatch(1);
-        AtomicReference<Duration> left = new AtomicReference<>(Duration.ofSeconds(5));
-        try (StandIn server = new StandIn(Site::read);
-                ClientReactor reactor = new ClientReactor()) {
-            ServerConnector connector = new ServerConnector(reactor);
-            Connector.Connection first = up(connector, server.address());
-            Connector.Connection second = up(connector, server.address());
-            call(first, left, () -> {
-                held.countDown();
-                hold(go);
-            });
-            held.await();
-            CompletableFuture<Boolean> answered = call(second, left, () -> {});
-            left.set(Duration.ofSeconds(1));
-            go.countDown();
-            answered.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS);
-            assertEquals(server.seen.get(1).header("X-Timeout"), "1000m");
-        }
-    }
-
     /** The reactor is held as an answer ends and its connection is cut: what stands in the system's buffer is read first. */
     @Test
     public void whatHasComeIsReadBeforeACut() throws Exception {
@@ -156,6 +132,30 @@
         }
     }
 
+    /** The reactor is held from the call to the write: what is told is what is left then. */
+    @Test
+    public void theTimeToldIsThatOfTheWrite() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        AtomicReference<Duration> left = new AtomicReference<>(Duration.ofSeconds(5));
+        try (StandIn server = new StandIn(Site::read);
+                ClientReactor reactor = new ClientReactor()) {
+            ServerConnector connector = new ServerConnector(reactor);
+            Connector.Connection first = up(connector, server.address());
+            Connector.Connection second = up(connector, server.address());
+            call(first, left, () -> {
+                held.countDown();
+                hold(go);
+            });
+            held.await();
+            CompletableFuture<Boolean> answered = call(second, left, () -> {});
+            left.set(Duration.ofSeconds(1));
+            go.countDown();
+            answered.get(Line.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            assertEquals(server.seen.get(1).header("X-Timeout"), "1000m");
+        }
+    }
+
     /** A repeat of a keyed class is not written once its window is over, though it was ordered within it. */
     @Test
     public void aKeyedRepeatIsNotWrittenAfterItsWindow() throws Exception {
