--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BinaryOperator;
+import java.util.function.UnaryOperator;
 import java.util.logging.Logger;
 import java.util.stream.Stream;
 
@@ -28,8 +29,7 @@
     final InetSocketAddress address;
     final InetSocketAddress door; // null where operators have none
     final Process process;
-    private final String limits;
-    private final BinaryOperator<String> file; // null for the usual one
+    private final BinaryOperator<String> file; // its text, by the addresses of clients and of discovery
 
     Conductor(StandIn discovery, int sockets, int memoryMb) throws IOException {
         this(discovery, sockets, memoryMb, List.of());
@@ -42,17 +42,58 @@
 
     /** {@code shell}: run by the shell before the conductor takes its place. */
     Conductor(StandIn discovery, int sockets, int memoryMb, List<String> more, String shell) throws IOException {
-        this(discovery, sockets, memoryMb, more, shell, Files.createTempDirectory("conductor"), freeAddress(), null);
+        this(
+                discovery,
+                sockets,
+                memoryMb,
+                more,
+                shell,
+                Files.createTempDirectory("conductor"),
+                freeAddress(),
+                null,
+                fileOf(sockets, memoryMb, s -> s));
+    }
+
+    /** {@code settings}: makes its own of the usual ones. */
+    Conductor(StandIn discovery, UnaryOperator<String> settings) throws IOException {
+        this(
+                discovery,
+                1024,
+                192,
+                List.of(),
+                ":",
+                Files.createTempDirectory("conductor"),
+                freeAddress(),
+                null,
+                fileOf(1024, 192, settings));
     }
 
     /** The first process of a conductor with a door. */
     Conductor(StandIn discovery, Path folder, String... more) throws IOException {
-        this(discovery, 1024, 192, List.of(more), ":", folder, freeAddress(), freeAddress());
+        this(
+                discovery,
+                1024,
+                192,
+                List.of(more),
+                ":",
+                folder,
+                freeAddress(),
+                freeAddress(),
+                fileOf(1024, 192, Conductor::patient));
     }
 
     /** A further process of the same conductor, with a door of its own. */
     Conductor(StandIn discovery, Conductor earlier, String... more) throws IOException {
-        this(discovery, 1024, 192, List.of(more), ":", earlier.folder, earlier.address, freeAddress());
+        this(
+                discovery,
+                1024,
+                192,
+                List.of(more),
+                ":",
+                earlier.folder,
+                earlier.address,
+                freeAddress(),
+                fileOf(1024, 192, Conductor::patient));
     }
 
     /** With a door and a file of its own; {@code file}: its text, by the addresses of clients and of discovery. */
@@ -69,19 +110,6 @@
                 file);
     }
 
-    private Conductor(
-            StandIn discovery,
-            int sockets,
-            int memoryMb,
-            List<String> more,
-            String shell,
-            Path folder,
-            InetSocketAddress address,
-            InetSocketAddress door)
-            throws IOException {
-        this(discovery, sockets, memoryMb, more, shell, folder, address, door, null);
-    }
-
     private Conductor(
             StandIn discovery,
             int sockets,
@@ -93,12 +121,11 @@
             InetSocketAddress door,
             BinaryOperator<String> file)
             throws IOException {
-        this.folder = folder;
         this.file = file;
+        this.folder = folder;
         this.address = address;
         this.door = door;
         log = folder.resolve(door == null ? "log" : "log" + door.getPort());
-        this.limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
         configure(discovery.host());
         List<String> command = new ArrayList<>(List.of(
                 "sh",
@@ -140,12 +167,13 @@
 
     /** Replaces the file whole, as operators do. */
     void configure(String discovery) throws IOException {
-        String listen = "127.0.0.1:" + address.getPort();
-        replaceFile(
-                file != null
-                        ? file.apply(listen, discovery)
-                        : "{\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\",\"limits\":" + limits
-                                + ",\"settings\":" + settings() + "}");
+        replaceFile(file.apply("127.0.0.1:" + address.getPort(), discovery));
+    }
+
+    private static BinaryOperator<String> fileOf(int sockets, int memoryMb, UnaryOperator<String> settings) {
+        String limits = "{\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}";
+        return (listen, discovery) -> "{\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\",\"limits\":"
+                + limits + ",\"settings\":" + settings.apply(String.format(Site.SETTINGS, 30)) + "}";
     }
 
     void replaceFile(String text) throws IOException {
@@ -155,9 +183,8 @@
     }
 
     /** A conductor with a door, as in upgrades, has no late answers on a busy machine: the module refuses a part of those. */
-    private String settings() {
-        String settings = String.format(Site.SETTINGS, 30);
-        return door == null ? settings : settings.replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":60");
+    private static String patient(String settings) {
+        return settings.replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":60");
     }
 
     void signal(String name) throws Exception {
