--- a/src/test/java/copperbeam/model/ModelProcess.java
+++ b/src/test/java/copperbeam/model/ModelProcess.java
@@ -13,8 +13,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 
@@ -27,6 +29,7 @@
     private final ModuleActor module;
     private final ReleaseActor releases;
     private final ListActor list;
+    private final Set<ModelServer> known = new LinkedHashSet<>(); // by the list as told
     private final Map<Long, ClientRequest> byKey = new HashMap<>(); // as the module numbers them
     private final ReferencePolicy reference; // in place of the program's actors, or null
     private boolean ended;
@@ -104,6 +107,12 @@
                 .map(s -> new MembershipSource.Entry(s.member(), new InetSocketAddress("127.0.0.1", s.port)))
                 .toList();
         servers.forEach(s -> world.rules(r -> r.told(this, s, s.state, s.launchedAt)));
+        if (kind != ListKind.DELTA) {
+            known.removeAll(servers);
+            known.forEach(s -> world.rules(r -> r.told(this, s, Api.ServerState.GONE, s.launchedAt)));
+            known.clear();
+        }
+        known.addAll(servers);
         list.tell(new ListActor.Told(new MembershipSource.Change(kind, entries), null));
     }
 
