--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -11,6 +11,7 @@
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
 import copperbeam.protocol.openai.ChatModels;
+import copperbeam.protocol.platform.PlatformHeaders;
 import copperbeam.routing.ModuleTime;
 import copperbeam.routing.RequestHook;
 import copperbeam.simhost.Decoder;
@@ -268,6 +269,7 @@
     private static void amounts(Section raw) throws Invalid {
         for (Section service : raw.sections("services")) {
             service.notNegative("promise_s", "give_up_s", "window_s", "worth");
+            service.atMost("give_up_s", PlatformHeaders.LONGEST_TIMEOUT.toSeconds());
         }
         for (Section customer : raw.has("customers") ? raw.sections("customers") : List.<Section>of()) {
             customer.notNegative("quota_per_s");
--- a/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformHeaders.java
@@ -8,7 +8,8 @@
 
 /** Reads and writes the values of the platform's own headers. */
 public final class PlatformHeaders {
-    private static final long MOST_MICROS = 3_600_000_000L; // an hour; longer is no client's patience
+    /** A day; longer is no client's patience. */
+    public static final Duration LONGEST_TIMEOUT = Duration.ofDays(1);
 
     private PlatformHeaders() {}
 
@@ -20,7 +21,7 @@
         long unit = text.endsWith("m") ? 1000 : text.endsWith("u") ? 1 : 0;
         try {
             long micros = unit == 0 ? 0 : Math.multiplyExact(count(text.substring(0, text.length() - 1)), unit);
-            if (micros > 0 && micros <= MOST_MICROS) {
+            if (micros > 0 && micros <= LONGEST_TIMEOUT.toSeconds() * 1_000_000) {
                 return Duration.ofNanos(micros * 1000);
             }
         } catch (NumberFormatException | ArithmeticException e) {
--- a/src/test/java/copperbeam/model/GeneratedSettings.java
+++ b/src/test/java/copperbeam/model/GeneratedSettings.java
@@ -88,6 +88,7 @@
         {"settings.services.0.promise_s", "1e999", "promise_s"},
         {"settings.services.0.give_up_s", "-0.5", "give_up_s"},
         {"settings.services.0.give_up_s", "\"6\"", "give_up_s"},
+        {"settings.services.0.give_up_s", "86401", "give_up_s"},
         {"settings.services.0.window_s", "-1", "window_s"},
         {"settings.services.0.window_s", "[5]", "window_s"},
         {"settings.services.0.worth", "-3", "worth"},
@@ -323,7 +324,7 @@
                 Map<String, Object> c = new LinkedHashMap<>();
                 c.put("name", names.remove(random.nextInt(names.size())));
                 c.put("promise_s", noDroppable == 0 ? 1.5 : any(0, 0.05, 0.3, 1, 1.5, 3, 60, 3600, 1e6));
-                put(c, "give_up_s", any(0, 0.3, 0.7, 1, 2, 3, 6, 15, 120, 3600), 0.85);
+                put(c, "give_up_s", any(0, 0.3, 0.7, 1, 2, 3, 6, 15, 120, 3600, 86400), 0.85);
                 c.put("semantics", pick("safe", "keyed", "unsafe"));
                 put(c, "group", pick("all", "zone", "cell"), c.get("semantics").equals("keyed") ? 0.8 : 0.2);
                 put(c, "window_s", any(0, 0.001, 0.05, 1, 5, 600, 1e9), 0.7);
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -26,6 +26,8 @@
             {"4800m", Duration.ofMillis(4800)},
             {"250u", Duration.ofNanos(250_000)},
             {" 1m ", Duration.ofMillis(1)},
+            {"86400000m", Duration.ofDays(1)},
+            {"86400001m", null},
             {null, null},
             {"", null},
             {"m", null},
--- a/src/test/java/copperbeam/sockets/GeneratedSitesTest.java
+++ b/src/test/java/copperbeam/sockets/GeneratedSitesTest.java
@@ -265,7 +265,7 @@
 
         /** Served in one of a few tries, and each attempt has told its server what the client has told us. */
         void platform(Servers servers, String requestClass) throws Exception {
-            for (String timeout : List.of("4000m", "120000m", "3600000000u", "700m")) {
+            for (String timeout : List.of("4000m", "120000m", "86400000000u", "700m")) {
                 int status = 0;
                 for (int i = 0; i < TRIES && status != 200; i++) {
                     String id = "id" + IDS.incrementAndGet();
