--- a/src/test/java/copperbeam/model/GeneratedWorldsTest.java
+++ b/src/test/java/copperbeam/model/GeneratedWorldsTest.java
@@ -24,9 +24,13 @@
     public void noRuleIsBrokenUnderAnySettings() throws Exception {
         List<String> broken = new ArrayList<>();
         for (long seed : seeds()) {
-            String rule = new World(seed, ModelTest.processes(seed), new GeneratedWorlds(), false, false).play();
+            String rule = new World(
+                            seed, ModelTest.processes(seed), new GeneratedWorlds(), World.Load.USUAL, false, false)
+                    .play();
             if (rule != null && broken.isEmpty()) {
-                broken.add(new World(seed, ModelTest.processes(seed), new GeneratedWorlds(), true, false).play());
+                broken.add(
+                        new World(seed, ModelTest.processes(seed), new GeneratedWorlds(), World.Load.USUAL, true, false)
+                                .play());
                 broken.add(GeneratedSettings.draw(seed).toString());
             } else if (rule != null) {
                 broken.add("and seed " + seed + ": " + rule.lines().findFirst().orElse(""));
