Tests: a front's Error has its 500, and a 101 from discovery its own reason

Change: the one wants the 500 and the close behind it, the other the reason by its words; both are as strict.

--- a/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
+++ b/src/test/java/copperbeam/sockets/BadDiscoveryTest.java
@@ -218,7 +218,8 @@
                 await(
                         "the reason",
                         () -> w.log.stream()
-                                .anyMatch(l -> l.contains(status < 200 ? "no whole answer" : "status " + status)));
+                                .anyMatch(
+                                        l -> l.contains(status < 200 ? "in place of an answer" : "status " + status)));
             }
         }
     }
--- a/src/test/java/copperbeam/sockets/ReactorEndTest.java
+++ b/src/test/java/copperbeam/sockets/ReactorEndTest.java
@@ -13,7 +13,7 @@
 public class ReactorEndTest {
     private static final String GET = "GET /%s HTTP/1.1\r\nHost: x\r\n\r\n";
 
-    /** As by a stack that is used up: it ends its own connection, and neither those beside it nor their reactor. */
+    /** As by a stack that is used up: it is answered and ends its own connection, and neither those beside it nor their reactor. */
     @Test
     public void anErrorEndsItsConnectionAlone() throws Exception {
         try (HttpFrontServer server = new HttpFrontServer(
@@ -31,7 +31,8 @@
             try (Line bad = new Line(at);
                     Line beside = new Line(at)) {
                 assertEquals(beside.send(String.format(GET, "x")).read().status(), 200);
-                assertTrue(bad.send(String.format(GET, "fails")).awaitClosed());
+                assertEquals(bad.send(String.format(GET, "fails")).read().status(), 500);
+                assertTrue(bad.awaitClosed());
                 assertEquals(beside.send(String.format(GET, "x")).read().status(), 200);
             }
         }
