An attempt is closed, not reset, where an answer or another attempt may follow

A reset (linger 0) leaves only with the reactor's next select, the end of the sending at once, so that the refusal was out before the attempt had ended. Seen in the recorder: cancel, CANCELLED and the refusal within 1 ms. Change: as before only a call whose client has gone is reset.

--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -517,8 +517,13 @@
     /** Ends a call and its connection, so that no attempt is left out there. */
     private void finish(ServerCall work, Outcome outcome) {
         if (!work.done) {
-            if (work.connection != null && work.word == null && work.send() != null) {
-                work.connection.abort(); // a server that reads late would else begin what has ended
+            if (work.connection != null
+                    && work.word == null
+                    && work.send() != null
+                    && work.send().answer().gone()) {
+                // a server that reads late would else begin it; a reset leaves only with the reactor's next select, so
+                // that where an answer or another attempt follows, the end of the sending has to do
+                work.connection.abort();
             } else if (work.connection != null) {
                 work.connection.close();
             }
