Attempts given up without an answer end with a reset, told once it has left

Change: PeerActor aborts every unanswered attempt and tells its outcome only once the channel is released (looked for each 1 ms, 0.25 s at most). Rows of UnwantedTest and EndedRequestTest that named a close name the stricter reset. Found by reading: the connect timer of an earlier connection of the same attempt ended a later one before its time; each connect has its own number now (ReconnectTest).

--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -40,8 +40,13 @@
 
         void close();
 
-        /** The same, and what the system still has of the call does not leave. */
+        /** The same with a reset, so that what the system still has of the call does not leave once it is {@link #released}. */
         void abort();
+
+        /** After {@link #abort}: the system has let go of the connection, and nothing of the call can leave it any more. */
+        default boolean released() {
+            return true;
+        }
     }
 
     /** What a connection is asked to carry. */
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -36,6 +36,7 @@
                     Broken,
                     Expired,
                     SilenceCheck,
+                    ResetCheck,
                     IdleCheck,
                     SendLastByte {}
 
@@ -93,7 +94,8 @@
 
     private record Up(ServerCall work, Connection connection) implements Message {}
 
-    private record NotUp(ServerCall work) implements Message {}
+    /** {@code connect}: the number of the connect that failed; an earlier one's word says nothing of a later one. */
+    private record NotUp(ServerCall work, int connect) implements Message {}
 
     private record Closed(Connection connection) implements Message {}
 
@@ -110,6 +112,9 @@
 
     private record SilenceCheck(ServerCall work) implements Message {}
 
+    /** Whether the reset of a call that was ended here has left; {@code looks}: so often it was looked for. */
+    private record ResetCheck(ServerCall work, Outcome outcome, int looks) implements Message {}
+
     private record IdleCheck() implements Message {}
 
     private record SendLastByte(ServerCall work, Connection on) implements Message {}
@@ -132,6 +137,8 @@
     private static final Duration SHORT_ANSWER =
             Duration.ofMillis(800); // from the head of one that is no stream to its end
     private static final int MOST_UNSENT = 3; // new connections for one attempt
+    private static final Duration RESET_LOOK = Duration.ofMillis(1);
+    private static final int MOST_RESET_LOOKS = 250; // a reactor that is held up so long must not hold up the outcome
 
     private final String id;
     private final InetSocketAddress address;
@@ -186,7 +193,7 @@
             }
         } else if (m instanceof Up e) {
             up(e.work(), e.connection());
-        } else if (m instanceof NotUp e && e.work().connection == null) {
+        } else if (m instanceof NotUp e && e.work().connection == null && e.connect() == e.work().connects) {
             expired(e.work());
         } else if (m instanceof Closed e) {
             closed(e.connection());
@@ -213,6 +220,8 @@
             expired(e.work());
         } else if (m instanceof SilenceCheck e) {
             checkSilence(e.work());
+        } else if (m instanceof ResetCheck e) {
+            awaitReset(e.work(), e.outcome(), e.looks());
         } else if (m instanceof IdleCheck) {
             tidy();
         } else if (m instanceof SendLastByte e
@@ -266,7 +275,8 @@
         work.ended = null;
         // HttpCore looks only now and then: 250 ms became up to 600, in which a read state is held
         Instant now = setup.clock().instant();
-        tellLater(Duration.between(now, work.upBy(now.plus(setup.connectTimeout()))), new NotUp(work));
+        int connect = ++work.connects;
+        tellLater(Duration.between(now, work.upBy(now.plus(setup.connectTimeout()))), new NotUp(work, connect));
         setup.connector().connect(address, setup.connectTimeout(), new Connector.Watcher() {
             @Override
             public void up(Connection connection) {
@@ -275,7 +285,7 @@
 
             @Override
             public void failed() {
-                tell(work.order instanceof Release, new NotUp(work));
+                tell(work.order instanceof Release, new NotUp(work, connect));
             }
 
             @Override
@@ -514,20 +524,34 @@
         finish(work, work.refused() ? Outcome.FULL : work.word == null ? silent : Outcome.ERROR);
     }
 
-    /** Ends a call and its connection, so that no attempt is left out there. */
+    /**
+     * Ends a call and its connection, so that no attempt is left out there. One without an answer ends with a reset: of a close
+     * the system would go on delivering what it has of the request, to a server that reads late or is cut off for a while.
+     */
     private void finish(ServerCall work, Outcome outcome) {
-        if (!work.done) {
-            if (work.connection != null
-                    && work.word == null
-                    && work.send() != null
-                    && work.send().answer().gone()) {
-                // a server that reads late would else begin it; a reset leaves only with the reactor's next select, so
-                // that where an answer or another attempt follows, the end of the sending has to do
-                work.connection.abort();
-            } else if (work.connection != null) {
+        if (work.done) {
+            return;
+        }
+        if (work.connection == null || work.word != null || work.send() == null) {
+            if (work.connection != null) {
                 work.connection.close();
             }
             settle(work, outcome);
+            return;
+        }
+        work.done = true;
+        work.expiry.cancel(false);
+        work.ended = setup.clock().instant();
+        work.connection.abort();
+        awaitReset(work, outcome, 0);
+    }
+
+    /** The outcome is told once the reset has left: the answer or the next attempt that follows must not overtake it. */
+    private void awaitReset(ServerCall work, Outcome outcome, int looks) {
+        if (work.connection.released() || looks >= MOST_RESET_LOOKS) {
+            settle(work, outcome);
+        } else {
+            tellFirstLater(RESET_LOOK, new ResetCheck(work, outcome, looks + 1));
         }
     }
 
--- a/src/main/java/copperbeam/routing/ServerCall.java
+++ b/src/main/java/copperbeam/routing/ServerCall.java
@@ -17,6 +17,7 @@
     Instant ended; // when its connection's last word came, null where it has none or it was closed here
     Connector.Connection connection;
     boolean reused;
+    int connects; // connections asked for
     int unsent; // new connections that ended before the last byte left
     boolean done;
     boolean offered; // the first event went to the module
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.Header;
@@ -20,6 +21,7 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
 
 /** The platform's protocol towards servers. */
 public final class ServerConnector implements Connector {
@@ -119,6 +121,12 @@
             session.close(CloseMode.IMMEDIATE);
         }
 
+        /** The JDK closes a channel's descriptor, which sends the reset, as its selector next lets go of it. */
+        @Override
+        public boolean released() {
+            return !((SelectableChannel) ((ProtocolIOSession) session).channel()).isRegistered();
+        }
+
         private ClientExchange exchange(Call call, Listener listener) {
             if (call instanceof AttemptCall a) {
                 return attempt(a, listener);
--- a/src/test/java/copperbeam/model/EndedRequestTest.java
+++ b/src/test/java/copperbeam/model/EndedRequestTest.java
@@ -26,7 +26,7 @@
  */
 public class EndedRequestTest {
     private static final Duration TIMEOUT = Duration.ofMillis(250);
-    private static final Api.Settings SETTINGS = new Api.Settings(
+    static final Api.Settings SETTINGS = new Api.Settings(
             1,
             0,
             List.of(new Api.RequestClass("c", 1.5, 0, 3, Api.Effect.SAFE, Api.Group.ALL, 9)),
@@ -73,7 +73,7 @@
         assertEquals(calls.get(0).wanted().getAsBoolean(), true);
         module.tell(new ModuleActor.HandOver()); // as a stop does, long before the request's time is up
         time.run(200 * VirtualTime.MILLI);
-        assertEquals(seen, List.of("refuse, last byte wanted: false", "close"));
+        assertEquals(seen, List.of("refuse, last byte wanted: false", "abort"));
     }
 
     private Answer answer() {
@@ -99,7 +99,7 @@
         return (Connector.Connection) Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {Connector.Connection.class}, (proxy, method, args) -> {
                     switch (method.getName()) {
-                        case "isOpen":
+                        case "isOpen", "released":
                             return true;
                         case "call":
                             if (args[0] instanceof Connector.AttemptCall a) {
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -142,21 +142,21 @@
             {When.BEFORE_IT_HAS_A_CONNECTION, Why.LATE, "connect "},
             {When.BEFORE_ITS_LAST_BYTE_GOES, Why.WANTED, "connect call let "},
             {When.BEFORE_ITS_LAST_BYTE_GOES, Why.GONE, "connect call abort "},
-            {When.BEFORE_ITS_LAST_BYTE_GOES, Why.LATE, "connect call close "},
+            {When.BEFORE_ITS_LAST_BYTE_GOES, Why.LATE, "connect call abort "},
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.WANTED, "connect call connect "},
             {When.BEFORE_ITS_CONNECTION_BREAKS, Why.GONE, "connect call abort "},
-            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.LATE, "connect call close "},
+            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.LATE, "connect call abort "},
             {When.BEFORE_IT_BEGINS, Why.OVER, ""},
             {When.BEFORE_IT_HAS_A_CONNECTION, Why.OVER, "connect "},
-            {When.BEFORE_ITS_LAST_BYTE_GOES, Why.OVER, "connect call close "},
-            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.OVER, "connect call close "},
+            {When.BEFORE_ITS_LAST_BYTE_GOES, Why.OVER, "connect call abort "},
+            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.OVER, "connect call abort "},
             {When.BEFORE_IT_BEGINS, Why.DRAINS, ""},
             {When.BEFORE_IT_BEGINS, Why.LEFT, ""},
             {When.BEFORE_IT_HAS_A_CONNECTION, Why.DRAINS, "connect close "},
             {When.BEFORE_IT_HAS_A_CONNECTION, Why.LEFT, "connect close "},
             {When.BEFORE_ITS_LAST_BYTE_GOES, Why.DRAINS, "connect call let "}, // its first is long out
-            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.DRAINS, "connect call close "},
-            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.LEFT, "connect call close "},
+            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.DRAINS, "connect call abort "},
+            {When.BEFORE_ITS_CONNECTION_BREAKS, Why.LEFT, "connect call abort "},
         };
     }
 
