A fault soak of real processes, and a red test: slow start after a step of the wall clock

Change: src/soak (a preloaded shim for clock and system calls, a proxy, stand-ins, the oracle), its tests, docs/fault-soak.md. The first find, committed failing and listed: a server that starts after a step of the clock.

--- /dev/null
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -0,0 +1,145 @@
+package copperbeam.soak;
+
+import copperbeam.soak.HttpConnection.Message;
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** One client, one request at a time: mostly well-behaved, sometimes slow, gone early, or large. */
+final class ClientDriver {
+    private static final int CONNECT_MS = 1000;
+    private static final int PATIENCE_MS = 5000; // beyond the deadline
+    private static final int SETTLE_MS = 50; // until a reset that follows a close is here
+    private static final int LARGE = 200 * 1024;
+
+    private enum Next {
+        SAME_CONNECTION,
+        NEW_CONNECTION,
+        SEND_AGAIN
+    }
+
+    private final String name;
+    private final List<ConductorProcess> conductors;
+    private final History history;
+    private final Random random;
+    private final AtomicBoolean over;
+    private int number;
+
+    ClientDriver(String name, List<ConductorProcess> conductors, History history, Random random, AtomicBoolean over) {
+        this.name = name;
+        this.conductors = conductors;
+        this.history = history;
+        this.random = random;
+        this.over = over;
+    }
+
+    void run() throws InterruptedException {
+        String again = null;
+        while (!over.get() || again != null) {
+            List<ConductorProcess> taking =
+                    conductors.stream().filter(ConductorProcess::takesClients).toList();
+            if (taking.isEmpty()) {
+                Thread.sleep(SETTLE_MS);
+                continue;
+            }
+            ConductorProcess to = taking.get(random.nextInt(taking.size()));
+            try (HttpConnection connection = HttpConnection.to(to.address, CONNECT_MS)) {
+                again = converse(connection, to, again);
+            } catch (IOException e) {
+                Thread.sleep(SETTLE_MS); // nobody is there now
+            }
+        }
+    }
+
+    /** Uses one connection for some requests; the id of one that has to be sent again, or null. */
+    private String converse(HttpConnection connection, ConductorProcess to, String again)
+            throws IOException, InterruptedException {
+        String id = again;
+        for (int left = 1 + random.nextInt(20); left > 0 && !(over.get() && id == null); left--) {
+            if (id == null) {
+                Thread.sleep(random.nextInt(20) == 0 ? random.nextInt(2500) : random.nextInt(120));
+            }
+            id = id == null ? name + "-" + number++ : id;
+            Next next = ask(connection, to, id);
+            if (next == Next.SEND_AGAIN) {
+                return id;
+            }
+            id = null;
+            if (next == Next.NEW_CONNECTION) {
+                return null;
+            }
+        }
+        return null;
+    }
+
+    private Next ask(HttpConnection connection, ConductorProcess to, String id) throws InterruptedException {
+        RequestKind kind = RequestKind.values()[random.nextInt(RequestKind.values().length)];
+        long deadlineMs = 800 + random.nextInt(2200);
+        String body = "{\"a\":\"" + "x".repeat(random.nextInt(25) == 0 ? LARGE : random.nextInt(300)) + "\"}";
+        String text = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: "
+                + kind.requestClass + "\r\nX-Route-Key: " + name + "\r\nX-Timeout: " + deadlineMs
+                + "m\r\nIdempotency-Key: " + id + "\r\nX-Attrs: prompt_len=40,max_out=9\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+        boolean sent = false;
+        try {
+            int cut = random.nextInt(8) == 0 ? random.nextInt(text.length() - 1) : 0;
+            if (cut > 0) {
+                connection.send(text.substring(0, cut));
+                if (random.nextInt(4) == 0) {
+                    return Next.NEW_CONNECTION; // gone within the request
+                }
+                Thread.sleep(random.nextInt(400));
+            }
+            long at = System.nanoTime();
+            connection.send(text.substring(cut));
+            sent = true;
+            history.add(new Observation.Sent(at, id, kind, to.name, deadlineMs));
+            if (random.nextInt(12) == 0) {
+                leave(connection, id);
+                return Next.NEW_CONNECTION;
+            }
+            connection.timeout((int) deadlineMs + PATIENCE_MS);
+            return answered(connection, id);
+        } catch (SocketTimeoutException e) {
+            history.add(new Observation.NeverAnswered(System.nanoTime(), id));
+            return Next.NEW_CONNECTION;
+        } catch (IOException e) {
+            return sent ? Next.SEND_AGAIN : Next.NEW_CONNECTION; // a reset: it was not read
+        }
+    }
+
+    private void leave(HttpConnection connection, String id) throws IOException, InterruptedException {
+        Thread.sleep(random.nextInt(300));
+        if (random.nextInt(3) == 0) {
+            connection.reset();
+        } else {
+            connection.close();
+        }
+        history.add(new Observation.ClientGone(System.nanoTime(), id));
+    }
+
+    private Next answered(HttpConnection connection, String id) throws IOException, InterruptedException {
+        Message answer = connection.read();
+        if (answer == null) {
+            return closed(connection, id);
+        }
+        history.add(new Observation.Answered(
+                System.nanoTime(), id, Integer.parseInt(answer.word(1)), answer.whole(), answer.body()));
+        boolean closes = !answer.whole() || "close".equalsIgnoreCase(answer.header("Connection"));
+        return closes ? Next.NEW_CONNECTION : Next.SAME_CONNECTION;
+    }
+
+    /** An end without an answer: where the request was not read a reset follows it, and one more write fails. */
+    private Next closed(HttpConnection connection, String id) throws InterruptedException {
+        Thread.sleep(SETTLE_MS);
+        try {
+            connection.send("x");
+        } catch (IOException e) {
+            return Next.SEND_AGAIN;
+        }
+        history.add(new Observation.ClosedUnanswered(System.nanoTime(), id, true));
+        return Next.NEW_CONNECTION;
+    }
+}
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/DiscoveryAgent.java
@@ -0,0 +1,105 @@
+package copperbeam.soak;
+
+import copperbeam.soak.HttpConnection.Message;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Discovery as one conductor sees it, at an address of its own. */
+final class DiscoveryAgent implements AutoCloseable {
+    /** What becomes of calls. */
+    enum Mode {
+        UP,
+        SILENT,
+        FAILS,
+        GARBLES
+    }
+
+    private static final int LOOK_MS = 10;
+
+    private final String conductor;
+    private final Fleet fleet;
+    private final Function<String, String> addresses;
+    private final History history;
+    private final ServerSocket listener;
+    volatile Mode mode = Mode.UP;
+
+    /** {@code addresses}: of a server, for this conductor. */
+    DiscoveryAgent(String conductor, Fleet fleet, Function<String, String> addresses, History history)
+            throws IOException {
+        this.conductor = conductor;
+        this.fleet = fleet;
+        this.addresses = addresses;
+        this.history = history;
+        listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        Daemon.start("discovery", this::accept);
+    }
+
+    String host() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void accept() throws IOException {
+        while (true) {
+            Socket next = listener.accept();
+            Daemon.start("discovery", () -> serve(next));
+        }
+    }
+
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        try (HttpConnection connection = new HttpConnection(socket)) {
+            for (Message call = connection.read(); call != null; call = connection.read()) {
+                String target = call.word(1);
+                boolean watch = target.contains("from=");
+                long from = watch ? Long.parseLong(target.replaceAll(".*from=(\\d+).*", "$1")) : -1;
+                long hold = watch ? Long.parseLong(target.replaceAll(".*hold_ms=(\\d+).*", "$1")) : 0;
+                Map<String, Fleet.Entry> news = fleet.since(from, hold);
+                while (mode == Mode.SILENT) {
+                    Thread.sleep(LOOK_MS);
+                }
+                answer(connection, news, from);
+            }
+        }
+    }
+
+    private void answer(HttpConnection connection, Map<String, Fleet.Entry> news, long from) throws IOException {
+        if (mode == Mode.FAILS) {
+            connection.answer(500, "", "");
+            return;
+        }
+        boolean full = from < 0;
+        long version =
+                news.values().stream().mapToLong(Fleet.Entry::version).max().orElse(from);
+        String servers = news.values().stream()
+                .filter(e -> !full || !e.state().equals("left"))
+                .map(this::entry)
+                .collect(Collectors.joining(","));
+        String body = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + servers + "]}";
+        connection.answer(200, "", mode == Mode.GARBLES ? body.substring(0, body.length() / 2) : body);
+        if (mode != Mode.GARBLES) {
+            news.values().stream()
+                    .filter(e -> !e.state().equals("active"))
+                    .forEach(e -> history.add(new Observation.DrainTold(System.nanoTime(), conductor, e.id())));
+        }
+    }
+
+    private String entry(Fleet.Entry e) {
+        return String.format(
+                "{\"id\":\"%s\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"%s\",\"cell\":0,\"state\":\"%s\","
+                        + "\"weight\":1.0,\"started_ms\":%d}",
+                e.id(),
+                addresses.apply(e.id()),
+                e.role() == Role.READER ? "prefill" : "decode",
+                e.state(),
+                e.startedMs());
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/HttpConnection.java
@@ -0,0 +1,130 @@
+package copperbeam.soak;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** One HTTP/1.1 connection, blocking. */
+final class HttpConnection implements AutoCloseable {
+    /** A message; {@code whole}: to its length or its last chunk. */
+    record Message(String start, Map<String, String> headers, String body, boolean whole) {
+        String word(int number) {
+            return start.split(" ")[number];
+        }
+
+        String header(String name) {
+            return headers.get(name);
+        }
+    }
+
+    final Socket socket;
+    private final InputStream in;
+
+    HttpConnection(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setTcpNoDelay(true);
+        in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    static HttpConnection to(InetSocketAddress address, int timeoutMs) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(address, timeoutMs);
+        return new HttpConnection(socket);
+    }
+
+    void timeout(int ms) throws IOException {
+        socket.setSoTimeout(ms);
+    }
+
+    void send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void answer(int status, String headers, String body) throws IOException {
+        send("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    void chunk(String data) throws IOException {
+        send(Integer.toHexString(data.length()) + "\r\n" + data + "\r\n");
+    }
+
+    /** Waits for the first byte of a message; false at the end of the connection. */
+    boolean awaitByte() throws IOException {
+        in.mark(1);
+        int next = in.read();
+        in.reset();
+        return next >= 0;
+    }
+
+    private String line() throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+                return null;
+            }
+            line.write(b);
+        }
+        return line.toString(StandardCharsets.ISO_8859_1).strip();
+    }
+
+    /** Null at the end of the connection. */
+    Message read() throws IOException {
+        String start = line();
+        if (start == null || start.isEmpty()) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        for (String line = line(); line == null || !line.isEmpty(); line = line()) {
+            if (line == null) {
+                return null; // within a head, which is none
+            }
+            int colon = line.indexOf(':');
+            headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        boolean whole = "chunked".equals(headers.get("Transfer-Encoding"))
+                ? readChunks(body)
+                : readLength(body, Integer.parseInt(headers.getOrDefault("Content-Length", "0")));
+        return new Message(start, headers, body.toString(StandardCharsets.UTF_8), whole);
+    }
+
+    private boolean readLength(ByteArrayOutputStream body, int length) throws IOException {
+        byte[] bytes = in.readNBytes(length);
+        body.writeBytes(bytes);
+        return bytes.length == length;
+    }
+
+    /** A reset within a stream is as its end: what came before it counts. */
+    private boolean readChunks(ByteArrayOutputStream body) throws IOException {
+        try {
+            for (String size = line(); size != null; size = line()) {
+                int length = Integer.parseInt(size, 16);
+                if (length == 0) {
+                    return line() != null;
+                }
+                if (!readLength(body, length) || line() == null) {
+                    return false;
+                }
+            }
+        } catch (java.net.SocketException e) {
+            return false;
+        }
+        return false;
+    }
+
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/Role.java
@@ -0,0 +1,7 @@
+package copperbeam.soak;
+
+/** What a server does. */
+enum Role {
+    READER,
+    WRITER
+}
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/Soak.java
@@ -0,0 +1,42 @@
+package copperbeam.soak;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The command line of the soak: {@code FIRST_SEED SEEDS [SECONDS [CONDUCTORS [CLIENTS]]]}. Exits with 1 where a rule was broken. */
+public final class Soak {
+    private static final Path FOLDER = Path.of("target", "soak");
+
+    private Soak() {}
+
+    private static int argument(String[] args, int place, int usual) {
+        return args.length > place ? Integer.parseInt(args[place]) : usual;
+    }
+
+    /** Plays one seed after another. */
+    public static void main(String[] args) throws Exception {
+        int first = argument(args, 0, 1);
+        int seeds = argument(args, 1, 1);
+        int seconds = argument(args, 2, 30);
+        int conductors = argument(args, 3, 10);
+        int clients = argument(args, 4, 40);
+        boolean broken = false;
+        for (long seed = first; seed < first + seeds; seed++) {
+            Path folder = Files.createDirectories(FOLDER.resolve("seed-" + seed));
+            SoakRun.Size size = new SoakRun.Size(conductors, clients, 3, 5, seconds * 1000L, null);
+            try (SoakRun run = new SoakRun(seed, size, folder)) {
+                List<Violation> violations = run.play();
+                System.out.println("seed " + seed + ": " + run.sent() + " sent, " + run.served() + " served, "
+                        + violations.size() + " rules broken");
+                for (Violation v : violations) {
+                    System.out.println("  " + v.rule() + " " + v.subject() + ": " + v.detail());
+                    Path evidence = folder.resolve(v.rule() + "-" + v.subject());
+                    Files.write(evidence, run.evidence(v));
+                }
+                broken |= !violations.isEmpty();
+            }
+        }
+        System.exit(broken ? 1 : 0);
+    }
+}
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -0,0 +1,330 @@
+package copperbeam.soak;
+
+import copperbeam.soak.TroublePlan.Trouble;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.UnaryOperator;
+
+/** One seed: a fleet of conductors between stand-ins, the troubles of its {@link TroublePlan}, and the verdict. */
+public final class SoakRun implements AutoCloseable {
+    /** How large and how long; {@code plant}: a fault that the oracle has to find, or null. */
+    public record Size(int conductors, int clients, int readers, int writers, long lengthMs, Plant plant) {}
+
+    /** A fault planted in what conductors send, so that the oracle can be seen to find it. */
+    public enum Plant {
+        /** Servers are told 2 s too much. */
+        TELL_TOO_MUCH(text -> text.replaceAll("X-Timeout: (\\d+)m", "X-Timeout: 2$1m")),
+        /** Releases reach another request's state. */
+        MISPLACED_RELEASES(text -> text.replace("DELETE /state/", "DELETE /state/x")),
+        /** What a client sends under one id reaches servers under another. */
+        OTHER_IDS(text -> text.replace("X-Request-ID: ", "X-Request-ID: other-"));
+
+        private final UnaryOperator<String> change;
+
+        Plant(UnaryOperator<String> change) {
+            this.change = change;
+        }
+    }
+
+    private static final String SETTINGS = """
+            {"balancers":%d,"kinds":["prefill","decode"],
+             "services":[{"name":"ask","promise_s":1.5,"give_up_s":3,"semantics":"safe","worth":3},
+                         {"name":"send","promise_s":3,"give_up_s":3,"semantics":"unsafe","worth":3},
+                         {"name":"pay","promise_s":3,"give_up_s":3,"semantics":"keyed","group":"all","window_s":1.5,"worth":3}],
+             "limits":{"send_cap":4,"cancel":true,"probing":true,"retry_after":true,"max_retry_after_s":2,
+                       "conn_idle_s":5,"connect_timeout_s":0.25},
+             "rules":{"cold_from":0.28,"warm_within_s":5,"fall_multiple":3,"fall_s":2},
+             "report":{"via":"on_probe"},"extra":{"role_by_kind":["read","write"],"release_s":1,"resume":%s}}
+            """;
+    private static final long READY_MS = 10_000;
+    private static final long KILL_MS = 3_700; // after SIGTERM
+    private static final long LAST_NEW_MS = 300; // after SIGTERM; so long new connections keep coming
+    private static final long SLACK_MS = 150; // a machine with ten JVMs on it sees things late
+    private static final int[] CLOCK_STEPS_S = {-3600, -7, -2, 2, 7, 3600};
+    private static final int[] NETWORK_ERRORS = {99, 101, 103, 105, 110, 113, 23}; // from EADDRNOTAVAIL to ENFILE
+    private static final int[] DISK_ERRORS = {5, 28}; // EIO, ENOSPC
+    private static final int CROWD = 150;
+    private static final long AROUND_NS = 2_000_000_000L; // of troubles before and after what they may have caused
+    private static final int LEAST_SHORT =
+            100; // bytes; fewer make a body of 200 KB a matter of seconds of processor time
+    private static final int MOST_SHORT = 2000;
+
+    private final long seed;
+    private final Size size;
+    private final Random random;
+    private final boolean resume;
+    private final SoakSite site;
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final Map<String, AtomicBoolean> busy = new ConcurrentHashMap<>(); // conductors that are stopped or started
+
+    /** {@code folder}: where the processes' logs and recordings stay. */
+    public SoakRun(long seed, Size size, Path folder) throws IOException {
+        this.seed = seed;
+        this.size = size;
+        random = new Random(seed);
+        resume = seed % 2 == 0;
+        site = new SoakSite(new Random(random.nextLong()), size.plant() == null ? null : size.plant().change);
+        String settings = settings(size.conductors(), resume);
+        for (int i = 0; i < size.conductors(); i++) {
+            busy.put(site.addConductor(folder, i % 2 == 1, settings).name, new AtomicBoolean());
+        }
+        for (int i = 0; i < size.readers() + size.writers(); i++) {
+            site.addServer(i < size.readers() ? Role.READER : Role.WRITER, 0);
+        }
+    }
+
+    static String settings(int conductors, boolean resume) {
+        return String.format(SETTINGS, conductors, resume);
+    }
+
+    /** Plays the run; the rules that were broken. */
+    public List<Violation> play() throws IOException, InterruptedException {
+        site.start();
+        TroublePlan plan = TroublePlan.draw(random, size.lengthMs());
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < size.clients(); i++) {
+            ClientDriver client = new ClientDriver(
+                    "r" + seed + "-" + i, site.conductors, site.history, new Random(random.nextLong()), over);
+            clients.add(Daemon.start("client", client::run));
+        }
+        long began = System.nanoTime();
+        List<Thread> running = new ArrayList<>();
+        for (Trouble trouble : plan.troubles()) {
+            sleepUntil(began, trouble.fromMs());
+            running.add(Daemon.start("trouble", () -> {
+                site.history.add(new Observation.Troubled(System.nanoTime(), trouble, true));
+                carryOut(trouble);
+                site.history.add(new Observation.Troubled(System.nanoTime(), trouble, false));
+            }));
+        }
+        sleepUntil(began, size.lengthMs());
+        for (Thread thread : running) {
+            thread.join();
+        }
+        over.set(true);
+        for (Thread thread : clients) {
+            thread.join();
+        }
+        for (ConductorProcess conductor : site.conductors) {
+            end(conductor);
+        }
+        return Oracle.judge(site.history.inOrder(), new Oracle.Terms(4, 1000, 1500, resume, SLACK_MS));
+    }
+
+    /** What was seen of the subject of a broken rule, with the troubles of that time; times in ms from the first line. */
+    public List<String> evidence(Violation violation) {
+        List<Observation> all = site.history.inOrder();
+        List<Observation> own = all.stream()
+                .filter(o -> !(o instanceof Observation.Troubled)
+                        && o.toString().matches("(?s).*[=]" + violation.subject() + "[],].*"))
+                .toList();
+        if (own.isEmpty()) {
+            return List.of();
+        }
+        long from = own.get(0).at() - AROUND_NS;
+        long to = own.get(own.size() - 1).at() + AROUND_NS;
+        return all.stream()
+                .filter(o -> own.contains(o) || o instanceof Observation.Troubled && o.at() > from && o.at() < to)
+                .map(o -> String.format("%9.3f %s", (o.at() - own.get(0).at()) / 1e6, o))
+                .toList();
+    }
+
+    /** So many requests got a whole 200. */
+    public long served() {
+        return site.history.inOrder().stream()
+                .filter(o -> o instanceof Observation.Answered a && a.status() == 200 && a.whole())
+                .count();
+    }
+
+    /** So many requests were sent. */
+    public long sent() {
+        return site.history.inOrder().stream()
+                .filter(Observation.Sent.class::isInstance)
+                .count();
+    }
+
+    private static void sleepUntil(long began, long ms) throws InterruptedException {
+        Thread.sleep(Math.max(0, ms - (System.nanoTime() - began) / 1_000_000));
+    }
+
+    private <T> T pick(List<T> from, int target) {
+        return from.get(target % from.size());
+    }
+
+    private void carryOut(Trouble t) throws IOException, InterruptedException {
+        ConductorProcess conductor = pick(site.conductors, t.target());
+        ServerStandIn server = pick(site.listed(), t.target());
+        switch (t.kind()) {
+            case SERVER_MOOD -> {
+                server.mood = ServerStandIn.Mood.values()[t.draw() % ServerStandIn.Mood.values().length];
+                Thread.sleep(t.lengthMs());
+                server.mood = ServerStandIn.Mood.WELL;
+            }
+            case SERVER_CUT_OFF ->
+                network(
+                        site.conductors.stream()
+                                .map(c -> site.proxy(c, server.id))
+                                .toList(),
+                        FaultProxy.Mode.SILENT,
+                        t);
+            case CONDUCTOR_CUT_OFF ->
+                network(
+                        site.listed().stream()
+                                .filter(s ->
+                                        t.draw() % 3 == 0 || s.role == (t.draw() % 3 == 1 ? Role.READER : Role.WRITER))
+                                .map(s -> site.proxy(conductor, s.id))
+                                .toList(),
+                        FaultProxy.Mode.SILENT,
+                        t);
+            case NETWORK_LATE -> network(site.proxiesOf(server), FaultProxy.Mode.LATE, t);
+            case NETWORK_TRICKLES -> network(site.proxiesOf(server), FaultProxy.Mode.TRICKLE, t);
+            case CONNECTIONS_RESET -> site.proxiesOf(server).forEach(FaultProxy::resetAll);
+            case SERVER_REPLACED -> replace(server, t);
+            case DISCOVERY -> {
+                DiscoveryAgent agent = site.agent(conductor);
+                agent.mode = DiscoveryAgent.Mode.values()[1 + t.draw() % (DiscoveryAgent.Mode.values().length - 1)];
+                Thread.sleep(t.lengthMs());
+                agent.mode = DiscoveryAgent.Mode.UP;
+            }
+            case RELOAD -> {
+                site.newAgent(conductor);
+                ConductorProcess.signal(conductor.process(), "HUP");
+            }
+            case CLOCK_STEP -> site.stepClock(Duration.ofSeconds(CLOCK_STEPS_S[t.draw() % CLOCK_STEPS_S.length]));
+            case SYSTEM_CALLS -> systemCalls(conductor, t);
+            case SHORT_IO -> {
+                conductor.shim.shortIo(LEAST_SHORT + t.draw() % MOST_SHORT);
+                Thread.sleep(t.lengthMs());
+                conductor.shim.shortIo(0);
+            }
+            case DISK -> {
+                conductor.shim.fail(Fault.FILE_WRITE, DISK_ERRORS[t.draw() % DISK_ERRORS.length], Long.MAX_VALUE);
+                Thread.sleep(t.lengthMs());
+                conductor.shim.fail(Fault.FILE_WRITE, 0, 0);
+            }
+            case CLIENT_CROWD -> crowd(conductor, t);
+            case CONDUCTOR_STOPPED, CONDUCTOR_KILLED, CONDUCTOR_UPGRADED -> {
+                if (busy.get(conductor.name).compareAndSet(false, true)) {
+                    renew(conductor, t);
+                    busy.get(conductor.name).set(false);
+                }
+            }
+            default -> throw new AssertionError(t.kind());
+        }
+    }
+
+    private static void network(List<FaultProxy> which, FaultProxy.Mode mode, Trouble t) throws InterruptedException {
+        which.forEach(p -> p.mode = mode);
+        Thread.sleep(t.lengthMs());
+        which.forEach(p -> p.mode = FaultProxy.Mode.PASS);
+    }
+
+    /** One that keeps its role has to stay, as nothing is served without it. */
+    private void replace(ServerStandIn server, Trouble t) throws IOException, InterruptedException {
+        synchronized (site.fleet) {
+            if (site.listed().stream().filter(s -> s.role == server.role).count() < 2) {
+                return;
+            }
+            site.fleet.put(
+                    server.id, server.role, "leaving", site.fleet.get(server.id).startedMs());
+        }
+        site.addServer(server.role, site.wallClockMs());
+        Thread.sleep(t.lengthMs() + 1500);
+        site.fleet.put(server.id, server.role, "left", site.fleet.get(server.id).startedMs());
+    }
+
+    private void systemCalls(ConductorProcess conductor, Trouble t) throws InterruptedException {
+        int error = NETWORK_ERRORS[t.draw() % NETWORK_ERRORS.length];
+        Fault fault = List.of(Fault.ACCEPT, Fault.CONNECT, Fault.SOCKET).get(t.target() % 3);
+        conductor.shim.fail(fault, error, Long.MAX_VALUE);
+        Thread.sleep(Math.min(t.lengthMs(), 600));
+        conductor.shim.fail(fault, 0, 0);
+    }
+
+    private void crowd(ConductorProcess conductor, Trouble t) throws InterruptedException {
+        List<HttpConnection> idle = new ArrayList<>();
+        try {
+            for (int i = 0; i < CROWD; i++) {
+                idle.add(HttpConnection.to(conductor.address, 200));
+            }
+        } catch (IOException e) {
+            Thread.yield(); // no more are taken
+        }
+        Thread.sleep(t.lengthMs());
+        for (HttpConnection connection : idle) {
+            try {
+                connection.close();
+            } catch (IOException e) {
+                continue; // it was closed
+            }
+        }
+    }
+
+    private void renew(ConductorProcess conductor, Trouble t) throws IOException, InterruptedException {
+        if (t.kind() == TroublePlan.Kind.CONDUCTOR_UPGRADED && conductor.operated()) {
+            Process before = conductor.process();
+            conductor.start();
+            ready(conductor);
+            stop(conductor, before);
+            return;
+        }
+        if (t.kind() == TroublePlan.Kind.CONDUCTOR_KILLED) {
+            site.history.add(new Observation.Killed(System.nanoTime(), conductor.name));
+            conductor.process().destroyForcibly().waitFor();
+            conductor.takesClients(false);
+            Thread.sleep(t.lengthMs());
+        } else {
+            Process before = conductor.process();
+            Daemon.start("front", () -> {
+                Thread.sleep(LAST_NEW_MS);
+                conductor.takesClients(false);
+            });
+            stop(conductor, before);
+            Thread.sleep(LAST_NEW_MS);
+        }
+        conductor.configure(site.agent(conductor).host());
+        conductor.start();
+        ready(conductor);
+        conductor.takesClients(true);
+    }
+
+    private void ready(ConductorProcess conductor) throws InterruptedException {
+        long passed = conductor.awaitReady(SoakSite.START_MS);
+        if (passed < 0 || passed > READY_MS) {
+            site.history.add(new Observation.NotReady(
+                    System.nanoTime(), conductor.name, passed < 0 ? SoakSite.START_MS : passed));
+        }
+    }
+
+    private void stop(ConductorProcess conductor, Process which) throws IOException, InterruptedException {
+        boolean lived = which.isAlive();
+        long began = System.nanoTime();
+        ConductorProcess.signal(which, "TERM");
+        if (!ConductorProcess.awaitEnd(which, KILL_MS)) {
+            site.history.add(new Observation.Overstayed(System.nanoTime(), conductor.name));
+            site.history.add(new Observation.Killed(System.nanoTime(), conductor.name));
+            which.destroyForcibly().waitFor();
+            return;
+        }
+        long since = (System.nanoTime() - began) / 1_000_000;
+        int code = which.exitValue();
+        site.history.add(new Observation.Exited(System.nanoTime(), conductor.name, code, lived, since));
+    }
+
+    private void end(ConductorProcess conductor) throws IOException, InterruptedException {
+        stop(conductor, conductor.process());
+    }
+
+    @Override
+    public void close() {
+        over.set(true);
+        site.close();
+    }
+}
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/SoakSite.java
@@ -0,0 +1,129 @@
+package copperbeam.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
+
+/** Conductor processes between stand-ins of servers and discovery, each pair with a {@link FaultProxy} between them. */
+final class SoakSite implements AutoCloseable {
+    static final long START_MS = 30_000; // which the platform lets a start take
+
+    final History history = new History();
+    final Fleet fleet = new Fleet();
+    final List<ConductorProcess> conductors = new ArrayList<>();
+    final Map<String, ServerStandIn> servers = new ConcurrentHashMap<>();
+    private final Map<String, FaultProxy> proxies = new ConcurrentHashMap<>(); // by conductor and server
+    private final Map<String, DiscoveryAgent> agents = new ConcurrentHashMap<>(); // by conductor
+    private final Map<String, String> states = ServerStandIn.states();
+    private final List<AutoCloseable> all = new CopyOnWriteArrayList<>();
+    private final AtomicInteger serverNumbers = new AtomicInteger();
+    private final Random random;
+    private final UnaryOperator<String> plant;
+    private volatile long clockOffsetMs;
+
+    /** {@code plant}: changes what conductors send to servers, or null. */
+    SoakSite(Random random, UnaryOperator<String> plant) {
+        this.random = random;
+        this.plant = plant;
+    }
+
+    /** To be called before the first server is added; {@code operated}: with a door for operators. */
+    ConductorProcess addConductor(Path folder, boolean operated, String settings) throws IOException {
+        String name = "n" + conductors.size();
+        ConductorProcess conductor = new ConductorProcess(name, folder.resolve(name), operated, settings);
+        conductors.add(conductor);
+        all.add(conductor);
+        return conductor;
+    }
+
+    ServerStandIn addServer(Role role, long startedMs) throws IOException {
+        String id = "s-" + serverNumbers.incrementAndGet();
+        ServerStandIn server = new ServerStandIn(id, role, history, states, random.nextLong());
+        all.add(server);
+        for (ConductorProcess conductor : conductors) {
+            FaultProxy proxy = new FaultProxy(conductor.name, server.address());
+            proxy.plant = plant;
+            proxies.put(conductor.name + " " + id, proxy);
+            all.add(proxy);
+        }
+        servers.put(id, server);
+        fleet.put(id, role, "active", startedMs);
+        return server;
+    }
+
+    /** A new address of discovery, which the conductor's file names from now on. */
+    DiscoveryAgent newAgent(ConductorProcess conductor) throws IOException {
+        DiscoveryAgent agent = new DiscoveryAgent(
+                conductor.name,
+                fleet,
+                id -> "127.0.0.1:" + proxy(conductor, id).address().getPort(),
+                history);
+        agents.put(conductor.name, agent);
+        all.add(agent);
+        conductor.configure(agent.host());
+        return agent;
+    }
+
+    DiscoveryAgent agent(ConductorProcess conductor) {
+        return agents.get(conductor.name);
+    }
+
+    FaultProxy proxy(ConductorProcess conductor, String server) {
+        return proxies.get(conductor.name + " " + server);
+    }
+
+    List<FaultProxy> proxiesOf(ServerStandIn server) {
+        return conductors.stream().map(c -> proxy(c, server.id)).toList();
+    }
+
+    List<ServerStandIn> listed() {
+        return servers.values().stream()
+                .filter(s -> fleet.get(s.id).state().equals("active"))
+                .sorted(Comparator.comparing(s -> s.id))
+                .toList();
+    }
+
+    /** Starts all conductors and waits for them. */
+    void start() throws IOException, InterruptedException {
+        for (ConductorProcess conductor : conductors) {
+            newAgent(conductor);
+            conductor.start();
+        }
+        for (ConductorProcess conductor : conductors) {
+            if (conductor.awaitReady(START_MS) < 0) {
+                throw new IllegalStateException(conductor.name + " did not start");
+            }
+            conductor.takesClients(true);
+        }
+    }
+
+    long wallClockMs() {
+        return System.currentTimeMillis() + clockOffsetMs;
+    }
+
+    /** The wall clock of all machines, as they read one clock. */
+    void stepClock(Duration by) {
+        clockOffsetMs += by.toMillis();
+        conductors.forEach(c -> c.shim.clockOffset(Duration.ofMillis(clockOffsetMs)));
+    }
+
+    @Override
+    public void close() {
+        for (AutoCloseable part : all) {
+            try {
+                part.close();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/TroublePlan.java
@@ -0,0 +1,52 @@
+package copperbeam.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** Which troubles come when in a run, drawn from its seed; several overlap at most times. */
+record TroublePlan(List<Trouble> troubles) {
+    /** What goes wrong. */
+    enum Kind {
+        SERVER_MOOD,
+        SERVER_CUT_OFF,
+        SERVER_REPLACED,
+        CONDUCTOR_CUT_OFF,
+        NETWORK_LATE,
+        NETWORK_TRICKLES,
+        CONNECTIONS_RESET,
+        DISCOVERY,
+        CONDUCTOR_STOPPED,
+        CONDUCTOR_KILLED,
+        CONDUCTOR_UPGRADED,
+        RELOAD,
+        CLOCK_STEP,
+        SYSTEM_CALLS,
+        SHORT_IO,
+        DISK,
+        CLIENT_CROWD
+    }
+
+    /** {@code target}: of whatever the kind has several, to be taken modulo their number; {@code draw}: for its details. */
+    record Trouble(Kind kind, int target, int draw, long fromMs, long lengthMs) {}
+
+    private static final int FIRST_MS = 1500;
+    private static final int QUIET_END_MS = 5000;
+    private static final int MOST_PAUSE_MS = 900;
+    private static final int LEAST_LENGTH_MS = 200;
+    private static final int MOST_LENGTH_MS = 3500;
+
+    static TroublePlan draw(Random random, long lengthMs) {
+        List<Trouble> troubles = new ArrayList<>();
+        Kind[] kinds = Kind.values();
+        for (long at = FIRST_MS; at < lengthMs - QUIET_END_MS; at += random.nextInt(MOST_PAUSE_MS)) {
+            troubles.add(new Trouble(
+                    kinds[random.nextInt(kinds.length)],
+                    random.nextInt(1 << 20),
+                    random.nextInt(1 << 20),
+                    at,
+                    LEAST_LENGTH_MS + random.nextInt(MOST_LENGTH_MS - LEAST_LENGTH_MS)));
+        }
+        return new TroublePlan(troubles);
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/soak/ClockStepTest.java
@@ -0,0 +1,97 @@
+package copperbeam.soak;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The wall clock of all machines steps while real processes serve: all spans stay those of real time. */
+public class ClockStepTest {
+    private static final String SETTINGS = """
+            {"balancers":1,"kinds":["prefill","decode"],
+             "services":[{"name":"ask","promise_s":1.5,"semantics":"safe","worth":3}],
+             "limits":{"send_cap":4,"cancel":true,"probing":false,"retry_after":true,"max_retry_after_s":2,
+                       "conn_idle_s":30,"connect_timeout_s":0.25},
+             "rules":{"cold_from":0.05,"warm_within_s":2,"fall_multiple":1,"fall_s":1},
+             "report":{"via":"on_probe"},"extra":{"role_by_kind":["read","write"],"release_s":1,"resume":true}}
+            """;
+    private static final int CLIENTS = 8;
+    private static final int PATIENCE_MS = 5000;
+
+    @DataProvider
+    public Object[][] steps() {
+        return new Object[][] {{-3600}, {3600}, {-5}, {5}};
+    }
+
+    private static SoakSite site(boolean operated) throws IOException, InterruptedException {
+        SoakSite site = new SoakSite(new Random(1), null);
+        site.addConductor(Files.createTempDirectory("clock"), operated, SETTINGS);
+        site.addServer(Role.READER, 0);
+        site.addServer(Role.WRITER, 0);
+        site.addServer(Role.WRITER, 0);
+        site.start();
+        return site;
+    }
+
+    private static String request(String id) {
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id
+                + "\r\nX-Priority-Class: ask\r\nX-Timeout: 1500m\r\nX-Attrs: prompt_len=40,max_out=9\r\n"
+                + "Content-Length: 2\r\n\r\n{}";
+    }
+
+    private static void load(ConductorProcess conductor, AtomicBoolean over, AtomicInteger served) throws IOException {
+        try (HttpConnection connection = HttpConnection.to(conductor.address, PATIENCE_MS)) {
+            connection.timeout(PATIENCE_MS);
+            while (!over.get()) {
+                connection.send(request("id" + System.nanoTime()));
+                HttpConnection.Message answer = connection.read();
+                served.addAndGet(answer.word(1).equals("200") ? 1 : 0);
+            }
+        }
+    }
+
+    private static long attempts(SoakSite site, ServerStandIn at, long since) {
+        return site.history.inOrder().stream()
+                .filter(o ->
+                        o instanceof Observation.AttemptArrived a && a.server().equals(at.id) && a.at() > since)
+                .count();
+    }
+
+    /** A server that starts after the step is cold at first, and has its full part once it is warm. */
+    @Test(dataProvider = "steps")
+    public void aServerThatStartsAfterwardsIsColdAndThenWarm(int seconds) throws Exception {
+        try (SoakSite site = site(false)) {
+            ConductorProcess conductor = site.conductors.get(0);
+            AtomicBoolean over = new AtomicBoolean();
+            AtomicInteger served = new AtomicInteger();
+            for (int i = 0; i < CLIENTS; i++) {
+                Daemon.start("client", () -> load(conductor, over, served));
+            }
+            Thread.sleep(1500); // of load, by which the demand is known
+            ServerStandIn warm = site.servers.get("s-2");
+            site.stepClock(Duration.ofSeconds(seconds));
+            Thread.sleep(700); // servers begin after it, not within the same moment
+            long began = System.nanoTime();
+            ServerStandIn cold = site.addServer(Role.WRITER, site.wallClockMs());
+            Thread.sleep(600);
+            long atCold = attempts(site, cold, began);
+            long atWarm = attempts(site, warm, began);
+            Thread.sleep(3000);
+            long later = System.nanoTime();
+            Thread.sleep(1000);
+            over.set(true);
+            assertTrue(served.get() > 0 && atWarm > 0, "there is load");
+            assertTrue(atCold * 3 < atWarm, atCold + " at the cold server, " + atWarm + " at a warm one");
+            long atWarmed = attempts(site, cold, later);
+            assertTrue(
+                    atWarmed * 3 > attempts(site, warm, later),
+                    atWarmed + " once it is warm, " + attempts(site, warm, later));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/copperbeam/soak/SoakTest.java
@@ -0,0 +1,45 @@
+package copperbeam.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.soak.SoakRun.Plant;
+import copperbeam.soak.Violation.Rule;
+import java.nio.file.Files;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Short runs of the fault soak: faults that are planted on the way to servers are found. docs/fault-soak.md has the long ones. */
+public class SoakTest {
+    private static final long PLANTED_SEED = 4;
+    private static final long LENGTH_MS = 5000;
+
+    @DataProvider
+    public Object[][] plants() {
+        return new Object[][] {
+            {Plant.TELL_TOO_MUCH, Rule.DEADLINE_TOLD},
+            {Plant.MISPLACED_RELEASES, Rule.PINNED},
+            {Plant.OTHER_IDS, Rule.WRONG_ANSWER},
+        };
+    }
+
+    @Test(dataProvider = "plants")
+    public void aPlantedFaultIsFound(Plant plant, Rule rule) throws Exception {
+        SoakRun.Size size = new SoakRun.Size(2, 12, 2, 2, LENGTH_MS, plant);
+        try (SoakRun run = new SoakRun(PLANTED_SEED, size, Files.createTempDirectory("soak"))) {
+            List<Violation> violations = run.play();
+            assertTrue(run.sent() > 50, "load: " + run.sent());
+            assertTrue(violations.stream().anyMatch(v -> v.rule() == rule), violations.toString());
+        }
+    }
+
+    @Test
+    public void withoutTroublesNoRuleIsBroken() throws Exception {
+        SoakRun.Size size = new SoakRun.Size(2, 12, 2, 2, LENGTH_MS, null);
+        try (SoakRun run = new SoakRun(PLANTED_SEED, size, Files.createTempDirectory("soak"))) {
+            assertEquals(run.play(), List.of());
+            assertTrue(run.served() > 50, "load: " + run.served());
+        }
+    }
+}
