Starts of servers told by the wall clock are brought to the steady one

Cause: a server's start (started_ms) is by the wall clock, the conductor's steady clock is the wall clock of its own start. After a step back a new server's start reads as an hour ago, so that it counts as warm at once; after a step forward it lies in the future, where ColdBudget squares a negative age and its permits stand at minus an hour's worth: nothing is sent there for the length of the step. Change: membership.LaunchTimes remembers the offsets of the wall clock and takes the youngest reading that is not in the future; a start in the future by every reading counts as now, and a start once read stays what it is. Result: ClockStepTest's five rows (none, an hour and 5 s either way) pass, of which four failed before; LaunchTimesTest (11) passes.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -2,6 +2,7 @@
 
 import copperbeam.Api.ListKind;
 import copperbeam.lifecycle.Lifecycle;
+import copperbeam.membership.LaunchTimes;
 import copperbeam.operation.BanActor;
 import copperbeam.operation.OperatorCommands;
 import copperbeam.protocol.HttpClient;
@@ -48,6 +49,8 @@
     private static final double IDLE_SHARE = 0.5; // of the servers' limit for which we keep idle connections
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     private static final Duration LOOK = Duration.ofMillis(500); // at a stop, for whether another process serves
+    private static final Duration CLOCK_LOOK =
+            Duration.ofMillis(500); // from one look for a step of the wall clock to the next
     private static final Duration KNOWN_AFTER = Duration.ofSeconds(2); // of silence the list known before is gone by
     private static final int MIN_RESUMED_STREAMS = 3; // of late; so many say that others have stopped
 
@@ -110,9 +113,12 @@
                 config.limits().idle());
         BanActor bans = config.control() == null ? null : new BanActor(turns, clock, list);
         handover = bans == null ? null : new Handover(config.shared(), config.name(), clock, bans);
+        LaunchTimes launches = new LaunchTimes(clock, Clock.systemUTC());
+        turns.scheduleWithFixedDelay(
+                launches::look, CLOCK_LOOK.toMillis(), CLOCK_LOOK.toMillis(), TimeUnit.MILLISECONDS);
         MembershipSource.Sink told = bans == null
-                ? change -> list.tell(new ListActor.Told(change, null))
-                : change -> bans.tell(new BanActor.Told(change));
+                ? change -> list.tell(new ListActor.Told(launches.steady(change), null))
+                : change -> bans.tell(new BanActor.Told(launches.steady(change)));
         room = new ClientRoom(config.limits().clients(), config.limits().bodies());
         boolean goesOn = config.operator().etcd() == null && config.knownListing() != null;
         if (goesOn) {
--- /dev/null
+++ b/src/test/java/copperbeam/membership/LaunchTimesTest.java
@@ -0,0 +1,88 @@
+package copperbeam.membership;
+
+import static org.testng.Assert.assertEquals;
+
+import copperbeam.Api.ListKind;
+import copperbeam.Api.Member;
+import copperbeam.Api.ServerState;
+import copperbeam.routing.MembershipSource.Change;
+import copperbeam.routing.MembershipSource.Entry;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Starts of servers told by a wall clock that steps, at 10,000 s of the steady one. */
+public class LaunchTimesTest {
+    private static final class Settable extends Clock {
+        private double seconds;
+
+        @Override
+        public Instant instant() {
+            return Instant.EPOCH.plusNanos(Math.round(seconds * 1e9));
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+    }
+
+    private final Settable steady = new Settable();
+    private final Settable wall = new Settable();
+
+    private static double launched(LaunchTimes times, double told) {
+        Entry entry = new Entry(
+                new Member("s", "z", "k", 0, ServerState.READY, 1, told), new InetSocketAddress("127.0.0.1", 1));
+        return times.steady(new Change(ListKind.DELTA, List.of(entry)))
+                .entries()
+                .get(0)
+                .member()
+                .launchedAt();
+    }
+
+    /** A step, seen or not yet; a start told 5 s ago by the clock of that time; and its reading. */
+    @DataProvider
+    public Object[][] starts() {
+        return new Object[][] {
+            {0, 9995, 9995}, // no step
+            {-3600, 6395, 9995},
+            {3600, 13595, 9995},
+            {-2, 9993, 9995},
+            {2, 9997, 9997}, // by either clock: the younger reading
+            {0.2, 9995, 9995}, // slewed
+            {0, 10007, 10000}, // in the future by every reading
+            {-3600, 9995, 9995}, // told by the clock before the step
+            {3600, 9995, 9995},
+            {3600, 0, 0}, // long ago
+        };
+    }
+
+    @Test(dataProvider = "starts")
+    public void theYoungestReadingThatIsNotInTheFutureCounts(double step, double told, double expected) {
+        steady.seconds = wall.seconds = 9000;
+        LaunchTimes times = new LaunchTimes(steady, wall);
+        steady.seconds = 10_000;
+        wall.seconds = 10_000 + step;
+        assertEquals(launched(times, told), expected, 1e-6);
+    }
+
+    @Test
+    public void aStartStaysWhatItIs() {
+        steady.seconds = wall.seconds = 9000;
+        LaunchTimes times = new LaunchTimes(steady, wall);
+        double before = launched(times, 6400);
+        steady.seconds = 10_000;
+        wall.seconds = 6401; // 6400 would be a second ago by this clock
+        assertEquals(launched(times, 6400), before, 0);
+    }
+}
--- a/src/test/java/copperbeam/soak/ClockStepTest.java
+++ b/src/test/java/copperbeam/soak/ClockStepTest.java
@@ -26,7 +26,7 @@
 
     @DataProvider
     public Object[][] steps() {
-        return new Object[][] {{-3600}, {3600}, {-5}, {5}};
+        return new Object[][] {{0}, {-3600}, {3600}, {-5}, {5}};
     }
 
     private static SoakSite site(boolean operated) throws IOException, InterruptedException {
