--- a/src/main/java/copperbeam/routing/Metrics.java
+++ b/src/main/java/copperbeam/routing/Metrics.java
@@ -29,6 +29,7 @@
 
     private final Map<String, Counts> classes = new LinkedHashMap<>();
     private final AtomicLong current = new AtomicLong();
+    private final CauseCounts causes = new CauseCounts();
     private volatile Cluster cluster = new Cluster(0, 0);
 
     /** {@code names}: the classes that are counted; what is of another counts as current alone. */
@@ -67,6 +68,11 @@
         }
     }
 
+    /** Why what happened, for the log. */
+    public CauseCounts causes() {
+        return causes;
+    }
+
     void cluster(Cluster now) {
         cluster = now;
     }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -6,6 +6,8 @@
 import copperbeam.Api.Outcome;
 import copperbeam.Api.Report;
 import copperbeam.Brain;
+import copperbeam.routing.OpenRequest.Phase;
+import copperbeam.routing.RequestRules.Rule;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -15,6 +17,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.logging.Level;
@@ -103,43 +106,11 @@
     /** Looks for requests that are open beyond their deadline. */
     private record Sweep() implements Message {}
 
-    private enum Phase {
-        OPEN,
-        STREAMING,
-        OVER
-    }
-
-    /** From arrival until the final answer is given and no attempt is out. */
-    private static final class Request {
-        final long key;
-        final Ask ask;
-        final Answer answer;
-        volatile Phase phase = Phase.OPEN; // read by the transport too, as an attempt's last byte leaves
-        int attempts;
-        boolean out;
-        Instant until; // when the attempt that is out should have ended, unless it is a stream
-        PeerActor at;
-        String lastReader;
-        boolean reading; // the last attempt is at a reader
-        final List<String> cutReaders =
-                new ArrayList<>(); // each may hold a state, or come to, that the module was not told of
-        Instant lastEnd; // of an attempt that had a connection
-        boolean mayHold; // something, since the last release
-        boolean releaseWanted;
-
-        Request(long key, Ask ask, Answer answer) {
-            this.key = key;
-            this.ask = ask;
-            this.answer = answer;
-        }
-    }
-
     private static final Logger LOG = Logger.getLogger(ModuleActor.class.getName());
     private static final Duration CENSUS = Duration.ofMillis(200); // figures may be half a second late
     private static final double LET_GO_SHARE = 0.5; // of the time in which what is held must be taken or let go
     private static final double LEAST_CONNECT_S = 0.1; // with the time that the protocol gives beyond release_s
     private static final double CONNECT_SHARE = 0.6; // the same, until a connection for an attempt must be up
-    private static final Duration LATE = Duration.ofMillis(100); // an answer's grace after its request's time
     // after its deadline a request is failed here, as the module has not answered it; and how often that is looked at
     private static final Duration OVERDUE = Duration.ofMillis(150);
     private static final Duration LOST = Duration.ofSeconds(1); // an outcome that has not come so long after its time
@@ -151,11 +122,11 @@
     private final ReleaseActor releases;
     private final Recorder recorder;
     private final Metrics metrics;
-    private final Map<Long, Request> requests = new HashMap<>();
-    private final Map<Answer, Request> byAnswer = new IdentityHashMap<>();
+    private final Map<Long, OpenRequest> requests = new HashMap<>();
+    private final Map<Answer, OpenRequest> byAnswer = new IdentityHashMap<>();
     private final Set<String> ids = new HashSet<>();
     private final Map<String, Api.Role> roles = new HashMap<>();
-    private final List<Request> closing = new ArrayList<>();
+    private final List<OpenRequest> closing = new ArrayList<>();
     private Map<String, PeerActor> peers = Map.of();
     private long keys;
     private boolean takesNoMore;
@@ -259,7 +230,7 @@
     /** Guards against requests that would never get a final answer, as the module failed on them or lost count of them. */
     private void sweep() {
         Instant now = clock.instant();
-        for (Request r : List.copyOf(requests.values())) {
+        for (OpenRequest r : List.copyOf(requests.values())) {
             if (r.phase == Phase.OPEN && r.ask.deadline().plus(OVERDUE).isBefore(now)) {
                 overdue(r);
             }
@@ -278,9 +249,9 @@
         }
     }
 
-    private void overdue(Request r) {
+    private void overdue(OpenRequest r) {
         LOG.warning("no final answer by its deadline: " + r.ask.id());
-        note(Recorder.What.RULE, r, null, "no final answer by its deadline", null);
+        ruleBroken(r, Rule.LATE_ANSWER);
         over(r, Metrics.End.ERRORED);
         try {
             r.answer.fail(Answer.Failure.TOO_LATE);
@@ -292,7 +263,7 @@
     }
 
     /** Guards against a server that counts as busy for good, and a stop that waits: its peer failed on the outcome. */
-    private void outcomeLost(Request r, Instant now) {
+    private void outcomeLost(OpenRequest r, Instant now) {
         LOG.warning("no outcome of an attempt by its time: " + r.ask.id() + " at " + r.at.id());
         int number = r.attempts - 1;
         r.at.tell(new PeerActor.Stop(r.key, number));
@@ -321,6 +292,14 @@
         }
     }
 
+    private RequestRules rules(Ask ask) {
+        Api.RequestClass requestClass = settings.classes().stream()
+                .filter(c -> c.name().equals(ask.requestClass()))
+                .findFirst()
+                .orElse(null);
+        return new RequestRules(requestClass, settings.limits().maxAttempts(), ask.deadline(), ask.resumed());
+    }
+
     private void arrive(Arrive e) {
         metrics.taken();
         if (e.answer().gone()) {
@@ -333,7 +312,7 @@
             metrics.ended(e.ask().requestClass(), Metrics.End.ERRORED);
             return;
         }
-        Request r = new Request(++keys, e.ask(), e.answer());
+        OpenRequest r = new OpenRequest(++keys, e.ask(), e.answer(), rules(e.ask()));
         requests.put(r.key, r);
         byAnswer.put(r.answer, r);
         scheduleSweep();
@@ -361,14 +340,14 @@
     }
 
     /** As if its time were up: the module knows what may be refused, and what must be let go. */
-    private void handOver(Request r) {
+    private void handOver(OpenRequest r) {
         if (r.phase == Phase.OPEN) {
             feed(new Api.TimerFired("d" + r.key + ".0"));
         }
     }
 
     private void left(Left e) {
-        Request r = byAnswer.get(e.answer());
+        OpenRequest r = byAnswer.get(e.answer());
         if (r == null || r.phase == Phase.OVER) {
             return;
         }
@@ -384,7 +363,7 @@
     }
 
     private void firstEvent(FirstEvent e) {
-        Request r = requests.get(e.request());
+        OpenRequest r = requests.get(e.request());
         PeerActor peer = e.at();
         boolean current = r != null && r.out && r.attempts - 1 == e.number();
         if (!current || r.phase != Phase.OPEN) {
@@ -394,6 +373,7 @@
         }
         note(Recorder.What.FIRST, r, e.server(), null, e.after());
         r.phase = Phase.STREAMING;
+        r.rules.ended();
         r.mayHold = false;
         r.answer.begin();
         boolean passed = r.answer.event(e.raw(), e.drained());
@@ -402,11 +382,13 @@
     }
 
     private void ended(Ended e) {
-        Request r = requests.get(e.request());
+        OpenRequest r = requests.get(e.request());
         if (r == null || !r.out || r.attempts - 1 != e.number()) {
             return;
         }
         r.out = false;
+        r.rules.outcome(e.outcome(), e.up());
+        metrics.causes().add(CauseCounts.Kind.ATTEMPT_ENDED, e.outcome());
         boolean mayEndWell = e.up()
                 && r.reading
                 && (e.outcome() == Outcome.CANCELLED
@@ -461,7 +443,7 @@
      * When the connection of the next attempt must be up, as what is held waits for it. Guards against a cut read that ends well
      * behind its release, while a server that is silent lets a connection hang.
      */
-    private Instant upBy(Request r) {
+    private Instant upBy(OpenRequest r) {
         if (r.mayHold) {
             return due(r, CONNECT_SHARE);
         }
@@ -471,7 +453,7 @@
     }
 
     /** {@code share}: of the time in which what is held must be taken or let go. */
-    private Instant due(Request r, double share) {
+    private Instant due(OpenRequest r, double share) {
         return r.lastEnd.plus(ModuleTime.span(settings.rules().releaseS() * share));
     }
 
@@ -480,7 +462,7 @@
      * was told otherwise, and while no attempt is out it counts as pinned.
      */
     private void stateDue(StateDue e) {
-        Request r = requests.get(e.request());
+        OpenRequest r = requests.get(e.request());
         if (r != null && r.phase == Phase.OPEN && !r.out && r.attempts == e.attempts() && r.mayHold) {
             release(r);
         }
@@ -492,11 +474,7 @@
         if (action instanceof Api.Attempt a) {
             attempt(a);
         } else if (action instanceof Api.Refuse a) {
-            finish(
-                    a.request(),
-                    Recorder.What.REFUSED,
-                    a.why(),
-                    r -> r.answer.refuse(ModuleTime.span(a.retryAfterS()), r.attempts > 0));
+            finish(a.request(), Recorder.What.REFUSED, a.why(), r -> refuse(r, ModuleTime.span(a.retryAfterS())));
         } else if (action instanceof Api.Fail a) {
             finish(
                     a.request(),
@@ -507,15 +485,16 @@
                                     ? Answer.Failure.TOO_LATE
                                     : Answer.Failure.SERVERS_FAILED));
         } else if (action instanceof Api.Cancel a) {
-            Request r = requests.get(a.request());
+            OpenRequest r = requests.get(a.request());
             if (r != null && r.out && r.attempts - 1 == a.attempt()) {
                 note(Recorder.What.CANCEL, r, null, a.why().name(), null);
+                metrics.causes().add(CauseCounts.Kind.CANCELLED, a.why());
                 r.at.tell(new PeerActor.Stop(a.request(), a.attempt()));
             }
         } else if (action instanceof Api.Transfer a) {
             transfer(requests.get(a.request()));
         } else if (action instanceof Api.Release a) {
-            Request r = requests.get(a.request());
+            OpenRequest r = requests.get(a.request());
             if (r != null) {
                 r.releaseWanted = true;
                 if (!r.out) {
@@ -545,15 +524,18 @@
     }
 
     private void attempt(Api.Attempt a) {
-        Request r = requests.get(a.request());
+        OpenRequest r = requests.get(a.request());
         PeerActor peer = peers.get(a.server());
-        if (r == null
-                || peer == null
-                || r.phase != Phase.OPEN
-                || r.out
-                || r.attempts >= settings.limits().maxAttempts()) {
-            recorder.note(Recorder.What.RULE, a.request(), 0, a.server(), "an attempt that the rules forbid", null);
-            throw new IllegalStateException("an attempt that the rules forbid");
+        if (r == null || peer == null) {
+            recorder.note(Recorder.What.RULE, a.request(), 0, a.server(), "an attempt that can't be made", null);
+            throw new IllegalStateException(
+                    "an attempt for " + (r == null ? "no request" : "no server: " + a.server()));
+        }
+        boolean reading = roles.get(a.server()) == Api.Role.READER;
+        Optional<Rule> broken = r.rules.againstAttempt(!reading, clock.instant());
+        if (broken.isPresent()) {
+            ruleBroken(r, broken.get());
+            throw new IllegalStateException("an attempt that the rules forbid: " + broken.get());
         }
         // no connection could come up by then: the word of a read's end has waited
         if (r.mayHold && !clock.instant().isBefore(due(r, r.cutReaders.isEmpty() ? CONNECT_SHARE : LET_GO_SHARE))) {
@@ -566,7 +548,8 @@
         r.until = ModuleTime.time(a.until());
         r.at = peer;
         r.releaseWanted = false;
-        r.reading = roles.get(a.server()) == Api.Role.READER;
+        r.reading = reading;
+        r.rules.begun(!reading, clock.instant());
         if (r.reading) {
             r.lastReader = a.server();
         }
@@ -593,39 +576,58 @@
                 () -> r.phase == Phase.OVER));
     }
 
-    private void note(Recorder.What what, Request r, String server, String text, Duration span) {
+    private void note(Recorder.What what, OpenRequest r, String server, String text, Duration span) {
         recorder.note(what, r.key, Math.max(0, r.attempts - 1), server, text, span);
     }
 
-    private void finish(long key, Recorder.What what, Api.Why why, java.util.function.Consumer<Request> answer) {
-        Request r = requests.get(key);
+    private void finish(long key, Recorder.What what, Api.Why why, java.util.function.Consumer<OpenRequest> answer) {
+        OpenRequest r = requests.get(key);
         if (r != null && r.phase == Phase.OPEN) {
             note(what, r, null, why.name(), null);
-            if (clock.instant().isAfter(r.ask.deadline().plus(LATE))) {
-                note(Recorder.What.RULE, r, null, "a final answer after its time", null);
-            }
+            metrics.causes()
+                    .add(what == Recorder.What.REFUSED ? CauseCounts.Kind.REFUSED : CauseCounts.Kind.FAILED, why);
+            r.rules.againstAnswer(clock.instant()).ifPresent(rule -> ruleBroken(r, rule));
             over(r, what == Recorder.What.REFUSED ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
             closing.add(r); // first, as the answer may fail
             answer.accept(r);
         }
     }
 
+    /** Where the rules forbid a refusal, a failure is the final answer: its client must not take a retry for harmless. */
+    private void refuse(OpenRequest r, Duration retryAfter) {
+        Optional<Rule> broken = r.rules.againstRefusal();
+        if (broken.isPresent()) {
+            ruleBroken(r, broken.get());
+            r.answer.fail(Answer.Failure.SERVERS_FAILED);
+        } else {
+            r.answer.refuse(retryAfter, r.attempts > 0);
+        }
+    }
+
+    private void ruleBroken(OpenRequest r, Rule rule) {
+        metrics.causes().add(CauseCounts.Kind.RULE_BROKEN, rule);
+        note(Recorder.What.RULE, r, null, rule.name(), null);
+        LOG.warning("rule " + rule + ": request " + r.ask.id() + " of class " + r.ask.requestClass() + ", attempts "
+                + r.attempts);
+    }
+
     /** The peer has the last word: a stream whose end is there by then, read or not, is passed on whole. */
-    private void transfer(Request r) {
+    private void transfer(OpenRequest r) {
         if (r != null && r.phase == Phase.STREAMING) {
             r.at.tell(new PeerActor.Cut(r.key, r.attempts - 1));
         }
     }
 
     /** The one place where a request's end is counted. */
-    private void over(Request r, Metrics.End end) {
+    private void over(OpenRequest r, Metrics.End end) {
         boolean streamed = r.phase == Phase.STREAMING;
         r.phase = Phase.OVER;
+        r.rules.ended();
         r.until = streamed ? clock.instant() : r.until; // a stream's end is to come from now on
         metrics.ended(r.ask.requestClass(), end);
     }
 
-    private void release(Request r) {
+    private void release(OpenRequest r) {
         note(Recorder.What.RELEASE, r, r.lastReader, null, null);
         if (r.cutReaders.isEmpty()) {
             releases.tell(new ReleaseActor.Release(r.ask.id(), r.lastReader, null));
@@ -638,7 +640,7 @@
     }
 
     /** A request that is over is kept while an attempt of it is out. */
-    private void forget(Request r) {
+    private void forget(OpenRequest r) {
         if (r.phase == Phase.OVER) {
             byAnswer.remove(r.answer);
             if (!r.out && !r.releaseWanted) {
