--- a/src/test/java/copperbeam/soak/ClockStepTest.java
+++ b/src/test/java/copperbeam/soak/ClockStepTest.java
@@ -23,12 +23,18 @@
             """;
     private static final int CLIENTS = 8;
     private static final int PATIENCE_MS = 5000;
+    private static final int UNFINISHED_MS = 4000; // bad clients are owed their error or close within 3 s
 
     @DataProvider
     public Object[][] steps() {
         return new Object[][] {{0}, {-3600}, {3600}, {-5}, {5}};
     }
 
+    @DataProvider
+    public Object[][] stepsBack() {
+        return new Object[][] {{-3600}};
+    }
+
     private static SoakSite site(boolean operated) throws IOException, InterruptedException {
         SoakSite site = new SoakSite(new Random(1), null);
         site.addConductor(Files.createTempDirectory("clock"), operated, SETTINGS);
@@ -94,4 +100,18 @@
                     atWarmed + " once it is warm, " + attempts(site, warm, later));
         }
     }
+
+    /** A client that stops within a request gets its error or close, and a stop doesn't wait for it until the kill. */
+    @Test(dataProvider = "stepsBack")
+    public void anUnfinishedRequestEnds(int seconds) throws Exception {
+        try (SoakSite site = site(false)) {
+            ConductorProcess conductor = site.conductors.get(0);
+            site.stepClock(Duration.ofSeconds(seconds));
+            try (HttpConnection connection = HttpConnection.to(conductor.address, PATIENCE_MS)) {
+                connection.timeout(UNFINISHED_MS);
+                connection.send("POST /v1/chat");
+                connection.read(); // throws where nothing comes
+            }
+        }
+    }
 }
