Clients' time-outs go on after a step back of the wall clock, and each close has a reason

Cause: HttpCore looks for time-outs by the wall clock; after a step back it looks no more until the clock is where it was, so that slow, silent and lingering connections are never closed for as long. After a step forward a half head of a server is taken for one that does not end, and its attempt for one that may have run. Change: each 0.2 s of the steady clock ReactorTimers sees whether HttpCore's stands still, and then each connection is looked at in its place; a server's half head is timed by the steady clock. Why a client's connection is closed here is counted (CloseReason) and, with the other causes, logged at the end of a stop.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -11,6 +11,7 @@
 import copperbeam.protocol.openai.OpenAiFront;
 import copperbeam.protocol.platform.PlatformFront;
 import copperbeam.record.FileRecorder;
+import copperbeam.routing.CauseCounts;
 import copperbeam.routing.HookActor;
 import copperbeam.routing.Intake;
 import copperbeam.routing.ListActor;
@@ -66,6 +67,7 @@
     private final CountDownLatch warm = new CountDownLatch(1);
     private final Config config;
     private final ListActor list;
+    private final Metrics metrics;
     private final ClientRoom room;
     private final LifecycleActor lifecycle;
     private volatile InetSocketAddress address; // null until it listens
@@ -92,7 +94,7 @@
         Recorder recorder = record == null ? Recorder.NONE : fileRecorder;
         Duration releaseWithin =
                 ModuleTime.span(Math.max(0.2, config.settings().rules().releaseS()));
-        Metrics metrics = new Metrics(config.classNames());
+        metrics = new Metrics(config.classNames());
         releases = new ReleaseActor(turns, clock, releaseWithin.multipliedBy(2));
         module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases, recorder, metrics);
         PeerActor.Setup setup = new PeerActor.Setup(
@@ -149,16 +151,25 @@
             intake = new HookActor(
                     hookTurns, turns, clock, config.operator().hooks(), config.settings(), resumedStreams);
         }
-        HttpFrontServer.TurnedAway turnedAway = (requestClass, status) ->
+        HttpFrontServer.Observer observer = new HttpFrontServer.Observer() {
+            @Override
+            public void turnedAway(String requestClass, int status) {
                 metrics.turnedAway(requestClass, status == 503 ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
+            }
+
+            @Override
+            public void closed(HttpFrontServer.CloseReason reason) {
+                metrics.causes().add(CauseCounts.Kind.CONNECTION_CLOSED, reason);
+            }
+        };
         server = new HttpFrontServer(
-                new PlatformFront(config.classNames(), intake, this::healthy), clock, room, turnedAway);
+                new PlatformFront(config.classNames(), intake, this::healthy), clock, room, observer);
         if (config.operator().chat() != null) {
             chat = new HttpFrontServer(
                     new OpenAiFront(config.operator().chat(), intake, this::healthy, clock.instant()),
                     clock,
                     room,
-                    turnedAway);
+                    observer);
         }
         lifecycle = new LifecycleActor(
                 turns,
@@ -169,6 +180,11 @@
                 releases,
                 () -> resumedStreams.recent() >= MIN_RESUMED_STREAMS,
                 beside -> share(beside.another() ? config.limits().half() : config.limits(), beside.part()));
+        turns.scheduleWithFixedDelay(
+                () -> servers().forEach(HttpFrontServer::tick),
+                HttpFrontServer.TICK.toMillis(),
+                HttpFrontServer.TICK.toMillis(),
+                TimeUnit.MILLISECONDS);
         boolean later = handover != null;
         if (!later) {
             listen();
@@ -297,6 +313,7 @@
             LOG.warning("whether another process serves is not known: " + e);
             lifecycle.stop(false).join();
         }
+        LOG.info("stopped; " + metrics.causes());
     }
 
     @Override
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -7,7 +7,6 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.WritableByteChannel;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentLengthStrategy;
@@ -151,7 +150,7 @@
         private final Life life;
         private volatile ClientExchange exchange;
         private final AtomicReference<Runnable> readOut = new AtomicReference<>();
-        private Instant headSince;
+        private Long headSince; // of System.nanoTime; null where no head is half here
         private Timeout usual;
         private boolean down;
         private boolean used; // by an earlier call
@@ -261,6 +260,9 @@
 
         @Override
         public void timeout(IOSession open, Timeout timeout) throws IOException {
+            if (headSince != null && !headOverdue()) {
+                return; // HttpCore reckons by the wall clock, which may have stepped
+            }
             try {
                 super.timeout(open, timeout);
             } finally {
@@ -293,14 +295,18 @@
                     session.setSocketTimeout(usual);
                 }
             } else if (headSince == null) {
-                headSince = Instant.now();
+                headSince = System.nanoTime();
                 usual = session.getSocketTimeout();
                 session.setSocketTimeout(Timeout.of(HEAD_TIME));
-            } else if (headSince.plus(HEAD_TIME).isBefore(Instant.now())) {
+            } else if (headOverdue()) {
                 exception(session, new IOException("a head that does not end"));
             }
         }
 
+        private boolean headOverdue() {
+            return headSince != null && System.nanoTime() - headSince > HEAD_TIME.toNanos();
+        }
+
         /**
          * Tells of what has ended only now that all input at hand is read: more than the answer makes HttpCore
          * close the connection, which must not be used again. A connection closed by a reset is not told of by
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -9,6 +9,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
@@ -43,6 +44,7 @@
         volatile Instant closeAt; // that end is out
         volatile boolean lingers; // the same, and of its request more may come: our side ends first
         private volatile boolean going; // the thread that reads it is to close it
+        private final AtomicBoolean due = new AtomicBoolean(); // that thread is to look at its times
 
         Client(IOSession session, Instant now, boolean beyond, AtomicInteger all) {
             this.all = all;
@@ -90,6 +92,11 @@
             }
         }
 
+        /** Whether its times are to be looked at, once for each {@link ClientRoom#lookAtAll}. */
+        boolean due() {
+            return due.getAndSet(false);
+        }
+
         /** Idle for so long, or never heard though it has had the time to speak. */
         boolean quiet(Instant now, Duration span) {
             return heard
@@ -215,6 +222,14 @@
         clients.stream().filter(c -> c.idle() && c.quiet(now, quiet)).forEach(Client::wake);
     }
 
+    /** Has the reactor look at the times of each connection. */
+    void lookAtAll() {
+        clients.forEach(c -> {
+            c.due.set(true);
+            c.wake();
+        });
+    }
+
     /** Whether a request is open, or an answer on its way out. */
     boolean busy() {
         return clients.stream().anyMatch(c -> !c.idle());
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -37,7 +37,9 @@
             Duration.ofMillis(50); // for which a client led away may have a request on its way
     private static final Duration FLUSH_TIME = Duration.ofSeconds(1); // of a last answer, without a byte taken
     private static final Duration LINGER = Duration.ofSeconds(1); // for what follows a request that was turned away
-    private static final Duration TICK = Duration.ofMillis(200);
+    /** From one look at a connection without events to the next. */
+    public static final Duration TICK = Duration.ofMillis(200);
+
     private static final Duration AGAIN = Duration.ofMillis(20); // between tries to begin with another reactor
     private static final int MOST_HANDED_ON = 16; // connections that the reactor has not looked at yet
     private static final int BUFFER = 4096;
@@ -52,7 +54,7 @@
 
     private final ClientRoom room;
     private final Front front;
-    private final TurnedAway turnedAway;
+    private final Observer observer;
     private final Clock clock;
     private final AtomicBoolean closing = new AtomicBoolean();
     private volatile Inlet inlet;
@@ -62,18 +64,39 @@
     private final AtomicInteger reading =
             new AtomicInteger(); // reactors at a client's bytes, or about to look whether they may
     private volatile Acceptor acceptor; // null until it listens
+    private final ReactorTimers timers = new ReactorTimers();
 
     /** A reactor, and how many connections are on their way to it: they end with it. */
     private record Inlet(DefaultListeningIOReactor reactor, AtomicInteger handedOn) {}
 
-    /** Told of requests that are answered here, before a front sees them; the class is as its header says, or null. */
-    public interface TurnedAway {
-        void told(String requestClass, int status);
+    /** Why a client's connection was closed here. */
+    public enum CloseReason {
+        /** A request was not whole in time. */
+        SLOW_REQUEST,
+        /** Its last answer has left, or its client takes nothing more of it. */
+        ANSWERED,
+        /** It never said a word. */
+        SILENT,
+        /** It stood idle, and its place was wanted or the process is about to end. */
+        IDLE,
+        /** Its client ended its sending while a request was open. */
+        CLIENT_ENDED,
+        /** Its client sent more than it may, behind a request that is open or was turned away. */
+        TOO_MUCH
     }
 
-    public HttpFrontServer(Front front, Clock clock, ClientRoom room, TurnedAway turnedAway) {
+    /** Told of what happens before or beside a front. */
+    public interface Observer {
+        /** A request was answered before a front saw it; the class is as its header says, or null. */
+        void turnedAway(String requestClass, int status);
+
+        /** A client's connection was closed. */
+        default void closed(CloseReason reason) {}
+    }
+
+    public HttpFrontServer(Front front, Clock clock, ClientRoom room, Observer observer) {
         this.front = front;
-        this.turnedAway = turnedAway;
+        this.observer = observer;
         this.clock = clock;
         this.room = room;
         inlet = inlet();
@@ -169,7 +192,12 @@
 
     private ServerExchange exchange(ClientRoom.Client client) {
         return new ServerExchange(
-                client, room, client.beyond || room.full() ? this::refuse : front, clock, () -> draining, turnedAway);
+                client,
+                room,
+                client.beyond || room.full() ? this::refuse : front,
+                clock,
+                () -> draining,
+                observer::turnedAway);
     }
 
     /** One connection's events, on the reactor's thread. */
@@ -228,7 +256,7 @@
                 // HttpCore takes a client's end of sending for a wish to close once it is answered; here it is a client
                 // that has gone, and its attempt must not run on unread
                 if (client.busy() && parser.ended() && client.closeAt == null) {
-                    open.close(CloseMode.IMMEDIATE);
+                    close(open, CloseMode.IMMEDIATE, CloseReason.CLIENT_ENDED);
                 }
                 if (open.isOpen()) {
                     client.whole.stream().filter(e -> !client.ending).forEach(ServerExchange::dispatch);
@@ -244,7 +272,7 @@
         public void outputReady(IOSession open) throws IOException {
             try {
                 super.outputReady(open);
-                if (client.closeAt != null || leading || client.going()) {
+                if (client.closeAt != null || leading || client.going() || client.due()) {
                     times();
                 }
             } catch (Error e) {
@@ -306,7 +334,7 @@
             int count = open.read(bytes);
             passedOver += count;
             if (count < 0 || passedOver > ServerExchange.MOST_BODY) {
-                open.close(CloseMode.IMMEDIATE);
+                close(open, CloseMode.IMMEDIATE, count < 0 ? CloseReason.CLIENT_ENDED : CloseReason.TOO_MUCH);
             }
         }
 
@@ -333,7 +361,7 @@
             }
             thrownAway += Math.max(0, count);
             if (count < 0 || thrownAway > MOST_THROWN_AWAY) {
-                open.close(CloseMode.GRACEFUL);
+                close(open, CloseMode.GRACEFUL, count < 0 ? CloseReason.ANSWERED : CloseReason.TOO_MUCH);
             }
         }
 
@@ -367,11 +395,21 @@
                 linger();
             }
             boolean left = flushed || stalled(now); // what was answered before
-            if (slow(now) && left || answered(now, flushed) || unused(now, flushed) && !heardSince()) {
-                session.close(CloseMode.GRACEFUL);
+            if (slow(now) && left) {
+                close(session, CloseMode.GRACEFUL, CloseReason.SLOW_REQUEST);
+            } else if (answered(now, flushed)) {
+                close(session, CloseMode.GRACEFUL, CloseReason.ANSWERED);
+            } else if (unused(now, flushed) && !heardSince()) {
+                close(session, CloseMode.GRACEFUL, client.heard ? CloseReason.IDLE : CloseReason.SILENT);
             }
         }
 
+        /** {@code connection}: HttpCore closes its outer session no more once a client has ended its sending. */
+        private void close(IOSession connection, CloseMode mode, CloseReason reason) {
+            observer.closed(reason);
+            connection.close(mode);
+        }
+
         /** Nothing waits here for the system to take it. */
         private boolean flushed(Instant now) {
             long count = duplexer.getEndpointDetails().getSentBytesCount();
@@ -450,7 +488,7 @@
             return front.accept(call, reply); // costs no server's descriptor, and who asks would take us for ill
         }
         int status = HttpCall.resumes(call.header("x-retried")) ? 500 : 503;
-        turnedAway.told(call.header("x-priority-class"), status);
+        observer.turnedAway(call.header("x-priority-class"), status);
         reply.whole(
                 status,
                 "text/plain",
@@ -523,6 +561,13 @@
         return room.busy();
     }
 
+    /** To be called each {@link #TICK}: looks at all connections where HttpCore does not, as the wall clock has stepped back. */
+    public void tick() {
+        if (timers.stalled()) {
+            room.lookAtAll();
+        }
+    }
+
     /**
      * From now on nothing that clients write is read, until it is unsealed: true where nothing is open then, so that the
      * process may end. Guards against a request that is read as the end is decided, and lost with the process; one that
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -50,6 +50,11 @@
 
     private static final int MOST_A_TURN = 64 * 1024; // bytes written, while others wait for the reactor
 
+    /** Told of a request that is answered here, before a front sees it. */
+    interface TurnedAway {
+        void told(String requestClass, int status);
+    }
+
     private record Piece(ByteBuffer bytes, Runnable drained) {}
 
     private enum Last {
@@ -63,7 +68,7 @@
     private final Front front;
     private final Clock clock;
     private final BooleanSupplier draining;
-    private final HttpFrontServer.TurnedAway turnedAway;
+    private final TurnedAway turnedAway;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final ConcurrentLinkedQueue<Piece> pieces = new ConcurrentLinkedQueue<>();
     private final AtomicInteger waiting = new AtomicInteger(); // bytes of pieces
@@ -89,7 +94,7 @@
             Front front,
             Clock clock,
             BooleanSupplier draining,
-            HttpFrontServer.TurnedAway turnedAway) {
+            TurnedAway turnedAway) {
         this.turnedAway = turnedAway;
         this.client = client;
         this.room = room;
--- a/src/test/java/copperbeam/soak/ClockStepTest.java
+++ b/src/test/java/copperbeam/soak/ClockStepTest.java
@@ -32,7 +32,7 @@
 
     @DataProvider
     public Object[][] stepsBack() {
-        return new Object[][] {{-3600}};
+        return new Object[][] {{0}, {-3600}};
     }
 
     private static SoakSite site(boolean operated) throws IOException, InterruptedException {
