Starts and the operators' door: signals in a start, starts that fail, a door without descriptors

Cause: the stop's hook was registered once the process listened, so that SIGTERM in between ended it with what it had taken (exit 143); an exception in a start left a process that neither served nor ended, as its threads went on; a caller who could not be taken kept the door's thread busy with failing and logging; an Error ended that thread; a failure in a step of a stop ended the looks at it. Nothing of a stop was logged, as the JDK closes its log in a shutdown hook of its own. Change: the hook comes before all else and waits for the node; what a start throws ends the process with 1; the door rests 20 ms after a failure and says it once; a stop's next look is scheduled whatever its last one threw; StopLogManager keeps the log, and each step of the lifecycle is logged.

--- a/src/main/java/copperbeam/program/LifecycleActor.java
+++ b/src/main/java/copperbeam/program/LifecycleActor.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.logging.Logger;
 
 /** Owns the conductor's {@link Lifecycle} and carries its steps out: drains by hand and the stop. */
 final class LifecycleActor extends Actor<LifecycleActor.Message> implements Handover.ChangeListener {
@@ -27,6 +28,7 @@
 
     private record Tick() implements Message {}
 
+    private static final Logger LOG = Logger.getLogger(LifecycleActor.class.getName());
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration LONGEST_STOP = Duration.ofSeconds(60);
 
@@ -100,6 +102,16 @@
 
     @Override
     protected void receive(Message m) {
+        try {
+            act(m);
+        } finally {
+            if (lifecycle.stopping() && !ended.isDone()) {
+                watch(); // whatever failed: a stop that nobody looks at would last until the kill
+            }
+        }
+    }
+
+    private void act(Message m) {
         Duration now = Duration.between(from, clock.instant());
         if (m instanceof Drain e) {
             boolean done = e.drained() ? lifecycle.drain(now) : lifecycle.rejoin();
@@ -157,6 +169,10 @@
             // nothing can come any more, so that what is open without a client now, a release say, is the last of it
             module.tell(new ModuleActor.Drain(() -> releases.tell(new ReleaseActor.Drain(() -> ended.complete(null)))));
         }
+        if (next != step) {
+            LOG.info("lifecycle: " + step + " -> " + next
+                    + (open ? ", clients are connected" : ", no client is connected"));
+        }
         step = next;
         if (step != Step.END) {
             fronts.forEach(HttpFrontServer::unseal);
--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -32,7 +33,16 @@
     private Main() {}
 
     public static void main(String[] args) throws Exception {
-        int code = run(args);
+        // before its class is initialized, and any logger is made
+        System.setProperty("java.util.logging.manager", StopLogManager.class.getName());
+        int code;
+        try {
+            code = run(args);
+        } catch (RuntimeException | Error e) {
+            // threads that were begun would keep the process, which neither serves nor ends
+            Logger.getLogger(Main.class.getName()).log(Level.SEVERE, "copperbeam could not start", e);
+            code = 1;
+        }
         if (code >= 0) {
             System.exit(code);
         }
@@ -153,8 +163,18 @@
             return 2;
         }
         CompletableFuture<Node> running = new CompletableFuture<>();
-        // before all else, as without a handler the signal ends the program
+        // both before all else: without a handler the signal ends the program, and with it what was just taken
         Reload.onHangup(() -> Config.reread(System.getenv(), line.getOptionValue("operator")), running);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "stop"));
+        try {
+            return serve(line, running, record, recordKb);
+        } finally {
+            running.completeExceptionally(new IllegalStateException("not started"));
+        }
+    }
+
+    private static int serve(CommandLine line, CompletableFuture<Node> running, Path record, int recordKb)
+            throws InterruptedException {
         Config config = config(line);
         if (config == null) {
             return 1;
@@ -170,27 +190,32 @@
         if (record != null) {
             Signal.handle(new Signal("USR2"), signal -> node.record());
         }
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            try {
-                                node.stop();
-                                node.record().get(RECORD_TIME.toMillis(), TimeUnit.MILLISECONDS);
-                            } catch (InterruptedException e) {
-                                Thread.currentThread().interrupt();
-                            } catch (ExecutionException | TimeoutException e) {
-                                System.err.println("copperbeam: nothing was recorded: " + e);
-                            }
-                            // the reactors' threads would outlive the hooks; all that was taken is answered by now
-                            Runtime.getRuntime().halt(0);
-                        },
-                        "stop"));
         System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         node.awaitWarm(); // a start waits for no log
         openLog();
         return -1;
     }
 
+    /** On SIGTERM, also on one that comes within the start: what listens by then may have taken requests. */
+    private static void stop(CompletableFuture<Node> running) {
+        Node node;
+        try {
+            node = running.join();
+        } catch (CompletionException e) {
+            return; // nothing was started, and the exit code says so
+        }
+        try {
+            node.stop();
+            node.record().get(RECORD_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            System.err.println("copperbeam: nothing was recorded: " + e);
+        }
+        // the reactors' threads would outlive the hooks; all that was taken is answered by now
+        Runtime.getRuntime().halt(0);
+    }
+
     /**
      * Has the JVM load what a log line needs. Guards against a first line in a moment without a descriptor: the JVM then
      * can't read its time zones, which ends whatever wrote the line with an Error, and no line is ever written.
@@ -199,5 +224,6 @@
         for (Handler handler : Logger.getLogger("").getHandlers()) {
             handler.getFormatter().format(new LogRecord(Level.INFO, ""));
         }
+        StopLogManager.keep();
     }
 }
--- a/src/main/java/copperbeam/transport/AdminServer.java
+++ b/src/main/java/copperbeam/transport/AdminServer.java
@@ -16,6 +16,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -33,6 +34,7 @@
     static final int MOST_LINE = 256;
     static final Duration PATIENCE = Duration.ofSeconds(6); // from a caller's connect to its answer taken
     private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration AGAIN = Duration.ofMillis(20); // after a failure
     private static final Logger LOG = Logger.getLogger(AdminServer.class.getName());
 
     private static final class Caller {
@@ -61,6 +63,7 @@
     private final Queue<Reply> replies = new ConcurrentLinkedQueue<>();
     private final Thread thread;
     private volatile boolean closed;
+    private boolean refused; // the last caller could not be taken, which the log has
 
     /** Listens from now on. */
     public AdminServer(InetSocketAddress at, Clock clock, CommandHandler handler) throws IOException {
@@ -105,10 +108,12 @@
                     turn(r.to());
                 }
                 dismiss(clock.instant().minus(PATIENCE));
-            } catch (IOException | RuntimeException e) {
-                // one faulty call must not close the door on all others
+            } catch (IOException | RuntimeException | Error e) {
+                // one faulty call must not close the door on all others, nor an Error, as a JVM without descriptors
+                // throws
                 if (!closed) {
-                    LOG.warning("the door goes on after " + e);
+                    LOG.log(Level.WARNING, "the door goes on after a failure", e);
+                    pause();
                 }
             }
         }
@@ -129,9 +134,23 @@
                 next.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 new Caller(next, selector, clock.instant());
             }
+            refused = false;
         } catch (IOException e) {
-            LOG.warning("the door could not take a caller: " + e);
+            if (!refused) {
+                refused = true;
+                LOG.warning("the door could not take a caller: " + e);
+            }
             dismiss(clock.instant().minus(PATIENCE.dividedBy(2))); // no descriptor may be left
+            pause();
+        }
+    }
+
+    /** Guards against a thread that does nothing but fail: who could not be taken is there at the next select too. */
+    private static void pause() {
+        try {
+            Thread.sleep(AGAIN.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- /dev/null
+++ b/src/test/java/copperbeam/soak/StartTest.java
@@ -0,0 +1,96 @@
+package copperbeam.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Starts of real processes that meet a signal or a system that has nothing left. */
+public class StartTest {
+    private static final int SIGTERM = 15;
+    private static final int EMFILE = 24;
+    private static final int ENFILE = 23;
+    private static final int END_MS = 20_000;
+    private static final int MOST_LINES = 60; // of a log
+
+    private final Path folder = temporary();
+
+    private static Path temporary() {
+        try {
+            return Files.createTempDirectory("start");
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private SoakSite site(boolean operated) throws IOException {
+        SoakSite site = new SoakSite(new Random(1), null);
+        site.addConductor(Files.createTempDirectory(folder, "site"), operated, SoakRun.settings(1, true));
+        site.addServer(Role.READER, 0);
+        site.addServer(Role.WRITER, 0);
+        site.newAgent(site.conductors.get(0));
+        return site;
+    }
+
+    /** From the moment in which it listens it may have taken requests, so that its end is an orderly one. */
+    @Test
+    public void aSignalAsItBeginsToListenIsAnOrderlyStop() throws Exception {
+        try (SoakSite site = site(false)) {
+            ConductorProcess conductor = site.conductors.get(0);
+            conductor.shim.signalAtListen(SIGTERM);
+            Process process = conductor.start();
+            assertTrue(ConductorProcess.awaitEnd(process, END_MS), "it ends");
+            assertEquals(process.exitValue(), 0);
+        }
+    }
+
+    /** One that can't start ends and says so, as whoever started it waits for one or the other. */
+    @Test
+    public void aStartThatFailsEnds() throws Exception {
+        for (int survived = 0; survived < 4; survived++) {
+            try (SoakSite site = site(false)) {
+                ConductorProcess conductor = site.conductors.get(0);
+                conductor.shim.failAfter(Fault.EPOLL_CREATE, EMFILE, survived);
+                Process process = conductor.start();
+                boolean ended = ConductorProcess.awaitEnd(process, survived == 0 ? END_MS : 4000);
+                assertTrue(ended || conductor.awaitReady(END_MS) >= 0, "neither ended nor ready: " + survived);
+                assertTrue(!ended || process.exitValue() == 1, "exit code");
+            }
+        }
+    }
+
+    /** Callers at the operators' door that can't be taken cost neither the log nor the processor. */
+    @Test
+    public void aDoorWithoutDescriptorsRests() throws Exception {
+        try (SoakSite site = site(true)) {
+            ConductorProcess conductor = site.conductors.get(0);
+            Process process = conductor.start();
+            assertTrue(conductor.awaitReady(END_MS) >= 0);
+            conductor.shim.fail(Fault.ACCEPT, ENFILE, Long.MAX_VALUE);
+            long before = lines(conductor);
+            List<Socket> callers = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                callers.add(conductor.caller());
+            }
+            Thread.sleep(1500); // as long as this lasts
+            conductor.shim.fail(Fault.ACCEPT, 0, 0);
+            assertTrue(lines(conductor) - before < MOST_LINES, lines(conductor) - before + " lines");
+            assertTrue(conductor.awaitReady(END_MS) >= 0, "it goes on");
+            for (Socket caller : callers) {
+                caller.close();
+            }
+            assertTrue(process.isAlive());
+        }
+    }
+
+    private static long lines(ConductorProcess conductor) throws IOException {
+        return Files.readAllLines(conductor.log()).size();
+    }
+}
