Connects are given up by the steady clock, and the soak's planted releases always come to bear

Cause: HttpCore ends a connect by the wall clock; after a step back each connect to a machine that is gone held a descriptor until the system gave it up, some two minutes later. The row's writers turn requests away, so that states are left to release.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -181,7 +181,10 @@
                 () -> resumedStreams.recent() >= MIN_RESUMED_STREAMS,
                 beside -> share(beside.another() ? config.limits().half() : config.limits(), beside.part()));
         turns.scheduleWithFixedDelay(
-                () -> servers().forEach(HttpFrontServer::tick),
+                () -> {
+                    servers().forEach(HttpFrontServer::tick);
+                    reactor.cancelOverdue();
+                },
                 HttpFrontServer.TICK.toMillis(),
                 HttpFrontServer.TICK.toMillis(),
                 TimeUnit.MILLISECONDS);
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -7,6 +7,9 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.WritableByteChannel;
 import java.time.Duration;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentLengthStrategy;
@@ -65,7 +68,14 @@
             .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl())
             .build();
 
+    // beyond its own time, in which HttpCore ends a connect by itself while the wall clock does not step
+    private static final Duration CONNECT_GRACE = Duration.ofMillis(500);
+
+    /** {@code due}: of System.nanoTime. */
+    private record Pending(Future<IOSession> connect, long due) {}
+
     private final DefaultConnectingIOReactor reactor;
+    private final Queue<Pending> pending = new ConcurrentLinkedQueue<>();
 
     public ClientReactor() {
         IOReactorConfig config = IOReactorConfig.custom()
@@ -352,21 +362,39 @@
                 return to.getPort();
             }
         };
-        reactor.connect(endpoint, to, null, Timeout.of(timeout), life, new FutureCallback<IOSession>() {
-            @Override
-            public void completed(IOSession session) {
-                life.up(session);
-            }
-
-            @Override
-            public void failed(Exception e) {
-                life.down();
-            }
+        Future<IOSession> connect =
+                reactor.connect(endpoint, to, null, Timeout.of(timeout), life, new FutureCallback<>() {
+                    @Override
+                    public void completed(IOSession session) {
+                        life.up(session);
+                    }
+
+                    @Override
+                    public void failed(Exception e) {
+                        life.down();
+                    }
+
+                    @Override
+                    public void cancelled() {
+                        life.down();
+                    }
+                });
+        pending.add(new Pending(
+                connect, System.nanoTime() + timeout.plus(CONNECT_GRACE).toNanos()));
+    }
 
-            @Override
-            public void cancelled() {
-                life.down();
+    /**
+     * To be called now and then: ends connects whose time is over. Guards the descriptors after a step back of the wall clock, by
+     * which HttpCore reckons: each connect to a machine that is gone would hold one until the system gives it up, in minutes.
+     */
+    public void cancelOverdue() {
+        long now = System.nanoTime();
+        pending.removeIf(p -> {
+            boolean overdue = p.due - now < 0;
+            if (overdue) {
+                p.connect.cancel(true);
             }
+            return overdue || p.connect.isDone();
         });
     }
 
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -1,5 +1,6 @@
 package copperbeam.soak;
 
+import copperbeam.soak.ServerStandIn.Mood;
 import copperbeam.soak.TroublePlan.Trouble;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -20,15 +21,17 @@
     /** A fault planted in what conductors send, so that the oracle can be seen to find it. */
     public enum Plant {
         /** Servers are told 2 s too much. */
-        TELL_TOO_MUCH(text -> text.replaceAll("X-Timeout: (\\d+)m", "X-Timeout: 2$1m")),
+        TELL_TOO_MUCH(Mood.WELL, text -> text.replaceAll("X-Timeout: (\\d+)m", "X-Timeout: 2$1m")),
         /** Releases reach another request's state. */
-        MISPLACED_RELEASES(text -> text.replace("DELETE /state/", "DELETE /state/x")),
+        MISPLACED_RELEASES(Mood.TURNS_AWAY, text -> text.replace("DELETE /state/", "DELETE /state/x")),
         /** What a client sends under one id reaches servers under another. */
-        OTHER_IDS(text -> text.replace("X-Request-ID: ", "X-Request-ID: other-"));
+        OTHER_IDS(Mood.WELL, text -> text.replace("X-Request-ID: ", "X-Request-ID: other-"));
 
+        private final Mood writers; // by which the fault comes to bear
         private final UnaryOperator<String> change;
 
-        Plant(UnaryOperator<String> change) {
+        Plant(Mood writers, UnaryOperator<String> change) {
+            this.writers = writers;
             this.change = change;
         }
     }
@@ -76,7 +79,9 @@
             busy.put(site.addConductor(folder, i % 2 == 1, settings).name, new AtomicBoolean());
         }
         for (int i = 0; i < size.readers() + size.writers(); i++) {
-            site.addServer(i < size.readers() ? Role.READER : Role.WRITER, 0);
+            Role role = i < size.readers() ? Role.READER : Role.WRITER;
+            ServerStandIn server = site.addServer(role, 0);
+            server.mood = size.plant() != null && role == Role.WRITER ? size.plant().writers : Mood.WELL;
         }
     }
 
@@ -163,9 +168,9 @@
         ServerStandIn server = pick(site.listed(), t.target());
         switch (t.kind()) {
             case SERVER_MOOD -> {
-                server.mood = ServerStandIn.Mood.values()[t.draw() % ServerStandIn.Mood.values().length];
+                server.mood = Mood.values()[t.draw() % Mood.values().length];
                 Thread.sleep(t.lengthMs());
-                server.mood = ServerStandIn.Mood.WELL;
+                server.mood = Mood.WELL;
             }
             case SERVER_CUT_OFF ->
                 network(
--- a/src/test/java/copperbeam/soak/ClockStepTest.java
+++ b/src/test/java/copperbeam/soak/ClockStepTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -116,6 +117,37 @@
         }
     }
 
+    /** Connects to a server that is cut off don't pile up until the system gives them up. */
+    @Test(dataProvider = "stepsBack")
+    public void connectsAreGivenUp(int seconds) throws Exception {
+        try (SoakSite site = site(false)) {
+            ConductorProcess conductor = site.conductors.get(0);
+            site.stepClock(Duration.ofSeconds(seconds));
+            FaultProxy cut = site.proxy(conductor, "s-1"); // the one reader, so that each request tries it
+            cut.mode = FaultProxy.Mode.SILENT;
+            AtomicBoolean over = new AtomicBoolean();
+            for (int i = 0; i < CLIENTS; i++) {
+                Daemon.start("client", () -> load(conductor, over, new AtomicInteger()));
+            }
+            Thread.sleep(3000); // of load
+            over.set(true);
+            Thread.sleep(1500); // as long as the last one may take
+            long left = connecting(cut.address().getPort());
+            assertTrue(left <= 2, left + " connects are left"); // the proxy's own, which fills its queue, among them
+        }
+    }
+
+    /** How many sockets of this machine wait for a connection to this port. */
+    private static long connecting(int port) throws IOException {
+        String waits = String.format(".* 0100007F:%04X 02 .*", port);
+        return Files.readAllLines(Path.of("/proc/net/tcp")).stream()
+                        .filter(l -> l.matches(waits))
+                        .count()
+                + Files.readAllLines(Path.of("/proc/net/tcp6")).stream()
+                        .filter(l -> l.matches(String.format(".* 0000000000000000FFFF00000100007F:%04X 02 .*", port)))
+                        .count();
+    }
+
     @Test(dataProvider = "stepsBack")
     public void aStopEndsByItself(int seconds) throws Exception {
         try (SoakSite site = site(false)) {
