--- a/src/soak/java/copperbeam/soak/FaultShim.java
+++ b/src/soak/java/copperbeam/soak/FaultShim.java
@@ -103,7 +103,12 @@
 
     /** Of the calls after the next {@code survived} all fail with this error number. */
     public void failAfter(Fault fault, int errorNumber, long survived) {
-        fail(fault, errorNumber, Long.MAX_VALUE);
+        failAfter(fault, errorNumber, survived, Long.MAX_VALUE);
+    }
+
+    /** Of the calls after the next {@code survived} so many fail with this error number. */
+    public void failAfter(Fault fault, int errorNumber, long survived, long times) {
+        fail(fault, errorNumber, times);
         put(FAULTS + FAULT_PLACES * fault.ordinal() + 3, survived);
     }
 
--- a/src/test/java/copperbeam/soak/StartTest.java
+++ b/src/test/java/copperbeam/soak/StartTest.java
@@ -66,6 +66,20 @@
         }
     }
 
+    /** A socket that can't be had for a moment at the start costs no service: the JDK takes some answers then for life. */
+    @Test
+    public void aSocketThatFailsOnceAtTheStartIsOutlived() throws Exception {
+        for (int survived = 0; survived < 4; survived++) {
+            try (SoakSite site = site(true)) {
+                ConductorProcess conductor = site.conductors.get(0);
+                conductor.shim.failAfter(Fault.SOCKET, ENFILE, survived, 1);
+                conductor.start();
+                assertTrue(conductor.awaitReady(10_000) >= 0, "never in service, socket " + survived);
+                assertTrue(conductor.shim.failed(Fault.SOCKET) == 1, "it was met");
+            }
+        }
+    }
+
     /** Callers at the operators' door that can't be taken cost neither the log nor the processor. */
     @Test
     public void aDoorWithoutDescriptorsRests() throws Exception {
