A process serves alone where the JDK believes that an address can't be shared

Cause: the JDK asks once, with a socket of its own as its network library loads, whether SO_REUSEPORT is there. Where that call fails (ENFILE, ENOBUFS for a moment) it counts as no for life, each try to listen throws, and a process with a door never comes into service. Change: Acceptor listens without it and says so; beside another process the address is taken, and the tries go on until that has left.

--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -49,7 +49,7 @@
         try {
             listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             if (shared) {
-                listener.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+                share();
             }
             listener.bind(at, BACKLOG);
             listener.configureBlocking(false);
@@ -65,6 +65,19 @@
         thread.start();
     }
 
+    /**
+     * The JDK asks the system once, as its first socket is made, whether an address can be shared, and a call that failed then counts
+     * as no for the process's life. Alone at the address this one serves all the same; beside another it is told that it is taken.
+     */
+    private void share() throws IOException {
+        if (listener.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+            listener.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        } else {
+            LOG.warning(
+                    "the system did not say at the start that an address can be shared: this process listens alone");
+        }
+    }
+
     InetSocketAddress address() {
         return address;
     }
