--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -13,6 +13,9 @@
     private static final int PATIENCE_MS = 5000; // beyond the deadline
     private static final int SETTLE_MS = 50; // until a reset that follows a close is here
     private static final int LARGE = 200 * 1024;
+    private static final int MOST_PAUSE_MS = 2500; // between two requests on one connection, seldom
+    private static final int MOST_THINK_MS = 120; // the same, mostly
+    private static final int LEAST_DEADLINE_MS = 600;
 
     private enum Next {
         SAME_CONNECTION,
@@ -22,14 +25,22 @@
 
     private final String name;
     private final List<ConductorProcess> conductors;
+    private final long longestDeadlineMs;
     private final History history;
     private final Random random;
     private final AtomicBoolean over;
     private int number;
 
-    ClientDriver(String name, List<ConductorProcess> conductors, History history, Random random, AtomicBoolean over) {
+    ClientDriver(
+            String name,
+            List<ConductorProcess> conductors,
+            long longestDeadlineMs,
+            History history,
+            Random random,
+            AtomicBoolean over) {
         this.name = name;
         this.conductors = conductors;
+        this.longestDeadlineMs = longestDeadlineMs;
         this.history = history;
         this.random = random;
         this.over = over;
@@ -53,13 +64,19 @@
         }
     }
 
-    /** Uses one connection for some requests; the id of one that has to be sent again, or null. */
+    /**
+     * Uses one connection for some requests, and where its conductor stops until that ends it; the id of one that has to be sent
+     * again, or null.
+     */
     private String converse(HttpConnection connection, ConductorProcess to, String again)
             throws IOException, InterruptedException {
         String id = again;
-        for (int left = 1 + random.nextInt(20); left > 0 && !(over.get() && id == null); left--) {
+        for (int left = 1 + random.nextInt(20);
+                (left > 0 || !to.takesClients()) && !(over.get() && id == null);
+                left--) {
             if (id == null) {
-                Thread.sleep(random.nextInt(20) == 0 ? random.nextInt(2500) : random.nextInt(120));
+                boolean pauses = random.nextInt(20) == 0 && to.takesClients();
+                Thread.sleep(random.nextInt(pauses ? MOST_PAUSE_MS : MOST_THINK_MS));
             }
             id = id == null ? name + "-" + number++ : id;
             Next next = ask(connection, to, id);
@@ -74,14 +91,19 @@
         return null;
     }
 
+    /** A request by the protocol's page, as it goes over the wire. */
+    static String text(String id, RequestKind kind, String session, long deadlineMs, String body) {
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: "
+                + kind.requestClass + "\r\nX-Route-Key: " + session + "\r\nX-Timeout: " + deadlineMs
+                + "m\r\nIdempotency-Key: " + id + "\r\nX-Attrs: prompt_len=40,max_out=9\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
     private Next ask(HttpConnection connection, ConductorProcess to, String id) throws InterruptedException {
         RequestKind kind = RequestKind.values()[random.nextInt(RequestKind.values().length)];
-        long deadlineMs = 800 + random.nextInt(2200);
+        long deadlineMs = LEAST_DEADLINE_MS + random.nextInt((int) longestDeadlineMs - LEAST_DEADLINE_MS);
         String body = "{\"a\":\"" + "x".repeat(random.nextInt(25) == 0 ? LARGE : random.nextInt(300)) + "\"}";
-        String text = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: "
-                + kind.requestClass + "\r\nX-Route-Key: " + name + "\r\nX-Timeout: " + deadlineMs
-                + "m\r\nIdempotency-Key: " + id + "\r\nX-Attrs: prompt_len=40,max_out=9\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body;
+        String text = text(id, kind, name, deadlineMs, body);
         boolean sent = false;
         try {
             int cut = random.nextInt(8) == 0 ? random.nextInt(text.length() - 1) : 0;
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -36,24 +38,19 @@
         }
     }
 
-    private static final String SETTINGS = """
-            {"balancers":%d,"kinds":["prefill","decode"],
-             "services":[{"name":"ask","promise_s":1.5,"give_up_s":3,"semantics":"safe","worth":3},
-                         {"name":"send","promise_s":3,"give_up_s":3,"semantics":"unsafe","worth":3},
-                         {"name":"pay","promise_s":3,"give_up_s":3,"semantics":"keyed","group":"all","window_s":1.5,"worth":3}],
-             "limits":{"send_cap":4,"cancel":true,"probing":true,"retry_after":true,"max_retry_after_s":2,
-                       "conn_idle_s":5,"connect_timeout_s":0.25},
-             "rules":{"cold_from":0.28,"warm_within_s":5,"fall_multiple":3,"fall_s":2},
-             "report":{"via":"on_probe"},"extra":{"role_by_kind":["read","write"],"release_s":1,"resume":%s}}
-            """;
     private static final long READY_MS = 10_000;
-    private static final long KILL_MS = 3_700; // after SIGTERM
     private static final long LAST_NEW_MS = 300; // after SIGTERM; so long new connections keep coming
     private static final long SLACK_MS = 150; // a machine with ten JVMs on it sees things late
     private static final int[] CLOCK_STEPS_S = {-3600, -7, -2, 2, 7, 3600};
     private static final int[] NETWORK_ERRORS = {99, 101, 103, 105, 110, 113, 23}; // from EADDRNOTAVAIL to ENFILE
     private static final int[] DISK_ERRORS = {5, 28}; // EIO, ENOSPC
     private static final int CROWD = 150;
+    private static final int LARGE_CROWD = 400; // more than a conductor has descriptors for
+    private static final int CROWD_EACH = 4; // runs; one of them has a large crowd throughout
+    private static final int CROWD_LOOK_MS = 50;
+    private static final int HOLD_UP_MS = 150; // which the pages have a busy core do
+    private static final int SIGNAL_PAUSE_MS = 400; // at most, between the signals of a series
+    private static final double ROLE_SHARE = 0.8; // of one role's servers fall silent together
     private static final long AROUND_NS = 2_000_000_000L; // of troubles before and after what they may have caused
     private static final int LEAST_SHORT =
             100; // bytes; fewer make a body of 200 KB a matter of seconds of processor time
@@ -62,7 +59,7 @@
     private final long seed;
     private final Size size;
     private final Random random;
-    private final boolean resume;
+    private final SoakSettings settings;
     private final SoakSite site;
     private final AtomicBoolean over = new AtomicBoolean();
     private final Map<String, AtomicBoolean> busy = new ConcurrentHashMap<>(); // conductors that are stopped or started
@@ -72,11 +69,12 @@
         this.seed = seed;
         this.size = size;
         random = new Random(seed);
-        resume = seed % 2 == 0;
+        settings = size.plant() == null
+                ? SoakSettings.draw(random, size.conductors(), seed % 2 == 0)
+                : SoakSettings.usual(size.conductors(), seed % 2 == 0);
         site = new SoakSite(new Random(random.nextLong()), size.plant() == null ? null : size.plant().change);
-        String settings = settings(size.conductors(), resume);
         for (int i = 0; i < size.conductors(); i++) {
-            busy.put(site.addConductor(folder, i % 2 == 1, settings).name, new AtomicBoolean());
+            busy.put(site.addConductor(folder, i % 2 == 1, settings.text()).name, new AtomicBoolean());
         }
         for (int i = 0; i < size.readers() + size.writers(); i++) {
             Role role = i < size.readers() ? Role.READER : Role.WRITER;
@@ -85,10 +83,6 @@
         }
     }
 
-    static String settings(int conductors, boolean resume) {
-        return String.format(SETTINGS, conductors, resume);
-    }
-
     /** Plays the run; the rules that were broken. */
     public List<Violation> play() throws IOException, InterruptedException {
         site.start();
@@ -96,9 +90,17 @@
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < size.clients(); i++) {
             ClientDriver client = new ClientDriver(
-                    "r" + seed + "-" + i, site.conductors, site.history, new Random(random.nextLong()), over);
+                    "r" + seed + "-" + i,
+                    site.conductors,
+                    settings.longestDeadlineMs(),
+                    site.history,
+                    new Random(random.nextLong()),
+                    over);
             clients.add(Daemon.start("client", client::run));
         }
+        if (seed % CROWD_EACH == 1 && size.plant() == null) {
+            site.conductors.forEach(c -> Daemon.start("crowd", () -> keepCrowd(c)));
+        }
         long began = System.nanoTime();
         List<Thread> running = new ArrayList<>();
         for (Trouble trouble : plan.troubles()) {
@@ -120,7 +122,7 @@
         for (ConductorProcess conductor : site.conductors) {
             end(conductor);
         }
-        return Oracle.judge(site.history.inOrder(), new Oracle.Terms(4, 1000, 1500, resume, SLACK_MS));
+        return Oracle.judge(site.history.inOrder(), settings.terms(SLACK_MS));
     }
 
     /** What was seen of the subject of a broken rule, with the troubles of that time; times in ms from the first line. */
@@ -188,6 +190,8 @@
                                 .toList(),
                         FaultProxy.Mode.SILENT,
                         t);
+            case ROLE_CUT_OFF -> network(proxiesOfMost(Role.values()[t.draw() % 2]), FaultProxy.Mode.SILENT, t);
+            case HELD_UP -> holdUp(conductor);
             case NETWORK_LATE -> network(site.proxiesOf(server), FaultProxy.Mode.LATE, t);
             case NETWORK_TRICKLES -> network(site.proxiesOf(server), FaultProxy.Mode.TRICKLE, t);
             case CONNECTIONS_RESET -> site.proxiesOf(server).forEach(FaultProxy::resetAll);
@@ -199,8 +203,11 @@
                 agent.mode = DiscoveryAgent.Mode.UP;
             }
             case RELOAD -> {
-                site.newAgent(conductor);
-                ConductorProcess.signal(conductor.process(), "HUP");
+                for (int signals = 1 + t.draw() % 3; signals > 0; signals--) {
+                    site.newAgent(conductor);
+                    ConductorProcess.signal(conductor.process(), "HUP");
+                    Thread.sleep(t.target() % SIGNAL_PAUSE_MS);
+                }
             }
             case CLOCK_STEP -> site.stepClock(Duration.ofSeconds(CLOCK_STEPS_S[t.draw() % CLOCK_STEPS_S.length]));
             case SYSTEM_CALLS -> systemCalls(conductor, t);
@@ -225,6 +232,22 @@
         }
     }
 
+    /** Those between all conductors and four in five of one role's servers, as where a rack loses its uplink. */
+    private List<FaultProxy> proxiesOfMost(Role role) {
+        List<ServerStandIn> all =
+                site.listed().stream().filter(s -> s.role == role).toList();
+        return all.subList(0, (int) Math.ceil(all.size() * ROLE_SHARE)).stream()
+                .flatMap(s -> site.proxiesOf(s).stream())
+                .toList();
+    }
+
+    private static void holdUp(ConductorProcess conductor) throws IOException, InterruptedException {
+        Process process = conductor.process();
+        ConductorProcess.signal(process, "STOP");
+        Thread.sleep(HOLD_UP_MS);
+        ConductorProcess.signal(process, "CONT");
+    }
+
     private static void network(List<FaultProxy> which, FaultProxy.Mode mode, Trouble t) throws InterruptedException {
         which.forEach(p -> p.mode = mode);
         Thread.sleep(t.lengthMs());
@@ -272,6 +295,21 @@
         }
     }
 
+    /** Idle clients, more than there is room for, who come again as they are let go; until the run is over. */
+    private void keepCrowd(ConductorProcess conductor) throws InterruptedException {
+        Deque<HttpConnection> idle = new ArrayDeque<>();
+        while (!over.get()) {
+            try {
+                idle.add(HttpConnection.to(conductor.address, CROWD_LOOK_MS));
+                if (idle.size() > LARGE_CROWD) {
+                    idle.poll().close();
+                }
+            } catch (IOException e) {
+                Thread.sleep(CROWD_LOOK_MS); // no more are taken now
+            }
+        }
+    }
+
     private void renew(ConductorProcess conductor, Trouble t) throws IOException, InterruptedException {
         if (t.kind() == TroublePlan.Kind.CONDUCTOR_UPGRADED && conductor.operated()) {
             Process before = conductor.process();
@@ -312,7 +350,10 @@
         boolean lived = which.isAlive();
         long began = System.nanoTime();
         ConductorProcess.signal(which, "TERM");
-        if (!ConductorProcess.awaitEnd(which, KILL_MS)) {
+        Thread more = Daemon.start("signals", () -> signalAgain(which));
+        boolean ended = ConductorProcess.awaitEnd(which, settings.killMs());
+        more.interrupt();
+        if (!ended) {
             site.history.add(new Observation.Overstayed(System.nanoTime(), conductor.name));
             site.history.add(new Observation.Killed(System.nanoTime(), conductor.name));
             which.destroyForcibly().waitFor();
@@ -323,6 +364,16 @@
         site.history.add(new Observation.Exited(System.nanoTime(), conductor.name, code, lived, since));
     }
 
+    /** Further signals within a stop change nothing of it. */
+    private static void signalAgain(Process which) throws IOException, InterruptedException {
+        for (String signal : List.of("HUP", "TERM", "HUP", "TERM")) {
+            Thread.sleep(SIGNAL_PAUSE_MS / 2);
+            if (which.isAlive()) {
+                ConductorProcess.signal(which, signal);
+            }
+        }
+    }
+
     private void end(ConductorProcess conductor) throws IOException, InterruptedException {
         stop(conductor, conductor.process());
     }
--- a/src/soak/java/copperbeam/soak/TroublePlan.java
+++ b/src/soak/java/copperbeam/soak/TroublePlan.java
@@ -24,7 +24,11 @@
         SYSTEM_CALLS,
         SHORT_IO,
         DISK,
-        CLIENT_CROWD
+        CLIENT_CROWD,
+        /** Four in five servers of one role fall silent together, for all conductors. */
+        ROLE_CUT_OFF,
+        /** A conductor gets no processor for a moment. */
+        HELD_UP
     }
 
     /** {@code target}: of whatever the kind has several, to be taken modulo their number; {@code draw}: for its details. */
--- a/src/test/java/copperbeam/soak/StartTest.java
+++ b/src/test/java/copperbeam/soak/StartTest.java
@@ -32,7 +32,10 @@
 
     private SoakSite site(boolean operated) throws IOException {
         SoakSite site = new SoakSite(new Random(1), null);
-        site.addConductor(Files.createTempDirectory(folder, "site"), operated, SoakRun.settings(1, true));
+        site.addConductor(
+                Files.createTempDirectory(folder, "site"),
+                operated,
+                SoakSettings.usual(1, true).text());
         site.addServer(Role.READER, 0);
         site.addServer(Role.WRITER, 0);
         site.newAgent(site.conductors.get(0));
