An attempt without an answer neither stops nor renews the time of a read state

Cause: what had left the process counted as out. ModuleActor watched a held state only while no attempt was out, and its end began the time anew though no server had it; Brain.lastEnd did the same.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -64,7 +64,12 @@
         RESET,
         STALE,
         CANCELLED,
-        NOT_SENT
+        NOT_SENT;
+
+        /** The server has answered, which proves that the attempt had arrived; of the others nobody can tell. */
+        public boolean answered() {
+            return this == OK || this == READ || this == ERROR || this == FULL;
+        }
     }
 
     // ---- settings ------------------------------------------------------------------------------
@@ -116,7 +121,15 @@
 
     /** What a node tells the module. */
     public sealed interface Event
-            permits Members, Arrival, StreamStarted, AttemptEnded, ClientLeft, TimerFired, Probed, Beside {}
+            permits Members,
+                    Arrival,
+                    StreamStarted,
+                    AttemptEnded,
+                    StateReleased,
+                    ClientLeft,
+                    TimerFired,
+                    Probed,
+                    Beside {}
 
     /** The list of servers, or a change of it. */
     public record Members(ListKind kind, List<Member> members) implements Event {}
@@ -198,6 +211,9 @@
         }
     }
 
+    /** The node has let go of the request's read state, whose time was over: what comes next for the request is a read. */
+    public record StateReleased(long request) implements Event {}
+
     /** The client closed its connection before the end of its answer. */
     public record ClientLeft(long request) implements Event {}
 
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -153,6 +153,8 @@
             started(e);
         } else if (event instanceof AttemptEnded e) {
             ended(e);
+        } else if (event instanceof StateReleased e && requests.containsKey(e.request())) {
+            forgetState(requests.get(e.request()));
         } else if (event instanceof ClientLeft e) {
             left(e.request());
         } else if (event instanceof TimerFired e) {
@@ -527,12 +529,17 @@
     /** Lets a read state go before it counts as pinned, if it would be held too long by then. */
     private void letGoAt(Request r, double then) {
         if (r.holdsState && then - r.lastEnd >= settings.rules().releaseS() * STATE_HOLD_SHARE) {
-            r.holdsState = false;
-            r.options = null;
+            forgetState(r);
             actions.add(new Release(r.asked.request()));
         }
     }
 
+    /** The options of one whose state was held are writers, which have nothing to fetch now. */
+    private static void forgetState(Request r) {
+        r.options = r.holdsState ? null : r.options;
+        r.holdsState = false;
+    }
+
     // ---- reader choice -------------------------------------------------------------------------
 
     /**
@@ -756,8 +763,8 @@
             }
             return;
         }
-        // a state is held on while connections fail to come up: nothing has reached a server since
-        r.lastEnd = e.outcome() == Outcome.CONNECT_FAILED ? r.lastEnd : now;
+        // a state's time goes on over attempts without an answer: nobody can tell that they reached a server
+        r.lastEnd = e.outcome().answered() ? now : r.lastEnd;
         switch (e.outcome()) {
             case READ -> {
                 r.holdsState = true;
--- a/src/main/java/copperbeam/routing/CauseCounts.java
+++ b/src/main/java/copperbeam/routing/CauseCounts.java
@@ -14,6 +14,9 @@
         REFUSED,
         FAILED,
         CANCELLED,
+        /** An attempt after another one; the cause is how that one ended. */
+        RETRIED,
+        STATE_RELEASED,
         ATTEMPT_ENDED,
         CONNECTION_CLOSED,
         RULE_BROKEN
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -106,11 +107,18 @@
     /** Looks for requests that are open beyond their deadline. */
     private record Sweep() implements Message {}
 
+    /** Why a read state is released. */
+    private enum ReleaseCause {
+        /** The module has asked for it. */
+        ASKED,
+        /** No attempt has taken it in time. */
+        UNTAKEN,
+        /** An attempt is out, and no answer says that it has arrived. */
+        UNANSWERED
+    }
+
     private static final Logger LOG = Logger.getLogger(ModuleActor.class.getName());
     private static final Duration CENSUS = Duration.ofMillis(200); // figures may be half a second late
-    private static final double LET_GO_SHARE = 0.5; // of the time in which what is held must be taken or let go
-    private static final double LEAST_CONNECT_S = 0.1; // with the time that the protocol gives beyond release_s
-    private static final double CONNECT_SHARE = 0.6; // the same, until a connection for an attempt must be up
     // after its deadline a request is failed here, as the module has not answered it; and how often that is looked at
     private static final Duration OVERDUE = Duration.ofMillis(150);
     private static final Duration LOST = Duration.ofSeconds(1); // an outcome that has not come so long after its time
@@ -122,6 +130,7 @@
     private final ReleaseActor releases;
     private final Recorder recorder;
     private final Metrics metrics;
+    private final RequestLog log;
     private final Map<Long, OpenRequest> requests = new HashMap<>();
     private final Map<Answer, OpenRequest> byAnswer = new IdentityHashMap<>();
     private final Set<String> ids = new HashSet<>();
@@ -147,6 +156,7 @@
         this.clock = clock;
         this.settings = settings;
         this.releases = releases;
+        log = new RequestLog(clock);
         brain = new Brain(settings, seed);
     }
 
@@ -312,7 +322,12 @@
             metrics.ended(e.ask().requestClass(), Metrics.End.ERRORED);
             return;
         }
-        OpenRequest r = new OpenRequest(++keys, e.ask(), e.answer(), rules(e.ask()));
+        OpenRequest r = new OpenRequest(
+                ++keys,
+                e.ask(),
+                e.answer(),
+                rules(e.ask()),
+                new StateLease(settings.rules().releaseS()));
         requests.put(r.key, r);
         byAnswer.put(r.answer, r);
         scheduleSweep();
@@ -374,7 +389,7 @@
         note(Recorder.What.FIRST, r, e.server(), null, e.after());
         r.phase = Phase.STREAMING;
         r.rules.ended();
-        r.mayHold = false;
+        r.lease.ended();
         r.answer.begin();
         boolean passed = r.answer.event(e.raw(), e.drained());
         feed(new Api.StreamStarted(r.key, e.number(), e.server(), ModuleTime.seconds(e.after())));
@@ -387,23 +402,17 @@
             return;
         }
         r.out = false;
+        r.lastOutcome = e.outcome();
         r.rules.outcome(e.outcome(), e.up());
         metrics.causes().add(CauseCounts.Kind.ATTEMPT_ENDED, e.outcome());
-        boolean mayEndWell = e.up()
-                && r.reading
-                && (e.outcome() == Outcome.CANCELLED
-                        || e.outcome() == Outcome.TIMED_OUT
-                        || e.outcome() == Outcome.RESET
-                        || e.outcome() == Outcome.STALE
-                        || e.outcome() == Outcome.ERROR);
-        if (mayEndWell) {
-            r.cutReaders.add(e.server());
-        }
-        boolean reached = e.up() && e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.NOT_SENT;
-        r.lastEnd = reached || r.lastEnd == null ? e.at() : r.lastEnd;
-        r.mayHold |= e.outcome() == Outcome.READ || !r.cutReaders.isEmpty();
-        r.releaseWanted |= e.outcome() == Outcome.OK && !r.cutReaders.isEmpty();
+        r.lease.attemptEnded(e.outcome(), e.server(), e.up(), e.at());
+        r.releaseWanted |= e.outcome() == Outcome.OK && !r.lease.cutReaders().isEmpty();
         note(Recorder.What.ENDED, r, e.server(), e.outcome().name(), e.after());
+        if (!e.outcome().answered() && r.phase != Phase.OVER) {
+            log.note(
+                    r.ask.id(),
+                    "no answer: " + e.outcome() + " after " + e.after().toMillis() + " ms, " + attemptOf(r));
+        }
         if (r.phase == Phase.STREAMING) {
             over(r, e.outcome() == Outcome.OK ? Metrics.End.ANSWERED : Metrics.End.ERRORED);
             if (e.outcome() == Outcome.OK) {
@@ -426,46 +435,41 @@
                 e.report(),
                 e.keptTokens()));
         if (r.releaseWanted && !r.out) {
-            release(r);
+            release(r, ReleaseCause.ASKED);
         }
-        if (r.mayHold && !r.out && r.phase == Phase.OPEN) {
-            Duration left = Duration.between(clock.instant(), due(r, LET_GO_SHARE));
+        if (!r.out && r.phase == Phase.OPEN) {
+            watchLease(r);
+        }
+        forget(r);
+    }
+
+    /** Has what is held for the request released when its lease is over, unless another attempt has begun by then. */
+    private void watchLease(OpenRequest r) {
+        if (r.lease.held()) {
+            Duration left = Duration.between(clock.instant(), r.lease.releaseBy(r.out));
             if (left.isNegative()) {
-                release(r); // this word has waited: no time is left for a timer's way
+                leaseOver(r); // the word that it follows on has waited: no time is left for a timer's way
             } else {
                 tellFirstLater(left, new StateDue(r.key, r.attempts));
             }
         }
-        forget(r);
     }
 
-    /**
-     * When the connection of the next attempt must be up, as what is held waits for it. Guards against a cut read that ends well
-     * behind its release, while a server that is silent lets a connection hang.
-     */
-    private Instant upBy(OpenRequest r) {
-        if (r.mayHold) {
-            return due(r, CONNECT_SHARE);
+    private void stateDue(StateDue e) {
+        OpenRequest r = requests.get(e.request());
+        if (r != null && r.phase != Phase.STREAMING && r.attempts == e.attempts() && r.lease.held()) {
+            leaseOver(r);
         }
-        Duration within =
-                ModuleTime.span(Math.max(LEAST_CONNECT_S, settings.rules().releaseS() * CONNECT_SHARE));
-        return r.cutReaders.isEmpty() ? Instant.MAX : clock.instant().plus(within);
-    }
-
-    /** {@code share}: of the time in which what is held must be taken or let go. */
-    private Instant due(OpenRequest r, double share) {
-        return r.lastEnd.plus(ModuleTime.span(settings.rules().releaseS() * share));
     }
 
     /**
-     * Guards against a read that ended well just as its connection closed: its state is held though the module
-     * was told otherwise, and while no attempt is out it counts as pinned.
+     * Guards against a read that ended well just as its connection closed, of which the module was told otherwise, and against
+     * an attempt that is out and has not arrived. An attempt that has arrived and waits keeps its state: a release lets go of
+     * what no attempt waits for.
      */
-    private void stateDue(StateDue e) {
-        OpenRequest r = requests.get(e.request());
-        if (r != null && r.phase == Phase.OPEN && !r.out && r.attempts == e.attempts() && r.mayHold) {
-            release(r);
-        }
+    private void leaseOver(OpenRequest r) {
+        release(r, r.out ? ReleaseCause.UNANSWERED : ReleaseCause.UNTAKEN);
+        feed(new Api.StateReleased(r.key));
     }
 
     // ---- what the module asks ------------------------------------------------------------------
@@ -489,6 +493,9 @@
             if (r != null && r.out && r.attempts - 1 == a.attempt()) {
                 note(Recorder.What.CANCEL, r, null, a.why().name(), null);
                 metrics.causes().add(CauseCounts.Kind.CANCELLED, a.why());
+                if (a.why() != Api.Why.OVER) {
+                    log.note(r.ask.id(), "cancelled: " + a.why() + ", " + attemptOf(r));
+                }
                 r.at.tell(new PeerActor.Stop(a.request(), a.attempt()));
             }
         } else if (action instanceof Api.Transfer a) {
@@ -498,7 +505,7 @@
             if (r != null) {
                 r.releaseWanted = true;
                 if (!r.out) {
-                    release(r);
+                    release(r, ReleaseCause.ASKED);
                 }
             }
         } else if (action instanceof Api.Probe a) {
@@ -537,23 +544,23 @@
             ruleBroken(r, broken.get());
             throw new IllegalStateException("an attempt that the rules forbid: " + broken.get());
         }
-        // no connection could come up by then: the word of a read's end has waited
-        if (r.mayHold && !clock.instant().isBefore(due(r, r.cutReaders.isEmpty() ? CONNECT_SHARE : LET_GO_SHARE))) {
-            release(r);
+        if (r.lease.tooLateToConnect(clock.instant())) {
+            release(r, ReleaseCause.UNTAKEN); // the word of a read's end has waited
         }
-        if (!r.cutReaders.isEmpty()) {
+        if (!r.lease.cutReaders().isEmpty()) {
             releases.tell(new ReleaseActor.Taken(r.ask.id()));
         }
+        if (r.lastOutcome != null && r.lastOutcome != Outcome.READ) {
+            metrics.causes().add(CauseCounts.Kind.RETRIED, r.lastOutcome);
+        }
         r.out = true;
         r.until = ModuleTime.time(a.until());
         r.at = peer;
         r.releaseWanted = false;
-        r.reading = reading;
+        Instant connectBy = r.lease.connectBy(clock.instant());
+        r.lease.attemptBegan(a.server(), reading, clock.instant());
         r.rules.begun(!reading, clock.instant());
-        if (r.reading) {
-            r.lastReader = a.server();
-        }
-        boolean once = !r.reading
+        boolean once = !reading
                 && settings.classes().stream()
                         .anyMatch(c -> c.name().equals(r.ask.requestClass()) && c.effect() != Api.Effect.SAFE);
         recorder.note(
@@ -570,10 +577,11 @@
                 r.answer,
                 r.until,
                 Double.isInfinite(a.latest()) ? Instant.MAX : ModuleTime.time(a.latest()),
-                upBy(r),
+                connectBy,
                 once,
-                r.reading,
+                reading,
                 () -> r.phase == Phase.OVER));
+        watchLease(r);
     }
 
     private void note(Recorder.What what, OpenRequest r, String server, String text, Duration span) {
@@ -586,6 +594,9 @@
             note(what, r, null, why.name(), null);
             metrics.causes()
                     .add(what == Recorder.What.REFUSED ? CauseCounts.Kind.REFUSED : CauseCounts.Kind.FAILED, why);
+            if (r.attempts > 0) {
+                log.note(r.ask.id(), what.name().toLowerCase(Locale.ROOT) + ": " + why + ", " + attemptOf(r));
+            }
             r.rules.againstAnswer(clock.instant()).ifPresent(rule -> ruleBroken(r, rule));
             over(r, what == Recorder.What.REFUSED ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
             closing.add(r); // first, as the answer may fail
@@ -627,16 +638,28 @@
         metrics.ended(r.ask.requestClass(), end);
     }
 
-    private void release(OpenRequest r) {
-        note(Recorder.What.RELEASE, r, r.lastReader, null, null);
-        if (r.cutReaders.isEmpty()) {
-            releases.tell(new ReleaseActor.Release(r.ask.id(), r.lastReader, null));
+    private void release(OpenRequest r, ReleaseCause cause) {
+        note(Recorder.What.RELEASE, r, r.lease.lastReader(), cause.name(), null);
+        metrics.causes().add(CauseCounts.Kind.STATE_RELEASED, cause);
+        if (cause != ReleaseCause.ASKED && r.lease.held()) {
+            Duration held = r.lease.heldFor(clock.instant());
+            log.note(
+                    r.ask.id(),
+                    "its read state is released: " + cause + ", held for " + held.toMillis() + " ms, " + attemptOf(r));
+        }
+        String first = r.lease.lastReader();
+        if (r.lease.cutReaders().isEmpty()) {
+            releases.tell(new ReleaseActor.Release(r.ask.id(), first, null));
         }
         Instant last = clock.instant().isAfter(r.ask.deadline()) ? clock.instant() : r.ask.deadline();
         Instant until = last.plus(ModuleTime.span(settings.rules().releaseS()));
-        r.cutReaders.forEach(reader -> releases.tell(new ReleaseActor.Release(r.ask.id(), reader, until)));
+        r.lease.cutReaders().forEach(reader -> releases.tell(new ReleaseActor.Release(r.ask.id(), reader, until)));
         r.releaseWanted = false;
-        r.mayHold = false;
+        r.lease.ended();
+    }
+
+    private static String attemptOf(OpenRequest r) {
+        return "attempt " + Math.max(0, r.attempts - 1) + (r.out ? " out at " : " ended at ") + r.at.id();
     }
 
     /** A request that is over is kept while an attempt of it is out. */
--- a/src/main/java/copperbeam/routing/OpenRequest.java
+++ b/src/main/java/copperbeam/routing/OpenRequest.java
@@ -1,8 +1,7 @@
 package copperbeam.routing;
 
+import copperbeam.Api.Outcome;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.List;
 
 /** One request from its arrival until its final answer is given and no attempt is out; {@link ModuleActor}'s alone. */
 final class OpenRequest {
@@ -22,18 +21,15 @@
     boolean out;
     Instant until; // when the attempt that is out should have ended, unless it is a stream
     PeerActor at;
-    String lastReader;
-    boolean reading; // the last attempt is at a reader
-    final List<String> cutReaders =
-            new ArrayList<>(); // each may hold a state, or come to, that the module was not told of
-    Instant lastEnd; // of an attempt that had a connection
-    boolean mayHold; // something, since the last release
+    final StateLease lease;
+    Outcome lastOutcome; // of the last attempt that has ended, null before
     boolean releaseWanted;
 
-    OpenRequest(long key, Ask ask, Answer answer, RequestRules rules) {
+    OpenRequest(long key, Ask ask, Answer answer, RequestRules rules, StateLease lease) {
         this.key = key;
         this.ask = ask;
         this.answer = answer;
         this.rules = rules;
+        this.lease = lease;
     }
 }
--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 
@@ -56,6 +57,7 @@
         Instant giveUp;
         boolean resting; // heard, and to be said again
         boolean heardFirst; // by the server that may yet hold something
+        final Instant askedAt;
         final Set<String> tried = new HashSet<>();
         final Set<String> out = new HashSet<>();
         int step;
@@ -63,7 +65,8 @@
         int most;
         boolean late; // nobody has heard in the usual time: asked on, one at a time
 
-        Open(Release order) {
+        Open(Release order, Instant askedAt) {
+            this.askedAt = askedAt;
             id = order.id();
             first = order.first();
             until = order.until();
@@ -71,6 +74,7 @@
     }
 
     private final Clock clock;
+    private final RequestLog log;
     private final Duration within;
     private final Duration hedge;
     private final Map<Long, Open> open = new HashMap<>();
@@ -84,6 +88,7 @@
     public ReleaseActor(ScheduledExecutorService turns, Clock clock, Duration within) {
         super(turns);
         this.clock = clock;
+        log = new RequestLog(clock);
         this.within = within;
         // three of them, by which 85 servers have been asked, fit into the half of release_s that is left for them
         Duration share = within.dividedBy(16);
@@ -96,7 +101,8 @@
             peers = e.peers();
             heardFrom.retainAll(peers.keySet());
         } else if (m instanceof Release e) {
-            open.put(++tickets, new Open(e));
+            open.values().removeIf(o -> o.id.equals(e.id()) && Objects.equals(o.first, e.first())); // said anew
+            open.put(++tickets, new Open(e, clock.instant()));
             begin(tickets);
         } else if (m instanceof Taken e) {
             open.values().removeIf(o -> o.id.equals(e.id()) && o.resting);
@@ -147,6 +153,9 @@
         o.out.remove(e.at());
         o.heardFirst |= e.heard() && e.at().equals(o.first);
         if (e.heard() && !o.resting) {
+            if (o.tried.size() > 1) {
+                log.note(o.id, "its release was heard by " + e.at() + ", of " + asked(o));
+            }
             over(e.ticket(), o);
             // the outage is over, for this one and so for the others
             new HashMap<>(open).forEach((ticket, other) -> {
@@ -163,6 +172,9 @@
         Instant now = clock.instant();
         o.late = now.isAfter(o.giveUp);
         if (o.late && (o.until != null || idle != null || now.isAfter(o.giveUp.plus(within.multipliedBy(OUTLASTS))))) {
+            if (!o.heardFirst && !o.out.isEmpty()) {
+                log.note(o.id, "its release is given up, heard by none of " + asked(o));
+            }
             over(ticket, o);
             return;
         }
@@ -182,6 +194,11 @@
         tellFirstLater(o.late ? within.dividedBy(2) : hedge, new Hedge(ticket, o.step));
     }
 
+    private String asked(Open o) {
+        return o.tried.size() + " servers asked in "
+                + Duration.between(o.askedAt, clock.instant()).toMillis() + " ms";
+    }
+
     private void over(long ticket, Open o) {
         if (o.until == null || clock.instant().isAfter(o.until)) {
             open.remove(ticket);
--- a/src/test/java/copperbeam/model/Attempt.java
+++ b/src/test/java/copperbeam/model/Attempt.java
@@ -15,6 +15,7 @@
     final ModelServer server;
     final int number; // of those whose head has left
     long lastByteAt = -1;
+    long arrivedAt = -1; // its last byte, at a server that runs
     long overAt = -1;
     Proof proof = Proof.NONE;
     int eventsWritten;
@@ -34,6 +35,11 @@
         return lastByteAt >= 0 && overAt < 0;
     }
 
+    /** The same, and a running server has it. */
+    boolean arrivedAndOut() {
+        return arrivedAt >= 0 && overAt < 0;
+    }
+
     /** It had an effect, or nobody can tell. */
     boolean mayHaveRun() {
         return lastByteAt >= 0 && proof == Proof.NONE && server.role != copperbeam.Api.Role.READER;
--- a/src/test/java/copperbeam/model/ModelServer.java
+++ b/src/test/java/copperbeam/model/ModelServer.java
@@ -156,6 +156,7 @@
         if (x.closedAtServer()) {
             return;
         }
+        x.attempt.arrivedAt = world.time.now();
         Fault fault = x.fault;
         boolean full =
                 role == Api.Role.READER ? waitingTokens > queueMost * world.meanTokens() : waiting.size() >= queueMost;
