Regular looks go on after a failure: clocks, connections, connects

Cause: the executor never repeats a task that has thrown; of three such tasks only the hand-over's had a guard. Change: RegularTask guards, logs the first failure of a row and goes on, for all of them. Result: RegularTaskTest passes (a task that throws an Error runs on); its failure without the guard was not run.

--- a/src/main/java/copperbeam/program/Handover.java
+++ b/src/main/java/copperbeam/program/Handover.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
-import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -107,19 +106,11 @@
     void begin(ChangeListener its) {
         listener = its;
         thread.execute(this::act);
-        thread.scheduleWithFixedDelay(
-                () -> {
-                    try {
-                        open();
-                        change(s -> s);
-                        act();
-                    } catch (RuntimeException | Error e) { // else it would never look again
-                        LOG.log(Level.WARNING, "the hand-over goes on after a failure", e);
-                    }
-                },
-                LOOK.toMillis(),
-                LOOK.toMillis(),
-                TimeUnit.MILLISECONDS);
+        RegularTask.start(thread, LOOK, "the hand-over", () -> {
+            open();
+            change(s -> s);
+            act();
+        });
     }
 
     /** This process serves once {@code listen} is done, which is tried until it is; never where it stops before. */
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -116,8 +116,7 @@
         BanActor bans = config.control() == null ? null : new BanActor(turns, clock, list);
         handover = bans == null ? null : new Handover(config.shared(), config.name(), clock, bans);
         LaunchTimes launches = new LaunchTimes(clock, Clock.systemUTC());
-        turns.scheduleWithFixedDelay(
-                launches::look, CLOCK_LOOK.toMillis(), CLOCK_LOOK.toMillis(), TimeUnit.MILLISECONDS);
+        RegularTask.start(turns, CLOCK_LOOK, "the look at the clocks", launches::look);
         MembershipSource.Sink told = bans == null
                 ? change -> list.tell(new ListActor.Told(launches.steady(change), null))
                 : change -> bans.tell(new BanActor.Told(launches.steady(change)));
@@ -180,14 +179,12 @@
                 releases,
                 () -> resumedStreams.recent() >= MIN_RESUMED_STREAMS,
                 beside -> share(beside.another() ? config.limits().half() : config.limits(), beside.part()));
-        turns.scheduleWithFixedDelay(
-                () -> {
-                    servers().forEach(HttpFrontServer::tick);
-                    reactor.cancelOverdue();
-                },
-                HttpFrontServer.TICK.toMillis(),
-                HttpFrontServer.TICK.toMillis(),
-                TimeUnit.MILLISECONDS);
+        RegularTask.start(
+                turns,
+                HttpFrontServer.TICK,
+                "the look at connections",
+                () -> servers().forEach(HttpFrontServer::tick));
+        RegularTask.start(turns, HttpFrontServer.TICK, "the look at connects", reactor::cancelOverdue);
         boolean later = handover != null;
         if (!later) {
             listen();
