A request that waited with its connection to be accepted has that time deducted

Cause: the arrival was taken as the request was read. Change: Acceptor tells since when its queue may hold what it could not take; a request read within 50 ms of such a connection's accept counts from then. Result: QueuedRequestTest, accept failing for 1 s, fails before (two attempts told too much) and passes.

--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -9,9 +9,10 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
@@ -31,18 +32,27 @@
     private final ServerSocketChannel listener;
     private final Selector selector;
     private final InetSocketAddress address;
+    private final Clock clock;
     private final BooleanSupplier takes;
-    private final Consumer<SocketChannel> taker;
+    private final Taker taker;
+    private Instant
+            queuedSince; // when the kernel's queue was first left with what could not be taken; null: it was emptied
     private volatile boolean closing;
     private volatile boolean abandoned;
     private volatile boolean ended;
 
+    /** Who serves the connections. */
+    interface Taker {
+        /** {@code queuedSince}: the connection may have waited in the kernel's queue from then on, with a request sent. */
+        void take(SocketChannel channel, Instant queuedSince);
+    }
+
     /**
      * {@code shared}: another process may listen at the same address beside this one; {@code takes}: whether the taker
      * can take one more, else clients wait in the kernel's queue.
      */
-    Acceptor(InetSocketAddress at, boolean shared, BooleanSupplier takes, Consumer<SocketChannel> taker)
-            throws IOException {
+    Acceptor(InetSocketAddress at, boolean shared, Clock clock, BooleanSupplier takes, Taker taker) throws IOException {
+        this.clock = clock;
         this.takes = takes;
         this.taker = taker;
         listener = ServerSocketChannel.open();
@@ -124,6 +134,7 @@
                 // no descriptor is left for a moment: clients wait in the kernel's queue, and nothing is said of it
                 // before one is free, as the log itself may want one
                 missed++;
+                queueLeft();
                 pause(AGAIN);
             } catch (RuntimeException | Error e) { // would end the thread, and nobody be taken any more
                 LOG.log(Level.SEVERE, "a connection could not be taken", e);
@@ -143,14 +154,20 @@
         while (takes.getAsBoolean()) {
             SocketChannel next = listener.accept();
             if (next == null) {
+                queuedSince = null;
                 return false;
             }
-            taker.accept(next);
+            taker.take(next, queuedSince == null ? clock.instant() : queuedSince);
         }
+        queueLeft();
         pause(SOON);
         return true;
     }
 
+    private void queueLeft() {
+        queuedSince = queuedSince == null ? clock.instant() : queuedSince;
+    }
+
     private void pause(Duration span) {
         try {
             Thread.sleep(span.toMillis());
@@ -178,11 +195,11 @@
 
         private Entrance() {}
 
-        /** False where the reactor takes none any more; the connection is closed then. */
-        static boolean enter(DefaultListeningIOReactor reactor, SocketChannel channel) {
+        /** False where the reactor takes none any more; the connection is closed then. The instant is its attachment. */
+        static boolean enter(DefaultListeningIOReactor reactor, SocketChannel channel, Instant queuedSince) {
             try {
                 channel.configureBlocking(false);
-                ENQUEUE.invoke(reactor, ENTRY.newInstance(channel, null));
+                ENQUEUE.invoke(reactor, ENTRY.newInstance(channel, queuedSince));
                 return true;
             } catch (ReflectiveOperationException | IOException e) {
                 LOG.warning("a connection could not be handed on: " + e);
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -24,6 +24,8 @@
     private static final Duration STAY = Duration.ofSeconds(2); // for which a connection may stand idle in any case
     private static final Duration SILENT = Duration.ofMillis(500); // after which one that said nothing may go
 
+    private static final Duration CAME_ALONG =
+            Duration.ofMillis(50); // from a connection's accept until a request that came with it is read
     private static final int MOST_BEYOND = 8; // of the program's own descriptors, for connections that are told no
 
     /** One client's connection. */
@@ -34,6 +36,8 @@
         private final AtomicInteger open = new AtomicInteger();
         private volatile Instant idleSince;
         final boolean beyond; // the limit: its requests are refused
+        Instant queuedSince; // it may have waited from then on to be accepted; null: no more request came with it; the
+        // reactor's
         volatile boolean heard; // a byte has come
         volatile boolean body; // of a request whose body is not whole yet
         boolean deaf; // to more requests; the reactor's
@@ -67,6 +71,18 @@
             }
         }
 
+        /**
+         * When a request that is read now may have been sent. Guards against servers being told the time that a client had
+         * before its connection, with the request behind it, waited to be accepted.
+         */
+        Instant sentSince(Instant now) {
+            boolean cameAlong =
+                    queuedSince != null && !connected.plus(CAME_ALONG).isBefore(now);
+            Instant since = cameAlong ? queuedSince : now;
+            queuedSince = null;
+            return since;
+        }
+
         boolean busy() {
             return open.get() > 0;
         }
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -112,7 +112,7 @@
         AtomicBoolean ended = new AtomicBoolean();
         AtomicInteger handedOn = new AtomicInteger();
         DefaultListeningIOReactor next = new DefaultListeningIOReactor(
-                (session, attachment) -> handler(session, handedOn),
+                (session, attachment) -> handler(session, (Instant) attachment, handedOn),
                 config,
                 task -> thread(task, "from-clients", ended),
                 task -> thread(task, "unused", ended),
@@ -171,16 +171,17 @@
                 && room.takes(coming, clock.instant());
     }
 
-    private void take(SocketChannel channel) {
+    private void take(SocketChannel channel, Instant queuedSince) {
         Inlet now = inlet;
         now.handedOn().incrementAndGet();
-        if (!Acceptor.Entrance.enter(now.reactor(), channel)) {
+        if (!Acceptor.Entrance.enter(now.reactor(), channel, queuedSince)) {
             now.handedOn().decrementAndGet(); // else 16 of them would keep all others out for good
         }
     }
 
-    private IOEventHandler handler(ProtocolIOSession session, AtomicInteger handedOn) {
+    private IOEventHandler handler(ProtocolIOSession session, Instant queuedSince, AtomicInteger handedOn) {
         ClientRoom.Client client = room.enter(session, clock.instant());
+        client.queuedSince = queuedSince;
         handedOn.decrementAndGet(); // after it is in the room: a stop must never see it in neither
         RequestParser parser = new RequestParser(CONFIG);
         return new Handler(
@@ -500,7 +501,7 @@
     /** {@code shared}: beside another process. Returns the address it has got, of use where port 0 was asked for. */
     public InetSocketAddress listen(InetSocketAddress address, boolean shared) throws IOException {
         try {
-            acceptor = new Acceptor(address, shared, this::takes, this::take);
+            acceptor = new Acceptor(address, shared, clock, this::takes, this::take);
         } catch (IOException e) {
             throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
         }
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -112,7 +112,7 @@
         request = head;
         responses = channel;
         context = ctx;
-        arrived = clock.instant();
+        arrived = client.sentSince(clock.instant());
         client.reading = this;
         client.body = entity != null;
         if (client.unreadable != null) {
--- /dev/null
+++ b/src/test/java/copperbeam/soak/QueuedRequestTest.java
@@ -0,0 +1,45 @@
+package copperbeam.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import copperbeam.soak.HttpConnection.Message;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** A request waits behind its connection in the system's queue, as nobody can be accepted: its client's time runs all the same. */
+public class QueuedRequestTest {
+    private static final int EMFILE = 24;
+    private static final long DEADLINE_MS = 2000;
+    private static final long QUEUED_MS = 1000;
+    private static final int PATIENCE_MS = 5000;
+
+    @Test
+    public void serversAreToldTheTimeThatIsLeft() throws Exception {
+        SoakSettings settings = SoakSettings.usual(1, true);
+        try (SoakSite site = new SoakSite(new Random(1), null)) {
+            ConductorProcess conductor = site.addConductor(Files.createTempDirectory("queued"), false, settings.text());
+            site.addServer(Role.READER, 0);
+            site.addServer(Role.WRITER, 0);
+            site.start();
+            conductor.shim.fail(Fault.ACCEPT, EMFILE, Long.MAX_VALUE);
+            try (HttpConnection connection = HttpConnection.to(conductor.address, PATIENCE_MS)) {
+                connection.timeout(PATIENCE_MS);
+                site.history.add(new Observation.Sent(
+                        System.nanoTime(), "queued", RequestKind.SAFE, conductor.name, DEADLINE_MS));
+                connection.send(ClientDriver.text("queued", RequestKind.SAFE, "s", DEADLINE_MS, "{}"));
+                Thread.sleep(QUEUED_MS); // as long as nobody can be accepted
+                conductor.shim.fail(Fault.ACCEPT, 0, 0);
+                Message answer = connection.read();
+                assertEquals(answer.word(1), "200");
+                site.history.add(
+                        new Observation.Answered(System.nanoTime(), "queued", 200, answer.whole(), answer.body()));
+            }
+            List<Observation> seen = site.history.inOrder();
+            assertTrue(seen.stream().anyMatch(Observation.AttemptArrived.class::isInstance), "it was sent on");
+            assertEquals(Oracle.judge(seen, settings.terms(0)), List.of());
+        }
+    }
+}
--- a/src/test/java/copperbeam/transport/AcceptorTest.java
+++ b/src/test/java/copperbeam/transport/AcceptorTest.java
@@ -4,6 +4,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.time.Clock;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
@@ -19,11 +20,12 @@
         Acceptor acceptor = new Acceptor(
                 ANY,
                 false,
+                Clock.systemUTC(),
                 () -> {
                     asked.countDown();
                     return false;
                 },
-                channel -> {});
+                (channel, queuedSince) -> {});
         try (SocketChannel client = SocketChannel.open(acceptor.address())) {
             asked.await(); // it has waited at least once
             acceptor.abandon();
