SIGHUP is caught first in a start

Cause: the soak's series of signals ended a process in its start (exit 129): the handler came after the command line was read. Change: Reload.onHangup stands first in main and keeps signals until the configuration and the node are there. Result: ReloadTest, StartTest, RehearsalTest pass. The time before main stays the JVM's, which ends on SIGHUP.

--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -35,9 +35,12 @@
     public static void main(String[] args) throws Exception {
         // before its class is initialized, and any logger is made
         System.setProperty("java.util.logging.manager", StopLogManager.class.getName());
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+        // before all else: without a handler the signal ends the program, and with it what was just taken
+        Reload reload = Arrays.asList(args).contains("serve") ? Reload.onHangup() : null;
         int code;
         try {
-            code = run(args);
+            code = run(args, reload);
         } catch (RuntimeException | Error e) {
             // threads that were begun would keep the process, which neither serves nor ends
             Logger.getLogger(Main.class.getName()).log(Level.SEVERE, "copperbeam could not start", e);
@@ -48,9 +51,8 @@
         }
     }
 
-    /** The exit code; below 0 where the program goes on. */
-    static int run(String[] args) throws Exception {
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+    /** The exit code; below 0 where the program goes on. {@code reload}: what SIGHUP does, for {@code serve} alone. */
+    static int run(String[] args, Reload reload) throws Exception {
         Options options = options();
         CommandLine line;
         try {
@@ -69,7 +71,7 @@
         }
         switch (command) {
             case "serve":
-                return serve(line);
+                return serve(line, reload);
             case "check-config":
                 return config(line) == null ? 1 : 0;
             case "explain":
@@ -147,7 +149,7 @@
         }
     }
 
-    private static int serve(CommandLine line) throws InterruptedException {
+    private static int serve(CommandLine line, Reload reload) throws InterruptedException {
         Path record = line.hasOption("record")
                 ? Path.of(line.getOptionValue("record")
                         .replace("%p", Long.toString(ProcessHandle.current().pid())))
@@ -163,17 +165,16 @@
             return 2;
         }
         CompletableFuture<Node> running = new CompletableFuture<>();
-        // both before all else: without a handler the signal ends the program, and with it what was just taken
-        Reload.onHangup(() -> Config.reread(System.getenv(), line.getOptionValue("operator")), running);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "stop"));
         try {
-            return serve(line, running, record, recordKb);
+            return serve(line, reload, running, record, recordKb);
         } finally {
             running.completeExceptionally(new IllegalStateException("not started"));
         }
     }
 
-    private static int serve(CommandLine line, CompletableFuture<Node> running, Path record, int recordKb)
+    private static int serve(
+            CommandLine line, Reload reload, CompletableFuture<Node> running, Path record, int recordKb)
             throws InterruptedException {
         Config config = config(line);
         if (config == null) {
@@ -187,6 +188,7 @@
             return 1;
         }
         running.complete(node);
+        reload.begin(() -> Config.reread(System.getenv(), line.getOptionValue("operator")), node);
         if (record != null) {
             Signal.handle(new Signal("USR2"), signal -> node.record());
         }
--- a/src/main/java/copperbeam/program/Rehearsal.java
+++ b/src/main/java/copperbeam/program/Rehearsal.java
@@ -12,7 +12,6 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 
 /**
  * A short life of a conductor on the loopback, at build time, so that the JVM can store the classes that a start and
@@ -79,10 +78,9 @@
     }
 
     private static void live(Map<String, String> environment) throws IOException, InterruptedException {
-        CompletableFuture<Node> running = new CompletableFuture<>();
-        Reload.onHangup(() -> Config.reread(environment, null), running);
+        Reload reload = Reload.onHangup();
         try (Node node = new Node(Config.read(environment, null))) {
-            running.complete(node);
+            reload.begin(() -> Config.reread(environment, null), node);
             node.awaitWarm();
             int served = 0;
             for (int i = 0; i < REQUESTS; i++) {
--- a/src/main/java/copperbeam/program/Reload.java
+++ b/src/main/java/copperbeam/program/Reload.java
@@ -16,24 +16,35 @@
 
     private static final Logger LOG = Logger.getLogger(Reload.class.getName());
 
+    private final CompletableFuture<Source> source = new CompletableFuture<>();
+    private final CompletableFuture<Node> running = new CompletableFuture<>();
+
     private Reload() {}
 
     /**
-     * Guards against the JVM's own answer to SIGHUP, which is to end. Signals that come close together are
-     * taken one after another, so that the file read last is the one that counts.
+     * Guards against the JVM's own answer to SIGHUP, which is to end: to be called first in a start. Signals that come close
+     * together, or before {@link #begin}, are taken one after another, so that the file read last is the one that counts.
      */
-    static void onHangup(Source source, CompletableFuture<Node> running) {
+    static Reload onHangup() {
+        Reload reload = new Reload();
         ExecutorService one = Executors.newSingleThreadExecutor(task -> {
             Thread thread = new Thread(task, "reload");
             thread.setDaemon(true);
             return thread;
         });
-        SignalHandler before =
-                Signal.handle(new Signal("HUP"), signal -> one.execute(() -> reload(source, running.join())));
+        SignalHandler before = Signal.handle(
+                new Signal("HUP"), signal -> one.execute(() -> reload(reload.source.join(), reload.running.join())));
         if (before == SignalHandler.SIG_IGN) {
             // the JVM leaves alone what its parent ignores, and says nothing of it
             LOG.warning("SIGHUP is ignored by whoever started this, as nohup does: no configuration will be read anew");
         }
+        return reload;
+    }
+
+    /** What the signals that have come, and those to come, are for. */
+    void begin(Source configuration, Node node) {
+        source.complete(configuration);
+        running.complete(node);
     }
 
     /** A faulty file changes nothing. */
