Soak: its stand-ins leave the processor to the conductors, and their lateness is told

The conductors' part was ordinary. Change: proxies block in accept and are woken as their mode changes; one collector thread; the worst lateness is measured, printed and added to the oracle's slack; a run that serves under a quarter fails. Short seeded runs in SoakTest.

--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -78,7 +78,7 @@
     private final InetSocketAddress server;
     private final ServerSocket listener;
     private final Queue<Link> links = new ConcurrentLinkedQueue<>();
-    volatile Mode mode = Mode.PASS;
+    private volatile Mode mode = Mode.PASS;
     /** A planted fault: what the conductor sends is changed on its way. */
     volatile UnaryOperator<String> plant;
 
@@ -86,7 +86,6 @@
         this.conductor = conductor;
         this.server = server;
         listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-        listener.setSoTimeout(LOOK_MS);
         Daemon.start("proxy", this::accept);
     }
 
@@ -99,42 +98,70 @@
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
+    /** What the network does from now on. */
+    void mode(Mode next) throws IOException {
+        mode = next;
+        if (holdsConnectionsUp()) {
+            wakeUp();
+        }
+    }
+
+    private boolean holdsConnectionsUp() {
+        return mode == Mode.SILENT || mode == Mode.LATE;
+    }
+
+    /** Ends the accept of a network that was whole: looking at the mode each few milliseconds took a core for 80 of them. */
+    private void wakeUp() throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(listener.getLocalSocketAddress(), LOOK_MS);
+        } catch (SocketTimeoutException e) {
+            Thread.yield(); // its queue is full, so that nobody waits there
+        }
+    }
+
     /** While no connection comes up, those that fill the system's queue have it drop all others. */
     private void accept() throws IOException, InterruptedException {
         List<Socket> fillers = new ArrayList<>();
+        boolean full = false;
         while (true) {
-            if (mode == Mode.SILENT || mode == Mode.LATE) {
-                fill(fillers);
+            if (holdsConnectionsUp()) {
+                full = full || fill(fillers);
                 Thread.sleep(LOOK_MS);
                 continue;
             }
-            try {
-                Socket near = listener.accept();
-                boolean filler = fillers.stream().anyMatch(f -> f.getLocalPort() == near.getPort());
-                if (filler) {
-                    near.close();
-                } else {
-                    Daemon.start("link", () -> connect(near));
-                }
-            } catch (SocketTimeoutException e) {
-                for (Socket filler : fillers) {
-                    filler.close();
-                }
-                fillers.clear(); // none of them waits any more
+            full = false;
+            Socket near = listener.accept();
+            if (closeFiller(fillers, near.getPort())) {
+                near.close();
+            } else {
+                Daemon.start("link", () -> connect(near));
+            }
+        }
+    }
+
+    private static boolean closeFiller(List<Socket> fillers, int port) throws IOException {
+        for (Socket filler : fillers) {
+            if (filler.getLocalPort() == port) {
+                filler.close();
+                return fillers.remove(filler);
             }
         }
+        return false;
     }
 
-    private void fill(List<Socket> fillers) throws IOException {
+    /** Whether the queue is full. */
+    private boolean fill(List<Socket> fillers) throws IOException {
         while (fillers.size() <= BACKLOG) {
             Socket filler = new Socket();
-            fillers.add(filler);
             try {
                 filler.connect(listener.getLocalSocketAddress(), LOOK_MS);
+                fillers.add(filler);
             } catch (SocketTimeoutException e) {
-                return; // it is full
+                filler.close();
+                return true;
             }
         }
+        return false;
     }
 
     private void connect(Socket near) throws IOException, InterruptedException {
--- a/src/soak/java/copperbeam/soak/Soak.java
+++ b/src/soak/java/copperbeam/soak/Soak.java
@@ -6,6 +6,7 @@
 
 /** The command line of the soak: {@code FIRST_SEED SEEDS [SECONDS [CONDUCTORS [CLIENTS]]]}. Exits with 1 where a rule was broken. */
 public final class Soak {
+    private static final int LEAST_SERVED_PART = 4; // one request in so many, or a run tells nothing
     private static final Path FOLDER = Path.of("target", "soak");
 
     private Soak() {}
@@ -27,14 +28,16 @@
             SoakRun.Size size = new SoakRun.Size(conductors, clients, 3, 5, seconds * 1000L, null);
             try (SoakRun run = new SoakRun(seed, size, folder)) {
                 List<Violation> violations = run.play();
+                boolean tells = run.served() * LEAST_SERVED_PART >= run.sent();
                 System.out.println("seed " + seed + ": " + run.sent() + " sent, " + run.served() + " served, "
-                        + violations.size() + " rules broken");
+                        + violations.size() + " rules broken, stand-ins late by " + run.worstLatenessMs()
+                        + " ms at worst" + (tells ? "" : ": too little was served to tell anything"));
                 for (Violation v : violations) {
                     System.out.println("  " + v.rule() + " " + v.subject() + ": " + v.detail());
                     Path evidence = folder.resolve(v.rule() + "-" + v.subject());
                     Files.write(evidence, run.evidence(v));
                 }
-                broken |= !violations.isEmpty();
+                broken |= !violations.isEmpty() || !tells;
             }
         }
         System.exit(broken ? 1 : 0);
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -62,6 +62,7 @@
     private final SoakSettings settings;
     private final SoakSite site;
     private final AtomicBoolean over = new AtomicBoolean();
+    private final Lateness lateness = new Lateness();
     private final Map<String, AtomicBoolean> busy = new ConcurrentHashMap<>(); // conductors that are stopped or started
 
     /** {@code folder}: where the processes' logs and recordings stay. */
@@ -86,6 +87,7 @@
     /** Plays the run; the rules that were broken. */
     public List<Violation> play() throws IOException, InterruptedException {
         site.start();
+        Daemon.start("lateness", () -> lateness.measure(over));
         TroublePlan plan = TroublePlan.draw(random, size.lengthMs());
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < size.clients(); i++) {
@@ -122,7 +124,7 @@
         for (ConductorProcess conductor : site.conductors) {
             end(conductor);
         }
-        return Oracle.judge(site.history.inOrder(), settings.terms(SLACK_MS));
+        return Oracle.judge(site.history.inOrder(), settings.terms(SLACK_MS + lateness.worstMs()));
     }
 
     /** What was seen of the subject of a broken rule, with the troubles of that time; times in ms from the first line. */
@@ -143,6 +145,11 @@
                 .toList();
     }
 
+    /** How late the stand-ins were at worst, as the machine had other work: so much more the oracle bears. */
+    public long worstLatenessMs() {
+        return lateness.worstMs();
+    }
+
     /** So many requests got a whole 200. */
     public long served() {
         return site.history.inOrder().stream()
@@ -203,7 +210,9 @@
                 agent.mode = DiscoveryAgent.Mode.UP;
             }
             case RELOAD -> {
-                for (int signals = 1 + t.draw() % 3; signals > 0; signals--) {
+                // a process that has not begun its main method is ended by the signal, which nobody can change there
+                boolean starts = busy.get(conductor.name).get();
+                for (int signals = starts ? 0 : 1 + t.draw() % 3; signals > 0; signals--) {
                     site.newAgent(conductor);
                     ConductorProcess.signal(conductor.process(), "HUP");
                     Thread.sleep(t.target() % SIGNAL_PAUSE_MS);
@@ -248,10 +257,15 @@
         ConductorProcess.signal(process, "CONT");
     }
 
-    private static void network(List<FaultProxy> which, FaultProxy.Mode mode, Trouble t) throws InterruptedException {
-        which.forEach(p -> p.mode = mode);
+    private static void network(List<FaultProxy> which, FaultProxy.Mode mode, Trouble t)
+            throws IOException, InterruptedException {
+        for (FaultProxy proxy : which) {
+            proxy.mode(mode);
+        }
         Thread.sleep(t.lengthMs());
-        which.forEach(p -> p.mode = FaultProxy.Mode.PASS);
+        for (FaultProxy proxy : which) {
+            proxy.mode(FaultProxy.Mode.PASS);
+        }
     }
 
     /** One that keeps its role has to stay, as nothing is served without it. */
--- a/src/test/java/copperbeam/soak/SoakTest.java
+++ b/src/test/java/copperbeam/soak/SoakTest.java
@@ -14,6 +14,8 @@
 public class SoakTest {
     private static final long PLANTED_SEED = 4;
     private static final long LENGTH_MS = 3500;
+    private static final long TROUBLED_MS = 11_000;
+    private static final int LEAST_SERVED_PART = 5; // one in so many, else the run tells nothing
 
     @DataProvider
     public Object[][] plants() {
@@ -34,6 +36,23 @@
         }
     }
 
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{41}, {42}, {45}}; // 41 and 45 with a crowd, 42 where streams resume
+    }
+
+    /** The soak itself, short; docs/fault-soak.md has the long runs by hand. */
+    @Test(dataProvider = "seeds")
+    public void overlappingTroublesBreakNoRule(int seed) throws Exception {
+        SoakRun.Size size = new SoakRun.Size(3, 12, 3, 5, TROUBLED_MS, null);
+        try (SoakRun run = new SoakRun(seed, size, Files.createTempDirectory("soak"))) {
+            List<Violation> violations = run.play();
+            violations.forEach(v -> run.evidence(v).forEach(System.out::println));
+            assertEquals(violations, List.of());
+            assertTrue(run.served() > run.sent() / LEAST_SERVED_PART, run.served() + " served of " + run.sent());
+        }
+    }
+
     @Test
     public void withoutTroublesNoRuleIsBroken() throws Exception {
         SoakRun.Size size = new SoakRun.Size(2, 12, 2, 2, LENGTH_MS, null);
