Accept that is slow counts as waiting, and a stop ends where a crowd keeps coming

Change: a connection counts as queued from the select that found its queue filled; at most half of a request's time is deducted, as nobody can tell in a crowd how long one waited. From the step ANSWER on the address is given up with what waits there unread. Soak: the crowd comes only while clients do; an attempt ends once its answer has passed the network, as the conductor can't know of it before.

--- a/src/main/java/copperbeam/program/LifecycleActor.java
+++ b/src/main/java/copperbeam/program/LifecycleActor.java
@@ -157,6 +157,7 @@
         for (Step s : Step.values()) {
             if (s.compareTo(step) > 0 && s.compareTo(next) <= 0) {
                 if (s == Step.ANSWER) {
+                    fronts.forEach(HttpFrontServer::abandonAddress);
                     module.tell(new ModuleActor.HandOver());
                 } else if (s == Step.CUT) {
                     module.tell(new ModuleActor.Cut());
--- a/src/main/java/copperbeam/protocol/HttpCall.java
+++ b/src/main/java/copperbeam/protocol/HttpCall.java
@@ -1,6 +1,7 @@
 package copperbeam.protocol;
 
 import copperbeam.routing.Ask;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
 
@@ -9,10 +10,17 @@
  *
  * @param headers by names in lower case
  * @param arrived when its first byte was read
+ * @param queued how long it may have waited before that, behind a connection that was not accepted yet
  */
-public record HttpCall(String method, String target, Map<String, String> headers, byte[] body, Instant arrived)
+public record HttpCall(
+        String method, String target, Map<String, String> headers, byte[] body, Instant arrived, Duration queued)
         implements Ask.Payload {
 
+    /** One that was read as it came. */
+    public HttpCall(String method, String target, Map<String, String> headers, byte[] body, Instant arrived) {
+        this(method, target, headers, body, arrived, Duration.ZERO);
+    }
+
     public String path() {
         int query = target.indexOf('?');
         return query < 0 ? target : target.substring(0, query);
--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -10,6 +10,7 @@
 import copperbeam.routing.Intake;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -89,11 +90,21 @@
                 attrs.promptTokens(),
                 attrs.prefixTokens(),
                 attrs.maxAnswerTokens(),
-                call.arrived().plus(timeout).minus(MARGIN),
+                deadline(call, timeout),
                 HttpCall.resumes(call.header("x-retried")),
                 call);
     }
 
+    /**
+     * Less what the request may have waited unread. In a crowd that comes without end nobody can tell how long that was, so that
+     * half of its time is left in any case.
+     */
+    private static Instant deadline(HttpCall call, Duration timeout) {
+        Duration half = timeout.dividedBy(2);
+        Duration queued = call.queued().compareTo(half) < 0 ? call.queued() : half;
+        return call.arrived().plus(timeout).minus(queued).minus(MARGIN);
+    }
+
     private static void text(HttpReply reply, int status, String text) {
         reply.whole(status, "text/plain", Map.of(), (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -125,6 +125,7 @@
                     selector.select(TICK.toMillis());
                     selector.selectedKeys().clear();
                 }
+                queuedSince = queuedSince == null ? clock.instant() : queuedSince;
                 left = take();
                 if (missed > 0 && !left) {
                     LOG.warning("no connection could be taken, tried " + missed + " times");
@@ -134,7 +135,6 @@
                 // no descriptor is left for a moment: clients wait in the kernel's queue, and nothing is said of it
                 // before one is free, as the log itself may want one
                 missed++;
-                queueLeft();
                 pause(AGAIN);
             } catch (RuntimeException | Error e) { // would end the thread, and nobody be taken any more
                 LOG.log(Level.SEVERE, "a connection could not be taken", e);
@@ -157,17 +157,12 @@
                 queuedSince = null;
                 return false;
             }
-            taker.take(next, queuedSince == null ? clock.instant() : queuedSince);
+            taker.take(next, queuedSince);
         }
-        queueLeft();
         pause(SOON);
         return true;
     }
 
-    private void queueLeft() {
-        queuedSince = queuedSince == null ? clock.instant() : queuedSince;
-    }
-
     private void pause(Duration span) {
         try {
             Thread.sleep(span.toMillis());
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -72,15 +72,15 @@
         }
 
         /**
-         * When a request that is read now may have been sent. Guards against servers being told the time that a client had
-         * before its connection, with the request behind it, waited to be accepted.
+         * How long a request that is read now may have waited behind its connection, until that was accepted. Guards against
+         * servers being told the time that its client had before.
          */
-        Instant sentSince(Instant now) {
+        Duration queued(Instant now) {
             boolean cameAlong =
                     queuedSince != null && !connected.plus(CAME_ALONG).isBefore(now);
-            Instant since = cameAlong ? queuedSince : now;
+            Duration queued = cameAlong ? Duration.between(queuedSince, now) : Duration.ZERO;
             queuedSince = null;
-            return since;
+            return queued;
         }
 
         boolean busy() {
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -531,6 +531,16 @@
         }
     }
 
+    /**
+     * The address is given up whatever still waits there: unread, its clients send it once more elsewhere. Guards against
+     * clients that come faster than they are let go, for whom a stop would go on until the kill.
+     */
+    public void abandonAddress() {
+        if (acceptor != null) {
+            acceptor.abandon();
+        }
+    }
+
     /** At the address given up before, unless it was not; false where that can't be had now. */
     public boolean listenAgain() {
         Acceptor old = acceptor;
@@ -587,9 +597,7 @@
     @Override
     public void close() {
         closing.set(true);
-        if (acceptor != null) {
-            acceptor.abandon(); // else its thread would wait for the reactor's place for good
-        }
+        abandonAddress(); // else its thread would wait for the reactor's place for good
         inlet.reactor().close(CloseMode.GRACEFUL);
     }
 }
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -83,6 +83,7 @@
     private HttpRequest request;
     private HttpContext context;
     private Instant arrived;
+    private Duration queued; // before that, at most
     private boolean answered;
     private boolean unread; // the rest of the request stays on the connection
     private int held; // bytes of the body, counted in the room until all is over
@@ -112,7 +113,8 @@
         request = head;
         responses = channel;
         context = ctx;
-        arrived = client.sentSince(clock.instant());
+        arrived = clock.instant();
+        queued = client.queued(arrived);
         client.reading = this;
         client.body = entity != null;
         if (client.unreadable != null) {
@@ -212,7 +214,12 @@
         try {
             toldGone = front.accept(
                     new HttpCall(
-                            request.getMethod(), request.getPath(), Map.copyOf(headers), body.toByteArray(), arrived),
+                            request.getMethod(),
+                            request.getPath(),
+                            Map.copyOf(headers),
+                            body.toByteArray(),
+                            arrived,
+                            queued),
                     this);
         } catch (RuntimeException | Error e) { // HttpCore would close the connection without an answer
             LOG.log(Level.SEVERE, "a front failed on a request", e);
--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -37,6 +37,7 @@
     /** One connection through the network. */
     static final class Link {
         final String conductor;
+        private final FaultProxy network;
         private final Socket near;
         private final Socket far;
         private volatile long closedAt = Long.MAX_VALUE;
@@ -44,8 +45,9 @@
         private volatile boolean endedByNetwork;
         private volatile long readAt;
 
-        Link(String conductor, Socket near, Socket far) {
-            this.conductor = conductor;
+        Link(FaultProxy network, Socket near, Socket far) {
+            this.network = network;
+            conductor = network.conductor;
             this.near = near;
             this.far = far;
         }
@@ -55,6 +57,13 @@
             return closedAt;
         }
 
+        /** Waits while the network holds back what the server has written, and the conductor has not given it up. */
+        void awaitDelivery() throws InterruptedException {
+            while (network.mode == Mode.SILENT && closedAt == Long.MAX_VALUE) {
+                Thread.sleep(LOOK_MS);
+            }
+        }
+
         /** When the last bytes came from the conductor, however long they were on their way from here. */
         long readAt() {
             return readAt;
@@ -168,7 +177,7 @@
         near.setTcpNoDelay(true);
         Socket far = new Socket();
         far.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        Link link = new Link(conductor, near, far);
+        Link link = new Link(this, near, far);
         BY_PORT.put(far.getLocalPort(), link);
         links.add(link);
         try {
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -132,6 +132,7 @@
         AttemptEnd end = AttemptEnd.FAILED;
         try {
             end = carryOut(connection, link, name, attempt);
+            link.awaitDelivery(); // nobody can know of its end before
         } finally {
             long closed = link.closedAt();
             boolean givenUp = closed <= System.nanoTime() && end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED;
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -313,6 +313,10 @@
     private void keepCrowd(ConductorProcess conductor) throws InterruptedException {
         Deque<HttpConnection> idle = new ArrayDeque<>();
         while (!over.get()) {
+            if (!conductor.takesClients()) {
+                Thread.sleep(CROWD_LOOK_MS);
+                continue;
+            }
             try {
                 idle.add(HttpConnection.to(conductor.address, CROWD_LOOK_MS));
                 if (idle.size() > LARGE_CROWD) {
