A release that nobody has heard goes on after a cut read too; soak's queue is dropped

Change: heard by nobody, every release is tried on; a request read within 1 s of its connection's accept counts as queued with it.

--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -56,6 +56,7 @@
         Instant until;
         Instant giveUp;
         boolean resting; // heard, and to be said again
+        boolean heard; // by some server, ever
         boolean heardFirst; // by the server that may yet hold something
         final Instant askedAt;
         final Set<String> tried = new HashSet<>();
@@ -151,6 +152,7 @@
             return;
         }
         o.out.remove(e.at());
+        o.heard |= e.heard();
         o.heardFirst |= e.heard() && e.at().equals(o.first);
         if (e.heard() && !o.resting) {
             if (o.tried.size() > 1) {
@@ -171,8 +173,9 @@
     private void ask(long ticket, Open o) {
         Instant now = clock.instant();
         o.late = now.isAfter(o.giveUp);
-        if (o.late && (o.until != null || idle != null || now.isAfter(o.giveUp.plus(within.multipliedBy(OUTLASTS))))) {
-            if (!o.heardFirst && !o.out.isEmpty()) {
+        boolean outlasted = now.isAfter(o.giveUp.plus(within.multipliedBy(OUTLASTS)));
+        if (o.late && (o.heard || idle != null || outlasted)) {
+            if (!o.heard) {
                 log.note(o.id, "its release is given up, heard by none of " + asked(o));
             }
             over(ticket, o);
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -25,7 +25,7 @@
     private static final Duration SILENT = Duration.ofMillis(500); // after which one that said nothing may go
 
     private static final Duration CAME_ALONG =
-            Duration.ofMillis(50); // from a connection's accept until a request that came with it is read
+            Duration.ofSeconds(1); // from a connection's accept until a request that came with it is read, in a crowd
     private static final int MOST_BEYOND = 8; // of the program's own descriptors, for connections that are told no
 
     /** One client's connection. */
--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -138,24 +138,31 @@
                 Thread.sleep(LOOK_MS);
                 continue;
             }
-            full = false;
-            Socket near = listener.accept();
-            if (closeFiller(fillers, near.getPort())) {
-                near.close();
-            } else {
-                Daemon.start("link", () -> connect(near));
+            if (full) {
+                full = false;
+                dropQueued(fillers);
             }
+            Socket near = listener.accept();
+            Daemon.start("link", () -> connect(near));
         }
     }
 
-    private static boolean closeFiller(List<Socket> fillers, int port) throws IOException {
+    /** What the system's queue took meanwhile had no way to the server: it is reset, whatever was written to it. */
+    private void dropQueued(List<Socket> fillers) throws IOException {
         for (Socket filler : fillers) {
-            if (filler.getLocalPort() == port) {
-                filler.close();
-                return fillers.remove(filler);
+            filler.close();
+        }
+        fillers.clear();
+        listener.setSoTimeout(LOOK_MS);
+        try {
+            while (true) {
+                Socket queued = listener.accept();
+                queued.setSoLinger(true, 0);
+                queued.close();
             }
+        } catch (SocketTimeoutException e) {
+            listener.setSoTimeout(0); // it is empty
         }
-        return false;
     }
 
     /** Whether the queue is full. */
