--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -43,6 +43,7 @@
         private volatile long closedAt = Long.MAX_VALUE;
         private volatile boolean reset;
         private volatile boolean endedByNetwork;
+        private volatile long resetAt = Long.MAX_VALUE; // by the network, which both ends see
         private volatile long readAt;
 
         Link(FaultProxy network, Socket near, Socket far) {
@@ -57,9 +58,14 @@
             return closedAt;
         }
 
+        /** When the conductor closed its end or the network reset the connection. */
+        long endedAt() {
+            return Math.min(closedAt, resetAt);
+        }
+
         /** Waits while the network holds back what the server has written, and the conductor has not given it up. */
         void awaitDelivery() throws InterruptedException {
-            while (network.mode == Mode.SILENT && closedAt == Long.MAX_VALUE) {
+            while (network.mode == Mode.SILENT && endedAt() == Long.MAX_VALUE) {
                 Thread.sleep(LOOK_MS);
             }
         }
@@ -279,6 +285,7 @@
     void resetAll() {
         links.forEach(l -> {
             l.endedByNetwork = true;
+            l.resetAt = System.nanoTime();
             end(l, true);
         });
     }
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -137,7 +137,7 @@
             long closed = link.closedAt();
             boolean givenUp = closed <= System.nanoTime() && end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED;
             history.add(new Observation.AttemptEnded(
-                    Math.max(arrived + 1, Math.min(closed, System.nanoTime())),
+                    Math.max(arrived + 1, Math.min(link.endedAt(), System.nanoTime())),
                     name,
                     attempt,
                     givenUp ? AttemptEnd.GIVEN_UP : end));
@@ -178,10 +178,10 @@
     /** True while the conductor has not given up. */
     private static boolean pause(FaultProxy.Link link, long ms) throws InterruptedException {
         long until = System.nanoTime() + ms * 1_000_000;
-        while (System.nanoTime() < until && link.closedAt() == Long.MAX_VALUE) {
+        while (System.nanoTime() < until && link.endedAt() == Long.MAX_VALUE) {
             Thread.sleep(Math.max(1, Math.min(LOOK_MS, (until - System.nanoTime()) / 1_000_000)));
         }
-        return link.closedAt() == Long.MAX_VALUE;
+        return link.endedAt() == Long.MAX_VALUE;
     }
 
     private AttemptEnd read(HttpConnection connection, FaultProxy.Link link, String name, Mood now)
