A state is kept for a write at a server that is known to run, as long as answers take

Change: at 0.85 of release_s the module decides (StateDue, ReleaseBeside): kept where the server has answered a call sent after the write and the wait is not unusual, looked at once more at 0.95.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -97,7 +97,13 @@
             double worth,
             Effect effect,
             Group group,
-            double windowS) {}
+            double windowS) {
+
+        /** Whether a repeat anywhere does no harm. */
+        public boolean dropsRepeats() {
+            return effect == Effect.SAFE || effect == Effect.KEYED && group == Group.ALL;
+        }
+    }
 
     /** {@code quotaPerS} counts requests a second over all nodes together. */
     public record Customer(String name, double quotaPerS) {}
@@ -126,6 +132,7 @@
                     StreamStarted,
                     AttemptEnded,
                     StateReleased,
+                    StateDue,
                     ClientLeft,
                     TimerFired,
                     Probed,
@@ -214,6 +221,9 @@
     /** The node has let go of the request's read state, whose time was over: what comes next for the request is a read. */
     public record StateReleased(long request) implements Event {}
 
+    /** The time of the request's read state runs out while an attempt is out that has no answer. */
+    public record StateDue(long request) implements Event {}
+
     /** The client closed its connection before the end of its answer. */
     public record ClientLeft(long request) implements Event {}
 
@@ -238,7 +248,7 @@
 
     /** What the module asks of a node. */
     public sealed interface Action
-            permits Attempt, Refuse, Fail, Cancel, Transfer, Release, Probe, Timer, FollowList, Remark {}
+            permits Attempt, Refuse, Fail, Cancel, Transfer, Release, ReleaseBeside, Probe, Timer, FollowList, Remark {}
 
     /** For people: HOME and SPILL are readers, by hash and for their lighter load; the last four are of cancels. */
     public enum Why {
@@ -277,6 +287,9 @@
     /** Lets go of every read state held for the request. */
     public record Release(long request) implements Action {}
 
+    /** The same at once, though an attempt is out: it may not have arrived. */
+    public record ReleaseBeside(long request) implements Action {}
+
     /** Sends a health probe to the server. */
     public record Probe(String server) implements Action {}
 
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -137,7 +137,7 @@
     /** Servers listed that are not sent to now: draining, left out by hand, or resting. */
     public int avoided() {
         return (int) servers.values().stream().filter(s -> s.listed != null
-                && s.listed.state() != ServerState.GONE && (s.resting || !ready(s))).count();
+                && s.listed.state() != ServerState.GONE && (s.resting || !s.ready())).count();
     }
 
     /** Takes one event; the actions to carry out, in order. */
@@ -154,7 +154,9 @@
         } else if (event instanceof AttemptEnded e) {
             ended(e);
         } else if (event instanceof StateReleased e && requests.containsKey(e.request())) {
-            forgetState(requests.get(e.request()));
+            requests.get(e.request()).forgetState();
+        } else if (event instanceof StateDue e && requests.containsKey(e.request())) {
+            stateDue(requests.get(e.request()));
         } else if (event instanceof ClientLeft e) {
             left(e.request());
         } else if (event instanceof TimerFired e) {
@@ -226,7 +228,7 @@
         reading.clear();
         cells = new Cells();
         for (Server s : servers.values()) {
-            if (ready(s)) {
+            if (s.ready()) {
                 (s.role == Role.READER ? readers : writers).add(s);
                 if (s.role != Role.WRITER) {
                     reading.add(s);
@@ -241,10 +243,6 @@
         mostWriters = Math.max(mostWriters, writers.size());
     }
 
-    private static boolean ready(Server s) {
-        return s.listed != null && s.listed.state() == ServerState.READY;
-    }
-
     private void member(Member e) {
         Server s = servers.computeIfAbsent(e.server(),
                 n -> new Server(n, new Fading(DELAY_LEARN, DELAY_FADE_S)));
@@ -353,6 +351,7 @@
         double waited = latency - t.service.of(t.tokens);
         (t.reading ? readDelay : writeDelay).add(now, waited);
         t.server.answeredSentAt = Math.max(t.server.answeredSentAt, t.sentAt);
+        t.server.heardCall(t.sentAt);
         t.server.delay.add(now, waited);
     }
 
@@ -381,7 +380,7 @@
         double sum = 0;
         double heard = 0;
         for (Server s : servers.values()) {
-            if (ready(s) && s.report != null && !s.resting) {
+            if (s.ready() && s.report != null && !s.resting) {
                 double weight = Math.exp((s.reportAt - now) / REPORT_LIFE_S);
                 sum += weight * saturation(s);
                 heard += weight;
@@ -432,7 +431,7 @@
         }
         Server s = best(r);
         int rank = r.options.rank(s);
-        boolean late = s != null && unheard(s) && !mute(s);
+        boolean late = s != null && s.unheard() && !mute(s);
         if (late || s != null && mute(s) && !r.lookedAgain) {
             r.options = late ? r.options : null; // its answer may be on its way, or others were not asked
             r.lookedAgain = !late;
@@ -506,11 +505,7 @@
 
     /** Asked, and no answer within what answers take: one that is only late is no reason to read all anew. */
     private boolean mute(Server s) {
-        return unheard(s) && now >= s.lastProbe + Math.max(ASK_S, askPace.most(DEVIATIONS));
-    }
-
-    private static boolean unheard(Server s) {
-        return s.lastProbe > Math.max(s.reportAt, s.lastWord);
+        return s.unheard() && now >= s.lastProbe + Math.max(ASK_S, askPace.most(DEVIATIONS));
     }
 
     /** Tokens under way, at a reader to be read; from all nodes, by the report where there is a fresh one. */
@@ -529,17 +524,11 @@
     /** Lets a read state go before it counts as pinned, if it would be held too long by then. */
     private void letGoAt(Request r, double then) {
         if (r.holdsState && then - r.lastEnd >= settings.rules().releaseS() * STATE_HOLD_SHARE) {
-            forgetState(r);
+            r.forgetState();
             actions.add(new Release(r.asked.request()));
         }
     }
 
-    /** The options of one whose state was held are writers, which have nothing to fetch now. */
-    private static void forgetState(Request r) {
-        r.options = r.holdsState ? null : r.options;
-        r.holdsState = false;
-    }
-
     // ---- reader choice -------------------------------------------------------------------------
 
     /**
@@ -603,27 +592,14 @@
             double fit = r.holdsState || settings.writersRead() || s.role == Role.MIXED ? fitness(s, r) : 0;
             if (fit > 0) {
                 fit *= (1 - reads(s)) * (hasRoom(s) ? 1 : LAST * LAST);
-                fit *= s.failures < OUTLIVED || harmless(r.kind) ? 1 : LAST * LAST;
-                fit *= from == null ? 1 : nearness(from, cells.of(s.listed), stays, zoneStays);
+                fit *= s.failures < OUTLIVED || r.kind.dropsRepeats() ? 1 : LAST * LAST;
+                fit *= from == null ? 1 : from.nearness(cells.of(s.listed), stays, zoneStays, LAST);
                 pair.offer(s, fit / -Math.log(1 - random.nextDouble()), fit);
             }
         }
         return pair;
     }
 
-    /**
-     * A state stays in its reader's cell as far as the cell's writers can take what its readers send; the
-     * rest goes to cells with writers to spare, of the same zone as far as they can take it. By the list, so
-     * that all nodes together load links little and writers evenly, which no node's own traffic shows.
-     */
-    private static double nearness(Cell from, Cell to, boolean stays, boolean zoneStays) {
-        if (stays) {
-            return to == from ? 1 : LAST;
-        }
-        double spare = Math.max(0, to.writes - to.reads) / to.writes;
-        return Math.max(LAST, to.zone == from.zone == zoneStays ? spare : 0);
-    }
-
     private boolean hasRoom(Server s) {
         return !fresh(s) || !(s.report.memoryShare() >= ROOM_MEMORY || s.report.waitingRequests() >= 1);
     }
@@ -634,7 +610,7 @@
 
     /** 1 for a server that may be sent to, a little for one only where there is no other, else 0. */
     private double fitness(Server s, Request r) {
-        return !ready(s) || now < s.fullUntil || !allowed(r, s) || !coldRoom(s, r) ? 0
+        return !s.ready() || now < s.fullUntil || !allowed(r, s) || !coldRoom(s, r) ? 0
             : s.resting && now < s.restUntil || mute(s) || s.id.equals(r.lastTried) ? LAST * LAST * LAST : 1;
     }
 
@@ -676,7 +652,8 @@
             s.restUntil = now + s.rest;
         }
         int more = reading && !readInPlace() ? 2 : 1; // a writer's attempt has to be left after the next read
-        boolean redo = (reading || harmless(r.kind)) && r.sends + more <= settings.limits().maxAttempts();
+        boolean another = r.sends + more <= settings.limits().maxAttempts();
+        boolean redo = (reading || r.kind.dropsRepeats()) && another;
         double until = r.asked.deadline() - ANSWER_MARGIN_S;
         double left = until - now;
         if (redo) {
@@ -691,12 +668,23 @@
         actions.add(new Attempt(r.asked.request(), s.id, until, latest, why));
     }
 
-    /** Longer for a prompt longer than usual. */
     private double patience(Try t) {
+        return Math.max(usual(t), settings.limits().probes() ? MIN_PATIENCE_S : BLIND_PATIENCE_S);
+    }
+
+    /** So long answers take, more for a prompt longer than usual. */
+    private double usual(Try t) {
         double size = Math.max(1, t.request.asked.promptTokens() / Math.max(promptTokens.value, 1));
         Pace pace = t.reading ? readPace : writePace;
-        double usual = pace.mean.known ? pace.most(DEVIATIONS) : FIRST_PATIENCE_S;
-        return Math.max(usual * size, settings.limits().probes() ? MIN_PATIENCE_S : BLIND_PATIENCE_S);
+        return size * (pace.mean.known ? pace.most(DEVIATIONS) : FIRST_PATIENCE_S);
+    }
+
+    /** Kept for an attempt at a server that runs, as long as answers take: else it may not have arrived. */
+    private void stateDue(Request r) {
+        if (r.out == null || !r.out.arrived() || now - r.out.sentAt >= usual(r.out)) {
+            r.forgetState();
+            actions.add(new ReleaseBeside(r.asked.request()));
+        }
     }
 
     /**
@@ -753,6 +741,7 @@
         }
         Try t = r.out;
         t.server.settled(t);
+        t.server.heardCall(e.outcome().answered() ? t.sentAt : 0);
         r.out = null;
         judge(t, e);
         if (e.requestOver() || r.closed) {
@@ -807,7 +796,7 @@
     /** The final answer: a refusal where repeating is known to be harmless, else a failure. */
     private void close(Request r, Why why) {
         long id = r.asked.request();
-        if (r.out != null && mayRefuse(r) && !harmless(r.kind) && settings.limits().cancel()) {
+        if (r.out != null && mayRefuse(r) && !r.kind.dropsRepeats() && settings.limits().cancel()) {
             // while an attempt is out nothing is proven, at a reader neither: it is ended first
             if (!r.out.cancelled) {
                 cancel(r.out, Why.OVER);
@@ -824,12 +813,7 @@
     private boolean mayRefuse(Request r) {
         boolean out = r.out != null && (!r.out.reading || !settings.limits().cancel());
         boolean ran = r.asked.resumed() || r.ranAt != null || out;
-        return !ran || harmless(r.kind) && !windowOver(r);
-    }
-
-    /** Whether a repeat anywhere does no harm. */
-    private static boolean harmless(RequestClass c) {
-        return c.effect() == Effect.SAFE || c.effect() == Effect.KEYED && c.group() == Group.ALL;
+        return !ran || r.kind.dropsRepeats() && !windowOver(r);
     }
 
     private void drop(Request r) {
@@ -953,7 +937,7 @@
         for (Server s : servers.values()) {
             double heard = probesOnly ? s.lastProbe : Math.max(s.lastWord, s.lastProbe);
             boolean matters = s.resting || !s.out.isEmpty();
-            if (ready(s) && matters && probeCredit >= ASKS_KEPT && now - heard >= PROBE_QUIET_S) {
+            if (s.ready() && matters && probeCredit >= ASKS_KEPT && now - heard >= PROBE_QUIET_S) {
                 probe(s);
             }
         }
@@ -972,6 +956,7 @@
         }
         if (e.outcome() == Outcome.OK) {
             word(s);
+            s.heardCall(now - e.latencyS());
             askPace.add(e.latencyS());
             report(s, e.report());
             if (s.resting && !s.restForErrors) {
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -234,6 +234,19 @@
         Cell(Zone zone) {
             this.zone = zone;
         }
+
+        /**
+         * A state stays in its reader's cell as far as the cell's writers can take what its readers send; the
+         * rest goes to cells with writers to spare, of the same zone as far as they can take it. By the list, so
+         * that all nodes together load links little and writers evenly, which no node's own traffic shows.
+         */
+        double nearness(Cell to, boolean stays, boolean zoneStays, double least) {
+            if (stays) {
+                return to == this ? 1 : least;
+            }
+            double spare = Math.max(0, to.writes - to.reads) / to.writes;
+            return Math.max(least, to.zone == zone == zoneStays ? spare : 0);
+        }
     }
 
     /** Sums over its cells of what is sent beyond what is taken, and the reverse. */
@@ -316,6 +329,7 @@
         final LinkedHashSet<Try> out = new LinkedHashSet<>();
         final LinkedHashSet<Try> waiting = new LinkedHashSet<>();
         final Fading delay; // what its attempts lately waited for a read or a first token
+        double heardSentAt; // send time of the newest call that it has answered, probes too
         double answeredSentAt; // send time of the newest attempt that was read or has begun to stream
         double memoryTokens;
         Report report;
@@ -337,6 +351,20 @@
             this.delay = delay;
         }
 
+        boolean ready() {
+            return listed != null && listed.state() == ServerState.READY;
+        }
+
+        /** A probe is out, and no word has come since. */
+        boolean unheard() {
+            return lastProbe > Math.max(reportAt, lastWord);
+        }
+
+        /** It has answered a call that was sent then. */
+        void heardCall(double callSentAt) {
+            heardSentAt = Math.max(heardSentAt, callSentAt);
+        }
+
         void sent(Try t) {
             out.add(t);
             waiting.add(t);
@@ -403,6 +431,12 @@
             this.asked = asked;
             this.kind = kind;
         }
+
+        /** The options of one whose state was held are writers, which have nothing to fetch now. */
+        void forgetState() {
+            options = holdsState ? null : options;
+            holdsState = false;
+        }
     }
 
     static final class Try {
@@ -431,5 +465,10 @@
             this.sentAt = sentAt;
             reading = server.role == Role.READER;
         }
+
+        /** Its server has answered a call that was sent after it. */
+        boolean arrived() {
+            return server.heardSentAt > sentAt;
+        }
     }
 }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -457,15 +457,26 @@
 
     private void stateDue(StateDue e) {
         OpenRequest r = requests.get(e.request());
-        if (r != null && r.phase != Phase.STREAMING && r.attempts == e.attempts() && r.lease.held()) {
+        if (r == null || r.phase == Phase.STREAMING || r.attempts != e.attempts() || !r.lease.held()) {
+            return;
+        }
+        if (!r.out || r.phase == Phase.OVER) {
             leaseOver(r);
+            return;
+        }
+        feed(new Api.StateDue(r.key));
+        if (!r.lease.held()) {
+            return;
+        }
+        Duration left = Duration.between(clock.instant(), r.lease.end());
+        if (!left.isNegative()) {
+            tellFirstLater(left, new StateDue(r.key, r.attempts)); // kept, and looked at once more
         }
     }
 
     /**
-     * Guards against a read that ended well just as its connection closed, of which the module was told otherwise, and against
-     * an attempt that is out and has not arrived. An attempt that has arrived and waits keeps its state: a release lets go of
-     * what no attempt waits for.
+     * Guards against a read that ended well just as its connection closed, of which the module was told otherwise; and once a
+     * request is over, against an attempt that can't be called off and has not arrived.
      */
     private void leaseOver(OpenRequest r) {
         release(r, r.out ? ReleaseCause.UNANSWERED : ReleaseCause.UNTAKEN);
@@ -508,6 +519,8 @@
                     release(r, ReleaseCause.ASKED);
                 }
             }
+        } else if (action instanceof Api.ReleaseBeside a) {
+            release(requests.get(a.request()), ReleaseCause.UNANSWERED);
         } else if (action instanceof Api.Probe a) {
             peer(a.server()).tell(new PeerActor.Probe());
         } else if (action instanceof Api.Timer a) {
--- a/src/main/java/copperbeam/routing/RequestRules.java
+++ b/src/main/java/copperbeam/routing/RequestRules.java
@@ -1,7 +1,6 @@
 package copperbeam.routing;
 
 import copperbeam.Api.Effect;
-import copperbeam.Api.Group;
 import copperbeam.Api.Outcome;
 import copperbeam.Api.RequestClass;
 import java.time.Duration;
@@ -105,9 +104,7 @@
 
     /** Whether a repeat anywhere does no harm. */
     private boolean dropsRepeats() {
-        return requestClass != null
-                && (requestClass.effect() == Effect.SAFE
-                        || requestClass.effect() == Effect.KEYED && requestClass.group() == Group.ALL);
+        return requestClass != null && requestClass.dropsRepeats();
     }
 
     private boolean repeatable(Instant now) {
--- a/src/main/java/copperbeam/routing/StateLease.java
+++ b/src/main/java/copperbeam/routing/StateLease.java
@@ -18,7 +18,8 @@
     /** Parts of {@code release_s}. Behind each there must be time left for a release to be heard by some server. */
     private static final double IDLE_SHARE = 0.5; // while no attempt is out
 
-    private static final double UNANSWERED_SHARE = 0.75; // while one is out
+    private static final double UNANSWERED_SHARE = 0.85; // while one is out
+    private static final double END_SHARE = 0.95; // the same, for the second look
     private static final double CONNECT_SHARE = 0.6; // until a connection for an attempt must be up
     private static final double LEAST_CONNECT_S = 0.1; // the same where nothing is held; the protocol's grace bears it
 
@@ -85,6 +86,11 @@
         return after(since, out ? UNANSWERED_SHARE : IDLE_SHARE);
     }
 
+    /** After this what is held may not be kept for an attempt that may not have arrived. */
+    Instant end() {
+        return after(since, END_SHARE);
+    }
+
     /** Whether no connection could come up in time for an attempt that begins now. */
     boolean tooLateToConnect(Instant now) {
         return held() && !now.isBefore(after(since, cutReaders.isEmpty() ? CONNECT_SHARE : IDLE_SHARE));
