--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -137,17 +137,14 @@
     /** While no connection comes up, those that fill the system's queue have it drop all others. */
     private void accept() throws IOException, InterruptedException {
         List<Socket> fillers = new ArrayList<>();
-        boolean held = false; // connections up, until now
         boolean full = false;
         while (true) {
             if (holdsConnectionsUp()) {
-                held = true;
                 full = full || fill(fillers);
                 Thread.sleep(LOOK_MS);
                 continue;
             }
-            if (held) {
-                held = false;
+            if (full) {
                 full = false;
                 dropQueued(fillers);
             }
