--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -114,8 +114,10 @@
                 }
                 Thread.sleep(random.nextInt(400));
             }
+            int last = body.length() < LARGE ? cut : text.length() - 1; // a large one waits here while nobody reads
+            connection.send(text.substring(cut, last));
             long at = System.nanoTime();
-            connection.send(text.substring(cut));
+            connection.send(text.substring(last));
             sent = true;
             history.add(new Observation.Sent(at, id, kind, to.name, deadlineMs));
             if (random.nextInt(12) == 0) {
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -69,7 +69,7 @@
 
     private void serve(Socket socket) throws IOException, InterruptedException {
         try (HttpConnection connection = new HttpConnection(socket)) {
-            FaultProxy.Link link = FaultProxy.link(socket.getPort());
+            ProxiedConnection link = ProxiedConnection.fromPort(socket.getPort());
             while (connection.awaitByte()) {
                 long opened = System.nanoTime();
                 while (mood == Mood.DEAF) {
@@ -86,7 +86,7 @@
         }
     }
 
-    private boolean answer(HttpConnection connection, FaultProxy.Link link, Message request, long opened)
+    private boolean answer(HttpConnection connection, ProxiedConnection link, Message request, long opened)
             throws IOException, InterruptedException {
         switch (request.word(0)) {
             case "DELETE":
@@ -113,7 +113,7 @@
     }
 
     /** Whether the connection may carry another request. */
-    private boolean attempt(HttpConnection connection, FaultProxy.Link link, Message request, long opened)
+    private boolean attempt(HttpConnection connection, ProxiedConnection link, Message request, long opened)
             throws IOException, InterruptedException {
         String name = request.header("X-Request-ID");
         long attempt = ATTEMPTS.incrementAndGet();
@@ -145,7 +145,7 @@
         return end == AttemptEnd.SERVED || end == AttemptEnd.TURNED_AWAY;
     }
 
-    private AttemptEnd carryOut(HttpConnection connection, FaultProxy.Link link, String name, long attempt)
+    private AttemptEnd carryOut(HttpConnection connection, ProxiedConnection link, String name, long attempt)
             throws IOException, InterruptedException {
         Mood now = draw(3) == 0 ? Mood.WELL : mood;
         switch (now) {
@@ -176,7 +176,7 @@
     }
 
     /** True while the conductor has not given up. */
-    private static boolean pause(FaultProxy.Link link, long ms) throws InterruptedException {
+    private static boolean pause(ProxiedConnection link, long ms) throws InterruptedException {
         long until = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < until && link.endedAt() == Long.MAX_VALUE) {
             Thread.sleep(Math.max(1, Math.min(LOOK_MS, (until - System.nanoTime()) / 1_000_000)));
@@ -184,7 +184,7 @@
         return link.endedAt() == Long.MAX_VALUE;
     }
 
-    private AttemptEnd read(HttpConnection connection, FaultProxy.Link link, String name, Mood now)
+    private AttemptEnd read(HttpConnection connection, ProxiedConnection link, String name, Mood now)
             throws IOException, InterruptedException {
         boolean waited = pause(link, now == Mood.SLOW ? 400 + draw(800) : 3 + draw(25));
         if (!waited && draw(2) == 0) {
@@ -195,7 +195,7 @@
         return waited ? AttemptEnd.SERVED : AttemptEnd.GIVEN_UP;
     }
 
-    private AttemptEnd write(HttpConnection connection, FaultProxy.Link link, String name, long attempt, Mood now)
+    private AttemptEnd write(HttpConnection connection, ProxiedConnection link, String name, long attempt, Mood now)
             throws IOException, InterruptedException {
         if (!states.containsKey(name)) {
             connection.answer(410, "X-Not-Processed: 1\r\n", "");
--- a/src/soak/java/copperbeam/soak/TroublePlan.java
+++ b/src/soak/java/copperbeam/soak/TroublePlan.java
@@ -28,7 +28,9 @@
         /** Four in five servers of one role fall silent together, for all conductors. */
         ROLE_CUT_OFF,
         /** A conductor gets no processor for a moment. */
-        HELD_UP
+        HELD_UP,
+        /** Connections that are open to one server carry nothing any more, and nobody is told; new ones come up. */
+        CONNECTIONS_SILENT
     }
 
     /** {@code target}: of whatever the kind has several, to be taken modulo their number; {@code draw}: for its details. */
--- a/src/test/java/copperbeam/soak/SoakTest.java
+++ b/src/test/java/copperbeam/soak/SoakTest.java
@@ -48,7 +48,7 @@
         try (SoakRun run = new SoakRun(seed, size, Files.createTempDirectory("soak"))) {
             List<Violation> violations = run.play();
             violations.forEach(v -> run.evidence(v).forEach(System.out::println));
-            assertEquals(violations, List.of());
+            assertEquals(violations.toString(), "[]"); // of two lists TestNG tells the sizes alone
             assertTrue(run.served() > run.sent() / LEAST_SERVED_PART, run.served() + " served of " + run.sent());
         }
     }
