Red test: a read state outlives its time behind a write on a connection that fell silent alone

Cause: any later answer of its server counts as a sign that a write has arrived, also one on a connection that came up since.

--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -56,6 +56,8 @@
         BREAKS(false),
         /** Cut off as soon as a connection is up: nothing arrives. */
         DIES(false),
+        /** Slow and well, but what is open at {@link #FORGETS_AT} carries nothing from then on; new connections come up. */
+        FORGETS_CONNECTIONS(true),
         /** Cut off once it has the request, of which it knows nothing: the read ends well, soon or late. */
         READS_CUT_OFF(false),
         READS_LATE_CUT_OFF(false);
@@ -94,11 +96,14 @@
     }
 
     private static final Duration HEAR = Duration.ofMillis(1); // on the way, each way
+    private static final Duration SLOW_ANSWER = Duration.ofMillis(600);
+    private static final Duration FORGETS_AT = Duration.ofSeconds(1);
     private static final Duration READ = Duration.ofMillis(50);
     private static final Duration LATE_READ = Duration.ofMillis(2600);
     private static final Duration SLACK = Duration.ofMillis(350);
     private static final Duration HORIZON = Duration.ofSeconds(8);
     private static final Duration WAITS = Duration.ofSeconds(4); // the client
+    private static final long TEST_MS = 20_000; // against a world that goes on at one instant
     private static final int MOST_CONNECTS = 500;
     private static final String ID = "id";
 
@@ -235,6 +240,7 @@
             final Nature nature;
             boolean open = true;
             boolean attempt; // one is out here
+            final Duration opened = now;
             Runnable goes;
 
             Link(int server) {
@@ -261,8 +267,18 @@
                 }
             }
 
+            /** Nothing arrives, and nobody is told. */
+            boolean silent() {
+                return cutOff.contains(server)
+                        || nature == Nature.HANGS
+                        || nature == Nature.DIES
+                        || nature == Nature.FORGETS_CONNECTIONS
+                                && opened.compareTo(FORGETS_AT) < 0
+                                && now.compareTo(FORGETS_AT) > 0;
+            }
+
             void heard(Call call, Listener listener) {
-                if (cutOff.contains(server) || nature == Nature.HANGS || nature == Nature.DIES) {
+                if (silent()) {
                     return;
                 }
                 if (call instanceof ReleaseCall) {
@@ -272,7 +288,7 @@
             }
 
             void arrived(Listener listener) {
-                if (!open || cutOff.contains(server) || nature == Nature.HANGS || nature == Nature.DIES) {
+                if (!open || silent()) {
                     return; // what no running server has read is not out, and stops no clock
                 }
                 attempt = true;
@@ -284,15 +300,11 @@
                                 hold();
                                 answer(Word.READ, listener);
                             });
-                        } else if (heldSince == null) {
-                            answer(Word.STATE_MISSING, listener);
                         } else {
-                            heldSince = null;
-                            listener.word(Word.STREAM, null);
-                            listener.event(new byte[1]);
-                            answer(Word.STREAM, listener);
+                            write(listener);
                         }
                     }
+                    case FORGETS_CONNECTIONS -> after(SLOW_ANSWER, () -> write(listener));
                     case FULL -> answer(Word.TURNED_AWAY, listener);
                     case RESETS -> after(HEAR, () -> breaks(listener, true));
                     case RESETS_AS_READ ->
@@ -308,6 +320,17 @@
                 }
             }
 
+            void write(Listener listener) {
+                if (heldSince == null) {
+                    answer(Word.STATE_MISSING, listener);
+                    return;
+                }
+                heldSince = null;
+                listener.word(Word.STREAM, null);
+                listener.event(new byte[1]);
+                answer(Word.STREAM, listener);
+            }
+
             void hold() {
                 heldSince = heldSince == null ? now : heldSince;
             }
@@ -377,12 +400,46 @@
         }
     }
 
-    private static String play(
-            double releaseS, Api.Effect effect, Slow slow, End end, Duration endAt, int readers, Nature... natures)
-            throws Exception {
-        World world = new World(natures, readers, releaseS, slow);
-        boolean[] gone = {false};
-        Answer answer = (Answer) Proxy.newProxyInstance(
+    /** The actors of one process, which knows all servers. */
+    private record Conductor(ModuleActor module, ReleaseActor releases, Map<String, PeerActor> peers) {
+        static Conductor start(World world, double releaseS, Api.Effect effect, boolean probes) {
+            Metrics metrics = new Metrics(List.of("c"));
+            Api.Settings settings = new Api.Settings(
+                    1,
+                    0,
+                    List.of(new Api.RequestClass("c", 1.5, 0, 3, effect, Api.Group.ALL, 9)),
+                    List.of(),
+                    List.of(new Api.Kind("r", Role.READER, 1e6), new Api.Kind("w", Role.WRITER, 1e6)),
+                    new Api.Limits(4, true, probes, 1),
+                    new Api.Rules(0, 0, 3, 2, releaseS, 0),
+                    Api.Reports.WITH_PROBES,
+                    false,
+                    0,
+                    false,
+                    true);
+            ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
+            ModuleActor module =
+                    new ModuleActor(world.moduleTurns, world, settings, 7, releases, Recorder.NONE, metrics);
+            PeerActor.Setup setup = setup(world, module, releases, metrics);
+            Map<String, PeerActor> peers = new HashMap<>();
+            List<Api.Member> members = new ArrayList<>();
+            for (int i = 0; i < world.natures.length; i++) {
+                String id = "s" + i;
+                peers.put(id, new PeerActor(world.turns, id, new InetSocketAddress("127.0.0.1", i), setup));
+                members.add(new Api.Member(id, "z", i < world.readers ? "r" : "w", 0, Api.ServerState.READY, 1, 0));
+            }
+            module.tell(new ModuleActor.Listed(Api.ListKind.FULL, members, peers, null));
+            releases.tell(new ReleaseActor.Listed(peers));
+            return new Conductor(module, releases, peers);
+        }
+    }
+
+    private static Ask ask(String id, Duration at) {
+        return new Ask(id, "c", "k", null, 100, 0, 10, Instant.EPOCH.plus(at).plus(WAITS), false, null);
+    }
+
+    private static Answer answer(boolean[] gone) {
+        return (Answer) Proxy.newProxyInstance(
                 HeldStateTest.class.getClassLoader(),
                 new Class<?>[] {Answer.class},
                 (proxy, method, args) -> switch (method.getName()) {
@@ -391,37 +448,22 @@
                         ((Runnable) args[1]).run();
                         yield true;
                     }
-                    case "hashCode" -> 1;
+                    case "hashCode" -> System.identityHashCode(proxy);
                     case "equals" -> proxy == args[0];
                     default -> null;
                 });
-        Metrics metrics = new Metrics(List.of("c"));
-        Api.Settings settings = new Api.Settings(
-                1,
-                0,
-                List.of(new Api.RequestClass("c", 1.5, 0, 3, effect, Api.Group.ALL, 9)),
-                List.of(),
-                List.of(new Api.Kind("r", Role.READER, 1e6), new Api.Kind("w", Role.WRITER, 1e6)),
-                new Api.Limits(4, true, true, 1),
-                new Api.Rules(0, 0, 3, 2, releaseS, 0),
-                Api.Reports.WITH_PROBES,
-                false,
-                0,
-                false,
-                true);
-        ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
-        ModuleActor module = new ModuleActor(world.moduleTurns, world, settings, 7, releases, Recorder.NONE, metrics);
-        PeerActor.Setup setup = setup(world, module, releases, metrics);
-        Map<String, PeerActor> peers = new HashMap<>();
-        List<Api.Member> members = new ArrayList<>();
-        for (int i = 0; i < natures.length; i++) {
-            String id = "s" + i;
-            peers.put(id, new PeerActor(world.turns, id, new InetSocketAddress("127.0.0.1", i), setup));
-            members.add(new Api.Member(id, "z", i < readers ? "r" : "w", 0, Api.ServerState.READY, 1, 0));
-        }
-        module.tell(new ModuleActor.Listed(Api.ListKind.FULL, members, peers, null));
-        releases.tell(new ReleaseActor.Listed(peers));
-        module.arrive(new Ask(ID, "c", "k", null, 100, 0, 10, Instant.EPOCH.plus(WAITS), false, null), answer);
+    }
+
+    private static String play(
+            double releaseS, Api.Effect effect, Slow slow, End end, Duration endAt, int readers, Nature... natures)
+            throws Exception {
+        World world = new World(natures, readers, releaseS, slow);
+        boolean[] gone = {false};
+        Answer answer = answer(gone);
+        Conductor conductor = Conductor.start(world, releaseS, effect, true);
+        ModuleActor module = conductor.module;
+        ReleaseActor releases = conductor.releases;
+        module.arrive(ask(ID, Duration.ZERO), answer);
         if (end == End.LEFT) {
             world.later(endAt, () -> {
                 gone[0] = true;
@@ -534,6 +576,22 @@
                         + String.join("\n", faults.subList(0, Math.min(30, faults.size()))) + "\n");
     }
 
+    /**
+     * The write goes out on a kept connection that has fallen silent. A probe on a new one tells that its server runs, where answers
+     * usually take long; it doesn't tell that the write has arrived.
+     */
+    @Test(timeOut = TEST_MS)
+    public void anAnswerOnANewConnectionShowsNoArrivalOnAKeptOne() throws Exception {
+        World world = new World(new Nature[] {Nature.WELL, Nature.FORGETS_CONNECTIONS}, 1, 1, Slow.NOT);
+        Conductor conductor = Conductor.start(world, 1, Api.Effect.SAFE, false);
+        conductor.module.arrive(ask("before", Duration.ZERO), answer(new boolean[1]));
+        world.later(FORGETS_AT, () -> conductor.module.arrive(ask(ID, FORGETS_AT), answer(new boolean[1])));
+        Duration writeIsOut = FORGETS_AT.plus(READ.multipliedBy(2));
+        world.later(writeIsOut, () -> conductor.peers.get("s1").tell(new PeerActor.Probe()));
+        world.play();
+        assertEquals(world.broken, null);
+    }
+
     @DataProvider
     public Object[][] times() {
         return new Object[][] {{1.0}, {0.5}, {0.35}};
