A write counts as arrived only by answers on connections that are as old as its own

Cause: a state was kept for a write on a kept connection as soon as its server had answered any later call. Where the connections that are open fall silent, new ones answer, and the state was held until the write was given up, for up to three times what answers take. Change: AnsweredConnections, in the server's actor, knows which connections answered what: on a new connection any later answer shows that a call has arrived, on a kept one only an answer on an older connection. The module is told with StateDue; the peer looks first, so that it costs no second turn of the module. A look with no time left is no longer repeated.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -221,8 +221,11 @@
     /** The node has let go of the request's read state, whose time was over: what comes next for the request is a read. */
     public record StateReleased(long request) implements Event {}
 
-    /** The time of the request's read state runs out while an attempt is out that has no answer. */
-    public record StateDue(long request) implements Event {}
+    /**
+     * The time of the request's read state runs out while an attempt is out that has no answer; {@code arrived}: other calls to its server
+     * show that the attempt has arrived.
+     */
+    public record StateDue(long request, boolean arrived) implements Event {}
 
     /** The client closed its connection before the end of its answer. */
     public record ClientLeft(long request) implements Event {}
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -156,7 +156,7 @@
         } else if (event instanceof StateReleased e && requests.containsKey(e.request())) {
             requests.get(e.request()).forgetState();
         } else if (event instanceof StateDue e && requests.containsKey(e.request())) {
-            stateDue(requests.get(e.request()));
+            stateDue(requests.get(e.request()), e.arrived());
         } else if (event instanceof ClientLeft e) {
             left(e.request());
         } else if (event instanceof TimerFired e) {
@@ -351,7 +351,6 @@
         double waited = latency - t.service.of(t.tokens);
         (t.reading ? readDelay : writeDelay).add(now, waited);
         t.server.answeredSentAt = Math.max(t.server.answeredSentAt, t.sentAt);
-        t.server.heardCall(t.sentAt);
         t.server.delay.add(now, waited);
     }
 
@@ -679,9 +678,9 @@
         return size * (pace.mean.known ? pace.most(DEVIATIONS) : FIRST_PATIENCE_S);
     }
 
-    /** Kept for an attempt at a server that runs, as long as answers take: else it may not have arrived. */
-    private void stateDue(Request r) {
-        if (r.out == null || !r.out.arrived() || now - r.out.sentAt >= usual(r.out)) {
+    /** Kept for an attempt that has arrived, as long as answers take. */
+    private void stateDue(Request r, boolean arrived) {
+        if (r.out == null || !arrived || now - r.out.sentAt >= usual(r.out)) {
             r.forgetState();
             actions.add(new ReleaseBeside(r.asked.request()));
         }
@@ -741,7 +740,6 @@
         }
         Try t = r.out;
         t.server.settled(t);
-        t.server.heardCall(e.outcome().answered() ? t.sentAt : 0);
         r.out = null;
         judge(t, e);
         if (e.requestOver() || r.closed) {
@@ -956,7 +954,6 @@
         }
         if (e.outcome() == Outcome.OK) {
             word(s);
-            s.heardCall(now - e.latencyS());
             askPace.add(e.latencyS());
             report(s, e.report());
             if (s.resting && !s.restForErrors) {
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -329,7 +329,6 @@
         final LinkedHashSet<Try> out = new LinkedHashSet<>();
         final LinkedHashSet<Try> waiting = new LinkedHashSet<>();
         final Fading delay; // what its attempts lately waited for a read or a first token
-        double heardSentAt; // send time of the newest call that it has answered, probes too
         double answeredSentAt; // send time of the newest attempt that was read or has begun to stream
         double memoryTokens;
         Report report;
@@ -360,11 +359,6 @@
             return lastProbe > Math.max(reportAt, lastWord);
         }
 
-        /** It has answered a call that was sent then. */
-        void heardCall(double callSentAt) {
-            heardSentAt = Math.max(heardSentAt, callSentAt);
-        }
-
         void sent(Try t) {
             out.add(t);
             waiting.add(t);
@@ -465,10 +459,5 @@
             this.sentAt = sentAt;
             reading = server.role == Role.READER;
         }
-
-        /** Its server has answered a call that was sent after it. */
-        boolean arrived() {
-            return server.heardSentAt > sentAt;
-        }
     }
 }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -39,6 +39,7 @@
                     ProbeDone,
                     Fired,
                     StateDue,
+                    ArrivalShown,
                     Drain,
                     TakeNoMore,
                     HandOver,
@@ -79,6 +80,9 @@
             Instant at)
             implements Message {}
 
+    /** The answer to {@link PeerActor.AskArrival}. */
+    public record ArrivalShown(long request, int number, boolean shown) implements Message {}
+
     /** A health probe has ended. */
     public record ProbeDone(String server, Outcome outcome, Duration after, Report report) implements Message {}
 
@@ -179,6 +183,8 @@
             feed(new Api.TimerFired(e.tag()));
         } else if (m instanceof StateDue e) {
             stateDue(e);
+        } else if (m instanceof ArrivalShown e) {
+            arrivalShown(e);
         } else if (m instanceof Drain e) {
             idle = e.idle();
         } else if (m instanceof TakeNoMore) {
@@ -450,27 +456,44 @@
             if (left.isNegative()) {
                 leaseOver(r); // the word that it follows on has waited: no time is left for a timer's way
             } else {
-                tellFirstLater(left, new StateDue(r.key, r.attempts));
+                lookLater(r, left);
             }
         }
     }
 
+    /** The peer of an attempt that is out has a look itself first: another turn here might take all the time that is left. */
+    private void lookLater(OpenRequest r, Duration left) {
+        if (r.out && r.phase != Phase.OVER) {
+            r.at.tellFirstLater(left, new PeerActor.AskArrival(r.key, r.attempts - 1));
+        } else {
+            tellFirstLater(left, new StateDue(r.key, r.attempts));
+        }
+    }
+
     private void stateDue(StateDue e) {
         OpenRequest r = requests.get(e.request());
-        if (r == null || r.phase == Phase.STREAMING || r.attempts != e.attempts() || !r.lease.held()) {
+        if (r != null && r.phase != Phase.STREAMING && r.attempts == e.attempts() && r.lease.held()) {
+            leaseOver(r);
+        }
+    }
+
+    private void arrivalShown(ArrivalShown e) {
+        OpenRequest r = requests.get(e.request());
+        boolean out = r != null && r.phase != Phase.STREAMING && r.out && r.attempts - 1 == e.number();
+        if (!out || !r.lease.held()) {
             return;
         }
-        if (!r.out || r.phase == Phase.OVER) {
+        if (r.phase == Phase.OVER) {
             leaseOver(r);
             return;
         }
-        feed(new Api.StateDue(r.key));
+        feed(new Api.StateDue(r.key, e.shown()));
         if (!r.lease.held()) {
             return;
         }
         Duration left = Duration.between(clock.instant(), r.lease.end());
-        if (!left.isNegative()) {
-            tellFirstLater(left, new StateDue(r.key, r.attempts)); // kept, and looked at once more
+        if (left.compareTo(Duration.ZERO) > 0) {
+            lookLater(r, left); // kept, and looked at once more
         }
     }
 
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -25,6 +25,7 @@
                     Stop,
                     Cut,
                     Proceed,
+                    AskArrival,
                     Probe,
                     Release,
                     Up,
@@ -86,6 +87,9 @@
     /** The module's side has taken the first event. */
     public record Proceed(long request, int number) implements Message {}
 
+    /** Asks whether the attempt has arrived, as far as other calls show it; {@link ModuleActor.ArrivalShown} is the answer. */
+    public record AskArrival(long request, int number) implements Message {}
+
     /** Sends a health probe. */
     public record Probe() implements Message {}
 
@@ -145,6 +149,7 @@
     private final Setup setup;
     private final Map<Long, ServerCall> attempts = new HashMap<>();
     private final IdleConnections idle;
+    private final AnsweredConnections answered = new AnsweredConnections();
     private boolean drains;
     private Future<?> tidying;
 
@@ -191,6 +196,12 @@
             if (work != null) {
                 proceed(work);
             }
+        } else if (m instanceof AskArrival e) {
+            ServerCall work = out(e.request(), e.number());
+            if (work != null) {
+                boolean shown = answered.proveArrival(work);
+                setup.module().tellFirst(new ModuleActor.ArrivalShown(e.request(), e.number(), shown));
+            }
         } else if (m instanceof Up e) {
             up(e.work(), e.connection());
         } else if (m instanceof NotUp e && e.work().connection == null && e.connect() == e.work().connects) {
@@ -199,6 +210,7 @@
             closed(e.connection());
         } else if (m instanceof Answered e) {
             note(Recorder.What.WORD, e.work(), e.word().name(), null);
+            answered.answered(e.work());
             e.work().word = e.word();
             e.work().report = e.report();
             if (e.word() != Word.STREAM) {
@@ -296,6 +308,7 @@
     }
 
     private void up(ServerCall work, Connection connection) {
+        answered.opened(connection);
         if (work.done || unwanted(work, true)) {
             keep(connection);
         } else {
@@ -331,6 +344,7 @@
 
     private void use(ServerCall work, Connection connection) {
         work.connection = connection;
+        work.written = setup.clock().instant();
         // what is held hangs on these, which must not wait behind the events of many streams
         boolean first = work.order instanceof Release
                 || work.send() != null && work.send().reads();
@@ -399,6 +413,7 @@
     }
 
     private void closed(Connection connection) {
+        answered.closed(connection);
         if (idle.closed(connection)) {
             if (tidying != null) {
                 tidying.cancel(false);
--- a/src/main/java/copperbeam/routing/ServerCall.java
+++ b/src/main/java/copperbeam/routing/ServerCall.java
@@ -13,6 +13,7 @@
     final Instant began;
     Instant until;
     Future<?> expiry;
+    Instant written; // when a connection took it, null before
     Instant heard; // when the last event came
     Instant ended; // when its connection's last word came, null where it has none or it was closed here
     Connector.Connection connection;
