Markers tell how long connections have waited in the listen queue, and all of it is deducted

Cause: in a crowd the queue is never empty, so that its oldest known moment told nothing, and at most half of a request's time was deducted; what had waited longer was told too much time (up to half of it).

--- a/src/main/java/copperbeam/protocol/platform/PlatformFront.java
+++ b/src/main/java/copperbeam/protocol/platform/PlatformFront.java
@@ -95,14 +95,9 @@
                 call);
     }
 
-    /**
-     * Less what the request may have waited unread. In a crowd that comes without end nobody can tell how long that was, so that
-     * half of its time is left in any case.
-     */
+    /** Less what the request may have waited unread. */
     private static Instant deadline(HttpCall call, Duration timeout) {
-        Duration half = timeout.dividedBy(2);
-        Duration queued = call.queued().compareTo(half) < 0 ? call.queued() : half;
-        return call.arrived().plus(timeout).minus(queued).minus(MARGIN);
+        return call.arrived().plus(timeout).minus(call.queued()).minus(MARGIN);
     }
 
     private static void text(HttpReply reply, int status, String text) {
--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -32,11 +32,9 @@
     private final ServerSocketChannel listener;
     private final Selector selector;
     private final InetSocketAddress address;
-    private final Clock clock;
     private final BooleanSupplier takes;
     private final Taker taker;
-    private Instant
-            queuedSince; // when the kernel's queue was first left with what could not be taken; null: it was emptied
+    private final ListenQueueAge queueAge;
     private volatile boolean closing;
     private volatile boolean abandoned;
     private volatile boolean ended;
@@ -52,7 +50,6 @@
      * can take one more, else clients wait in the kernel's queue.
      */
     Acceptor(InetSocketAddress at, boolean shared, Clock clock, BooleanSupplier takes, Taker taker) throws IOException {
-        this.clock = clock;
         this.takes = takes;
         this.taker = taker;
         listener = ServerSocketChannel.open();
@@ -64,6 +61,7 @@
             listener.bind(at, BACKLOG);
             listener.configureBlocking(false);
             address = (InetSocketAddress) listener.getLocalAddress();
+            queueAge = new ListenQueueAge(address, clock);
             selector = Selector.open();
             listener.register(selector, SelectionKey.OP_ACCEPT);
         } catch (IOException e) {
@@ -125,7 +123,7 @@
                     selector.select(TICK.toMillis());
                     selector.selectedKeys().clear();
                 }
-                queuedSince = queuedSince == null ? clock.instant() : queuedSince;
+                queueAge.filled();
                 left = take();
                 if (missed > 0 && !left) {
                     LOG.warning("no connection could be taken, tried " + missed + " times");
@@ -141,6 +139,7 @@
                 pause(AGAIN);
             }
         }
+        queueAge.close();
         try {
             listener.close();
         } catch (IOException e) {
@@ -154,15 +153,25 @@
         while (takes.getAsBoolean()) {
             SocketChannel next = listener.accept();
             if (next == null) {
-                queuedSince = null;
+                queueAge.emptied();
                 return false;
             }
-            taker.take(next, queuedSince);
+            if (!queueAge.takeMarker(next)) {
+                taker.take(next, queueAge.waitingSince());
+            }
+            mark();
         }
+        mark();
         pause(SOON);
         return true;
     }
 
+    private void mark() {
+        if (!closing) {
+            queueAge.mark();
+        }
+    }
+
     private void pause(Duration span) {
         try {
             Thread.sleep(span.toMillis());
--- /dev/null
+++ b/src/test/java/copperbeam/transport/ListenQueueAgeTest.java
@@ -0,0 +1,90 @@
+package copperbeam.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.concurrent.atomic.AtomicReference;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ListenQueueAgeTest {
+    private static final Instant START = Instant.EPOCH;
+    private static final Duration STEP = Duration.ofSeconds(1);
+
+    private final AtomicReference<Instant> now = new AtomicReference<>(START);
+    private final Clock clock = new Clock() {
+        @Override
+        public Instant instant() {
+            return now.get();
+        }
+
+        @Override
+        public java.time.ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(java.time.ZoneId zone) {
+            return this;
+        }
+    };
+
+    @BeforeMethod
+    public void begin() {
+        now.set(START);
+    }
+
+    /** The first connection may have waited from the beginning, the second one only from the marker between them on. */
+    @Test
+    public void whoIsAcceptedBehindAMarkerCameLater() throws Exception {
+        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+                ListenQueueAge age = new ListenQueueAge((InetSocketAddress) listener.getLocalAddress(), clock);
+                SocketChannel first = SocketChannel.open(listener.getLocalAddress())) {
+            age.filled();
+            age.mark(); // not due yet
+            now.set(START.plus(STEP));
+            age.mark();
+            now.set(START.plus(STEP.multipliedBy(2)));
+            try (SocketChannel second = SocketChannel.open(listener.getLocalAddress())) {
+                assertFalse(age.takeMarker(accept(listener, first)));
+                assertEquals(age.waitingSince(), START);
+                assertTrue(age.takeMarker(listener.accept()), "the marker");
+                assertFalse(age.takeMarker(accept(listener, second)));
+                assertEquals(age.waitingSince(), START.plus(STEP));
+            }
+            age.emptied();
+            age.filled();
+            assertEquals(age.waitingSince(), now.get());
+        }
+    }
+
+    /** The system drops the marker, as where the queue is full, or deals it to another process: a later one tells. */
+    @Test
+    public void aLostMarkerHoldsNothingUp() throws Exception {
+        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+                ListenQueueAge age = new ListenQueueAge((InetSocketAddress) listener.getLocalAddress(), clock)) {
+            age.filled();
+            now.set(START.plus(STEP));
+            age.mark();
+            listener.accept().close(); // elsewhere
+            now.set(START.plus(STEP.multipliedBy(2)));
+            age.mark();
+            assertTrue(age.takeMarker(listener.accept()), "the second marker");
+            assertEquals(age.waitingSince(), now.get());
+        }
+    }
+
+    private static SocketChannel accept(ServerSocketChannel listener, SocketChannel expected) throws Exception {
+        SocketChannel accepted = listener.accept();
+        assertEquals(accepted.getRemoteAddress(), expected.getLocalAddress());
+        return accepted;
+    }
+}
