Soak: resets by the network, kills and cuts from all servers no longer count against the conductor

Change: who ended an attempt is asked of its connection; the oracle passes over what a killed process left and does not count the time of a cut from all servers; idle clients come each 20 ms once all are there, and leave with a reset.

--- a/src/soak/java/copperbeam/soak/IdleClients.java
+++ b/src/soak/java/copperbeam/soak/IdleClients.java
@@ -8,7 +8,8 @@
 /** Clients that connect to a conductor, say nothing and come again as they are let go, so that they fill its descriptors. */
 final class IdleClients {
     private static final int LOOK_MS = 50;
-    private static final int AGAIN_MS = 1; // from one to the next once all are there
+    private static final int AGAIN_MS =
+            20; // from one to the next once all are there; by the thousand they use the machine's ports up
 
     private final ConductorProcess conductor;
     private final int most;
@@ -33,7 +34,7 @@
         try {
             connections.add(HttpConnection.to(conductor.address, LOOK_MS));
             if (connections.size() > most) {
-                connections.poll().close();
+                connections.poll().reset(); // a close would keep its port for a minute
             }
             return true;
         } catch (IOException e) {
@@ -44,7 +45,7 @@
     private void leave() {
         for (HttpConnection connection : connections) {
             try {
-                connection.close();
+                connection.reset();
             } catch (IOException e) {
                 continue; // it was closed
             }
--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -48,6 +48,9 @@
     /** A server serves again, or anew, under the same id. */
     record DrainEnded(long at, String server) implements Observation {}
 
+    /** No server can be reached by a conductor from then on, or some can again. */
+    record CutOffFromAll(long at, String conductor, boolean begins) implements Observation {}
+
     /** A conductor was killed: what it had is excused. */
     record Killed(long at, String conductor) implements Observation {}
 
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -6,6 +6,7 @@
 import copperbeam.soak.Observation.AttemptOpened;
 import copperbeam.soak.Observation.ClientGone;
 import copperbeam.soak.Observation.ClosedUnanswered;
+import copperbeam.soak.Observation.CutOffFromAll;
 import copperbeam.soak.Observation.DrainEnded;
 import copperbeam.soak.Observation.DrainTold;
 import copperbeam.soak.Observation.Exited;
@@ -72,6 +73,7 @@
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<String, Long> drains = new HashMap<>(); // by conductor and server
     private final List<Killed> kills = new ArrayList<>();
+    private final List<CutOffFromAll> cuts = new ArrayList<>(); // beginnings and ends, in order
     private final List<Violation> violations = new ArrayList<>();
     private long end;
 
@@ -132,6 +134,8 @@
             drains.putIfAbsent(o.conductor() + " " + o.server(), o.at());
         } else if (seen instanceof DrainEnded o) {
             drains.keySet().removeIf(name -> name.endsWith(" " + o.server()));
+        } else if (seen instanceof CutOffFromAll o) {
+            cuts.add(o);
         } else if (seen instanceof Killed o) {
             kills.add(o);
         } else if (seen instanceof Exited o && (!o.asked() || o.code() != 0)) {
@@ -171,8 +175,8 @@
         }
         judgeAnswer(id, r);
         judgeAttempts(id, r);
-        judgeEnds(id, r);
-        if (!excused(r)) {
+        if (!excused(r)) { // of a process that was killed the system goes on to deliver what it has
+            judgeEnds(id, r);
             judgeHolds(id, r);
         }
     }
@@ -303,16 +307,35 @@
         long idleSince = from;
         for (Attempt a : r.attempts) {
             if (a.endedAt() > from && a.arrived.at() < to) {
-                judgeIdle(id, idleSince, Math.min(a.arrived.at(), to));
+                judgeIdle(id, r, idleSince, Math.min(a.arrived.at(), to));
                 idleSince = Math.max(idleSince, a.endedAt());
             }
         }
-        judgeIdle(id, idleSince, to);
+        judgeIdle(id, r, idleSince, to);
     }
 
-    private void judgeIdle(String id, long from, long to) {
-        if (to - from > (terms.releaseMs() + RELEASE_GRACE_MS + terms.slackMs()) * MS) {
+    /** Nothing can be let go while no server can be reached. */
+    private void judgeIdle(String id, Request r, long from, long to) {
+        long able = to - from - cutOffFromAll(r.sent.conductor(), from, to);
+        if (able > (terms.releaseMs() + RELEASE_GRACE_MS + terms.slackMs()) * MS) {
             broken(Rule.PINNED, id, "held for " + ms(to - from));
         }
     }
+
+    private long cutOffFromAll(String conductor, long from, long to) {
+        long sum = 0;
+        long since = -1;
+        for (CutOffFromAll cut : cuts) {
+            if (!cut.conductor().equals(conductor)) {
+                continue;
+            }
+            if (cut.begins()) {
+                since = since < 0 ? cut.at() : since;
+            } else if (since >= 0) {
+                sum += Math.max(0, Math.min(to, cut.at()) - Math.max(from, since));
+                since = -1;
+            }
+        }
+        return sum;
+    }
 }
--- a/src/soak/java/copperbeam/soak/ProxiedConnection.java
+++ b/src/soak/java/copperbeam/soak/ProxiedConnection.java
@@ -46,11 +46,6 @@
         return BY_SERVER_PORT.get(port);
     }
 
-    /** When the conductor closed its end, or ended its sending. */
-    long closedAt() {
-        return closedAt;
-    }
-
     /** When the conductor closed its end or the network reset the connection. */
     long endedAt() {
         return Math.min(closedAt, resetAt);
@@ -71,6 +66,11 @@
         dead = true;
     }
 
+    /** Whether the conductor closed it while it was whole. */
+    boolean givenUp() {
+        return !dead && closedAt < resetAt;
+    }
+
     private boolean silent() {
         return dead || network.silent();
     }
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -134,13 +134,11 @@
             end = carryOut(connection, link, name, attempt);
             link.awaitDelivery(); // nobody can know of its end before
         } finally {
-            long closed = link.closedAt();
-            boolean givenUp = closed <= System.nanoTime() && end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED;
+            if (end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED) {
+                end = link.givenUp() ? AttemptEnd.GIVEN_UP : AttemptEnd.FAILED; // also by the network
+            }
             history.add(new Observation.AttemptEnded(
-                    Math.max(arrived + 1, Math.min(link.endedAt(), System.nanoTime())),
-                    name,
-                    attempt,
-                    givenUp ? AttemptEnd.GIVEN_UP : end));
+                    Math.max(arrived + 1, Math.min(link.endedAt(), System.nanoTime())), name, attempt, end));
         }
         return end == AttemptEnd.SERVED || end == AttemptEnd.TURNED_AWAY;
     }
--- a/src/soak/java/copperbeam/soak/TroubleInjector.java
+++ b/src/soak/java/copperbeam/soak/TroubleInjector.java
@@ -62,7 +62,7 @@
             case SERVER_MOOD -> changeMood(server, trouble);
             case SERVER_REPLACED -> replace(server, trouble);
             case SERVER_CUT_OFF -> network(toServer, FaultProxy.Mode.SILENT, trouble);
-            case CONDUCTOR_CUT_OFF -> network(cutOffFrom(conductor, trouble), FaultProxy.Mode.SILENT, trouble);
+            case CONDUCTOR_CUT_OFF -> cutOff(conductor, trouble);
             case ROLE_CUT_OFF ->
                 network(proxiesOfMost(Role.values()[trouble.draw() % 2]), FaultProxy.Mode.SILENT, trouble);
             case NETWORK_LATE -> network(toServer, FaultProxy.Mode.LATE, trouble);
@@ -143,6 +143,17 @@
         site.fleet.put(server.id, server.role, "left", site.fleet.get(server.id).startedMs());
     }
 
+    private void cutOff(ConductorProcess conductor, Trouble trouble) throws IOException, InterruptedException {
+        boolean fromAll = trouble.draw() % 3 == 0;
+        if (fromAll) {
+            site.history.add(new Observation.CutOffFromAll(System.nanoTime(), conductor.name, true));
+        }
+        network(cutOffFrom(conductor, trouble), FaultProxy.Mode.SILENT, trouble);
+        if (fromAll) {
+            site.history.add(new Observation.CutOffFromAll(System.nanoTime(), conductor.name, false));
+        }
+    }
+
     /** All servers, all readers or all writers. */
     private List<FaultProxy> cutOffFrom(ConductorProcess conductor, Trouble trouble) {
         Predicate<ServerStandIn> concerned = switch (trouble.draw() % 3) {
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -8,6 +8,7 @@
 import copperbeam.soak.Observation.AttemptOpened;
 import copperbeam.soak.Observation.ClientGone;
 import copperbeam.soak.Observation.ClosedUnanswered;
+import copperbeam.soak.Observation.CutOffFromAll;
 import copperbeam.soak.Observation.DrainTold;
 import copperbeam.soak.Observation.Exited;
 import copperbeam.soak.Observation.Killed;
@@ -165,6 +166,15 @@
                     ends(10, 1, AttemptEnd.SERVED),
                     answered(900, 502),
                     new StateFreed(1500 * MS, "r")),
+            row(Rule.PINNED, heldWhileCutOff("n1")),
+            row(null, heldWhileCutOff("n0")),
+            row(
+                    null,
+                    at(0, safe),
+                    new Killed(10 * MS, "n0"),
+                    new ClientGone(20 * MS, "r"),
+                    arrives(500, Role.READER, 1),
+                    ends(510, 1, AttemptEnd.GIVEN_UP)),
             row(
                     Rule.DEADLINE_TOLD,
                     at(0, safe),
@@ -178,6 +188,20 @@
         };
     }
 
+    /** Beyond its time by what the conductor is cut off from all servers. */
+    private static Observation[] heldWhileCutOff(String conductor) {
+        return new Observation[] {
+            at(0, RequestKind.SAFE),
+            arrives(5, Role.READER, 1),
+            new StateHeld(10 * MS, "r", "again"),
+            ends(10, 1, AttemptEnd.SERVED),
+            new CutOffFromAll(400 * MS, conductor, true),
+            answered(900, 502),
+            new CutOffFromAll(1400 * MS, conductor, false),
+            new StateFreed(1500 * MS, "r")
+        };
+    }
+
     private static Object[] row(Rule rule, Observation... history) {
         return row(rule, Arrays.asList(history));
     }
