Soak: each proxy has a loopback address of its own; a deaf server drops what was reset meanwhile

A connection that could not go on was left open. Change: FaultProxy has its own 127.1.x.y towards both sides; ServerStandIn looks for a reset once it reads again.

--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -6,11 +6,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 
 /** The network between one conductor and one server. It knows bytes alone, and can be cut, slow or late. */
@@ -26,12 +28,15 @@
         TRICKLE
     }
 
+    private static final AtomicInteger HOSTS = new AtomicInteger();
+    private static final int HOSTS_A_NET = 250;
     private static final int BACKLOG = 4;
     private static final int LOOK_MS = 5;
     private static final int PIECE = 7;
 
     private final String conductor;
     private final InetSocketAddress server;
+    private final InetAddress host;
     private final ServerSocket listener;
     private final Queue<ProxiedConnection> connections = new ConcurrentLinkedQueue<>();
     private volatile Mode mode = Mode.PASS;
@@ -41,14 +46,30 @@
     FaultProxy(String conductor, InetSocketAddress server) throws IOException {
         this.conductor = conductor;
         this.server = server;
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        host = nextHost();
+        listener = new ServerSocket(0, BACKLOG, host);
         Daemon.start("proxy", this::accept);
     }
 
+    /** A loopback address of its own: by the thousand the closed connections of all use the ports of one up for a minute. */
+    private static InetAddress nextHost() throws UnknownHostException {
+        int number = HOSTS.getAndIncrement();
+        return InetAddress.getByAddress(
+                new byte[] {127, 1, (byte) (number / HOSTS_A_NET), (byte) (1 + number % HOSTS_A_NET)});
+    }
+
+    InetAddress host() {
+        return host;
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
+    String hostAndPort() {
+        return host.getHostAddress() + ":" + listener.getLocalPort();
+    }
+
     /** What the network does from now on. */
     void mode(Mode next) throws IOException {
         mode = next;
--- a/src/soak/java/copperbeam/soak/ProxiedConnection.java
+++ b/src/soak/java/copperbeam/soak/ProxiedConnection.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -17,7 +17,7 @@
  * or a reset is noted as it comes, also behind bytes that are slow to arrive.
  */
 final class ProxiedConnection {
-    private static final Map<Integer, ProxiedConnection> BY_SERVER_PORT = new ConcurrentHashMap<>();
+    private static final Map<SocketAddress, ProxiedConnection> BY_SERVER_END = new ConcurrentHashMap<>();
     private static final int LOOK_MS = 5;
     private static final int BUFFER = 16 * 1024;
     private static final byte[] END = {}; // in the queue: nothing follows
@@ -41,9 +41,9 @@
         far = new Socket();
     }
 
-    /** The connection that a server has accepted from this port. */
-    static ProxiedConnection fromPort(int port) {
-        return BY_SERVER_PORT.get(port);
+    /** The connection that a server has accepted from this address. */
+    static ProxiedConnection from(SocketAddress address) {
+        return BY_SERVER_END.get(address);
     }
 
     /** When the conductor closed its end or the network reset the connection. */
@@ -66,6 +66,11 @@
         dead = true;
     }
 
+    /** By either side or the network. */
+    boolean wasReset() {
+        return reset || resetAt != Long.MAX_VALUE;
+    }
+
     /** Whether the conductor closed it while it was whole. */
     boolean givenUp() {
         return !dead && closedAt < resetAt;
@@ -94,9 +99,9 @@
     /** Carries bytes both ways until an end closes. */
     void carry(InetSocketAddress server) throws IOException, InterruptedException {
         near.setTcpNoDelay(true);
-        far.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        BY_SERVER_PORT.put(far.getLocalPort(), this);
         try {
+            far.bind(new InetSocketAddress(network.host(), 0));
+            BY_SERVER_END.put(far.getLocalSocketAddress(), this);
             far.connect(server);
             far.setTcpNoDelay(true);
         } catch (IOException e) {
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -69,12 +69,15 @@
 
     private void serve(Socket socket) throws IOException, InterruptedException {
         try (HttpConnection connection = new HttpConnection(socket)) {
-            ProxiedConnection link = ProxiedConnection.fromPort(socket.getPort());
+            ProxiedConnection link = ProxiedConnection.from(socket.getRemoteSocketAddress());
             while (connection.awaitByte()) {
                 long opened = System.nanoTime();
                 while (mood == Mood.DEAF) {
                     Thread.sleep(LOOK_MS);
                 }
+                if (link.wasReset()) {
+                    return; // while it read nothing; what it has of the request by then is no request
+                }
                 Message request = connection.read();
                 if (request == null || !request.whole()) {
                     return;
--- a/src/soak/java/copperbeam/soak/SoakSite.java
+++ b/src/soak/java/copperbeam/soak/SoakSite.java
@@ -63,10 +63,7 @@
     /** A new address of discovery, which the conductor's file names from now on. */
     DiscoveryAgent newAgent(ConductorProcess conductor) throws IOException {
         DiscoveryAgent agent = new DiscoveryAgent(
-                conductor.name,
-                fleet,
-                id -> "127.0.0.1:" + proxy(conductor, id).address().getPort(),
-                history);
+                conductor.name, fleet, id -> proxy(conductor, id).hostAndPort(), history);
         agents.put(conductor.name, agent);
         all.add(agent);
         conductor.configure(agent.host());
