--- a/src/soak/java/copperbeam/soak/Lateness.java
+++ b/src/soak/java/copperbeam/soak/Lateness.java
@@ -1,22 +1,66 @@
 package copperbeam.soak;
 
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** How late the threads of the stand-ins get the processor: what they note is late by as much. */
-final class Lateness {
+/**
+ * How late threads get the processor on this machine, as it has other work or its host has: what the stand-ins note, and what the conductors
+ * do, is late by as much. Measured by the round trips of a byte between pairs of threads that do nothing else; a thread that merely sleeps
+ * is woken wherever a processor is free and sees little of it.
+ */
+final class Lateness implements AutoCloseable {
+    private static final int PAIRS = 4;
     private static final long INTERVAL_MS = 5;
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final AtomicLong worstNanos = new AtomicLong();
+    private volatile boolean over;
 
-    /** Sleeps for short spans until the run is over, and notes by how much each was too long. */
-    void measure(AtomicBoolean over) throws InterruptedException {
-        while (!over.get()) {
-            long due = System.nanoTime() + INTERVAL_MS * NANOS_PER_MS;
-            Thread.sleep(INTERVAL_MS);
-            long late = System.nanoTime() - due;
-            worstNanos.accumulateAndGet(late, Math::max);
+    private Lateness() {}
+
+    /** Measures until it is closed. */
+    static Lateness start() throws IOException {
+        Lateness lateness = new Lateness();
+        for (int i = 0; i < PAIRS; i++) {
+            lateness.startPair();
+        }
+        return lateness;
+    }
+
+    private void startPair() throws IOException {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Socket near = new Socket(listener.getInetAddress(), listener.getLocalPort());
+            Socket far = listener.accept();
+            near.setTcpNoDelay(true);
+            far.setTcpNoDelay(true);
+            Daemon.start("echo", () -> echo(far));
+            Daemon.start("lateness", () -> measure(near));
+        }
+    }
+
+    private static void echo(Socket socket) throws IOException {
+        try (socket) {
+            for (int next = socket.getInputStream().read();
+                    next >= 0;
+                    next = socket.getInputStream().read()) {
+                socket.getOutputStream().write(next);
+            }
+        }
+    }
+
+    private void measure(Socket socket) throws IOException, InterruptedException {
+        try (socket) {
+            while (!over) {
+                long began = System.nanoTime();
+                Thread.sleep(INTERVAL_MS);
+                socket.getOutputStream().write(1);
+                socket.getInputStream().read();
+                long late = System.nanoTime() - began - INTERVAL_MS * NANOS_PER_MS;
+                worstNanos.accumulateAndGet(late, Math::max);
+            }
         }
     }
 
@@ -24,4 +68,9 @@
     long worstMs() {
         return worstNanos.get() / NANOS_PER_MS;
     }
+
+    @Override
+    public void close() {
+        over = true;
+    }
 }
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -46,7 +46,7 @@
     private final SoakSettings settings;
     private final SoakSite site;
     private final AtomicBoolean over = new AtomicBoolean();
-    private final Lateness lateness = new Lateness();
+    private final Lateness lateness = Lateness.start();
     private final Map<String, ConductorLife> lives = new HashMap<>(); // by the conductor's name
 
     /** {@code folder}: where the processes' logs and recordings stay. */
@@ -72,7 +72,6 @@
     /** Plays the run; the rules that were broken. */
     public List<Violation> play() throws IOException, InterruptedException {
         site.start();
-        Daemon.start("lateness", () -> lateness.measure(over));
         TroublePlan plan = TroublePlan.draw(random, size.lengthMs());
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < size.clients(); i++) {
@@ -128,7 +127,7 @@
                 .toList();
     }
 
-    /** How late the stand-ins were at worst, as the machine had other work: so much more the oracle bears. */
+    /** How late threads were at worst, as the machine had other work: so much more the oracle bears. */
     public long worstLatenessMs() {
         return lateness.worstMs();
     }
@@ -154,6 +153,7 @@
     @Override
     public void close() {
         over.set(true);
+        lateness.close();
         site.close();
     }
 }
