--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -69,12 +69,15 @@
 
     private void serve(Socket socket) throws IOException, InterruptedException {
         try (HttpConnection connection = new HttpConnection(socket)) {
-            FaultProxy.Link link = FaultProxy.link(socket.getPort());
+            ProxiedConnection link = ProxiedConnection.from(socket.getRemoteSocketAddress());
             while (connection.awaitByte()) {
                 long opened = System.nanoTime();
                 while (mood == Mood.DEAF) {
                     Thread.sleep(LOOK_MS);
                 }
+                if (link.wasReset()) {
+                    return; // while it read nothing; what it has of the request by then is no request
+                }
                 Message request = connection.read();
                 if (request == null || !request.whole()) {
                     return;
@@ -86,7 +89,7 @@
         }
     }
 
-    private boolean answer(HttpConnection connection, FaultProxy.Link link, Message request, long opened)
+    private boolean answer(HttpConnection connection, ProxiedConnection link, Message request, long opened)
             throws IOException, InterruptedException {
         switch (request.word(0)) {
             case "DELETE":
@@ -113,7 +116,7 @@
     }
 
     /** Whether the connection may carry another request. */
-    private boolean attempt(HttpConnection connection, FaultProxy.Link link, Message request, long opened)
+    private boolean attempt(HttpConnection connection, ProxiedConnection link, Message request, long opened)
             throws IOException, InterruptedException {
         String name = request.header("X-Request-ID");
         long attempt = ATTEMPTS.incrementAndGet();
@@ -134,18 +137,16 @@
             end = carryOut(connection, link, name, attempt);
             link.awaitDelivery(); // nobody can know of its end before
         } finally {
-            long closed = link.closedAt();
-            boolean givenUp = closed <= System.nanoTime() && end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED;
+            if (end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED) {
+                end = link.givenUp() ? AttemptEnd.GIVEN_UP : AttemptEnd.FAILED; // also by the network
+            }
             history.add(new Observation.AttemptEnded(
-                    Math.max(arrived + 1, Math.min(link.endedAt(), System.nanoTime())),
-                    name,
-                    attempt,
-                    givenUp ? AttemptEnd.GIVEN_UP : end));
+                    Math.max(arrived + 1, Math.min(link.endedAt(), System.nanoTime())), name, attempt, end));
         }
         return end == AttemptEnd.SERVED || end == AttemptEnd.TURNED_AWAY;
     }
 
-    private AttemptEnd carryOut(HttpConnection connection, FaultProxy.Link link, String name, long attempt)
+    private AttemptEnd carryOut(HttpConnection connection, ProxiedConnection link, String name, long attempt)
             throws IOException, InterruptedException {
         Mood now = draw(3) == 0 ? Mood.WELL : mood;
         switch (now) {
@@ -176,7 +177,7 @@
     }
 
     /** True while the conductor has not given up. */
-    private static boolean pause(FaultProxy.Link link, long ms) throws InterruptedException {
+    private static boolean pause(ProxiedConnection link, long ms) throws InterruptedException {
         long until = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < until && link.endedAt() == Long.MAX_VALUE) {
             Thread.sleep(Math.max(1, Math.min(LOOK_MS, (until - System.nanoTime()) / 1_000_000)));
@@ -184,7 +185,7 @@
         return link.endedAt() == Long.MAX_VALUE;
     }
 
-    private AttemptEnd read(HttpConnection connection, FaultProxy.Link link, String name, Mood now)
+    private AttemptEnd read(HttpConnection connection, ProxiedConnection link, String name, Mood now)
             throws IOException, InterruptedException {
         boolean waited = pause(link, now == Mood.SLOW ? 400 + draw(800) : 3 + draw(25));
         if (!waited && draw(2) == 0) {
@@ -195,7 +196,7 @@
         return waited ? AttemptEnd.SERVED : AttemptEnd.GIVEN_UP;
     }
 
-    private AttemptEnd write(HttpConnection connection, FaultProxy.Link link, String name, long attempt, Mood now)
+    private AttemptEnd write(HttpConnection connection, ProxiedConnection link, String name, long attempt, Mood now)
             throws IOException, InterruptedException {
         if (!states.containsKey(name)) {
             connection.answer(410, "X-Not-Processed: 1\r\n", "");
