BadClientsTest: a half request is timed before the test's clock moves on

The reactor tells the front of the request in front and then looks at the times, from where the half behind it counts; the test waits for the first alone, so that its clock could move in between, and the half was never old. By reading; the order was not forced. Change: one turn of the reactor lies between the two. No assertion is changed.

--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -367,14 +367,11 @@
                     Line other = new Line(at)) {
                 client.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n" + behind);
                 await("asked", () -> open.get() != null);
+                turn(other); // of the reactor: the half is timed behind the word to the front
                 clock.now = clock.now.plusSeconds(3);
                 client.send("x"); // has the reactor look at the times
                 for (int i = 0; i < 3; i++) {
-                    assertEquals(
-                            other.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-                                    .read()
-                                    .status(),
-                            200); // a turn
+                    turn(other);
                 }
                 open.get().whole(200, "text/plain", Map.of(), new byte[0]);
                 assertEquals(client.read().status(), 200);
@@ -383,6 +380,11 @@
         }
     }
 
+    /** What the one reactor had begun before is over when it has answered this. */
+    private static void turn(Line other) throws Exception {
+        assertEquals(other.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n").read().status(), 200);
+    }
+
     @DataProvider
     public Object[][] halves() {
         return new Object[][] {
