--- a/src/soak/java/copperbeam/soak/Lateness.java
+++ b/src/soak/java/copperbeam/soak/Lateness.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * How late threads get the processor on this machine, as it has other work or its host has: what the stand-ins note, and what the conductors
- * do, is late by as much. Measured by the round trips of a byte between pairs of threads that do nothing else; a thread that merely sleeps
- * is woken wherever a processor is free and sees little of it.
+ * How late threads get the processor on this machine, as it has other work or its host has: what the stand-ins note, and what the
+ * conductors do, is late by as much. Measured by the round trips of a byte between pairs of threads that do nothing else; a thread
+ * that merely sleeps is woken wherever a processor is free and sees little of it.
  */
 final class Lateness implements AutoCloseable {
     private static final int PAIRS = 4;
