HeldStateTest: the peers of a world are made in one place

Cause: the same loop stood three times, once more since the conductor of a world became a record; a count of disk errors stood as a figure. Change: peersOf serves all three; the injector takes the table's length. No assertion and no bound is changed.

--- a/src/soak/java/copperbeam/soak/TroubleInjector.java
+++ b/src/soak/java/copperbeam/soak/TroubleInjector.java
@@ -42,7 +42,8 @@
             case DISCOVERY -> breakDiscovery(site.agent(conductor), trouble);
             case SYSTEM_CALLS -> failSystemCalls(conductor, trouble);
             case SHORT_IO -> shortenIo(conductor, trouble);
-            case DISK -> fail(conductor, Fault.FILE_WRITE, DISK_ERRORS[trouble.draw() % 2], trouble.lengthMs());
+            case DISK ->
+                fail(conductor, Fault.FILE_WRITE, DISK_ERRORS[trouble.draw() % DISK_ERRORS.length], trouble.lengthMs());
             case CLIENT_CROWD -> {
                 long until = System.nanoTime() + trouble.lengthMs() * 1_000_000;
                 new IdleClients(conductor, CROWD).keepComing(() -> System.nanoTime() > until);
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -420,13 +420,11 @@
             ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
             ModuleActor module =
                     new ModuleActor(world.moduleTurns, world, settings, 7, releases, Recorder.NONE, metrics);
-            PeerActor.Setup setup = setup(world, module, releases, metrics);
-            Map<String, PeerActor> peers = new HashMap<>();
+            Map<String, PeerActor> peers = peersOf(world, setup(world, module, releases, metrics));
             List<Api.Member> members = new ArrayList<>();
             for (int i = 0; i < world.natures.length; i++) {
-                String id = "s" + i;
-                peers.put(id, new PeerActor(world.turns, id, new InetSocketAddress("127.0.0.1", i), setup));
-                members.add(new Api.Member(id, "z", i < world.readers ? "r" : "w", 0, Api.ServerState.READY, 1, 0));
+                members.add(
+                        new Api.Member("s" + i, "z", i < world.readers ? "r" : "w", 0, Api.ServerState.READY, 1, 0));
             }
             module.tell(new ModuleActor.Listed(Api.ListKind.FULL, members, peers, null));
             releases.tell(new ReleaseActor.Listed(peers));
@@ -434,6 +432,16 @@
         }
     }
 
+    /** One for each server, by its id. */
+    private static Map<String, PeerActor> peersOf(World world, PeerActor.Setup setup) {
+        Map<String, PeerActor> peers = new HashMap<>();
+        for (int i = 0; i < world.natures.length; i++) {
+            String id = "s" + i;
+            peers.put(id, new PeerActor(world.turns, id, new InetSocketAddress("127.0.0.1", i), setup));
+        }
+        return peers;
+    }
+
     private static Ask ask(String id, Duration at) {
         return new Ask(id, "c", "k", null, 100, 0, 10, Instant.EPOCH.plus(at).plus(WAITS), false, null);
     }
@@ -612,16 +620,7 @@
             World world = new World(natures, 0, releaseS, Slow.NOT);
             world.heldSince = Duration.ZERO;
             ReleaseActor releases = new ReleaseActor(world.turns, world, ModuleTime.span(2 * releaseS));
-            Map<String, PeerActor> peers = new HashMap<>();
-            for (int n = 0; n < natures.length; n++) {
-                peers.put(
-                        "s" + n,
-                        new PeerActor(
-                                world.turns,
-                                "s" + n,
-                                new InetSocketAddress("127.0.0.1", n),
-                                setup(world, null, releases, null)));
-            }
+            Map<String, PeerActor> peers = peersOf(world, setup(world, null, releases, null));
             releases.tell(new ReleaseActor.Listed(peers));
             releases.tell(new ReleaseActor.Release(ID, "s0", null));
             while (world.heldSince != null && !world.dues.isEmpty()) {
@@ -645,16 +644,7 @@
     public void aReleaseOutlastsACutFromAll(boolean stop, Instant until) throws Exception {
         World world = new World(new Nature[] {Nature.WELL, Nature.WELL}, 0, 1, Slow.NOT);
         ReleaseActor releases = new ReleaseActor(world.turns, world, Duration.ofSeconds(2));
-        Map<String, PeerActor> peers = new HashMap<>();
-        for (int n = 0; n < 2; n++) {
-            peers.put(
-                    "s" + n,
-                    new PeerActor(
-                            world.turns,
-                            "s" + n,
-                            new InetSocketAddress("127.0.0.1", n),
-                            setup(world, null, releases, null)));
-        }
+        Map<String, PeerActor> peers = peersOf(world, setup(world, null, releases, null));
         world.cutOff.addAll(List.of(0, 1));
         releases.tell(new ReleaseActor.Listed(peers));
         releases.tell(new ReleaseActor.Release(ID, "s0", until));
