Descriptors that are really open are counted: a burst no longer takes the last ones

Stopped at its highest, the process had all of 256 descriptors open: 193 to 206 clients' connections for 178 that the room takes (a closed channel holds its descriptor until its reactor's next select), and up to 122 connections to servers beside few open requests (a release asks several servers at once, a connect goes on after its attempt has ended). Then connects and discovery fail, and a class that is loaded late from a folder is missing for good; such an Error in a connect's callback also ended the reactor that calls servers.

ClientReactor counts its connections and keeps Errors of who is told of them from its thread.

The reactor's new test failed in both rows without its guard.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -25,6 +25,7 @@
 import copperbeam.transport.AdminServer;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ClientRoom;
+import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import copperbeam.transport.PlainHttpClient;
 import copperbeam.transport.ServerConnector;
@@ -97,9 +98,11 @@
         metrics = new Metrics(config.classNames());
         releases = new ReleaseActor(turns, clock, releaseWithin.multipliedBy(2));
         module = new ModuleActor(turns, clock, config.settings(), config.seed(), releases, recorder, metrics);
+        DescriptorBudget descriptors = DescriptorBudget.ofProcess(
+                config.limits().sockets(), config.limits().idle(), reactor);
         PeerActor.Setup setup = new PeerActor.Setup(
                 clock,
-                new ServerConnector(reactor),
+                new ServerConnector(reactor, descriptors),
                 config.connectTimeout(),
                 Duration.ofMillis((long) (config.connectionIdle().toMillis() * IDLE_SHARE)),
                 callTimeout(config.connectTimeout()),
@@ -120,7 +123,7 @@
         MembershipSource.Sink told = bans == null
                 ? change -> list.tell(new ListActor.Told(launches.steady(change), null))
                 : change -> bans.tell(new BanActor.Told(launches.steady(change)));
-        room = new ClientRoom(config.limits().clients(), config.limits().bodies());
+        room = new ClientRoom(config.limits().clients(), config.limits().bodies(), descriptors);
         boolean goesOn = config.operator().etcd() == null && config.knownListing() != null;
         if (goesOn) {
             told.changed(config.known().change(ListKind.CACHED));
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -10,6 +10,8 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentLengthStrategy;
@@ -55,6 +57,39 @@
         void down();
     }
 
+    /** Counts the connection, and keeps what fails in the one who is told from the reactor: an Error would end it. */
+    private final class CountedLife implements Life {
+        private final Life life;
+        private final AtomicBoolean counted = new AtomicBoolean(true);
+
+        CountedLife(Life life) {
+            this.life = life;
+            connections.incrementAndGet();
+        }
+
+        @Override
+        public void up(IOSession session) {
+            try {
+                life.up(session);
+            } catch (Error e) {
+                Problems.broken(e);
+                session.close(CloseMode.IMMEDIATE);
+            }
+        }
+
+        @Override
+        public void down() {
+            if (counted.getAndSet(false)) {
+                connections.decrementAndGet();
+            }
+            try {
+                life.down();
+            } catch (Error e) {
+                Problems.broken(e);
+            }
+        }
+    }
+
     private static final int MOST_CHUNK = 1 << 20;
     private static final int MOST_A_TURN = 64 * 1024; // bytes read from one connection; a window
     private static final int MOST_TURNS_READ_OUT = 16;
@@ -76,6 +111,7 @@
 
     private final DefaultConnectingIOReactor reactor;
     private final Queue<Pending> pending = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger connections = new AtomicInteger();
 
     public ClientReactor() {
         IOReactorConfig config = IOReactorConfig.custom()
@@ -350,7 +386,12 @@
         return new HttpHost(null, to.getAddress(), to.getHostString(), to.getPort());
     }
 
-    void connect(InetSocketAddress to, Duration timeout, Life life) {
+    /** Connections that are open or being opened. */
+    int connections() {
+        return connections.get();
+    }
+
+    void connect(InetSocketAddress to, Duration timeout, Life told) {
         NamedEndpoint endpoint = new NamedEndpoint() {
             @Override
             public String getHostName() {
@@ -362,6 +403,7 @@
                 return to.getPort();
             }
         };
+        Life life = new CountedLife(told);
         Future<IOSession> connect =
                 reactor.connect(endpoint, to, null, Timeout.of(timeout), life, new FutureCallback<>() {
                     @Override
--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -137,6 +137,7 @@
 
     private volatile int most;
     private final long mostBytes;
+    private final DescriptorBudget descriptors;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
     private final AtomicInteger busy = new AtomicInteger();
     private final AtomicLong bytes = new AtomicLong();
@@ -146,9 +147,10 @@
      * descriptors, the other one towards a server, and one without a request takes one: {@code 2 * most} together. Guards
      * against a crowd that connects and asks for nothing in the place of those who ask.
      */
-    public ClientRoom(int most, long mostBytes) {
+    public ClientRoom(int most, long mostBytes, DescriptorBudget descriptors) {
         this.most = most;
         this.mostBytes = mostBytes;
+        this.descriptors = descriptors;
     }
 
     /** A new connection. Where room is short another is asked to go for it; where there is none its requests are refused. */
@@ -164,9 +166,13 @@
      * whom there is no place wait in the kernel's queue, where their requests are not lost.
      */
     boolean takes(int coming, Instant now) {
-        boolean takes = taken() + coming < 2 * most + MOST_BEYOND;
-        if (!takes) {
+        if (taken() + coming >= 2 * most + MOST_BEYOND) {
             place(now); // asks one to go: it counts until it has
+            return false;
+        }
+        boolean takes = !crowded() || descriptors.grants(busy.get());
+        if (!takes && clients.stream().noneMatch(Client::going)) {
+            askOne(now);
         }
         return takes;
     }
@@ -177,8 +183,11 @@
 
     /** Whether there is place for one more, or one has been found that can go: between two requests, or silent. */
     private boolean place(Instant now) {
-        return taken() - clients.stream().filter(Client::going).count() < 2L * most
-                || ask(c -> c.heard && c.idleSince.plus(STAY).isBefore(now))
+        return taken() - clients.stream().filter(Client::going).count() < 2L * most || askOne(now);
+    }
+
+    private boolean askOne(Instant now) {
+        return ask(c -> c.heard && c.idleSince.plus(STAY).isBefore(now))
                 || ask(c -> !c.heard && c.connected.plus(SILENT).isBefore(now));
     }
 
@@ -192,7 +201,7 @@
      * twice as many as may ask, could else all ask at once.
      */
     boolean full() {
-        return busy.get() >= most || taken() >= 2 * most + MOST_BEYOND;
+        return busy.get() >= most || taken() >= 2 * most + MOST_BEYOND || crowded() && !descriptors.serves(busy.get());
     }
 
     /** From now on so many connections; those beyond stay. */
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -32,13 +32,24 @@
     private static final Duration MOST_TOLD_TOO_MUCH = Duration.ofMillis(100); // of the time that is left
 
     private final ClientReactor reactor;
+    private final DescriptorBudget descriptors;
 
     public ServerConnector(ClientReactor reactor) {
+        this(reactor, DescriptorBudget.unlimited());
+    }
+
+    /** Where {@code descriptors} run out, a connect fails at once, as it would where none is left at all. */
+    public ServerConnector(ClientReactor reactor, DescriptorBudget descriptors) {
         this.reactor = reactor;
+        this.descriptors = descriptors;
     }
 
     @Override
     public void connect(InetSocketAddress to, Duration timeout, Watcher watcher) {
+        if (!descriptors.connects()) {
+            watcher.failed();
+            return;
+        }
         reactor.connect(to, timeout, new ClientReactor.Life() {
             private final AtomicBoolean told = new AtomicBoolean();
             private volatile ServerConnection connection;
--- a/src/test/java/copperbeam/program/LifecycleActorTest.java
+++ b/src/test/java/copperbeam/program/LifecycleActorTest.java
@@ -14,6 +14,7 @@
 import copperbeam.routing.ReleaseActor;
 import copperbeam.simhost.Decoder;
 import copperbeam.transport.ClientRoom;
+import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
@@ -105,7 +106,7 @@
                         return () -> {};
                     },
                     clock,
-                    new ClientRoom(10, 1 << 20),
+                    new ClientRoom(10, 1 << 20, DescriptorBudget.unlimited()),
                     (requestClass, status) -> {});
             ReleaseActor releases = new ReleaseActor(turns, clock, Duration.ofSeconds(2));
             module = new ModuleActor(
--- a/src/test/java/copperbeam/sockets/ReactorEndTest.java
+++ b/src/test/java/copperbeam/sockets/ReactorEndTest.java
@@ -1,16 +1,25 @@
 package copperbeam.sockets;
 
+import static copperbeam.sockets.Site.await;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.routing.Connector;
+import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ClientRoom;
+import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
+import copperbeam.transport.ServerConnector;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class ReactorEndTest {
+    private static final int NOBODY = 1; // a port at which none listens
     private static final String GET = "GET /%s HTTP/1.1\r\nHost: x\r\n\r\n";
 
     /** As by a stack that is used up: it is answered and ends its own connection, and neither those beside it nor their reactor. */
@@ -25,7 +34,7 @@
                     return () -> {};
                 },
                 Clock.systemUTC(),
-                new ClientRoom(10, 1000),
+                new ClientRoom(10, 1000, DescriptorBudget.unlimited()),
                 (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             try (Line bad = new Line(at);
@@ -37,4 +46,46 @@
             }
         }
     }
+
+    /** {@code up}: the one that is told of connections fails as one has come up, else as one has not. */
+    @DataProvider
+    public Object[][] failures() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /** As where a class can't be loaded, for lack of a descriptor: once no server was reached again. */
+    @Test(dataProvider = "failures")
+    public void anErrorOfWhoIsToldOfAConnectionLeavesItsReactorServing(boolean up) throws Exception {
+        try (StandIn server = new StandIn((m, line) -> line.answer(200, ""));
+                ClientReactor reactor = new ClientReactor()) {
+            ServerConnector connector = new ServerConnector(reactor);
+            CountDownLatch failed = new CountDownLatch(1);
+            connector.connect(
+                    up ? server.address() : new InetSocketAddress("127.0.0.1", NOBODY),
+                    Duration.ofSeconds(5),
+                    new Told(failed, () -> {
+                        throw new NoClassDefFoundError("wanted");
+                    }));
+            await("told", () -> failed.getCount() == 0);
+            CountDownLatch reached = new CountDownLatch(1);
+            connector.connect(server.address(), Duration.ofSeconds(5), new Told(reached, () -> {}));
+            await("another is reached", () -> reached.getCount() == 0);
+        }
+    }
+
+    private record Told(CountDownLatch told, Runnable then) implements Connector.Watcher {
+        @Override
+        public void up(Connector.Connection connection) {
+            failed();
+        }
+
+        @Override
+        public void failed() {
+            told.countDown();
+            then.run();
+        }
+
+        @Override
+        public void closed(Connector.Connection connection) {}
+    }
 }
