Soak: a killed process's states and cuts by several troubles together no longer count

Change: a state is judged up to its conductor's kill and not beyond; before, one held too long by then did not count where the kill came before the answer, which stays. ReachLog notes when all listed servers are silent for a conductor, whichever troubles made them so, in place of the one trouble that cuts it off from all.

--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -25,9 +25,20 @@
     /** The first byte of a request reached a server. */
     record AttemptOpened(long at, String id, String server, String conductor) implements Observation {}
 
-    /** The last byte of a request reached a server, having left at {@code sentAt}; {@code attempt} is a number of its own. */
+    /**
+     * The last byte of a request reached a server, having left at {@code sentAt}; {@code attempt} is a number of its own. The network
+     * has read what the conductor sends on this connection since {@code carriedSince}.
+     */
     record AttemptArrived(
-            long at, String id, String server, Role role, String conductor, long attempt, long toldMs, long sentAt)
+            long at,
+            String id,
+            String server,
+            Role role,
+            String conductor,
+            long attempt,
+            long toldMs,
+            long sentAt,
+            long carriedSince)
             implements Observation {}
 
     /** The server wrote its last byte, or the conductor's end of the connection was closed. */
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -314,14 +314,23 @@
         judgeIdle(id, r, idleSince, to);
     }
 
-    /** Nothing can be let go while no server can be reached. */
+    /** Nothing can be let go while no server can be reached, nor by a process that was killed before it had to be. */
     private void judgeIdle(String id, Request r, long from, long to) {
-        long able = to - from - cutOffFromAll(r.sent.conductor(), from, to);
+        long until = Math.min(to, killedAfter(from, r.sent.conductor()));
+        long able = until - from - cutOffFromAll(r.sent.conductor(), from, until);
         if (able > (terms.releaseMs() + RELEASE_GRACE_MS + terms.slackMs()) * MS) {
-            broken(Rule.PINNED, id, "held for " + ms(to - from));
+            broken(Rule.PINNED, id, "held for " + ms(until - from));
         }
     }
 
+    private long killedAfter(long from, String conductor) {
+        return kills.stream()
+                .filter(kill -> kill.conductor().equals(conductor) && kill.at() > from)
+                .mapToLong(Killed::at)
+                .findFirst()
+                .orElse(Long.MAX_VALUE);
+    }
+
     private long cutOffFromAll(String conductor, long from, long to) {
         long sum = 0;
         long since = -1;
--- a/src/soak/java/copperbeam/soak/ProxiedConnection.java
+++ b/src/soak/java/copperbeam/soak/ProxiedConnection.java
@@ -33,6 +33,7 @@
     private volatile boolean endedByNetwork;
     private volatile long resetAt = Long.MAX_VALUE; // by the network, which both ends see
     private volatile long readAt;
+    private volatile long carriedSince;
 
     ProxiedConnection(String conductor, FaultProxy network, Socket near) {
         this.conductor = conductor;
@@ -56,6 +57,11 @@
         return readAt;
     }
 
+    /** From when on what the conductor sends has been read, in case a connection was long in coming up beyond the conductor's side. */
+    long carriedSince() {
+        return carriedSince;
+    }
+
     /** Waits while the network holds back what the server has written, and the conductor has not given it up. */
     void awaitDelivery() throws InterruptedException {
         awaitPassage(() -> endedAt() != Long.MAX_VALUE);
@@ -115,6 +121,7 @@
 
     private void receive(Thread delivery) throws InterruptedException {
         byte[] bytes = new byte[BUFFER];
+        carriedSince = System.nanoTime();
         try {
             InputStream in = near.getInputStream();
             for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -131,7 +131,8 @@
                 link.conductor,
                 attempt,
                 told == null ? 0 : Long.parseLong(told.replace("m", "")),
-                link.readAt()));
+                link.readAt(),
+                link.carriedSince()));
         AttemptEnd end = AttemptEnd.FAILED;
         try {
             end = carryOut(connection, link, name, attempt);
--- a/src/soak/java/copperbeam/soak/TroubleInjector.java
+++ b/src/soak/java/copperbeam/soak/TroubleInjector.java
@@ -25,9 +25,11 @@
 
     private final SoakSite site;
     private final Map<String, ConductorLife> lives; // by the conductor's name
+    private final ReachLog reach;
 
     TroubleInjector(SoakSite site, Map<String, ConductorLife> lives) {
         this.site = site;
+        reach = new ReachLog(site);
         this.lives = lives;
     }
 
@@ -52,6 +54,7 @@
                 lives.get(conductor.name).renew(trouble);
             default -> carryOutBeyond(conductor, pick(site.listed(), trouble), trouble);
         }
+        reach.look(); // the list may have changed
         site.history.add(new Observation.Troubled(System.nanoTime(), trouble, false));
     }
 
@@ -63,7 +66,7 @@
             case SERVER_MOOD -> changeMood(server, trouble);
             case SERVER_REPLACED -> replace(server, trouble);
             case SERVER_CUT_OFF -> network(toServer, FaultProxy.Mode.SILENT, trouble);
-            case CONDUCTOR_CUT_OFF -> cutOff(conductor, trouble);
+            case CONDUCTOR_CUT_OFF -> network(cutOffFrom(conductor, trouble), FaultProxy.Mode.SILENT, trouble);
             case ROLE_CUT_OFF ->
                 network(proxiesOfMost(Role.values()[trouble.draw() % 2]), FaultProxy.Mode.SILENT, trouble);
             case NETWORK_LATE -> network(toServer, FaultProxy.Mode.LATE, trouble);
@@ -144,17 +147,6 @@
         site.fleet.put(server.id, server.role, "left", site.fleet.get(server.id).startedMs());
     }
 
-    private void cutOff(ConductorProcess conductor, Trouble trouble) throws IOException, InterruptedException {
-        boolean fromAll = trouble.draw() % 3 == 0;
-        if (fromAll) {
-            site.history.add(new Observation.CutOffFromAll(System.nanoTime(), conductor.name, true));
-        }
-        network(cutOffFrom(conductor, trouble), FaultProxy.Mode.SILENT, trouble);
-        if (fromAll) {
-            site.history.add(new Observation.CutOffFromAll(System.nanoTime(), conductor.name, false));
-        }
-    }
-
     /** All servers, all readers or all writers. */
     private List<FaultProxy> cutOffFrom(ConductorProcess conductor, Trouble trouble) {
         Predicate<ServerStandIn> concerned = switch (trouble.draw() % 3) {
@@ -177,17 +169,19 @@
                 .toList();
     }
 
-    private static void network(List<FaultProxy> which, FaultProxy.Mode mode, Trouble trouble)
+    private void network(List<FaultProxy> which, FaultProxy.Mode mode, Trouble trouble)
             throws IOException, InterruptedException {
         try {
             for (FaultProxy proxy : which) {
                 proxy.mode(mode);
             }
+            reach.look();
             Thread.sleep(trouble.lengthMs());
         } finally {
             for (FaultProxy proxy : which) {
                 proxy.mode(FaultProxy.Mode.PASS);
             }
+            reach.look();
         }
     }
 }
