Clean-up: a ClientRoom without a budget, one held state in OracleTest, a JDK clock

Cause: reread as a whole, the change passed DescriptorBudget.unlimited() in 15 places of seven test files, wrote the history of a held state three times in OracleTest and a clock of fifteen lines in ListenQueueAgeTest; the formatter had torn a comment apart. Change: ClientRoom has a constructor bounded by its own counts, as ServerConnector has; held() is the history's beginning for all its rows; InstantSource gives the clock. All rows and assertions stay; no behaviour changes.

--- a/src/main/java/copperbeam/transport/ClientRoom.java
+++ b/src/main/java/copperbeam/transport/ClientRoom.java
@@ -142,6 +142,11 @@
     private final AtomicInteger busy = new AtomicInteger();
     private final AtomicLong bytes = new AtomicLong();
 
+    /** Bounded by its own counts alone. */
+    public ClientRoom(int most, long mostBytes) {
+        this(most, mostBytes, DescriptorBudget.unlimited());
+    }
+
     /**
      * {@code most}: connections with an open request, and so many bytes of bodies. Each such connection takes two
      * descriptors, the other one towards a server, and one without a request takes one: {@code 2 * most} together. Guards
--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -30,9 +30,7 @@
 
     private static final AtomicInteger HOSTS = new AtomicInteger();
     private static final int HOSTS_A_NET = 250;
-    // above what one conductor connects at once: a queue that overflows drops handshakes whose client believes that it
-    // is connected,
-    // and what it sends then arrives 0.2 to 0.5 s late
+    // more than come at once: one that overflows drops handshakes that clients take for done, and their bytes come late
     static final int BACKLOG = 32;
     private static final int LOOK_MS = 5;
     private static final int PIECE = 7;
--- a/src/test/java/copperbeam/program/LifecycleActorTest.java
+++ b/src/test/java/copperbeam/program/LifecycleActorTest.java
@@ -14,7 +14,6 @@
 import copperbeam.routing.ReleaseActor;
 import copperbeam.simhost.Decoder;
 import copperbeam.transport.ClientRoom;
-import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
@@ -106,7 +105,7 @@
                         return () -> {};
                     },
                     clock,
-                    new ClientRoom(10, 1 << 20, DescriptorBudget.unlimited()),
+                    new ClientRoom(10, 1 << 20),
                     (requestClass, status) -> {});
             ReleaseActor releases = new ReleaseActor(turns, clock, Duration.ofSeconds(2));
             module = new ModuleActor(
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -158,18 +158,11 @@
                     at(1100, safe),
                     new AttemptOpened(1200 * MS, "r", "again", "n0"),
                     answered(1300, 502)),
-            row(
-                    Rule.PINNED,
-                    at(0, safe),
-                    arrives(5, Role.READER, 1),
-                    new StateHeld(10 * MS, "r", "again"),
-                    ends(10, 1, AttemptEnd.SERVED),
-                    answered(900, 502),
-                    new StateFreed(1500 * MS, "r")),
-            row(null, heldAtAKill(900)),
-            row(Rule.PINNED, heldAtAKill(1500)),
-            row(Rule.PINNED, heldWhileCutOff("n1")),
-            row(null, heldWhileCutOff("n0")),
+            held(Rule.PINNED, answered(900, 502), new StateFreed(1500 * MS, "r")),
+            heldAtAKill(null, 900),
+            heldAtAKill(Rule.PINNED, 1500),
+            heldWhileCutOff(Rule.PINNED, "n1"),
+            heldWhileCutOff(null, "n0"),
             row(
                     null,
                     at(0, safe),
@@ -191,30 +184,30 @@
     }
 
     /** Never let go, as its conductor is killed after the answer. */
-    private static Observation[] heldAtAKill(long killedMs) {
-        return new Observation[] {
-            at(0, RequestKind.SAFE),
-            arrives(5, Role.READER, 1),
-            new StateHeld(10 * MS, "r", "again"),
-            ends(10, 1, AttemptEnd.SERVED),
-            answered(800, 502),
-            new Killed(killedMs * MS, "n0"),
-            new CutOffFromAll(5000 * MS, "n1", true)
-        };
+    private static Object[] heldAtAKill(Rule rule, long killedMs) {
+        return held(
+                rule, answered(800, 502), new Killed(killedMs * MS, "n0"), new CutOffFromAll(5000 * MS, "n1", true));
     }
 
     /** Beyond its time by what the conductor is cut off from all servers. */
-    private static Observation[] heldWhileCutOff(String conductor) {
-        return new Observation[] {
-            at(0, RequestKind.SAFE),
-            arrives(5, Role.READER, 1),
-            new StateHeld(10 * MS, "r", "again"),
-            ends(10, 1, AttemptEnd.SERVED),
-            new CutOffFromAll(400 * MS, conductor, true),
-            answered(900, 502),
-            new CutOffFromAll(1400 * MS, conductor, false),
-            new StateFreed(1500 * MS, "r")
-        };
+    private static Object[] heldWhileCutOff(Rule rule, String conductor) {
+        return held(
+                rule,
+                new CutOffFromAll(400 * MS, conductor, true),
+                answered(900, 502),
+                new CutOffFromAll(1400 * MS, conductor, false),
+                new StateFreed(1500 * MS, "r"));
+    }
+
+    /** A state is held from 10 ms on. */
+    private static Object[] held(Rule rule, Observation... then) {
+        List<Observation> history = new ArrayList<>(List.of(
+                at(0, RequestKind.SAFE),
+                arrives(5, Role.READER, 1),
+                new StateHeld(10 * MS, "r", "again"),
+                ends(10, 1, AttemptEnd.SERVED)));
+        history.addAll(List.of(then));
+        return row(rule, history);
     }
 
     private static Object[] row(Rule rule, Observation... history) {
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -12,7 +12,6 @@
 import copperbeam.program.Config;
 import copperbeam.protocol.HttpReply;
 import copperbeam.transport.ClientRoom;
-import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -218,7 +217,7 @@
                     return () -> {};
                 },
                 Clock.systemUTC(),
-                new ClientRoom(10, 1000, DescriptorBudget.unlimited()),
+                new ClientRoom(10, 1000),
                 (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             server.drain(true);
@@ -299,7 +298,7 @@
     @Test(dataProvider = "turnedAway")
     public void whoIsTurnedAwayMayGoOnWriting(String text, int status, Until until) throws Exception {
         Stands clock = new Stands();
-        ClientRoom room = new ClientRoom(10, 1000, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(10, 1000);
         try (HttpFrontServer server = new HttpFrontServer(
                 (call, reply) -> {
                     reply.whole(200, "text/plain", Map.of(), new byte[0]);
@@ -349,7 +348,7 @@
     @Test(dataProvider = "halves")
     public void halfARequestBehindAnOpenOneLeavesThatItsAnswer(String behind) throws Exception {
         Stands clock = new Stands();
-        ClientRoom room = new ClientRoom(10, 1000, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(10, 1000);
         AtomicReference<HttpReply> open = new AtomicReference<>();
         try (HttpFrontServer server = new HttpFrontServer(
                 (call, reply) -> {
@@ -439,7 +438,7 @@
                     return () -> {};
                 },
                 clock,
-                new ClientRoom(10, 1000, DescriptorBudget.unlimited()),
+                new ClientRoom(10, 1000),
                 (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             try (Line client = new Line(at)) {
@@ -455,7 +454,7 @@
     @Test
     public void whoSpeaksAsItsTimeIsUpIsHeard() throws Exception {
         Stands clock = new Stands();
-        ClientRoom room = new ClientRoom(10, 1000, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(10, 1000);
         CountDownLatch busy = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         try (HttpFrontServer server = new HttpFrontServer(
@@ -497,7 +496,7 @@
                     throw new IllegalStateException("a fault");
                 },
                 Clock.systemUTC(),
-                new ClientRoom(10, 1000, DescriptorBudget.unlimited()),
+                new ClientRoom(10, 1000),
                 (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             try (Line client = new Line(at)) {
@@ -511,7 +510,7 @@
     /** Guards the memory: many large requests that wait at once. */
     @Test
     public void bodiesThatWaitAreBounded() throws Exception {
-        ClientRoom room = new ClientRoom(10, 1000, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(10, 1000);
         try (HttpFrontServer server = new HttpFrontServer(
                 (call, reply) -> {
                     if (call.body().length < 900) {
@@ -545,7 +544,7 @@
     /** HttpCore tells nobody of a connection that a reset ended; such were once counted for good. */
     @Test
     public void resetClientsTakeNoRoom() throws Exception {
-        ClientRoom room = new ClientRoom(500, 1 << 20, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(500, 1 << 20);
         try (HttpFrontServer server =
                 new HttpFrontServer((call, reply) -> () -> {}, Clock.systemUTC(), room, (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
--- a/src/test/java/copperbeam/sockets/ClientGoneTest.java
+++ b/src/test/java/copperbeam/sockets/ClientGoneTest.java
@@ -9,7 +9,6 @@
 import copperbeam.routing.Ask;
 import copperbeam.routing.RequestHook;
 import copperbeam.transport.ClientRoom;
-import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -241,7 +240,7 @@
         CountDownLatch busy = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         List<String> heard = new CopyOnWriteArrayList<>();
-        ClientRoom room = new ClientRoom(100, 1 << 20, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(100, 1 << 20);
         try (HttpFrontServer server = new HttpFrontServer(
                 (call, reply) -> {
                     heard.add(call.path());
--- a/src/test/java/copperbeam/sockets/EndTest.java
+++ b/src/test/java/copperbeam/sockets/EndTest.java
@@ -11,7 +11,6 @@
 import copperbeam.program.Config;
 import copperbeam.program.Node;
 import copperbeam.transport.ClientRoom;
-import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -56,7 +55,7 @@
         try (HttpFrontServer server = new HttpFrontServer(
                 (call, reply) -> () -> {},
                 Clock.systemUTC(),
-                new ClientRoom(10, 1 << 20, DescriptorBudget.unlimited()),
+                new ClientRoom(10, 1 << 20),
                 (requestClass, status) -> {})) {
             server.listen(new InetSocketAddress("127.0.0.1", 0), true);
             server.stopListening();
@@ -145,7 +144,7 @@
                             return () -> {};
                         },
                         Clock.systemUTC(),
-                        new ClientRoom(10, 1 << 20, DescriptorBudget.unlimited()),
+                        new ClientRoom(10, 1 << 20),
                         (requestClass, status) -> {});
                 Line client = new Line(server.listen(new InetSocketAddress("127.0.0.1", 0), false))) {
             await("sealed", server::seal);
--- a/src/test/java/copperbeam/sockets/ReactorEndTest.java
+++ b/src/test/java/copperbeam/sockets/ReactorEndTest.java
@@ -7,7 +7,6 @@
 import copperbeam.routing.Connector;
 import copperbeam.transport.ClientReactor;
 import copperbeam.transport.ClientRoom;
-import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import copperbeam.transport.ServerConnector;
 import java.net.InetSocketAddress;
@@ -34,7 +33,7 @@
                     return () -> {};
                 },
                 Clock.systemUTC(),
-                new ClientRoom(10, 1000, DescriptorBudget.unlimited()),
+                new ClientRoom(10, 1000),
                 (c, status) -> {})) {
             InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0), false);
             try (Line bad = new Line(at);
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -11,7 +11,6 @@
 import static org.testng.Assert.assertTrue;
 
 import copperbeam.transport.ClientRoom;
-import copperbeam.transport.DescriptorBudget;
 import copperbeam.transport.HttpFrontServer;
 import java.net.InetSocketAddress;
 import java.time.Clock;
@@ -390,7 +389,7 @@
         AtomicInteger slowOnes = new AtomicInteger();
         AtomicInteger ended = new AtomicInteger(); // of these, in the conductor's books too
         Ahead clock = new Ahead();
-        ClientRoom room = new ClientRoom(4, 1 << 20, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(4, 1 << 20);
         try (HttpFrontServer server = new HttpFrontServer(
                 (call, reply) -> {
                     if (call.path().equals("/slow")) {
--- a/src/test/java/copperbeam/transport/FairTurnTest.java
+++ b/src/test/java/copperbeam/transport/FairTurnTest.java
@@ -21,7 +21,7 @@
                 getClass().getClassLoader(),
                 new Class<?>[] {IOSession.class},
                 (proxy, method, args) -> method.getReturnType() == int.class ? 0 : null);
-        ClientRoom room = new ClientRoom(10, 1000, DescriptorBudget.unlimited());
+        ClientRoom room = new ClientRoom(10, 1000);
         Clock clock = Clock.systemUTC();
         ServerExchange exchange = new ServerExchange(
                 room.enter(session, clock.instant()),
--- a/src/test/java/copperbeam/transport/ListenQueueAgeTest.java
+++ b/src/test/java/copperbeam/transport/ListenQueueAgeTest.java
@@ -10,6 +10,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.time.ZoneOffset;
 import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.BeforeMethod;
@@ -20,22 +21,8 @@
     private static final Duration STEP = Duration.ofSeconds(1);
 
     private final AtomicReference<Instant> now = new AtomicReference<>(START);
-    private final Clock clock = new Clock() {
-        @Override
-        public Instant instant() {
-            return now.get();
-        }
-
-        @Override
-        public java.time.ZoneId getZone() {
-            return ZoneOffset.UTC;
-        }
-
-        @Override
-        public Clock withZone(java.time.ZoneId zone) {
-            return this;
-        }
-    };
+    private final InstantSource source = now::get;
+    private final Clock clock = source.withZone(ZoneOffset.UTC);
 
     @BeforeMethod
     public void begin() {
