Metrics tell where requests of each class spend their time, and where they end

Need: of a class that is hardly served nobody could tell whether its requests were held before the read, cut in it, or held before the writer. The recorder has each step of each request, no totals. Change: StageTimes counts stays, milliseconds and final answers by cause for each class and stage; a stop logs them in one line.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -317,6 +317,7 @@
             lifecycle.stop(false).join();
         }
         LOG.info("stopped; " + metrics.causes());
+        LOG.info("stages; " + metrics.stages());
     }
 
     @Override
--- a/src/main/java/copperbeam/routing/Metrics.java
+++ b/src/main/java/copperbeam/routing/Metrics.java
@@ -30,6 +30,7 @@
     private final Map<String, Counts> classes = new LinkedHashMap<>();
     private final AtomicLong current = new AtomicLong();
     private final CauseCounts causes = new CauseCounts();
+    private final StageTimes stages = new StageTimes();
     private volatile Cluster cluster = new Cluster(0, 0);
 
     /** {@code names}: the classes that are counted; what is of another counts as current alone. */
@@ -73,6 +74,11 @@
         return causes;
     }
 
+    /** Where requests of each class spent their time, for the log. */
+    public StageTimes stages() {
+        return stages;
+    }
+
     void cluster(Cluster now) {
         cluster = now;
     }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -8,6 +8,7 @@
 import copperbeam.Brain;
 import copperbeam.routing.OpenRequest.Phase;
 import copperbeam.routing.RequestRules.Rule;
+import copperbeam.routing.StageTimes.Stage;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -333,7 +334,8 @@
                 e.ask(),
                 e.answer(),
                 rules(e.ask()),
-                new StateLease(settings.rules().releaseS()));
+                new StateLease(settings.rules().releaseS()),
+                clock.instant());
         requests.put(r.key, r);
         byAnswer.put(r.answer, r);
         scheduleSweep();
@@ -394,6 +396,7 @@
         }
         note(Recorder.What.FIRST, r, e.server(), null, e.after());
         r.phase = Phase.STREAMING;
+        enter(r, Stage.WRITING);
         r.rules.ended();
         r.lease.ended();
         r.answer.begin();
@@ -412,6 +415,9 @@
         r.rules.outcome(e.outcome(), e.up());
         metrics.causes().add(CauseCounts.Kind.ATTEMPT_ENDED, e.outcome());
         r.lease.attemptEnded(e.outcome(), e.server(), e.up(), e.at());
+        if (r.phase == Phase.OPEN) {
+            enter(r, r.lease.held() ? Stage.WAITS_FOR_WRITER : Stage.WAITS_FOR_READER);
+        }
         r.releaseWanted |= e.outcome() == Outcome.OK && !r.lease.cutReaders().isEmpty();
         note(Recorder.What.ENDED, r, e.server(), e.outcome().name(), e.after());
         if (!e.outcome().answered() && r.phase != Phase.OVER) {
@@ -595,6 +601,7 @@
         r.releaseWanted = false;
         Instant connectBy = r.lease.connectBy(clock.instant());
         r.lease.attemptBegan(a.server(), reading, clock.instant());
+        enter(r, reading ? Stage.READING : Stage.WRITING);
         r.rules.begun(!reading, clock.instant());
         boolean once = !reading
                 && settings.classes().stream()
@@ -633,6 +640,8 @@
             if (r.attempts > 0) {
                 log.note(r.ask.id(), what.name().toLowerCase(Locale.ROOT) + ": " + why + ", " + attemptOf(r));
             }
+            metrics.stages().ended(r.ask.requestClass(), r.stage(), why);
+            enter(r, r.stage());
             r.rules.againstAnswer(clock.instant()).ifPresent(rule -> ruleBroken(r, rule));
             over(r, what == Recorder.What.REFUSED ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
             closing.add(r); // first, as the answer may fail
@@ -694,6 +703,10 @@
         r.lease.ended();
     }
 
+    private void enter(OpenRequest r, Stage stage) {
+        r.enter(stage, clock.instant(), metrics.stages());
+    }
+
     private static String attemptOf(OpenRequest r) {
         return "attempt " + Math.max(0, r.attempts - 1) + (r.out ? " out at " : " ended at ") + r.at.id();
     }
--- /dev/null
+++ b/src/main/java/copperbeam/routing/StageTimes.java
@@ -0,0 +1,80 @@
+package copperbeam.routing;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+
+/** How long requests of each class were in which stage, and in which stage they ended how: for the log, read from any thread. */
+public final class StageTimes {
+    /** Where a request is until its first event. */
+    public enum Stage {
+        WAITS_FOR_READER,
+        READING,
+        WAITS_FOR_WRITER,
+        WRITING
+    }
+
+    private record Key(String requestClass, Stage stage) implements Comparable<Key> {
+        @Override
+        public int compareTo(Key other) {
+            int byClass = requestClass.compareTo(other.requestClass);
+            return byClass != 0 ? byClass : stage.compareTo(other.stage);
+        }
+
+        @Override
+        public String toString() {
+            return requestClass + "." + stage;
+        }
+    }
+
+    /** Of one class in one stage. */
+    private static final class Counts {
+        private final LongAdder stays = new LongAdder();
+        private final LongAdder millis = new LongAdder();
+        private final Map<String, LongAdder> ends = new ConcurrentHashMap<>();
+
+        @Override
+        public String toString() {
+            SortedMap<String, LongAdder> sorted = new TreeMap<>(ends);
+            return stays + " in " + millis + " ms" + (sorted.isEmpty() ? "" : " " + sorted);
+        }
+    }
+
+    private final Map<Key, Counts> counts = new ConcurrentHashMap<>();
+
+    /** A request was in this stage for so long. */
+    public void stayed(String requestClass, Stage stage, Duration span) {
+        Counts c = counts(requestClass, stage);
+        c.stays.increment();
+        c.millis.add(span.toMillis());
+    }
+
+    /** A request got its final answer in this stage. */
+    public void ended(String requestClass, Stage stage, Enum<?> cause) {
+        counts(requestClass, stage)
+                .ends
+                .computeIfAbsent(cause.name(), name -> new LongAdder())
+                .increment();
+    }
+
+    /** How many requests ended there for this cause. */
+    public long ends(String requestClass, Stage stage, Enum<?> cause) {
+        LongAdder count = counts(requestClass, stage).ends.get(cause.name());
+        return count == null ? 0 : count.sum();
+    }
+
+    private Counts counts(String requestClass, Stage stage) {
+        return counts.computeIfAbsent(new Key(requestClass, stage), key -> new Counts());
+    }
+
+    /** {@code CLASS.STAGE=N in M ms {CAUSE=N}}, in the order of classes and stages. */
+    @Override
+    public String toString() {
+        return new TreeMap<>(counts)
+                .entrySet().stream().map(e -> e.getKey() + "=" + e.getValue()).collect(Collectors.joining("; "));
+    }
+}
