Soak: what cold servers are sent in all, and whether a class is starved meanwhile

SlowStartJudge holds each window's sum against N and its slack, N by the most that came in any window, and each class's share against the best one's: less than half of it is CLASS_STARVED. OracleTest has four rows for it.

--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -15,6 +15,8 @@
     private static final int LARGE = 200 * 1024;
     private static final int MOST_PAUSE_MS = 2500; // between two requests on one connection, seldom
     private static final int MOST_THINK_MS = 120; // the same, mostly
+    private static final int UNEVEN_THINK_MS = 1000; // so that each conductor has few requests
+    private static final int HEAVY_EACH = 12; // requests; one of them is heavy where costs are uneven
     private static final int LEAST_DEADLINE_MS = 600;
 
     private enum Next {
@@ -25,7 +27,7 @@
 
     private final String name;
     private final List<ConductorProcess> conductors;
-    private final long longestDeadlineMs;
+    private final SoakSettings settings;
     private final History history;
     private final Random random;
     private final AtomicBoolean over;
@@ -34,13 +36,13 @@
     ClientDriver(
             String name,
             List<ConductorProcess> conductors,
-            long longestDeadlineMs,
+            SoakSettings settings,
             History history,
             Random random,
             AtomicBoolean over) {
         this.name = name;
         this.conductors = conductors;
-        this.longestDeadlineMs = longestDeadlineMs;
+        this.settings = settings;
         this.history = history;
         this.random = random;
         this.over = over;
@@ -76,7 +78,8 @@
                 left--) {
             if (id == null) {
                 boolean pauses = random.nextInt(20) == 0 && to.takesClients();
-                Thread.sleep(random.nextInt(pauses ? MOST_PAUSE_MS : MOST_THINK_MS));
+                Thread.sleep(
+                        random.nextInt(pauses ? MOST_PAUSE_MS : settings.uneven() ? UNEVEN_THINK_MS : MOST_THINK_MS));
             }
             id = id == null ? name + "-" + number++ : id;
             Next next = ask(connection, to, id);
@@ -92,18 +95,33 @@
     }
 
     /** A request by the protocol's page, as it goes over the wire. */
-    static String text(String id, RequestKind kind, String session, long deadlineMs, String body) {
+    static String text(String id, RequestKind kind, int tokens, String session, long deadlineMs, String body) {
         return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: "
                 + kind.requestClass + "\r\nX-Route-Key: " + session + "\r\nX-Timeout: " + deadlineMs
-                + "m\r\nIdempotency-Key: " + id + "\r\nX-Attrs: prompt_len=40,max_out=9\r\nContent-Length: "
+                + "m\r\nIdempotency-Key: " + id + "\r\nX-Attrs: prompt_len=" + tokens + ",max_out=9\r\nContent-Length: "
                 + body.length() + "\r\n\r\n" + body;
     }
 
+    private RequestKind drawKind() {
+        if (!settings.uneven()) {
+            return RequestKind.values()[random.nextInt(RequestKind.values().length)];
+        }
+        return random.nextInt(HEAVY_EACH) == 0
+                ? RequestKind.UNSAFE
+                : random.nextBoolean() ? RequestKind.SAFE : RequestKind.KEYED;
+    }
+
+    /** Where shares of classes are compared, all have the same time. */
+    private long drawDeadlineMs() {
+        int longest = (int) settings.longestDeadlineMs();
+        return settings.uneven() ? longest : LEAST_DEADLINE_MS + random.nextInt(longest - LEAST_DEADLINE_MS);
+    }
+
     private Next ask(HttpConnection connection, ConductorProcess to, String id) throws InterruptedException {
-        RequestKind kind = RequestKind.values()[random.nextInt(RequestKind.values().length)];
-        long deadlineMs = LEAST_DEADLINE_MS + random.nextInt((int) longestDeadlineMs - LEAST_DEADLINE_MS);
+        RequestKind kind = drawKind();
+        long deadlineMs = drawDeadlineMs();
         String body = "{\"a\":\"" + "x".repeat(random.nextInt(25) == 0 ? LARGE : random.nextInt(300)) + "\"}";
-        String text = text(id, kind, name, deadlineMs, body);
+        String text = text(id, kind, kind.promptTokens(settings.uneven()), name, deadlineMs, body);
         boolean sent = false;
         try {
             int cut = random.nextInt(8) == 0 ? random.nextInt(text.length() - 1) : 0;
--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -59,6 +59,9 @@
     /** A server serves again, or anew, under the same id. */
     record DrainEnded(long at, String server) implements Observation {}
 
+    /** A server has started anew, and is cold; discovery tells it from now on. */
+    record ServerStarted(long at, String server, Role role) implements Observation {}
+
     /** No server can be reached by a conductor from then on, or some can again. */
     record CutOffFromAll(long at, String conductor, boolean begins) implements Observation {}
 
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -29,8 +29,20 @@
 final class Oracle {
     private static final long MS = 1_000_000;
 
-    /** The settings' figures, and the slack for what the stand-ins see late. */
-    record Terms(int mostAttempts, long releaseMs, long keyedWindowMs, boolean streamsResume, long slackMs) {}
+    /**
+     * The settings' figures, and the slack for what the stand-ins see late. {@code slowStart}: null in runs whose troubles let nobody
+     * judge what cold servers are sent.
+     */
+    record Terms(
+            int mostAttempts,
+            long releaseMs,
+            long keyedWindowMs,
+            boolean streamsResume,
+            long slackMs,
+            SlowStart slowStart) {}
+
+    /** The settings' figures for servers that have started lately. */
+    record SlowStart(double coldFrom, double warmWithinS, double fallMultiple, double fallS) {}
 
     private static final long ANSWER_GRACE_MS = 500;
     private static final long CLIENT_GONE_MS = 100;
@@ -86,6 +98,9 @@
         Oracle oracle = new Oracle(terms);
         inOrder.forEach(oracle::take);
         oracle.requests.forEach(oracle::judge);
+        if (terms.slowStart() != null) {
+            oracle.violations.addAll(new SlowStartJudge(terms).judge(inOrder));
+        }
         return oracle.violations;
     }
 
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -110,6 +110,15 @@
         }
     }
 
+    /** As one that starts anew. */
+    void forgetStates() {
+        states.forEach((request, holder) -> {
+            if (holder.equals(id)) {
+                free(request);
+            }
+        });
+    }
+
     private void hold(String request, long at) {
         states.put(request, id);
         history.add(new Observation.StateHeld(at, request, id));
--- /dev/null
+++ b/src/soak/java/copperbeam/soak/SlowStartJudge.java
@@ -0,0 +1,163 @@
+package copperbeam.soak;
+
+import copperbeam.soak.Observation.Answered;
+import copperbeam.soak.Observation.AttemptArrived;
+import copperbeam.soak.Observation.ClientGone;
+import copperbeam.soak.Observation.Sent;
+import copperbeam.soak.Observation.ServerStarted;
+import copperbeam.soak.Violation.Rule;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * What is sent to servers that have started together, and who is served meanwhile. A warm server is taken to do as many
+ * requests a second as came at most in any window, by its part among those of its role.
+ */
+final class SlowStartJudge {
+    private static final double NS = 1e9;
+    private static final double FEW = 30; // requests a window, under which the rule leaves more to chance
+    private static final int ENOUGH = 12; // requests of a class, for its share to tell something
+    private static final double LEAST_SHARE = 0.5; // of another class's
+
+    /** How many of a class's requests came, and were served. */
+    private static final class Share {
+        private int sent;
+        private int served;
+
+        double value() {
+            return served / (double) Math.max(1, sent);
+        }
+
+        @Override
+        public String toString() {
+            return served + " of " + sent;
+        }
+    }
+
+    private record Call(long at, double weight) {}
+
+    private final Oracle.Terms terms;
+    private final Oracle.SlowStart rules;
+    private final Map<String, Sent> requests = new HashMap<>();
+    private final Map<String, Observation> ends =
+            new HashMap<>(); // an answer, or the client's going, whichever came first
+    private final Map<String, ServerStarted> starts = new HashMap<>();
+    private final Map<String, Deque<Call>> calls = new HashMap<>(); // of the last window, by server
+    private final List<AttemptArrived> arrivals = new ArrayList<>();
+    private final List<Violation> violations = new ArrayList<>();
+
+    SlowStartJudge(Oracle.Terms terms) {
+        this.terms = terms;
+        rules = terms.slowStart();
+    }
+
+    List<Violation> judge(List<Observation> inOrder) {
+        inOrder.forEach(this::take);
+        arrivals.forEach(this::judgeArrival);
+        starts.values().stream()
+                .min(Comparator.comparingLong(ServerStarted::at))
+                .ifPresent(this::judgeShares);
+        return violations;
+    }
+
+    private void take(Observation seen) {
+        if (seen instanceof Sent o) {
+            requests.put(o.id(), o);
+        } else if (seen instanceof Answered o) {
+            ends.putIfAbsent(o.id(), o);
+        } else if (seen instanceof ClientGone o) {
+            ends.putIfAbsent(o.id(), o);
+        } else if (seen instanceof ServerStarted o) {
+            starts.put(o.server(), o);
+        } else if (seen instanceof AttemptArrived o) {
+            arrivals.add(o);
+        }
+    }
+
+    private void judgeArrival(AttemptArrived a) {
+        ServerStarted start = starts.get(a.server());
+        double age = start == null ? -1 : (a.at() - start.at()) / NS;
+        if (age < terms.slackMs() / 1000.0 || age > rules.warmWithinS() || !requests.containsKey(a.id())) {
+            return; // before it was told to all, or warm
+        }
+        Deque<Call> window = calls.computeIfAbsent(a.server(), server -> new ArrayDeque<>());
+        window.add(new Call(a.at(), weight(requests.get(a.id()).kind())));
+        while (a.at() - window.peek().at > rules.fallS() * NS) {
+            window.poll();
+        }
+        double sum = window.stream().mapToDouble(Call::weight).sum();
+        double bound = bound(budget(age, start.role()));
+        if (sum > bound) {
+            violations.add(new Violation(
+                    Rule.SLOW_START_EXCEEDED,
+                    a.server(),
+                    String.format(Locale.ROOT, "%.1f requests of mean work in a window, bound %.1f", sum, bound)));
+        }
+    }
+
+    /** Of all requests' mean. */
+    private double weight(RequestKind kind) {
+        double mean = requests.values().stream()
+                .mapToInt(sent -> sent.kind().promptTokens(true))
+                .average()
+                .orElseThrow();
+        return kind.promptTokens(true) / mean;
+    }
+
+    /** What a window that ends at this age may hold. */
+    private double budget(double age, Role role) {
+        double peers = starts.values().stream().filter(s -> s.role() == role).count();
+        return rules.fallMultiple() * mostPerS() / peers * (capacity(age) - capacity(age - rules.fallS()));
+    }
+
+    /** The capacity surely present, added up from the start; before it as at it. */
+    private double capacity(double age) {
+        double warming = Math.max(0, Math.min(age, rules.warmWithinS()));
+        double share = warming / rules.warmWithinS();
+        return rules.coldFrom() * Math.min(age, warming) + (1 - rules.coldFrom()) * warming * share * share / 3;
+    }
+
+    private static double bound(double budget) {
+        return budget < FEW ? budget + 3 * Math.sqrt(budget) + 3 : budget + 2 * Math.sqrt(budget) + 2;
+    }
+
+    private double mostPerS() {
+        List<Long> times = requests.values().stream().map(Sent::at).sorted().toList();
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < times.size(); last++) {
+            while (times.get(last) - times.get(first) > rules.fallS() * NS) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most / rules.fallS();
+    }
+
+    /** Of those whose whole time lies in the slow start. */
+    private void judgeShares(ServerStarted first) {
+        long warm = first.at() + (long) (rules.warmWithinS() * NS);
+        Map<RequestKind, Share> shares = new EnumMap<>(RequestKind.class);
+        for (Sent sent : requests.values()) {
+            boolean cold = sent.at() >= first.at() && sent.at() + sent.deadlineMs() * 1_000_000 < warm;
+            if (cold && !(ends.get(sent.id()) instanceof ClientGone)) {
+                Share share = shares.computeIfAbsent(sent.kind(), kind -> new Share());
+                share.sent++;
+                share.served += ends.get(sent.id()) instanceof Answered a && a.status() == 200 ? 1 : 0;
+            }
+        }
+        double best = shares.values().stream().mapToDouble(Share::value).max().orElse(0);
+        shares.forEach((kind, share) -> {
+            if (share.sent >= ENOUGH && share.value() < LEAST_SHARE * best) {
+                violations.add(new Violation(Rule.CLASS_STARVED, kind.requestClass, share + " served: " + shares));
+            }
+        });
+    }
+}
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -37,6 +37,7 @@
 
     private static final long SLACK_MS = 150; // a machine with ten JVMs on it sees things late
     private static final int CROWD_EACH = 4; // runs; one of them has a crowd of idle clients throughout
+    private static final int UNEVEN_EACH = 6; // runs; in one of them one class is heavy, and all servers start together
     private static final int LARGE_CROWD = 400; // more than a conductor has descriptors for
     private static final long AROUND_NS = 2_000_000_000L; // of troubles before and after what they may have caused
 
@@ -54,9 +55,7 @@
         this.seed = seed;
         this.size = size;
         random = new Random(seed);
-        settings = size.plant() == null
-                ? SoakSettings.draw(random, size.conductors(), seed % 2 == 0)
-                : SoakSettings.usual(size.conductors(), seed % 2 == 0);
+        settings = size.plant() == null ? drawSettings() : SoakSettings.usual(size.conductors(), seed % 2 == 0);
         site = new SoakSite(new Random(random.nextLong()), size.plant() == null ? null : size.plant().change);
         for (int i = 0; i < size.conductors(); i++) {
             ConductorProcess conductor = site.addConductor(folder, i % 2 == 1, settings.text());
@@ -69,19 +68,22 @@
         }
     }
 
+    private SoakSettings drawSettings() {
+        return seed % UNEVEN_EACH == 2
+                ? SoakSettings.uneven(size.conductors(), seed % 2 == 0)
+                : SoakSettings.draw(random, size.conductors(), seed % 2 == 0);
+    }
+
     /** Plays the run; the rules that were broken. */
     public List<Violation> play() throws IOException, InterruptedException {
         site.start();
-        TroublePlan plan = TroublePlan.draw(random, size.lengthMs());
+        TroublePlan plan = settings.uneven()
+                ? TroublePlan.drawBehindStart(random, size.lengthMs(), settings.warmWithinMs())
+                : TroublePlan.draw(random, size.lengthMs());
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < size.clients(); i++) {
             ClientDriver client = new ClientDriver(
-                    "r" + seed + "-" + i,
-                    site.conductors,
-                    settings.longestDeadlineMs(),
-                    site.history,
-                    new Random(random.nextLong()),
-                    over);
+                    "r" + seed + "-" + i, site.conductors, settings, site.history, new Random(random.nextLong()), over);
             clients.add(Daemon.start("client", client::run));
         }
         if (seed % CROWD_EACH == 1 && size.plant() == null) {
--- a/src/soak/java/copperbeam/soak/SoakSettings.java
+++ b/src/soak/java/copperbeam/soak/SoakSettings.java
@@ -5,13 +5,22 @@
 
 /** The settings of a run's site, and what follows from them for the platform and the oracle. */
 record SoakSettings(
-        int conductors, long longestDeadlineMs, long releaseMs, boolean resume, boolean cancel, boolean probes) {
+        int conductors,
+        long longestDeadlineMs,
+        long releaseMs,
+        boolean resume,
+        boolean cancel,
+        boolean probes,
+        boolean uneven) {
     private static final int MOST_ATTEMPTS = 4;
     private static final long KEYED_WINDOW_MS = 1500;
     private static final long MOST_KILL_DEADLINE_MS = 3000; // a longer deadline counts as this for the kill
     private static final long KILL_MORE_MS = 700;
     private static final long[] DEADLINES_MS = {3000, 1500, 900};
     private static final long[] RELEASES_MS = {1000, 500, 300};
+    private static final double WARM_WITHIN_S = 5;
+    private static final double UNEVEN_WARM_WITHIN_S = 10; // long enough for a share of a rare class to tell something
+    private static final Oracle.SlowStart SLOW_START = new Oracle.SlowStart(0.28, WARM_WITHIN_S, 3, 2);
     private static final String TEXT = """
             {"balancers":%d,"kinds":["prefill","decode"],
              "services":[{"name":"ask","promise_s":0.8,"give_up_s":%s,"semantics":"safe","worth":3},
@@ -19,13 +28,18 @@
                          {"name":"pay","promise_s":0.8,"give_up_s":%s,"semantics":"keyed","group":"all","window_s":%s,"worth":3}],
              "limits":{"send_cap":%d,"cancel":%s,"probing":%s,"retry_after":true,"max_retry_after_s":2,
                        "conn_idle_s":5,"connect_timeout_s":0.25},
-             "rules":{"cold_from":0.28,"warm_within_s":5,"fall_multiple":3,"fall_s":2},
+             "rules":{"cold_from":%s,"warm_within_s":%s,"fall_multiple":%s,"fall_s":%s},
              "report":{"via":"on_probe"},"extra":{"role_by_kind":["read","write"],"release_s":%s,"resume":%s}}
             """;
 
     /** Deadlines of 3 s, a second to let go, all allowed. */
     static SoakSettings usual(int conductors, boolean resume) {
-        return new SoakSettings(conductors, DEADLINES_MS[0], RELEASES_MS[0], resume, true, true);
+        return new SoakSettings(conductors, DEADLINES_MS[0], RELEASES_MS[0], resume, true, true, false);
+    }
+
+    /** The usual ones; one class weighs ten times the others, and servers are cold for long. */
+    static SoakSettings uneven(int conductors, boolean resume) {
+        return new SoakSettings(conductors, DEADLINES_MS[0], RELEASES_MS[0], resume, true, true, true);
     }
 
     /** Half of all have the usual deadline and release time; the rest are shorter, by which the kill comes sooner too. */
@@ -36,7 +50,8 @@
                 RELEASES_MS[Math.max(0, random.nextInt(4) - 1)],
                 resume,
                 true,
-                random.nextInt(4) > 0);
+                random.nextInt(4) > 0,
+                false);
     }
 
     /** As the platform writes them. */
@@ -53,6 +68,10 @@
                 MOST_ATTEMPTS,
                 cancel,
                 probes,
+                slowStart().coldFrom(),
+                slowStart().warmWithinS(),
+                slowStart().fallMultiple(),
+                slowStart().fallS(),
                 seconds(releaseMs),
                 resume);
     }
@@ -66,7 +85,20 @@
         return Math.min(longestDeadlineMs, MOST_KILL_DEADLINE_MS) + KILL_MORE_MS;
     }
 
+    /** Until when a server that has started is cold. */
+    long warmWithinMs() {
+        return (long) (slowStart().warmWithinS() * 1000);
+    }
+
+    private Oracle.SlowStart slowStart() {
+        return uneven
+                ? new Oracle.SlowStart(
+                        SLOW_START.coldFrom(), UNEVEN_WARM_WITHIN_S, SLOW_START.fallMultiple(), SLOW_START.fallS())
+                : SLOW_START;
+    }
+
     Oracle.Terms terms(long slackMs) {
-        return new Oracle.Terms(MOST_ATTEMPTS, releaseMs, KEYED_WINDOW_MS, resume, slackMs);
+        return new Oracle.Terms(
+                MOST_ATTEMPTS, releaseMs, KEYED_WINDOW_MS, resume, slackMs, uneven ? slowStart() : null);
     }
 }
--- a/src/soak/java/copperbeam/soak/TroubleInjector.java
+++ b/src/soak/java/copperbeam/soak/TroubleInjector.java
@@ -50,6 +50,7 @@
                 long until = System.nanoTime() + trouble.lengthMs() * 1_000_000;
                 new IdleClients(conductor, CROWD).keepComing(() -> System.nanoTime() > until);
             }
+            case ALL_RESTARTED -> site.listed().forEach(this::restart);
             case CONDUCTOR_STOPPED, CONDUCTOR_KILLED, CONDUCTOR_UPGRADED ->
                 lives.get(conductor.name).renew(trouble);
             default -> carryOutBeyond(conductor, pick(site.listed(), trouble), trouble);
@@ -133,6 +134,13 @@
         server.mood = Mood.WELL;
     }
 
+    private void restart(ServerStandIn server) {
+        site.proxiesOf(server).forEach(FaultProxy::resetAll);
+        server.forgetStates();
+        site.fleet.put(server.id, server.role, "active", site.wallClockMs());
+        site.history.add(new Observation.ServerStarted(System.nanoTime(), server.id, server.role));
+    }
+
     /** One that keeps its role has to stay, as nothing is served without it. */
     private void replace(ServerStandIn server, Trouble trouble) throws IOException, InterruptedException {
         synchronized (site.fleet) {
--- a/src/soak/java/copperbeam/soak/TroublePlan.java
+++ b/src/soak/java/copperbeam/soak/TroublePlan.java
@@ -30,7 +30,11 @@
         /** A conductor gets no processor for a moment. */
         HELD_UP,
         /** Connections that are open to one server carry nothing any more, and nobody is told; new ones come up. */
-        CONNECTIONS_SILENT
+        CONNECTIONS_SILENT,
+        /** All servers start anew at once; never drawn among the others, as nothing else may go wrong meanwhile. */
+        ALL_RESTARTED;
+
+        private static final List<Kind> DRAWN = List.of(values()).subList(0, ALL_RESTARTED.ordinal());
     }
 
     /** {@code target}: of whatever the kind has several, to be taken modulo their number; {@code draw}: for its details. */
@@ -43,16 +47,27 @@
     private static final int MOST_LENGTH_MS = 3500;
 
     static TroublePlan draw(Random random, long lengthMs) {
+        return new TroublePlan(drawn(random, FIRST_MS, lengthMs));
+    }
+
+    /** Begins with a start of all servers together, and has no other trouble until they are warm. */
+    static TroublePlan drawBehindStart(Random random, long lengthMs, long warmWithinMs) {
+        List<Trouble> troubles = new ArrayList<>();
+        troubles.add(new Trouble(Kind.ALL_RESTARTED, 0, 0, FIRST_MS, 0));
+        troubles.addAll(drawn(random, FIRST_MS + warmWithinMs, lengthMs));
+        return new TroublePlan(troubles);
+    }
+
+    private static List<Trouble> drawn(Random random, long fromMs, long lengthMs) {
         List<Trouble> troubles = new ArrayList<>();
-        Kind[] kinds = Kind.values();
-        for (long at = FIRST_MS; at < lengthMs - QUIET_END_MS; at += random.nextInt(MOST_PAUSE_MS)) {
+        for (long at = fromMs; at < lengthMs - QUIET_END_MS; at += random.nextInt(MOST_PAUSE_MS)) {
             troubles.add(new Trouble(
-                    kinds[random.nextInt(kinds.length)],
+                    Kind.DRAWN.get(random.nextInt(Kind.DRAWN.size())),
                     random.nextInt(1 << 20),
                     random.nextInt(1 << 20),
                     at,
                     LEAST_LENGTH_MS + random.nextInt(MOST_LENGTH_MS - LEAST_LENGTH_MS)));
         }
-        return new TroublePlan(troubles);
+        return troubles;
     }
 }
--- a/src/soak/java/copperbeam/soak/Violation.java
+++ b/src/soak/java/copperbeam/soak/Violation.java
@@ -26,6 +26,10 @@
         PINNED,
         /** A server was told more time than the client had left. */
         DEADLINE_TOLD,
+        /** All conductors together sent a server in slow start more than its budget. */
+        SLOW_START_EXCEEDED,
+        /** While all servers were in slow start, a class was served less than half as well as another. */
+        CLASS_STARVED,
         /** A process ended by itself, or with an error. */
         CRASHED,
         /** A process did not end before the platform's kill. */
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -16,6 +16,7 @@
 import copperbeam.soak.Observation.NotReady;
 import copperbeam.soak.Observation.Overstayed;
 import copperbeam.soak.Observation.Sent;
+import copperbeam.soak.Observation.ServerStarted;
 import copperbeam.soak.Observation.StateFreed;
 import copperbeam.soak.Observation.StateHeld;
 import copperbeam.soak.Observation.Streamed;
@@ -30,7 +31,7 @@
 /** A history that keeps the rules, and each way of breaking one of them. */
 public class OracleTest {
     private static final long MS = 1_000_000;
-    private static final Oracle.Terms TERMS = new Oracle.Terms(4, 1000, 1500, false, 50);
+    private static final Oracle.Terms TERMS = new Oracle.Terms(4, 1000, 1500, false, 50, null);
 
     /** One request, read and written, from 0 to 120 ms. */
     private static List<Observation> served(RequestKind kind) {
@@ -229,6 +230,38 @@
         assertEquals(found, rule == null ? List.of() : List.of(rule), history.toString());
     }
 
+    @DataProvider
+    public Object[][] slowStarts() {
+        return new Object[][] {
+            // requests of the usual class and of the heavy one served, of 60 and 20; sent to one server at once
+            {60, 20, 8, null},
+            {60, 10, 8, null},
+            {60, 9, 8, Rule.CLASS_STARVED},
+            {60, 20, 30, Rule.SLOW_START_EXCEEDED}
+        };
+    }
+
+    /** A reader that starts at 0, and requests of 80 clients, one each 50 ms: 20 a second, so that N is 33.6 in the first window. */
+    @Test(dataProvider = "slowStarts")
+    public void slowStartIsJudged(int usual, int heavy, int atOnce, Rule rule) {
+        List<Observation> history = new ArrayList<>(List.of(new ServerStarted(0, "reader", Role.READER)));
+        int[] served = {usual, heavy};
+        for (int i = 0; i < 80; i++) {
+            int which = i % 4 == 3 ? 1 : 0;
+            RequestKind kind = which == 1 ? RequestKind.UNSAFE : RequestKind.SAFE;
+            history.add(new Sent(50 * i * MS + 1, "r" + i, kind, "n0", 1000));
+            history.add(new Answered(50 * i * MS + 40 * MS, "r" + i, served[which]-- > 0 ? 200 : 429, true, ""));
+        }
+        for (int i = 0; i < atOnce; i++) {
+            String id = "r" + (4 * i + 3) % 80;
+            history.add(new AttemptArrived(2000 * MS, id, "reader", Role.READER, "n0", i, 0, 2000 * MS, 0));
+        }
+        Oracle.SlowStart rules = new Oracle.SlowStart(0.28, 13, 3, 2);
+        List<Rule> found = new SlowStartJudge(new Oracle.Terms(4, 1000, 1500, false, 50, rules))
+                .judge(history).stream().map(Violation::rule).distinct().toList();
+        assertEquals(found, rule == null ? List.of() : List.of(rule));
+    }
+
     @Test
     public void moreThanFourAttemptsAreFound() {
         List<Observation> history = new ArrayList<>(List.of(at(0, RequestKind.SAFE)));
--- a/src/test/java/copperbeam/soak/QueuedRequestTest.java
+++ b/src/test/java/copperbeam/soak/QueuedRequestTest.java
@@ -35,7 +35,8 @@
                 connection.timeout(PATIENCE_MS);
                 site.history.add(new Observation.Sent(
                         System.nanoTime(), "queued", RequestKind.SAFE, conductor.name, DEADLINE_MS));
-                connection.send(ClientDriver.text("queued", RequestKind.SAFE, "s", DEADLINE_MS, "{}"));
+                connection.send(ClientDriver.text(
+                        "queued", RequestKind.SAFE, RequestKind.USUAL_TOKENS, "s", DEADLINE_MS, "{}"));
                 Thread.sleep(queuedMs); // as long as nobody can be accepted
                 conductor.shim.fail(Fault.ACCEPT, 0, 0);
                 Message answer = connection.read();
--- a/src/test/java/copperbeam/soak/UnconfirmedSendTest.java
+++ b/src/test/java/copperbeam/soak/UnconfirmedSendTest.java
@@ -49,7 +49,7 @@
         try (HttpConnection connection = HttpConnection.to(conductor.address, PATIENCE_MS)) {
             connection.timeout(PATIENCE_MS);
             site.history.add(new Observation.Sent(System.nanoTime(), id, kind, conductor.name, DEADLINE_MS));
-            connection.send(ClientDriver.text(id, kind, id, DEADLINE_MS, "{}"));
+            connection.send(ClientDriver.text(id, kind, RequestKind.USUAL_TOKENS, id, DEADLINE_MS, "{}"));
             Message answer = connection.read();
             site.history.add(new Observation.Answered(
                     System.nanoTime(), id, Integer.parseInt(answer.word(1)), answer.whole(), answer.body()));
@@ -86,7 +86,7 @@
     @Test(dataProvider = "silences")
     public void aStateIsLetGoThoughItsWritersFallSilent(
             Silence how, RequestKind kind, long releaseMs, boolean probes, boolean cancel) throws Exception {
-        SoakSettings settings = new SoakSettings(1, LONGEST_DEADLINE_MS, releaseMs, true, cancel, probes);
+        SoakSettings settings = new SoakSettings(1, LONGEST_DEADLINE_MS, releaseMs, true, cancel, probes, false);
         try (SoakSite site = new SoakSite(new Random(1), null);
                 Lateness lateness = Lateness.start()) {
             site.addConductor(Files.createTempDirectory("unconfirmed"), false, settings.text());
