Slow start: a request too heavy for permits goes in its process's turn, at reader and writer

Light ones were served. Cause: a process's permits at a server never add up to half of such a request's weight; where they did for the reader, the state was let go before the writer's came. Change: slow start leaves Brain for SlowStart, WorkWeights and TurnSchedule. A turn's weight comes off the permits of two windows, and none is taken before these are back. Fleets whose permits reach go on as before.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -71,8 +71,6 @@
     private static final double ASK_S = 0.015; // s; a round trip within a site and an idle server's answer
     private static final int ASKS_KEPT = 5; // for the asks of one request
     private static final double PROBE_SPEND = 0.01; // points of service spent on probes at most
-    // Cold budget.
-    private static final double DEMAND_SPAN_S = 20; // s over which the node's own demand is averaged
     // Lists.
     private static final double FOLLOW_AGAIN_S = 0.5; // s until a failed subscription is asked again
     private static final double LONGEST_FOLLOW_S = 8; // s; its doubling ends here
@@ -84,7 +82,6 @@
     private final Map<String, Quota> quotas = new LinkedHashMap<>();
     private final Map<String, Server> servers = new TreeMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
-    private final Map<String, Mean> classTokens = new LinkedHashMap<>();
     private final List<Server> readers = new ArrayList<>();
     private final List<Server> writers = new ArrayList<>();
     private final List<Server> reading = new ArrayList<>();
@@ -103,23 +100,20 @@
     private final Pace writePace = new Pace(PACE_LEARN);
     private final Fading readDelay = new Fading(DELAY_LEARN, DELAY_FADE_S);
     private final Fading writeDelay = new Fading(DELAY_LEARN, DELAY_FADE_S);
-    private final ColdBudget cold;
-    private final Rate demand = new Rate(DEMAND_SPAN_S);
+    private final SlowStart slowStart;
     private final Counts beginnings = new Counts(HOT_SPAN_S, MOST_BEGINNINGS);
     private List<Action> actions = new ArrayList<>();
     private double now;
     private boolean begun;
     private double followAgain = FOLLOW_AGAIN_S;
     private double probeCredit;
-    private int mostReaders;
-    private int mostWriters;
-    private double part = 1;         // of the node's own part that this process may use
 
     public Brain(Settings settings, long seed) {
         this.settings = settings;
         random = new SplittableRandom(seed);
         int i = settings.index();
-        cold = new ColdBudget(settings.rules(), i < 0 ? random.nextDouble() : i / (double) settings.nodes());
+        double place = i < 0 ? random.nextDouble() : i / (double) settings.nodes();
+        slowStart = new SlowStart(settings, promptTokens, place);
         settings.classes().forEach(c -> classes.put(c.name(), c));
         settings.kinds().forEach(k -> kinds.put(k.name(), k));
         for (Customer c : settings.customers()) {
@@ -164,13 +158,15 @@
         } else if (event instanceof Probed e) {
             probed(e);
         } else if (event instanceof Beside e) {
-            part = e.part();
+            slowStart.beside(e.part());
         }
         return actions;
     }
 
     private void begin() {
-        demand.from = begun ? demand.from : now; // not the first request's time: chance
+        if (!begun) {
+            slowStart.begin(now);
+        }
         if (!begun && settings.listMustBeAsked()) {
             actions.add(new FollowList());
         }
@@ -239,8 +235,7 @@
             }
         }
         cells.share();
-        mostReaders = Math.max(mostReaders, readers.size());
-        mostWriters = Math.max(mostWriters, writers.size());
+        slowStart.servers(readers, writers);
     }
 
     private void member(Member e) {
@@ -253,7 +248,7 @@
         s.memoryTokens = kind == null ? 0 : kind.memoryTokens();
         s.lastWord = s.lastWord == 0 ? now : s.lastWord;
         if (s.permits == null || s.permits.launchedAt != e.launchedAt()) {
-            s.permits = cold.permits(s.id, e.launchedAt(), demand.from);
+            s.permits = slowStart.permits(s.id, e.launchedAt());
         }
         if (e.launchedAt() > before) {
             s.report = null;
@@ -273,7 +268,7 @@
         promptTokens.add(a.promptTokens());
         promptSquares.add(a.promptTokens() * a.promptTokens());
         beginnings.add(now, a.prefix());
-        classTokens.computeIfAbsent(a.requestClass(), c -> new Mean(LEARN)).add(a.promptTokens());
+        slowStart.arrived(a);
         timer(a.deadline() - now - ANSWER_MARGIN_S, 'd', r, 0);
         boolean droppable = mayRefuse(r) && (overShare(a.customer()) || droppable(r.kind));
         if (droppable && random.nextDouble() < refusalChance(saturation())) {
@@ -420,6 +415,11 @@
             close(r, over ? Why.NO_TIME : ran ? Why.RAN : Why.NO_ATTEMPT_LEFT);
             return;
         }
+        if (!r.holdsState && !slowStart.mayRead(r, now)) {
+            count(r);
+            hold(r);
+            return;
+        }
         if (r.options == null) {
             r.options = r.holdsState || lastSend ? new Top(2) : readers(r);
             r.options = r.options.size > 0 ? r.options : writers(r);
@@ -440,13 +440,11 @@
         r.options = null;
         boolean slow = s != null && r.sends == 0 && mayRefuse(r)
                 && random.nextDouble() < slowChance(r, s, rank);
-        if (!slow && !r.counted) { // what is held too: a start among cold servers alone had no part of them
-            r.counted = true;
-            demand.add(now, 1); // what all weigh in the mean
+        if (!slow) {
+            count(r);
         }
-        if (s == null) { // none can take it now
-            letGoAt(r, now + HOLD_S);
-            timer(HOLD_S, 'h', r, 0);
+        if (s == null) {
+            hold(r);
         } else if (slow) {
             close(r, Why.SLOW);
         } else {
@@ -454,6 +452,20 @@
         }
     }
 
+    /** In the demand, what is held too: a start among cold servers alone had no part of them. */
+    private void count(Request r) {
+        if (!r.counted) {
+            r.counted = true;
+            slowStart.admitted(now);
+        }
+    }
+
+    /** No server can take it now. */
+    private void hold(Request r) {
+        letGoAt(r, now + HOLD_S);
+        timer(HOLD_S, 'h', r, 0);
+    }
+
     private boolean readInPlace() {
         return settings.writersRead() || writers.stream().anyMatch(s -> s.role == Role.MIXED);
     }
@@ -609,7 +621,7 @@
 
     /** 1 for a server that may be sent to, a little for one only where there is no other, else 0. */
     private double fitness(Server s, Request r) {
-        return !s.ready() || now < s.fullUntil || !allowed(r, s) || !coldRoom(s, r) ? 0
+        return !s.ready() || now < s.fullUntil || !allowed(r, s) || !slowStart.room(s, r, now) ? 0
             : s.resting && now < s.restUntil || mute(s) || s.id.equals(r.lastTried) ? LAST * LAST * LAST : 1;
     }
 
@@ -646,7 +658,7 @@
         r.lastTried = s.id;
         r.ranSince = reading || r.ranAt != null ? r.ranSince : now;
         s.sent(t);
-        s.permits.used += s.permits.launchedAt <= 0 ? 0 : weight(r);
+        slowStart.sent(s, r, now);
         if (s.resting && now >= s.restUntil) {
             s.restUntil = now + s.rest;
         }
@@ -963,19 +975,4 @@
             strike(s, true);
         }
     }
-
-    // ---- cold budget ---------------------------------------------------------------------------
-
-    /** The mean prompt of its class, against that of all; few met leave the lightest class to be expected. */
-    private double weight(Request r) {
-        double least = classTokens.values().stream().mapToDouble(m -> m.value).min().orElse(1);
-        double mean = least + (promptTokens.value - least) * promptTokens.count / (promptTokens.count + FEW);
-        return classTokens.get(r.asked.requestClass()).value / Math.max(mean, 1);
-    }
-
-    /** By the most servers seen ready, not the few that a release leaves, whose load is no guide. */
-    private boolean coldRoom(Server s, Request r) {
-        int peers = Math.max(s.role == Role.READER ? mostReaders : mostWriters, 1);
-        return s.permits.launchedAt <= 0 || cold.room(s.permits, demand, part / peers, weight(r), now);
-    }
 }
--- a/src/main/java/copperbeam/ColdBudget.java
+++ b/src/main/java/copperbeam/ColdBudget.java
@@ -12,24 +12,84 @@
 record ColdBudget(Rules rules, double place) {
     private static final double HELD = 0.5; // of a window's permits may wait for requests, or one
     private static final double SHARE = 1 / (1 + HELD); // of the budget: a window and what waited before
+    private static final double LEAST_OF_WEIGHT = 0.5; // of a request's weight has to wait in permits
     private static final double LEAST_S = 0.1; // s; lengths that the settings do not tell
+    private static final double FEW = 30; // requests a window, under which the rule leaves more to chance
+    private static final double REST_OF_FEW = 1 - SHARE; // of the budget, for turns
+    private static final double REST_OF_MANY = 1.2; // the same, of a budget that is told too low
+    private static final double SURE = 0.8; // of the room beside permits, as weights are estimates
+    private static final double WINDOWS_LENT = 2; // of permits, at most, to one request
 
     Permits permits(String id, double launched, double since) {
         return new Permits(launched, Math.max(launched, since), (place + State.hash(id, "" + launched)) % 1);
     }
 
+    boolean warm(Permits p, double now) {
+        return p.launchedAt <= 0 || age(p, now) >= 1;
+    }
+
     /** A warm server gets {@code part} of {@code demand}. What a heavy request lacks comes off later ones. */
     boolean room(Permits p, Rate demand, double part, double weight, double now) {
-        double age = (now - p.launchedAt) / Math.max(rules.warmWithinS(), LEAST_S);
-        if (p.launchedAt <= 0 || age >= 1) {
+        if (warm(p, now)) {
             return true;
         }
-        double present = 1 - (1 - rules.coldFrom()) * (1 - age * age); // of its capacity it surely has
-        double perS = SHARE * rules.fallMultiple() * present * part * demand.perS(now);
-        double window = perS * Math.max(rules.fallS(), LEAST_S);
-        p.due += perS * (now - p.at);
+        double window = window(present(p, now), demand, part, now);
+        p.due += window / windowS() * (now - p.at);
         p.at = now;
-        p.used = Math.max(p.used, Math.floor(p.due - Math.max(HELD * window, Math.min(1, window))));
-        return Math.floor(p.due) - p.used >= weight / 2;
+        p.used = Math.max(p.used, Math.floor(p.due - mostWaiting(window)));
+        return Math.floor(p.due) - p.used >= weight * LEAST_OF_WEIGHT;
+    }
+
+    /** Whether permits ever add up to what a request of this weight needs, just before a server is warm. */
+    boolean reaches(Rate demand, double part, double weight, double now) {
+        return mostWaiting(window(1, demand, part, now)) >= weight * LEAST_OF_WEIGHT;
+    }
+
+    /** A request beyond the permits takes those of some windows at most, so that the others go on. */
+    void borrow(Permits p, Rate demand, double part, double weight, double now) {
+        double most = Math.max(p.used, p.due + WINDOWS_LENT * window(present(p, now), demand, part, now));
+        p.used = Math.min(p.used + weight, most);
+    }
+
+    /** Whether it has sent more than its permits by a usual request, and has not had as many since. */
+    boolean lent(Permits p, Rate demand, double part, double now) {
+        double due = p.due + window(present(p, now), demand, part, now) / windowS() * (now - p.at);
+        return p.used - due >= 1;
+    }
+
+    /**
+     * What a window has room for beside all that permits bring, in requests of mean work.
+     *
+     * @param perS the whole fleet's demand of one warm server, at least
+     */
+    double beyond(Permits p, double perS, double now) {
+        double budget = rules.fallMultiple() * present(p, now) * perS * windowS();
+        boolean few = budget < FEW;
+        double slack = few ? 3 * Math.sqrt(budget) + 3 : 2 * Math.sqrt(budget) + 2;
+        double rest = budget * (few ? REST_OF_FEW : REST_OF_MANY);
+        return SURE * (rest + slack);
+    }
+
+    /** This process's part of a window, in requests of mean work. */
+    private double window(double present, Rate demand, double part, double now) {
+        return SHARE * rules.fallMultiple() * present * part * demand.perS(now) * windowS();
+    }
+
+    private static double mostWaiting(double window) {
+        return Math.max(HELD * window, Math.min(1, window));
+    }
+
+    private double windowS() {
+        return Math.max(rules.fallS(), LEAST_S);
+    }
+
+    private double age(Permits p, double now) {
+        return (now - p.launchedAt) / Math.max(rules.warmWithinS(), LEAST_S);
+    }
+
+    /** Of its capacity it surely has. */
+    private double present(Permits p, double now) {
+        double age = age(p, now);
+        return 1 - (1 - rules.coldFrom()) * (1 - age * age);
     }
 }
--- /dev/null
+++ b/src/main/java/copperbeam/SlowStart.java
@@ -0,0 +1,201 @@
+package copperbeam;
+
+import copperbeam.Api.Arrival;
+import copperbeam.Api.Role;
+import copperbeam.Api.Settings;
+import copperbeam.State.Mean;
+import copperbeam.State.Permits;
+import copperbeam.State.Rate;
+import copperbeam.State.Request;
+import copperbeam.State.Server;
+import java.util.List;
+
+/**
+ * Slow start: what this process may send to servers that have started lately, so that all processes together
+ * stay within the rule's budget of each without a word between them.
+ *
+ * <p>Each process has permits in the measure of its own demand ({@link ColdBudget}). A request that weighs more
+ * than its permits ever add up to goes in a turn of its process ({@link TurnSchedule}), at a reader and a writer
+ * together, as a state that was read finds no writer's turn in the time for which it may be held.
+ */
+final class SlowStart {
+    private static final double DEMAND_SPAN_S = 20; // over which the process's own demand is averaged
+    private static final double MOST_SKEW = 3; // times the mean demand of all processes, at one
+    private static final double DEMAND_KNOWN_S = 1; // before which a process's own demand tells little
+    private static final double WHOLE = 0.5; // part of a node's traffic, for its turns
+    private static final double WRITE_WITHIN_S = 1; // of a turn's begin, the reading included
+
+    /** Where a heavy request may go out of its turn's right; a server of a stage that needs no turn is null. */
+    record Grant(Server reader, Server writer, double readUntil, double writeUntil) {
+        boolean covers(Server s, double now) {
+            return s == reader && now <= readUntil || s == writer && now <= writeUntil;
+        }
+    }
+
+    private final Settings settings;
+    private final ColdBudget budget;
+    private final TurnSchedule schedule;
+    private final WorkWeights weights;
+    private final Rate demand = new Rate(DEMAND_SPAN_S);
+    private final Stage readers = new Stage();
+    private final Stage writers = new Stage();
+    private double part = 1; // of the node's own demand that is for this process
+
+    /** The ready servers of one stage, in the order of their ids. */
+    private static final class Stage {
+        private List<Server> ready = List.of();
+        private int most; // seen ready at a time: the few that a release leaves are no measure of one's load
+
+        void set(List<Server> servers) {
+            ready = servers;
+            most = Math.max(most, servers.size());
+        }
+
+        int peers() {
+            return Math.max(most, 1);
+        }
+    }
+
+    /** {@code place}: the process's own in the row of all, from 0 to 1. */
+    SlowStart(Settings settings, Mean prompts, double place) {
+        this.settings = settings;
+        budget = new ColdBudget(settings.rules(), place);
+        schedule = new TurnSchedule(settings.rules(), settings.nodes(), (int) (place * settings.nodes()));
+        weights = new WorkWeights(prompts, settings.kinds());
+    }
+
+    void begin(double now) {
+        demand.from = now; // not the first request's time: chance
+    }
+
+    void beside(double itsPart) {
+        part = itsPart;
+    }
+
+    /** The ready servers of both stages, in the order of their ids. */
+    void servers(List<Server> ofReaders, List<Server> ofWriters) {
+        readers.set(List.copyOf(ofReaders));
+        writers.set(List.copyOf(ofWriters));
+    }
+
+    Permits permits(String id, double launchedAt) {
+        return budget.permits(id, launchedAt, demand.from);
+    }
+
+    void arrived(Arrival a) {
+        weights.arrived(a.requestClass(), a.promptTokens());
+    }
+
+    /** One request that is to be sent: it counts as 1, which is what all weigh in the mean. */
+    void admitted(double now) {
+        demand.add(now, 1);
+    }
+
+    /** Whether the request may go to this server now. */
+    boolean room(Server s, Request r, double now) {
+        return permitted(s, r, now) || r.grant != null && r.grant.covers(s, now);
+    }
+
+    /**
+     * Whether a read may begin now: a request too heavy for permits begins none before both stages can take it.
+     * It gets the turn that is under way, if there is one.
+     */
+    boolean mayRead(Request r, double now) {
+        boolean read = takes(readers, r, now);
+        boolean written = takes(writers, r, now);
+        if (read && written || now - demand.from < DEMAND_KNOWN_S || !heavy(r, now)) {
+            return true;
+        }
+        r.grant = grant(r, read, written, now);
+        return r.grant != null;
+    }
+
+    void sent(Server s, Request r, double now) {
+        if (s.permits.launchedAt <= 0) {
+            return;
+        }
+        if (permitted(s, r, now)) {
+            s.permits.used += weight(r);
+        } else {
+            budget.borrow(s.permits, demand, share(s), weight(r), now);
+        }
+    }
+
+    private double weight(Request r) {
+        return weights.of(r.asked.requestClass());
+    }
+
+    private boolean permitted(Server s, Request r, double now) {
+        return s.permits.launchedAt <= 0 || budget.room(s.permits, demand, share(s), weight(r), now);
+    }
+
+    private boolean takes(Stage stage, Request r, double now) {
+        return stage.ready.isEmpty() || stage.ready.stream().anyMatch(s -> permitted(s, r, now));
+    }
+
+    /** Whether permits never add up to its weight at any server of a stage, as long as these are cold. */
+    private boolean heavy(Request r, double now) {
+        double weight = weight(r);
+        return coldest(readers, now, weight) || coldest(writers, now, weight);
+    }
+
+    private boolean coldest(Stage stage, double now, double weight) {
+        return !stage.ready.isEmpty()
+                && stage.ready.stream()
+                        .noneMatch(s -> budget.warm(s.permits, now) || budget.reaches(demand, share(s), weight, now));
+    }
+
+    private Grant grant(Request r, boolean read, boolean written, double now) {
+        if (part < WHOLE) {
+            return null;
+        }
+        List<Server> reading = read ? List.of() : readers.ready;
+        List<Server> writing = written ? List.of() : writers.ready;
+        int pairs = read ? writing.size() : written ? reading.size() : Math.min(reading.size(), writing.size());
+        for (int i = 0; i < pairs; i++) {
+            Server reader = read ? null : reading.get(i);
+            Server writer = written ? null : writing.get(i);
+            Grant grant = grant(reader, writer, i, pairs, weight(r), now);
+            if (grant != null) {
+                return grant;
+            }
+        }
+        return null;
+    }
+
+    /** The turn at a pair of servers, if it is this process's and not used yet. */
+    private Grant grant(Server reader, Server writer, int rank, int pairs, double weight, double now) {
+        Server first = reader == null ? writer : reader;
+        double since = Math.max(first.permits.launchedAt, writer == null ? 0 : writer.permits.launchedAt);
+        int usable = Math.min(turns(reader, weight, now), turns(writer, weight, now));
+        TurnSchedule.Turn turn = schedule.at(now - since, rank, pairs, usable);
+        if (turn == null || first.permits.lastTurn >= turn.number()) {
+            return null;
+        }
+        first.permits.lastTurn = turn.number();
+        double until = now + turn.leftS();
+        return new Grant(reader, writer, until, until - TurnSchedule.TURN_S + WRITE_WITHIN_S);
+    }
+
+    /** Turns of a cycle that the slack of this server bears, by a fleet's demand that may be told too high. */
+    private int turns(Server s, double weight, double now) {
+        if (s == null) {
+            return TurnSchedule.MOST;
+        }
+        if (budget.lent(s.permits, demand, share(s), now)) {
+            return 0;
+        }
+        double skew = Math.min(settings.nodes(), MOST_SKEW);
+        double fleet = demand.perS(now) * settings.nodes() / skew;
+        double room = budget.beyond(s.permits, fleet / stage(s).peers(), now);
+        return (int) (room / weights.most(weight));
+    }
+
+    private double share(Server s) {
+        return part / stage(s).peers();
+    }
+
+    private Stage stage(Server s) {
+        return s.role == Role.READER ? readers : writers;
+    }
+}
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -310,6 +310,7 @@
         double at;
         double due; // what has come by then; the whole ones are permits
         double used; // spent or lapsed
+        long lastTurn = Long.MIN_VALUE; // of its schedule that this process has used
 
         Permits(double launchedAt, double at, double due) {
             this.launchedAt = launchedAt;
@@ -420,6 +421,7 @@
         Top options; // of which one takes the next attempt
         boolean lookedAgain; // as those asked first gave no answer
         boolean counted; // in the node's demand
+        SlowStart.Grant grant; // of a turn at servers in slow start, or null
 
         Request(Arrival asked, RequestClass kind) {
             this.asked = asked;
