Slow start: turns by the told index, and writers that read in place need no reader

Change: the settings' index where it is told; a writer that takes the request is enough where writers read. No test of its own.

--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -415,7 +415,7 @@
             close(r, over ? Why.NO_TIME : ran ? Why.RAN : Why.NO_ATTEMPT_LEFT);
             return;
         }
-        if (!r.holdsState && !slowStart.mayRead(r, now)) {
+        if (!r.holdsState && !slowStart.mayRead(r, readInPlace(), now)) {
             count(r);
             hold(r);
             return;
--- a/src/main/java/copperbeam/SlowStart.java
+++ b/src/main/java/copperbeam/SlowStart.java
@@ -60,7 +60,8 @@
     SlowStart(Settings settings, Mean prompts, double place) {
         this.settings = settings;
         budget = new ColdBudget(settings.rules(), place);
-        schedule = new TurnSchedule(settings.rules(), settings.nodes(), (int) (place * settings.nodes()));
+        int index = settings.index() < 0 ? (int) (place * settings.nodes()) : settings.index();
+        schedule = new TurnSchedule(settings.rules(), settings.nodes(), index);
         weights = new WorkWeights(prompts, settings.kinds());
     }
 
@@ -98,11 +99,11 @@
 
     /**
      * Whether a read may begin now: a request too heavy for permits begins none before both stages can take it.
-     * It gets the turn that is under way, if there is one.
+     * It gets the turn that is under way, if there is one. {@code inPlace}: writers can read it themselves.
      */
-    boolean mayRead(Request r, double now) {
-        boolean read = takes(readers, r, now);
+    boolean mayRead(Request r, boolean inPlace, double now) {
         boolean written = takes(writers, r, now);
+        boolean read = inPlace && written || takes(readers, r, now);
         if (read && written || now - demand.from < DEMAND_KNOWN_S || !heavy(r, now)) {
             return true;
         }
--- a/src/test/java/copperbeam/soak/SoakTest.java
+++ b/src/test/java/copperbeam/soak/SoakTest.java
@@ -38,8 +38,8 @@
 
     @DataProvider
     public Object[][] seeds() {
-        return new Object[][] {{41}, {42}, {44}, {45}
-        }; // 41 and 45 with a crowd, 42 where streams resume, 44 with a heavy class
+        // 41 and 45 with a crowd, 42 where streams resume, 44 with a heavy class while all servers are cold
+        return new Object[][] {{41}, {42}, {44}, {45}};
     }
 
     /** The soak itself, short; docs/fault-soak.md has the long runs by hand. */
