A stop that waits for releases alone ends by itself 0.15 s before the kill

Operators saw: a process still there at the kill (OVERSTAYED). Evidence: that process's log has CLOSE -> END 0.87 s after SIGTERM, then only releases at silent servers (of a read that was cut); "stopped" came 2.18 s after SIGTERM and its recording 17 ms before the kill at 2.2 s. Cause: at the step END nothing bounds the wait for servers to hear releases but their own time, up to twice release_s and beyond. Change: Lifecycle.mustExit, asked at each tick: whoever is at END has no client and owes no answer, and ends 0.15 s before the kill. What is still to be let go then would be lost with the kill as well. A stream that can't be resumed is waited for as before. Result: LifecycleTest's new case, LifecycleActorTest, StopSeedsTest and SoakTest pass; the failure itself was not forced again.

--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -38,6 +38,7 @@
     private static final Duration ANSWERS = Duration.ofMillis(200); // before that
     private static final Duration TAKES =
             Duration.ofMillis(600); // what comes 0.7 s after SIGTERM must end before the kill
+    private static final Duration EXIT = Duration.ofMillis(150); // before the kill, for the process to end by itself
     private static final Duration LEAST = Duration.ofMillis(700); // which the platform gives beside its clients' waits
 
     private final Duration allowed;
@@ -110,6 +111,11 @@
         return stopped == null || streamsResume || now.minus(stopped).compareTo(TAKES) < 0;
     }
 
+    /** Whether a process that owes no answer has to end now, whatever servers have not let go of yet. */
+    public boolean mustExit(Duration now) {
+        return stopped != null && step == Step.END && now.minus(stopped).compareTo(allowed.minus(EXIT)) >= 0;
+    }
+
     /**
      * The step that holds now. The last one comes only where the address was given up before it was asked for: what clients
      * have sent to a listener that ends with its process is lost.
--- a/src/main/java/copperbeam/program/LifecycleActor.java
+++ b/src/main/java/copperbeam/program/LifecycleActor.java
@@ -164,7 +164,11 @@
                 }
             }
         }
-        if (late) {
+        boolean exits = step == Step.END && lifecycle.mustExit(Duration.between(from, clock.instant()));
+        if (exits) {
+            LOG.info("lifecycle: ends by itself before the kill; servers have not let go of all yet");
+        }
+        if (late || exits) {
             ended.complete(null);
         } else if (next == Step.END && step != Step.END) {
             // nothing can come any more, so that what is open without a client now, a release say, is the last of it
--- a/src/test/java/copperbeam/lifecycle/LifecycleTest.java
+++ b/src/test/java/copperbeam/lifecycle/LifecycleTest.java
@@ -1,6 +1,7 @@
 package copperbeam.lifecycle;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
@@ -188,6 +189,18 @@
         }
     }
 
+    /** Releases that no server has heard once held a process up to the kill. */
+    @Test
+    public void whoOwesNoAnswerEndsBeforeTheKill() {
+        Lifecycle plan = new Lifecycle(ALLOWED, true);
+        plan.stop(Duration.ZERO);
+        plan.at(Duration.ofMillis(3550), true, false);
+        assertFalse(plan.mustExit(Duration.ofMillis(3699)), "clients are connected");
+        plan.at(Duration.ofMillis(3550), false, false);
+        assertFalse(plan.mustExit(Duration.ofMillis(3549)));
+        assertTrue(plan.mustExit(Duration.ofMillis(3550)));
+    }
+
     @Test
     public void tooShortAStopIsNone() {
         assertThrows(IllegalArgumentException.class, () -> new Lifecycle(Duration.ofMillis(699), true));
