--- a/src/main/java/copperbeam/SlowStart.java
+++ b/src/main/java/copperbeam/SlowStart.java
@@ -164,15 +164,17 @@
         return null;
     }
 
-    /** The turn at a pair of servers, if it is this process's and not used yet. */
+    /** The turn at a pair of servers, if it is this process's, usable and not used yet. */
     private Grant grant(Server reader, Server writer, int rank, int pairs, double weight, double now) {
         Server first = reader == null ? writer : reader;
         double since = Math.max(first.permits.launchedAt, writer == null ? 0 : writer.permits.launchedAt);
-        int usable = Math.min(turns(reader, weight, now), turns(writer, weight, now));
-        TurnSchedule.Turn turn = schedule.at(now - since, rank, pairs, usable);
+        TurnSchedule.Turn turn = schedule.at(now - since, rank, pairs);
         if (turn == null || first.permits.lastTurn >= turn.number()) {
             return null;
         }
+        if (turn.place() >= Math.min(turns(reader, weight, now), turns(writer, weight, now))) {
+            return null;
+        }
         first.permits.lastTurn = turn.number();
         double until = now + turn.leftS();
         return new Grant(reader, writer, until, until - TurnSchedule.TURN_S + WRITE_WITHIN_S);
--- /dev/null
+++ b/src/test/java/copperbeam/TurnScheduleTest.java
@@ -0,0 +1,45 @@
+package copperbeam;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import copperbeam.TurnSchedule.Turn;
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class TurnScheduleTest {
+    private static final Api.Rules RULES = new Api.Rules(0.28, 13, 3, 2, 1, 10);
+    private static final double LOOK_S = 0.01;
+    private static final double CYCLE_S = 2.16; // a little less than a whole one
+
+    /** Guards against turns lost: one counts as used up where a later one has a higher number. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4})
+    void numbersRiseWithTime(int nodes) {
+        for (int index = 0; index < nodes; index++) {
+            long last = 0;
+            for (double age = 0; age < 2 * CYCLE_S; age += LOOK_S) {
+                Turn turn = new TurnSchedule(RULES, nodes, index).at(age, 0, 1);
+                assertTrue(turn == null || turn.number() >= last, index + " at " + age + ": " + turn);
+                last = turn == null ? last : turn.number();
+            }
+        }
+    }
+
+    /** Guards against cycles that belong to a few processes, which may be the busy ones. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 14, 30, 40, 60, 100})
+    void theTurnsOfACycleHaveDifferentOwners(int nodes) {
+        Set<Integer> owners = new HashSet<>();
+        for (int index = 0; index < nodes; index++) {
+            for (double age = 0; age < CYCLE_S; age += LOOK_S) {
+                if (new TurnSchedule(RULES, nodes, index).at(age, 0, 1) != null) {
+                    owners.add(index);
+                }
+            }
+        }
+        assertEquals(Math.min(nodes, TurnSchedule.MOST), owners.size());
+    }
+}
