Slow start: a request has turns where permits come after its deadline, and is read for a writer

Cause 1: whether permits ever add up to a request's weight was asked of the moment before its server is warm (13 s), though its deadline is 6 s. Processes with much traffic were told so, and had neither permits in time nor turns. Cause 2: a light request was read as soon as a reader had a permit, whether or not a writer had one. Its state was let go before one came: the reader's permit and the read were lost. Change: ColdBudget.reaches asks by the request's deadline. No read begins before both stages can take the request. Why it works: who gets no permit in time has a turn; permits of a reader go to requests that are answered. Result: ColdBudgetTest's new case passes. Open: several light requests that are let read in the same moment count on the same writer's permit.

--- a/src/main/java/copperbeam/ColdBudget.java
+++ b/src/main/java/copperbeam/ColdBudget.java
@@ -40,9 +40,10 @@
         return Math.floor(p.due) - p.used >= weight * LEAST_OF_WEIGHT;
     }
 
-    /** Whether permits ever add up to what a request of this weight needs, just before a server is warm. */
-    boolean reaches(Rate demand, double part, double weight, double now) {
-        return mostWaiting(window(1, demand, part, now)) >= weight * LEAST_OF_WEIGHT;
+    /** Whether permits add up to what a request of this weight needs by then, or until the server is warm. */
+    boolean reaches(Permits p, Rate demand, double part, double weight, double by, double now) {
+        double then = Math.max(now, Math.min(by, p.launchedAt + rules.warmWithinS()));
+        return mostWaiting(window(present(p, then), demand, part, now)) >= weight * LEAST_OF_WEIGHT;
     }
 
     /** A request beyond the permits takes those of some windows at most, so that the others go on. */
--- a/src/main/java/copperbeam/SlowStart.java
+++ b/src/main/java/copperbeam/SlowStart.java
@@ -98,16 +98,17 @@
     }
 
     /**
-     * Whether a read may begin now: a request too heavy for permits begins none before both stages can take it.
-     * It gets the turn that is under way, if there is one. {@code inPlace}: writers can read it themselves.
+     * Whether a read may begin now: none does before both stages can take it, as a read state finds no permit in
+     * the time for which it may be held. A request too heavy for permits gets the turn that is under way, if any.
+     * {@code inPlace}: writers can read it themselves.
      */
     boolean mayRead(Request r, boolean inPlace, double now) {
         boolean written = takes(writers, r, now);
         boolean read = inPlace && written || takes(readers, r, now);
-        if (read && written || now - demand.from < DEMAND_KNOWN_S || !heavy(r, now)) {
+        if (read && written || now - demand.from < DEMAND_KNOWN_S) {
             return true;
         }
-        r.grant = grant(r, read, written, now);
+        r.grant = heavy(r, now) ? grant(r, read, written, now) : null;
         return r.grant != null;
     }
 
@@ -134,16 +135,18 @@
         return stage.ready.isEmpty() || stage.ready.stream().anyMatch(s -> permitted(s, r, now));
     }
 
-    /** Whether permits never add up to its weight at any server of a stage, as long as these are cold. */
+    /** Whether permits add up to its weight at no server of a stage before its deadline. */
     private boolean heavy(Request r, double now) {
-        double weight = weight(r);
-        return coldest(readers, now, weight) || coldest(writers, now, weight);
+        return outOfReach(readers, r, now) || outOfReach(writers, r, now);
     }
 
-    private boolean coldest(Stage stage, double now, double weight) {
-        return !stage.ready.isEmpty()
-                && stage.ready.stream()
-                        .noneMatch(s -> budget.warm(s.permits, now) || budget.reaches(demand, share(s), weight, now));
+    private boolean outOfReach(Stage stage, Request r, double now) {
+        return !stage.ready.isEmpty() && stage.ready.stream().noneMatch(s -> inReach(s, r, now));
+    }
+
+    private boolean inReach(Server s, Request r, double now) {
+        return budget.warm(s.permits, now)
+                || budget.reaches(s.permits, demand, share(s), weight(r), r.asked.deadline(), now);
     }
 
     private Grant grant(Request r, boolean read, boolean written, double now) {
--- a/src/test/java/copperbeam/ColdBudgetTest.java
+++ b/src/test/java/copperbeam/ColdBudgetTest.java
@@ -1,11 +1,13 @@
 package copperbeam;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import copperbeam.State.Permits;
 import copperbeam.State.Rate;
 import java.util.ArrayDeque;
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -116,4 +118,15 @@
             }
         }
     }
+
+    /** Guards against a request that waits for permits, and has no turn, though they come after its deadline. */
+    @Test
+    void permitsAfterTheDeadlineAreOutOfReach() {
+        Process p = new Process(0, 1, "s", 0);
+        for (double t = 75; t < 100; t += 0.5) {
+            p.demand.add(t, 1);
+        }
+        assertFalse(p.budget.reaches(p.permits, p.demand, 1, 5.7, 106, 100));
+        assertTrue(p.budget.reaches(p.permits, p.demand, 1, 5.7, 113, 100));
+    }
 }
