No request's head leaves for a server that drains by then, or 0.5 s after its choice

Cause of what is mended: a peer looks at the drain as it takes a connection and hands the attempt to the reactor; nobody looked again before the head left. Where the reactor or the whole process stands still in between, the head left however old the choice. Why this works: PeerActor.mayBegin is asked on the transport's thread as the head leaves: no drain since, and at most 0.5 s, half of the grace, on the way. Else the connection ends with nothing written, and the attempt is looked at anew on the actors' thread, by when the list that stood beside it has had time to be read. The model's network asks the same. Left open: a request chosen after a standstill while the list still stands unread (docs/races-watches.md).

--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -55,10 +55,16 @@
     /**
      * {@code reads}: its server is a reader, and only a reader's answer is one. {@code patience}: how long we shall wait,
      * as the server is told; asked on the transport's thread as the head leaves. {@code hold}: its last byte stays here
-     * until it is let go, so that a connection that ends first proves that nothing ran. {@code wanted}: asked there as the
-     * last byte leaves; where it says no, the connection is broken instead.
+     * until it is let go, so that a connection that ends first proves that nothing ran. {@code mayBegin}: asked there
+     * before the head leaves, {@code wanted} as the last byte does; where one says no, the connection is broken instead.
      */
-    record AttemptCall(Ask ask, boolean reads, Supplier<Duration> patience, boolean hold, BooleanSupplier wanted)
+    record AttemptCall(
+            Ask ask,
+            boolean reads,
+            Supplier<Duration> patience,
+            boolean hold,
+            BooleanSupplier mayBegin,
+            BooleanSupplier wanted)
             implements Call {}
 
     /** A health probe. */
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -140,6 +140,8 @@
     private static final Duration HOLD = Duration.ofMillis(2);
     private static final Duration SHORT_ANSWER =
             Duration.ofMillis(800); // from the head of one that is no stream to its end
+    // from a connection's choice to the head: half of the second in which a drain has to be acted on
+    private static final Duration MOST_ON_THE_WAY = Duration.ofMillis(500);
     private static final int MOST_UNSENT = 3; // new connections for one attempt
     private static final Duration RESET_LOOK = Duration.ofMillis(1);
     private static final int MOST_RESET_LOOKS = 250; // a reactor that is held up so long must not hold up the outcome
@@ -150,7 +152,7 @@
     private final Map<Long, ServerCall> attempts = new HashMap<>();
     private final IdleConnections idle;
     private final AnsweredConnections answered = new AnsweredConnections();
-    private boolean drains;
+    private volatile boolean drains; // read by the transport too
     private Future<?> tidying;
 
     public PeerActor(ScheduledExecutorService turns, String id, InetSocketAddress address, Setup setup) {
@@ -336,6 +338,15 @@
         return true;
     }
 
+    /**
+     * Whether the head of a call that was handed to the transport at {@code since} may still leave, asked on its thread.
+     * Guards against a reactor or a process that stood still in between: a drain was told meanwhile, or stands unread on the
+     * same reactor. The connection is broken instead, and the attempt looked at anew once that is read.
+     */
+    private BooleanSupplier mayBegin(Instant since) {
+        return () -> !drains && !setup.clock().instant().isAfter(since.plus(MOST_ON_THE_WAY));
+    }
+
     private void note(Recorder.What what, ServerCall work, String text, Duration span) {
         if (work.order instanceof Send s) {
             setup.recorder().note(what, s.request(), s.number(), id, text, span);
@@ -355,6 +366,7 @@
                     s.reads(),
                     () -> Duration.between(setup.clock().instant(), s.until()),
                     s.once() || work.reused,
+                    mayBegin(work.written),
                     () -> s.wanted(setup.clock().instant()));
         } else if (work.order instanceof Release r) {
             call = new Connector.ReleaseCall(r.id());
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -62,6 +62,11 @@
         this.body = body == null ? null : ByteBuffer.wrap(body);
     }
 
+    /** Whether the head may still be written. */
+    boolean mayBegin() {
+        return true;
+    }
+
     /** The head is about to be written. */
     void leaves(HttpRequest head) {}
 
@@ -164,6 +169,9 @@
 
     @Override
     public final void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        if (!mayBegin()) {
+            throw new IOException("this call may not begin any more"); // ends the connection, with nothing written
+        }
         // set before the last byte can leave: what is not known to have stayed may have run
         written = body == null;
         leaves(request);
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -186,6 +186,11 @@
             this.listener = listener;
         }
 
+        @Override
+        boolean mayBegin() {
+            return call.mayBegin().getAsBoolean();
+        }
+
         /** Guards against a time that is over by then: the call may have waited for its turn on the reactor. */
         @Override
         void leaves(HttpRequest head) {
--- a/src/test/java/copperbeam/model/Exchange.java
+++ b/src/test/java/copperbeam/model/Exchange.java
@@ -59,6 +59,10 @@
             }
             return;
         }
+        if (!call.mayBegin().getAsBoolean()) {
+            link.close();
+            return;
+        }
         ClientRequest request = world.requests.get(requestId());
         attempt = new Attempt(request, link.process, link.server, request.attempts.size());
         request.attempts.add(attempt);
--- a/src/test/java/copperbeam/model/ReferencePolicy.java
+++ b/src/test/java/copperbeam/model/ReferencePolicy.java
@@ -111,7 +111,7 @@
         private void call(Connector.Connection up, boolean reads) {
             Duration left = Duration.between(world.time.instant(), request.ask.deadline());
             Connector.Call call =
-                    new Connector.AttemptCall(request.ask, reads, () -> left, false, () -> !request.over());
+                    new Connector.AttemptCall(request.ask, reads, () -> left, false, () -> true, () -> !request.over());
             up.call(call, new Connector.Listener() {
                 private Word word;
 
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -301,7 +301,8 @@
         HttpCall call = new HttpCall(
                 "POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII), Instant.now());
         Ask ask = new Ask("id", "ask", "k", null, 40, 0, 9, Instant.now().plusSeconds(8), false, call);
-        on.call(new Connector.AttemptCall(ask, true, left::get, hold, () -> true), new Connector.Listener() {
+        Connector.Call attempt = new Connector.AttemptCall(ask, true, left::get, hold, () -> true, () -> true);
+        on.call(attempt, new Connector.Listener() {
             @Override
             public void sent() {}
 
