Slow start: light requests leave a turn to a heavier one that waits, and debts follow the window

A heavy request that waited beside them lost its one turn in ten seconds. Cause 2: a turn took one window's permits also of processes with several a window, which then went on by permits beside it. Change: who weighs more than the mean goes first. A turn takes two windows' permits again, one where that is less than a permit.

--- a/src/main/java/copperbeam/ColdBudget.java
+++ b/src/main/java/copperbeam/ColdBudget.java
@@ -18,6 +18,7 @@
     private static final double REST_OF_FEW = 1 - SHARE; // of the budget, for turns
     private static final double REST_OF_MANY = 1.2; // the same, of a budget that is told too low
     private static final double SURE = 0.85; // of the room beside permits, as weights are estimates
+    private static final double WINDOWS_LENT = 2; // of permits, at most, to one request
     private static final double MOST_BEYOND_OWN = 12; // times this process's demand, at another one
 
     Permits permits(String id, double launched, double since) {
@@ -52,9 +53,13 @@
         return HELD * MOST_BEYOND_OWN * window >= weight * LEAST_OF_WEIGHT;
     }
 
-    /** A request beyond the permits takes those of one window at most, so that the others go on. */
+    /**
+     * A request beyond the permits takes those of two windows at most, so that the others go on; of one where a
+     * window brings less than a permit, as such a process has few turns and a debt bars it from them.
+     */
     void borrow(Permits p, Rate demand, double part, double weight, double now) {
-        double most = Math.max(p.used, p.due + window(present(p, now), demand, part, now));
+        double window = window(present(p, now), demand, part, now);
+        double most = Math.max(p.used, p.due + (window < 1 ? window : WINDOWS_LENT * window));
         p.used = Math.min(p.used + weight, most);
     }
 
--- a/src/main/java/copperbeam/SlowStart.java
+++ b/src/main/java/copperbeam/SlowStart.java
@@ -22,6 +22,7 @@
     private static final double MOST_SKEW = 3; // times the mean demand of all processes, at one
     private static final double DEMAND_KNOWN_S = 1; // before which a process's own demand tells little
     private static final double WHOLE = 0.5; // part of a node's traffic, for its turns
+    private static final double BETWEEN_LOOKS_S = 0.15; // a held request looks again within it
     private static final double WRITE_WITHIN_S = 1; // of a turn's begin, the reading included
 
     /** Where a heavy request may go out of its turn's right; a server of a stage that needs no turn is null. */
@@ -38,6 +39,7 @@
     private final Rate demand = new Rate(DEMAND_SPAN_S);
     private final Stage readers = new Stage();
     private final Stage writers = new Stage();
+    private double heavierWaitedAt = Double.NEGATIVE_INFINITY; // when one above the mean last looked for a turn in vain
     private double part = 1; // of the node's own demand that is for this process
 
     /** The ready servers of one stage, in the order of their ids. */
@@ -107,10 +109,19 @@
         if (read && written || now - demand.from < DEMAND_KNOWN_S) {
             return true;
         }
-        r.grant = heavy(r, now) ? grant(r, read, written, now) : null;
+        r.grant = mayHaveTurn(r, now) ? grant(r, read, written, now) : null;
+        if (r.grant == null && weight(r) > 1) {
+            heavierWaitedAt = now;
+        }
         return r.grant != null;
     }
 
+    /** Those that weigh more than the mean go first: light ones find a permit more often, and would take all turns. */
+    private boolean mayHaveTurn(Request r, double now) {
+        boolean first = weight(r) > 1 || now - heavierWaitedAt > BETWEEN_LOOKS_S;
+        return first && heavy(r, now);
+    }
+
     void sent(Server s, Request r, double now) {
         if (s.permits.launchedAt <= 0) {
             return;
