A stopped process ends at once: the JVM waited 0.3 s for its reactors

Evidence: its log has "ends by itself" 2.06 s after SIGTERM and "recorded" at 2.10 s; the process was still there at the kill, at 2.2 s. The same conductor's next stop ended 0.23 s after it had recorded. Not the machine: alone, without load or servers, the program took 194, 207, 221 and 277 ms from its written recording to its end. Cause: Runtime.halt waits up to 0.3 s for threads within a call of the system. Ours are in their selects of up to 0.2 and 0.25 s, and a stop's last moment is 0.15 s before the kill, so ended the stop in time and not the process. Change: Node.quiesce, right before the halt, has them leave the system: no turn of an actor any more, clients' reactors and the door end, the reactor towards servers stands still at its first connection, and connects that are out are cancelled, which leaves it none. Why it works: the JVM finds no such thread. No connection is reset: the system closes them with the process, as before (by reading).

--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -214,8 +214,11 @@
         } catch (ExecutionException | TimeoutException e) {
             System.err.println("copperbeam: nothing was recorded: " + e);
         }
-        // the reactors' threads would outlive the hooks; all that was taken is answered by now
-        Runtime.getRuntime().halt(0);
+        try {
+            node.quiesce();
+        } finally {
+            Runtime.getRuntime().halt(0); // threads would outlive the hooks; all that was taken is answered by now
+        }
     }
 
     /**
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -320,6 +320,23 @@
         LOG.info("stages; " + metrics.stages());
     }
 
+    /**
+     * The last before the process's end, once it has stopped. The JVM's end waits up to 0.3 s for threads within a call of the
+     * system, as reactors are but for moments; the time kept free before the kill is shorter.
+     */
+    void quiesce() {
+        turns.shutdownNow(); // else who is told of a connect's end would begin the next
+        servers().forEach(HttpFrontServer::quiesce);
+        reactor.quiesce();
+        if (door != null) {
+            try {
+                door.close();
+            } catch (IOException e) {
+                LOG.fine(() -> "the door's end: " + e);
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
         source.stop();
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -112,6 +113,7 @@
     private final DefaultConnectingIOReactor reactor;
     private final Queue<Pending> pending = new ConcurrentLinkedQueue<>();
     private final AtomicInteger connections = new AtomicInteger();
+    private volatile boolean quiet;
 
     public ClientReactor() {
         IOReactorConfig config = IOReactorConfig.custom()
@@ -127,7 +129,7 @@
                 null,
                 Problems::report,
                 null,
-                null);
+                session -> standStillIfQuiet());
         reactor.start();
     }
 
@@ -450,6 +452,29 @@
         ((Handler) session.getHandler()).readOut(then);
     }
 
+    /**
+     * The last before the process's end, where nobody connects any more: its thread leaves the system's calls, in which the JVM's
+     * end would wait for it. What is connected stays so until the system closes it with the process, not by a reset, which
+     * would throw away what the system has still to send.
+     */
+    public void quiesce() {
+        quiet = true;
+        // first, as nothing else wakes the thread: what is only being connected gives it nothing to stand still at
+        pending.forEach(p -> p.connect.cancel(true));
+        reactor.initiateShutdown();
+    }
+
+    /** Has the reactor's thread wait for the end, at the first connection that HttpCore would have ended. */
+    private void standStillIfQuiet() {
+        try {
+            if (quiet) {
+                new CountDownLatch(1).await();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt(); // it is closed, which ends the thread
+        }
+    }
+
     @Override
     public void close() throws IOException {
         reactor.close(CloseMode.IMMEDIATE);
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -594,6 +594,16 @@
         sealed = false;
     }
 
+    /**
+     * The last before the process's end, where no client is connected: its threads leave the system's calls, in which the JVM's
+     * end would wait for them.
+     */
+    public void quiesce() {
+        closing.set(true);
+        abandonAddress();
+        inlet.reactor().initiateShutdown();
+    }
+
     @Override
     public void close() {
         closing.set(true);
--- a/src/test/java/copperbeam/soak/StartTest.java
+++ b/src/test/java/copperbeam/soak/StartTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Starts of real processes that meet a signal or a system that has nothing left. */
@@ -19,6 +20,9 @@
     private static final int ENFILE = 23;
     private static final int END_MS = 20_000;
     private static final int MOST_LINES = 60; // of a log
+    private static final long STOP_DEADLINE_MS = 1500; // the kill comes 2.2 s after SIGTERM
+    private static final int UNHEARD_MS = 900; // in the stop, so that releases last until its end
+    private static final int ON_ITS_WAY_MS = 100;
 
     private final Path folder = temporary();
 
@@ -107,6 +111,58 @@
         }
     }
 
+    /** {@code kept}: connections to silent servers stay, else there are connects alone, which nothing answers. */
+    @DataProvider
+    public Object[][] connections() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /**
+     * The JVM's end waits up to 0.3 s for threads within a call of the system, as reactors are: a stop that servers keep from
+     * letting go up to its last moment was over in time, and its process still there at the kill.
+     */
+    @Test(dataProvider = "connections")
+    public void aStopThatWaitsForReleasesIsOverAtTheKill(boolean kept) throws Exception {
+        SoakSettings settings = new SoakSettings(1, STOP_DEADLINE_MS, 1000, true, true, true, false);
+        try (SoakSite site = new SoakSite(new Random(1), null)) {
+            site.addConductor(Files.createTempDirectory(folder, "site"), true, settings.text());
+            for (Role role : Role.values()) {
+                site.addServer(role, 0);
+                site.addServer(role, 0);
+            }
+            site.start();
+            ConductorProcess conductor = site.conductors.get(0);
+            try (HttpConnection client = HttpConnection.to(conductor.address, END_MS)) {
+                client.timeout(END_MS);
+                client.send(text("heard"));
+                assertEquals(client.read().word(1), "200");
+            }
+            for (ServerStandIn server : site.servers.values()) {
+                for (FaultProxy proxy : site.proxiesOf(server)) {
+                    proxy.mode(FaultProxy.Mode.SILENT);
+                    if (!kept) {
+                        proxy.resetAll();
+                    }
+                }
+            }
+            try (HttpConnection client = HttpConnection.to(conductor.address, END_MS)) {
+                client.timeout(END_MS);
+                client.send(text("unheard"));
+                Thread.sleep(ON_ITS_WAY_MS);
+                ConductorProcess.signal(conductor.process(), "TERM");
+                boolean ended = ConductorProcess.awaitEnd(conductor.process(), settings.killMs());
+                String log = Files.readString(conductor.log());
+                assertTrue(log.contains("servers have not let go of all yet"), "it waited for releases: " + log);
+                assertTrue(ended, "still there at the kill: " + log);
+                assertEquals(conductor.process().exitValue(), 0);
+            }
+        }
+    }
+
+    private static String text(String id) {
+        return ClientDriver.text(id, RequestKind.SAFE, RequestKind.USUAL_TOKENS, id, UNHEARD_MS, "{}");
+    }
+
     private static long lines(ConductorProcess conductor) throws IOException {
         return Files.readAllLines(conductor.log()).size();
     }
