Slow start: a turn outlasts the look that got it, and the first one needs little traffic

Cause 1: who gets a turn asks its servers for their load first and looks again 15 ms later; that look found the turn used up and took it back. Whole permits of many processes come on top of a turn as well. Cause 3: a heavy request within reach of permits waited for both stages to have them in the same moment, while light ones took each. Cause 4, by review: a turn's servers were marked at the reader alone, so that the writer's could be used once more. Change: a turn holds until its end for who has it and was not sent yet; the first turn by a process's own demand is for those whose permits of the whole slow start never pay for such a request; 1.5 requests are kept free for rounding, and 0.95 of the rest is given (0.85, none); heavy requests in reach read as before, light ones wait for both stages; a turn is used up at both servers, by its beginning in place of a number.

--- a/src/main/java/copperbeam/ColdBudget.java
+++ b/src/main/java/copperbeam/ColdBudget.java
@@ -17,9 +17,9 @@
     private static final double FEW = 30; // requests a window, under which the rule leaves more to chance
     private static final double REST_OF_FEW = 1 - SHARE; // of the budget, for turns
     private static final double REST_OF_MANY = 1.2; // the same, of a budget that is told too low
-    private static final double SURE = 0.85; // of the room beside permits, as weights are estimates
+    private static final double SURE = 0.95; // of the room beside permits, as weights are estimates
+    private static final double ROUNDED_UP = 1.5; // requests by which whole permits may pass their sum
     private static final double WINDOWS_LENT = 2; // of permits, at most, to one request
-    private static final double MOST_BEYOND_OWN = 12; // times this process's demand, at another one
 
     Permits permits(String id, double launched, double since) {
         return new Permits(launched, Math.max(launched, since), (place + State.hash(id, "" + launched)) % 1);
@@ -47,15 +47,15 @@
         return mostWaiting(window(present(p, then), demand, part, now)) >= weight * LEAST_OF_WEIGHT;
     }
 
-    /** Whether those of a process with far more of the fleet's demand than this one may add up to it now. */
-    boolean othersReach(Permits p, Rate demand, double part, double weight, double now) {
-        double window = window(present(p, now), demand, part, now);
-        return HELD * MOST_BEYOND_OWN * window >= weight * LEAST_OF_WEIGHT;
+    /** Whether those of the whole slow start, at today's rate, pay for a request of this weight. */
+    boolean everReach(Permits p, Rate demand, double part, double weight, double now) {
+        double perS = window(present(p, now), demand, part, now) / windowS();
+        return perS * rules.warmWithinS() >= weight * LEAST_OF_WEIGHT;
     }
 
     /**
-     * A request beyond the permits takes those of two windows at most, so that the others go on; of one where a
-     * window brings less than a permit, as such a process has few turns and a debt bars it from them.
+     * A request beyond the permits takes those of two windows at most, so that the others go on. Where
+     * a window brings less than a permit, of one: such a process has few turns, and debts bar it from them.
      */
     void borrow(Permits p, Rate demand, double part, double weight, double now) {
         double window = window(present(p, now), demand, part, now);
@@ -78,7 +78,7 @@
         boolean few = budget < FEW;
         double slack = few ? 3 * Math.sqrt(budget) + 3 : 2 * Math.sqrt(budget) + 2;
         double rest = budget * (few ? REST_OF_FEW : REST_OF_MANY);
-        return SURE * (rest + slack);
+        return SURE * (rest + slack) - ROUNDED_UP;
     }
 
     /** This process's part of a window, in requests of mean work. */
--- a/src/main/java/copperbeam/SlowStart.java
+++ b/src/main/java/copperbeam/SlowStart.java
@@ -104,24 +104,26 @@
      * {@code inPlace}: writers can read it themselves.
      */
     boolean mayRead(Request r, boolean inPlace, double now) {
+        if (r.grant != null && r.sends == 0 && now <= r.grant.readUntil()) {
+            return true; // it has its turn, and has waited since for its servers to be asked for their load
+        }
         boolean written = takes(writers, r, now);
         boolean read = inPlace && written || takes(readers, r, now);
         if (read && written || now - demand.from < DEMAND_KNOWN_S) {
             return true;
         }
-        r.grant = mayHaveTurn(r, now) ? grant(r, read, written, now) : null;
-        if (r.grant == null && weight(r) > 1) {
+        boolean heavier = weight(r) > 1;
+        if (!heavy(r, now)) {
+            return heavier; // what it needs comes at one stage while it waits for the other
+        }
+        boolean first = heavier || now - heavierWaitedAt > BETWEEN_LOOKS_S; // light ones would take all turns
+        r.grant = first ? grant(r, read, written, now) : null;
+        if (r.grant == null && heavier) {
             heavierWaitedAt = now;
         }
         return r.grant != null;
     }
 
-    /** Those that weigh more than the mean go first: light ones find a permit more often, and would take all turns. */
-    private boolean mayHaveTurn(Request r, double now) {
-        boolean first = weight(r) > 1 || now - heavierWaitedAt > BETWEEN_LOOKS_S;
-        return first && heavy(r, now);
-    }
-
     void sent(Server s, Request r, double now) {
         if (s.permits.launchedAt <= 0) {
             return;
@@ -182,21 +184,32 @@
         Server first = reader == null ? writer : reader;
         double since = Math.max(first.permits.launchedAt, writer == null ? 0 : writer.permits.launchedAt);
         TurnSchedule.Turn turn = schedule.at(now - since, rank, pairs);
-        if (turn == null || first.permits.lastTurn >= turn.number()) {
+        if (turn == null || usedAfter(reader, now - turn.sinceS()) || usedAfter(writer, now - turn.sinceS())) {
             return null;
         }
         if (turn.place() >= Math.min(turns(reader, weight, now), turns(writer, weight, now))) {
             return null;
         }
-        first.permits.lastTurn = turn.number();
-        double until = now + turn.leftS();
-        return new Grant(reader, writer, until, until - TurnSchedule.TURN_S + WRITE_WITHIN_S);
+        use(reader, now);
+        use(writer, now);
+        double begun = now - turn.sinceS();
+        return new Grant(reader, writer, begun + TurnSchedule.TURN_S, begun + WRITE_WITHIN_S);
+    }
+
+    private static boolean usedAfter(Server s, double begun) {
+        return s != null && s.permits.lastTurnAt >= begun;
+    }
+
+    private static void use(Server s, double now) {
+        if (s != null) {
+            s.permits.lastTurnAt = now;
+        }
     }
 
     /**
      * Turns of a cycle that the slack of this server bears, by the least that the fleet's demand can be, as this
-     * process may have far more than its part. The first also as if all had as much: those with less than their part
-     * would have no turn, and one request is borne by little slack, as long as no other process sends such by permits.
+     * process may have far more than its part. The first also as if all had as much, at a process with so little that
+     * its permits never pay for such a request: else it would have no turn, and so little is seldom more than a part.
      */
     private int turns(Server s, double weight, double now) {
         if (s == null) {
@@ -205,13 +218,13 @@
         if (budget.lent(s.permits, demand, share(s), now)) {
             return 0;
         }
-        double most = weights.most(weight);
-        double even = demand.perS(now) * settings.nodes() / stage(s).peers(); // if all processes had as much
-        double skew = Math.min(settings.nodes(), MOST_SKEW);
-        int sure = (int) (budget.beyond(s.permits, even / skew, now) / most);
-        boolean first = budget.beyond(s.permits, even, now) >= most
-                && !budget.othersReach(s.permits, demand, share(s), weight, now);
-        return Math.max(sure, first ? 1 : 0);
+        double heaviest = weights.most(weight);
+        double demandIfAllAreAlike = demand.perS(now) * settings.nodes() / stage(s).peers();
+        double leastDemand = demandIfAllAreAlike / Math.min(settings.nodes(), MOST_SKEW);
+        int turns = (int) (budget.beyond(s.permits, leastDemand, now) / heaviest);
+        boolean firstFits = budget.beyond(s.permits, demandIfAllAreAlike, now) >= heaviest
+                && !budget.everReach(s.permits, demand, share(s), weight, now);
+        return Math.max(turns, firstFits ? 1 : 0);
     }
 
     private double share(Server s) {
--- a/src/main/java/copperbeam/State.java
+++ b/src/main/java/copperbeam/State.java
@@ -310,7 +310,7 @@
         double at;
         double due; // what has come by then; the whole ones are permits
         double used; // spent or lapsed
-        long lastTurn = Long.MIN_VALUE; // of its schedule that this process has used
+        double lastTurnAt = Double.NEGATIVE_INFINITY; // when this process last used one of its turns
 
         Permits(double launchedAt, double at, double due) {
             this.launchedAt = launchedAt;
--- a/src/main/java/copperbeam/TurnSchedule.java
+++ b/src/main/java/copperbeam/TurnSchedule.java
@@ -42,8 +42,8 @@
         return number;
     }
 
-    /** A turn that is under way: which since the server's start, which of its cycle, and the time until its end. */
-    record Turn(long number, int place, double leftS) {}
+    /** A turn that is under way: which of its cycle, and the time since its begin. */
+    record Turn(int place, double sinceS) {}
 
     /**
      * The turn of this process that is under way now, or null. {@code age}: since the server's start.
@@ -56,8 +56,7 @@
         for (int place = 0; place < MOST; place++) {
             double since = (cycles - whole - point(place)) * cycle;
             if (since >= 0 && since < TURN_S && owner(whole, place, rank, servers) == index) {
-                long number = whole * MOST + Math.round(point(place) * MOST); // in the order of time
-                return new Turn(number, place, TURN_S - since);
+                return new Turn(place, since);
             }
         }
         return null;
