--- a/src/test/java/copperbeam/SlowStartTest.java
+++ b/src/test/java/copperbeam/SlowStartTest.java
@@ -28,7 +28,8 @@
     private static final RequestClass BEST_EFFORT = Bench.cls("best effort", 9, 1, Effect.SAFE, Group.ALL);
 
     /** The processes, servers of each role, requests of mean work a second that a warm one takes, and costs 1:ratio. */
-    private record World(int nodes, int peers, double capacity, double ratio, boolean restarted, Rules rules) {
+    private record World(
+            int nodes, int peers, double capacity, double ratio, boolean restarted, Rules rules, boolean probes) {
         double meanTokens() {
             return LIGHT_TOKENS * (1 + HEAVY_SHARE * (ratio - 1));
         }
@@ -100,7 +101,7 @@
                     usual.classes(),
                     usual.customers(),
                     usual.kinds(),
-                    new Limits(4, true, false, 0.5),
+                    new Limits(4, true, world.probes, 0.5),
                     world.rules,
                     Reports.NEVER,
                     false,
@@ -281,7 +282,7 @@
         "100, 2, 20, 1, true"
     })
     void theSumIsKept(int nodes, int peers, double capacity, double ratio, boolean restarted) {
-        Totals t = all(new World(nodes, peers, capacity, ratio, restarted, RULES), SEEDS);
+        Totals t = all(new World(nodes, peers, capacity, ratio, restarted, RULES, false), SEEDS);
         assertTrue(t.sum <= 1, "sum of the calls in slow start: " + t);
         assertTrue(t.lightServed >= t.lightReference / 2, "light requests served: " + t);
     }
@@ -290,7 +291,24 @@
     @ParameterizedTest
     @CsvSource({"14, 6, 5, false", "14, 6, 5, true", "30, 15, 5, false", "100, 20, 5, false", "100, 10, 20, true"})
     void theHeaviestClassIsServed(int nodes, int peers, double capacity, boolean restarted) {
-        Totals t = all(new World(nodes, peers, capacity, 10, restarted, RULES), Math.min(SEEDS, 3));
+        Totals t = all(new World(nodes, peers, capacity, 10, restarted, RULES, false), Math.min(SEEDS, 3));
         assertTrue(t.heavyServed >= t.heavyReference / 2, "heavy requests served: " + t);
     }
+
+    /** Guards against turns that are lost while servers are asked for their load. */
+    @ParameterizedTest
+    @CsvSource({"14, 6, 5, true", "100, 20, 5, false"})
+    void theHeaviestClassIsServedWithProbes(int nodes, int peers, double capacity, boolean restarted) {
+        Totals t = all(new World(nodes, peers, capacity, 10, restarted, RULES, true), Math.min(SEEDS, 3));
+        assertTrue(t.heavyServed >= t.heavyReference / 2, "heavy requests served: " + t);
+    }
+
+    /** Guards against weights known too low: many of a process's first requests are heavy ones. */
+    @ParameterizedTest
+    @CsvSource({"5, 6, 5, 50, 4128", "14, 6, 5, 10, 4133"})
+    void theSumIsKeptWhereManyOfTheFirstAreHeavy(int nodes, int peers, double capacity, double ratio, long seed) {
+        World world = new World(nodes, peers, capacity, ratio, true, RULES, false);
+        double sum = highest(world, play(world, seed));
+        assertTrue(sum <= 1, "sum of the calls in slow start: " + sum);
+    }
 }
