--- a/src/main/java/copperbeam/SlowStart.java
+++ b/src/main/java/copperbeam/SlowStart.java
@@ -99,8 +99,8 @@
     }
 
     /**
-     * Whether a read may begin now: none does before both stages can take it, as a read state finds no permit in
-     * the time for which it may be held. A request too heavy for permits gets the turn that is under way, if any.
+     * Whether a read may begin now. That of a light request waits for both stages, as its state may find no permit
+     * in the time for which it is held. One too heavy for permits gets the turn that is under way, if there is one.
      * {@code inPlace}: writers can read it themselves.
      */
     boolean mayRead(Request r, boolean inPlace, double now) {
