--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 set -eu
 cd "$(dirname "$0")"
-exec java -cp ../out CutChat "$(cd ../.. && pwd)" "$PWD/record.txt"
+exec java -cp ../out LostDrain "$(cd ../.. && pwd)" "$PWD/record.txt"
--- a/review/src/FullHeap.java
+++ b/review/src/FullHeap.java
@@ -13,8 +13,9 @@
     private static final int USUAL_TIMEOUT_MS = 6000;
     private static final int LATE_AFTER_MS = USUAL_TIMEOUT_MS + 500 + 50; // half a second, and 50 ms on sockets
     private static final int BAD_AT_REQUEST = 50;
-    private static final int BAD_REQUESTS = Integer.getInteger("many", 300); // "hundreds of requests at once"
-    private static final int BAD_TIMES = Integer.getInteger("times", 10); // "the same again the moment it is turned away"
+    private static final int BAD_REQUESTS = Integer.getInteger("many", 160); // at once; the page has "hundreds"
+    private static final int BAD_TIMES = 10; // at most: "the same again the moment it is turned away"
+    private static final int BAD_TIMEOUT_MS = 15_000; // of the class send
     private static final int BAD_BODY_BYTES = Integer.getInteger("bytes", 132_000); // a body holds 262,144 at most
 
     public static void main(String[] args) throws Exception {
@@ -121,7 +122,7 @@
         String end;
         try (Stand.Client client = new Stand.Client(port)) {
             Stand.Message head = client.call(
-                    Stand.request(id, "ask", USUAL_TIMEOUT_MS, "w".repeat(BAD_BODY_BYTES - 400), "word ".repeat(80)), 10_000);
+                    Stand.request(id, "send", BAD_TIMEOUT_MS, "w".repeat(BAD_BODY_BYTES - 400), "word ".repeat(80)), BAD_TIMEOUT_MS);
             end = "status " + head.status();
             client.in.readAllBytes();
         } catch (Exception e) {
--- a/review/src/Stand.java
+++ b/review/src/Stand.java
@@ -231,7 +231,7 @@
     static final class Server extends Listener {
         final String id;
         final boolean reader;
-        final List<Long> attemptsAt; // when the attempts' last bytes came, by the record
+        final List<Long> attemptsAt; // when the attempts' first bytes came, by the record
 
         Server(String id, boolean reader, Record record, Work work) throws IOException {
             this(id, reader, new Serving(id, reader, record, work));
@@ -270,7 +270,15 @@
             public void handle(Socket socket) throws Exception {
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 OutputStream out = socket.getOutputStream();
-                for (Message m = request(in); m != null; m = request(in)) {
+                while (true) {
+                    in.mark(1);
+                    in.read(); // waits for the first byte of a request
+                    in.reset();
+                    final long begunAt = record.now();
+                    Message m = request(in);
+                    if (m == null) {
+                        return;
+                    }
                     String[] words = m.first().split(" ");
                     if (words[0].equals("DELETE")) {
                         STATES.remove(words[1].substring("/state/".length()));
@@ -282,7 +290,7 @@
                         answer(out, 200, "X-Server-Load: " + report + "\r\n", report);
                         continue;
                     }
-                    attemptsAt.add(record.now());
+                    attemptsAt.add(begunAt);
                     if (!places.tryAcquire()) {
                         answer(out, 503, "X-Not-Processed: 1\r\n", "");
                     } else {
@@ -394,6 +402,9 @@
         private static long version = 1;
         private static final TreeMap<Long, String> CHANGES = new TreeMap<>();
         private static final Map<String, String> LIST = new TreeMap<>();
+        private static int outages; // how many have begun
+        private static boolean silent;
+        private static long lastWatchAt; // when the last watch was opened, System.nanoTime
 
         Discovery() throws IOException {
             super(Discovery::serve);
@@ -407,6 +418,31 @@
             }
         }
 
+        /** The agent is silent: connections stay open, and calls get no answer, also not later. */
+        void beginOutage() {
+            synchronized (LOCK) {
+                silent = true;
+                outages++;
+            }
+        }
+
+        /** The agent answers new calls; a watch that fell silent is broken. */
+        void endOutage() {
+            synchronized (LOCK) {
+                silent = false;
+            }
+        }
+
+        /** Waits until a watch has just been opened. */
+        void awaitWatch() throws InterruptedException {
+            synchronized (LOCK) {
+                long before = lastWatchAt;
+                while (lastWatchAt == before) {
+                    LOCK.wait();
+                }
+            }
+        }
+
         private static void serve(Socket socket) throws Exception {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Message m = request(in); m != null; m = request(in)) {
@@ -415,12 +451,25 @@
                 long until = System.nanoTime() + Math.max(0, number(target, "hold_ms=")) * 1_000_000;
                 String body;
                 synchronized (LOCK) {
-                    while (from >= version && System.nanoTime() < until) {
+                    int outagesBefore = outages;
+                    if (from >= version && !silent) {
+                        lastWatchAt = System.nanoTime();
+                        LOCK.notifyAll();
+                    }
+                    while (from >= version && !silent && outages == outagesBefore && System.nanoTime() < until) {
                         TimeUnit.NANOSECONDS.timedWait(LOCK, Math.max(1_000_000, until - System.nanoTime()));
                     }
-                    body = "{\"version\":" + version + ",\"full\":" + (from < 0) + ",\"servers\":["
-                            + String.join(",", from < 0 ? LIST.values() : CHANGES.tailMap(from, false).values())
-                            + "]}";
+                    if (silent || outages != outagesBefore) {
+                        body = null;
+                    } else {
+                        body = "{\"version\":" + version + ",\"full\":" + (from < 0) + ",\"servers\":["
+                                + String.join(",", from < 0 ? LIST.values() : CHANGES.tailMap(from, false).values())
+                                + "]}";
+                    }
+                }
+                if (body == null) {
+                    in.readAllBytes(); // silent until the conductor closes the connection
+                    return;
                 }
                 answer(socket.getOutputStream(), 200, "Content-Type: application/json\r\n", body);
             }
