Review cases: a case that can't run exits with 2, also if java can't start

Cases 1 and 2 ended with 0 where nothing had been sent that could tell anything, an Error counted as 1, and a script ended early left its folder.

The program of a case now ends with 10 for a broken rule, which run.sh alone turns into 1; all else but 0 is 2.

--- a/review/src/FullHeap.java
+++ b/review/src/FullHeap.java
@@ -57,10 +57,14 @@
             }
             record.note("usual requests: " + USUAL_REQUESTS + " sent, " + served + " served, " + lost
                     + " without a final answer in time; the process runs: " + conductor.isAlive());
+            if (ANSWERED.get() == 0) {
+                return 2; // nobody was served even before the bad clients: the case tells nothing
+            }
             return lost.get() > 0 || !conductor.isAlive() ? 1 : 0;
         });
     }
 
+    private static final AtomicInteger ANSWERED = new AtomicInteger(); // usual requests whose stream has begun
     private static final Deque<Stand.Client> KEPT = new ConcurrentLinkedDeque<>();
 
     /** A usual client: on a kept connection if one is free, and once more on a new one if that was closed meanwhile. */
@@ -99,6 +103,7 @@
         String end = "status " + head.status() + " after " + (record.now() - begun) + " ms";
         try {
             if (head.status() == 200) {
+                ANSWERED.incrementAndGet();
                 boolean whole = client.chunks() != null;
                 served.addAndGet(whole ? 1 : 0);
                 end += whole ? ", whole" : ", broken off";
--- a/review/src/ShortOutage.java
+++ b/review/src/ShortOutage.java
@@ -50,14 +50,16 @@
             Thread.sleep(8000);
             long bound = told + DRAIN_GRACE_MS;
             int late = 0;
+            int inTime = 0;
             for (Stand.Server server : draining) {
                 List<Long> after = server.attemptsAt.stream().filter(at -> at > bound).toList();
                 record.note(server.id + ": " + (server.attemptsAt.size() - after.size()) + " attempts up to " + bound
                         + " ms, later ones at " + after.stream().map(at -> "+" + (at - told)).toList());
                 late += after.size();
+                inTime += server.attemptsAt.size() - after.size();
             }
             record.note(late + " attempts at draining servers more than " + DRAIN_GRACE_MS + " ms after the drain was told");
-            return late > 0 ? 1 : 0;
+            return late > 0 ? 1 : inTime > 0 ? 0 : 2; // without attempts before it, the case tells nothing
         });
     }
 
--- a/review/src/Stand.java
+++ b/review/src/Stand.java
@@ -543,7 +543,10 @@
             builder.environment().put("TMPDIR", folder.resolve("tmp").toString());
             process = builder.start();
             Process started = process;
-            Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly)); // also if the case is ended early
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                started.destroyForcibly();
+                deleteFolder();
+            })); // also if the case is ended early
             record.note("conductor begun, process " + process.pid());
         }
 
@@ -585,6 +588,16 @@
             return process.waitFor(ms, TimeUnit.MILLISECONDS);
         }
 
+        private void deleteFolder() {
+            try (var files = Files.walk(folder)) {
+                for (Path path : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                    Files.deleteIfExists(path);
+                }
+            } catch (IOException | java.io.UncheckedIOException e) {
+                // deleted already
+            }
+        }
+
         private void kill() throws IOException {
             try {
                 process.destroyForcibly().waitFor();
@@ -609,11 +622,7 @@
                     record.note("log: " + line.substring(0, Math.min(200, line.length())));
                 }
             }
-            try (var files = Files.walk(folder)) {
-                for (Path path : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
-                    Files.delete(path);
-                }
-            }
+            deleteFolder();
         }
     }
 
@@ -696,8 +705,9 @@
             });
             try {
                 code = test.run(Path.of(args[0]), record, parts);
-            } catch (Exception e) {
+            } catch (Throwable e) { // an Error too: the case says nothing then
                 record.note("the case could not run: " + e);
+                code = 2;
             }
             for (int i = parts.size() - 1; i >= 0; i--) {
                 try {
@@ -708,9 +718,10 @@
             }
             record.note("exit code " + code);
         }
-        System.exit(code);
+        System.exit(code == 1 ? BROKEN : code);
     }
 
+    private static final int BROKEN = 10; // run.sh makes it 1, the code with which java ends if it can't start
     private static final int MAX_CASE_MS = 112_000;
 
     interface Case {
