Reactors and actors survive an Error that meets them outside of a handler

Callers saw no answer at all, on open connections and for good, after the heap had been full for a moment: the reactor to-servers had ended, and each later connect, the watch on discovery too, failed with "I/O reactor has been shut down".

Cause: an Error that leaves HttpCore's own code ends a reactor; only the clients' reactors were replaced, and only if the first attempt failed with IllegalStateException. An Error in Actor's request for a turn left its count of messages above zero, so that no turn was ever requested again. Last-resort catch blocks logged, and an Error there (logging allocates) ended accept and other threads after all.

Change: ReactorThreads replaces both kinds of reactor, whatever fails at first; connects meanwhile fail as connects. Actor keeps a flag that a failed request clears. FailureLog never throws. The check for overdue requests renews its timer whatever it meets. Errors in timeout, exception and disconnected close their connection alone.

--- a/src/main/java/copperbeam/program/RegularTask.java
+++ b/src/main/java/copperbeam/program/RegularTask.java
@@ -1,5 +1,6 @@
 package copperbeam.program;
 
+import copperbeam.routing.FailureLog;
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +39,7 @@
             lastRunFailed = false;
         } catch (RuntimeException | Error e) { // Errors too: the JVM throws some when file descriptors run out
             if (!lastRunFailed) {
-                LOG.log(Level.WARNING, name + " failed; it will be run again", e);
+                FailureLog.log(LOG, Level.WARNING, () -> name + " failed; it will be run again", e);
             }
             lastRunFailed = true;
         }
--- a/src/main/java/copperbeam/program/Reload.java
+++ b/src/main/java/copperbeam/program/Reload.java
@@ -57,7 +57,8 @@
             LOG.info("configuration read anew");
         } catch (Config.Invalid e) {
             LOG.warning("the new configuration is not taken, the old one stays: " + e.getMessage());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException
+                | Error e) { // an Error too: it would end the thread, and leave the signal without a word
             LOG.warning("the new configuration is not taken, the old one stays: " + e);
         }
     }
--- a/src/main/java/copperbeam/routing/Actor.java
+++ b/src/main/java/copperbeam/routing/Actor.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.logging.Level;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.logging.Logger;
 
 /**
@@ -22,7 +20,7 @@
 
     private final ConcurrentLinkedQueue<M> mailbox = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<M> urgentMailbox = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger pendingCount = new AtomicInteger();
+    private final AtomicBoolean turnRequested = new AtomicBoolean();
     private final ScheduledExecutorService scheduler;
 
     protected Actor(ScheduledExecutorService scheduler) {
@@ -48,9 +46,7 @@
 
     private void enqueue(ConcurrentLinkedQueue<M> queue, M message) {
         queue.add(message);
-        if (pendingCount.getAndIncrement() == 0) {
-            requestTurn(scheduler);
-        }
+        requestTurn();
     }
 
     /** Sends a message after a delay, unless the returned future is cancelled before. */
@@ -71,37 +67,51 @@
         }
     }
 
-    private void requestTurn(Executor executor) {
+    /** If the request itself fails, for example as the heap is full, the next message requests a turn for all that wait. */
+    private void requestTurn() {
+        if (!turnRequested.compareAndSet(false, true)) {
+            return;
+        }
         try {
-            executor.execute(this::runTurn);
+            scheduler.execute(this::runTurn);
         } catch (RejectedExecutionException e) {
             LOG.finest("message dropped: the executor has shut down");
+        } catch (Error e) {
+            turnRequested.set(false);
+            throw e;
         }
     }
 
     private void runTurn() {
-        int handled = 0;
-        for (; handled < MAX_MESSAGES_PER_TURN; handled++) {
-            M message = urgentMailbox.poll();
-            message = message == null ? mailbox.poll() : message;
+        try {
+            handleMessages();
+        } finally {
+            turnRequested.set(false);
+            if (!urgentMailbox.isEmpty() || !mailbox.isEmpty()) {
+                requestTurn();
+            }
+        }
+    }
+
+    private void handleMessages() {
+        for (int handled = 0; handled < MAX_MESSAGES_PER_TURN; handled++) {
+            M urgent = urgentMailbox.poll();
+            M message = urgent == null ? mailbox.poll() : urgent;
             if (message == null) {
-                break;
+                return;
             }
             try {
                 receive(message);
             } catch (RuntimeException | Error e) {
                 // one message that fails must not stop the actor and all requests that it serves; Errors are caught
                 // too, since the JVM throws them when it runs out of file descriptors
-                LOG.log(
-                        Level.SEVERE,
-                        getClass().getSimpleName() + " failed on "
-                                + message.getClass().getSimpleName(),
-                        e);
+                FailureLog.severe(LOG, () -> describeFailure(message), e);
             }
         }
-        if (pendingCount.addAndGet(-handled) > 0) {
-            requestTurn(scheduler);
-        }
+    }
+
+    private String describeFailure(M message) {
+        return getClass().getSimpleName() + " failed on " + message.getClass().getSimpleName();
     }
 
     protected abstract void receive(M message);
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -22,7 +22,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -240,7 +239,7 @@
                 tryAction(action);
             }
         } catch (RuntimeException | Error e) {
-            LOG.log(Level.SEVERE, "the decision module failed on " + event, e);
+            FailureLog.severe(LOG, () -> "the decision module failed on " + event, e);
         }
         // only after all actions: a release may follow the final answer of the same request
         toRemove.forEach(this::removeIfOver);
@@ -251,12 +250,21 @@
         try {
             execute(action);
         } catch (RuntimeException | Error e) {
-            LOG.log(Level.SEVERE, "an action of the decision module failed: " + action, e);
+            FailureLog.severe(LOG, () -> "an action of the decision module failed: " + action, e);
         }
     }
 
     /** Guards against requests that would never get a final answer because the module failed on them or lost track of them. */
     private void sweep() {
+        try {
+            endOverdue();
+        } finally { // whatever fails, requests must be looked at again
+            sweepScheduled = false;
+            scheduleSweep();
+        }
+    }
+
+    private void endOverdue() {
         Instant now = clock.instant();
         for (OpenRequest request : List.copyOf(requests.values())) {
             if (request.phase == Phase.OPEN
@@ -269,8 +277,6 @@
                 endLostAttempt(request, now);
             }
         }
-        sweepScheduled = false;
-        scheduleSweep();
     }
 
     private void scheduleSweep() {
@@ -287,7 +293,7 @@
         try {
             request.response.fail(ResponseSink.Failure.TOO_LATE);
         } catch (RuntimeException | Error e) {
-            LOG.log(Level.SEVERE, "sending the final answer failed: request " + request.spec.id(), e);
+            FailureLog.severe(LOG, () -> "sending the final answer failed: request " + request.spec.id(), e);
         }
         notifyModule(new Api.ClientLeft(
                 request.key)); // makes the module cancel the attempt in flight and release held state
--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -1,5 +1,6 @@
 package copperbeam.transport;
 
+import copperbeam.routing.FailureLog;
 import java.io.IOException;
 import java.lang.reflect.Constructor;
 import java.lang.reflect.Method;
@@ -13,7 +14,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.BooleanSupplier;
-import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 
@@ -137,7 +137,7 @@
                 pause(FAILURE_RETRY_DELAY);
             } catch (RuntimeException
                     | Error e) { // uncaught, it would end the thread, and no connection would be accepted any more
-                LOG.log(Level.SEVERE, "accepting a connection failed unexpectedly", e);
+                FailureLog.severe(LOG, () -> "accepting a connection failed unexpectedly", e);
                 pause(FAILURE_RETRY_DELAY);
             }
         }
--- a/src/main/java/copperbeam/transport/AdminServer.java
+++ b/src/main/java/copperbeam/transport/AdminServer.java
@@ -1,5 +1,6 @@
 package copperbeam.transport;
 
+import copperbeam.routing.FailureLog;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -112,7 +113,7 @@
                 // neither a faulty call nor an Error (which the JVM throws when out of descriptors) may end the
                 // listener for all other callers
                 if (!closed) {
-                    LOG.log(Level.WARNING, "the admin listener continues after a failure", e);
+                    FailureLog.log(LOG, Level.WARNING, () -> "the admin listener continues after a failure", e);
                     pause();
                 }
             }
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -41,6 +41,7 @@
 import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorShutdownException;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
@@ -59,12 +60,14 @@
     }
 
     /** Counts the connection, and keeps Errors of the wrapped listener from the reactor's thread, which they would end. */
-    private final class CountingListener implements SessionListener {
+    private static final class CountingListener implements SessionListener {
         private final SessionListener listener;
+        private final AtomicInteger connectionCount;
         private final AtomicBoolean counted = new AtomicBoolean(true);
 
-        CountingListener(SessionListener listener) {
+        CountingListener(SessionListener listener, AtomicInteger connectionCount) {
             this.listener = listener;
+            this.connectionCount = connectionCount;
             connectionCount.incrementAndGet();
         }
 
@@ -112,27 +115,36 @@
     /** A connect under way. {@code deadlineNanos}: on the clock of System.nanoTime. */
     private record PendingConnect(Future<IOSession> future, long deadlineNanos) {}
 
-    private final DefaultConnectingIOReactor reactor;
+    /** A reactor and the number of its connections; what a reactor that has ended did not report as closed is not counted. */
+    private record ActiveReactor(DefaultConnectingIOReactor reactor, AtomicInteger connectionCount) {}
+
+    private volatile ActiveReactor active;
     private final Queue<PendingConnect> pendingConnects = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger connectionCount = new AtomicInteger();
     private volatile boolean quiescing;
+    private volatile boolean closing;
 
     public ClientReactor() {
+        active = startReactor();
+    }
+
+    private ActiveReactor startReactor() {
         IOReactorConfig config = IOReactorConfig.custom()
                 .setIoThreadCount(1)
                 .setTcpNoDelay(true)
                 .setSoTimeout(Timeout.DISABLED)
                 .setSelectInterval(TimeValue.ofMilliseconds(250))
                 .build();
-        reactor = new DefaultConnectingIOReactor(
+        ReactorThreads threads = new ReactorThreads(() -> closing || quiescing, () -> active = startReactor());
+        DefaultConnectingIOReactor reactor = new DefaultConnectingIOReactor(
                 (session, listener) -> newHandler(session, (SessionListener) listener),
                 config,
-                task -> new Thread(task, "to-servers"),
+                threads.named("to-servers"),
                 null,
                 ReactorErrors::report,
                 null,
                 session -> blockIfQuiescing());
         reactor.start();
+        return new ActiveReactor(reactor, new AtomicInteger());
     }
 
     static Handler newHandler(ProtocolIOSession session, SessionListener listener) {
@@ -325,6 +337,8 @@
             }
             try {
                 super.timeout(ioSession, timeout);
+            } catch (Error e) {
+                throw ReactorErrors.logAndWrap(e);
             } finally {
                 reportEnded();
             }
@@ -332,14 +346,14 @@
 
         @Override
         public void exception(IOSession ioSession, Exception cause) {
-            super.exception(ioSession, cause);
-            reportEnded();
+            ReactorErrors.contain(ioSession, () -> super.exception(ioSession, cause));
+            ReactorErrors.contain(ioSession, this::reportEnded);
         }
 
         @Override
         public void disconnected(IOSession ioSession) {
-            super.disconnected(ioSession);
-            reportEnded();
+            ReactorErrors.contain(ioSession, () -> super.disconnected(ioSession));
+            ReactorErrors.contain(ioSession, this::reportEnded);
         }
 
         /**
@@ -404,7 +418,7 @@
 
     /** Number of connections that are open or being opened. */
     int connectionCount() {
-        return connectionCount.get();
+        return active.connectionCount.get();
     }
 
     void connect(InetSocketAddress address, Duration timeout, SessionListener listener) {
@@ -419,24 +433,31 @@
                 return address.getPort();
             }
         };
-        SessionListener countingListener = new CountingListener(listener);
-        Future<IOSession> future =
-                reactor.connect(endpoint, address, null, Timeout.of(timeout), countingListener, new FutureCallback<>() {
-                    @Override
-                    public void completed(IOSession session) {
-                        countingListener.opened(session);
-                    }
-
-                    @Override
-                    public void failed(Exception e) {
-                        countingListener.closed();
-                    }
-
-                    @Override
-                    public void cancelled() {
-                        countingListener.closed();
-                    }
-                });
+        ActiveReactor target = active;
+        SessionListener countingListener = new CountingListener(listener, target.connectionCount);
+        Future<IOSession> future;
+        try {
+            future = target.reactor.connect(
+                    endpoint, address, null, Timeout.of(timeout), countingListener, new FutureCallback<>() {
+                        @Override
+                        public void completed(IOSession session) {
+                            countingListener.opened(session);
+                        }
+
+                        @Override
+                        public void failed(Exception e) {
+                            countingListener.closed();
+                        }
+
+                        @Override
+                        public void cancelled() {
+                            countingListener.closed();
+                        }
+                    });
+        } catch (IOReactorShutdownException e) { // until the replacement of a reactor that has ended is there
+            countingListener.closed();
+            return;
+        }
         pendingConnects.add(new PendingConnect(
                 future, System.nanoTime() + timeout.plus(CONNECT_CANCEL_DELAY).toNanos()));
     }
@@ -473,11 +494,11 @@
      * aren't reset, because a reset discards data that the kernel has yet to send.
      */
     public void quiesce() {
-        quiescing = true;
+        quiescing = true; // also keeps a replacement from being started
         // Connects are cancelled first: blockIfQuiescing() is called for sessions only, and a pending connect would
         // keep the thread in its select, from which nothing else would wake it.
         pendingConnects.forEach(p -> p.future.cancel(true));
-        reactor.initiateShutdown();
+        active.reactor.initiateShutdown();
     }
 
     /** Called before HttpCore closes a session on shutdown; when quiescing, blocks the reactor's thread until the exit. */
@@ -493,6 +514,7 @@
 
     @Override
     public void close() throws IOException {
-        reactor.close(CloseMode.IMMEDIATE);
+        closing = true;
+        active.reactor.close(CloseMode.IMMEDIATE);
     }
 }
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -43,8 +43,6 @@
     /** Interval at which connections without I/O events are checked for timeouts. */
     public static final Duration TICK = Duration.ofMillis(200);
 
-    private static final Duration RESTART_RETRY_DELAY =
-            Duration.ofMillis(20); // between attempts to start a replacement reactor
     private static final int MAX_PENDING_CONNECTIONS =
             16; // accepted connections that the reactor has not registered yet
     private static final int BUFFER_BYTES = 4096;
@@ -115,13 +113,13 @@
                 .setSoTimeout(Timeout.of(TICK))
                 .setSelectInterval(TimeValue.of(TICK))
                 .build();
-        AtomicBoolean replaced = new AtomicBoolean();
+        ReactorThreads threads = new ReactorThreads(closing::get, this::replaceReactor);
         AtomicInteger pendingConnections = new AtomicInteger();
         DefaultListeningIOReactor reactor = new DefaultListeningIOReactor(
                 (session, attachment) -> newHandler(session, (Instant) attachment, pendingConnections),
                 config,
-                task -> newReactorThread(task, "from-clients", replaced),
-                task -> newReactorThread(task, "unused", replaced),
+                threads.named("from-clients"),
+                threads.named("unused"),
                 null,
                 ReactorErrors::report,
                 null,
@@ -130,42 +128,13 @@
         return new ActiveReactor(reactor, pendingConnections);
     }
 
-    /** A thread of a reactor; the first one to end unexpectedly starts a replacement reactor. */
-    private Thread newReactorThread(Runnable task, String name, AtomicBoolean replaced) {
-        return new Thread(
-                () -> {
-                    try {
-                        task.run();
-                    } finally { // also after an Error, such as a stack overflow
-                        if (!closing.get() && replaced.compareAndSet(false, true)) {
-                            replaceReactor();
-                        }
-                    }
-                },
-                name);
-    }
-
     /**
-     * Starts a replacement, retrying until it succeeds. A reactor may end when the process runs out of descriptors for a
-     * moment; without a replacement no client would be served again.
+     * Starts a replacement for a reactor that has ended, as it may when the process runs out of descriptors for a moment;
+     * without a replacement no client would be served again.
      */
     private void replaceReactor() {
-        LOG.warning("a reactor ended unexpectedly; starting a replacement");
         active.reactor().initiateShutdown(); // its open connections continue until they close
-        while (!closing.get()) {
-            try {
-                active = startReactor();
-                return;
-            } catch (IllegalStateException e) {
-                LOG.fine(() -> "the replacement reactor could not start: " + e.getMessage());
-            }
-            try {
-                Thread.sleep(RESTART_RETRY_DELAY.toMillis());
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            }
-        }
+        active = startReactor();
     }
 
     /**
@@ -387,19 +356,19 @@
         /** Called each {@link #TICK} on a connection without events. */
         @Override
         public void timeout(IOSession ioSession, Timeout timeout) {
-            checkTimeouts();
+            ReactorErrors.contain(ioSession, this::checkTimeouts);
             unregisterIfClosed();
         }
 
         @Override
         public void exception(IOSession ioSession, Exception cause) {
-            super.exception(ioSession, cause);
+            ReactorErrors.contain(ioSession, () -> super.exception(ioSession, cause));
             unregisterIfClosed();
         }
 
         @Override
         public void disconnected(IOSession ioSession) {
-            super.disconnected(ioSession);
+            ReactorErrors.contain(ioSession, () -> super.disconnected(ioSession));
             unregisterIfClosed();
         }
 
--- a/src/main/java/copperbeam/transport/ReactorErrors.java
+++ b/src/main/java/copperbeam/transport/ReactorErrors.java
@@ -1,8 +1,11 @@
 package copperbeam.transport;
 
+import copperbeam.routing.FailureLog;
 import java.io.IOException;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
 
 /** Logs exceptions and errors inside a reactor. */
 final class ReactorErrors {
@@ -13,7 +16,17 @@
     /** Logs an exception unless it is due to a broken connection or a malformed message. */
     static void report(Exception e) {
         if (!(e instanceof IOException) && !(e instanceof org.apache.hc.core5.http.HttpException)) {
-            LOG.log(Level.WARNING, "unexpected exception in a reactor", e);
+            FailureLog.log(LOG, Level.WARNING, () -> "unexpected exception in a reactor", e);
+        }
+    }
+
+    /** Runs a step of one connection's event handler. An Error in it closes this connection, not the reactor. */
+    static void contain(IOSession session, Runnable step) {
+        try {
+            step.run();
+        } catch (Error e) {
+            logAndWrap(e);
+            session.close(CloseMode.IMMEDIATE);
         }
     }
 
@@ -22,7 +35,7 @@
      * connection; the Error itself would end the reactor and all its connections.
      */
     static IOException logAndWrap(Error e) {
-        LOG.log(Level.SEVERE, "a connection's event handler failed", e);
+        FailureLog.severe(LOG, () -> "a connection's event handler failed", e);
         return new IOException("the event handler failed", e);
     }
 }
