The memory of requests is counted as it is held, and given up when they need it no more

Cause: ServerExchange kept a buffer grown by doubling and its copy, counted one of them once, and kept both for as long as the answer lasted. The chat API kept the parsed JSON beside them. Heads and waiting answers were not counted at all. A call to a server kept its request through timers, through the listener of the connection that was opened for it, and through the last exchange on an idle one; a request whose client had gone stayed in the plug-ins' timer until its deadline.

Change: MemoryBudget, MemoryShare and RequestBody count bodies, parsing, heads (whole and partial), collected and waiting answers. A body is one array and is given up once its stream has begun or its request is over, and no attempt is sending it. Ended calls drop their request and their timers. Bodies may take a quarter of the heap, heads and answers a sixteenth each.

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -16,6 +16,7 @@
 import copperbeam.routing.RequestHook;
 import copperbeam.simhost.Decoder;
 import copperbeam.simhost.Wire;
+import copperbeam.transport.ClientConnections;
 import copperbeam.transport.ProcessDescriptors;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -109,9 +110,13 @@
             return new Limits(memoryMb, sockets / 2);
         }
 
-        /** Most bytes of request bodies held at a time: at most a third of the heap and a quarter of the process's memory. */
-        public long maxBodyBytes() {
-            return Math.min(Runtime.getRuntime().maxMemory() / 3, memoryMb * 1024L * 1024 / 4);
+        /**
+         * Limits on the memory that requests and answers hold: in all three eighths of the heap, or of the process's memory if
+         * that is less. The rest is for the program itself, for connections, and for the garbage between two collections.
+         */
+        public ClientConnections.MemoryLimits memoryLimits() {
+            long memory = Math.min(Runtime.getRuntime().maxMemory(), memoryMb * 1024L * 1024);
+            return new ClientConnections.MemoryLimits(memory / 4, memory / 16, memory / 16);
         }
     }
 
--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -130,7 +130,7 @@
                 ? change -> listActor.tell(new ListActor.ListChanged(launches.toSteady(change), null))
                 : change -> bans.tell(new BanActor.ListChanged(launches.toSteady(change)));
         clientConnections = new ClientConnections(
-                config.limits().maxClients(), config.limits().maxBodyBytes(), descriptors);
+                config.limits().maxClients(), config.limits().memoryLimits(), descriptors);
         boolean continuesKnownList = config.operator().etcd() == null && config.knownListing() != null;
         if (continuesKnownList) {
             listSink.changed(config.knownList().toChange(ListKind.CACHED));
--- a/src/main/java/copperbeam/protocol/HttpCall.java
+++ b/src/main/java/copperbeam/protocol/HttpCall.java
@@ -9,6 +9,7 @@
  * A complete HTTP request of a client.
  *
  * @param headers the keys are in lower case
+ * @param content the body
  * @param arrivedAt when its head was read
  * @param maxQueueTime how long it may have waited before that because its connection wasn't accepted yet
  */
@@ -16,14 +17,24 @@
         String method,
         String target,
         Map<String, String> headers,
-        byte[] body,
+        RequestBody content,
         Instant arrivedAt,
         Duration maxQueueTime)
         implements RequestSpec.Payload {
 
     /** Creates a request that didn't wait for its connection to be accepted. */
     public HttpCall(String method, String target, Map<String, String> headers, byte[] body, Instant arrivedAt) {
-        this(method, target, headers, body, arrivedAt, Duration.ZERO);
+        this(method, target, headers, RequestBody.uncounted(body), arrivedAt, Duration.ZERO);
+    }
+
+    /** The body's bytes; empty once {@link #release} was called and no attempt is sending them. */
+    public byte[] body() {
+        return content.bytes();
+    }
+
+    @Override
+    public void release() {
+        content.release();
     }
 
     public String path() {
--- a/src/main/java/copperbeam/protocol/HttpReply.java
+++ b/src/main/java/copperbeam/protocol/HttpReply.java
@@ -19,6 +19,11 @@
     /** Closes the connection after everything written was sent, without a last chunk, so that the client sees a broken stream. */
     void abort();
 
+    /** Counts bytes that are kept in memory until the response has ended; false if all responses together keep too many. */
+    default boolean keep(int bytes) {
+        return true;
+    }
+
     /** Whether the client went away before its response was complete. */
     boolean isClientGone();
 }
--- a/src/main/java/copperbeam/protocol/Json.java
+++ b/src/main/java/copperbeam/protocol/Json.java
@@ -63,6 +63,25 @@
         return !level.isEmpty();
     }
 
+    /** Upper bound of the number of values in a JSON text, without parsing it; names of members count as values. */
+    public static int countValues(byte[] text) {
+        int count = 1;
+        boolean inString = false;
+        boolean escaped = false;
+        for (byte character : text) {
+            if (escaped) {
+                escaped = false;
+            } else if (character == '"') {
+                inString = !inString;
+            } else if (inString) {
+                escaped = character == '\\';
+            } else if (character == ',' || character == ':' || character == '[' || character == '{') {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Whether a body is exactly one JSON object. */
     public static boolean isObject(byte[] body) {
         try (JsonReader reader =
--- a/src/main/java/copperbeam/protocol/openai/ApiError.java
+++ b/src/main/java/copperbeam/protocol/openai/ApiError.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import copperbeam.protocol.Json;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /** An error response of the chat API. */
 final class ApiError extends Exception {
@@ -34,6 +35,10 @@
         return new ApiError(405, "invalid_request_error", null, null, message);
     }
 
+    static ApiError tooLarge(String message) {
+        return new ApiError(413, "invalid_request_error", null, null, message);
+    }
+
     static ApiError refused(boolean tried) {
         return tried
                 ? new ApiError(503, "server_error", null, "overloaded", "The servers are busy; try again later.")
@@ -49,6 +54,11 @@
         return new ApiError(status, "server_error", null, code, message);
     }
 
+    /** A refusal before any front or server has worked on the request advises when to come back. */
+    Map<String, String> headers() {
+        return status == 429 ? Map.of("Retry-After", "1") : Map.of();
+    }
+
     String json() {
         JsonObject error = new JsonObject();
         error.addProperty("message", getMessage());
--- a/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
@@ -19,8 +19,11 @@
     private static final int MAX_CONTENT_CHARS =
             1 << 20; // of a completion that is collected for a client that doesn't stream
 
+    // of the collected text, which has grown by doubling, and of the completion that is made of it
+    private static final int BYTES_PER_CONTENT_CHAR = 6;
+
     private final HttpReply reply;
-    private final ChatRequest request;
+    private final ChatRequest.AnswerOptions options;
     private final String id;
     private final long created;
     private final StringBuilder content = new StringBuilder();
@@ -29,9 +32,9 @@
     private boolean roleSent;
     private boolean doneReceived;
 
-    ChatAnswer(HttpReply reply, ChatRequest request, String id, Instant arrivedAt) {
+    ChatAnswer(HttpReply reply, ChatRequest.AnswerOptions options, String id, Instant arrivedAt) {
         this.reply = reply;
-        this.request = request;
+        this.options = options;
         this.id = "chatcmpl-" + id;
         created = arrivedAt.getEpochSecond();
     }
@@ -43,7 +46,7 @@
 
     @Override
     public void begin() {
-        if (request.wantsStream()) {
+        if (options.wantsStream()) {
             reply.beginStream("text/event-stream", Map.of("Cache-Control", "no-cache"));
         }
     }
@@ -56,7 +59,7 @@
             onDrained.run();
             return true;
         }
-        if (data.equals("[DONE]") && request.wantsStream() && !doneReceived) {
+        if (data.equals("[DONE]") && options.wantsStream() && !doneReceived) {
             doneReceived = true;
             writeEvent(data, onDrained); // not only in end(): the server may end its stream much later
             return true;
@@ -71,7 +74,7 @@
             onDrained.run();
             return false;
         }
-        return request.wantsStream() ? forward(chunk, onDrained) : collect(chunk, onDrained);
+        return options.wantsStream() ? forward(chunk, onDrained) : collect(chunk, onDrained);
     }
 
     private static JsonObject parseChunk(String data) {
@@ -87,7 +90,7 @@
     }
 
     private boolean forward(JsonObject chunk, Runnable onDrained) {
-        if (chunk.getAsJsonArray("choices").isEmpty() && !request.wantsUsage()) {
+        if (chunk.getAsJsonArray("choices").isEmpty() && !options.wantsUsage()) {
             onDrained.run();
             return true;
         }
@@ -108,6 +111,7 @@
 
     private boolean collect(JsonObject chunk, Runnable onDrained) {
         onDrained.run();
+        int lengthBefore = content.length();
         JsonObject delta = delta(chunk);
         if (delta != null) {
             if (delta.get("content") != null && delta.get("content").isJsonPrimitive()) {
@@ -118,7 +122,8 @@
             finishReason = reason != null && reason.isJsonPrimitive() ? reason.getAsString() : finishReason;
         }
         usage = chunk.has("usage") ? chunk.get("usage") : usage;
-        return content.length() <= MAX_CONTENT_CHARS;
+        int added = content.length() - lengthBefore;
+        return content.length() <= MAX_CONTENT_CHARS && reply.keep(added * BYTES_PER_CONTENT_CHAR);
     }
 
     private static JsonObject delta(JsonObject chunk) {
@@ -132,7 +137,7 @@
         responseObject.addProperty("id", id);
         responseObject.addProperty("object", object);
         responseObject.addProperty("created", created);
-        responseObject.addProperty("model", request.model());
+        responseObject.addProperty("model", options.model());
         return responseObject;
     }
 
@@ -141,7 +146,7 @@
         if (!doneReceived) {
             // the server ended its HTTP stream properly, but without "[DONE]"
             broken();
-        } else if (request.wantsStream()) {
+        } else if (options.wantsStream()) {
             reply.endStream();
         } else {
             JsonObject message = new JsonObject();
@@ -170,7 +175,7 @@
     @Override
     public void broken() {
         ApiError error = ApiError.serverError(502, "stream_broken", "The answer broke off before it was whole.");
-        if (request.wantsStream()) {
+        if (options.wantsStream()) {
             if (!doneReceived) {
                 writeEvent(error.json(), null); // clients read nothing after "[DONE]"
             }
--- a/src/main/java/copperbeam/protocol/openai/ChatRequest.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatRequest.java
@@ -20,6 +20,7 @@
  * @param maxTokens 0 if the client doesn't set it
  * @param prefix a hash of the system message that opens the conversation, or null if there is none
  * @param promptTokens estimated from the number of characters
+ * @param bodyForServers the client's body, but always with streaming enabled
  */
 record ChatRequest(
         String model,
@@ -30,8 +31,17 @@
         String prefix,
         int promptTokens,
         int prefixTokens,
-        JsonObject json) {
+        byte[] bodyForServers) {
+    /** What the answer depends on; unlike the request, it is kept until the answer has ended. */
+    record AnswerOptions(String model, boolean wantsStream, boolean wantsUsage) {}
+
+    AnswerOptions answerOptions() {
+        return new AnswerOptions(model, wantsStream, wantsUsage);
+    }
+
     private static final int CHARS_PER_TOKEN = 4; // for the estimate of tokens
+    private static final int PARSING_BYTES_PER_BYTE = 8; // texts, as part of the body and of values, read and written
+    private static final int PARSING_BYTES_PER_VALUE = 160; // objects of Gson
     private static final int MAX_COUNT = 1_000_000; // the largest valid count in a request, such as max_tokens
 
     private record Message(String role, String text) {
@@ -79,17 +89,17 @@
                 hasSystemMessage ? hash(first.role, first.text) : null,
                 messages.stream().mapToInt(Message::estimatedTokens).sum(),
                 hasSystemMessage ? first.estimatedTokens() : 0,
-                json);
+                booleanValue(json, "stream") ? body : withStreaming(json));
+    }
+
+    /** Estimate, in bytes, of the memory that {@link #parse} needs for this body. */
+    static long parsingMemory(byte[] body) {
+        return (long) body.length * PARSING_BYTES_PER_BYTE + (long) Json.countValues(body) * PARSING_BYTES_PER_VALUE;
     }
 
-    /** Returns the body that servers receive: the client's body, but always with streaming enabled. */
-    byte[] bodyForServers(byte[] originalBody) {
-        if (wantsStream) {
-            return originalBody;
-        }
-        JsonObject copy = json.deepCopy();
-        copy.addProperty("stream", true);
-        return Json.GSON.toJson(copy).getBytes(StandardCharsets.UTF_8);
+    private static byte[] withStreaming(JsonObject json) {
+        json.addProperty("stream", true);
+        return Json.GSON.toJson(json).getBytes(StandardCharsets.UTF_8);
     }
 
     private static List<Message> parseMessages(JsonElement value) throws ApiError {
--- a/src/main/java/copperbeam/protocol/openai/OpenAiFront.java
+++ b/src/main/java/copperbeam/protocol/openai/OpenAiFront.java
@@ -6,6 +6,7 @@
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.HttpReply;
 import copperbeam.protocol.Json;
+import copperbeam.protocol.MemoryBudget;
 import copperbeam.protocol.platform.PlatformFront;
 import copperbeam.routing.Intake;
 import copperbeam.routing.RequestSpec;
@@ -49,7 +50,7 @@
             }
             throw ApiError.notFound(null, null, "There is nothing at " + path + ".");
         } catch (ApiError e) {
-            reply.respond(e.status, "application/json", Map.of(), e.body());
+            reply.respond(e.status, "application/json", e.headers(), e.body());
             return () -> {};
         }
     }
@@ -83,7 +84,7 @@
     }
 
     private Runnable chat(HttpCall call, HttpReply reply) throws ApiError {
-        ChatRequest request = ChatRequest.parse(call.body());
+        ChatRequest request = parse(call);
         ChatModels.Model model = models.models().get(request.model());
         if (model == null) {
             throw ApiError.notFound("model", "model_not_found", "The model '" + request.model() + "' does not exist.");
@@ -102,11 +103,32 @@
                 call.arrivedAt().plus(model.timeout()).minus(margin),
                 false,
                 toServerCall(call, request, model, maxTokens));
-        ResponseSink response = new ChatAnswer(reply, request, id, call.arrivedAt());
+        ResponseSink response = new ChatAnswer(reply, request.answerOptions(), id, call.arrivedAt());
         intake.submit(spec, response);
         return () -> intake.clientGone(response);
     }
 
+    /** Parses the body, and puts what servers receive in its place. */
+    private static ChatRequest parse(HttpCall call) throws ApiError {
+        MemoryBudget memory = call.content().budget();
+        long needed = ChatRequest.parsingMemory(call.body());
+        if (!memory.couldHold(needed)) {
+            throw ApiError.tooLarge("The body has too many values.");
+        }
+        if (!memory.tryReserve(needed)) {
+            throw ApiError.refused(false);
+        }
+        try {
+            ChatRequest request = ChatRequest.parse(call.body());
+            if (!call.content().replaceBytes(request.bodyForServers())) {
+                throw ApiError.refused(false);
+            }
+            return request;
+        } finally {
+            memory.release(needed);
+        }
+    }
+
     /** Translates the request into the platform's protocol, which servers use. */
     private static HttpCall toServerCall(HttpCall call, ChatRequest request, ChatModels.Model model, int maxTokens) {
         String attrs = (request.prefix() == null ? "" : "prefix=" + request.prefix() + ",") + "prompt_len="
@@ -123,7 +145,8 @@
                         attrs,
                         "content-type",
                         "application/json"),
-                request.bodyForServers(call.body()),
-                call.arrivedAt());
+                call.content(),
+                call.arrivedAt(),
+                Duration.ZERO);
     }
 }
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -44,6 +44,9 @@
          */
         void readOut(Runnable then);
 
+        /** The last call has ended, and no other has begun: gives up what the connection keeps of it. */
+        default void callEnded() {}
+
         void close();
 
         /**
--- a/src/main/java/copperbeam/routing/HookActor.java
+++ b/src/main/java/copperbeam/routing/HookActor.java
@@ -97,6 +97,7 @@
         RequestSpec spec = arrival.spec();
         for (RequestHook hook : hooks) {
             if (arrival.response().gone() || arrival.handled().get()) {
+                arrival.expiry().cancel(false); // else the timer would keep the request in memory until its deadline
                 return;
             }
             RequestHook.Verdict verdict = RequestHook.Verdict.PASS;
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -438,6 +438,7 @@
         }
         note(Recorder.EventType.FIRST, request, message.server(), null, message.latency());
         request.phase = Phase.STREAMING;
+        request.spec.releasePayload(); // a stream that has begun is never retried
         enterStage(request, Stage.WRITING);
         request.rules.requestEnded();
         request.lease.stateTaken();
@@ -737,6 +738,7 @@
     private void markOver(OpenRequest request, Metrics.End end) {
         boolean wasStreaming = request.phase == Phase.STREAMING;
         request.phase = Phase.OVER;
+        request.spec.releasePayload();
         request.rules.requestEnded();
         request.attemptDeadline =
                 wasStreaming ? clock.instant() : request.attemptDeadline; // the outcome of a stream is due from now on
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -313,7 +313,7 @@
         // ms, while a read state stays held
         Instant now = setup.clock().instant();
         int connectNumber = ++serverCall.connectCount;
-        tellLater(
+        serverCall.connectTimer = tellLater(
                 Duration.between(now, serverCall.connectDeadline(now.plus(setup.connectTimeout()))),
                 new ConnectFailed(serverCall, connectNumber));
         setup.connector().connect(address, setup.connectTimeout(), new Connector.ConnectionListener() {
@@ -451,6 +451,7 @@
             connection.close();
             return;
         }
+        connection.callEnded();
         idleConnections.add(connection);
         if (idleCheckTimer == null) {
             idleCheckTimer = tellLater(idleConnections.lifetime(), new IdleCheck());
@@ -508,7 +509,7 @@
             reportOutcome(serverCall, serverCall.completedBeforeAccepted ? Outcome.OK : Outcome.RESET);
         }
         if (!serverCall.done) {
-            tellLater(STREAM_STALL_TIMEOUT, new StallCheck(serverCall));
+            serverCall.stallTimer = tellLater(STREAM_STALL_TIMEOUT, new StallCheck(serverCall));
         }
     }
 
@@ -524,9 +525,9 @@
                 Duration.between(serverCall.lastEventAt, setup.clock().instant());
         if (serverCall.connection != null && serverCall.connection.isReceiveWindowFull()) {
             serverCall.lastEventAt = setup.clock().instant();
-            tellLater(STREAM_STALL_TIMEOUT, new StallCheck(serverCall));
+            serverCall.stallTimer = tellLater(STREAM_STALL_TIMEOUT, new StallCheck(serverCall));
         } else if (silentFor.compareTo(STREAM_STALL_TIMEOUT) < 0) {
-            tellLater(STREAM_STALL_TIMEOUT.minus(silentFor), new StallCheck(serverCall));
+            serverCall.stallTimer = tellLater(STREAM_STALL_TIMEOUT.minus(silentFor), new StallCheck(serverCall));
         } else {
             terminate(serverCall, Outcome.RESET);
         }
@@ -631,10 +632,9 @@
     }
 
     private void reportOutcome(ServerCall serverCall, Outcome outcome) {
-        serverCall.done = true;
-        serverCall.pendingEvents.clear();
-        serverCall.expiryTimer.cancel(false); // else the timer would keep the request's body in memory until it fires
-        if (serverCall.command instanceof Send send) {
+        Message command = serverCall.command;
+        serverCall.end();
+        if (command instanceof Send send) {
             attempts.remove(send.request(), serverCall);
             // urgent: queued behind many new requests, the end of a stream would come late and a read state would be
             // held too long; urgent messages keep their order, so the first event of an attempt still comes before its
@@ -651,7 +651,7 @@
                             serverCall.cachedTokens,
                             serverCall.connection != null || serverCall.endedAt != null,
                             serverCall.endedAt == null ? setup.clock().instant() : serverCall.endedAt));
-        } else if (serverCall.command instanceof Release release) {
+        } else if (command instanceof Release release) {
             setup.releases().tell(new ReleaseActor.ReleaseTried(release.ticket(), id, outcome == Outcome.OK));
         } else {
             setup.module().tellUrgent(new ModuleActor.ProbeDone(id, outcome, elapsed(serverCall), serverCall.report));
--- a/src/main/java/copperbeam/routing/RequestSpec.java
+++ b/src/main/java/copperbeam/routing/RequestSpec.java
@@ -51,5 +51,15 @@
     }
 
     /** Content that is passed on to a server unchanged. */
-    public interface Payload {}
+    public interface Payload {
+        /** No further attempt will be made: gives up the memory that the content takes. May be called more than once. */
+        default void release() {}
+    }
+
+    /** Gives up the memory of the payload, if there is one, as no further attempt will be made. */
+    void releasePayload() {
+        if (payload != null) {
+            payload.release();
+        }
+    }
 }
--- a/src/main/java/copperbeam/routing/ServerCall.java
+++ b/src/main/java/copperbeam/routing/ServerCall.java
@@ -12,10 +12,12 @@
  * {@link PeerActor}.
  */
 final class ServerCall {
-    final PeerActor.Message command;
+    volatile PeerActor.Message command; // null once the call has ended; also read by the transport
     final Instant startedAt;
     Instant expiresAt;
     Future<?> expiryTimer;
+    Future<?> connectTimer; // null before the first connect
+    Future<?> stallTimer; // null before the stream was accepted
     Instant lastEventAt; // when the last event of the stream arrived
     Instant endedAt; // when the answer ended or the connection broke or was reset; null before, and after an ordinary
     // close here
@@ -39,7 +41,24 @@
         this.startedAt = startedAt;
     }
 
-    /** The attempt that this call carries, or null for a probe or a release. */
+    /**
+     * Ends the call and gives up what it holds of the request: the connection that was opened for it refers to it as long as it
+     * stays open.
+     */
+    void end() {
+        done = true;
+        pendingEvents.clear();
+        expiryTimer.cancel(false);
+        if (connectTimer != null) {
+            connectTimer.cancel(false);
+        }
+        if (stallTimer != null) {
+            stallTimer.cancel(false);
+        }
+        command = null;
+    }
+
+    /** The attempt that this call carries, or null for a probe or a release, and once it has ended. */
     PeerActor.Send sendCommand() {
         return command instanceof PeerActor.Send send ? send : null;
     }
--- a/src/main/java/copperbeam/transport/BoundedParser.java
+++ b/src/main/java/copperbeam/transport/BoundedParser.java
@@ -35,6 +35,8 @@
     private final NHttpMessageParser<T> parser;
     private final boolean strict;
     private int headBytes; // bytes of the complete lines of the current head
+    private int lineCount; // complete lines of the current head
+    private int incompleteLineBytes; // received of the line that is not complete yet
     private boolean lastLineEmpty; // the last line read was empty
     private volatile boolean partial;
 
@@ -49,10 +51,16 @@
         return partial;
     }
 
+    /** Estimate, in bytes, of what a partial head takes. */
+    long partialHeadMemory() {
+        return HeadMemory.estimate(lineCount + 1, headBytes + incompleteLineBytes);
+    }
+
     @Override
     public void reset() {
         parser.reset();
         headBytes = 0;
+        lineCount = 0;
         partial = false;
     }
 
@@ -69,6 +77,7 @@
             checkBodyLength(head);
             checkCharacters(head);
         }
+        incompleteLineBytes = head == null ? buffer.length() : 0;
         partial = head == null && (headBytes > 0 || buffer.hasData());
         return head;
     }
@@ -112,6 +121,7 @@
             int lengthBefore = length();
             boolean complete = super.readLine(line, endOfStream);
             if (complete) {
+                lineCount++;
                 lastLineEmpty = line.isEmpty();
                 // an empty line that some clients send after a body begins no head; HttpCore accepts only a few of them
                 headBytes += lastLineEmpty && headBytes == 0 ? 0 : lengthBefore - length();
--- a/src/main/java/copperbeam/transport/ClientConnections.java
+++ b/src/main/java/copperbeam/transport/ClientConnections.java
@@ -1,5 +1,7 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.MemoryBudget;
+import copperbeam.protocol.MemoryShare;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.time.Duration;
@@ -11,7 +13,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.reactor.IOSession;
@@ -31,6 +32,10 @@
     private static final int MAX_OVER_LIMIT =
             8; // connections accepted just to refuse their requests; take the program's own descriptors
 
+    static final int FREE_HEAD_BYTES = 8 * 1024;
+    static final int FREE_ANSWER_BYTES = 8 * 1024;
+    private static final int FREE_PARTIAL_HEAD_BYTES = 1024;
+
     /** One client's connection. */
     static final class Client {
         final IOSession session;
@@ -43,6 +48,7 @@
         // read; only on the reactor's thread
         Instant queuedSince;
         volatile boolean hasReceived; // a byte was received
+        final MemoryShare partialHead; // memory of a head of which some is still to come
         volatile boolean receivingBody; // a request's body is being received
         boolean ignoresRequests; // no further request is read from it; only on the reactor's thread
         ServerExchange currentExchange; // the request whose head came last; only on the reactor's thread
@@ -55,7 +61,8 @@
         private volatile boolean askedToClose; // its reading thread is asked to close it
         private final AtomicBoolean checkDue = new AtomicBoolean(); // its reading thread is to check its timeouts
 
-        Client(IOSession session, Instant now, boolean overLimit, AtomicInteger busyConnections) {
+        Client(IOSession session, Instant now, boolean overLimit, AtomicInteger busyConnections, MemoryBudget heads) {
+            partialHead = new MemoryShare(heads, FREE_PARTIAL_HEAD_BYTES);
             this.busyConnections = busyConnections;
             this.session = session;
             this.overLimit = overLimit;
@@ -142,31 +149,46 @@
     }
 
     private volatile int maxBusy;
-    private final long maxBodyBytes;
     private final DescriptorBudget descriptors;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
     private final AtomicInteger busyConnections = new AtomicInteger();
-    private final AtomicLong bodyBytes = new AtomicLong();
+    final MemoryBudget bodies;
+    final MemoryBudget heads;
+    final MemoryBudget answers;
 
-    /** Without a limit on the process's descriptors. */
+    /**
+     * Limits on the memory of all clients together, in bytes.
+     *
+     * @param bodies request bodies, and what fronts need to parse them
+     * @param heads request heads, as far as they exceed {@link #FREE_HEAD_BYTES} each
+     * @param answers parts of answers that wait for their clients, as far as they exceed {@link #FREE_ANSWER_BYTES} each
+     */
+    public record MemoryLimits(long bodies, long heads, long answers) {}
+
+    /** Without a limit on the process's descriptors, and with a limit on the bytes of request bodies alone. */
     public ClientConnections(int maxBusy, long maxBodyBytes) {
-        this(maxBusy, maxBodyBytes, DescriptorBudget.unlimited());
+        this(
+                maxBusy,
+                new MemoryLimits(maxBodyBytes, Integer.MAX_VALUE, Integer.MAX_VALUE),
+                DescriptorBudget.unlimited());
     }
 
     /**
-     * {@code maxBusy}: limit on connections with an open request; {@code maxBodyBytes}: limit on buffered bodies. A
+     * {@code maxBusy}: limit on connections with an open request. A
      * connection with an open request counts as two descriptors (the second one towards a server), an idle one as one; all
      * together may use {@code 2 * maxBusy}. Thus, many idle connections can't crowd out those with requests.
      */
-    public ClientConnections(int maxBusy, long maxBodyBytes, DescriptorBudget descriptors) {
+    public ClientConnections(int maxBusy, MemoryLimits memory, DescriptorBudget descriptors) {
         this.maxBusy = maxBusy;
-        this.maxBodyBytes = maxBodyBytes;
         this.descriptors = descriptors;
+        bodies = new MemoryBudget(memory.bodies());
+        heads = new MemoryBudget(memory.heads());
+        answers = new MemoryBudget(memory.answers());
     }
 
     /** Adds a new connection. At the limit, asks an idle one to close; if there is none, the new one's requests are refused. */
     Client register(IOSession session, Instant now) {
-        Client client = new Client(session, now, !makeRoom(now), busyConnections);
+        Client client = new Client(session, now, !makeRoom(now), busyConnections, heads);
         clients.add(client);
         return client;
     }
@@ -246,19 +268,7 @@
 
     void unregister(Client client) {
         clients.remove(client);
-    }
-
-    /** Reserves bytes for a body; false, with nothing reserved, if the limit would be exceeded. */
-    boolean reserveBodyBytes(int count) {
-        if (bodyBytes.addAndGet(count) > maxBodyBytes) {
-            bodyBytes.addAndGet(-count);
-            return false;
-        }
-        return true;
-    }
-
-    void releaseBodyBytes(int count) {
-        bodyBytes.addAndGet(-count);
+        client.partialHead.close();
     }
 
     /** Makes the reactor check the connections that are idle for longer than {@code minIdle}. */
@@ -285,6 +295,6 @@
     }
 
     public long bodyBytes() {
-        return bodyBytes.get();
+        return bodies.reservedBytes();
     }
 }
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -1,10 +1,12 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.RequestBody;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.EntityDetails;
@@ -33,8 +35,13 @@
     private static final int MAX_INFORMATIONAL_HEADS = 8; // 1xx heads before the response
 
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
+    private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
+
     private final HttpRequest request;
-    private final ByteBuffer body;
+    private final boolean hasBody;
+    private final RequestBody content; // null if there is no body
+    private volatile ByteBuffer body; // empty once it is no longer needed
+    private final AtomicBoolean usesContent = new AtomicBoolean();
     private final boolean holdLastByte;
     private volatile boolean lastByteAllowed;
     private volatile DataStreamChannel outputChannel;
@@ -55,14 +62,27 @@
 
     /** {@code body} may be null. */
     ClientExchange(HttpRequest request, byte[] body) {
-        this(request, body, false);
+        this(request, body == null ? null : RequestBody.uncounted(body), false);
     }
 
-    /** {@code holdLastByte}: hold back the last byte of the body until {@link #sendLastByte}; no effect without a body. */
-    ClientExchange(HttpRequest request, byte[] body, boolean holdLastByte) {
+    /**
+     * {@code holdLastByte}: hold back the last byte of the body until {@link #sendLastByte}; no effect without a body. The body
+     * is in use until the operating system has taken it or the exchange has ended. If it was given up before, nothing is sent.
+     */
+    ClientExchange(HttpRequest request, RequestBody content, boolean holdLastByte) {
         this.request = request;
         this.holdLastByte = holdLastByte;
-        this.body = body == null ? null : ByteBuffer.wrap(body);
+        this.content = content;
+        hasBody = content != null;
+        usesContent.set(hasBody && content.beginUse());
+        body = usesContent.get() ? ByteBuffer.wrap(content.bytes()) : NO_BYTES;
+    }
+
+    private void endUseOfBody() {
+        if (usesContent.compareAndSet(true, false)) {
+            body = NO_BYTES;
+            content.endUse();
+        }
     }
 
     /** Whether the head may still be sent. */
@@ -130,8 +150,9 @@
 
     /** Called after each turn in which output may have been written. */
     final void afterOutput() {
-        if (body != null && lastByteWritten && !lastByteSent && !ended && !hasBufferedOutput.getAsBoolean()) {
+        if (hasBody && lastByteWritten && !lastByteSent && !ended && !hasBufferedOutput.getAsBoolean()) {
             lastByteSent = true;
+            endUseOfBody();
             sent();
         }
     }
@@ -178,23 +199,23 @@
 
     @Override
     public final void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
-        if (!maySendHead()) {
+        if (!maySendHead() || hasBody && !usesContent.get()) {
             throw new IOException("the request may no longer be sent"); // closes the connection before anything is sent
         }
         // set before the last byte can be sent: unless it is known to be unsent, the request may have run
-        lastByteWritten = body == null;
+        lastByteWritten = !hasBody;
         prepareHead(request);
-        channel.sendRequest(request, body == null ? null : new BasicEntityDetails(body.remaining(), null), context);
+        channel.sendRequest(request, hasBody ? new BasicEntityDetails(body.remaining(), null) : null, context);
     }
 
     @Override
     public final int available() {
-        return body == null || lastByteWritten ? 0 : body.remaining() - heldByteCount();
+        return lastByteWritten || ended ? 0 : body.remaining() - heldByteCount();
     }
 
     @Override
     public final void produce(DataStreamChannel channel) throws IOException {
-        if (body == null || lastByteWritten) {
+        if (lastByteWritten || ended) {
             return;
         }
         outputChannel = channel;
@@ -204,11 +225,12 @@
                     "the last byte of the request may no longer be sent"); // closes the connection, the byte unsent
         }
         if (body.remaining() > heldByteCount) {
-            body.limit(body.limit() - heldByteCount);
+            ByteBuffer unsent = body;
+            unsent.limit(unsent.limit() - heldByteCount);
             try {
-                channel.write(body);
+                channel.write(unsent);
             } finally {
-                body.limit(body.limit() + heldByteCount);
+                unsent.limit(unsent.limit() + heldByteCount);
             }
         }
         if (!body.hasRemaining()) {
@@ -236,7 +258,7 @@
     @Override
     public final void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
             throws HttpException {
-        if (body != null && (!lastByteWritten || hasBufferedOutput.getAsBoolean())) {
+        if (hasBody && (!lastByteWritten || hasBufferedOutput.getAsBoolean())) {
             if (reusedConnection) {
                 // no server can have started this request, so this belongs to the previous one: a second response to it
                 throw new ProtocolException("response to an earlier request on this connection");
@@ -273,6 +295,7 @@
         if (!ended) {
             complete = true;
             ended = true;
+            endUseOfBody();
         }
     }
 
@@ -305,7 +328,11 @@
     private void fail(BooleanSupplier mayHaveRun) {
         if (!ended) {
             ended = true;
-            broken(mayHaveRun.getAsBoolean());
+            try {
+                broken(mayHaveRun.getAsBoolean());
+            } finally {
+                endUseOfBody();
+            }
         }
     }
 
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -239,6 +239,10 @@
                 readOnce(ioSession, bytes);
                 client.hasReceived |= receivedBytes() > 0;
                 readAfterRequest(ioSession);
+                // an earlier request on the connection still gets its answer
+                if (!client.partialHead.set(parser.partialHeadMemory()) && !client.isBusy()) {
+                    close(ioSession, CloseMode.GRACEFUL, CloseReason.TOO_MUCH);
+                }
                 // HttpCore treats a client's half-close as a request to close after the answer; here it means that the
                 // client has gone, and its attempt must not run on with nobody to read the answer
                 if (client.isBusy() && parser.isInputEnded() && client.closeAt == null) {
--- a/src/main/java/copperbeam/transport/RequestParser.java
+++ b/src/main/java/copperbeam/transport/RequestParser.java
@@ -38,6 +38,11 @@
         return parseError == null && parser.isPartial();
     }
 
+    /** Estimate, in bytes, of what a head takes of which some is still to come; 0 if there is none. */
+    long partialHeadMemory() {
+        return isPartial() ? parser.partialHeadMemory() : 0;
+    }
+
     /** Whether the client has closed its sending side. */
     boolean isInputEnded() {
         return inputEnded;
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -3,6 +3,7 @@
 import copperbeam.Api.Report;
 import copperbeam.protocol.EventSplitter;
 import copperbeam.protocol.HttpCall;
+import copperbeam.protocol.RequestBody;
 import copperbeam.protocol.platform.PlatformHeaders;
 import copperbeam.protocol.platform.PlatformStatus;
 import copperbeam.routing.Connector;
@@ -126,6 +127,11 @@
             ClientReactor.runAfterReading(session, then);
         }
 
+        @Override
+        public void callEnded() {
+            exchange = null;
+        }
+
         @Override
         public void close() {
             session.close(CloseMode.GRACEFUL);
@@ -170,7 +176,7 @@
             }
             request.setHeader("X-Request-ID", attemptCall.spec().id());
             request.setHeader("X-Priority-Class", attemptCall.spec().requestClass());
-            return new AttemptExchange(request, call.body(), attemptCall, listener);
+            return new AttemptExchange(request, call.content(), attemptCall, listener);
         }
     }
 
@@ -187,7 +193,7 @@
         private boolean isStream;
         private AnswerKind answerKind;
 
-        AttemptExchange(HttpRequest request, byte[] body, AttemptCall call, CallListener listener) {
+        AttemptExchange(HttpRequest request, RequestBody body, AttemptCall call, CallListener listener) {
             super(request, body, call.holdLastByte());
             this.call = call;
             this.listener = listener;
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -3,7 +3,9 @@
 import copperbeam.protocol.Front;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.HttpReply;
-import java.io.ByteArrayOutputStream;
+import copperbeam.protocol.MemoryShare;
+import copperbeam.protocol.RequestBody;
+import copperbeam.routing.FailureLog;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
@@ -19,7 +21,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
-import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
@@ -58,7 +59,8 @@
         void rejected(String requestClass, int status);
     }
 
-    private record PendingWrite(ByteBuffer bytes, Runnable onDrained) {}
+    /** {@code counted}: its bytes are part of the memory that is counted for answers. */
+    private record PendingWrite(ByteBuffer bytes, boolean counted, Runnable onDrained) {}
 
     private enum EndState {
         NONE,
@@ -72,7 +74,10 @@
     private final Clock clock;
     private final BooleanSupplier draining;
     private final RejectionListener rejectionListener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer received;
+    private final MemoryShare headMemory;
+    private final MemoryShare answerMemory;
+    private volatile RequestBody body; // null until the request is dispatched
     private final ConcurrentLinkedQueue<PendingWrite> pendingWrites = new ConcurrentLinkedQueue<>();
     private final AtomicInteger bufferedBytes = new AtomicInteger(); // bytes in pendingWrites
     private final AtomicInteger pendingProduceCalls = new AtomicInteger();
@@ -85,11 +90,11 @@
     private volatile boolean clientGone;
     private HttpRequest request;
     private HttpContext context;
+    private long announcedBytes = -1; // length of the body; negative: not known
     private Instant arrivedAt;
     private Duration maxQueueTime; // upper bound of the request's wait before arrivedAt
     private boolean rejectedOrDispatched;
     private boolean requestUnread; // the rest of the request was not read
-    private int reservedBodyBytes; // bytes of the body, reserved in the limit of all clients until the exchange ends
     private boolean abortSeen; // all output before an abort was handed to HttpCore; its next turn closes
 
     ServerExchange(
@@ -105,6 +110,9 @@
         this.front = front;
         this.clock = clock;
         this.draining = draining;
+        received = new BodyBuffer(allClients.bodies);
+        headMemory = new MemoryShare(allClients.heads, ClientConnections.FREE_HEAD_BYTES);
+        answerMemory = new MemoryShare(allClients.answers, ClientConnections.FREE_ANSWER_BYTES);
         client.requestBegan();
     }
 
@@ -120,12 +128,15 @@
         maxQueueTime = client.takeMaxQueueTime(arrivedAt);
         client.currentExchange = this;
         client.receivingBody = entity != null;
+        announcedBytes = entity == null ? -1 : entity.getContentLength();
         if (client.parseError != null) {
             reject(ServerSupport.toStatusCode(client.parseError), ServerSupport.toErrorMessage(client.parseError));
         } else if (client.ignoresRequests) {
             // nothing after this request is parsed as another one: hundreds of pipelined requests would use memory and
             // delay the detection of the client's close
             reject(overloadStatus(), "too many requests on one connection");
+        } else if (!headMemory.add(HeadMemory.estimate(head))) {
+            reject(overloadStatus(), "too many large requests wait here");
         } else if (entity == null) {
             client.readyExchanges.add(this);
         } else if (entity.getContentLength() > MAX_BODY_BYTES) {
@@ -149,15 +160,10 @@
             bytes.position(bytes.limit());
             return;
         }
-        if (body.size() + bytes.remaining() > MAX_BODY_BYTES) {
+        if (received.size() + bytes.remaining() > MAX_BODY_BYTES) {
             reject(413, "the body is larger than 256 KiB");
-        } else if (!allClients.reserveBodyBytes(bytes.remaining())) {
+        } else if (!received.add(bytes, announcedBytes)) {
             reject(overloadStatus(), "too many requests wait here");
-        } else {
-            reservedBodyBytes += bytes.remaining();
-            byte[] copy = new byte[bytes.remaining()];
-            bytes.get(copy);
-            body.writeBytes(copy);
         }
         bytes.position(bytes.limit());
     }
@@ -189,7 +195,7 @@
     /** Answers a request without reading the rest of its body; the connection closes once the answer is sent. */
     private void reject(int status, String reason) {
         rejectedOrDispatched = true;
-        body.reset();
+        received.clear();
         client.receivingBody = false;
         requestUnread = true;
         client.ignoresRequests = true;
@@ -216,6 +222,7 @@
             return;
         }
         rejectedOrDispatched = true;
+        body = received.take();
         Map<String, String> headers = new HashMap<>();
         for (Header header : request.getHeaders()) {
             // repeated headers are joined, so that two IDs or timeouts are invalid instead of the first one winning
@@ -224,15 +231,10 @@
         try {
             onClientGone = front.accept(
                     new HttpCall(
-                            request.getMethod(),
-                            request.getPath(),
-                            Map.copyOf(headers),
-                            body.toByteArray(),
-                            arrivedAt,
-                            maxQueueTime),
+                            request.getMethod(), request.getPath(), Map.copyOf(headers), body, arrivedAt, maxQueueTime),
                     this);
         } catch (RuntimeException | Error e) { // HttpCore would close the connection without an answer
-            LOG.log(Level.SEVERE, "a front failed to accept a request", e);
+            FailureLog.severe(LOG, () -> "a front failed to accept a request", e);
             respond(500, "text/plain", Map.of("Connection", "close"), "failed\n".getBytes(StandardCharsets.US_ASCII));
         }
         if (finished.get()) {
@@ -244,7 +246,7 @@
 
     @Override
     public void respond(int status, String contentType, Map<String, String> headers, byte[] bytes) {
-        pendingWrites.add(new PendingWrite(ByteBuffer.wrap(bytes), null));
+        pendingWrites.add(new PendingWrite(ByteBuffer.wrap(bytes), false, null));
         endState = EndState.COMPLETE;
         sendHead(status, contentType, headers, bytes.length);
     }
@@ -272,12 +274,15 @@
 
     @Override
     public void write(byte[] bytes, Runnable onDrained) {
+        if (clientGone) {
+            return;
+        }
         // a fast server can exceed its receive window, as HttpCore reads on while data is available; hence this limit
-        if (bufferedBytes.addAndGet(bytes.length) > MAX_BUFFERED_BYTES) {
+        if (bufferedBytes.addAndGet(bytes.length) > MAX_BUFFERED_BYTES || !answerMemory.add(bytes.length)) {
             client.session.close(CloseMode.GRACEFUL);
             return;
         }
-        pendingWrites.add(new PendingWrite(ByteBuffer.wrap(bytes), onDrained));
+        pendingWrites.add(new PendingWrite(ByteBuffer.wrap(bytes), true, onDrained));
         requestOutput();
     }
 
@@ -295,6 +300,11 @@
         requestOutput();
     }
 
+    @Override
+    public boolean keep(int bytes) {
+        return answerMemory.add(bytes);
+    }
+
     @Override
     public boolean isClientGone() {
         return clientGone;
@@ -345,6 +355,7 @@
             if (!next.bytes().hasRemaining()) {
                 pendingWrites.poll();
                 bufferedBytes.addAndGet(-next.bytes().capacity());
+                answerMemory.remove(next.counted() ? next.bytes().capacity() : 0);
                 if (next.onDrained() != null) {
                     next.onDrained().run();
                 }
@@ -384,13 +395,20 @@
     public void failed(Exception cause) {
         if (finished.compareAndSet(false, true)) {
             clientGone = true;
+            pendingWrites.clear(); // others may refer to this exchange until its attempt has ended
             releaseRequest();
             onClientGone.run();
         }
     }
 
     private void releaseRequest() {
-        allClients.releaseBodyBytes(reservedBodyBytes);
+        received.clear();
+        RequestBody dispatched = body;
+        if (dispatched != null) {
+            dispatched.release();
+        }
+        headMemory.close();
+        answerMemory.close();
         client.requestEnded(clock.instant());
     }
 
--- a/src/test/java/copperbeam/transport/LastByteTest.java
+++ b/src/test/java/copperbeam/transport/LastByteTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.protocol.RequestBody;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
@@ -117,7 +118,7 @@
         Exchange(boolean holdLastByte) {
             super(
                     new BasicHttpRequest("POST", new HttpHost("x"), "/"),
-                    BODY.getBytes(StandardCharsets.US_ASCII),
+                    RequestBody.uncounted(BODY.getBytes(StandardCharsets.US_ASCII)),
                     holdLastByte);
         }
 
