--- a/src/test/java/copperbeam/ci/KnownRedTest.java
+++ b/src/test/java/copperbeam/ci/KnownRedTest.java
@@ -16,6 +16,7 @@
     private static final String MAVEN_SUMMARY = "[ERROR] Tests run: 3, Failures: 1, Errors: 0, Skipped: 0";
     private static final String LISTED_LINE =
             "a.FirstTest#two | mvn -Dtest=FirstTest test, seed 3 | never done | issue 7\n";
+    private static final String FLAKY_LINE = LISTED_LINE.replace("never", "flaky: never");
     private static final String PASSING_ONE = passingCase("one");
     private static final String FAILING_TWO = failingCase("two");
 
@@ -85,6 +86,26 @@
                 "listed, but is skipped: a.FirstTest#two\n"
             },
             {LISTED_LINE.replace("First", "Second"), both, 0, 1, "did not run: a.SecondTest#two\n"},
+            // flaky tests
+            {FLAKY_LINE, both, 0, 0, "flaky, failed this time: " + FLAKY_LINE},
+            {FLAKY_LINE, report(PASSING_ONE, passingCase("two")), 0, 0, "flaky, passed this time: " + FLAKY_LINE},
+            {FLAKY_LINE, report(FAILING_TWO, failingCase("one")), 0, 1, "fails and is not listed: a.FirstTest#one\n"},
+            {FLAKY_LINE, report(PASSING_ONE), 0, 1, "listed, but did not run: a.FirstTest#two\n"},
+            {
+                FLAKY_LINE,
+                report(PASSING_ONE, testCase("two", "<skipped/>")),
+                0,
+                1,
+                "listed, but is skipped: a.FirstTest#two\n"
+            },
+            {
+                FLAKY_LINE + FLAKY_LINE.replace("two", "three") + FLAKY_LINE.replace("two", "four"),
+                both,
+                0,
+                1,
+                "more than 2 flaky tests"
+            },
+            {LISTED_LINE.replace("never", "not flaky: never"), report(PASSING_ONE, passingCase("two")), 0, 1, "passes"},
             // parameterised tests
             {LISTED_LINE.replace("two", "two[1]"), parameterised, 0, 0, "passed over: a.FirstTest#two[1] "},
             {
