--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -57,7 +57,7 @@
         private final Map<Integer, OpenCall> openCalls = new HashMap<>();
         private final Set<String> loggedProblems = new HashSet<>(); // since the last good response
         private Sink sink;
-        private Instant lastCallAt = Instant.MAX; // when the newest call began
+        private Instant lastCallAt; // when the newest call began; null before the first
         private boolean stopped;
 
         Watcher(ScheduledExecutorService scheduler, boolean serversExpected, Backoff backoff, WatchPace pace) {
@@ -93,7 +93,7 @@
             } else if (message instanceof TimerFired e) {
                 carryOut(plan.onTimer(e.token(), clock.instant()));
             } else if (message instanceof CheckProgress) {
-                if (clock.instant().isAfter(lastCallAt.plus(WatchPlan.INFORMED_AFTER))) {
+                if (lastCallAt != null && clock.instant().isAfter(lastCallAt.plus(WatchPlan.INFORMED_AFTER))) {
                     carryOut(plan.callAgain());
                 }
             } else if (message instanceof Stop) {
--- a/src/test/java/copperbeam/sockets/SilentWatchTest.java
+++ b/src/test/java/copperbeam/sockets/SilentWatchTest.java
@@ -29,6 +29,19 @@
                 + "]\n}\n";
     }
 
+    private static DiscoveryWatch watchOf(
+            StandIn agent, ScheduledExecutorService scheduler, ClientReactor reactor, Backoff backoff) {
+        return new DiscoveryWatch(
+                scheduler,
+                new PlainHttpClient(reactor),
+                Clock.systemUTC(),
+                agent.address(),
+                null,
+                false,
+                backoff,
+                WatchPace.ofAgent(Duration.ofSeconds(1)));
+    }
+
     /**
      * A watch gets half an answer that goes on by a byte now and then, and the next connection is closed without an answer.
      * Guards against treating the trickling call as a working watch, and against lists whose indentation can't be
@@ -56,15 +69,7 @@
                     default -> connection.respond(200, listJson(8, false, String.format(ENTRY_FORMAT, "leaving")));
                 }
             };
-            DiscoveryWatch watch = new DiscoveryWatch(
-                    scheduler,
-                    new PlainHttpClient(reactor),
-                    Clock.systemUTC(),
-                    agent.address(),
-                    null,
-                    false,
-                    backoff,
-                    WatchPace.ofAgent(Duration.ofSeconds(1)));
+            DiscoveryWatch watch = watchOf(agent, scheduler, reactor, backoff);
             watch.start(change -> reportedEntries.addAll(change.entries()));
             await("listed", () -> reportedEntries.size() == 1);
             await("the watch is called", () -> agent.requests.size() >= 2);
@@ -100,15 +105,7 @@
                                 isFullList,
                                 String.format(ENTRY_FORMAT, isFullList ? "active" : "leaving")));
             };
-            DiscoveryWatch watch = new DiscoveryWatch(
-                    scheduler,
-                    new PlainHttpClient(reactor),
-                    Clock.systemUTC(),
-                    agent.address(),
-                    null,
-                    false,
-                    backoff,
-                    WatchPace.ofAgent(Duration.ofSeconds(1)));
+            DiscoveryWatch watch = watchOf(agent, scheduler, reactor, backoff);
             watch.start(change -> {
                 if (agent.requests.size() == 1) {
                     throw new NoClassDefFoundError("thrown by the test");
