Log why a client's connection ended, further attempts, and streams that broke

Change: RequestLog (now for any thread) has lines with the request's id for each of these, still at most 50 a second for each of its users; closes that were not counted so far (slow reader, broken stream, an answer that could not be written) have a CloseReason. Nothing is decided otherwise. FairTurnTest gets the two new parameters.

--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -418,6 +418,9 @@
         }
         boolean streaming = request.phase == Phase.STREAMING;
         note(Recorder.EventType.LEFT, request, null, request.phase.name(), null);
+        requestLog.note(
+                request.spec.id(),
+                "its client has left: " + request.phase + ", " + request.stage() + describeAny(request));
         markOver(request, Metrics.End.LEFT);
         notifyModule(new Api.ClientLeft(request.key));
         if (streaming && request.attemptInFlight) {
@@ -499,6 +502,8 @@
                         null,
                         message.outcome() == Outcome.CANCELLED ? "cut here" : null,
                         null);
+                requestLog.note(
+                        request.spec.id(), "its stream broke: " + message.outcome() + ", " + describeAttempt(request));
                 request.response.broken();
             }
         }
@@ -643,6 +648,9 @@
         }
         if (request.lastOutcome != null && request.lastOutcome != Outcome.READ) {
             metrics.causes().add(CauseCounts.Kind.RETRIED, request.lastOutcome);
+            requestLog.note(
+                    request.spec.id(),
+                    "attempt " + request.attempts + " begins at " + attempt.server() + " after " + request.lastOutcome);
         }
         request.attemptInFlight = true;
         request.attemptDeadline = ModuleTime.instant(attempt.timeoutAt());
@@ -774,6 +782,11 @@
         request.enterStage(stage, clock.instant(), metrics.stages());
     }
 
+    /** As {@link #describeAttempt}, after a comma; empty before the first attempt. */
+    private static String describeAny(OpenRequest request) {
+        return request.attempts == 0 ? "" : ", " + describeAttempt(request);
+    }
+
     private static String describeAttempt(OpenRequest request) {
         return "attempt " + Math.max(0, request.attempts - 1) + (request.attemptInFlight ? " out at " : " ended at ")
                 + request.peer.id();
--- a/src/main/java/copperbeam/routing/RequestLog.java
+++ b/src/main/java/copperbeam/routing/RequestLog.java
@@ -7,9 +7,9 @@
 
 /**
  * Rate-limited log lines about single requests, each with the request's id. Only the first lines of each second are written and
- * the others are counted, so that an outage of all servers doesn't flood the log. Not thread-safe.
+ * the others are counted, so that an outage of all servers doesn't flood the log. For any thread.
  */
-final class RequestLog {
+public final class RequestLog {
     private static final Logger LOG = Logger.getLogger(RequestLog.class.getName());
     private static final Duration WINDOW = Duration.ofSeconds(1);
     private static final int MAX_LINES = 50; // per window
@@ -18,12 +18,17 @@
     private Instant windowEnd = Instant.MIN;
     private int lines;
 
-    RequestLog(Clock clock) {
+    public RequestLog(Clock clock) {
         this.clock = clock;
     }
 
-    /** {@code text}: what happened to the request, and why. */
-    void note(String requestId, String text) {
+    /**
+     * Writes a line about one request.
+     *
+     * @param requestId the request's id, or null if its client has sent none
+     * @param text what happened to the request, and why
+     */
+    public synchronized void note(String requestId, String text) {
         Instant now = clock.instant();
         if (!now.isBefore(windowEnd)) {
             reportOmitted();
--- a/src/main/java/copperbeam/transport/ClientConnections.java
+++ b/src/main/java/copperbeam/transport/ClientConnections.java
@@ -58,6 +58,7 @@
         volatile boolean ignoresInput; // the last answer is being completed or aborted; no more input is read
         volatile Instant closeAt; // earliest time to close after the last answer; null: no close is planned
         volatile boolean lingersBeforeClose; // more of its request may come: the output is shut down before the close
+        volatile HttpFrontServer.CloseReason closeReason; // why it was closed here; null: it was not
         private volatile boolean askedToClose; // its reading thread is asked to close it
         private final AtomicBoolean checkDue = new AtomicBoolean(); // its reading thread is to check its timeouts
 
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -3,6 +3,7 @@
 import copperbeam.protocol.Front;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.HttpReply;
+import copperbeam.routing.RequestLog;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -69,6 +70,7 @@
             new AtomicInteger(); // reactor threads that read from a client, or are about to check whether they may
     private volatile Acceptor acceptor; // null until it listens
     private final ReactorTimers timers = new ReactorTimers();
+    private final RequestLog requestLog;
 
     /** A reactor, and the number of connections handed to it but not registered yet; these are lost if it ends. */
     private record ActiveReactor(DefaultListeningIOReactor reactor, AtomicInteger pendingConnections) {}
@@ -86,7 +88,13 @@
         /** The client closed its sending side while a request was open. */
         CLIENT_ENDED,
         /** The client sent too many bytes after a request that is open or was rejected. */
-        TOO_MUCH
+        TOO_MUCH,
+        /** The client reads its answer too slowly: too much of it would wait in memory. */
+        SLOW_READER,
+        /** The stream from the server broke. */
+        BROKEN_STREAM,
+        /** The head of an answer could not be written. */
+        FAILED_ANSWER
     }
 
     /** Notified of events that the front does not see. */
@@ -103,6 +111,7 @@
         this.observer = observer;
         this.clock = clock;
         this.allClients = allClients;
+        requestLog = new RequestLog(clock);
         active = startReactor();
     }
 
@@ -179,7 +188,22 @@
                 client.overLimit || allClients.isFull() ? this::refuseOverload : front,
                 clock,
                 () -> draining,
-                observer::requestRejected);
+                observer::requestRejected,
+                this::closeClient,
+                requestLog);
+    }
+
+    private void closeClient(ClientConnections.Client client, CloseReason reason) {
+        close(client, client.session, CloseMode.GRACEFUL, reason);
+    }
+
+    /** {@code connection}: not always the client's session, whose close has no effect after the client's half-close. */
+    private void close(ClientConnections.Client client, IOSession connection, CloseMode mode, CloseReason reason) {
+        if (client.closeReason == null) {
+            client.closeReason = reason;
+            observer.connectionClosed(reason);
+        }
+        connection.close(mode);
     }
 
     /** Handles one connection's I/O events, on the reactor's thread. */
@@ -388,6 +412,10 @@
             }
             boolean outputDone = flushed || isWriteStalled(now); // whether earlier answers are sent, or will never be
             if (isRequestLate(now) && outputDone) {
+                requestLog.note(
+                        null,
+                        "closing the connection of a request that is not complete in time, " + receivedBytes()
+                                + " bytes were read");
                 close(session, CloseMode.GRACEFUL, CloseReason.SLOW_REQUEST);
             } else if (isDoneAnswering(now, flushed)) {
                 close(session, CloseMode.GRACEFUL, CloseReason.ANSWERED);
@@ -396,10 +424,8 @@
             }
         }
 
-        /** {@code connection}: not always the outer session, whose close has no effect after the client's half-close. */
         private void close(IOSession connection, CloseMode mode, CloseReason reason) {
-            observer.connectionClosed(reason);
-            connection.close(mode);
+            HttpFrontServer.this.close(client, connection, mode, reason);
         }
 
         /** Whether no output is waiting to be written to the socket; also records write progress. */
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -7,6 +7,8 @@
 import copperbeam.protocol.platform.PlatformHeaders;
 import copperbeam.protocol.platform.PlatformStatus;
 import copperbeam.routing.Connector;
+import copperbeam.routing.ModuleTime;
+import copperbeam.routing.RequestLog;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -38,6 +40,7 @@
 
     private final ClientReactor reactor;
     private final DescriptorBudget descriptorBudget;
+    private final RequestLog requestLog = new RequestLog(ModuleTime.steadyClock());
 
     public ServerConnector(ClientReactor reactor) {
         this(reactor, DescriptorBudget.unlimited());
@@ -62,7 +65,7 @@
             @Override
             public void opened(IOSession session) {
                 if (outcomeReported.compareAndSet(false, true)) {
-                    connection = new ServerConnection(session, address);
+                    connection = new ServerConnection(session, address, requestLog);
                     listener.connected(connection);
                 }
             }
@@ -81,10 +84,12 @@
     private static final class ServerConnection implements Connection {
         private final IOSession session;
         private final HttpHost host;
+        private final RequestLog requestLog;
         private volatile ClientExchange exchange;
 
-        ServerConnection(IOSession session, InetSocketAddress address) {
+        ServerConnection(IOSession session, InetSocketAddress address, RequestLog requestLog) {
             this.session = session;
+            this.requestLog = requestLog;
             host = ClientReactor.httpHost(address);
         }
 
@@ -176,7 +181,7 @@
             }
             request.setHeader("X-Request-ID", attemptCall.spec().id());
             request.setHeader("X-Priority-Class", attemptCall.spec().requestClass());
-            return new AttemptExchange(request, call.content(), attemptCall, listener);
+            return new AttemptExchange(request, call.content(), attemptCall, listener, requestLog);
         }
     }
 
@@ -188,14 +193,17 @@
     private static final class AttemptExchange extends ClientExchange {
         private final CallListener listener;
         private final AttemptCall call;
+        private final RequestLog requestLog;
         private final EventSplitter events = new EventSplitter();
         private Duration timeoutSent = Duration.ZERO;
         private boolean isStream;
         private AnswerKind answerKind;
 
-        AttemptExchange(HttpRequest request, RequestBody body, AttemptCall call, CallListener listener) {
+        AttemptExchange(
+                HttpRequest request, RequestBody body, AttemptCall call, CallListener listener, RequestLog requestLog) {
             super(request, body, call.holdLastByte());
             this.call = call;
+            this.requestLog = requestLog;
             this.listener = listener;
         }
 
@@ -252,6 +260,9 @@
 
         @Override
         void broken(boolean mayHaveRun) {
+            if (cause() != null) {
+                requestLog.note(call.spec().id(), "the connection of its attempt broke: " + cause());
+            }
             listener.broken(mayHaveRun);
         }
 
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -6,6 +6,7 @@
 import copperbeam.protocol.MemoryShare;
 import copperbeam.protocol.RequestBody;
 import copperbeam.routing.FailureLog;
+import copperbeam.routing.RequestLog;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
@@ -35,7 +36,6 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
-import org.apache.hc.core5.io.CloseMode;
 
 /** One client's request and the answer to it. */
 final class ServerExchange implements AsyncServerExchangeHandler, HttpReply {
@@ -59,6 +59,11 @@
         void rejected(String requestClass, int status);
     }
 
+    /** Closes a client's connection, and counts why. */
+    interface Closer {
+        void close(ClientConnections.Client client, HttpFrontServer.CloseReason reason);
+    }
+
     /** {@code counted}: its bytes are part of the memory that is counted for answers. */
     private record PendingWrite(ByteBuffer bytes, boolean counted, Runnable onDrained) {}
 
@@ -74,6 +79,8 @@
     private final Clock clock;
     private final BooleanSupplier draining;
     private final RejectionListener rejectionListener;
+    private final Closer closer;
+    private final RequestLog requestLog;
     private final BodyBuffer received;
     private final MemoryShare headMemory;
     private final MemoryShare answerMemory;
@@ -103,8 +110,12 @@
             Front front,
             Clock clock,
             BooleanSupplier draining,
-            RejectionListener rejectionListener) {
+            RejectionListener rejectionListener,
+            Closer closer,
+            RequestLog requestLog) {
         this.rejectionListener = rejectionListener;
+        this.closer = closer;
+        this.requestLog = requestLog;
         this.client = client;
         this.allClients = allClients;
         this.front = front;
@@ -268,7 +279,7 @@
             responseChannel.sendResponse(
                     response, new BasicEntityDetails(length, ContentType.parse(contentType)), context);
         } catch (IOException | HttpException e) {
-            client.session.close(CloseMode.GRACEFUL);
+            closer.close(client, HttpFrontServer.CloseReason.FAILED_ANSWER);
         }
     }
 
@@ -279,7 +290,7 @@
         }
         // a fast server can exceed its receive window, as HttpCore reads on while data is available; hence this limit
         if (bufferedBytes.addAndGet(bytes.length) > MAX_BUFFERED_BYTES || !answerMemory.add(bytes.length)) {
-            client.session.close(CloseMode.GRACEFUL);
+            closer.close(client, HttpFrontServer.CloseReason.SLOW_READER);
             return;
         }
         pendingWrites.add(new PendingWrite(ByteBuffer.wrap(bytes), true, onDrained));
@@ -383,7 +394,7 @@
                 if (finished.compareAndSet(false, true)) {
                     releaseRequest();
                 }
-                client.session.close(CloseMode.GRACEFUL);
+                closer.close(client, HttpFrontServer.CloseReason.BROKEN_STREAM);
             } else {
                 abortSeen = true;
                 channel.requestOutput();
@@ -395,12 +406,22 @@
     public void failed(Exception cause) {
         if (finished.compareAndSet(false, true)) {
             clientGone = true;
+            noteUnanswered(cause);
             pendingWrites.clear(); // others may refer to this exchange until its attempt has ended
             releaseRequest();
             onClientGone.run();
         }
     }
 
+    private void noteUnanswered(Exception cause) {
+        Header id = request == null ? null : request.getFirstHeader("X-Request-ID");
+        String progress = body != null ? "open" : received.size() + " bytes of its body read";
+        requestLog.note(
+                id == null ? null : id.getValue(),
+                "its connection ended before its answer, " + progress + ": "
+                        + (client.closeReason != null ? client.closeReason : cause == null ? "by the client" : cause));
+    }
+
     private void releaseRequest() {
         received.clear();
         RequestBody dispatched = body;
--- a/src/test/java/copperbeam/transport/FairTurnTest.java
+++ b/src/test/java/copperbeam/transport/FairTurnTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertTrue;
 
+import copperbeam.routing.RequestLog;
 import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.time.Clock;
@@ -29,7 +30,9 @@
                 (call, reply) -> () -> {},
                 clock,
                 () -> false,
-                (requestClass, status) -> {});
+                (requestClass, status) -> {},
+                (client, reason) -> {},
+                new RequestLog(clock));
         AtomicInteger events = new AtomicInteger();
         DataStreamChannel channel = (DataStreamChannel) Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {DataStreamChannel.class}, (proxy, method, args) -> {
