--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -15,6 +15,7 @@
 import java.util.function.BinaryOperator;
 import java.util.function.UnaryOperator;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -61,11 +62,15 @@
 
     /** {@code settings}: turns the default settings text into the one to use. */
     Conductor(StandIn discovery, UnaryOperator<String> settings) throws IOException {
+        this(discovery, settings, List.of());
+    }
+
+    Conductor(StandIn discovery, UnaryOperator<String> settings, List<String> extraArguments) throws IOException {
         this(
                 discovery,
                 1024,
                 192,
-                List.of(),
+                extraArguments,
                 ":",
                 Files.createTempDirectory("conductor"),
                 freeAddress(),
@@ -295,10 +300,14 @@
 
     /** A discovery service that answers with the full server list at once and reports no change after that. */
     static StandIn discovery(StandIn reader, StandIn... writers) throws IOException {
-        StringBuilder entries = new StringBuilder(Site.entry(reader, "prefill", "active"));
-        for (StandIn writer : writers) {
-            entries.append(',').append(Site.entry(writer, "decode", "active"));
-        }
+        return discovery(List.of(reader), List.of(writers));
+    }
+
+    static StandIn discovery(List<StandIn> readers, List<StandIn> writers) throws IOException {
+        String entries = Stream.concat(
+                        readers.stream().map(reader -> Site.entry(reader, "prefill", "active")),
+                        writers.stream().map(writer -> Site.entry(writer, "decode", "active")))
+                .collect(Collectors.joining(","));
         return new StandIn((request, connection) -> {
             boolean watch = request.path().contains("from=");
             if (watch) {
