--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -198,7 +198,7 @@
      * Raises the promised answer times to 60 s: on a busy machine answers would otherwise miss them, and the module then refuses
      * part of the requests.
      */
-    private static String withLongPromises(String settings) {
+    static String withLongPromises(String settings) {
         return settings.replaceAll("\"promise_s\":[0-9.]+", "\"promise_s\":60");
     }
 
--- a/src/test/java/copperbeam/sockets/ProcessSite.java
+++ b/src/test/java/copperbeam/sockets/ProcessSite.java
@@ -51,6 +51,11 @@
                         + "}}}");
     }
 
+    /** Settings with promises so long that no request is refused for slow service. */
+    static String withLongPromises(String settings) {
+        return Conductor.withLongPromises(settings);
+    }
+
     /** Connects to one of the fronts. */
     RawConnection client(boolean chat) throws IOException {
         return new RawConnection(address(chat));
