A stream counts as whole only with its last event, whatever its framing says

Cause: the framing alone told the end of a stream. A chunk size that is spoilt into 0 reads as the last chunk, and the event behind it as a trailer; a Content-Length may be too short; at a close, half a chunk size that begins with zeros reads as 0. The chat API waits for [DONE]; the platform's front did not.

SseData moves to the protocol package.

The soak's servers that break streams end half of them early by a last chunk.

--- /dev/null
+++ b/src/main/java/copperbeam/protocol/SseData.java
@@ -0,0 +1,45 @@
+package copperbeam.protocol;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Extracts the data of a server-sent event. */
+public final class SseData {
+    /** The data of the last event of a stream of completions. */
+    public static final String LAST_EVENT_DATA = "[DONE]";
+
+    private static final byte[] LAST_EVENT_BYTES = LAST_EVENT_DATA.getBytes(StandardCharsets.US_ASCII);
+
+    private SseData() {}
+
+    /** Whether this is the last event of a whole stream; only comments may follow it. */
+    public static boolean isLastEvent(byte[] eventBytes) {
+        return containsLastEventBytes(eventBytes) && LAST_EVENT_DATA.equals(dataOf(eventBytes));
+    }
+
+    /** A quick check that rules out most events, as it is made for each event of each stream. */
+    private static boolean containsLastEventBytes(byte[] eventBytes) {
+        for (int start = 0; start <= eventBytes.length - LAST_EVENT_BYTES.length; start++) {
+            if (Arrays.equals(
+                    eventBytes, start, start + LAST_EVENT_BYTES.length, LAST_EVENT_BYTES, 0, LAST_EVENT_BYTES.length)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the data lines of an event joined by line feeds, or null if it has none, for example in a comment. */
+    public static String dataOf(byte[] eventBytes) {
+        StringBuilder data = null;
+        for (String line : new String(eventBytes, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
+            if (line.equals("data") || line.startsWith("data:")) {
+                String value = line.length() > 5 ? line.substring(5) : "";
+                value = value.startsWith(" ") ? value.substring(1) : value;
+                data = data == null
+                        ? new StringBuilder(value)
+                        : data.append('\n').append(value);
+            }
+        }
+        return data == null ? null : data.toString();
+    }
+}
--- a/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
+++ b/src/main/java/copperbeam/protocol/openai/ChatAnswer.java
@@ -8,6 +8,7 @@
 import com.google.gson.JsonParser;
 import copperbeam.protocol.HttpReply;
 import copperbeam.protocol.Json;
+import copperbeam.protocol.SseData;
 import copperbeam.routing.ResponseSink;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -59,12 +60,12 @@
             onDrained.run();
             return true;
         }
-        if (data.equals("[DONE]") && options.wantsStream() && !doneReceived) {
+        if (data.equals(SseData.LAST_EVENT_DATA) && options.wantsStream() && !doneReceived) {
             doneReceived = true;
             writeEvent(data, onDrained); // not only in end(): the server may end its stream much later
             return true;
         }
-        if (data.equals("[DONE]")) {
+        if (data.equals(SseData.LAST_EVENT_DATA)) {
             doneReceived = true;
             onDrained.run();
             return true;
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -129,7 +129,8 @@
         void end(boolean reusable, double cachedTokens);
 
         /**
-         * The connection ended before the answer was complete. {@code lastByteMayHaveLeft}: the server may have the whole
+         * The connection ended before the answer was complete, or the answer is malformed or only a part of one; the connection
+         * may then still be open, and must be closed. {@code lastByteMayHaveLeft}: the server may have the whole
          * request, and may have run it.
          */
         void broken(boolean lastByteMayHaveLeft);
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -574,6 +574,7 @@
             connect(serverCall);
         } else if (serverCall.firstEventReported && !serverCall.streamAccepted) {
             serverCall.brokenBeforeAccepted = true;
+            serverCall.connection.close(); // it is still open if the answer was malformed
         } else if (mayHaveRun && serverCall.connectionReused && serverCall.answerKind == null) {
             idleConnections.closeAll(); // the server's other idle connections may be dead as well
             terminate(serverCall, Outcome.STALE);
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -4,6 +4,7 @@
 import copperbeam.protocol.EventSplitter;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.RequestBody;
+import copperbeam.protocol.SseData;
 import copperbeam.protocol.platform.PlatformHeaders;
 import copperbeam.protocol.platform.PlatformStatus;
 import copperbeam.routing.Connector;
@@ -14,6 +15,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -198,6 +201,7 @@
         private Duration timeoutSent = Duration.ZERO;
         private boolean isStream;
         private AnswerKind answerKind;
+        private boolean lastEventSeen;
 
         AttemptExchange(
                 HttpRequest request, RequestBody body, AttemptCall call, CallListener listener, RequestLog requestLog) {
@@ -243,14 +247,33 @@
         void data(ByteBuffer bytes) throws IOException {
             if (!isStream) {
                 gather(bytes);
-            } else if (!events.accept(bytes, listener::event)) {
+            } else if (!events.accept(bytes, this::forward)) {
                 throw new IOException("not a stream of server-sent events");
             }
         }
 
+        private void forward(byte[] eventBytes) {
+            lastEventSeen |= SseData.isLastEvent(eventBytes);
+            listener.event(eventBytes);
+        }
+
+        /**
+         * Whether the stream is whole. The framing alone doesn't tell: a chunk size that was spoilt into 0 or a length that is too
+         * short ends a stream early. Of what is left behind the last blank line, nothing is passed on unless the stream is whole.
+         */
+        private boolean finishStream() {
+            List<byte[]> rest = new ArrayList<>();
+            if (!events.finish(rest::add) || !lastEventSeen && rest.stream().noneMatch(SseData::isLastEvent)) {
+                return false;
+            }
+            rest.forEach(listener::event);
+            return true;
+        }
+
         @Override
         void completed(boolean reusable) {
-            if (isStream && !events.finish(listener::event)) {
+            if (isStream && !finishStream()) {
+                requestLog.note(call.spec().id(), "its stream was ended before its last event");
                 listener.broken(true);
             } else {
                 listener.end(
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -41,6 +41,7 @@
     private static final int HANG_MS = 8000;
     private static final int MIN_QUEUE_MS = 500; // wait of a queued write
     private static final int QUEUE_RANGE_MS = 1200;
+    private static final String LAST_EVENT = "data: [DONE]\n\n";
     private static final AtomicLong ATTEMPT_COUNTER = new AtomicLong();
 
     final String id;
@@ -265,8 +266,10 @@
             int events = 2 + draw(6);
             int eventsToSend = behaviorNow == Behavior.BREAKS_STREAMS ? draw(events) : events;
             for (int event = 0; event < eventsToSend; event++) {
-                String text = "data: {\"request\":\"" + requestId + "\",\"attempt\":" + attempt + ",\"event\":" + event
-                        + "}\n\n";
+                String text = event == events - 1
+                        ? LAST_EVENT
+                        : "data: {\"request\":\"" + requestId + "\",\"attempt\":" + attempt + ",\"event\":" + event
+                                + "}\n\n";
                 streamed.append(text);
                 if (event == 0) {
                     connection.send(
@@ -278,7 +281,7 @@
                 }
             }
             if (eventsToSend < events) {
-                connection.reset();
+                breakStream(connection, eventsToSend > 0);
                 return AttemptEnd.FAILED;
             }
             complete = true;
@@ -289,6 +292,15 @@
         }
     }
 
+    /** Resets the connection or, once a stream has begun, ends it at times with a last chunk before its last event. */
+    private void breakStream(HttpConnection connection, boolean begun) throws IOException {
+        if (begun && draw(2) == 0) {
+            connection.send("0\r\n\r\n");
+        } else {
+            connection.reset();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/test/java/copperbeam/sockets/EndTest.java
+++ b/src/test/java/copperbeam/sockets/EndTest.java
@@ -38,13 +38,14 @@
             site.writers.get(0).script = forAttempts((request, connection) -> {
                 connection.beginStream().sendChunk("data: 1\n\n");
                 unblock.await();
-                connection.sendLastChunk();
+                connection.endStream();
             });
             client.send(request("ask", 8000)).readHead();
             Thread stopThread = site.beginStop();
             assertTrue(idle.awaitClosed());
             unblock.countDown();
             assertEquals(client.readChunk(), "data: 1\n\n");
+            assertEquals(client.readChunk(), Site.LAST_EVENT);
             assertNull(client.readChunk());
             stopThread.join(RawConnection.TIMEOUT_MS);
             assertFalse(stopThread.isAlive());
@@ -129,7 +130,7 @@
             site.writers.get(0).script = forAttempts((request, connection) -> {
                 connection.beginStream().sendChunk("data: 1\n\n");
                 unblock.await();
-                connection.sendLastChunk();
+                connection.endStream();
             });
             client.send(request("ask", 8000)).readHead();
             Thread stopThread = site.beginStop();
@@ -138,6 +139,7 @@
             Thread.sleep(200); // ample time for it to reach the reader
             unblock.countDown();
             assertEquals(client.readChunk(), "data: 1\n\n");
+            assertEquals(client.readChunk(), Site.LAST_EVENT);
             assertNull(client.readChunk());
             assertEquals(client.read().status(), 429);
             assertEquals(site.countAttempts(site.readers), 1);
--- a/src/test/java/copperbeam/sockets/RawConnection.java
+++ b/src/test/java/copperbeam/sockets/RawConnection.java
@@ -74,6 +74,11 @@
         return send("0\r\n\r\n");
     }
 
+    /** Ends a whole stream, with its last event and the last chunk. */
+    RawConnection endStream() throws IOException {
+        return sendChunk(Site.LAST_EVENT).sendLastChunk();
+    }
+
     private String readLine() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         for (int b = input.read(); b != '\n'; b = input.read()) {
--- a/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
+++ b/src/test/java/copperbeam/sockets/RulesOnSocketsTest.java
@@ -82,12 +82,13 @@
             site.writers.get(0).script = forAttempts((message, connection) -> {
                 connection.beginStream().sendChunk("data: 1\n\n");
                 firstEventRead.await();
-                connection.sendChunk("data: 2\n\n").sendLastChunk();
+                connection.sendChunk("data: 2\n\n").endStream();
             });
             client.send(request("ask", 5000)).readHead();
             assertEquals(client.readChunk(), "data: 1\n\n");
             firstEventRead.countDown();
             assertEquals(client.readChunk(), "data: 2\n\n");
+            assertEquals(client.readChunk(), Site.LAST_EVENT);
             assertNull(client.readChunk());
         }
     }
@@ -333,7 +334,7 @@
                 while (sent.incrementAndGet() < eventCount) {
                     connection.sendChunk(event);
                 }
-                connection.sendLastChunk();
+                connection.endStream();
             });
             client.send(request("ask", 8000)).readHead();
             int[] lastSent = {-1};
@@ -553,7 +554,7 @@
                         "the stop, after which only the stream of request kept ends",
                         () -> message.header("X-Request-ID").equals("kept")
                                 && site.get("/healthz").status() == 503);
-                connection.sendLastChunk();
+                connection.endStream();
             });
             kept.send(request("kept", "ask", "60000m", "", "{}")).readHead();
             stream.send(request("stream", "ask", "60000m", "", "{}")).readHead();
@@ -573,6 +574,7 @@
             Thread stopThread = site.beginStop();
             // the stream began before the stop, so that its head has no "Connection: close"
             assertEquals(kept.readChunk(), "data: 1\n\n");
+            assertEquals(kept.readChunk(), Site.LAST_EVENT);
             assertNull(kept.readChunk());
             assertTrue(kept.awaitClosed());
             assertEquals(read.read().status(), 503);
--- a/src/test/java/copperbeam/sockets/Site.java
+++ b/src/test/java/copperbeam/sockets/Site.java
@@ -22,6 +22,9 @@
  * with success unless a test replaces their scripts.
  */
 final class Site implements AutoCloseable {
+    /** The event with which each whole stream ends. */
+    static final String LAST_EVENT = "data: [DONE]\n\n";
+
     static final String EVENTS = """
             data: {"choices":[{"index":0,"delta":{"content":"ab"},"finish_reason":null}]}
 
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -327,7 +327,7 @@
                     RawConnection client = site.client()) {
                 site.writers.get(0).script = forAttempts((request, connection) -> {
                     int number = attemptCount.incrementAndGet();
-                    String answer = HEAD + "\r\n" + chunk("data: " + number + "\n\n") + "0\r\n\r\n";
+                    String answer = HEAD + "\r\n" + chunk("data: " + number + "\n\n" + Site.LAST_EVENT) + "0\r\n\r\n";
                     connection.send(answer);
                     if (number == 1) {
                         long firstSentNs = System.nanoTime();
@@ -336,12 +336,12 @@
                         connection.send(answer);
                     }
                 });
-                assertEquals(client.send(request("ask", 4000)).read().text(), "data: 1\n\n");
+                assertEquals(client.send(request("ask", 4000)).read().text(), "data: 1\n\n" + Site.LAST_EVENT);
                 String nextAnswer = client.send(request("ask", 4000)).read().text();
                 await("the surplus answer was sent", () -> actualDelayMs.get() > 0);
                 if (actualDelayMs.get()
                         < REUSE_DELAY_MS) { // else it was sent too late on a busy machine, and proves nothing
-                    assertEquals(nextAnswer, "data: 2\n\n", delayMs + " ms after the first answer");
+                    assertEquals(nextAnswer, "data: 2\n\n" + Site.LAST_EVENT, delayMs + " ms after the first answer");
                     roundsInTime++;
                 }
             }
--- a/src/test/java/copperbeam/sockets/StopSeedsTest.java
+++ b/src/test/java/copperbeam/sockets/StopSeedsTest.java
@@ -127,7 +127,7 @@
             } else {
                 connection.beginStream().sendChunk("data: 1\n\n");
                 Thread.sleep(random.nextInt(draw < 6 ? 3000 : 200));
-                connection.sendChunk("data: 2\n\n").sendLastChunk();
+                connection.sendChunk("data: 2\n\n").endStream();
             }
         }));
     }
