One client's input can't hold up the others, and no request is sent on before its input is read out

Cause: in one turn of the reactor up to 256 KiB were read and parsed from one connection, 43,000 tiny chunks with a regular expression each, and 4 KiB from any other. A long request beside a dozen such clients was closed as one that comes too slowly (2.4 s) while its bytes stood unread in the system; a client's close was noticed only behind all of its input, up to 2 MiB; and a connection had eight requests at servers at once, which a flood of new connections repeats.

Change: 16 KiB a turn from each connection; a request is handed to its front only once the input behind it is read out, and one after another for each connection; more than 64 KiB behind a request without an answer ends the connection; a request counts as late only if nothing of it is unread; a chunked body may have as many bytes of framing as of body; sizes of chunks are parsed without a regular expression.

--- a/src/main/java/copperbeam/transport/Chunks.java
+++ b/src/main/java/copperbeam/transport/Chunks.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.List;
-import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -16,18 +15,28 @@
 
 /** Decodes chunked bodies with HttpCore's decoder, and adds limits and checks that it lacks. */
 final class Chunks {
+    /** For bodies without a limit on the bytes of their framing. */
+    static final long UNLIMITED_FRAMING = Long.MAX_VALUE;
+
+    private static final int MAX_SIZE_DIGITS = 15; // of a hexadecimal size that fits a long
+    private static final int HEXADECIMAL = 16;
+
     private Chunks() {}
 
-    /** {@code maxChunkBytes}: a larger chunk is an error. */
+    /**
+     * {@code maxChunkBytes}: a larger chunk is an error. {@code maxFramingBytes}: more bytes of sizes, extensions, trailers and
+     * line ends are an error; a body of tiny chunks takes many times its length to transfer and to decode.
+     */
     static Decoder decoder(
             ReadableByteChannel channel,
             SessionInputBuffer buffer,
             Http1Config config,
             BasicHttpTransportMetrics metrics,
             int maxChunkBytes,
+            long maxFramingBytes,
             ReadBudget readBudget) {
-        return new Decoder(
-                new ChunkDecoder(channel, new SizeCheckingBuffer(buffer, maxChunkBytes, readBudget), config, metrics));
+        SessionInputBuffer checkingBuffer = new SizeCheckingBuffer(buffer, maxChunkBytes, maxFramingBytes, readBudget);
+        return new Decoder(new ChunkDecoder(channel, checkingBuffer, config, metrics));
     }
 
     /**
@@ -59,15 +68,16 @@
      * of gigabytes.
      */
     private static final class SizeCheckingBuffer extends ForwardingInputBuffer {
-        private static final Pattern SIZE_PATTERN =
-                Pattern.compile("[0-9a-fA-F]{1,15}"); // compiled once, as it is used for each event of a stream
         private final int maxChunkBytes;
+        private final long maxFramingBytes;
+        private long framingBytes;
         private final ReadBudget readBudget;
         private boolean lastChunkSeen;
 
-        SizeCheckingBuffer(SessionInputBuffer buffer, int maxChunkBytes, ReadBudget readBudget) {
+        SizeCheckingBuffer(SessionInputBuffer buffer, int maxChunkBytes, long maxFramingBytes, ReadBudget readBudget) {
             super(buffer);
             this.maxChunkBytes = maxChunkBytes;
+            this.maxFramingBytes = maxFramingBytes;
             this.readBudget = readBudget;
         }
 
@@ -83,25 +93,49 @@
 
         @Override
         public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
+            int lengthBefore = length();
             boolean lineComplete = super.readLine(line, endOfStream);
+            framingBytes += Math.max(0, lengthBefore - length());
+            if (framingBytes > maxFramingBytes) {
+                throw new MalformedChunkCodingException("too many bytes of chunk framing");
+            }
             if (lineComplete && !lastChunkSeen && !line.isEmpty()) {
-                lastChunkSeen = parseSize(line.toString()) == 0;
+                lastChunkSeen = parseSize(line) == 0;
             }
             return lineComplete;
         }
 
-        private long parseSize(String line) throws IOException {
+        /** Without regular expressions and copies, as there is one size for each event of a stream. */
+        private long parseSize(CharArrayBuffer line) throws IOException {
             int extension = line.indexOf(';');
-            String digits = (extension < 0 ? line : line.substring(0, extension)).strip();
-            if (!SIZE_PATTERN.matcher(digits).matches()) {
+            int end = extension < 0 ? line.length() : extension;
+            int start = 0;
+            while (start < end && Character.isWhitespace(line.charAt(start))) {
+                start++;
+            }
+            while (end > start && Character.isWhitespace(line.charAt(end - 1))) {
+                end--;
+            }
+            if (start == end || end - start > MAX_SIZE_DIGITS) {
                 throw new MalformedChunkCodingException("malformed chunk size");
             }
-            long size = Long.parseLong(digits, 16);
+            long size = 0;
+            for (int i = start; i < end; i++) {
+                size = size * HEXADECIMAL + hexadecimalDigit(line.charAt(i));
+            }
             if (size > maxChunkBytes) {
                 throw new MalformedChunkCodingException("chunk too large: " + size + " bytes");
             }
             return size;
         }
+
+        private static int hexadecimalDigit(char character) throws IOException {
+            int digit = character < 128 ? Character.digit(character, HEXADECIMAL) : -1;
+            if (digit < 0) {
+                throw new MalformedChunkCodingException("malformed chunk size");
+            }
+            return digit;
+        }
     }
 
     /**
--- a/src/main/java/copperbeam/transport/ClientConnections.java
+++ b/src/main/java/copperbeam/transport/ClientConnections.java
@@ -42,6 +42,9 @@
         private final AtomicInteger busyConnections; // all clients' connections with an open request
         final Instant connectedAt;
         private final AtomicInteger openRequests = new AtomicInteger();
+        private final AtomicInteger dispatchedRequests =
+                new AtomicInteger(); // handed to a front, without their answers
+        private final AtomicInteger endedRequests = new AtomicInteger();
         private volatile Instant idleSince;
         final boolean overLimit; // accepted over the limit: its requests are refused
         // the earliest time at which the connection may have entered the listen queue; null once its first request was
@@ -54,7 +57,7 @@
         ServerExchange currentExchange; // the request whose head came last; only on the reactor's thread
         HttpException parseError; // why the last head could not be parsed, or null; only on the reactor's thread
         final Queue<ServerExchange> readyExchanges =
-                new ArrayDeque<>(); // complete, not dispatched; only on the reactor's thread
+                new ArrayDeque<>(); // complete, to be dispatched one after another; only on the reactor's thread
         volatile boolean ignoresInput; // the last answer is being completed or aborted; no more input is read
         volatile Instant closeAt; // earliest time to close after the last answer; null: no close is planned
         volatile boolean lingersBeforeClose; // more of its request may come: the output is shut down before the close
@@ -77,10 +80,32 @@
             }
         }
 
-        void requestEnded(Instant now) {
+        /** A front is about to get a request. */
+        void requestDispatched() {
+            dispatchedRequests.incrementAndGet();
+        }
+
+        /** Whether a front has a request that is not answered yet. */
+        boolean hasDispatched() {
+            return dispatchedRequests.get() > 0;
+        }
+
+        /** The number of requests that have ended so far. */
+        int endedRequests() {
+            return endedRequests.get();
+        }
+
+        /** {@code dispatched}: a front had the request. */
+        void requestEnded(Instant now, boolean dispatched) {
             idleSince = now;
+            endedRequests.incrementAndGet();
+            if (dispatched) {
+                dispatchedRequests.decrementAndGet();
+            }
             if (openRequests.decrementAndGet() == 0) {
                 busyConnections.decrementAndGet();
+            } else {
+                wake(); // the next request may be dispatched
             }
         }
 
@@ -295,6 +320,11 @@
         return clients.size();
     }
 
+    /** The number of connections with an open request. */
+    public int busyConnections() {
+        return busyConnections.get();
+    }
+
     public long bodyBytes() {
         return bodies.reservedBytes();
     }
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -179,7 +179,8 @@
             if (length != ContentLengthStrategy.CHUNKED) {
                 return super.createContentDecoder(length, channel, buffer, metrics);
             }
-            chunkDecoder = Chunks.decoder(channel, buffer, CONFIG, metrics, MAX_CHUNK_BYTES, readBudget);
+            chunkDecoder = Chunks.decoder(
+                    channel, buffer, CONFIG, metrics, MAX_CHUNK_BYTES, Chunks.UNLIMITED_FRAMING, readBudget);
             return chunkDecoder;
         }
 
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -48,9 +48,19 @@
             16; // accepted connections that the reactor has not registered yet
     private static final int BUFFER_BYTES = 4096;
     private static final int MAX_DISCARD_READS_PER_EVENT =
-            16; // of discarded input, as other connections wait for the reactor
+            4; // of discarded input, as other connections wait for the reactor
     private static final int MAX_DISCARDED_BYTES = 4 << 20; // of one connection, after a rejected request
-    private static final int MAX_BODY_READS = ServerExchange.MAX_BODY_BYTES / BUFFER_BYTES;
+    /** Limit on the bytes read from one connection in one turn of the reactor, as other connections wait for it. */
+    static final int MAX_READ_BYTES_PER_TURN = 4 * BUFFER_BYTES;
+
+    private static final int MAX_READS_PER_TURN = 8; // reads of MAX_READ_BYTES_PER_TURN, with those that find nothing
+
+    /**
+     * Limit on the bytes that a client may send behind a complete request without an answer. Its close can be noticed only behind
+     * them, so that they must be read quickly.
+     */
+    private static final int MAX_BYTES_BEHIND_REQUEST = 64 * 1024;
+
     static final Http1Config HTTP1_CONFIG = Http1Config.custom()
             .setBufferSize(BUFFER_BYTES)
             .setMaxLineLength(8 * 1024)
@@ -217,8 +227,12 @@
         private int discardedBytes;
         private int ignoredBytes;
         private Instant requestBeganAt; // when the incomplete request began; null: there is none
+        private boolean inputExhausted; // the last turn has read all that had arrived
+        private long behindSince = -1; // receivedBytes() when a complete request was open first; negative: none is
+        private int endedRequestsSeen; // client.endedRequests() at that time
         private long sentBytes; // bytes written to the socket
         private Instant lastProgressAt = Instant.MIN; // when sentBytes was last seen to grow
+        private boolean unregistered;
         private boolean rechecking; // within hasNewInput(): reads what came since the reactor's select
 
         ConnectionHandler(
@@ -258,11 +272,9 @@
         }
 
         private void handleInput(IOSession ioSession, ByteBuffer bytes) throws IOException {
-            duplexer.readBudget.reset();
             try {
-                readOnce(ioSession, bytes);
+                readTurn(ioSession, bytes);
                 client.hasReceived |= receivedBytes() > 0;
-                readAfterRequest(ioSession);
                 // an earlier request on the connection still gets its answer
                 if (!client.partialHead.set(parser.partialHeadMemory()) && !client.isBusy()) {
                     close(ioSession, CloseMode.GRACEFUL, CloseReason.TOO_MUCH);
@@ -272,22 +284,52 @@
                 if (client.isBusy() && parser.isInputEnded() && client.closeAt == null) {
                     close(ioSession, CloseMode.IMMEDIATE, CloseReason.CLIENT_ENDED);
                 }
-                if (ioSession.isOpen()) {
-                    client.readyExchanges.stream()
-                            .filter(e -> !client.ignoresInput)
-                            .forEach(ServerExchange::dispatch);
+                if (bytesBehindRequest() > MAX_BYTES_BEHIND_REQUEST) {
+                    close(ioSession, CloseMode.IMMEDIATE, CloseReason.TOO_MUCH);
                 }
-                client.readyExchanges.clear();
+                dispatchReady(ioSession);
                 checkTimeouts();
             } finally {
                 unregisterIfClosed();
             }
         }
 
+        /**
+         * Hands complete requests to the front, one at a time, and only once all available input behind them was read: their client
+         * may already have left.
+         */
+        private void dispatchReady(IOSession ioSession) {
+            if (!ioSession.isOpen() || client.ignoresInput) {
+                client.readyExchanges.clear();
+            } else if (inputExhausted) {
+                while (!client.readyExchanges.isEmpty() && !client.hasDispatched()) {
+                    client.readyExchanges.poll().dispatch();
+                }
+            } else if (!client.readyExchanges.isEmpty()) {
+                client.wake(); // what is left may be in HttpCore's buffer, for which no event comes
+            }
+        }
+
+        /** The number of bytes received since a complete request is open and the last answer before it has ended. */
+        private long bytesBehindRequest() {
+            boolean hasComplete = client.openRequests() > (client.receivingBody ? 1 : 0);
+            int endedRequests = client.endedRequests();
+            if (!hasComplete) {
+                behindSince = -1;
+            } else if (behindSince < 0 || endedRequests != endedRequestsSeen) {
+                behindSince = receivedBytes();
+            }
+            endedRequestsSeen = endedRequests;
+            return hasComplete ? receivedBytes() - behindSince : 0;
+        }
+
         @Override
         public void outputReady(IOSession ioSession) throws IOException {
             try {
                 super.outputReady(ioSession);
+                if (ioSession.isOpen() && !client.readyExchanges.isEmpty() && !client.hasDispatched()) {
+                    inputReady(ioSession, null); // the answer before them has ended, or not all input was read
+                }
                 if (client.closeAt != null || closingIdle || client.isAskedToClose() || client.pollCheckDue()) {
                     checkTimeouts();
                 }
@@ -303,21 +345,27 @@
         }
 
         /**
-         * Before a front sees a complete request, reads what follows it, up to the maximum body length: the client may already
-         * have closed the connection. HttpCore reads once per event, and handles a close only at the next event.
+         * Reads what is available, up to {@code MAX_READ_BYTES_PER_TURN}. HttpCore reads once per event, and handles a close only at
+         * the next event.
          */
-        private void readAfterRequest(IOSession ioSession) throws IOException {
-            long receivedBefore = -1;
-            for (int count = 0;
-                    count < MAX_BODY_READS
-                            && !client.readyExchanges.isEmpty()
+        private void readTurn(IOSession ioSession, ByteBuffer bytes) throws IOException {
+            duplexer.readBudget.reset();
+            long receivedAtStart = receivedBytes();
+            long receivedBefore = receivedAtStart;
+            readOnce(ioSession, bytes);
+            for (int count = 1;
+                    count < MAX_READS_PER_TURN
                             && ioSession.isOpen()
                             && isReading(ioSession)
+                            && receivedBytes() - receivedAtStart < MAX_READ_BYTES_PER_TURN
                             && (receivedBefore != receivedBytes() || !duplexer.isOpen());
                     count++) {
                 receivedBefore = receivedBytes();
                 readOnce(ioSession, null);
             }
+            inputExhausted = receivedBefore == receivedBytes() && !duplexer.readBudget.isSpent()
+                    || !ioSession.isOpen()
+                    || !isReading(ioSession);
         }
 
         private void readOnce(IOSession ioSession, ByteBuffer bytes) throws IOException {
@@ -344,12 +392,11 @@
             }
         }
 
-        /** Discards input; closes the connection at its end, or once it exceeds the maximum body length. */
+        /** Discards input; closes the connection at its end, or once there is too much of it. */
         private void discardWhileAwaitingClose(IOSession ioSession) throws IOException {
-            ByteBuffer bytes = ByteBuffer.allocate(BUFFER_BYTES);
-            int count = ioSession.read(bytes);
-            ignoredBytes += count;
-            if (count < 0 || ignoredBytes > ServerExchange.MAX_BODY_BYTES) {
+            int count = ioSession.read(ByteBuffer.allocate(BUFFER_BYTES));
+            ignoredBytes += Math.max(0, count);
+            if (count < 0 || ignoredBytes > MAX_BYTES_BEHIND_REQUEST) {
                 close(ioSession, CloseMode.IMMEDIATE, count < 0 ? CloseReason.CLIENT_ENDED : CloseReason.TOO_MUCH);
             }
         }
@@ -411,7 +458,7 @@
                 beginLinger();
             }
             boolean outputDone = flushed || isWriteStalled(now); // whether earlier answers are sent, or will never be
-            if (isRequestLate(now) && outputDone) {
+            if (isRequestLate(now) && outputDone && !hasMoreInput()) {
                 requestLog.note(
                         null,
                         "closing the connection of a request that is not complete in time, " + receivedBytes()
@@ -488,6 +535,26 @@
                             && (client.isAskedToClose() || closingIdle && client.isQuiet(now, MIN_IDLE_BEFORE_CLOSE));
         }
 
+        /**
+         * Reads once more, and returns whether any input came. A request that waits here, as the reactor handles other connections,
+         * is not late, however long it waits.
+         */
+        private boolean hasMoreInput() {
+            if (rechecking || !inputExhausted) {
+                return true;
+            }
+            long receivedBefore = receivedBytes();
+            rechecking = true;
+            try {
+                inputReady(session, null);
+                return session.isOpen() && receivedBytes() != receivedBefore;
+            } catch (IOException e) {
+                return false;
+            } finally {
+                rechecking = false;
+            }
+        }
+
         /**
          * Reads once more, and returns whether the connection is in use after all. Without this, a request that arrived
          * while the reactor handled other connections would be lost in the close.
@@ -507,10 +574,15 @@
             }
         }
 
-        /** Unregisters a closed connection. HttpCore does not report those it closed after a reset or an exception. */
+        /**
+         * Unregisters a closed connection, and ends its requests. HttpCore does not report all connections that were closed after a
+         * reset, after an exception, or here; their requests would count as open for good.
+         */
         private void unregisterIfClosed() {
-            if (!session.isOpen()) {
+            if (!session.isOpen() && !unregistered) {
+                unregistered = true;
                 allClients.unregister(client);
+                ReactorErrors.contain(session, () -> super.disconnected(session));
             }
         }
     }
--- a/src/main/java/copperbeam/transport/RequestDuplexer.java
+++ b/src/main/java/copperbeam/transport/RequestDuplexer.java
@@ -26,7 +26,7 @@
 final class RequestDuplexer extends ServerHttp1StreamDuplexer {
     private static final HttpProcessor PROCESSOR = HttpProcessors.server();
 
-    final Chunks.ReadBudget readBudget = new Chunks.ReadBudget(ServerExchange.MAX_BODY_BYTES);
+    final Chunks.ReadBudget readBudget = new Chunks.ReadBudget(HttpFrontServer.MAX_READ_BYTES_PER_TURN);
     private final RequestParser parser;
     private final ClientConnections.Client client;
 
@@ -72,6 +72,7 @@
                                 HttpFrontServer.HTTP1_CONFIG,
                                 metrics,
                                 ServerExchange.MAX_BODY_BYTES,
+                                ServerExchange.MAX_BODY_BYTES,
                                 readBudget),
                         super.createContentDecoder(Long.MAX_VALUE, channel, buffer, metrics))
                 : super.createContentDecoder(length, channel, buffer, metrics);
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -233,6 +233,7 @@
             return;
         }
         rejectedOrDispatched = true;
+        client.requestDispatched();
         body = received.take();
         Map<String, String> headers = new HashMap<>();
         for (Header header : request.getHeaders()) {
@@ -430,7 +431,7 @@
         }
         headMemory.close();
         answerMemory.close();
-        client.requestEnded(clock.instant());
+        client.requestEnded(clock.instant(), dispatched != null);
     }
 
     @Override
