An id that may have run for a client that left is not run again

Cause: an id was free again as soon as its request was over, whatever had run.

Such an id gets 409, as that of an open request does. An id whose answer was sent is free again as before. TextHash has the hash that plug-ins use, unchanged.

--- a/src/main/java/copperbeam/plugins/WasmHook.java
+++ b/src/main/java/copperbeam/plugins/WasmHook.java
@@ -9,6 +9,7 @@
 import com.dylibso.chicory.wasm.types.ValueType;
 import copperbeam.routing.RequestHook;
 import copperbeam.routing.RequestSpec;
+import copperbeam.routing.TextHash;
 import java.time.Duration;
 import java.util.List;
 
@@ -108,8 +109,8 @@
                             (long) spec.promptTokens(),
                             (long) spec.prefixTokens(),
                             (long) spec.maxAnswerTokens(),
-                            fnv1a(spec.session()),
-                            fnv1a(spec.prefix()))[0];
+                            TextHash.fnv1a(spec.session()),
+                            TextHash.fnv1a(spec.prefix()))[0];
             if (verdict < 0) {
                 return new Verdict(Duration.ofMillis(Math.min(-(long) verdict, MAX_REFUSAL_MS)), null);
             }
@@ -122,12 +123,4 @@
             throw e;
         }
     }
-
-    private static long fnv1a(String text) {
-        long hash = text == null ? 0 : 0xCBF29CE484222325L; // FNV-1a
-        for (int i = 0; text != null && i < text.length(); i++) {
-            hash = (hash ^ text.charAt(i)) * 0x100000001B3L;
-        }
-        return hash;
-    }
 }
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -143,6 +143,7 @@
     private final Map<Long, OpenRequest> requests = new HashMap<>();
     private final Map<ResponseSink, OpenRequest> requestByResponse = new IdentityHashMap<>();
     private final Set<String> requestIds = new HashSet<>();
+    private final AbandonedRequests abandonedRequests = new AbandonedRequests();
     private final Map<String, Api.Role> roles = new HashMap<>();
     private final List<OpenRequest> toRemove = new ArrayList<>();
     private Map<String, PeerActor> peers = Map.of();
@@ -363,8 +364,10 @@
             metrics.requestEnded(message.spec().requestClass(), Metrics.End.LEFT);
             return;
         }
-        if (!requestIds.add(message.spec().id())) {
-            // servers can't tell two requests with one id apart: each would release the other's read state
+        String id = message.spec().id();
+        if (abandonedRequests.forbids(id, clock.instant()) || !requestIds.add(id)) {
+            // servers can't tell two requests with one id apart: each would release the other's read state, or run
+            // again
             message.response().fail(ResponseSink.Failure.ID_IN_USE);
             metrics.requestEnded(message.spec().requestClass(), Metrics.End.ERRORED);
             return;
@@ -421,6 +424,7 @@
         requestLog.note(
                 request.spec.id(),
                 "its client has left: " + request.phase + ", " + request.stage() + describeAny(request));
+        request.clientLeft = true;
         markOver(request, Metrics.End.LEFT);
         notifyModule(new Api.ClientLeft(request.key));
         if (streaming && request.attemptInFlight) {
@@ -792,6 +796,13 @@
                 + request.peer.id();
     }
 
+    private void rememberIfAbandoned(OpenRequest request) {
+        Instant repeatableUntil = request.rules.repeatableUntil();
+        if (request.clientLeft && repeatableUntil.isBefore(Instant.MAX)) {
+            abandonedRequests.add(request.spec.id(), repeatableUntil, clock.instant());
+        }
+    }
+
     /** Removes a request that is over, but not while an attempt is in flight or a release is due. */
     private void removeIfOver(OpenRequest request) {
         if (request.phase == Phase.OVER) {
@@ -799,6 +810,7 @@
             if (!request.attemptInFlight && !request.releaseWanted) {
                 requests.remove(request.key);
                 requestIds.remove(request.spec.id());
+                rememberIfAbandoned(request);
             }
         }
     }
--- a/src/main/java/copperbeam/routing/OpenRequest.java
+++ b/src/main/java/copperbeam/routing/OpenRequest.java
@@ -29,6 +29,7 @@
     final StateLease lease;
     Outcome lastOutcome; // of the last attempt that ended; null before the first end
     boolean releaseWanted;
+    boolean clientLeft;
     private Stage stage = Stage.WAITS_FOR_READER;
     private Instant stageSince;
 
--- a/src/main/java/copperbeam/routing/RequestRules.java
+++ b/src/main/java/copperbeam/routing/RequestRules.java
@@ -82,6 +82,19 @@
         return now.isAfter(deadline.plus(ANSWER_GRACE)) ? Optional.of(Rule.LATE_ANSWER) : Optional.empty();
     }
 
+    /**
+     * Until when the request may run again, after the last attempt has ended: {@link Instant#MAX} without a limit, as nothing has run
+     * or repeats do no harm, {@link Instant#MIN} if it never may.
+     */
+    Instant repeatableUntil() {
+        if (firstRunStart == null || requestClass == null || requestClass.repeats() == Repeats.SAFE) {
+            return Instant.MAX;
+        }
+        return requestClass.isRepeatable()
+                ? firstRunStart.plus(ModuleTime.duration(requestClass.dedupS()))
+                : Instant.MIN;
+    }
+
     /** Records that an attempt begins. */
     void attemptBegan(boolean isWrite, Instant now) {
         attempts++;
