Tests start the program from an archive, so that a missing descriptor costs it no class

Cause: by the process's log NoClassDefFoundError for Api$Remark and ModuleActor$ClientGone, each for good: the tests' class path has folders, from which the JVM needs a descriptor to load a class; the burst leaves none for a moment. The program is delivered as an archive, which stays open.

Change: ProgramClassPath packs the folders of the class path into archives, for the processes that the tests and the soak start. No check is changed.

--- a/src/soak/java/copperbeam/soak/ConductorProcess.java
+++ b/src/soak/java/copperbeam/soak/ConductorProcess.java
@@ -113,7 +113,7 @@
         command.addAll(JVM_OPTIONS);
         command.addAll(List.of(
                 "-cp",
-                System.getProperty("java.class.path"),
+                ProgramClassPath.get(),
                 Main.class.getName(),
                 "serve",
                 "--record",
--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -1,6 +1,7 @@
 package copperbeam.sockets;
 
 import copperbeam.program.Main;
+import copperbeam.soak.ProgramClassPath;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.BindException;
@@ -146,7 +147,7 @@
                 "-XX:TieredStopAtLevel=1",
                 "-Xmx64m"));
         extraArguments.stream().filter(option -> option.startsWith("-X")).forEach(command::add);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve"));
+        command.addAll(List.of("-cp", ProgramClassPath.get(), Main.class.getName(), "serve"));
         extraArguments.stream().filter(option -> !option.startsWith("-X")).forEach(command::add);
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
