Answers are cut off for silence only, not for being written slowly

Cause: time limits that count whole messages. A stream without a complete event for 4 s counted as stalled, however many bytes of one came; a head had 0.8 s from its first byte to its last, an answer that is no stream 0.8 s from its head to its end.

Change: each of these limits counts the time without a byte now (Connection.inputSilence, ClientReactor.checkHeadTimeout).

--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -3,6 +3,7 @@
 import copperbeam.Api.Report;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -38,6 +39,11 @@
         /** Whether the server is stopped by flow control: the receive window is used up because the client does not read. */
         boolean isReceiveWindowFull();
 
+        /** How long no byte of the current answer has come; very long if that isn't known. */
+        default Duration inputSilence() {
+            return ChronoUnit.FOREVER.getDuration();
+        }
+
         /**
          * Runs {@code then} after everything the server has sent by now was read and passed to the listener, as far as
          * the receive window allows.
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -152,12 +152,12 @@
             Metrics metrics) {}
 
     private static final Duration STREAM_STALL_TIMEOUT =
-            Duration.ofSeconds(4); // maximum gap in a stream; clients may give up after 5 s
+            Duration.ofSeconds(4); // maximum time without a byte in a stream; clients may give up after 5 s
     // how long the last byte of a request is held back, so that a connection that the server is already closing is
     // noticed before the request can run: nine in ten of such breaks arrive within this time
     private static final Duration LAST_BYTE_HOLD = Duration.ofMillis(2);
     private static final Duration SHORT_ANSWER_TIMEOUT =
-            Duration.ofMillis(800); // from the head to the end of an answer that is not a stream
+            Duration.ofMillis(800); // maximum time without a byte in an answer that is not a stream
     // from the choice of a connection to the first byte of the request: half of the second within which a drain must
     // take effect
     private static final Duration MAX_DISPATCH_DELAY = Duration.ofMillis(500);
@@ -234,7 +234,7 @@
             received.serverCall().answerKind = received.kind();
             received.serverCall().report = received.report();
             if (received.kind() != AnswerKind.STREAM) {
-                limitRemainingTime(received.serverCall(), SHORT_ANSWER_TIMEOUT);
+                limitSilence(received.serverCall(), SHORT_ANSWER_TIMEOUT);
             }
         } else if (message instanceof StreamEvent received) {
             onEvent(received.serverCall(), received.eventBytes());
@@ -297,13 +297,27 @@
         dispatch(serverCall, idleConnection.connection());
     }
 
-    /** Bounds the rest of an answer, so that one that never ends doesn't occupy its call until the client's deadline. */
-    private void limitRemainingTime(ServerCall serverCall, Duration limit) {
-        Duration remaining = Duration.between(setup.clock().instant(), serverCall.expiresAt);
-        if (!serverCall.done && limit.compareTo(remaining) < 0) {
-            serverCall.expiryTimer.cancel(false);
-            serverCall.expiryTimer = tellLater(limit, new CallExpired(serverCall));
+    /**
+     * Bounds pauses in the rest of an answer, so that one that never ends doesn't occupy its call until the client's deadline. The
+     * next check is due after {@code delay}.
+     */
+    private void limitSilence(ServerCall serverCall, Duration delay) {
+        if (serverCall.done) {
+            return;
         }
+        Duration remaining = Duration.between(setup.clock().instant(), serverCall.expiresAt);
+        serverCall.expiresBySilence = true;
+        serverCall.expiryTimer.cancel(false);
+        serverCall.expiryTimer =
+                tellLater(delay.compareTo(remaining) < 0 ? delay : remaining, new CallExpired(serverCall));
+    }
+
+    /** Whether a short answer still comes, so that its call continues until its own time is up. */
+    private boolean isAnswerComing(ServerCall serverCall) {
+        return serverCall.expiresBySilence
+                && serverCall.connection != null
+                && serverCall.connection.inputSilence().compareTo(SHORT_ANSWER_TIMEOUT) < 0
+                && setup.clock().instant().isBefore(serverCall.expiresAt);
     }
 
     private void connect(ServerCall serverCall) {
@@ -521,8 +535,7 @@
         if (serverCall.done) {
             return;
         }
-        Duration silentFor =
-                Duration.between(serverCall.lastEventAt, setup.clock().instant());
+        Duration silentFor = silenceOf(serverCall);
         if (serverCall.connection != null && serverCall.connection.isReceiveWindowFull()) {
             serverCall.lastEventAt = setup.clock().instant();
             serverCall.stallTimer = tellLater(STREAM_STALL_TIMEOUT, new StallCheck(serverCall));
@@ -533,6 +546,14 @@
         }
     }
 
+    /** How long neither an event nor a byte of one has come; an event may be long, and its server slow. */
+    private Duration silenceOf(ServerCall serverCall) {
+        Duration withoutEvent =
+                Duration.between(serverCall.lastEventAt, setup.clock().instant());
+        Duration withoutByte = serverCall.connection == null ? withoutEvent : serverCall.connection.inputSilence();
+        return withoutByte.compareTo(withoutEvent) < 0 ? withoutByte : withoutEvent;
+    }
+
     private void forwardEvent(ServerCall serverCall, byte[] eventBytes) {
         if (!serverCall.sendCommand().response().event(eventBytes, serverCall.windowGrant(eventBytes))) {
             terminate(serverCall, Outcome.RESET);
@@ -589,6 +610,10 @@
         if (serverCall.done || serverCall.firstEventReported) {
             return;
         }
+        if (isAnswerComing(serverCall)) {
+            limitSilence(serverCall, SHORT_ANSWER_TIMEOUT.minus(serverCall.connection.inputSilence()));
+            return;
+        }
         // without a connection, nothing can have run
         Outcome noAnswerOutcome = serverCall.connection == null ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT;
         terminate(
--- a/src/main/java/copperbeam/routing/ServerCall.java
+++ b/src/main/java/copperbeam/routing/ServerCall.java
@@ -16,6 +16,7 @@
     final Instant startedAt;
     Instant expiresAt;
     Future<?> expiryTimer;
+    boolean expiresBySilence; // the rest of its answer is due: expiryTimer limits pauses in it
     Future<?> connectTimer; // null before the first connect
     Future<?> stallTimer; // null before the stream was accepted
     Instant lastEventAt; // when the last event of the stream arrived
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -51,6 +52,7 @@
     private volatile boolean lastByteWritten; // HttpCore has the last byte, and may still buffer it
     private boolean lastByteSent; // the operating system has taken it
     private BooleanSupplier hasBufferedOutput = () -> false;
+    private volatile long lastInputNanos = System.nanoTime();
     private int informationalHeads;
     private boolean reusedConnection;
     private boolean answeredEarly; // the response began before the last byte was sent
@@ -179,6 +181,11 @@
         }
     }
 
+    /** How long no byte of the response body has come, since the exchange began at the earliest. */
+    final Duration inputSilence() {
+        return Duration.ofNanos(System.nanoTime() - lastInputNanos);
+    }
+
     /** Whether the receive window is about used up, because the receiver of the data is slow. */
     final boolean isWindowUsed() {
         return ungrantedBytes.get() > INITIAL_WINDOW_BYTES / 2;
@@ -282,6 +289,7 @@
 
     @Override
     public final void consume(ByteBuffer bytes) throws IOException {
+        lastInputNanos = System.nanoTime();
         ungrantedBytes.addAndGet(bytes.remaining());
         data(bytes);
     }
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -98,8 +98,7 @@
     private static final int MAX_READ_BYTES_PER_TURN = 64 * 1024; // per connection; the size of one receive window
     private static final int MAX_TURNS_TO_READ_ALL =
             16; // of MAX_READ_BYTES_PER_TURN each, before the task of runAfterReading runs
-    private static final Duration HEAD_TIMEOUT =
-            Duration.ofMillis(800); // from a head's first byte to its last; servers send it in one piece
+    private static final Duration HEAD_TIMEOUT = Duration.ofMillis(800); // for the next byte of a head that has begun
     private static final Http1Config CONFIG = Http1Config.custom()
             .setBufferSize(4096)
             .setMaxLineLength(8 * 1024)
@@ -216,7 +215,8 @@
         private final SessionListener listener;
         private volatile ClientExchange exchange;
         private final AtomicReference<Runnable> afterReading = new AtomicReference<>();
-        private Long headStartNanos; // System.nanoTime when a partial head was first seen; null if there is none
+        private Long headProgressNanos; // System.nanoTime when a partial head last grew; null if there is none
+        private long headProgressBytes; // receivedBytes() at that time
         private Timeout usualTimeout;
         private boolean closeReported;
         private boolean reused; // the connection has carried a call before
@@ -333,7 +333,7 @@
 
         @Override
         public void timeout(IOSession ioSession, Timeout timeout) throws IOException {
-            if (headStartNanos != null && !isHeadOverdue()) {
+            if (headProgressNanos != null && !isHeadOverdue()) {
                 return; // HttpCore uses the wall clock, which may have stepped
             }
             try {
@@ -365,24 +365,34 @@
             exception(ioSession, new IOException("partial response head without a request"));
         }
 
-        /** Enforces the time limit on a response head. Without it an attempt would wait until its client gives up. */
+        /**
+         * Enforces the time limit on pauses within a response head. Without it an attempt would wait until its client gives up. A head
+         * that comes slowly is limited by its attempt's own time.
+         */
         private void checkHeadTimeout() {
             if (!parser.isPartial()) {
-                if (headStartNanos != null) {
-                    headStartNanos = null;
+                if (headProgressNanos != null) {
+                    headProgressNanos = null;
                     session.setSocketTimeout(usualTimeout);
                 }
-            } else if (headStartNanos == null) {
-                headStartNanos = System.nanoTime();
+            } else if (headProgressNanos == null) {
+                noteHeadProgress();
                 usualTimeout = session.getSocketTimeout();
                 session.setSocketTimeout(Timeout.of(HEAD_TIMEOUT));
+            } else if (headProgressBytes != receivedBytes()) {
+                noteHeadProgress();
             } else if (isHeadOverdue()) {
                 exception(session, new IOException("response head not complete in time"));
             }
         }
 
+        private void noteHeadProgress() {
+            headProgressNanos = System.nanoTime();
+            headProgressBytes = receivedBytes();
+        }
+
         private boolean isHeadOverdue() {
-            return headStartNanos != null && System.nanoTime() - headStartNanos > HEAD_TIMEOUT.toNanos();
+            return headProgressNanos != null && System.nanoTime() - headProgressNanos > HEAD_TIMEOUT.toNanos();
         }
 
         /**
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -130,6 +130,12 @@
             return current != null && current.isWindowUsed();
         }
 
+        @Override
+        public Duration inputSilence() {
+            ClientExchange current = exchange;
+            return current == null ? Connection.super.inputSilence() : current.inputSilence();
+        }
+
         @Override
         public void readOut(Runnable then) {
             ClientReactor.runAfterReading(session, then);
