Slow clients hold servers back sooner, so that their answers don't fill the heap

The process isn't killed at its limit, as the flags bound the heap; it stops serving.

Cause: a stream could have 64 KiB and one turn's 64 KiB on its way, as objects of several times their bytes where events are small, and before that the system's send buffer of its client, which grows to several MiB: 160 streams filled the heap, and the work of filling all buffers held up the rest.

Change: the receive window of a response is 8 KiB, an event counts 256 bytes more than its length against it, and a turn reads 4 KiB; the part of an event that is not complete is granted at once, as events may be longer than the window. The system's buffers of clients' connections, and the receive buffers of connections to servers, are 64 KiB.

--- a/src/main/java/copperbeam/protocol/EventSplitter.java
+++ b/src/main/java/copperbeam/protocol/EventSplitter.java
@@ -11,8 +11,7 @@
  * events is rejected, so that chunk sizes or other noise from a server with broken framing never reach a client.
  */
 public final class EventSplitter {
-    private static final int MAX_EVENT_BYTES =
-            32 * 1024; // bytes of one event; below the initial receive window of 65,535 bytes
+    private static final int MAX_EVENT_BYTES = 32 * 1024; // bytes of one event
     private static final int LINE_PREFIX_BYTES =
             6; // bytes kept of a line, enough for the longest field name and its colon
     private static final List<byte[]> FIELD_NAMES = List.of(ascii("data"), ascii("event"), ascii("id"), ascii("retry"));
--- a/src/main/java/copperbeam/transport/Acceptor.java
+++ b/src/main/java/copperbeam/transport/Acceptor.java
@@ -5,7 +5,9 @@
 import java.lang.reflect.Constructor;
 import java.lang.reflect.Method;
 import java.net.InetSocketAddress;
+import java.net.SocketOption;
 import java.net.StandardSocketOptions;
+import java.nio.channels.NetworkChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -25,6 +27,9 @@
 final class Acceptor {
     private static final Logger LOG = Logger.getLogger(Acceptor.class.getName());
     private static final int BACKLOG = 512;
+    /** Size of the kernel's buffers of a client's connection, which otherwise grow to several MiB where a side is slow. */
+    private static final int KERNEL_BUFFER_BYTES = 64 * 1024;
+
     private static final Duration SELECT_TIMEOUT = Duration.ofMillis(200);
     private static final Duration CAPACITY_RETRY_DELAY = Duration.ofMillis(1); // while no connection may be accepted
     private static final Duration FAILURE_RETRY_DELAY = Duration.ofMillis(20); // after a failed accept
@@ -59,6 +64,7 @@
             if (shared) {
                 enableSharing();
             }
+            limitBuffer(listener, StandardSocketOptions.SO_RCVBUF); // accepted connections inherit it
             listener.bind(bindAddress, BACKLOG);
             listener.configureBlocking(false);
             address = (InetSocketAddress) listener.getLocalAddress();
@@ -159,6 +165,7 @@
                 return false;
             }
             if (!queueAge.takeMarker(accepted)) {
+                limitBuffer(accepted, StandardSocketOptions.SO_SNDBUF);
                 receiver.receive(accepted, queueAge.waitingSince());
             }
             sendMarkerIfDue();
@@ -168,6 +175,14 @@
         return true;
     }
 
+    private static void limitBuffer(NetworkChannel channel, SocketOption<Integer> option) {
+        try {
+            channel.setOption(option, KERNEL_BUFFER_BYTES);
+        } catch (IOException e) {
+            LOG.fine(() -> "a connection keeps its default " + option + ": " + e);
+        }
+    }
+
     private void sendMarkerIfDue() {
         if (!closing) {
             queueAge.sendMarkerIfDue();
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -30,7 +30,8 @@
  * {@link #sendLastByte}, which may be called from any thread.
  */
 abstract class ClientExchange implements AsyncClientExchangeHandler {
-    private static final int INITIAL_WINDOW_BYTES = 65_535; // HttpCore's initial receive window
+    /** The receive window of a response: bytes that may be received before the receiver of the data has processed them. */
+    static final int WINDOW_BYTES = 8 * 1024;
 
     private static final int MAX_GATHERED_BYTES = 4096;
     private static final int MAX_INFORMATIONAL_HEADS = 8; // 1xx heads before the response
@@ -97,7 +98,10 @@
 
     abstract void head(HttpResponse response) throws HttpException;
 
-    /** Receives a part of the response body. The receiver must {@link #grant} the bytes once it has processed them. */
+    /**
+     * Receives a part of the response body. The receiver must {@link #grant} the bytes once it has processed them, or as soon as it
+     * waits for more to process them.
+     */
     abstract void data(ByteBuffer bytes) throws IOException;
 
     abstract void completed(boolean reusable);
@@ -188,16 +192,18 @@
 
     /** Whether the receive window is about used up, because the receiver of the data is slow. */
     final boolean isWindowUsed() {
-        return ungrantedBytes.get() > INITIAL_WINDOW_BYTES / 2;
+        return ungrantedBytes.get() > WINDOW_BYTES / 2;
     }
 
+    /** Extends the receive window by this number of bytes; a negative one is taken off from what is granted later. */
     final void grant(int bytes) {
         ungrantedBytes.addAndGet(-bytes);
         pendingGrantBytes.addAndGet(bytes);
         CapacityChannel channel = capacityChannel;
-        if (channel != null) {
+        int due = channel == null ? 0 : pendingGrantBytes.getAndUpdate(pending -> Math.min(pending, 0));
+        if (due > 0) {
             try {
-                channel.update(pendingGrantBytes.getAndSet(0));
+                channel.update(due);
             } catch (IOException e) {
                 // the connection is closed, of which the exchange is notified separately
             }
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -95,12 +95,15 @@
     }
 
     private static final int MAX_CHUNK_BYTES = 1 << 20;
-    private static final int MAX_READ_BYTES_PER_TURN = 64 * 1024; // per connection; the size of one receive window
+    private static final int BUFFER_BYTES = 4096;
+    private static final int MAX_READ_BYTES_PER_TURN = BUFFER_BYTES; // per connection; exceeds the window at most
     private static final int MAX_TURNS_TO_READ_ALL =
-            16; // of MAX_READ_BYTES_PER_TURN each, before the task of runAfterReading runs
+            64; // of MAX_READ_BYTES_PER_TURN each, before the task of runAfterReading runs
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024; // of the kernel, for each connection
     private static final Duration HEAD_TIMEOUT = Duration.ofMillis(800); // for the next byte of a head that has begun
     private static final Http1Config CONFIG = Http1Config.custom()
-            .setBufferSize(4096)
+            .setBufferSize(BUFFER_BYTES)
+            .setInitialWindowSize(ClientExchange.WINDOW_BYTES)
             .setMaxLineLength(8 * 1024)
             .setMaxHeaderCount(100)
             .build();
@@ -130,6 +133,7 @@
         IOReactorConfig config = IOReactorConfig.custom()
                 .setIoThreadCount(1)
                 .setTcpNoDelay(true)
+                .setRcvBufSize(RECEIVE_BUFFER_BYTES)
                 .setSoTimeout(Timeout.DISABLED)
                 .setSelectInterval(TimeValue.ofMilliseconds(250))
                 .build();
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -120,7 +120,7 @@
         public void grant(int bytes) {
             ClientExchange current = exchange;
             if (current != null) {
-                current.grant(bytes);
+                current.grant(bytes + AttemptExchange.EVENT_OVERHEAD_BYTES);
             }
         }
 
@@ -200,6 +200,9 @@
     }
 
     private static final class AttemptExchange extends ClientExchange {
+        /** What an event on its way to its client takes of the heap beside its bytes, counted against the receive window. */
+        static final int EVENT_OVERHEAD_BYTES = 256;
+
         private final CallListener listener;
         private final AttemptCall call;
         private final RequestLog requestLog;
@@ -208,6 +211,7 @@
         private boolean isStream;
         private AnswerKind answerKind;
         private boolean lastEventSeen;
+        private int forwardedBytes; // of the events in the part that is being split, with their overhead
 
         AttemptExchange(
                 HttpRequest request, RequestBody body, AttemptCall call, CallListener listener, RequestLog requestLog) {
@@ -253,12 +257,26 @@
         void data(ByteBuffer bytes) throws IOException {
             if (!isStream) {
                 gather(bytes);
-            } else if (!events.accept(bytes, this::forward)) {
+            } else {
+                accept(bytes);
+            }
+        }
+
+        /**
+         * Splits a part of a stream into events, each of which is granted once its client's connection has taken it. The part of an
+         * event is granted at once, and taken off again when the event is complete: an event may be longer than the window.
+         */
+        private void accept(ByteBuffer bytes) throws IOException {
+            int received = bytes.remaining();
+            forwardedBytes = 0;
+            if (!events.accept(bytes, this::forward)) {
                 throw new IOException("not a stream of server-sent events");
             }
+            grant(received - forwardedBytes);
         }
 
         private void forward(byte[] eventBytes) {
+            forwardedBytes += eventBytes.length + EVENT_OVERHEAD_BYTES;
             lastEventSeen |= SseData.isLastEvent(eventBytes);
             listener.event(eventBytes);
         }
@@ -272,7 +290,7 @@
             if (!events.finish(rest::add) || !lastEventSeen && rest.stream().noneMatch(SseData::isLastEvent)) {
                 return false;
             }
-            rest.forEach(listener::event);
+            rest.forEach(this::forward);
             return true;
         }
 
