--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -23,6 +23,7 @@
     private static final int MAX_UNEVEN_PAUSE_MS = 1000;
     private static final int HEAVY_REQUEST_INTERVAL = 12; // 1 in 12 requests is heavy where costs are uneven
     private static final int MIN_DEADLINE_MS = 600;
+    private static final int INPUT_LEFT_BEHIND_INTERVAL = 3; // 1 in 3 clients that leave do so behind more input
 
     /** What to do after a request. */
     private enum Next {
@@ -163,6 +164,9 @@
 
     private void abandon(HttpConnection connection, String id) throws IOException, InterruptedException {
         Thread.sleep(random.nextInt(300));
+        if (Math.floorMod(id.hashCode(), INPUT_LEFT_BEHIND_INTERVAL) == 0) {
+            sendMore(connection);
+        }
         if (random.nextInt(3) == 0) {
             connection.reset();
         } else {
@@ -171,6 +175,16 @@
         history.add(new Observation.ClientGone(System.nanoTime(), id));
     }
 
+    /** Sends what the conductor has to read before it can see that the client has left. */
+    private static void sendMore(HttpConnection connection) {
+        try {
+            connection.send("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "1\r\nx\r\n".repeat(LARGE_BODY_BYTES / 2));
+        } catch (IOException e) {
+            // the conductor has ended the connection
+        }
+    }
+
     private Next readAnswer(HttpConnection connection, String id) throws IOException, InterruptedException {
         Message answer = connection.read();
         if (answer == null) {
