A pipelined request that came while reading was paused is dispatched with the next tick

Cause (by reading, no test): a request that waits for the answer before it is dispatched by an output event; where that came while a stop had paused reading, nothing would have dispatched it later.

--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -53,7 +53,7 @@
     /** Limit on the bytes read from one connection in one turn of the reactor, as other connections wait for it. */
     static final int MAX_READ_BYTES_PER_TURN = 4 * BUFFER_BYTES;
 
-    private static final int MAX_READS_PER_TURN = 8; // reads of MAX_READ_BYTES_PER_TURN, with those that find nothing
+    private static final int MAX_READS_PER_TURN = 8; // of one connection; each reads a buffer at most, or chunks
 
     /**
      * Limit on the bytes that a client may send behind a complete request without an answer. Its close can be noticed only behind
@@ -310,6 +310,13 @@
             }
         }
 
+        /** Dispatches a request that has waited for the answer before it to end, for all input to be read, or for a pause to end. */
+        private void dispatchWaiting(IOSession ioSession) throws IOException {
+            if (ioSession.isOpen() && !client.readyExchanges.isEmpty() && !client.hasDispatched()) {
+                inputReady(ioSession, null);
+            }
+        }
+
         /** The number of bytes received since a complete request is open and the last answer before it has ended. */
         private long bytesBehindRequest() {
             boolean hasComplete = client.openRequests() > (client.receivingBody ? 1 : 0);
@@ -327,9 +334,7 @@
         public void outputReady(IOSession ioSession) throws IOException {
             try {
                 super.outputReady(ioSession);
-                if (ioSession.isOpen() && !client.readyExchanges.isEmpty() && !client.hasDispatched()) {
-                    inputReady(ioSession, null); // the answer before them has ended, or not all input was read
-                }
+                dispatchWaiting(ioSession);
                 if (client.closeAt != null || closingIdle || client.isAskedToClose() || client.pollCheckDue()) {
                     checkTimeouts();
                 }
@@ -432,6 +437,11 @@
         @Override
         public void timeout(IOSession ioSession, Timeout timeout) {
             ReactorErrors.contain(ioSession, this::checkTimeouts);
+            try {
+                dispatchWaiting(ioSession);
+            } catch (IOException e) {
+                exception(ioSession, e);
+            }
             unregisterIfClosed();
         }
 
