Log answers that end unsent, rejected requests with their ids, and the limits on memory

The logs of the incident couldn't tell why a connection ended whose answer the servers had given: only open requests were noted, not answers that wait for their clients. Now each such end is noted with its id and reason, each rejection with its id, and the start with memory_mb, the heap and what requests and answers may hold of it.

--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -26,6 +26,7 @@
 
 /** The command line. */
 public final class Main {
+    private static final Logger LOG = Logger.getLogger(Main.class.getName());
     private static final String USAGE = "copperbeam serve|check-config|explain FILE|version|simhost|rehearse";
 
     private static final Duration MAX_RECORD_TIME = Duration.ofMillis(500); // for writing the recording at a stop
@@ -198,9 +199,16 @@
         System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         node.awaitWarmUp(); // loading the log classes must not delay the start
         initializeLogging();
+        reportMemory(config.limits());
         return -1;
     }
 
+    private static void reportMemory(Config.Limits limits) {
+        long heapMb = Runtime.getRuntime().maxMemory() >> 20;
+        LOG.info(() -> "memory_mb is " + limits.memoryMb() + ", the heap takes " + heapMb + " MB at most; "
+                + limits.memoryLimits());
+    }
+
     /**
      * Runs on SIGTERM. If the program is still starting, waits until the start is done, as a front that listens already may
      * have taken requests.
--- a/src/main/java/copperbeam/transport/ClientConnections.java
+++ b/src/main/java/copperbeam/transport/ClientConnections.java
@@ -62,6 +62,7 @@
         volatile Instant closeAt; // earliest time to close after the last answer; null: no close is planned
         volatile boolean lingersBeforeClose; // more of its request may come: the output is shut down before the close
         volatile HttpFrontServer.CloseReason closeReason; // why it was closed here; null: it was not
+        volatile String lastRequestId; // of the request that ended last; null: none has, or it had no id
         private volatile boolean askedToClose; // its reading thread is asked to close it
         private final AtomicBoolean checkDue = new AtomicBoolean(); // its reading thread is to check its timeouts
 
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -212,6 +212,9 @@
         if (client.closeReason == null) {
             client.closeReason = reason;
             observer.connectionClosed(reason);
+            if (connection.isOpen() && !client.isBusy() && !client.isIdle()) {
+                requestLog.note(client.lastRequestId, "its connection is closed with its answer unsent: " + reason);
+            }
         }
         connection.close(mode);
     }
@@ -232,6 +235,7 @@
         private int endedRequestsSeen; // client.endedRequests() at that time
         private long sentBytes; // bytes written to the socket
         private Instant lastProgressAt = Instant.MIN; // when sentBytes was last seen to grow
+        private boolean unsentOutput; // output was waiting for the socket at the last check
         private boolean unregistered;
         private boolean rechecking; // within hasNewInput(): reads what came since the reactor's select
 
@@ -492,7 +496,8 @@
                 sentBytes = count;
                 lastProgressAt = now;
             }
-            return (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
+            unsentOutput = (session.getEventMask() & SelectionKey.OP_WRITE) != 0;
+            return !unsentOutput;
         }
 
         /** Whether there was no write progress for {@code FLUSH_TIMEOUT}, as the client does not read. */
@@ -591,6 +596,9 @@
         private void unregisterIfClosed() {
             if (!session.isOpen() && !unregistered) {
                 unregistered = true;
+                if (unsentOutput && client.closeReason == null && !client.isBusy()) {
+                    requestLog.note(client.lastRequestId, "its client closed the connection with its answer unsent");
+                }
                 allClients.unregister(client);
                 ReactorErrors.contain(session, () -> super.disconnected(session));
             }
@@ -608,6 +616,7 @@
         }
         int status = HttpCall.isResumption(call.header("x-retried")) ? 500 : 503;
         observer.requestRejected(call.header("x-priority-class"), status);
+        requestLog.note(call.header("x-request-id"), "rejected with " + status + ": too many connections or requests");
         reply.respond(
                 status,
                 "text/plain",
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -215,6 +215,7 @@
         client.session.clearEvent(SelectionKey.OP_READ);
         Header requestClass = request.getFirstHeader("X-Priority-Class");
         rejectionListener.rejected(requestClass == null ? null : requestClass.getValue(), status);
+        requestLog.note(requestId(), "rejected with " + status + ": " + reason);
         respond(
                 status,
                 "text/plain",
@@ -415,15 +416,20 @@
     }
 
     private void noteUnanswered(Exception cause) {
-        Header id = request == null ? null : request.getFirstHeader("X-Request-ID");
         String progress = body != null ? "open" : received.size() + " bytes of its body read";
         requestLog.note(
-                id == null ? null : id.getValue(),
+                requestId(),
                 "its connection ended before its answer, " + progress + ": "
                         + (client.closeReason != null ? client.closeReason : cause == null ? "by the client" : cause));
     }
 
+    private String requestId() {
+        Header id = request == null ? null : request.getFirstHeader("X-Request-ID");
+        return id == null ? null : id.getValue();
+    }
+
     private void releaseRequest() {
+        client.lastRequestId = requestId();
         received.clear();
         RequestBody dispatched = body;
         if (dispatched != null) {
