--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -235,7 +235,6 @@
         private int endedRequestsSeen; // client.endedRequests() at that time
         private long sentBytes; // bytes written to the socket
         private Instant lastProgressAt = Instant.MIN; // when sentBytes was last seen to grow
-        private boolean unsentOutput; // output was waiting for the socket at the last check
         private boolean unregistered;
         private boolean rechecking; // within hasNewInput(): reads what came since the reactor's select
 
@@ -496,8 +495,7 @@
                 sentBytes = count;
                 lastProgressAt = now;
             }
-            unsentOutput = (session.getEventMask() & SelectionKey.OP_WRITE) != 0;
-            return !unsentOutput;
+            return (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
         }
 
         /** Whether there was no write progress for {@code FLUSH_TIMEOUT}, as the client does not read. */
@@ -596,9 +594,6 @@
         private void unregisterIfClosed() {
             if (!session.isOpen() && !unregistered) {
                 unregistered = true;
-                if (unsentOutput && client.closeReason == null && !client.isBusy()) {
-                    requestLog.note(client.lastRequestId, "its client closed the connection with its answer unsent");
-                }
                 allClients.unregister(client);
                 ReactorErrors.contain(session, () -> super.disconnected(session));
             }
