--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -67,16 +67,21 @@
     }
 
     Conductor(StandIn discovery, UnaryOperator<String> settings, List<String> extraArguments) throws IOException {
+        this(discovery, settings, extraArguments, 1024, 192);
+    }
+
+    Conductor(StandIn discovery, UnaryOperator<String> settings, List<String> extraArguments, int sockets, int memoryMb)
+            throws IOException {
         this(
                 discovery,
-                1024,
-                192,
+                sockets,
+                memoryMb,
                 extraArguments,
                 ":",
                 Files.createTempDirectory("conductor"),
                 freeAddress(),
                 null,
-                configTemplate(1024, 192, settings));
+                configTemplate(sockets, memoryMb, settings));
     }
 
     /** The first process of a conductor, with an admin address. */
--- a/src/test/java/copperbeam/sockets/ProcessSite.java
+++ b/src/test/java/copperbeam/sockets/ProcessSite.java
@@ -14,6 +14,11 @@
     static final String SEND_MODEL = "m-send";
     private static final int CHAT_TIMEOUT_S = 10;
 
+    /** What the conductor may use: file descriptors, and memory in MB. */
+    record Limits(int sockets, int memoryMb) {
+        static final Limits DEFAULT = new Limits(1024, 192);
+    }
+
     final List<StandIn> readers = new ArrayList<>();
     final List<StandIn> writers = new ArrayList<>();
     final Conductor conductor;
@@ -32,13 +37,36 @@
             StandIn.Script writerScript,
             UnaryOperator<String> settings)
             throws Exception {
+        this(serversPerRole, readerScript, writerScript, settings, Limits.DEFAULT, List.of());
+    }
+
+    /** With long promises, these limits, and further options of the conductor's JVM. */
+    ProcessSite(
+            int serversPerRole,
+            StandIn.Script readerScript,
+            StandIn.Script writerScript,
+            Limits limits,
+            List<String> jvmOptions)
+            throws Exception {
+        this(serversPerRole, readerScript, writerScript, ProcessSite::withLongPromises, limits, jvmOptions);
+    }
+
+    private ProcessSite(
+            int serversPerRole,
+            StandIn.Script readerScript,
+            StandIn.Script writerScript,
+            UnaryOperator<String> settings,
+            Limits limits,
+            List<String> jvmOptions)
+            throws Exception {
         for (int i = 0; i < serversPerRole; i++) {
             readers.add(new StandIn(readerScript));
             writers.add(new StandIn(writerScript));
         }
         discovery = Conductor.discovery(readers, writers);
-        conductor = new Conductor(
-                discovery, settings, List.of("--operator", operatorFile().toString()));
+        List<String> arguments = new ArrayList<>(jvmOptions);
+        arguments.addAll(List.of("--operator", operatorFile().toString()));
+        conductor = new Conductor(discovery, settings, arguments, limits.sockets(), limits.memoryMb());
         conductor.awaitHealthy();
     }
 
