--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -29,6 +29,7 @@
     private static final Logger LOG = Logger.getLogger(Main.class.getName());
     private static final String USAGE = "copperbeam serve|check-config|explain FILE|version|simhost|rehearse";
 
+    private static final int MIN_MEMORY_BESIDE_HEAP_MB = 56;
     private static final Duration MAX_RECORD_TIME = Duration.ofMillis(500); // for writing the recording at a stop
 
     private Main() {}
@@ -207,6 +208,11 @@
         long heapMb = Runtime.getRuntime().maxMemory() >> 20;
         LOG.info(() -> "memory_mb is " + limits.memoryMb() + ", the heap takes " + heapMb + " MB at most; "
                 + limits.memoryLimits());
+        if (limits.memoryMb() < heapMb + MIN_MEMORY_BESIDE_HEAP_MB) {
+            LOG.warning(
+                    "limits.memory_mb: " + limits.memoryMb() + " MB can't be kept: with this heap the process needs "
+                            + (heapMb + MIN_MEMORY_BESIDE_HEAP_MB) + " MB");
+        }
     }
 
     /**
