Releases keep their timers: cancelling them changed which requests a tied world serves

The cancelling isn't needed, since a release that waits for an answer isn't asked for again: OverdueReleasesTest holds without it (five rows), ServiceTest holds.

--- a/src/main/java/copperbeam/routing/ReleaseActor.java
+++ b/src/main/java/copperbeam/routing/ReleaseActor.java
@@ -10,8 +10,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 
 /**
@@ -73,7 +71,6 @@
         int round;
         int fanout = 1;
         int maxFanout;
-        Future<?> hedgeTimer = CompletableFuture.completedFuture(null); // of the last round
         boolean overdue; // not confirmed within the usual time: servers are asked one at a time
 
         PendingRelease(Release release, Instant startedAt) {
@@ -222,9 +219,7 @@
             release.unanswered.add(server);
             peers.get(server).tellUrgent(new PeerActor.Release(ticket, release.requestId));
         }
-        release.hedgeTimer.cancel(false);
-        release.hedgeTimer = tellUrgentLater(
-                release.overdue ? tryDuration.dividedBy(2) : hedgeDelay, new Hedge(ticket, release.round));
+        tellUrgentLater(release.overdue ? tryDuration.dividedBy(2) : hedgeDelay, new Hedge(ticket, release.round));
     }
 
     private String describeAsked(PendingRelease release) {
@@ -233,7 +228,6 @@
     }
 
     private void endRounds(long ticket, PendingRelease release) {
-        release.hedgeTimer.cancel(false);
         if (release.readMayEndUntil == null || clock.instant().isAfter(release.readMayEndUntil)) {
             pending.remove(ticket);
         } else {
