No more requests are open at once than the heap has room for

A client with an open request takes some 45 KB of the heap. Now connections with open requests are limited to what is left of the heap after 10 MB, at 64 KiB each, where that is less than a third of the descriptors; requests beyond get 503, as ever. With 96 MB and more nothing changes.

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -97,14 +97,27 @@
         private static final int RESERVED_DESCRIPTORS =
                 64; // descriptors for files, selectors, listeners, discovery and probes
 
-        /** Most client connections: a third of the descriptors, as each client's request needs a server connection too. */
+        private static final long HEAP_BYTES_BESIDE_CLIENTS = 10 << 20;
+        private static final long HEAP_BYTES_PER_CLIENT =
+                64 * 1024; // with an open request whose answer it reads slowly
+
+        /**
+         * Most client connections with an open request: a third of the descriptors, as each client's request needs a server
+         * connection too, or as many as the heap has room for if that is less.
+         */
         public int maxClients() {
+            long heapBytes = Runtime.getRuntime().maxMemory();
+            long inHeap = Math.max(1, (heapBytes - HEAP_BYTES_BESIDE_CLIENTS) / HEAP_BYTES_PER_CLIENT);
+            return (int) Math.min(thirdOfSockets(), inHeap);
+        }
+
+        private int thirdOfSockets() {
             return sockets / 3;
         }
 
         /** Most idle connections to all servers together: what client and server connections and the reserve leave. */
         public int maxIdleConnections() {
-            return sockets - 2 * maxClients() - RESERVED_DESCRIPTORS;
+            return sockets - 2 * thirdOfSockets() - RESERVED_DESCRIPTORS;
         }
 
         /** The limits with half of the descriptors; for the time that another process of this conductor runs. */
