An answer is not cut off while its client pauses, nor lost to the reset of a close

Cause: 1 s without write progress counted as a client that no longer reads. Where more than half of the descriptors are used, a process stops or the client asks for it, the connection is to close after its answer, and the rest of an answer that its client had not taken in that second was dropped; so it was where a further request had begun behind it and was late. The same class: a connection that closes with input unread is reset, which destroys what the client has not got yet (HttpCore closed by itself, and a rejected client was waited for for 1 s in all, however long it still wrote); and a stream was cut where answers took more than a sixteenth of the heap.

Now only a client that takes no byte of a finished answer for a minute is given up, with a log line. HttpCore is told to keep connections, and they are closed here: the sending side is shut down, then input is dropped until the client closes or is quiet. Answers are never cut for memory; while they hold too much of it, new requests get 503.

BadClientsTest waits until all of its rejected client's input is read before the clock steps, as the time to close now counts from the last input and the step raced with the reading; all its assertions and times stay.

--- a/src/main/java/copperbeam/protocol/MemoryBudget.java
+++ b/src/main/java/copperbeam/protocol/MemoryBudget.java
@@ -24,6 +24,16 @@
         return true;
     }
 
+    /** Reserves bytes even if the limit is exceeded then. */
+    public void reserveBeyondLimit(long bytes) {
+        reservedBytes.addAndGet(bytes);
+    }
+
+    /** Whether more is reserved than the limit allows. */
+    public boolean isExceeded() {
+        return reservedBytes.get() > maxBytes;
+    }
+
     public void release(long bytes) {
         reservedBytes.addAndGet(-bytes);
     }
--- a/src/main/java/copperbeam/protocol/MemoryShare.java
+++ b/src/main/java/copperbeam/protocol/MemoryShare.java
@@ -35,6 +35,14 @@
         }
     }
 
+    /** Adds bytes even if the budget is used up. Has no effect after {@link #close}. */
+    public void addBeyondLimit(long bytes) {
+        long before = heldBytes.getAndUpdate(held -> held == CLOSED ? CLOSED : held + bytes);
+        if (before != CLOSED) {
+            budget.reserveBeyondLimit(charged(before + bytes) - charged(before));
+        }
+    }
+
     /** Takes back bytes that were added. Has no effect after {@link #close}. */
     public void remove(long bytes) {
         long before = heldBytes.getAndUpdate(held -> held == CLOSED ? CLOSED : held - bytes);
--- a/src/main/java/copperbeam/transport/ClientConnections.java
+++ b/src/main/java/copperbeam/transport/ClientConnections.java
@@ -60,7 +60,7 @@
                 new ArrayDeque<>(); // complete, to be dispatched one after another; only on the reactor's thread
         volatile boolean ignoresInput; // the last answer is being completed or aborted; no more input is read
         volatile Instant closeAt; // earliest time to close after the last answer; null: no close is planned
-        volatile boolean lingersBeforeClose; // more of its request may come: the output is shut down before the close
+        volatile boolean answerCut; // the last answer is a stream that was cut
         volatile HttpFrontServer.CloseReason closeReason; // why it was closed here; null: it was not
         volatile String lastRequestId; // of the request that ended last; null: none has, or it had no id
         private volatile boolean askedToClose; // its reading thread is asked to close it
@@ -266,12 +266,17 @@
      * Whether no further request may begin. Each request needs a second descriptor, and up to twice as many idle connections
      * are accepted as may have an open request; they could all send one at once.
      */
-    boolean isFull() {
+    private boolean isFull() {
         return busyConnections.get() >= maxBusy
                 || usedDescriptors() >= 2 * maxBusy + MAX_OVER_LIMIT
                 || isCrowded() && !descriptors.mayBeginRequest(busyConnections.get());
     }
 
+    /** Whether one more request may begin: there is room for it, and answers that wait for their clients leave memory for its own. */
+    boolean mayBeginRequest() {
+        return !isFull() && !answers.isExceeded();
+    }
+
     /** Changes the limit; connections over a lower one stay open. */
     public void setMaxBusy(int limit) {
         maxBusy = limit;
--- a/src/main/java/copperbeam/transport/HttpFrontServer.java
+++ b/src/main/java/copperbeam/transport/HttpFrontServer.java
@@ -37,10 +37,16 @@
     private static final Duration FIRST_BYTE_TIMEOUT = Duration.ofMillis(2400); // from accept to a client's first byte
     private static final Duration MIN_IDLE_BEFORE_CLOSE =
             Duration.ofMillis(50); // a client idle for less may have a request on its way
-    private static final Duration FLUSH_TIMEOUT =
-            Duration.ofSeconds(1); // without write progress; then the client counts as not reading
+    /** Time without write progress after which a client counts as not reading what is left of its answer. */
+    private static final Duration MAX_UNREAD_TIME = Duration.ofMinutes(1);
+    /** The same for a stream that was cut, of which nothing more is owed than what was written before. */
+    private static final Duration MAX_UNREAD_TIME_AFTER_CUT = Duration.ofSeconds(1);
+
     private static final Duration LINGER_TIMEOUT =
-            Duration.ofSeconds(1); // for the rest of a rejected request to arrive
+            Duration.ofSeconds(1); // without input, after the last answer of a connection
+    private static final Duration MAX_LINGER_TIME =
+            Duration.ofSeconds(10); // for the input that its client still sends, as a close would reset the answer
+    private static final Duration MAX_LINGER_TIME_OF_FLOOD = Duration.ofMillis(100);
     /** Interval at which connections without I/O events are checked for timeouts. */
     public static final Duration TICK = Duration.ofMillis(200);
 
@@ -89,8 +95,10 @@
     public enum CloseReason {
         /** A request was not complete in time. */
         SLOW_REQUEST,
-        /** Its last answer was sent, or the client no longer reads it. */
+        /** Its last answer was sent. */
         ANSWERED,
+        /** The client reads no more of its answer. */
+        UNREAD,
         /** The client never sent a byte. */
         SILENT,
         /** It was idle, and its descriptor was needed or the process is about to end. */
@@ -195,7 +203,7 @@
         return new ServerExchange(
                 client,
                 allClients,
-                client.overLimit || allClients.isFull() ? this::refuseOverload : front,
+                client.overLimit || !allClients.mayBeginRequest() ? this::refuseOverload : front,
                 clock,
                 () -> draining,
                 observer::requestRejected,
@@ -227,6 +235,9 @@
         private final RequestDuplexer duplexer;
         private boolean awaitingCloseOnly; // input is discarded; reads only detect the client's close
         private boolean lingering; // output is shut down, and the rest of a rejected request is discarded
+        private CloseReason lingerReason;
+        private Instant lingerBeganAt;
+        private Instant lastLingerInputAt;
         private int discardedBytes;
         private int ignoredBytes;
         private Instant requestBeganAt; // when the incomplete request began; null: there is none
@@ -234,7 +245,7 @@
         private long behindSince = -1; // receivedBytes() when a complete request was open first; negative: none is
         private int endedRequestsSeen; // client.endedRequests() at that time
         private long sentBytes; // bytes written to the socket
-        private Instant lastProgressAt = Instant.MIN; // when sentBytes was last seen to grow
+        private Instant lastProgressAt = Instant.MAX; // when sentBytes was last seen to grow, or no output waited
         private boolean unregistered;
         private boolean rechecking; // within hasNewInput(): reads what came since the reactor's select
 
@@ -256,7 +267,6 @@
             try {
                 if (lingering) {
                     discardWhileLingering(ioSession);
-                    checkTimeouts();
                     unregisterIfClosed();
                 } else if (client.ignoresInput) {
                     // HttpCore would complete a partly buffered request and dispatch it on a connection that is about
@@ -413,8 +423,10 @@
          * Shuts down the output only and keeps reading. A close with unread input sends a TCP reset, and a client that is
          * still writing would lose the answer.
          */
-        private void beginLinger() {
+        private void beginLinger(Instant now) {
             lingering = true;
+            lingerBeganAt = now;
+            lastLingerInputAt = now;
             try {
                 ((SocketChannel) session.channel()).shutdownOutput();
                 session.setEvent(SelectionKey.OP_READ);
@@ -423,7 +435,12 @@
             }
         }
 
-        private void discardWhileLingering(IOSession ioSession) throws IOException {
+        /**
+         * Discards input, and closes the connection at its end or once there was too much of it. Returns whether any came; the next
+         * tick without any checks whether to close.
+         */
+        private boolean discardWhileLingering(IOSession ioSession) throws IOException {
+            int discardedBefore = discardedBytes;
             ByteBuffer bytes = ByteBuffer.allocate(BUFFER_BYTES);
             int count = ioSession.read(bytes);
             for (int reads = 1; count > 0 && reads < MAX_DISCARD_READS_PER_EVENT; reads++) {
@@ -431,9 +448,15 @@
                 count = ioSession.read(bytes.clear());
             }
             discardedBytes += Math.max(0, count);
-            if (count < 0 || discardedBytes > MAX_DISCARDED_BYTES) {
-                close(ioSession, CloseMode.GRACEFUL, count < 0 ? CloseReason.ANSWERED : CloseReason.TOO_MUCH);
+            Instant now = clock.instant();
+            if (count < 0) {
+                close(ioSession, CloseMode.GRACEFUL, lingerReason);
+            } else if (discardedBytes > MAX_DISCARDED_BYTES
+                    || lingerBeganAt.plus(maxLingerTime()).isBefore(now)) {
+                close(ioSession, CloseMode.GRACEFUL, CloseReason.TOO_MUCH);
             }
+            lastLingerInputAt = discardedBytes > discardedBefore ? now : lastLingerInputAt;
+            return discardedBytes > discardedBefore;
         }
 
         /** Called each {@link #TICK} on a connection without events. */
@@ -467,40 +490,81 @@
             }
             Instant now = clock.instant();
             boolean flushed = isFlushed(now);
-            if (client.lingersBeforeClose && flushed && !lingering) {
-                beginLinger();
-            }
-            boolean outputDone = flushed || isWriteStalled(now); // whether earlier answers are sent, or will never be
-            if (isRequestLate(now) && outputDone && !hasMoreInput()) {
+            if (lingering) {
+                checkLinger(now);
+            } else if (!flushed && isUnread(now)) {
+                close(session, CloseMode.GRACEFUL, CloseReason.UNREAD);
+            } else if (isRequestLate(now) && flushed && !hasMoreInput()) {
                 requestLog.note(
                         null,
                         "closing the connection of a request that is not complete in time, " + receivedBytes()
                                 + " bytes were read");
-                close(session, CloseMode.GRACEFUL, CloseReason.SLOW_REQUEST);
+                closeOrLinger(now, CloseReason.SLOW_REQUEST);
             } else if (isDoneAnswering(now, flushed)) {
-                close(session, CloseMode.GRACEFUL, CloseReason.ANSWERED);
+                closeOrLinger(now, CloseReason.ANSWERED);
             } else if (isUnused(now, flushed) && !hasNewInput()) {
                 close(session, CloseMode.GRACEFUL, client.hasReceived ? CloseReason.IDLE : CloseReason.SILENT);
             }
         }
 
+        /**
+         * Ends a connection without requests. One that has carried an answer lingers first: the system may still hold a part of the
+         * answer, which a close would lose if any input came after it.
+         */
+        private void closeOrLinger(Instant now, CloseReason reason) {
+            if (sentBytes == 0) {
+                close(session, CloseMode.GRACEFUL, reason);
+            } else {
+                lingerReason = reason;
+                beginLinger(now);
+            }
+        }
+
+        /** How long input may go on; what can't be read as requests may be a flood, and takes no descriptor that others need. */
+        private Duration maxLingerTime() {
+            return client.parseError != null && allClients.isCrowded() ? MAX_LINGER_TIME_OF_FLOOD : MAX_LINGER_TIME;
+        }
+
+        /**
+         * Closes a lingering connection whose client has sent nothing for a while; at once, if its descriptor is needed or the
+         * process is about to end.
+         */
+        private void checkLinger(Instant now) {
+            Duration quietTime = draining || allClients.isCrowded() ? Duration.ZERO : LINGER_TIMEOUT;
+            if (lastLingerInputAt.plus(quietTime).isAfter(now)) {
+                return;
+            }
+            try {
+                if (!discardWhileLingering(session) && session.isOpen()) {
+                    close(session, CloseMode.GRACEFUL, lingerReason);
+                }
+            } catch (IOException e) {
+                close(session, CloseMode.GRACEFUL, lingerReason);
+            }
+        }
+
         private void close(IOSession connection, CloseMode mode, CloseReason reason) {
             HttpFrontServer.this.close(client, connection, mode, reason);
         }
 
         /** Whether no output is waiting to be written to the socket; also records write progress. */
         private boolean isFlushed(Instant now) {
+            boolean flushed = (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
             long count = duplexer.getEndpointDetails().getSentBytesCount();
-            if (count != sentBytes) {
+            if (flushed || count != sentBytes) {
                 sentBytes = count;
                 lastProgressAt = now;
             }
-            return (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
+            return flushed;
         }
 
-        /** Whether there was no write progress for {@code FLUSH_TIMEOUT}, as the client does not read. */
-        private boolean isWriteStalled(Instant now) {
-            return lastProgressAt.plus(FLUSH_TIMEOUT).isBefore(now);
+        /** Whether the client has taken nothing of the output that waits for it for too long. */
+        private boolean isUnread(Instant now) {
+            Duration limit = client.answerCut ? MAX_UNREAD_TIME_AFTER_CUT : MAX_UNREAD_TIME;
+            boolean answered = client.closeAt == null
+                    ? !client.isBusy()
+                    : client.closeAt.plus(limit).isBefore(now);
+            return answered && lastProgressAt.isBefore(now.minus(limit));
         }
 
         /**
@@ -516,19 +580,9 @@
                     && client.openRequests() == (client.receivingBody ? 1 : 0);
         }
 
-        /** Whether the last answer was sent and the client had time to read it, or the client no longer reads it. */
+        /** Whether the last answer was sent. */
         private boolean isDoneAnswering(Instant now, boolean flushed) {
-            Instant closeAt = client.closeAt;
-            if (closeAt == null) {
-                return false;
-            }
-            if (!flushed) {
-                return closeAt.plus(FLUSH_TIMEOUT).isBefore(now) && isWriteStalled(now);
-            }
-            boolean lingersOn = lingering
-                    && !draining
-                    && !allClients.isCrowded(); // else its descriptor is needed, or the process is about to end
-            return closeAt.plus(lingersOn ? LINGER_TIMEOUT : Duration.ZERO).isBefore(now);
+            return client.closeAt != null && flushed && !client.closeAt.isAfter(now);
         }
 
         /**
--- a/src/main/java/copperbeam/transport/RequestDuplexer.java
+++ b/src/main/java/copperbeam/transport/RequestDuplexer.java
@@ -7,11 +7,14 @@
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
@@ -19,11 +22,13 @@
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 
 /** HttpCore's protocol handler of a client's connection; bounds bodies, and rejects malformed requests with an answer. */
 final class RequestDuplexer extends ServerHttp1StreamDuplexer {
+    private static final String CLOSES_AFTER_ANSWER = "copperbeam.closes-after-answer"; // attribute of an HttpContext
     private static final HttpProcessor PROCESSOR = HttpProcessors.server();
 
     final Chunks.ReadBudget readBudget = new Chunks.ReadBudget(HttpFrontServer.MAX_READ_BYTES_PER_TURN);
@@ -42,7 +47,7 @@
                 "http",
                 HttpFrontServer.HTTP1_CONFIG,
                 BoundedParser.HEAD_CODING,
-                null,
+                RequestDuplexer::noteReuse,
                 parser,
                 DefaultHttpResponseWriterFactory.INSTANCE.create(),
                 null,
@@ -53,6 +58,22 @@
         this.client = client;
     }
 
+    /**
+     * Notes whether the connection is to be closed after this answer. HttpCore would close it at once, which resets it and loses what
+     * the client has not read if any input is unread then; so it is told to keep the connection.
+     */
+    private static boolean noteReuse(HttpRequest request, HttpResponse response, HttpContext context) {
+        if (!DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context)) {
+            context.setAttribute(CLOSES_AFTER_ANSWER, Boolean.TRUE);
+        }
+        return true;
+    }
+
+    /** Whether the connection is to be closed after the answer with this context, the head of which was sent. */
+    static boolean closesAfterAnswer(HttpContext context) {
+        return context.getAttribute(CLOSES_AFTER_ANSWER) != null;
+    }
+
     @Override
     protected ContentDecoder createContentDecoder(
             long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
--- a/src/main/java/copperbeam/transport/ServerExchange.java
+++ b/src/main/java/copperbeam/transport/ServerExchange.java
@@ -43,8 +43,6 @@
     static final int MAX_BODY_BYTES = 256 * 1024;
     static final int MAX_PIPELINED_REQUESTS = 8; // requests open on one connection
 
-    private static final Duration MIN_LINGER_TIME =
-            Duration.ofMillis(100); // for the client to read the answer before the close
     private static final Duration ABORT_FLUSH_TIME =
             Duration.ofSeconds(1); // for sending what was written before an abort
 
@@ -101,7 +99,6 @@
     private Instant arrivedAt;
     private Duration maxQueueTime; // upper bound of the request's wait before arrivedAt
     private boolean rejectedOrDispatched;
-    private boolean requestUnread; // the rest of the request was not read
     private boolean abortSeen; // all output before an abort was handed to HttpCore; its next turn closes
 
     ServerExchange(
@@ -208,7 +205,6 @@
         rejectedOrDispatched = true;
         received.clear();
         client.receivingBody = false;
-        requestUnread = true;
         client.ignoresRequests = true;
         // replaced by a real time once the answer is written, which may have to wait for earlier ones
         client.closeAt = clock.instant().plus(Duration.ofDays(1));
@@ -291,10 +287,11 @@
             return;
         }
         // a fast server can exceed its receive window, as HttpCore reads on while data is available; hence this limit
-        if (bufferedBytes.addAndGet(bytes.length) > MAX_BUFFERED_BYTES || !answerMemory.add(bytes.length)) {
+        if (bufferedBytes.addAndGet(bytes.length) > MAX_BUFFERED_BYTES) {
             closer.close(client, HttpFrontServer.CloseReason.SLOW_READER);
             return;
         }
+        answerMemory.addBeyondLimit(bytes.length);
         pendingWrites.add(new PendingWrite(ByteBuffer.wrap(bytes), true, onDrained));
         requestOutput();
     }
@@ -309,6 +306,7 @@
     public void abort() {
         endState = EndState.ABORTED;
         client.ignoresInput = true;
+        client.answerCut = true;
         client.closeAt = clock.instant().plus(ABORT_FLUSH_TIME);
         requestOutput();
     }
@@ -379,15 +377,14 @@
             // endStream comes before releaseRequest(), as this may be the actors' thread: in the reverse order, the
             // reactor's thread could in between see a connection with nothing left to write and close it, or a stop
             // could find no open request
+            closesAfterAnswer |= RequestDuplexer.closesAfterAnswer(context);
             client.ignoresInput = closesAfterAnswer || client.ignoresInput;
             channel.endStream(null);
             releaseRequest();
             if (closesAfterAnswer) {
-                // HttpCore does not close while more requests are pipelined on this connection. If the head was sent
-                // before a drain began, it announced no close and the next request may be on its way: then its answer
-                // announces the close, or the connection is closed once it is idle
-                client.closeAt = clock.instant().plus(requestUnread ? MIN_LINGER_TIME : Duration.ZERO);
-                client.lingersBeforeClose = requestUnread;
+                // If the head was sent before a drain began, it announced no close and the next request may be on its
+                // way: then its answer announces the close, or the connection is closed once it is idle
+                client.closeAt = clock.instant();
                 client.wake(); // the reactor may already have written the end
             }
         } else if (endStateBefore == EndState.ABORTED) {
--- a/src/test/java/copperbeam/sockets/BadClientsTest.java
+++ b/src/test/java/copperbeam/sockets/BadClientsTest.java
@@ -296,6 +296,8 @@
         }
     }
 
+    private static final int PASSES_TO_READ_ALL = 40; // of the reactor, each of which reads 16 KiB of 256
+
     private enum CloseCause {
         TIMEOUT,
         BYTE_LIMIT,
@@ -363,6 +365,11 @@
                             200); // the reactor has completed a pass
                     assertNull(client.readHead());
                 }
+                for (int i = 0;
+                        i < PASSES_TO_READ_ALL;
+                        i++) { // the time to close counts from the last input that was read
+                    other.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n").read();
+                }
                 assertEquals(clientConnections.size(), 2);
                 await("a stop does not wait for the rejected connection", () -> !server.isBusy());
                 if (cause == CloseCause.TIMEOUT) {
