The soak's clients pause in long answers, some with a further request begun

One connection in five has a small receive buffer and asks for answers of 90 to 180 KB; its client reads nothing for up to 3.5 s once a stream has begun, unless its conductor stops, and half of them have sent the begin of a further request. The oracle counts an answer as lost that was cut though its server had written all of it (OracleTest has a history).

--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -25,6 +25,10 @@
     private static final int MIN_DEADLINE_MS = 600;
     private static final int INPUT_LEFT_BEHIND_INTERVAL = 3; // 1 in 3 clients that leave do so behind more input
 
+    private static final int SLOW_READING_INTERVAL = 5; // 1 in so many connections is read slowly
+    private static final int MAX_READING_PAUSE_MS = 3500;
+    private static final String FURTHER_REQUEST_START = "POST /v1/ch"; // what comes of a request that never does
+
     /** What to do after a request. */
     private enum Next {
         SAME_CONNECTION,
@@ -39,6 +43,7 @@
     private final Random random;
     private final AtomicBoolean finished;
     private int nextNumber;
+    private boolean readsSlowly; // on this connection, long answers with pauses
 
     ClientDriver(
             String name,
@@ -65,7 +70,10 @@
                 continue;
             }
             ConductorProcess conductor = available.get(random.nextInt(available.size()));
-            try (HttpConnection connection = HttpConnection.connect(conductor.address, CONNECT_MS)) {
+            readsSlowly = Math.floorMod(nextNumber, SLOW_READING_INTERVAL) == 1 && !settings.uneven();
+            try (HttpConnection connection = readsSlowly
+                    ? HttpConnection.connectWithSmallBuffer(conductor.address, CONNECT_MS)
+                    : HttpConnection.connect(conductor.address, CONNECT_MS)) {
                 resendId = useConnection(connection, conductor, resendId);
             } catch (IOException e) {
                 Thread.sleep(SETTLE_MS); // the conductor isn't running
@@ -128,8 +136,8 @@
             throws InterruptedException {
         RequestKind kind = drawKind();
         long deadlineMs = drawDeadlineMs();
-        String body =
-                "{\"a\":\"" + "x".repeat(random.nextInt(25) == 0 ? LARGE_BODY_BYTES : random.nextInt(300)) + "\"}";
+        String body = "{\"a\":\"" + (readsSlowly ? ServerStandIn.LONG_ANSWER_MARK : "")
+                + "x".repeat(random.nextInt(25) == 0 ? LARGE_BODY_BYTES : random.nextInt(300)) + "\"}";
         String text = requestText(id, kind, kind.promptTokens(settings.uneven()), name, deadlineMs, body);
         boolean sent = false;
         try {
@@ -153,7 +161,12 @@
                 return Next.NEW_CONNECTION;
             }
             connection.setReadTimeout((int) deadlineMs + ANSWER_TIMEOUT_MARGIN_MS);
-            return readAnswer(connection, id);
+            boolean beginsFurther = readsSlowly && random.nextBoolean();
+            if (readsSlowly) {
+                pauseBeforeReading(connection, conductor, beginsFurther ? FURTHER_REQUEST_START : "");
+            }
+            Next next = readAnswer(connection, id);
+            return beginsFurther && next == Next.SAME_CONNECTION ? Next.NEW_CONNECTION : next;
         } catch (SocketTimeoutException e) {
             history.add(new Observation.NeverAnswered(System.nanoTime(), id));
             return Next.NEW_CONNECTION;
@@ -162,6 +175,19 @@
         }
     }
 
+    /** Sends {@code further} once a stream has begun, and reads nothing for a while unless its conductor stops. */
+    private void pauseBeforeReading(HttpConnection connection, ConductorProcess conductor, String further)
+            throws IOException, InterruptedException {
+        if (!connection.awaitOk()) {
+            return;
+        }
+        connection.send(further);
+        int pauseMs = random.nextInt(MAX_READING_PAUSE_MS);
+        for (int waited = 0; waited < pauseMs && conductor.takesClients(); waited += SETTLE_MS) {
+            Thread.sleep(SETTLE_MS);
+        }
+    }
+
     private void abandon(HttpConnection connection, String id) throws IOException, InterruptedException {
         Thread.sleep(random.nextInt(300));
         if (Math.floorMod(id.hashCode(), INPUT_LEFT_BEHIND_INTERVAL) == 0) {
--- a/src/soak/java/copperbeam/soak/HttpConnection.java
+++ b/src/soak/java/copperbeam/soak/HttpConnection.java
@@ -24,6 +24,9 @@
         }
     }
 
+    private static final int SMALL_BUFFER_BYTES = 4096;
+    private static final String OK_START = "HTTP/1.1 200";
+
     final Socket socket;
     private final InputStream in;
 
@@ -39,6 +42,14 @@
         return new HttpConnection(socket);
     }
 
+    /** With a receive buffer that holds a small part of a long answer. */
+    static HttpConnection connectWithSmallBuffer(InetSocketAddress address, int timeoutMs) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        socket.connect(address, timeoutMs);
+        return new HttpConnection(socket);
+    }
+
     void setReadTimeout(int ms) throws IOException {
         socket.setSoTimeout(ms);
     }
@@ -63,6 +74,14 @@
         return next >= 0;
     }
 
+    /** Waits for the begin of a response; returns whether it is a 200. Nothing is consumed. */
+    boolean awaitOk() throws IOException {
+        in.mark(OK_START.length());
+        String start = new String(in.readNBytes(OK_START.length()), StandardCharsets.US_ASCII);
+        in.reset();
+        return start.equals(OK_START);
+    }
+
     private String readLine() throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int b = in.read(); b != '\n'; b = in.read()) {
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -265,6 +265,15 @@
                 && !terms.streamsResume()
                 && request.attempts.stream()
                         .anyMatch(a -> a.streamed != null && a.ended != null && a.ended.end() == AttemptEnd.GIVEN_UP);
+        boolean cutAfterItsEnd = !complete
+                && request.attempts.stream()
+                        .anyMatch(a -> a.streamed != null
+                                && a.streamed.complete()
+                                && a.ended != null
+                                && a.ended.end() == AttemptEnd.SERVED);
+        if (cutAfterItsEnd) {
+            addViolation(Rule.LOST, id, "its stream was cut though its server had written all of it");
+        }
         if (cutWhileWriting) {
             addViolation(Rule.LOST, id, "its stream was cut while its server wrote");
         }
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -41,6 +41,11 @@
     private static final int HANG_MS = 8000;
     private static final int MIN_QUEUE_MS = 500; // wait of a queued write
     private static final int QUEUE_RANGE_MS = 1200;
+    /** In the body of a request that is to get an answer longer than the system's buffers. */
+    static final String LONG_ANSWER_MARK = "long answer";
+
+    private static final int MIN_LONG_EVENTS = 30; // twice as many at most, each with PADDING
+    private static final String PADDING = ",\"padding\":\"" + "p".repeat(3000) + "\"";
     private static final String LAST_EVENT = "data: [DONE]\n\n";
     private static final AtomicLong ATTEMPT_COUNTER = new AtomicLong();
 
@@ -147,7 +152,7 @@
                 link.readSince()));
         AttemptEnd end = AttemptEnd.FAILED;
         try {
-            end = respond(connection, link, requestId, attempt);
+            end = respond(connection, link, request, attempt);
             link.awaitDelivery(); // the conductor can't see the end of the attempt before
         } finally {
             if (end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED) {
@@ -160,8 +165,9 @@
         return end == AttemptEnd.SERVED || end == AttemptEnd.TURNED_AWAY;
     }
 
-    private AttemptEnd respond(HttpConnection connection, ProxiedConnection link, String requestId, long attempt)
+    private AttemptEnd respond(HttpConnection connection, ProxiedConnection link, Message request, long attempt)
             throws IOException, InterruptedException {
+        String requestId = request.header("X-Request-ID");
         Behavior behaviorNow = draw(3) == 0 ? Behavior.HEALTHY : behavior;
         switch (behaviorNow) {
             case REFUSES:
@@ -186,7 +192,7 @@
             default:
                 return role == Role.READER
                         ? readPrompt(connection, link, requestId, behaviorNow)
-                        : streamAnswer(connection, link, requestId, attempt, behaviorNow);
+                        : streamAnswer(connection, link, request, attempt, behaviorNow);
         }
     }
 
@@ -241,8 +247,9 @@
     }
 
     private AttemptEnd streamAnswer(
-            HttpConnection connection, ProxiedConnection link, String requestId, long attempt, Behavior behaviorNow)
+            HttpConnection connection, ProxiedConnection link, Message request, long attempt, Behavior behaviorNow)
             throws IOException, InterruptedException {
+        String requestId = request.header("X-Request-ID");
         if (!readStates.isHeld(requestId)) {
             connection.sendAnswer(410, "X-Not-Processed: 1\r\n", "");
             return AttemptEnd.TURNED_AWAY;
@@ -263,20 +270,21 @@
             if (!pause(link, behaviorNow == Behavior.SLOW ? 300 + draw(900) : 2 + draw(20))) {
                 return AttemptEnd.GIVEN_UP;
             }
-            int events = 2 + draw(6);
+            boolean isLong = request.body().contains(LONG_ANSWER_MARK);
+            int events = isLong ? MIN_LONG_EVENTS + draw(MIN_LONG_EVENTS) : 2 + draw(6);
             int eventsToSend = behaviorNow == Behavior.BREAKS_STREAMS ? draw(events) : events;
             for (int event = 0; event < eventsToSend; event++) {
                 String text = event == events - 1
                         ? LAST_EVENT
                         : "data: {\"request\":\"" + requestId + "\",\"attempt\":" + attempt + ",\"event\":" + event
-                                + "}\n\n";
+                                + (isLong ? PADDING : "") + "}\n\n";
                 streamed.append(text);
                 if (event == 0) {
                     connection.send(
                             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
                 }
                 connection.sendChunk(text);
-                if (!pause(link, behaviorNow == Behavior.SLOW ? draw(300) : draw(25))) {
+                if (!isLong && !pause(link, behaviorNow == Behavior.SLOW ? draw(300) : draw(25))) {
                     return AttemptEnd.GIVEN_UP;
                 }
             }
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -121,6 +121,13 @@
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(9, 1, AttemptEnd.GIVEN_UP),
                     new Answered(10 * NANOS_PER_MS, "r", 200, false, "a")),
+            row(
+                    Rule.LOST,
+                    sentAt(0, safe),
+                    attemptArrives(5, Role.WRITER, 1),
+                    new Streamed(9 * NANOS_PER_MS, "r", 1, true, "ab"),
+                    attemptEnds(9, 1, AttemptEnd.SERVED),
+                    new Answered(10 * NANOS_PER_MS, "r", 200, false, "a")),
             row(
                     Rule.WRONG_ANSWER,
                     sentAt(0, safe),
