The soak's oracle counts a cut answer only where no trouble can have lost it

The rule now holds while only troubles run that touch no stream (reload, clock, disk, discovery, crowd); OracleTest's history still breaks it.

--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -18,11 +18,14 @@
 import copperbeam.soak.Observation.StateFreed;
 import copperbeam.soak.Observation.StateHeld;
 import copperbeam.soak.Observation.Streamed;
+import copperbeam.soak.Observation.Troubled;
 import copperbeam.soak.Violation.Rule;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** Checks the protocol's rules against what the stand-ins observed. A pure function from a history to the broken rules. */
@@ -84,12 +87,20 @@
         NeverAnswered neverAnswered;
     }
 
+    private static final Set<TroublePlan.Kind> HARMLESS_TO_STREAMS = EnumSet.of(
+            TroublePlan.Kind.CLIENT_CROWD,
+            TroublePlan.Kind.RELOAD,
+            TroublePlan.Kind.CLOCK_STEP,
+            TroublePlan.Kind.DISK,
+            TroublePlan.Kind.DISCOVERY);
+
     private final Terms terms;
     private final Map<String, Request> requests = new TreeMap<>();
     private final Map<Long, Attempt> attempts = new HashMap<>();
     // when discovery announced each drain, by "conductor server"
     private final Map<String, Long> drainAnnouncedAt = new HashMap<>();
     private final List<Killed> kills = new ArrayList<>();
+    private final List<Troubled> disturbances = new ArrayList<>(); // beginnings and ends
     private final List<CutOffFromAll> cutOffChanges = new ArrayList<>(); // beginnings and ends, in order of time
     private final List<Violation> violations = new ArrayList<>();
     private long lastObservedAt;
@@ -156,6 +167,9 @@
             drainAnnouncedAt.keySet().removeIf(name -> name.endsWith(" " + o.server()));
         } else if (observation instanceof CutOffFromAll o) {
             cutOffChanges.add(o);
+        } else if (observation instanceof Troubled o
+                && !HARMLESS_TO_STREAMS.contains(o.trouble().kind())) {
+            disturbances.add(o);
         } else if (observation instanceof Killed o) {
             kills.add(o);
         } else if (observation instanceof Exited o && (!o.requested() || o.code() != 0)) {
@@ -253,6 +267,16 @@
         }
     }
 
+    /** Whether a trouble was under way that may lose what a server has written, or for which a stream may be cut. */
+    private boolean wasDisturbed(Request request) {
+        return disturbances.stream()
+                .filter(begin -> begin.begins() && begin.at() < request.answered.at())
+                .anyMatch(begin -> disturbances.stream()
+                        .noneMatch(end -> !end.begins()
+                                && end.trouble().equals(begin.trouble())
+                                && end.at() < request.sent.at()));
+    }
+
     private void judgeStream(String id, Request request) {
         String receivedBody = request.answered.body();
         boolean complete = request.answered.complete();
@@ -266,6 +290,7 @@
                 && request.attempts.stream()
                         .anyMatch(a -> a.streamed != null && a.ended != null && a.ended.end() == AttemptEnd.GIVEN_UP);
         boolean cutAfterItsEnd = !complete
+                && !wasDisturbed(request)
                 && request.attempts.stream()
                         .anyMatch(a -> a.streamed != null
                                 && a.streamed.complete()
