Streams of long events that wait for slow clients keep no buffer, and count for more of the heap

The splitter of each stream kept the buffer that its longest event had needed, up to 64 KB, while the event itself waited.

--- a/src/main/java/copperbeam/protocol/EventSplitter.java
+++ b/src/main/java/copperbeam/protocol/EventSplitter.java
@@ -12,11 +12,12 @@
  */
 public final class EventSplitter {
     private static final int MAX_EVENT_BYTES = 32 * 1024; // bytes of one event
+    private static final int MAX_KEPT_BYTES = 1024; // of an event whose buffer is used again for the next one
     private static final int LINE_PREFIX_BYTES =
             6; // bytes kept of a line, enough for the longest field name and its colon
     private static final List<byte[]> FIELD_NAMES = List.of(ascii("data"), ascii("event"), ascii("id"), ascii("retry"));
 
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private final byte[] linePrefix = new byte[LINE_PREFIX_BYTES];
     private int lineLength; // of the current line so far; its line break doesn't count
     private boolean hasField; // the current event has a field or a comment
@@ -89,9 +90,14 @@
 
     private void emit(Consumer<byte[]> eventSink) {
         if (pending.size() > 0) {
-            eventSink.accept(pending.toByteArray());
-            pending.reset();
+            byte[] event = pending.toByteArray();
+            if (event.length > MAX_KEPT_BYTES) {
+                pending = new ByteArrayOutputStream(); // many streams may wait here for slow clients
+            } else {
+                pending.reset();
+            }
             hasField = false;
+            eventSink.accept(event);
         }
     }
 }
