--- a/src/test/java/copperbeam/sockets/MemoryLimitTest.java
+++ b/src/test/java/copperbeam/sockets/MemoryLimitTest.java
@@ -108,7 +108,7 @@
                     parts.add("a:b\r\n".repeat(5));
                 }
             }
-            case READS_SLOWLY ->
+            default -> // READS_SLOWLY
                 parts.add(
                         chat
                                 ? Site.chatRequest(ProcessSite.SEND_MODEL, true, ",\"user\":\"L=400000,E=2000\"")
