Lines of the stop are logged again: Main creates no logger before the log manager is set

What callers saw: nothing; operators lost every log line from SIGTERM on, and with them how a stop went.

Cause: the lines on memory gave Main a static logger. It was created before main() names StopLogManager as the log manager, so the JDK's own manager was used, which closes the handlers at the signal.

The stop itself was in time; only its lines were missing.

Why this works: the lines come from MemoryReport, whose class is loaded after the manager is set. It also takes a job off Main.

--- a/src/main/java/copperbeam/program/Main.java
+++ b/src/main/java/copperbeam/program/Main.java
@@ -26,10 +26,9 @@
 
 /** The command line. */
 public final class Main {
-    private static final Logger LOG = Logger.getLogger(Main.class.getName());
+    // no logger here: a static one would be created before the log manager is set
     private static final String USAGE = "copperbeam serve|check-config|explain FILE|version|simhost|rehearse";
 
-    private static final int MIN_MEMORY_BESIDE_HEAP_MB = 56;
     private static final Duration MAX_RECORD_TIME = Duration.ofMillis(500); // for writing the recording at a stop
 
     private Main() {}
@@ -200,21 +199,10 @@
         System.err.println("copperbeam " + version() + ": " + config.name() + " listens on " + node.address());
         node.awaitWarmUp(); // loading the log classes must not delay the start
         initializeLogging();
-        reportMemory(config.limits());
+        MemoryReport.log(config.limits());
         return -1;
     }
 
-    private static void reportMemory(Config.Limits limits) {
-        long heapMb = Runtime.getRuntime().maxMemory() >> 20;
-        LOG.info(() -> "memory_mb is " + limits.memoryMb() + ", the heap takes " + heapMb + " MB at most; "
-                + limits.memoryLimits());
-        if (limits.memoryMb() < heapMb + MIN_MEMORY_BESIDE_HEAP_MB) {
-            LOG.warning(
-                    "limits.memory_mb: " + limits.memoryMb() + " MB can't be kept: with this heap the process needs "
-                            + (heapMb + MIN_MEMORY_BESIDE_HEAP_MB) + " MB");
-        }
-    }
-
     /**
      * Runs on SIGTERM. If the program is still starting, waits until the start is done, as a front that listens already may
      * have taken requests.
