Tests: no port is given to two processes, which kept one of them from starting

A fault of the tests, not of the program.

Cause: freeAddress() drew ports at random and looked whether they were free; a process binds its port half a second later. Ten rows start at once with two ports each, beside a second test JVM, so that two drew the same port now and then, and one process ended with "Address already in use".

Why this works: ports are handed out in turn, each test JVM has its half of the range. A conductor that doesn't become healthy is reported with its log, as one that doesn't become ready was.

--- a/src/test/java/copperbeam/sockets/Conductor.java
+++ b/src/test/java/copperbeam/sockets/Conductor.java
@@ -13,7 +13,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BinaryOperator;
+import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
@@ -30,6 +32,11 @@
     static final int START_TIMEOUT_MS =
             30_000; // the platform's limit for a start; on a busy core a process gets a tenth of the CPU
 
+    private static final int PORTS_PER_FORK = 3192; // Surefire runs two test JVMs beside each other
+    private static final int FIRST_PORT = 10_000 + Integer.getInteger("test.fork", 1) % 2 * PORTS_PER_FORK;
+    private static final AtomicInteger NEXT_PORT_INDEX =
+            new AtomicInteger(ThreadLocalRandom.current().nextInt(PORTS_PER_FORK));
+
     final Path folder; // also holds the state file that the processes of this conductor share
     final Path logFile;
     final InetSocketAddress address;
@@ -168,13 +175,13 @@
     }
 
     /**
-     * An address that stays free until the process binds it. Its port lies below the ephemeral range (from 32768 on, or 16384 on
-     * some machines): the tests open thousands of connections, and one of these could otherwise get the port in the meantime.
+     * An address that stays free until the process binds it: no other caller gets its port, and it lies below the ephemeral range
+     * (from 32768 on, or 16384 on some machines), as the tests open thousands of connections.
      */
     static InetSocketAddress freeAddress() throws IOException {
         InetAddress local = InetAddress.getByName("127.0.0.1");
         while (true) {
-            int port = ThreadLocalRandom.current().nextInt(10_000, 16_384);
+            int port = FIRST_PORT + NEXT_PORT_INDEX.getAndIncrement() % PORTS_PER_FORK;
             try (ServerSocket socket = new ServerSocket(port, 1, local)) {
                 return (InetSocketAddress) socket.getLocalSocketAddress();
             } catch (BindException e) {
@@ -236,13 +243,16 @@
     }
 
     Conductor awaitHealthy() throws InterruptedException {
-        Site.await("healthy", START_TIMEOUT_MS, this::isHealthy);
-        return this;
+        return await("healthy", this::isHealthy);
     }
 
     Conductor awaitReady() throws InterruptedException {
+        return await("ready", this::isReady);
+    }
+
+    private Conductor await(String description, BooleanSupplier condition) throws InterruptedException {
         try {
-            Site.await("ready", START_TIMEOUT_MS, this::isReady);
+            Site.await(description, START_TIMEOUT_MS, condition);
         } catch (AssertionError e) {
             throw new AssertionError(
                     e.getMessage()
