Soak: a stop that goes on to the kill for a client that had stopped reading breaks no rule

Clients of the soak pause for up to 3.5 s, the kill comes 2.2 s after the signal, and in an upgrade they don't notice the stop.

Pauses are noted in the history.

--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -163,7 +163,7 @@
             connection.setReadTimeout((int) deadlineMs + ANSWER_TIMEOUT_MARGIN_MS);
             boolean beginsFurther = readsSlowly && random.nextBoolean();
             if (readsSlowly) {
-                pauseBeforeReading(connection, conductor, beginsFurther ? FURTHER_REQUEST_START : "");
+                pauseBeforeReading(connection, conductor, id, beginsFurther ? FURTHER_REQUEST_START : "");
             }
             Next next = readAnswer(connection, id);
             return beginsFurther && next == Next.SAME_CONNECTION ? Next.NEW_CONNECTION : next;
@@ -176,16 +176,18 @@
     }
 
     /** Sends {@code further} once a stream has begun, and reads nothing for a while unless its conductor stops. */
-    private void pauseBeforeReading(HttpConnection connection, ConductorProcess conductor, String further)
+    private void pauseBeforeReading(HttpConnection connection, ConductorProcess conductor, String id, String further)
             throws IOException, InterruptedException {
         if (!connection.awaitOk()) {
             return;
         }
         connection.send(further);
         int pauseMs = random.nextInt(MAX_READING_PAUSE_MS);
+        history.add(new Observation.ReadingPaused(System.nanoTime(), id, conductor.name));
         for (int waited = 0; waited < pauseMs && conductor.takesClients(); waited += SETTLE_MS) {
             Thread.sleep(SETTLE_MS);
         }
+        history.add(new Observation.ReadingResumed(System.nanoTime(), id));
     }
 
     private void abandon(HttpConnection connection, String id) throws IOException, InterruptedException {
--- a/src/soak/java/copperbeam/soak/ConductorLife.java
+++ b/src/soak/java/copperbeam/soak/ConductorLife.java
@@ -95,7 +95,7 @@
         boolean ended = ConductorProcess.awaitEnd(process, killMs);
         furtherSignals.interrupt();
         if (!ended) {
-            site.history.add(new Observation.Overstayed(System.nanoTime(), conductor.name));
+            site.history.add(new Observation.Overstayed(System.nanoTime(), conductor.name, startNs));
             site.history.add(new Observation.Killed(System.nanoTime(), conductor.name));
             process.destroyForcibly().waitFor();
             return;
--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -22,6 +22,12 @@
     /** The client closed its connection before its answer. */
     record ClientGone(long at, String id) implements Observation {}
 
+    /** The client reads no more of an answer that has begun, until {@link ReadingResumed}. */
+    record ReadingPaused(long at, String id, String conductor) implements Observation {}
+
+    /** The client reads the answer again. */
+    record ReadingResumed(long at, String id) implements Observation {}
+
     /** The first byte of a request reached a server. */
     record AttemptOpened(long at, String id, String server, String conductor) implements Observation {}
 
@@ -72,8 +78,8 @@
     /** A conductor process exited without being killed; {@code requested}: after SIGTERM. */
     record Exited(long at, String conductor, int code, boolean requested, long sinceTermMs) implements Observation {}
 
-    /** A conductor process had not exited by the time the platform kills it after SIGTERM. */
-    record Overstayed(long at, String conductor) implements Observation {}
+    /** A conductor process had not exited by the time the platform kills it; {@code signaledAt}: the time of SIGTERM. */
+    record Overstayed(long at, String conductor, long signaledAt) implements Observation {}
 
     /** A conductor process was not ready in time after its start. */
     record NotReady(long at, String conductor, long afterMs) implements Observation {}
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -14,6 +14,8 @@
 import copperbeam.soak.Observation.NeverAnswered;
 import copperbeam.soak.Observation.NotReady;
 import copperbeam.soak.Observation.Overstayed;
+import copperbeam.soak.Observation.ReadingPaused;
+import copperbeam.soak.Observation.ReadingResumed;
 import copperbeam.soak.Observation.Sent;
 import copperbeam.soak.Observation.StateFreed;
 import copperbeam.soak.Observation.StateHeld;
@@ -57,6 +59,8 @@
     // the time announced to a server may exceed the client's remaining time by this
     private static final long DEADLINE_GRACE_MS = 150;
     private static final long KILL_NOTICE_MS = 300; // how long a client may take to notice a kill
+    // what the kill finds unanswered is lost if it was sent later in the stop than this
+    private static final long STOP_ACCEPT_MS = 700;
 
     private static final class Attempt {
         final AttemptArrived arrived;
@@ -78,6 +82,7 @@
 
     private static final class Request {
         Sent sent;
+        ReadingPaused readingPaused; // null: its client reads the answer
         Answered answered;
         ClientGone clientGone;
         final List<Attempt> attempts = new ArrayList<>();
@@ -133,6 +138,10 @@
             }
             request.sent = o;
             request.closedUnanswered = null; // the client has sent it again, as the conductor had not read it
+        } else if (observation instanceof ReadingPaused o) {
+            request(o.id()).readingPaused = o;
+        } else if (observation instanceof ReadingResumed o) {
+            request(o.id()).readingPaused = null;
         } else if (observation instanceof Answered o) {
             request(o.id()).answered = o;
         } else if (observation instanceof ClosedUnanswered o) {
@@ -177,13 +186,25 @@
                     Rule.CRASHED,
                     o.conductor(),
                     "exit code " + o.code() + (o.requested() ? " after SIGTERM" : ", not asked to"));
-        } else if (observation instanceof Overstayed o) {
+        } else if (observation instanceof Overstayed o && !owesUnreadAnswer(o)) {
             addViolation(Rule.OVERSTAYED, o.conductor(), "had not exited when it was killed after SIGTERM");
         } else if (observation instanceof NotReady o) {
             addViolation(Rule.NOT_READY, o.conductor(), "not ready after " + o.afterMs() + " ms");
         }
     }
 
+    /**
+     * Whether a client of the process had stopped reading its answer: it gets the rest up to the kill, which loses no request that
+     * was sent early in the stop.
+     */
+    private boolean owesUnreadAnswer(Overstayed overstayed) {
+        long lastSentAt = overstayed.signaledAt() + STOP_ACCEPT_MS * NANOS_PER_MS;
+        return requests.values().stream()
+                .anyMatch(request -> request.readingPaused != null
+                        && request.readingPaused.conductor().equals(overstayed.conductor())
+                        && request.sent.at() < lastSentAt);
+    }
+
     private void observeOpened(AttemptOpened opened) {
         request(opened.id()).opened.add(opened);
         Long announcedAt = drainAnnouncedAt.get(opened.conductor() + " " + opened.server());
