An open request counts for 96 KiB of the heap, as streams of long events take that much

What callers would see: nothing yet; close to a full heap, where a process loses the requests of all its connections. With a heap of 28 MB (memory_mb 88) 192 clients that paused in answers of 30 KB events left 26 of 27 MB live after a full collection, with 36 MB (96) 222 clients left 29 of 34 MB.

Cause: as many requests were open at once as the heap has room for at 64 KiB each; such a stream takes about 95 KB ((29 - 8 MB) / 222, (26 - 8 MB) / 192; says 96 KiB, the code had 64).

Why this works: fewer are open, the others get 503 as before. Heaps of 64 MB are limited by descriptors before that, so that nothing changes there.

--- a/src/main/java/copperbeam/program/Config.java
+++ b/src/main/java/copperbeam/program/Config.java
@@ -99,7 +99,7 @@
 
         private static final long HEAP_BYTES_BESIDE_CLIENTS = 10 << 20;
         private static final long HEAP_BYTES_PER_CLIENT =
-                64 * 1024; // with an open request whose answer it reads slowly
+                96 * 1024; // with an answer of long events that it reads slowly
 
         /**
          * Most client connections with an open request: a third of the descriptors, as each client's request needs a server
--- a/src/test/java/copperbeam/sockets/UnreadAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/UnreadAnswersTest.java
@@ -3,12 +3,14 @@
 import static copperbeam.sockets.Site.await;
 import static copperbeam.sockets.Site.forAttempts;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -136,13 +138,13 @@
         }
     }
 
-    private static ProcessSite startSite(int sockets) throws Exception {
+    private static ProcessSite startSite(int sockets, String... jvmOptions) throws Exception {
         return new ProcessSite(
                 3,
                 Site::answerAsReader,
                 forAttempts(UnreadAnswersTest::answerAtLength),
                 new ProcessSite.Limits(sockets, MEMORY_MB),
-                List.of());
+                List.of(jvmOptions));
     }
 
     @Test(dataProvider = "situations")
@@ -169,11 +171,16 @@
         }
     }
 
+    @DataProvider
+    public Object[][] heaps() {
+        return new Object[][] {{64}, {36}, {28}};
+    }
+
     /** Each event is nearly as long as one may be, so that the answers on their way pass the memory meant for them. */
-    @Test
-    public void noAnswerIsCutOffAsTooManyWaitForTheirClients() throws Exception {
+    @Test(dataProvider = "heaps")
+    public void noAnswerIsCutOffAsTooManyWaitForTheirClients(int heapMb) throws Exception {
         Situation pausing = new Situation("large events", MANY_SOCKETS, "", false, 2, 1800);
-        try (ProcessSite site = startSite(MANY_SOCKETS)) {
+        try (ProcessSite site = startSite(MANY_SOCKETS, "-Xmx" + heapMb + "m")) {
             List<Callable<String>> clients = new ArrayList<>();
             for (int i = 0; i < LARGE_EVENT_CLIENTS; i++) {
                 String request = request(false, 20 * LARGE_EVENT_BYTES, LARGE_EVENT_BYTES);
@@ -182,6 +189,8 @@
             Map<String, Integer> ends = runAll(clients);
             ends.remove("refused");
             assertEquals(ends.keySet(), Set.of("whole"), ends.toString());
+            String log = Files.readString(site.conductor.logFile);
+            assertFalse(log.contains("OutOfMemoryError"), log);
         }
     }
 
