--- a/review/src-2/PluginTable.java
+++ b/review/src-2/PluginTable.java
@@ -68,7 +68,7 @@
                             TIME_MS + LATE_MS);
                     rig.note("q" + n + ": " + seen);
                     served.addAndGet(seen.served() ? 1 : 0);
-                    lost.addAndGet(seen.answer() == null ? 1 : 0);
+                    lost.addAndGet(seen.silent() ? 1 : 0);
                     Rig.sleep(500);
                 }
             });
@@ -80,6 +80,9 @@
                 + (conductor.process.isAlive() ? "runs" : "has ended");
         rig.note(result);
         System.out.println(result);
+        if (served.get() == 0 && lost.get() == 0) {
+            throw new IllegalStateException("nothing was served");
+        }
         return lost.get() > 0 || !conductor.process.isAlive();
     }
 
--- a/review/src-2/PrefixFlood.java
+++ b/review/src-2/PrefixFlood.java
@@ -45,7 +45,7 @@
                             TIME_MS + LATE_MS);
                     rig.note("q" + n + ": " + seen);
                     served.addAndGet(seen.served() ? 1 : 0);
-                    if (seen.answer() == null) {
+                    if (seen.silent()) {
                         lost.incrementAndGet();
                         lostAfterwards.addAndGet(at > begin + CALM_MS + BAD_MS + 2000 ? 1 : 0);
                     }
@@ -78,6 +78,9 @@
                 + (conductor.process.isAlive() ? "runs" : "has ended");
         rig.note(result);
         System.out.println(result);
+        if (served.get() == 0 && lost.get() == 0) {
+            throw new IllegalStateException("nothing was served");
+        }
         return lost.get() > 0 || !conductor.process.isAlive();
     }
 
--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -545,8 +545,11 @@
         return platformRequest(id, requestClass, timeoutMs, 100, null, 100);
     }
 
-    /** What one client saw; {@code answer} is null where the connection ended without an answer, or none came in time. */
-    record Seen(Message answer, long afterMs, String failure) {
+    /**
+     * What one client saw. {@code answer}: null where the connection ended without one, or none came in time. {@code silent}: the
+     * request was written whole, and its connection stayed open without an answer.
+     */
+    record Seen(Message answer, long afterMs, String failure, boolean silent) {
         /** Whether the answer is a 200 that came to its end. */
         boolean served() {
             return answer != null && answer.status() == 200 && answer.whole();
@@ -563,14 +566,16 @@
     /** Sends one request on a new connection and reads its answer; {@code waitMs}: the longest pause without a byte. */
     Seen call(int port, String request, int waitMs) {
         long begin = ms();
+        boolean written = false;
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(HOST, port), 1000);
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(waitMs);
             send(socket, request);
-            return new Seen(Message.read(socket.getInputStream()), ms() - begin, null);
+            written = true;
+            return new Seen(Message.read(socket.getInputStream()), ms() - begin, null, false);
         } catch (IOException e) {
-            return new Seen(null, ms() - begin, e.toString());
+            return new Seen(null, ms() - begin, e.toString(), written && e instanceof java.net.SocketTimeoutException);
         }
     }
 }
--- a/review/src-2/StopLong.java
+++ b/review/src-2/StopLong.java
@@ -32,8 +32,8 @@
         Rig.sleep(300);
         rig.note("q1: " + seen[0]);
         System.out.println("q1: " + seen[0]);
-        if (seen[0] == null || writer.ran.isEmpty()) {
-            throw new IllegalStateException("no end of the answer");
+        if (seen[0] == null || seen[0].answer() == null || seen[0].answer().status() != 200 || writer.ran.isEmpty()) {
+            throw new IllegalStateException("no stream began, or it has no end");
         }
         return !seen[0].served();
     }
