A change in etcd is learnt in time, however late or broken the store's answers are

Cause: a watch was resumed after the revision in a response's header, which may be ahead of its events; and there was one call at a time, which a clock ended in whatever state it was, with nothing beside it. One entry that can't be read, a revision that went back or a list above 1 MiB hid all changes as well. Change: StreamWatchPlan decides, without I/O, which lists and watches are open: one call a second, in turn, none ended for one that hasn't been answered. An unreadable entry keeps its last form. The log says how old the list is. Limits on responses are those of a service, not of a model server: heads may pause, chunks be above 1 MiB. Why this works: a change is found by the first of an open watch, a new watch and a list, so a call that is late or silent takes nothing from the others.

--- a/src/main/java/copperbeam/program/Node.java
+++ b/src/main/java/copperbeam/program/Node.java
@@ -149,7 +149,8 @@
                         config.discoveryBackoff(),
                         config.discoveryPace())
                 : null;
-        source = etcd == null ? discovery : new EtcdMembership(scheduler, client, etcd.endpoint(), etcd.prefix());
+        source =
+                etcd == null ? discovery : new EtcdMembership(scheduler, client, clock, etcd.endpoint(), etcd.prefix());
         source.start(change -> {
             listSink.changed(change);
             onListReceived();
--- a/src/main/java/copperbeam/protocol/etcd/EtcdMembership.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdMembership.java
@@ -1,49 +1,61 @@
 package copperbeam.protocol.etcd;
 
-import copperbeam.Api.ListKind;
-import copperbeam.membership.WatchPlan;
+import copperbeam.membership.Backoff;
+import copperbeam.membership.StreamWatchPlan;
+import copperbeam.membership.StreamWatchPlan.Action;
 import copperbeam.protocol.HttpClient;
+import copperbeam.protocol.ProblemLog;
 import copperbeam.routing.Actor;
+import copperbeam.routing.FailureLog;
 import copperbeam.routing.MembershipSource;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import java.util.random.RandomGenerator;
 
-/**
- * Reads the server list from etcd: the full list by a range request, then changes by a watch from the next revision. A watch
- * that breaks is resumed after the last revision seen. If etcd has compacted that revision, the full list is read again.
- */
+/** Reads the server list from etcd: makes the calls that a {@link StreamWatchPlan} asks for. */
 public final class EtcdMembership implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(EtcdMembership.class.getName());
-    private static final HttpClient.Timeouts TIMEOUTS =
-            new HttpClient.Timeouts(WatchPlan.CONNECT_TIMEOUT, WatchPlan.MAX_POLL_WAIT);
-    private static final int MAX_BODY_BYTES = 1 << 20; // of a range response, in which keys and values are in base64
-    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration NO_SILENCE_TIMEOUT = Duration.ofDays(1); // the plan ends silent calls
+    private static final HttpClient.Timeouts TIMEOUTS = new HttpClient.Timeouts(CONNECT_TIMEOUT, NO_SILENCE_TIMEOUT);
+    private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(100);
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(1);
 
-    private sealed interface Message permits Start, RangeAnswered, WatchData, CallEnded, Retry, Stop {}
+    private static final Duration END_TIMEOUT =
+            Duration.ofSeconds(1); // from a complete list to the end of its response
 
-    private record Start(Sink sink) implements Message {}
+    private sealed interface Message permits Start, Responded, EndOverdue, Tick, Stop {}
 
-    private record RangeAnswered(int callId, HttpClient.FullResponse response) implements Message {}
+    private record Start(Sink sink) implements Message {}
 
-    private record WatchData(int callId, byte[] bytes) implements Message {}
+    private record Responded(int callId, EtcdResponse response) implements Message {}
 
-    private record CallEnded(int callId) implements Message {}
+    /** The response of a list call should have ended; {@code cancel} has no effect if it has. */
+    private record EndOverdue(Runnable cancel) implements Message {}
 
-    private record Retry() implements Message {}
+    private record Tick() implements Message {}
 
     private record Stop() implements Message {}
 
     private final class Watcher extends Actor<Message> {
+        private final StreamWatchPlan plan =
+                new StreamWatchPlan(new Backoff(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY, RandomGenerator.getDefault()));
+        private final Map<Integer, Runnable> openCalls = new HashMap<>(); // their cancellations
+        private final ProblemLog callProblems = new ProblemLog(LOG);
+        private final ProblemLog entryProblems = new ProblemLog(LOG);
+        private final ListAgeLog ageLog = new ListAgeLog(LOG, "etcd at " + endpoint);
         private Sink sink;
-        private boolean hasList;
         private boolean stopped;
-        private long revision;
-        private int currentCallId;
-        private EtcdWire.LineSplitter lineSplitter;
-        private Runnable cancel = () -> {};
 
         Watcher(ScheduledExecutorService scheduler) {
             super(scheduler);
@@ -51,133 +63,130 @@
 
         @Override
         protected void receive(Message message) {
-            if (message instanceof Stop) {
-                stopped = true;
-                cancel.run();
-            } else if (stopped) {
+            if (stopped) {
                 return;
-            } else if (message instanceof Start e) {
+            }
+            if (message instanceof Start e) {
                 sink = e.sink();
-                startCall();
-            } else if (message instanceof Retry) {
-                startCall();
-            } else if (message instanceof RangeAnswered e && e.callId() == currentCallId) {
-                retryIfMalformed(() -> onRangeAnswered(e));
-            } else if (message instanceof WatchData e && e.callId() == currentCallId) {
-                retryIfMalformed(() -> lineSplitter.add(e.bytes()).forEach(this::onWatchLine));
-            } else if (message instanceof CallEnded e && e.callId() == currentCallId) {
-                retryLater();
+                ageLog.started(clock.instant());
+            } else if (message instanceof Tick && sink != null) {
+                carryOut(plan.onTick(clock.instant()));
+                ageLog.check(plan.confirmedAt(), clock.instant());
+            } else if (message instanceof Responded e && openCalls.containsKey(e.callId())) {
+                carryOut(onResponse(e.callId(), e.response()));
+            } else if (message instanceof EndOverdue e) {
+                e.cancel().run();
+            } else if (message instanceof Stop) {
+                stopped = true;
+                openCalls.values().forEach(Runnable::run);
             }
         }
 
-        /** Runs the step. If it meets malformed data, ends the call and retries with the full list; the known list stays. */
-        private void retryIfMalformed(Runnable step) {
-            try {
-                step.run();
-            } catch (IllegalArgumentException e) {
-                LOG.warning("etcd: " + e.getMessage());
-                hasList = false;
-                retryLater();
+        private List<Action> onResponse(int callId, EtcdResponse response) {
+            if (response instanceof EtcdResponse.Listed e) {
+                tellLater(END_TIMEOUT, new EndOverdue(openCalls.remove(callId)));
+                callProblems.solved();
+                logEntryProblems(e.problems());
+                return plan.onListed(callId, e.listing(), clock.instant());
+            } else if (response instanceof EtcdResponse.Watched e) {
+                e.problems().forEach(this::logEntryProblem);
+                return plan.onWatchResponse(callId, e.response(), clock.instant());
+            } else if (response instanceof EtcdResponse.Compacted e) {
+                endFailedCall(callId, "the changes before revision " + e.compactRevision() + " are compacted");
+                return plan.onCompacted(callId, e.compactRevision(), clock.instant());
+            } else if (response instanceof EtcdResponse.Failed e) {
+                endFailedCall(callId, e.reason());
+                return plan.onFailure(callId, clock.instant());
             }
+            throw new AssertionError(response);
         }
 
-        private void retryLater() {
-            currentCallId++;
-            cancel.run();
-            tellLater(RETRY_DELAY, new Retry());
+        private void endFailedCall(int callId, String reason) {
+            cancelCall(callId);
+            callProblems.warn("etcd at " + endpoint + ": " + reason, "the server list is unchanged");
         }
 
-        private void startCall() {
-            int callId = ++currentCallId;
-            // Each call is replaced after this time, whatever became of it: one that hangs or trickles can't be told
-            // from one that has nothing to report. A watch resumes from its revision.
-            tellLater(WatchPlan.MAX_POLL_WAIT, new CallEnded(callId));
-            if (!hasList) {
-                cancel = client.fetch(
-                        endpoint,
-                        "POST",
-                        "/v3/kv/range",
-                        EtcdWire.rangeRequest(prefix),
-                        TIMEOUTS,
-                        MAX_BODY_BYTES,
-                        response -> tell(new RangeAnswered(callId, response)));
-                return;
+        private void logEntryProblems(List<String> problems) {
+            if (problems.isEmpty()) {
+                entryProblems.solved();
             }
-            lineSplitter = new EtcdWire.LineSplitter();
-            cancel = client.send(
-                    endpoint,
-                    "POST",
-                    "/v3/watch",
-                    EtcdWire.watchRequest(prefix, revision + 1),
-                    TIMEOUTS,
-                    new HttpClient.ResponseListener() {
-                        @Override
-                        public void head(int status) {
-                            if (status != 200) {
-                                tell(new CallEnded(callId));
-                            }
-                        }
-
-                        @Override
-                        public void data(byte[] bytes) {
-                            tell(new WatchData(callId, bytes));
-                        }
-
-                        @Override
-                        public void end() {
-                            tell(new CallEnded(callId));
-                        }
-
-                        @Override
-                        public void failed(String reason) {
-                            tell(new CallEnded(callId));
-                        }
-                    });
+            problems.forEach(this::logEntryProblem);
         }
 
-        private void onRangeAnswered(RangeAnswered message) {
-            if (message.response().status() != 200) {
-                throw new IllegalArgumentException(
-                        message.response().status() == 0
-                                ? message.response().failure()
-                                : "status " + message.response().status());
+        private void logEntryProblem(String problem) {
+            entryProblems.warn("etcd at " + endpoint + ": " + problem, "this server's entry is unchanged");
+        }
+
+        private void carryOut(List<Action> actions) {
+            for (Action action : actions) {
+                if (action instanceof StreamWatchPlan.Publish publish) {
+                    publish(publish.change());
+                } else if (action instanceof StreamWatchPlan.CancelCall cancel) {
+                    cancelCall(cancel.callId());
+                } else if (action instanceof StreamWatchPlan.StartList list) {
+                    startCall(
+                            list.callId(),
+                            "/v3/kv/range",
+                            EtcdWire.rangeRequest(prefix),
+                            ResponseReader.ofList(prefix, response -> tell(new Responded(list.callId(), response))));
+                } else if (action instanceof StreamWatchPlan.StartWatch watch) {
+                    startCall(
+                            watch.callId(),
+                            "/v3/watch",
+                            EtcdWire.watchRequest(prefix, watch.fromRevision()),
+                            ResponseReader.ofWatch(prefix, response -> tell(new Responded(watch.callId(), response))));
+                }
             }
-            EtcdWire.Listing listing =
-                    EtcdWire.parseListing(prefix, message.response().body());
-            hasList = true;
-            revision = listing.revision();
-            sink.changed(new Change(ListKind.FULL, listing.entries()));
-            startCall();
         }
 
-        private void onWatchLine(byte[] line) {
-            if (line.length == 0) {
-                return;
+        private void startCall(int callId, String target, byte[] body, ResponseReader reader) {
+            openCalls.put(callId, () -> {});
+            try {
+                openCalls.put(callId, client.send(endpoint, "POST", target, body, TIMEOUTS, reader));
+            } catch (RuntimeException | Error e) {
+                FailureLog.severe(LOG, () -> "a call to etcd could not be made", e);
+                tell(new Responded(callId, new EtcdResponse.Failed("no call could be made")));
             }
-            EtcdWire.Change change = EtcdWire.parseWatchLine(prefix, line);
-            if (change.ended()) {
-                // compacted: the changes in between are no longer available
-                hasList = false;
-                retryLater();
-                return;
+        }
+
+        private void cancelCall(int callId) {
+            Runnable cancel = openCalls.remove(callId);
+            if (cancel != null) {
+                cancel.run();
             }
-            List<Entry> entries = change.entries();
-            if (!entries.isEmpty()) {
-                revision = Math.max(revision, change.revision());
-                sink.changed(new Change(ListKind.DELTA, entries));
+        }
+
+        /** A change that can't be passed on is published again with the next list. */
+        private void publish(Change change) {
+            try {
+                sink.changed(change);
+            } catch (RuntimeException | Error e) {
+                plan.publishAgain();
+                FailureLog.severe(LOG, () -> "the server list could not be passed on", e);
             }
         }
     }
 
+    private final ScheduledExecutorService scheduler;
     private final HttpClient client;
+    private final Clock clock;
     private final InetSocketAddress endpoint;
     private final String prefix;
     private final Watcher watcher;
+    private volatile Future<?> ticks = CompletableFuture.completedFuture(null);
 
-    /** {@code prefix}: of the keys of all servers; ends in a slash. */
+    /**
+     * {@code clock}: must not step; {@code prefix}: of the keys of all servers; ends in a slash.
+     */
     public EtcdMembership(
-            ScheduledExecutorService scheduler, HttpClient client, InetSocketAddress endpoint, String prefix) {
+            ScheduledExecutorService scheduler,
+            HttpClient client,
+            Clock clock,
+            InetSocketAddress endpoint,
+            String prefix) {
+        this.scheduler = scheduler;
         this.client = client;
+        this.clock = clock;
         this.endpoint = endpoint;
         this.prefix = prefix;
         watcher = new Watcher(scheduler);
@@ -186,10 +195,20 @@
     @Override
     public void start(Sink sink) {
         watcher.tell(new Start(sink));
+        ticks = scheduler.scheduleWithFixedDelay(this::tick, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        try {
+            watcher.tell(new Tick());
+        } catch (Error e) { // after which the executor would run no further tick
+            FailureLog.severe(LOG, () -> "the watch on etcd was held up", e);
+        }
     }
 
     @Override
     public void stop() {
+        ticks.cancel(false);
         watcher.tell(new Stop());
     }
 }
--- a/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
@@ -1,39 +1,23 @@
 package copperbeam.protocol.etcd;
 
-import com.google.gson.JsonParseException;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import copperbeam.membership.StreamWatchPlan.ServerUpdate;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
 import copperbeam.routing.MembershipSource.Entry;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Base64;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 
 /** Builds and parses the bodies of etcd's JSON gateway, where keys and values are in base64 and 64-bit numbers are strings. */
 final class EtcdWire {
     private EtcdWire() {}
 
-    private record Header(long revision) {}
-
-    private record KeyValue(String key, String value) {}
-
-    private record Event(String type, KeyValue kv) {}
-
-    private record RangeAnswer(Header header, List<KeyValue> kvs) {}
-
-    private record WatchResult(
-            Header header, boolean created, boolean canceled, long compact_revision, List<Event> events) {}
-
-    private record WatchLine(WatchResult result, Object error) {}
-
-    /** The servers under a prefix at a revision. */
-    record Listing(long revision, List<Entry> entries) {}
-
-    /** One line of a watch. {@code ended}: the watch has ended, for example because of a compaction. */
-    record Change(long revision, boolean ended, List<Entry> entries) {}
+    /** A key and its value as a server's state. {@code problem}: why the entry can't be read, or null. */
+    record ParsedKey(ServerUpdate update, String problem) {}
 
     static byte[] rangeRequest(String prefix) {
         return utf8(Json.GSON.toJson(keyRange(prefix)));
@@ -51,92 +35,97 @@
 
     private static Map<String, Object> keyRange(String prefix) {
         byte[] rangeEnd = utf8(prefix);
-        rangeEnd[
-                rangeEnd.length
-                        - 1]++; // the first key after all with this prefix; no overflow, as the prefix ends in a slash
+        // the first key after all with this prefix; no overflow, as the prefix ends in a slash
+        rangeEnd[rangeEnd.length - 1]++;
         Map<String, Object> keyRange = new LinkedHashMap<>();
         keyRange.put("key", Base64.getEncoder().encodeToString(utf8(prefix)));
         keyRange.put("range_end", Base64.getEncoder().encodeToString(rangeEnd));
         return keyRange;
     }
 
-    /** Parses the response to a range request; throws {@link IllegalArgumentException} if it is malformed. */
-    static Listing parseListing(String prefix, byte[] body) {
-        RangeAnswer answer = parse(body, RangeAnswer.class);
-        if (answer == null || answer.header == null) {
-            throw new IllegalArgumentException("range response without a revision");
-        }
-        List<Entry> entries = new ArrayList<>();
-        for (KeyValue kv : answer.kvs == null ? List.<KeyValue>of() : answer.kvs) {
-            entries.add(parseEntry(prefix, kv, false));
+    /** The revision in the header of a response; 0 if there is none. */
+    static long storeRevision(JsonObject response) {
+        JsonElement header = response.get("header");
+        return header != null && header.isJsonObject() ? wholeNumber(header.getAsJsonObject(), "revision") : 0;
+    }
+
+    /** A number, plain or in quotes; 0 if it is absent. Throws {@link IllegalArgumentException} if it is none. */
+    static long wholeNumber(JsonObject object, String name) {
+        JsonPrimitive value = primitive(object, name);
+        try {
+            return value == null ? 0 : value.getAsBigDecimal().longValueExact();
+        } catch (ArithmeticException | NumberFormatException e) {
+            throw new IllegalArgumentException(name + " is not a whole number", e);
         }
-        return new Listing(answer.header.revision, entries);
     }
 
-    /** Parses one line of a watch; throws {@link IllegalArgumentException} if it is malformed or reports an error. */
-    static Change parseWatchLine(String prefix, byte[] line) {
-        WatchLine watchLine = parse(line, WatchLine.class);
-        if (watchLine == null || watchLine.error != null || watchLine.result == null) {
-            throw new IllegalArgumentException("the watch failed: " + (watchLine == null ? "" : watchLine.error));
+    static boolean isTrue(JsonObject object, String name) {
+        JsonPrimitive value = primitive(object, name);
+        return value != null && value.getAsBoolean();
+    }
+
+    /** A text; empty if it is absent. */
+    static String text(JsonObject object, String name) {
+        JsonPrimitive value = primitive(object, name);
+        return value == null ? "" : value.getAsString();
+    }
+
+    private static JsonPrimitive primitive(JsonObject object, String name) {
+        JsonElement value = object.get(name);
+        if (value == null || value.isJsonNull()) {
+            return null;
         }
-        WatchResult result = watchLine.result;
-        List<Entry> entries = new ArrayList<>();
-        for (Event event : result.events == null ? List.<Event>of() : result.events) {
-            if (event.kv == null) {
-                throw new IllegalArgumentException("watch event without a key");
-            }
-            entries.add(parseEntry(prefix, event.kv, "DELETE".equals(event.type)));
+        if (!value.isJsonPrimitive()) {
+            throw new IllegalArgumentException(name + " is not a simple value");
+        }
+        return value.getAsJsonPrimitive();
+    }
+
+    /** Parses an event of a watch; throws {@link IllegalArgumentException} if it names no server. */
+    static ParsedKey parseEvent(String prefix, JsonElement event) {
+        JsonObject eventObject = ServerList.requireObject(event, "an event");
+        JsonElement keyValue = eventObject.get("kv");
+        if (keyValue == null) {
+            throw new IllegalArgumentException("an event without a key");
         }
-        return new Change(
-                result.header == null ? 0 : result.header.revision,
-                result.canceled || result.compact_revision > 0,
-                entries);
+        return parseKeyValue(prefix, keyValue, text(eventObject, "type").equals("DELETE"));
     }
 
-    private static <T> T parse(byte[] body, Class<T> type) {
+    /**
+     * Parses a key and its value. The rest of the key after the prefix is the server's id; the value is its entry in the
+     * format of platform discovery. Throws {@link IllegalArgumentException} if it names no server.
+     */
+    static ParsedKey parseKeyValue(String prefix, JsonElement keyValue, boolean isDeleted) {
+        JsonObject object = ServerList.requireObject(keyValue, "a key");
+        String key = decode(text(object, "key"));
+        String server = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
+        if (server.isEmpty()) {
+            throw new IllegalArgumentException("the key " + key + " names no server");
+        }
+        long revision = revisionOrZero(object);
         try {
-            return Json.GSON.fromJson(new String(body, StandardCharsets.UTF_8), type);
-        } catch (JsonParseException e) {
-            throw new IllegalArgumentException(
-                    "unexpected format of the JSON gateway's response: " + e.getMessage(), e);
+            Entry entry = isDeleted ? ServerList.leftEntry(server) : parseEntry(server, text(object, "value"));
+            return new ParsedKey(new ServerUpdate(server, entry, revision), null);
+        } catch (RuntimeException e) { // whatever is wrong with it, the other entries count
+            return new ParsedKey(new ServerUpdate(server, null, revision), "the key " + key + ": " + e.getMessage());
         }
     }
 
-    private static String decode(String base64) {
-        return new String(Base64.getDecoder().decode(base64 == null ? "" : base64), StandardCharsets.UTF_8);
+    /** The revision of a key's last change; 0 if it is absent or no number. */
+    private static long revisionOrZero(JsonObject keyValue) {
+        try {
+            return wholeNumber(keyValue, "mod_revision");
+        } catch (IllegalArgumentException e) {
+            return 0;
+        }
     }
 
-    /** The rest of the key after the prefix is the server's id; the value is its entry in the format of platform discovery. */
-    private static Entry parseEntry(String prefix, KeyValue kv, boolean deleted) {
-        String key = decode(kv.key);
-        String id = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
-        return deleted
-                ? ServerList.leftEntry(id)
-                : ServerList.parseEntry(
-                        id, ServerList.requireObject(Json.parseStrict(decode(kv.value)), "the entry of server " + id));
+    private static Entry parseEntry(String server, String value) {
+        JsonElement entry = Json.parseStrict(decode(value));
+        return ServerList.parseEntry(server, ServerList.requireObject(entry, "the entry"));
     }
 
-    /** Splits a stream into lines; an incomplete line is kept until the rest of it comes. */
-    static final class LineSplitter {
-        private static final int MAX_LINE_BYTES = 1 << 20;
-        private byte[] incompleteLine = {};
-
-        List<byte[]> add(byte[] bytes) {
-            byte[] joined = Arrays.copyOf(incompleteLine, incompleteLine.length + bytes.length);
-            System.arraycopy(bytes, 0, joined, incompleteLine.length, bytes.length);
-            List<byte[]> lines = new ArrayList<>();
-            int lineStart = 0;
-            for (int i = 0; i < joined.length; i++) {
-                if (joined[i] == '\n') {
-                    lines.add(Arrays.copyOfRange(joined, lineStart, i));
-                    lineStart = i + 1;
-                }
-            }
-            incompleteLine = Arrays.copyOfRange(joined, lineStart, joined.length);
-            if (incompleteLine.length > MAX_LINE_BYTES) {
-                throw new IllegalArgumentException("line too long");
-            }
-            return lines;
-        }
+    private static String decode(String base64) {
+        return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
     }
 }
--- a/src/main/java/copperbeam/protocol/etcd/package-info.java
+++ b/src/main/java/copperbeam/protocol/etcd/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Reads the server list from etcd through its JSON gateway: a range request, then a watch from the next revision.
+ * Reads the server list from etcd through its JSON gateway, by range requests and watches.
  */
 package copperbeam.protocol.etcd;
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -57,6 +57,11 @@
         void opened(IOSession session);
 
         void closed();
+
+        /** The limits on responses on this connection. */
+        default ResponseLimits limits() {
+            return ResponseLimits.OF_SERVERS;
+        }
     }
 
     /** Counts the connection, and keeps Errors of the wrapped listener from the reactor's thread, which they would end. */
@@ -81,6 +86,11 @@
             }
         }
 
+        @Override
+        public ResponseLimits limits() {
+            return listener.limits();
+        }
+
         @Override
         public void closed() {
             if (counted.getAndSet(false)) {
@@ -94,13 +104,11 @@
         }
     }
 
-    private static final int MAX_CHUNK_BYTES = 1 << 20;
     private static final int BUFFER_BYTES = 4096;
     private static final int MAX_READ_BYTES_PER_TURN = BUFFER_BYTES; // per connection; exceeds the window at most
     private static final int MAX_TURNS_TO_READ_ALL =
             64; // of MAX_READ_BYTES_PER_TURN each, before the task of runAfterReading runs
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024; // of the kernel, for each connection
-    private static final Duration HEAD_TIMEOUT = Duration.ofMillis(800); // for the next byte of a head that has begun
     private static final Http1Config CONFIG = Http1Config.custom()
             .setBufferSize(BUFFER_BYTES)
             .setInitialWindowSize(ClientExchange.WINDOW_BYTES)
@@ -153,15 +161,17 @@
     static Handler newHandler(ProtocolIOSession session, SessionListener listener) {
         BoundedParser<HttpResponse> parser =
                 new BoundedParser<>(new DefaultHttpResponseParserFactory(CONFIG).create(), false);
-        return new Handler(new Duplexer(session, parser), parser, session, listener);
+        ResponseLimits limits = listener.limits();
+        return new Handler(new Duplexer(session, parser, limits), parser, session, listener, limits);
     }
 
     private static final class Duplexer extends ClientHttp1StreamDuplexer {
         private final Chunks.ReadBudget readBudget = new Chunks.ReadBudget(MAX_READ_BYTES_PER_TURN);
+        private final ResponseLimits limits;
         private Chunks.Decoder chunkDecoder;
         private SessionOutputBuffer outputBuffer;
 
-        Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser) {
+        Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser, ResponseLimits limits) {
             super(
                     session,
                     PROCESSOR,
@@ -173,6 +183,7 @@
                     null,
                     null,
                     null);
+            this.limits = limits;
         }
 
         @Override
@@ -183,7 +194,7 @@
                 return super.createContentDecoder(length, channel, buffer, metrics);
             }
             chunkDecoder = Chunks.decoder(
-                    channel, buffer, CONFIG, metrics, MAX_CHUNK_BYTES, Chunks.UNLIMITED_FRAMING, readBudget);
+                    channel, buffer, CONFIG, metrics, limits.maxChunkBytes(), Chunks.UNLIMITED_FRAMING, readBudget);
             return chunkDecoder;
         }
 
@@ -217,6 +228,7 @@
         private final BoundedParser<HttpResponse> parser;
         private final ProtocolIOSession session;
         private final SessionListener listener;
+        private final Duration headTimeout;
         private volatile ClientExchange exchange;
         private final AtomicReference<Runnable> afterReading = new AtomicReference<>();
         private Long headProgressNanos; // System.nanoTime when a partial head last grew; null if there is none
@@ -229,12 +241,14 @@
                 Duplexer duplexer,
                 BoundedParser<HttpResponse> parser,
                 ProtocolIOSession session,
-                SessionListener listener) {
+                SessionListener listener,
+                ResponseLimits limits) {
             super(duplexer);
             this.duplexer = duplexer;
             this.parser = parser;
             this.session = session;
             this.listener = listener;
+            headTimeout = limits.headTimeout();
         }
 
         void startExchange(ClientExchange next) {
@@ -382,7 +396,7 @@
             } else if (headProgressNanos == null) {
                 noteHeadProgress();
                 usualTimeout = session.getSocketTimeout();
-                session.setSocketTimeout(Timeout.of(HEAD_TIMEOUT));
+                session.setSocketTimeout(Timeout.of(headTimeout));
             } else if (headProgressBytes != receivedBytes()) {
                 noteHeadProgress();
             } else if (isHeadOverdue()) {
@@ -396,7 +410,7 @@
         }
 
         private boolean isHeadOverdue() {
-            return headProgressNanos != null && System.nanoTime() - headProgressNanos > HEAD_TIMEOUT.toNanos();
+            return headProgressNanos != null && System.nanoTime() - headProgressNanos > headTimeout.toNanos();
         }
 
         /**
--- a/src/main/java/copperbeam/transport/PlainHttpClient.java
+++ b/src/main/java/copperbeam/transport/PlainHttpClient.java
@@ -79,6 +79,11 @@
                 execute(call, session, method, target, body, false);
             }
 
+            @Override
+            public ResponseLimits limits() {
+                return ResponseLimits.ofService(call.timeouts.silenceTimeout());
+            }
+
             @Override
             public void closed() {
                 if (!wasOpened.get()) {
--- a/src/test/java/copperbeam/sockets/EtcdMembershipTest.java
+++ b/src/test/java/copperbeam/sockets/EtcdMembershipTest.java
@@ -2,6 +2,7 @@
 
 import static copperbeam.sockets.Site.await;
 import static copperbeam.sockets.Site.request;
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import copperbeam.program.Config;
@@ -92,6 +93,43 @@
         }
     }
 
+    /** Guards against a watch that is resumed after the store's revision, and so skips events that a break has cut off. */
+    @Test
+    public void aWatchThatBreaksBetweenTwoEventsLosesNone() throws Exception {
+        LinkedBlockingQueue<String> firstWatch = new LinkedBlockingQueue<>();
+        LinkedBlockingQueue<String> rangeAnswers = new LinkedBlockingQueue<>();
+        try (StandIn etcd = new StandIn((request, connection) -> {
+            if (request.path().equals("/v3/kv/range")) {
+                connection.respond(200, rangeAnswers.take()); // the first one only; others find no answer
+                return;
+            }
+            connection.beginStream().sendChunk("{\"result\":{\"header\":{\"revision\":\"7\"},\"created\":true}}\n");
+            if (request.text().contains("\"start_revision\":\"8\"")) {
+                connection.sendChunk(firstWatch.take());
+                Thread.sleep(100);
+                connection.reset();
+            } else if (request.text().contains("\"start_revision\":\"9\"")) {
+                connection.sendChunk(watchLine(9, deletion("s2", 9)));
+            }
+            Thread.sleep(10_000);
+        })) {
+            try (Site site = new Site(1, 1, 30, new Config.Etcd(etcd.address(), PREFIX), List.of())) {
+                String reader = keyValueJson(site.readers.get(0), "prefill", "active");
+                String writer = keyValueJson(site.writers.get(0), "decode", "active");
+                rangeAnswers.add("{\"header\":{\"revision\":\"7\"},\"kvs\":[" + reader + "," + writer + "]}");
+                awaitStatus(site, 200);
+                firstWatch.add(watchLine(9, deletion("s1", 8))); // the store has revision 9 already
+                await("watches from the revision after the event's", () -> countWatches(etcd, 9) > 0);
+                assertEquals(countWatches(etcd, 10), 0);
+            }
+        }
+    }
+
+    private static String deletion(String server, int revision) {
+        return "{\"type\":\"DELETE\",\"kv\":{\"key\":\"" + base64(PREFIX + server) + "\",\"mod_revision\":\"" + revision
+                + "\"}}";
+    }
+
     private static long countWatches(StandIn etcd, int startRevision) {
         return etcd.count(request -> request.path().equals("/v3/watch")
                 && request.text().contains("\"start_revision\":\"" + startRevision + "\"")
