Discovery: a late answer ends no later call, and a call that may wait has 6 s beyond its wait

Callers saw: with a discovery that is asked and answers after 3.5 s, a drain was applied after 6.93 s of 6.85 allowed. Change: an answer ends earlier calls only; StartCall.timeout is the wait and 6 s. The log of problems stands once, in ProblemLog. Why this works: what a late answer can't know yet comes with the later call, which goes on.

--- a/src/main/java/copperbeam/membership/WatchPlan.java
+++ b/src/main/java/copperbeam/membership/WatchPlan.java
@@ -34,7 +34,12 @@
      * @param maxWait how long the service may wait for a change before it answers
      */
     public record StartCall(int callId, InetSocketAddress address, long sinceVersion, Duration maxWait)
-            implements Action {}
+            implements Action {
+        /** How long after its start the call is of no use any more; an answer may be late beyond the wait. */
+        public Duration timeout() {
+            return maxWait.plus(INFORMED_AFTER);
+        }
+    }
 
     /** Cancels a call, whose answer is no longer needed. */
     public record CancelCall(int callId) implements Action {}
@@ -109,7 +114,8 @@
         boolean minIntervalPassed; // MIN_CALL_INTERVAL has passed since the newest call
         boolean nextCallDeferred; // the next call is due once minIntervalPassed
         final List<Integer> openCalls = new ArrayList<>();
-        int newestCall; // the newest call; all other open calls have timed out
+        int newestCall; // the newest call; all other open calls have timed out, or were begun before a late answer
+        boolean newestWaits; // the newest call may wait for a change
 
         AddressState(InetSocketAddress address, int source) {
             this.address = address;
@@ -207,7 +213,7 @@
                 listing.version() > address.version && !listing.entries().isEmpty();
         address.openCalls.remove((Integer) callId);
         address.failures = 0;
-        cancelAll(address);
+        cancelOlder(address, callId);
         if (!listing.full() && listing.version() < address.version) {
             address.hasList = false; // the service has restarted: its changes refer to a list that we don't have
             hasNews = true;
@@ -227,8 +233,9 @@
                 startTimer(Duration.between(now, nextDueAt), TimerKind.HELD_ENTRIES, null, 0);
             }
         }
-        address.nextCallDeferred = !hasNews && !address.minIntervalPassed;
-        if (!address.nextCallDeferred) {
+        boolean isWaiting = address.newestWaits && address.openCalls.contains(address.newestCall);
+        address.nextCallDeferred = !isWaiting && !hasNews && !address.minIntervalPassed;
+        if (!isWaiting && !address.nextCallDeferred) {
             startCall(address);
         }
         return takeActions();
@@ -313,6 +320,7 @@
         address.nextCallDeferred = false;
         Duration pollWait = address.failures == 0 ? pace.pollWait() : RETRY_POLL_WAIT;
         Duration maxWait = address.hasList ? pollWait : Duration.ZERO;
+        address.newestWaits = address.hasList && address.failures == 0;
         Duration silenceTimeout = address.hasList ? pace.silenceTimeout() : SILENCE_TIMEOUT;
         actions.add(new StartCall(callId, address.address, address.hasList ? address.version : -1, maxWait));
         startTimer(MIN_CALL_INTERVAL, TimerKind.MIN_INTERVAL, address, callId);
@@ -353,6 +361,15 @@
         timers.values().removeIf(t -> t.address() == address);
     }
 
+    /** Cancels the calls that began before this one; the answers of later ones may have changes that this one's hasn't. */
+    private void cancelOlder(AddressState address, int callId) {
+        for (int openCall : List.copyOf(address.openCalls)) {
+            if (openCall < callId) {
+                cancel(address, openCall);
+            }
+        }
+    }
+
     private void cancelAll(AddressState address) {
         while (!address.openCalls.isEmpty()) {
             cancel(address, address.openCalls.get(0));
--- a/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/copperbeam/protocol/discovery/DiscoveryWatch.java
@@ -5,6 +5,7 @@
 import copperbeam.membership.WatchPlan;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.HttpClient;
+import copperbeam.protocol.ProblemLog;
 import copperbeam.routing.Actor;
 import copperbeam.routing.FailureLog;
 import copperbeam.routing.MembershipSource;
@@ -14,11 +15,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -28,11 +27,7 @@
 /** Reads the server list from the platform's discovery service: makes the calls that a {@link WatchPlan} asks for. */
 public final class DiscoveryWatch implements MembershipSource {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
-    private static final HttpClient.Timeouts TIMEOUTS =
-            new HttpClient.Timeouts(WatchPlan.CONNECT_TIMEOUT, WatchPlan.INFORMED_AFTER);
     private static final Duration PROGRESS_CHECK_INTERVAL = Duration.ofSeconds(1);
-    private static final int MAX_LOGGED_PROBLEMS = 16; // distinct log lines between two good responses
-    private static final int MAX_PROBLEM_CHARS = 200; // as the text may come from a response
 
     private sealed interface Message permits SetAddress, CallAnswered, CallTimedOut, TimerFired, CheckProgress, Stop {}
 
@@ -55,7 +50,7 @@
         private final WatchPlan plan;
         private final WatchPace pace;
         private final Map<Integer, OpenCall> openCalls = new HashMap<>();
-        private final Set<String> loggedProblems = new HashSet<>(); // since the last good response
+        private final ProblemLog problems = new ProblemLog(LOG);
         private Sink sink;
         private Instant lastCallAt; // when the newest call began; null before the first
         private boolean stopped;
@@ -123,7 +118,7 @@
                         && actions.stream().noneMatch(WatchPlan.Publish.class::isInstance)) {
                     logProblem(request, "the list is empty, although servers were known before");
                 } else {
-                    loggedProblems.clear();
+                    problems.solved();
                 }
                 return actions;
             } catch (IllegalArgumentException problem) {
@@ -137,13 +132,8 @@
             return plan.onFailure(request.callId(), versionGone);
         }
 
-        /** Logs each distinct problem once, because in an outage about ten calls per second may fail for the same reason. */
         private void logProblem(WatchPlan.StartCall request, String problem) {
-            String line = "discovery at " + request.address() + ": " + problem.replaceAll("\\p{Cntrl}", " ");
-            if (loggedProblems.size() < MAX_LOGGED_PROBLEMS && loggedProblems.add(line)) {
-                LOG.warning(line.substring(0, Math.min(MAX_PROBLEM_CHARS, line.length()))
-                        + "; the server list is unchanged");
-            }
+            problems.warn("discovery at " + request.address() + ": " + problem, "the server list is unchanged");
         }
 
         private void carryOut(List<WatchPlan.Action> actions) {
@@ -201,12 +191,10 @@
                                     "GET",
                                     target,
                                     null,
-                                    TIMEOUTS,
+                                    new HttpClient.Timeouts(WatchPlan.CONNECT_TIMEOUT, request.timeout()),
                                     HttpCall.MAX_BODY_BYTES,
                                     response -> tell(new CallAnswered(request.callId(), response)))));
-            tellLater(
-                    WatchPlan.INFORMED_AFTER,
-                    new CallTimedOut(request.callId())); // also ends a call that trickles bytes
+            tellLater(request.timeout(), new CallTimedOut(request.callId())); // also ends a call that trickles bytes
         }
     }
 
--- a/src/test/java/copperbeam/membership/OneClockTest.java
+++ b/src/test/java/copperbeam/membership/OneClockTest.java
@@ -180,6 +180,11 @@
                                         entries(drains ? "a-0" : startCall.sinceVersion() < 0 ? "a+0" : "")));
                     }
                 });
+                schedule(now + (int) startCall.timeout().toMillis(), () -> {
+                    if (openCalls.remove(startCall.callId()) != null) {
+                        carryOut(plan.onFailure(startCall.callId(), false));
+                    }
+                });
             }
         }
 
@@ -271,6 +276,24 @@
         }
     }
 
+    @DataProvider
+    public Object[][] lateAnswers() {
+        return new Object[][] {{true, 1000}, {false, 1500}, {false, 3500}, {false, 5000}};
+    }
+
+    /** Guards against a service that is late with each answer, and whose calls are all given up before they are answered. */
+    @Test(dataProvider = "lateAnswers")
+    public void aDrainFromASlowServiceIsAppliedInTime(boolean pushed, int answerMs) {
+        Outage none = new Outage(false, NEVER_MS, 0);
+        for (int drainAt = 200; drainAt < 40_000; drainAt += 130) {
+            Scenario scenario = new Scenario(pushed, false, none, none, false, answerMs, drainAt);
+            Simulation simulation = new Simulation(scenario);
+            assertTrue(
+                    simulation.appliedAt <= Math.max(drainAt, pushed ? answerMs : 0) + 6000 + GRACE_MS,
+                    scenario + ": drain applied at " + simulation.appliedAt);
+        }
+    }
+
     @DataProvider
     public Object[][] modes() {
         return new Object[][] {{true, false}, {true, true}, {false, false}, {false, true}};
