A connection that ended before its last byte is replaced by one that tells its server 0.3 s less

Callers saw: 503 for requests that servers would have run, from a process that is short of CPU. Cause: the last byte is withheld where it would leave over 0.1 s after its head, as the head has told the time left; a process too slow for it on one connection is too slow on the next, three times over. Change: each further connection of an attempt tells 0.3 s less for each one before it, a quarter of the time left at most. Why this works: a last byte may then leave that much later, and what is told is never above what is left. Result: ReconnectTest and AttemptTimeTest#aHeadWithAMarginIsFollowedByALateLastByte failed before.

--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -74,7 +74,9 @@
      * One attempt of a client's request. The suppliers are called on the transport's thread.
      *
      * @param atReader the server acts as a reader, and only a reader's answer is valid
-     * @param timeLeft the remaining timeout that the server is told; evaluated when the head is sent
+     * @param timeLeft the remaining timeout; evaluated when the head is sent, and again when the last byte is
+     * @param timeoutMargin by how much the server is told less than {@code timeLeft}, so that the last byte may be sent that much
+     *     later than the head
      * @param holdLastByte hold back the last byte until {@link Connection#sendLastByte}; if the connection ends before
      *     that, nothing has run
      * @param maySendHead evaluated before the head is sent; if false, the connection is broken instead
@@ -84,6 +86,7 @@
             RequestSpec spec,
             boolean atReader,
             Supplier<Duration> timeLeft,
+            Duration timeoutMargin,
             boolean holdLastByte,
             BooleanSupplier maySendHead,
             BooleanSupplier maySendLastByte)
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -162,6 +162,9 @@
     // take effect
     private static final Duration MAX_DISPATCH_DELAY = Duration.ofMillis(500);
     private static final int MAX_NEW_CONNECTIONS_PER_CALL = 3; // new connections that one call may use up
+    private static final Duration TIMEOUT_MARGIN_PER_CONNECTION =
+            Duration.ofMillis(300); // for each of the call's connections that ended before the last byte
+    private static final int MIN_TIME_LEFT_PER_MARGIN = 4; // a margin takes at most a quarter of the time left
     private static final Duration RESET_CHECK_INTERVAL = Duration.ofMillis(1);
     private static final int MAX_RESET_CHECKS =
             250; // about 250 ms: a stalled reactor must not delay the outcome longer
@@ -390,6 +393,18 @@
         return () -> !draining && !setup.clock().instant().isAfter(dispatchedAt.plus(MAX_DISPATCH_DELAY));
     }
 
+    /**
+     * By how much less than its time left the server is told: nothing on the first connection, and more on each further one.
+     * When this process gets little CPU, the last byte may leave so long after the head that the head's timeout is outdated,
+     * which ends the connection; without a margin, the next one would end in the same way.
+     */
+    private Duration timeoutMargin(ServerCall serverCall, Send send) {
+        Duration margin = TIMEOUT_MARGIN_PER_CONNECTION.multipliedBy(serverCall.unsentCount);
+        Duration largest =
+                Duration.between(setup.clock().instant(), send.expiresAt()).dividedBy(MIN_TIME_LEFT_PER_MARGIN);
+        return margin.compareTo(largest) < 0 ? margin : largest;
+    }
+
     private void recordStep(Recorder.EventType event, ServerCall serverCall, String text, Duration duration) {
         if (serverCall.command instanceof Send send) {
             setup.recorder().note(event, send.request(), send.attempt(), id, text, duration);
@@ -408,6 +423,7 @@
                     send.spec(),
                     send.atReader(),
                     () -> Duration.between(setup.clock().instant(), send.expiresAt()),
+                    timeoutMargin(serverCall, send),
                     send.atMostOnce() || serverCall.connectionReused,
                     headCheck(setup.clock().instant()),
                     () -> send.maySend(setup.clock().instant()));
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -229,7 +229,7 @@
         /** Sets X-Timeout as late as possible, since the call may have waited for the reactor's thread. */
         @Override
         void prepareHead(HttpRequest head) {
-            timeoutSent = call.timeLeft().get();
+            timeoutSent = call.timeLeft().get().minus(call.timeoutMargin());
             head.setHeader("X-Timeout", PlatformHeaders.formatTimeout(timeoutSent));
         }
 
--- a/src/test/java/copperbeam/model/ReconnectTest.java
+++ b/src/test/java/copperbeam/model/ReconnectTest.java
@@ -24,6 +24,7 @@
     private static final Duration TIMEOUT = Duration.ofMillis(250);
 
     private final List<Connector.ConnectionListener> connectionListeners = new ArrayList<>();
+    private final List<Connector.Call> calls = new ArrayList<>();
     private final List<Connector.CallListener> callListeners = new ArrayList<>();
 
     @Test
@@ -61,12 +62,19 @@
         connectionListeners.get(1).connected(proxy(Connector.Connection.class));
         time.advanceTo(310 * VirtualTime.NANOS_PER_MS);
         assertEquals(callListeners.size(), 2, "the call must be sent on the new connection as well");
+        assertEquals(timeoutMargin(0), Duration.ZERO);
+        assertEquals(timeoutMargin(1), Duration.ofMillis(300), "the next last byte may leave as late as the first one");
+    }
+
+    private Duration timeoutMargin(int call) {
+        return ((Connector.AttemptCall) calls.get(call)).timeoutMargin();
     }
 
     private <T> T proxy(Class<T> type) {
         return type.cast(Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {type}, (proxy, method, args) -> {
                     if (method.getName().equals("call")) {
+                        calls.add((Connector.Call) args[0]);
                         callListeners.add((Connector.CallListener) args[1]);
                     }
                     return method.getReturnType() == boolean.class
--- a/src/test/java/copperbeam/model/ReferencePolicy.java
+++ b/src/test/java/copperbeam/model/ReferencePolicy.java
@@ -114,7 +114,7 @@
         private void sendAttempt(Connector.Connection opened, boolean reads) {
             Duration remaining = Duration.between(world.time.instant(), request.spec.deadline());
             Connector.Call call = new Connector.AttemptCall(
-                    request.spec, reads, () -> remaining, false, () -> true, () -> !request.isOver());
+                    request.spec, reads, () -> remaining, Duration.ZERO, false, () -> true, () -> !request.isOver());
             opened.call(call, new Connector.CallListener() {
                 private AnswerKind answerKind;
 
--- a/src/test/java/copperbeam/sockets/AttemptTimeTest.java
+++ b/src/test/java/copperbeam/sockets/AttemptTimeTest.java
@@ -184,10 +184,11 @@
             try (StandIn server = new StandIn(Site::answerAsReader);
                     ClientReactor reactor = new ClientReactor()) {
                 Connector.Connection connection = openConnection(new ServerConnector(reactor), server.address());
-                CompletableFuture<Boolean> answered = sendAttempt(connection, remaining, true, () -> {}, () -> {
-                    remaining.updateAndGet(l -> l.minusMillis(passedMs));
-                    connection.sendLastByte();
-                });
+                CompletableFuture<Boolean> answered =
+                        sendAttempt(connection, remaining, Duration.ZERO, true, () -> {}, () -> {
+                            remaining.updateAndGet(l -> l.minusMillis(passedMs));
+                            connection.sendLastByte();
+                        });
                 assertEquals(
                         answered.get(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS), Boolean.valueOf(passedMs == 0));
                 await(
@@ -199,6 +200,23 @@
         }
     }
 
+    /** A margin covers the time between the head and the last byte. */
+    @Test
+    public void aHeadWithAMarginIsFollowedByALateLastByte() throws Exception {
+        AtomicReference<Duration> remaining = new AtomicReference<>(Duration.ofSeconds(5));
+        try (StandIn server = new StandIn(Site::answerAsReader);
+                ClientReactor reactor = new ClientReactor()) {
+            Connector.Connection connection = openConnection(new ServerConnector(reactor), server.address());
+            CompletableFuture<Boolean> answered =
+                    sendAttempt(connection, remaining, Duration.ofMillis(300), true, () -> {}, () -> {
+                        remaining.updateAndGet(l -> l.minusMillis(350));
+                        connection.sendLastByte();
+                    });
+            assertTrue(answered.get(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS));
+            assertEquals(server.requests.get(0).header("X-Timeout"), "4700m");
+        }
+    }
+
     /**
      * A body that is larger than the socket buffers towards a server that reads nothing: the rest must not be sent once the
      * attempt has ended.
@@ -328,12 +346,13 @@
     /** Sends an attempt; {@code onAnswer} runs on the reactor's thread. The result tells whether the answer was complete. */
     private static CompletableFuture<Boolean> sendAttempt(
             Connector.Connection connection, AtomicReference<Duration> remaining, Runnable onAnswer) {
-        return sendAttempt(connection, remaining, false, onAnswer, () -> {});
+        return sendAttempt(connection, remaining, Duration.ZERO, false, onAnswer, () -> {});
     }
 
     private static CompletableFuture<Boolean> sendAttempt(
             Connector.Connection connection,
             AtomicReference<Duration> remaining,
+            Duration timeoutMargin,
             boolean holdLastByte,
             Runnable onAnswer,
             Runnable onLastByteHeld) {
@@ -342,8 +361,8 @@
                 "POST", "/v1/chat/completions", Map.of(), "{}".getBytes(StandardCharsets.US_ASCII), Instant.now());
         RequestSpec spec =
                 new RequestSpec("id", "ask", "k", null, 40, 0, 9, Instant.now().plusSeconds(8), false, httpCall);
-        Connector.Call attempt =
-                new Connector.AttemptCall(spec, true, remaining::get, holdLastByte, () -> true, () -> true);
+        Connector.Call attempt = new Connector.AttemptCall(
+                spec, true, remaining::get, timeoutMargin, holdLastByte, () -> true, () -> true);
         connection.call(attempt, new Connector.CallListener() {
             @Override
             public void sent() {}
