A server whose answer is coming is not called silent

Callers saw: where servers aren't probed, an attempt whose answer took over 1.5 s to come was cancelled as SILENT; a prompt was read twice, a repeatable request ran twice. Cause: the module learns of an answer once its head, a read's end or a stream's first event is complete; bytes before that counted for nothing. Change: the transport reports bytes of an incomplete answer, each 0.1 s at most (AnswerProgress); the module counts them as a sign of life. Why this works: it is what an answer to a probe says; answers that pause are ended by the transport's limits, overdue ones by the module as before.

--- a/src/main/java/copperbeam/Api.java
+++ b/src/main/java/copperbeam/Api.java
@@ -191,6 +191,7 @@
                     ClientLeft,
                     TimerFired,
                     ProbeEnded,
+                    AnswerProgress,
                     TrafficShare {}
 
     /** The server list, or changes to it. */
@@ -296,6 +297,9 @@
     /** How a health probe ended; {@code report} may be null. */
     public record ProbeEnded(String server, Outcome outcome, double latencyS, Report report) implements Event {}
 
+    /** Bytes have come from a server of an answer to an attempt that isn't complete yet. */
+    public record AnswerProgress(String server) implements Event {}
+
     /**
      * A server's report of its own load; each value may be NaN. {@code slotShare}, {@code memoryShare}: the parts of
      * its slots and of its read-state memory in use, from 0 to 1. {@code openRequests}: all requests there.
--- a/src/main/java/copperbeam/Brain.java
+++ b/src/main/java/copperbeam/Brain.java
@@ -155,6 +155,8 @@
             onTimer(e.tag());
         } else if (event instanceof ProbeEnded e) {
             onProbeEnded(e);
+        } else if (event instanceof AnswerProgress e && servers.containsKey(e.server())) {
+            markHeard(servers.get(e.server()));
         } else if (event instanceof TrafficShare e) {
             slowStart.setTrafficShare(e.share());
         }
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -126,6 +126,12 @@
          */
         void answerClassified(AnswerKind kind, Report report);
 
+        /**
+         * Bytes of an answer have come of which nothing was reported yet, and it isn't complete. Reported again while more come, but
+         * not with each of them.
+         */
+        default void answerProgress() {}
+
         /** One complete event of a stream, including the blank line that terminates it. */
         void event(byte[] eventBytes);
 
--- a/src/main/java/copperbeam/routing/ModuleActor.java
+++ b/src/main/java/copperbeam/routing/ModuleActor.java
@@ -37,6 +37,7 @@
                     FirstEvent,
                     AttemptFinished,
                     ProbeDone,
+                    AnswerProgress,
                     ModuleTimerFired,
                     LeaseCheck,
                     Drain,
@@ -89,6 +90,9 @@
     /** A health probe has ended. */
     public record ProbeDone(String server, Outcome outcome, Duration elapsed, Report report) implements Message {}
 
+    /** Bytes of the answer to an attempt have come from the server, and the answer isn't complete yet. */
+    public record AnswerProgress(String server) implements Message {}
+
     /** Runs {@code onIdle} as soon as no request is open. */
     public record Drain(Runnable onIdle) implements Message {}
 
@@ -192,6 +196,8 @@
                     received.elapsed());
             notifyModule(new Api.ProbeEnded(
                     received.server(), received.outcome(), ModuleTime.seconds(received.elapsed()), received.report()));
+        } else if (message instanceof AnswerProgress received) {
+            notifyModule(new Api.AnswerProgress(received.server()));
         } else if (message instanceof ModuleTimerFired received) {
             notifyModule(new Api.TimerFired(received.tag()));
         } else if (message instanceof LeaseCheck received) {
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -445,6 +445,13 @@
                 tellLater(LAST_BYTE_HOLD, new SendLastByte(serverCall, connection));
             }
 
+            @Override
+            public void answerProgress() {
+                if (serverCall.sendCommand() != null) {
+                    setup.module().tellUrgent(new ModuleActor.AnswerProgress(id));
+                }
+            }
+
             @Override
             public void answerClassified(AnswerKind kind, Report report) {
                 tell(urgent, new AnswerClassified(serverCall, kind, report));
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -34,6 +34,7 @@
     static final int WINDOW_BYTES = 8 * 1024;
 
     private static final int MAX_GATHERED_BYTES = 4096;
+    private static final Duration PROGRESS_INTERVAL = Duration.ofMillis(100); // between reports of a slow response
     private static final int MAX_INFORMATIONAL_HEADS = 8; // 1xx heads before the response
 
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
@@ -54,6 +55,8 @@
     private boolean lastByteSent; // the operating system has taken it
     private BooleanSupplier hasBufferedOutput = () -> false;
     private volatile long lastInputNanos = System.nanoTime();
+    private boolean progressReported;
+    private long progressReportedNanos;
     private int informationalHeads;
     private boolean reusedConnection;
     private boolean answeredEarly; // the response began before the last byte was sent
@@ -123,6 +126,9 @@
     /** The operating system has taken all but the last byte, which is held back. */
     void lastByteHeld() {}
 
+    /** Bytes of the response have come, and it isn't complete; called at most once in each {@link #PROGRESS_INTERVAL}. */
+    void progress() {}
+
     /**
      * Attaches the exchange to a connection. {@code hasBufferedOutput}: whether HttpCore buffers output that the operating
      * system hasn't taken yet. {@code reused}: the connection has carried a call before.
@@ -185,7 +191,18 @@
         }
     }
 
-    /** How long no byte of the response body has come, since the exchange began at the earliest. */
+    /** Called after each turn in which bytes were read; they may be a part of the response's head only. */
+    final void bytesRead() {
+        long now = System.nanoTime();
+        lastInputNanos = now;
+        if (!ended && (!progressReported || now - progressReportedNanos > PROGRESS_INTERVAL.toNanos())) {
+            progressReported = true;
+            progressReportedNanos = now;
+            progress();
+        }
+    }
+
+    /** How long no byte of the response has come, since the exchange began at the earliest. */
     final Duration inputSilence() {
         return Duration.ofNanos(System.nanoTime() - lastInputNanos);
     }
@@ -295,7 +312,6 @@
 
     @Override
     public final void consume(ByteBuffer bytes) throws IOException {
-        lastInputNanos = System.nanoTime();
         ungrantedBytes.addAndGet(bytes.remaining());
         data(bytes);
     }
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -291,11 +291,15 @@
         public void inputReady(IOSession ioSession, ByteBuffer bytes) throws IOException {
             duplexer.readBudget.reset();
             try {
+                long bytesBefore = receivedBytes();
                 super.inputReady(ioSession, bytes);
                 if (duplexer.deferredError() != null) {
                     throw duplexer.deferredError();
                 }
                 ClientExchange current = exchange;
+                if (current != null && receivedBytes() != bytesBefore) {
+                    current.bytesRead();
+                }
                 if (parser.isPartial() && (current == null || current.isEnded())) {
                     failUnsolicitedHead(ioSession);
                 }
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -210,6 +210,7 @@
         private Duration timeoutSent = Duration.ZERO;
         private boolean isStream;
         private AnswerKind answerKind;
+        private boolean eventForwarded;
         private boolean lastEventSeen;
         private int forwardedBytes; // of the events in the part that is being split, with their overhead
 
@@ -278,6 +279,7 @@
         private void forward(byte[] eventBytes) {
             forwardedBytes += eventBytes.length + EVENT_OVERHEAD_BYTES;
             lastEventSeen |= SseData.isLastEvent(eventBytes);
+            eventForwarded = true;
             listener.event(eventBytes);
         }
 
@@ -318,6 +320,13 @@
             listener.lastByteHeld();
         }
 
+        @Override
+        void progress() {
+            if (!eventForwarded) {
+                listener.answerProgress();
+            }
+        }
+
         @Override
         void sent() {
             listener.sent();
--- a/src/test/java/copperbeam/BrainTest.java
+++ b/src/test/java/copperbeam/BrainTest.java
@@ -382,10 +382,7 @@
         ModuleFixture fixture = new ModuleFixture(defaultSettings(LOW, TOP), 5);
         fixture.onEvent(100, fullList(member("r1", "r", 0), member("w1", "w", 0)));
         List<Action> first = fixture.onArrival(100, 1, TOP, 1000);
-        Timer silenceTimer = actionsOf(Timer.class, first).stream()
-                .filter(t -> t.tag().startsWith("s"))
-                .findFirst()
-                .orElseThrow();
+        Timer silenceTimer = silenceTimer(first);
         double silenceTimeoutS = silenceTimer.delayS();
         fixture.onArrival(100 + 0.1 * silenceTimeoutS, 2, TOP, 1000);
         fixture.onAttemptEnded(100 + 0.6 * silenceTimeoutS, 2, 0, "r1", Outcome.READ);
@@ -778,15 +775,19 @@
         assertTrue(onlyAttempt(actions).server().startsWith("r"), "read again");
     }
 
+    private static Timer silenceTimer(List<Action> actions) {
+        return actionsOf(Timer.class, actions).stream()
+                .filter(t -> t.tag().startsWith("s"))
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Test
     void silenceIsCancelledAndTheNextAttemptWaitsForTheOutcome() {
         ModuleFixture fixture = new ModuleFixture(defaultSettings(LOW, TOP), 5);
         fixture.onEvent(100, smallFleet());
         List<Action> first = fixture.onArrival(100, 1, TOP, 1000);
-        Timer silenceTimer = actionsOf(Timer.class, first).stream()
-                .filter(t -> t.tag().startsWith("s"))
-                .findFirst()
-                .orElseThrow();
+        Timer silenceTimer = silenceTimer(first);
         List<Action> silent = fixture.onEvent(100 + silenceTimer.delayS(), new TimerFired(silenceTimer.tag()));
         assertEquals(List.of(new Cancel(1, 0, Reason.SILENT)), actionsOf(Cancel.class, silent));
         assertTrue(actionsOf(Attempt.class, silent).isEmpty());
@@ -795,6 +796,20 @@
         assertNotEquals(reader, next.server());
     }
 
+    /** A reader whose answer came slowly was called silent, and the prompt was read again elsewhere. */
+    @Test
+    void aServerWhoseAnswerComesIsNotSilent() {
+        ModuleFixture fixture = new ModuleFixture(defaultSettings(LOW, TOP), 5);
+        fixture.onEvent(100, smallFleet());
+        List<Action> first = fixture.onArrival(100, 1, TOP, 1000);
+        Timer silenceTimer = silenceTimer(first);
+        fixture.onEvent(
+                100 + silenceTimer.delayS() / 2,
+                new Api.AnswerProgress(onlyAttempt(first).server()));
+        List<Action> checked = fixture.onEvent(100 + silenceTimer.delayS(), new TimerFired(silenceTimer.tag()));
+        assertEquals(List.of(), actionsOf(Cancel.class, checked));
+    }
+
     @Test
     void streamsOfASilentServerAreTransferred() {
         ModuleFixture fixture = new ModuleFixture(defaultSettings(LOW, TOP), 5);
