A stopped process that waits for releases only exits 0.3 s before its kill

Callers saw: nothing; on a busy machine the process was still running when the platform's kill came. Cause: it waited for releases until 150 ms before the kill, and an exit takes up to 240 ms beside 24 busy loops on 8 cores. Change: 300 ms; 150 ms as before for a process whose last answer ended later, as its last releases are only sent then.

--- a/src/main/java/copperbeam/lifecycle/Lifecycle.java
+++ b/src/main/java/copperbeam/lifecycle/Lifecycle.java
@@ -45,8 +45,10 @@
      * would have to end before the kill.
      */
     private static final Duration ACCEPT_WINDOW = Duration.ofMillis(600);
-    /** The process exits this long before the kill, so that it ends by itself. */
-    private static final Duration EXIT_LEAD = Duration.ofMillis(150);
+    /** A process that waits for releases only exits this long before the kill; on a busy machine an exit takes most of it. */
+    private static final Duration EXIT_LEAD = Duration.ofMillis(300);
+    /** The same for a process that owed answers until then: its last releases need time too. */
+    private static final Duration LATE_EXIT_LEAD = Duration.ofMillis(150);
     /** Shortest stop timeout: the platform gives at least this, in addition to the time its clients wait. */
     private static final Duration MIN_STOP_TIMEOUT = Duration.ofMillis(700);
 
@@ -55,6 +57,7 @@
     private Step step = Step.WORK;
     private Duration drainedAt; // when the drain in force was requested; null: none
     private Duration stoppedAt; // when the stop was requested; null: not stopping
+    private Duration endReachedAt; // when step END was reached; null: not reached
     private boolean hasSuccessor; // a newer process serves at the same address and takes new connections
 
     /**
@@ -128,9 +131,13 @@
 
     /** Whether a process that owes no answer must exit now, even if servers haven't confirmed all releases yet. */
     public boolean mustExit(Duration now) {
-        return stoppedAt != null
-                && step == Step.END
-                && now.minus(stoppedAt).compareTo(stopTimeout.minus(EXIT_LEAD)) >= 0;
+        if (endReachedAt == null) {
+            return false;
+        }
+        Duration killAt = stoppedAt.plus(stopTimeout);
+        boolean endReachedLate = endReachedAt.compareTo(killAt.minus(EXIT_LEAD)) > 0;
+        Duration exitLead = endReachedLate ? LATE_EXIT_LEAD : EXIT_LEAD;
+        return now.compareTo(killAt.minus(exitLead)) >= 0;
     }
 
     /**
@@ -146,8 +153,9 @@
             Step dueStep =
                     dueStopStep(now.minus(stoppedAt), noticePassed(now), connectionsOpen, othersAway || hasSuccessor);
             step = dueStep.compareTo(step) > 0 ? dueStep : step;
-            if (wasClosed && !connectionsOpen) {
+            if (wasClosed && !connectionsOpen && step != Step.END) {
                 step = Step.END;
+                endReachedAt = now;
             }
         } else if (drainedAt != null || hasSuccessor) {
             step = noticePassed(now) ? Step.LEAD_AWAY : Step.SERVE;
--- a/src/test/java/copperbeam/lifecycle/LifecycleTest.java
+++ b/src/test/java/copperbeam/lifecycle/LifecycleTest.java
@@ -211,6 +211,17 @@
         assertTrue(lifecycle.mustExit(Duration.ofMillis(3550)));
     }
 
+    /** A process that waited for releases until 0.15 s before the kill was still there at the kill on a busy machine. */
+    @Test
+    public void aProcessThatWaitsForReleasesHasTimeForItsExit() {
+        Lifecycle lifecycle = new Lifecycle(STOP_TIMEOUT, true);
+        lifecycle.stop(Duration.ZERO);
+        lifecycle.advanceTo(Duration.ofMillis(1000), false, false);
+        lifecycle.advanceTo(Duration.ofMillis(1020), false, false);
+        assertFalse(lifecycle.mustExit(Duration.ofMillis(3399)));
+        assertTrue(lifecycle.mustExit(Duration.ofMillis(3400)));
+    }
+
     @Test
     public void tooShortAStopTimeoutIsRejected() {
         assertThrows(IllegalArgumentException.class, () -> new Lifecycle(Duration.ofMillis(699), true));
