--- a/src/soak/java/copperbeam/soak/ConductorProcess.java
+++ b/src/soak/java/copperbeam/soak/ConductorProcess.java
@@ -42,6 +42,7 @@
     private final Path folder;
     private final Function<String, String> configText; // the configuration file's text for an address of discovery
     private volatile String discovery;
+    private volatile Path operatorFile; // null: the list comes from discovery
     private volatile InetSocketAddress controlAddress;
     private volatile Process process;
     private volatile boolean takesClients;
@@ -105,6 +106,13 @@
         Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
     }
 
+    /** The list comes from an etcd at this address instead of discovery; to be called before the start. */
+    void useEtcd(String hostAndPort, String prefix) throws IOException {
+        operatorFile = folder.resolve("operator.json");
+        Files.writeString(
+                operatorFile, "{\"etcd\":{\"endpoint\":\"" + hostAndPort + "\",\"prefix\":\"" + prefix + "\"}}");
+    }
+
     /** Starts a process; a previous process, if any, keeps running beside it, as in an upgrade. */
     Process start() throws IOException {
         startCount++;
@@ -118,6 +126,9 @@
                 "serve",
                 "--record",
                 folder.resolve("recorded-" + startCount).toString()));
+        if (operatorFile != null) {
+            command.addAll(List.of("--operator", operatorFile.toString()));
+        }
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("GW_DISCOVERY", discovery);
--- a/src/soak/java/copperbeam/soak/DiscoveryAgent.java
+++ b/src/soak/java/copperbeam/soak/DiscoveryAgent.java
@@ -79,7 +79,7 @@
                 changes.values().stream().mapToLong(Fleet.Entry::version).max().orElse(from);
         String servers = changes.values().stream()
                 .filter(e -> !full || !e.state().equals("left"))
-                .map(this::entryJson)
+                .map(e -> e.toJson(addresses.apply(e.id())))
                 .collect(Collectors.joining(","));
         String body = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + servers + "]}";
         connection.sendAnswer(200, "", mode == Mode.GARBLES ? body.substring(0, body.length() / 2) : body);
@@ -90,17 +90,6 @@
         }
     }
 
-    private String entryJson(Fleet.Entry entry) {
-        return String.format(
-                "{\"id\":\"%s\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"%s\",\"cell\":0,\"state\":\"%s\","
-                        + "\"weight\":1.0,\"started_ms\":%d}",
-                entry.id(),
-                addresses.apply(entry.id()),
-                entry.role() == Role.READER ? "prefill" : "decode",
-                entry.state(),
-                entry.startedMs());
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/soak/java/copperbeam/soak/Fleet.java
+++ b/src/soak/java/copperbeam/soak/Fleet.java
@@ -7,7 +7,15 @@
 /** The server list that discovery announces; each change increments its version. Thread-safe. */
 final class Fleet {
     /** One server's entry, without its address, which differs between conductors as each reaches it through its own proxy. */
-    record Entry(String id, Role role, String state, long startedMs, long version) {}
+    record Entry(String id, Role role, String state, long startedMs, long version) {
+        /** As the list service writes it. */
+        String toJson(String address) {
+            return String.format(
+                    "{\"id\":\"%s\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"%s\",\"cell\":0,\"state\":\"%s\","
+                            + "\"weight\":1.0,\"started_ms\":%d}",
+                    id, address, role == Role.READER ? "prefill" : "decode", state, startedMs);
+        }
+    }
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long version = 1;
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -17,11 +17,30 @@
  * injected faults ("troubles") of a {@link TroublePlan}, judged by the {@link Oracle}.
  */
 public final class SoakRun implements AutoCloseable {
+    /** Where conductors read the server list. */
+    public enum ListSource {
+        DISCOVERY,
+        /** An etcd that is in one trouble after another. */
+        ETCD
+    }
+
     /**
      * Number of parties and length of a run. {@code defect}: a defect that is injected on purpose to check that the oracle finds
      * it, or null.
      */
-    public record Size(int conductors, int clients, int readers, int writers, long lengthMs, Defect defect) {}
+    public record Size(
+            int conductors,
+            int clients,
+            int readers,
+            int writers,
+            long lengthMs,
+            Defect defect,
+            ListSource listSource) {
+        /** With the list from discovery. */
+        public Size(int conductors, int clients, int readers, int writers, long lengthMs, Defect defect) {
+            this(conductors, clients, readers, writers, lengthMs, defect, ListSource.DISCOVERY);
+        }
+    }
 
     /** A deliberate defect: the proxies alter what conductors send to servers, which the oracle must detect. */
     public enum Defect {
@@ -112,8 +131,12 @@
 
     /** Executes the run and returns the rules that were broken. */
     public List<Violation> execute() throws IOException, InterruptedException {
+        if (size.listSource() == ListSource.ETCD) {
+            site.useEtcd(seed);
+        }
         site.start();
         TroublePlan plan = drawPlan();
+        site.startEtcdTroubles(settings.uneven() ? TroublePlan.warmFromMs(settings.warmWithinMs()) : 0);
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < size.clients(); i++) {
             boolean tellsFalseLengths =
--- a/src/soak/java/copperbeam/soak/SoakSite.java
+++ b/src/soak/java/copperbeam/soak/SoakSite.java
@@ -26,6 +26,7 @@
     final Map<String, ServerStandIn> servers = new ConcurrentHashMap<>();
     private final Map<String, FaultProxy> proxies = new ConcurrentHashMap<>(); // by "conductor server"
     private final Map<String, DiscoveryAgent> agents = new ConcurrentHashMap<>(); // by the conductor's name
+    private final List<EtcdAgent> etcdAgents = new ArrayList<>();
     private final ReadStates readStates = new ReadStates(history);
     private final List<AutoCloseable> resources = new CopyOnWriteArrayList<>();
     private final AtomicInteger serverCounter = new AtomicInteger();
@@ -104,6 +105,22 @@
                 .toList();
     }
 
+    /** Has conductors read the list from an etcd each, instead of discovery; to be called before the start. */
+    void useEtcd(long seed) throws IOException, InterruptedException {
+        for (ConductorProcess conductor : conductors) {
+            EtcdAgent agent = new EtcdAgent(
+                    conductor.name, fleet, id -> proxy(conductor, id).hostAndPort(), history, seed + etcdAgents.size());
+            etcdAgents.add(agent);
+            resources.add(agent);
+            conductor.useEtcd(agent.hostAndPort(), EtcdAgent.PREFIX);
+        }
+    }
+
+    /** Begins the troubles of all etcds, if there are any, after {@code delayMs}. */
+    void startEtcdTroubles(long delayMs) {
+        etcdAgents.forEach(agent -> agent.startTroubles(delayMs));
+    }
+
     /** Starts all conductors and waits until each is ready. */
     void start() throws IOException, InterruptedException {
         for (ConductorProcess conductor : conductors) {
--- a/src/soak/java/copperbeam/soak/TroublePlan.java
+++ b/src/soak/java/copperbeam/soak/TroublePlan.java
@@ -69,10 +69,15 @@
     static TroublePlan drawAfterRestart(Random random, long lengthMs, long warmWithinMs) {
         List<Trouble> troubles = new ArrayList<>();
         troubles.add(new Trouble(Kind.ALL_RESTARTED, 0, 0, FIRST_TROUBLE_MS, 0));
-        troubles.addAll(drawTroubles(random, FIRST_TROUBLE_MS + warmWithinMs, lengthMs));
+        troubles.addAll(drawTroubles(random, warmFromMs(warmWithinMs), lengthMs));
         return new TroublePlan(troubles);
     }
 
+    /** When the servers are warm in a plan that restarts all of them, since the start of the run. */
+    static long warmFromMs(long warmWithinMs) {
+        return FIRST_TROUBLE_MS + warmWithinMs;
+    }
+
     /** A plan in which the connections to some servers are lossy throughout, besides the usual troubles. */
     static TroublePlan drawWithLosses(Random random, long lengthMs) {
         List<Trouble> troubles = new ArrayList<>();
--- a/src/test/java/copperbeam/soak/SoakTest.java
+++ b/src/test/java/copperbeam/soak/SoakTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import copperbeam.soak.SoakRun.Defect;
+import copperbeam.soak.SoakRun.ListSource;
 import copperbeam.soak.Violation.Rule;
 import java.nio.file.Files;
 import java.util.List;
@@ -45,13 +46,20 @@
         // 41 and 45: a crowd of idle clients; 42: streams resume; 43: slow writers and lossy connections; 44: a heavy
         // class while
         // all servers are cold
-        return new Object[][] {{41}, {42}, {44}, {45}, {48}};
+        return new Object[][] {
+            {41, ListSource.DISCOVERY},
+            {42, ListSource.DISCOVERY},
+            {44, ListSource.DISCOVERY},
+            {45, ListSource.DISCOVERY},
+            {48, ListSource.DISCOVERY},
+            {49, ListSource.ETCD},
+        };
     }
 
     /** A short soak with random troubles; docs/fault-soak.md describes the long runs, which are started by hand. */
     @Test(dataProvider = "seeds")
-    public void overlappingTroublesBreakNoRule(int seed) throws Exception {
-        SoakRun.Size size = new SoakRun.Size(3, 12, 3, 5, TROUBLED_MS, null);
+    public void overlappingTroublesBreakNoRule(int seed, ListSource listSource) throws Exception {
+        SoakRun.Size size = new SoakRun.Size(3, 12, 3, 5, TROUBLED_MS, null, listSource);
         try (SoakRun run = new SoakRun(seed, size, Files.createTempDirectory("soak"))) {
             List<Violation> violations = run.execute();
             violations.forEach(v -> run.evidence(v).forEach(System.out::println));
