Soak: bytes that waited for a late proxy don't count as sent late

Need: DEADLINE_TOLD was judged by when a proxy had read a request; on a machine short of CPU a proxy began to read up to seconds after it had accepted. Change: bytes that are there before a read count as sent when the read before had ended, or when the connection was established, at the earliest. Bytes for which the proxy waits count as before, so the check is as strict where the proxy is in time.

--- a/src/soak/java/copperbeam/soak/FaultProxy.java
+++ b/src/soak/java/copperbeam/soak/FaultProxy.java
@@ -42,6 +42,8 @@
     static final int BACKLOG = 32;
     private static final int POLL_MS = 5;
     private static final int PIECE_BYTES = 7; // bytes
+    private static final long PROMPT_ACCEPT_NS =
+            1_000_000; // an accept that took less time found its connection waiting
 
     private final String conductor;
     private final InetSocketAddress server;
@@ -116,6 +118,7 @@
         List<Socket> fillers = new ArrayList<>();
         boolean wasBlocked = false; // new connections were blocked until now
         boolean queueFull = false;
+        long queueEmptyAt = System.nanoTime(); // no connection that is in the queue came earlier
         while (true) {
             if (blocksNewConnections()) {
                 wasBlocked = true;
@@ -127,10 +130,17 @@
                 wasBlocked = false;
                 queueFull = false;
                 dropQueued(fillers);
+                queueEmptyAt = System.nanoTime();
                 continue; // the mode may have changed again
             }
+            long acceptBeganAt = System.nanoTime();
             Socket conductorSide = listener.accept();
-            Daemon.start("connection", () -> carry(conductorSide));
+            long acceptedAt = System.nanoTime();
+            if (acceptedAt - acceptBeganAt >= PROMPT_ACCEPT_NS) {
+                queueEmptyAt = acceptedAt;
+            }
+            long establishedAt = queueEmptyAt;
+            Daemon.start("connection", () -> carry(conductorSide, establishedAt));
         }
     }
 
@@ -167,8 +177,9 @@
         return false;
     }
 
-    private void carry(Socket conductorSide) throws IOException, InterruptedException {
-        ProxiedConnection connection = new ProxiedConnection(conductor, this, conductorSide);
+    /** {@code establishedAt}: the connection was established at this time or later. */
+    private void carry(Socket conductorSide, long establishedAt) throws IOException, InterruptedException {
+        ProxiedConnection connection = new ProxiedConnection(conductor, this, conductorSide, establishedAt);
         connections.add(connection);
         connection.connectAndForward(server);
     }
--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -33,7 +33,7 @@
 
     /**
      * The last byte of a request reached a server. {@code attempt}: a number that is unique in the run; {@code announcedMs}: the
-     * remaining time by the request's header; {@code sentAt}: when the proxy had read the request's last bytes from the conductor;
+     * remaining time by the request's header; {@code sentAt}: when the conductor had sent the request's last bytes, at the earliest;
      * {@code readSince}: from when on the proxy has read what the conductor sends on this connection.
      */
     record AttemptArrived(
--- a/src/soak/java/copperbeam/soak/ProxiedConnection.java
+++ b/src/soak/java/copperbeam/soak/ProxiedConnection.java
@@ -33,13 +33,15 @@
     private volatile boolean fellSilent; // carries nothing any more, and neither end gets an error
     private volatile boolean endedByNetworkOrServer; // the network or the server ended it before the conductor did
     private volatile long resetAt = Long.MAX_VALUE; // when the simulated network reset it at both ends
-    private volatile long readAt;
+    private volatile long sentAt;
     private volatile long readSince;
 
-    ProxiedConnection(String conductor, FaultProxy network, Socket conductorSide) {
+    /** {@code establishedAt}: the conductor's end was established at this time or later. */
+    ProxiedConnection(String conductor, FaultProxy network, Socket conductorSide, long establishedAt) {
         this.conductor = conductor;
         this.network = network;
         this.conductorSide = conductorSide;
+        sentAt = establishedAt;
         serverSide = new Socket();
     }
 
@@ -53,9 +55,13 @@
         return Math.min(closedAt, resetAt);
     }
 
-    /** When the last bytes were read from the conductor, however long it takes to forward them to the server. */
-    long readAt() {
-        return readAt;
+    /**
+     * When the conductor had sent the last bytes that were read from it, at the earliest, however long it takes to forward them to
+     * the server. If they were there before the proxy began to read, this is the end of the read before, or the beginning of the
+     * connection.
+     */
+    long sentAt() {
+        return sentAt;
     }
 
     /**
@@ -128,8 +134,16 @@
         readSince = System.nanoTime();
         try {
             InputStream in = conductorSide.getInputStream();
-            for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
-                readAt = System.nanoTime();
+            long previousReadAt = sentAt;
+            while (true) {
+                boolean waited = in.available() > 0;
+                int count = in.read(bytes);
+                if (count < 0) {
+                    break;
+                }
+                long readAt = System.nanoTime();
+                sentAt = waited ? previousReadAt : readAt;
+                previousReadAt = readAt;
                 byte[] received = Arrays.copyOf(bytes, count);
                 fellSilent |= network.losesConnectionAt(received);
                 pendingToServer.add(received);
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -148,7 +148,7 @@
                 link.conductor,
                 attempt,
                 announced == null ? 0 : Long.parseLong(announced.replace("m", "")),
-                link.readAt(),
+                link.sentAt(),
                 link.readSince()));
         AttemptEnd end = AttemptEnd.FAILED;
         try {
