A connection that is up counts, though its process notices it late

Callers saw: 503 from a conductor short of CPU, though its servers were idle. Cause: whether a connect was in time depended on which was handled first, the timer of 0.25 s or the reactor's event; and HttpCore ends a completed connect that it gets to late. Change: a connect whose time is over fails only after the transport has passed on what has come of connects by then (Connector.afterConnects), 0.5 s later at most, and at once where a held read state waits. HttpCore's limit is 0.5 s longer. Why this works: a turn of the reactor that begins after the time is over reports each connection that was up by then.

--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -11,10 +11,19 @@
 public interface Connector {
     /**
      * Opens a connection. Calls exactly one of {@code connected} and {@code connectFailed} on the listener, and
-     * {@code closed} once for a connection that was established.
+     * {@code closed} once for a connection that was established. A connect that takes longer than {@code timeout} may be ended
+     * later than that: for a timer of the caller's own there is {@link #afterConnects}.
      */
     void connect(InetSocketAddress address, Duration timeout, ConnectionListener listener);
 
+    /**
+     * Runs {@code then} once the connections that are established by now were passed to their listeners, however late this process
+     * is in that.
+     */
+    default void afterConnects(Runnable then) {
+        then.run();
+    }
+
     /** Notified when a connection opens, fails to open or closes. */
     interface ConnectionListener {
         void connected(Connection connection);
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -32,6 +32,7 @@
                     Release,
                     Connected,
                     ConnectFailed,
+                    ConnectOverdue,
                     ConnectionClosed,
                     AnswerClassified,
                     StreamEvent,
@@ -110,6 +111,13 @@
      */
     private record ConnectFailed(ServerCall serverCall, int connectNumber) implements Message {}
 
+    /** The time for a connect is over; see {@link ConnectFailed} for {@code connectNumber}. */
+    private record ConnectOverdue(ServerCall serverCall, int connectNumber) implements Message {
+        ConnectFailed failed() {
+            return new ConnectFailed(serverCall, connectNumber);
+        }
+    }
+
     private record ConnectionClosed(Connection connection) implements Message {}
 
     private record AnswerClassified(ServerCall serverCall, AnswerKind kind, Report report) implements Message {}
@@ -161,6 +169,8 @@
     // from the choice of a connection to the first byte of the request: half of the second within which a drain must
     // take effect
     private static final Duration MAX_DISPATCH_DELAY = Duration.ofMillis(500);
+    private static final Duration MAX_CONNECT_OVERTIME =
+            Duration.ofMillis(500); // for a transport that is late by itself
     private static final int MAX_NEW_CONNECTIONS_PER_CALL = 3; // new connections that one call may use up
     private static final Duration TIMEOUT_MARGIN_PER_CONNECTION =
             Duration.ofMillis(300); // for each of the call's connections that ended before the last byte
@@ -223,9 +233,11 @@
         } else if (message instanceof Connected received) {
             onConnected(received.serverCall(), received.connection());
         } else if (message instanceof ConnectFailed received
-                && received.serverCall().connection == null
-                && received.connectNumber() == received.serverCall().connectCount) {
+                && received.serverCall().isConnecting(received.connectNumber())) {
             onExpired(received.serverCall());
+        } else if (message instanceof ConnectOverdue received
+                && received.serverCall().isConnecting(received.connectNumber())) {
+            onConnectOverdue(received);
         } else if (message instanceof ConnectionClosed received) {
             onConnectionClosed(received.connection());
         } else if (message instanceof AnswerClassified received) {
@@ -332,7 +344,7 @@
         int connectNumber = ++serverCall.connectCount;
         serverCall.connectTimer = tellLater(
                 Duration.between(now, serverCall.connectDeadline(now.plus(setup.connectTimeout()))),
-                new ConnectFailed(serverCall, connectNumber));
+                new ConnectOverdue(serverCall, connectNumber));
         setup.connector().connect(address, setup.connectTimeout(), new Connector.ConnectionListener() {
             @Override
             public void connected(Connection connection) {
@@ -351,6 +363,23 @@
         });
     }
 
+    /**
+     * A connection that is up counts, though a process short of CPU hasn't noticed it in time; one for which a held read state
+     * waits is given up at once.
+     */
+    private void onConnectOverdue(ConnectOverdue overdue) {
+        ServerCall serverCall = overdue.serverCall();
+        Instant now = setup.clock().instant();
+        Instant latest = serverCall.connectDeadline(now.plus(MAX_CONNECT_OVERTIME));
+        if (!now.isBefore(latest)) {
+            tell(overdue.failed());
+            return;
+        }
+        boolean urgent = serverCall.command instanceof Release;
+        serverCall.connectTimer = tellLater(Duration.between(now, latest), overdue.failed());
+        setup.connector().afterConnects(() -> tell(urgent, overdue.failed()));
+    }
+
     private void onConnected(ServerCall serverCall, Connection connection) {
         if (serverCall.done || terminateIfNotSendable(serverCall, true)) {
             returnToIdle(connection);
--- a/src/main/java/copperbeam/routing/ServerCall.java
+++ b/src/main/java/copperbeam/routing/ServerCall.java
@@ -64,6 +64,11 @@
         return command instanceof PeerActor.Send send ? send : null;
     }
 
+    /** Whether the connect of this number is under way. */
+    boolean isConnecting(int connectNumber) {
+        return !done && connection == null && connectNumber == connectCount;
+    }
+
     /** When a new connection for this call must be up: {@code defaultDeadline}, or earlier if the attempt requires it. */
     Instant connectDeadline(Instant defaultDeadline) {
         return sendCommand() != null && sendCommand().connectBy().isBefore(defaultDeadline)
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -3,11 +3,15 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.WritableByteChannel;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
@@ -65,10 +69,11 @@
     }
 
     /** Counts the connection, and keeps Errors of the wrapped listener from the reactor's thread, which they would end. */
-    private static final class CountingListener implements SessionListener {
+    private final class CountingListener implements SessionListener {
         private final SessionListener listener;
         private final AtomicInteger connectionCount;
         private final AtomicBoolean counted = new AtomicBoolean(true);
+        private volatile IOSession openSession;
 
         CountingListener(SessionListener listener, AtomicInteger connectionCount) {
             this.listener = listener;
@@ -78,6 +83,8 @@
 
         @Override
         public void opened(IOSession session) {
+            openSession = session;
+            openSessions.add(session);
             try {
                 listener.opened(session);
             } catch (Error e) {
@@ -96,6 +103,9 @@
             if (counted.getAndSet(false)) {
                 connectionCount.decrementAndGet();
             }
+            if (openSession != null) {
+                openSessions.remove(openSession);
+            }
             try {
                 listener.closed();
             } catch (Error e) {
@@ -122,6 +132,20 @@
     // How long after its timeout a connect is cancelled here. HttpCore ends it at its timeout unless the clock steps.
     private static final Duration CONNECT_CANCEL_DELAY = Duration.ofMillis(500);
 
+    private record Endpoint(InetSocketAddress address) implements NamedEndpoint {
+        @Override
+        public String getHostName() {
+            return address.getHostString();
+        }
+
+        @Override
+        public int getPort() {
+            return address.getPort();
+        }
+    }
+
+    private static final InetSocketAddress UNRESOLVED_ADDRESS = InetSocketAddress.createUnresolved("nowhere", 1);
+
     /** A connect under way. {@code deadlineNanos}: on the clock of System.nanoTime. */
     private record PendingConnect(Future<IOSession> future, long deadlineNanos) {}
 
@@ -129,6 +153,7 @@
     private record ActiveReactor(DefaultConnectingIOReactor reactor, AtomicInteger connectionCount) {}
 
     private volatile ActiveReactor active;
+    private final Set<IOSession> openSessions = ConcurrentHashMap.newKeySet();
     private final Queue<PendingConnect> pendingConnects = new ConcurrentLinkedQueue<>();
     private volatile boolean quiescing;
     private volatile boolean closing;
@@ -231,6 +256,7 @@
         private final Duration headTimeout;
         private volatile ClientExchange exchange;
         private final AtomicReference<Runnable> afterReading = new AtomicReference<>();
+        private final Queue<Runnable> outputTasks = new ConcurrentLinkedQueue<>();
         private Long headProgressNanos; // System.nanoTime when a partial head last grew; null if there is none
         private long headProgressBytes; // receivedBytes() at that time
         private Timeout usualTimeout;
@@ -266,6 +292,24 @@
             }
         }
 
+        /** Runs the task when the connection is next found writable, or has closed; callable from any thread. */
+        void runAtOutput(Runnable task) {
+            outputTasks.add(task);
+            session.setEvent(SelectionKey.OP_WRITE);
+            if (!session.isOpen()) {
+                runOutputTasks();
+            }
+        }
+
+        private void runOutputTasks() {
+            for (int tasksLeft = outputTasks.size(); tasksLeft > 0; tasksLeft--) {
+                Runnable task = outputTasks.poll();
+                if (task != null) {
+                    task.run();
+                }
+            }
+        }
+
         private void runAfterReadingTask() {
             Runnable task = afterReading.getAndSet(null);
             if (task != null) {
@@ -313,6 +357,14 @@
 
         @Override
         public void outputReady(IOSession ioSession) throws IOException {
+            try {
+                writeOutput(ioSession);
+            } finally {
+                runOutputTasks(); // last, as HttpCore stops waiting for output once it has none
+            }
+        }
+
+        private void writeOutput(IOSession ioSession) throws IOException {
             if (afterReading.get() != null) {
                 try {
                     readAvailable(ioSession);
@@ -437,6 +489,7 @@
                 closeReported = true;
                 listener.closed();
                 runAfterReadingTask();
+                runOutputTasks();
             }
         }
     }
@@ -455,23 +508,17 @@
     }
 
     void connect(InetSocketAddress address, Duration timeout, SessionListener listener) {
-        NamedEndpoint endpoint = new NamedEndpoint() {
-            @Override
-            public String getHostName() {
-                return address.getHostString();
-            }
-
-            @Override
-            public int getPort() {
-                return address.getPort();
-            }
-        };
         ActiveReactor target = active;
         SessionListener countingListener = new CountingListener(listener, target.connectionCount);
         Future<IOSession> future;
         try {
             future = target.reactor.connect(
-                    endpoint, address, null, Timeout.of(timeout), countingListener, new FutureCallback<>() {
+                    new Endpoint(address),
+                    address,
+                    null,
+                    Timeout.of(timeout),
+                    countingListener,
+                    new FutureCallback<>() {
                         @Override
                         public void completed(IOSession session) {
                             countingListener.opened(session);
@@ -511,6 +558,60 @@
         });
     }
 
+    /**
+     * Runs the task on the reactor's thread, once the connections that are established by now were passed to their listeners. A
+     * connect that is asked for by now begins in the turn under way, and the turn after it passes on what has come of it.
+     */
+    void afterConnects(Runnable task) {
+        Optional<IOSession> writable =
+                openSessions.stream().filter(ClientReactor::hasNoOutput).findAny();
+        if (writable.isPresent()) {
+            Handler handler = (Handler) writable.get().getHandler();
+            handler.runAtOutput(() -> handler.runAtOutput(() -> atEndOfTurn(task)));
+        } else {
+            atEndOfTurn(task);
+        }
+    }
+
+    /** Whether the session becomes writable at once; others may wait for their peers. */
+    private static boolean hasNoOutput(IOSession session) {
+        try {
+            return session.isOpen() && (session.getEventMask() & SelectionKey.OP_WRITE) == 0;
+        } catch (CancelledKeyException e) {
+            return false; // closed meanwhile
+        }
+    }
+
+    /** HttpCore takes no tasks, but at the end of a turn it begins connects, and one to an unresolved address fails just then. */
+    private void atEndOfTurn(Runnable task) {
+        try {
+            active.reactor.connect(
+                    new Endpoint(UNRESOLVED_ADDRESS),
+                    UNRESOLVED_ADDRESS,
+                    null,
+                    Timeout.DISABLED,
+                    null,
+                    new FutureCallback<>() {
+                        @Override
+                        public void completed(IOSession session) {
+                            task.run();
+                        }
+
+                        @Override
+                        public void failed(Exception e) {
+                            task.run();
+                        }
+
+                        @Override
+                        public void cancelled() {
+                            task.run();
+                        }
+                    });
+        } catch (IOReactorShutdownException e) {
+            task.run();
+        }
+    }
+
     static void execute(IOSession session, ClientExchange exchange) {
         ((Handler) session.getHandler()).startExchange(exchange);
         session.enqueue(new RequestExecutionCommand(exchange, HttpCoreContext.create()), Command.Priority.NORMAL);
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -41,6 +41,9 @@
      */
     private static final Duration MAX_TIMEOUT_EXCESS = Duration.ofMillis(100);
 
+    /** How long after its timeout a connect is ended that its caller hasn't given up: longer than a reactor is late. */
+    private static final Duration MAX_REACTOR_DELAY = Duration.ofMillis(500);
+
     private final ClientReactor reactor;
     private final DescriptorBudget descriptorBudget;
     private final RequestLog requestLog = new RequestLog(ModuleTime.steadyClock());
@@ -61,7 +64,7 @@
             listener.connectFailed();
             return;
         }
-        reactor.connect(address, timeout, new ClientReactor.SessionListener() {
+        reactor.connect(address, timeout.plus(MAX_REACTOR_DELAY), new ClientReactor.SessionListener() {
             private final AtomicBoolean outcomeReported = new AtomicBoolean();
             private volatile ServerConnection connection;
 
@@ -84,6 +87,11 @@
         });
     }
 
+    @Override
+    public void afterConnects(Runnable then) {
+        reactor.afterConnects(then);
+    }
+
     private static final class ServerConnection implements Connection {
         private final IOSession session;
         private final HttpHost host;
--- a/src/test/java/copperbeam/sockets/StandIn.java
+++ b/src/test/java/copperbeam/sockets/StandIn.java
@@ -42,6 +42,13 @@
         socket = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
     }
 
+    /** Takes all connects of a crowd, though the accepting thread gets no processor time for a while. */
+    static StandIn forCrowds(Script script) throws IOException {
+        StandIn server = new StandIn(script, 1024);
+        server.startAccepting();
+        return server;
+    }
+
     void startAccepting() {
         startThread(this::acceptConnections);
     }
