SlowReadersTest: the crowd stays until the usual clients have been served

Change: a client sends its request anew when its answer ends, and one that reads nothing every 5 s, until the row is over. What is checked is the same, under a crowd that lasts.

--- a/src/test/java/copperbeam/sockets/SlowReadersTest.java
+++ b/src/test/java/copperbeam/sockets/SlowReadersTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -57,18 +58,31 @@
         });
     }
 
-    private static void readSlowly(InetSocketAddress address, String request, boolean reads) {
+    /** Sends the request anew when its answer ends, or after some time in which nothing is read, until {@code stopped}. */
+    private static void stayInCrowd(InetSocketAddress address, String request, boolean reads, AtomicBoolean stopped) {
+        try {
+            while (!stopped.get()) {
+                readSlowly(address, request, reads, stopped);
+                Thread.sleep(READ_INTERVAL_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void readSlowly(InetSocketAddress address, String request, boolean reads, AtomicBoolean stopped)
+            throws InterruptedException {
         long endNs = System.nanoTime() + DURATION_MS * 1_000_000L;
         try (Socket socket = new Socket()) {
             socket.setReceiveBufferSize(4096);
+            socket.setSoTimeout(DURATION_MS);
             socket.connect(address);
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             byte[] bytes = new byte[READ_BYTES];
-            while (System.nanoTime() < endNs
-                    && (!reads || socket.getInputStream().read(bytes) >= 0)) {
+            while (!stopped.get() && (reads ? socket.getInputStream().read(bytes) >= 0 : System.nanoTime() < endNs)) {
                 Thread.sleep(READ_INTERVAL_MS);
             }
-        } catch (IOException | InterruptedException e) {
+        } catch (IOException e) {
             // ended
         }
     }
@@ -76,13 +90,14 @@
     @Test(dataProvider = "readers")
     public void theHeapDoesNotFillWithAnswersThatWaitForSlowClients(
             String name, String event, boolean chat, boolean reads) throws Exception {
+        AtomicBoolean stopped = new AtomicBoolean();
         try (ProcessSite site =
                 new ProcessSite(3, Site::answerAsReader, writer(event), ProcessSite::withLongPromises)) {
             for (int i = 0; i < CLIENTS; i++) {
                 String request = chat
                         ? Site.chatRequest(ProcessSite.SEND_MODEL, true, ",\"user\":\"LONG\"")
                         : Site.request("slow" + i, "send", "9000m", "prompt_len=9", "{\"user\":\"LONG\"}");
-                Thread client = new Thread(() -> readSlowly(site.address(chat), request, reads), "client");
+                Thread client = new Thread(() -> stayInCrowd(site.address(chat), request, reads, stopped), "client");
                 client.setDaemon(true);
                 client.start();
             }
@@ -99,6 +114,8 @@
             String log = Files.readString(site.conductor.logFile);
             assertFalse(log.contains("OutOfMemoryError"), log);
             assertEquals(answered.get(), USUAL_REQUESTS);
+        } finally {
+            stopped.set(true);
         }
     }
 }
