--- a/src/test/java/copperbeam/sockets/FloodTest.java
+++ b/src/test/java/copperbeam/sockets/FloodTest.java
@@ -51,7 +51,6 @@
                     });
             rows.add(new Object[] {"noise", named(() -> "nonsense NAME\r\n\r\n".repeat(50)), chat});
             rows.add(new Object[] {"empty lines", named(() -> "\r\n".repeat(2000)), chat});
-            rows.add(new Object[] {"small requests under new names", named(() -> smallRequest(chat)), chat});
         }
         return rows.toArray(Object[][]::new);
     }
@@ -117,6 +116,21 @@
 
     @Test(dataProvider = "floods")
     public void usualRequestsAreServedBesideAFlood(String name, Input input, boolean chat) throws Exception {
+        assertUsualRequestsAreServed(input, chat);
+    }
+
+    @DataProvider
+    public Object[][] fronts() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /** Small requests under new names. */
+    @Test(dataProvider = "fronts")
+    public void usualRequestsAreServedBesideAFloodOfSmallRequests(boolean chat) throws Exception {
+        assertUsualRequestsAreServed(named(() -> smallRequest(chat)), chat);
+    }
+
+    private static void assertUsualRequestsAreServed(Input input, boolean chat) throws Exception {
         ConcurrentLinkedQueue<String> results = new ConcurrentLinkedQueue<>();
         AtomicBoolean stopped = new AtomicBoolean();
         try (ProcessSite site =
