Reread: the established connections belong to the reactor that has them

Need: a set beside the active reactor could keep connections of one that had ended, and the check of overdue connects waits for one of them; the count of connections is kept with its reactor for that reason already. Change: the set is a part of ActiveReactor, as the count is. ReactorReplacementTest checks overdue connects after a replacement too. The new assertion passed before as well: the fault was only read.

--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -69,22 +69,22 @@
     }
 
     /** Counts the connection, and keeps Errors of the wrapped listener from the reactor's thread, which they would end. */
-    private final class CountingListener implements SessionListener {
+    private static final class CountingListener implements SessionListener {
         private final SessionListener listener;
-        private final AtomicInteger connectionCount;
+        private final ActiveReactor reactor;
         private final AtomicBoolean counted = new AtomicBoolean(true);
         private volatile IOSession openSession;
 
-        CountingListener(SessionListener listener, AtomicInteger connectionCount) {
+        CountingListener(SessionListener listener, ActiveReactor reactor) {
             this.listener = listener;
-            this.connectionCount = connectionCount;
-            connectionCount.incrementAndGet();
+            this.reactor = reactor;
+            reactor.connectionCount.incrementAndGet();
         }
 
         @Override
         public void opened(IOSession session) {
             openSession = session;
-            openSessions.add(session);
+            reactor.openSessions.add(session);
             try {
                 listener.opened(session);
             } catch (Error e) {
@@ -101,10 +101,10 @@
         @Override
         public void closed() {
             if (counted.getAndSet(false)) {
-                connectionCount.decrementAndGet();
+                reactor.connectionCount.decrementAndGet();
             }
             if (openSession != null) {
-                openSessions.remove(openSession);
+                reactor.openSessions.remove(openSession);
             }
             try {
                 listener.closed();
@@ -149,11 +149,14 @@
     /** A connect under way. {@code deadlineNanos}: on the clock of System.nanoTime. */
     private record PendingConnect(Future<IOSession> future, long deadlineNanos) {}
 
-    /** A reactor and the number of its connections; what a reactor that has ended did not report as closed is not counted. */
-    private record ActiveReactor(DefaultConnectingIOReactor reactor, AtomicInteger connectionCount) {}
+    /**
+     * A reactor, the number of its connections and those that are established; what a reactor that has ended did not report as closed
+     * is not counted.
+     */
+    private record ActiveReactor(
+            DefaultConnectingIOReactor reactor, AtomicInteger connectionCount, Set<IOSession> openSessions) {}
 
     private volatile ActiveReactor active;
-    private final Set<IOSession> openSessions = ConcurrentHashMap.newKeySet();
     private final Queue<PendingConnect> pendingConnects = new ConcurrentLinkedQueue<>();
     private volatile boolean quiescing;
     private volatile boolean closing;
@@ -180,7 +183,7 @@
                 null,
                 session -> blockIfQuiescing());
         reactor.start();
-        return new ActiveReactor(reactor, new AtomicInteger());
+        return new ActiveReactor(reactor, new AtomicInteger(), ConcurrentHashMap.newKeySet());
     }
 
     static Handler newHandler(ProtocolIOSession session, SessionListener listener) {
@@ -509,7 +512,7 @@
 
     void connect(InetSocketAddress address, Duration timeout, SessionListener listener) {
         ActiveReactor target = active;
-        SessionListener countingListener = new CountingListener(listener, target.connectionCount);
+        SessionListener countingListener = new CountingListener(listener, target);
         Future<IOSession> future;
         try {
             future = target.reactor.connect(
@@ -564,7 +567,7 @@
      */
     void afterConnects(Runnable task) {
         Optional<IOSession> writable =
-                openSessions.stream().filter(ClientReactor::hasNoOutput).findAny();
+                active.openSessions.stream().filter(ClientReactor::hasNoOutput).findAny();
         if (writable.isPresent()) {
             Handler handler = (Handler) writable.get().getHandler();
             handler.runAtOutput(() -> handler.runAtOutput(() -> atEndOfTurn(task)));
--- a/src/test/java/copperbeam/transport/ReactorReplacementTest.java
+++ b/src/test/java/copperbeam/transport/ReactorReplacementTest.java
@@ -46,6 +46,9 @@
                 connectOnce(reactor, address, connected);
             }
             assertTrue(connected.getCount() == 0, "connected after the reactor has ended");
+            CountDownLatch connectsChecked = new CountDownLatch(1);
+            reactor.afterConnects(connectsChecked::countDown);
+            assertTrue(connectsChecked.await(1, TimeUnit.SECONDS), "connections of the ended reactor are left alone");
         }
     }
 
