SlowReadersTest: a client that sends its request anew uses a new id

Need: on the platform's front a client that had left got 409 when it sent the id of a request that may have run again, so that its crowd lasted for 5 s only. Change: ids count up. The checks are the same.

--- a/src/test/java/copperbeam/sockets/SlowReadersTest.java
+++ b/src/test/java/copperbeam/sockets/SlowReadersTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -59,10 +60,11 @@
     }
 
     /** Sends the request anew when its answer ends, or after some time in which nothing is read, until {@code stopped}. */
-    private static void stayInCrowd(InetSocketAddress address, String request, boolean reads, AtomicBoolean stopped) {
+    private static void stayInCrowd(
+            InetSocketAddress address, Supplier<String> request, boolean reads, AtomicBoolean stopped) {
         try {
             while (!stopped.get()) {
-                readSlowly(address, request, reads, stopped);
+                readSlowly(address, request.get(), reads, stopped);
                 Thread.sleep(READ_INTERVAL_MS);
             }
         } catch (InterruptedException e) {
@@ -91,12 +93,18 @@
     public void theHeapDoesNotFillWithAnswersThatWaitForSlowClients(
             String name, String event, boolean chat, boolean reads) throws Exception {
         AtomicBoolean stopped = new AtomicBoolean();
+        AtomicInteger lastId = new AtomicInteger(); // an id that has run for a client that left is refused
         try (ProcessSite site =
                 new ProcessSite(3, Site::answerAsReader, writer(event), ProcessSite::withLongPromises)) {
             for (int i = 0; i < CLIENTS; i++) {
-                String request = chat
+                Supplier<String> request = () -> chat
                         ? Site.chatRequest(ProcessSite.SEND_MODEL, true, ",\"user\":\"LONG\"")
-                        : Site.request("slow" + i, "send", "9000m", "prompt_len=9", "{\"user\":\"LONG\"}");
+                        : Site.request(
+                                "slow" + lastId.incrementAndGet(),
+                                "send",
+                                "9000m",
+                                "prompt_len=9",
+                                "{\"user\":\"LONG\"}");
                 Thread client = new Thread(() -> stayInCrowd(site.address(chat), request, reads, stopped), "client");
                 client.setDaemon(true);
                 client.start();
