The log tells what a stream that ended unfinished had last brought

Change: where a stream that has begun ends without being whole, a line with the request's id tells the time since its last event and the bytes read since.

--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -55,6 +55,7 @@
     private boolean lastByteSent; // the operating system has taken it
     private BooleanSupplier hasBufferedOutput = () -> false;
     private volatile long lastInputNanos = System.nanoTime();
+    private long receivedBytes; // of the response, its head and its framing included
     private boolean progressReported;
     private long progressReportedNanos;
     private int informationalHeads;
@@ -191,10 +192,11 @@
         }
     }
 
-    /** Called after each turn in which bytes were read; they may be a part of the response's head only. */
-    final void bytesRead() {
+    /** Called after each turn in which {@code count} bytes were read; they may be a part of the response's head only. */
+    final void bytesRead(long count) {
         long now = System.nanoTime();
         lastInputNanos = now;
+        receivedBytes += count;
         if (!ended && (!progressReported || now - progressReportedNanos > PROGRESS_INTERVAL.toNanos())) {
             progressReported = true;
             progressReportedNanos = now;
@@ -202,6 +204,11 @@
         }
     }
 
+    /** Bytes of the response that were read before the turn under way. */
+    final long receivedBytes() {
+        return receivedBytes;
+    }
+
     /** How long no byte of the response has come, since the exchange began at the earliest. */
     final Duration inputSilence() {
         return Duration.ofNanos(System.nanoTime() - lastInputNanos);
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -345,7 +345,7 @@
                 }
                 ClientExchange current = exchange;
                 if (current != null && receivedBytes() != bytesBefore) {
-                    current.bytesRead();
+                    current.bytesRead(receivedBytes() - bytesBefore);
                 }
                 if (parser.isPartial() && (current == null || current.isEnded())) {
                     failUnsolicitedHead(ioSession);
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -219,6 +219,8 @@
         private boolean isStream;
         private AnswerKind answerKind;
         private boolean eventForwarded;
+        private long lastEventNanos; // System.nanoTime when the last event was complete
+        private long bytesAtLastEvent; // receivedBytes() at that time
         private boolean lastEventSeen;
         private int forwardedBytes; // of the events in the part that is being split, with their overhead
 
@@ -288,6 +290,8 @@
             forwardedBytes += eventBytes.length + EVENT_OVERHEAD_BYTES;
             lastEventSeen |= SseData.isLastEvent(eventBytes);
             eventForwarded = true;
+            lastEventNanos = System.nanoTime();
+            bytesAtLastEvent = receivedBytes();
             listener.event(eventBytes);
         }
 
@@ -320,9 +324,19 @@
             if (cause() != null) {
                 requestLog.note(call.spec().id(), "the connection of its attempt broke: " + cause());
             }
+            if (eventForwarded) {
+                requestLog.note(call.spec().id(), describeUnfinishedStream());
+            }
             listener.broken(mayHaveRun);
         }
 
+        private String describeUnfinishedStream() {
+            long silentMs = Duration.ofNanos(System.nanoTime() - lastEventNanos).toMillis();
+            return "its stream isn't whole: last event " + silentMs + " ms ago"
+                    + (lastEventSeen ? ", the closing one" : "") + ", "
+                    + (receivedBytes() - bytesAtLastEvent) + " bytes read since its turn began";
+        }
+
         @Override
         void lastByteHeld() {
             listener.lastByteHeld();
