A stream is ended when nothing of it can become a further event

What callers saw: streams left open without end, on both fronts and in each class, while their servers went on with bytes that bring no event; on the platform's front and the chat API alike no answer at all where comments came before the first event. Cause: since each byte counted as progress of a stream (PeerActor.silenceOf: the shorter of the times without an event and without a byte); a chunk's size line was looked at once it was complete only (Chunks), as was a line of text (EventSplitter); a comment was an event to ModuleActor, and ended the deadline. Change: AnswerProgress says what counts, without I/O: text that may become an event or a comment, and the few bytes of framing between; padding, extensions, trailers, noise and what follows the closing event don't, and a minute without a complete event ends a stream in any case. ChunkFraming and EventSplitter reject a line at its first impossible byte. AnswerDeadline says when a call ends, in place of two timers and four fields of PeerActor: a stream after 4 s without progress, a short answer after a pause of 0.8 s, and one whose head says all (a refusal, an error) 0.8 s after its head, however its body trickles. The reactor ends a stalled stream at the byte that shows it, the peer's timer one that is silent. Comments before the first event wait for it. Why this works: what isn't progress can't put the limit off, and what may become an event always does, at any pace; a client's pause is counted off when it takes what had stopped its server.

--- a/src/main/java/copperbeam/protocol/SseData.java
+++ b/src/main/java/copperbeam/protocol/SseData.java
@@ -8,6 +8,7 @@
     /** The data of the last event of a stream of completions. */
     public static final String LAST_EVENT_DATA = "[DONE]";
 
+    private static final byte[] DATA_NAME = "data".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] LAST_EVENT_BYTES = LAST_EVENT_DATA.getBytes(StandardCharsets.US_ASCII);
 
     private SseData() {}
@@ -28,6 +29,18 @@
         return false;
     }
 
+    /** Whether the event has a line of data; others are comments, or fields that no client acts on. */
+    public static boolean hasData(byte[] eventBytes) {
+        boolean atLineStart = true;
+        for (int i = 0; i + DATA_NAME.length <= eventBytes.length; i++) {
+            if (atLineStart && Arrays.equals(eventBytes, i, i + DATA_NAME.length, DATA_NAME, 0, DATA_NAME.length)) {
+                return true;
+            }
+            atLineStart = eventBytes[i] == '\n' || eventBytes[i] == '\r';
+        }
+        return false;
+    }
+
     /** Returns the data lines of an event joined by line feeds, or null if it has none, for example in a comment. */
     public static String dataOf(byte[] eventBytes) {
         StringBuilder data = null;
--- a/src/main/java/copperbeam/routing/Connector.java
+++ b/src/main/java/copperbeam/routing/Connector.java
@@ -45,14 +45,17 @@
         /** Flow control: extends the receive window, so that the server may send {@code bytes} more. */
         void grant(int bytes);
 
-        /** Whether the server is stopped by flow control: the receive window is used up because the client does not read. */
-        boolean isReceiveWindowFull();
-
         /** How long no byte of the current answer has come; very long if that isn't known. */
         default Duration inputSilence() {
             return ChronoUnit.FOREVER.getDuration();
         }
 
+        /**
+         * How long nothing has come that brings the current stream nearer to its next event or its end. Zero while the server is
+         * stopped by flow control, as its client does not read, and while there is no call.
+         */
+        Duration withoutProgress();
+
         /**
          * Runs {@code then} after everything the server has sent by now was read and passed to the listener, as far as
          * the receive window allows.
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -38,8 +38,7 @@
                     StreamEvent,
                     CallCompleted,
                     CallBroken,
-                    CallExpired,
-                    StallCheck,
+                    AnswerCheck,
                     ResetCheck,
                     IdleCheck,
                     SendLastByte {}
@@ -133,9 +132,8 @@
 
     private record CallBroken(ServerCall serverCall, boolean lastByteMayHaveLeft, Instant endedAt) implements Message {}
 
-    private record CallExpired(ServerCall serverCall) implements Message {}
-
-    private record StallCheck(ServerCall serverCall) implements Message {}
+    /** Looks whether the call is to be ended for want of an answer. */
+    private record AnswerCheck(ServerCall serverCall) implements Message {}
 
     /**
      * Checks whether the TCP reset of a call that was terminated here has been sent. {@code checks}: how many checks came
@@ -159,13 +157,9 @@
             Recorder recorder,
             Metrics metrics) {}
 
-    private static final Duration STREAM_STALL_TIMEOUT =
-            Duration.ofSeconds(4); // maximum time without a byte in a stream; clients may give up after 5 s
     // how long the last byte of a request is held back, so that a connection that the server is already closing is
     // noticed before the request can run: nine in ten of such breaks arrive within this time
     private static final Duration LAST_BYTE_HOLD = Duration.ofMillis(2);
-    private static final Duration SHORT_ANSWER_TIMEOUT =
-            Duration.ofMillis(800); // maximum time without a byte in an answer that is not a stream
     // from the choice of a connection to the first byte of the request: half of the second within which a drain must
     // take effect
     private static final Duration MAX_DISPATCH_DELAY = Duration.ofMillis(500);
@@ -209,12 +203,12 @@
         } else if (message instanceof IdleLimit received) {
             idleConnections.setCapacity(received.maxConnections());
         } else if (message instanceof Send received) {
-            ServerCall serverCall = new ServerCall(received, setup.clock().instant());
+            ServerCall serverCall = new ServerCall(received, setup.clock().instant(), received.expiresAt());
             attempts.put(received.request(), serverCall);
-            startCall(serverCall, received.expiresAt());
+            startCall(serverCall);
         } else if (message instanceof Probe || message instanceof Release) {
-            ServerCall serverCall = new ServerCall(message, setup.clock().instant());
-            startCall(serverCall, serverCall.startedAt.plus(setup.callTimeout()));
+            Instant now = setup.clock().instant();
+            startCall(new ServerCall(message, now, now.plus(setup.callTimeout())));
         } else if (message instanceof CancelAttempt received) {
             ServerCall serverCall = findAttempt(received.request(), received.attempt());
             if (serverCall != null) {
@@ -248,9 +242,10 @@
                     null);
             received.serverCall().answerKind = received.kind();
             received.serverCall().report = received.report();
-            if (received.kind() != AnswerKind.STREAM) {
-                limitSilence(received.serverCall(), SHORT_ANSWER_TIMEOUT);
-            }
+            received.serverCall()
+                    .answerDeadline
+                    .answerClassified(received.kind(), setup.clock().instant());
+            scheduleAnswerCheck(received.serverCall());
         } else if (message instanceof StreamEvent received) {
             onEvent(received.serverCall(), received.eventBytes());
         } else if (message instanceof CallCompleted received) {
@@ -264,10 +259,8 @@
         } else if (message instanceof CallBroken received) {
             received.serverCall().endedAt = received.endedAt();
             onBroken(received.serverCall(), received.lastByteMayHaveLeft());
-        } else if (message instanceof CallExpired received) {
-            onExpired(received.serverCall());
-        } else if (message instanceof StallCheck received) {
-            checkStall(received.serverCall());
+        } else if (message instanceof AnswerCheck received) {
+            checkAnswer(received.serverCall());
         } else if (message instanceof ResetCheck received) {
             awaitReset(received.serverCall(), received.outcome(), received.checks());
         } else if (message instanceof IdleCheck) {
@@ -287,10 +280,8 @@
 
     // ---- connections ---------------------------------------------------------------------------
 
-    private void startCall(ServerCall serverCall, Instant expiresAt) {
-        serverCall.expiresAt = expiresAt;
-        serverCall.expiryTimer =
-                tellLater(Duration.between(serverCall.startedAt, expiresAt), new CallExpired(serverCall));
+    private void startCall(ServerCall serverCall) {
+        scheduleAnswerCheck(serverCall);
         if (terminateIfNotSendable(serverCall, true)) {
             return;
         }
@@ -312,27 +303,31 @@
         dispatch(serverCall, idleConnection.connection());
     }
 
-    /**
-     * Bounds pauses in the rest of an answer, so that one that never ends doesn't occupy its call until the client's deadline. The
-     * next check is due after {@code delay}.
-     */
-    private void limitSilence(ServerCall serverCall, Duration delay) {
+    private void scheduleAnswerCheck(ServerCall serverCall) {
         if (serverCall.done) {
             return;
         }
-        Duration remaining = Duration.between(setup.clock().instant(), serverCall.expiresAt);
-        serverCall.expiresBySilence = true;
-        serverCall.expiryTimer.cancel(false);
-        serverCall.expiryTimer =
-                tellLater(delay.compareTo(remaining) < 0 ? delay : remaining, new CallExpired(serverCall));
+        if (serverCall.answerTimer != null) {
+            serverCall.answerTimer.cancel(false);
+        }
+        serverCall.answerTimer = tellLater(remainingTime(serverCall), new AnswerCheck(serverCall));
     }
 
-    /** Whether a short answer still comes, so that its call continues until its own time is up. */
-    private boolean isAnswerComing(ServerCall serverCall) {
-        return serverCall.expiresBySilence
-                && serverCall.connection != null
-                && serverCall.connection.inputSilence().compareTo(SHORT_ANSWER_TIMEOUT) < 0
-                && setup.clock().instant().isBefore(serverCall.expiresAt);
+    private Duration remainingTime(ServerCall serverCall) {
+        return serverCall.answerDeadline.remaining(setup.clock().instant(), serverCall.connection);
+    }
+
+    private void checkAnswer(ServerCall serverCall) {
+        if (serverCall.done) {
+            return;
+        }
+        if (remainingTime(serverCall).compareTo(Duration.ZERO) > 0) {
+            scheduleAnswerCheck(serverCall);
+        } else if (serverCall.answerDeadline.isStream()) {
+            terminate(serverCall, Outcome.RESET);
+        } else {
+            onExpired(serverCall);
+        }
     }
 
     private void connect(ServerCall serverCall) {
@@ -546,13 +541,13 @@
         if (serverCall.done || serverCall.sendCommand() == null) {
             return;
         }
-        serverCall.lastEventAt = setup.clock().instant();
         if (serverCall.streamAccepted) {
             forwardEvent(serverCall, eventBytes);
         } else if (serverCall.firstEventReported) {
             serverCall.pendingEvents.add(eventBytes);
         } else if (serverCall.answerKind == AnswerKind.STREAM) {
             serverCall.firstEventReported = true;
+            serverCall.answerDeadline.firstEventReported();
             // urgent: queued behind many new requests it would reach its client late
             setup.module()
                     .tellUrgent(new ModuleActor.FirstEvent(
@@ -574,36 +569,8 @@
         if (!serverCall.done && (serverCall.completedBeforeAccepted || serverCall.brokenBeforeAccepted)) {
             reportOutcome(serverCall, serverCall.completedBeforeAccepted ? Outcome.OK : Outcome.RESET);
         }
-        if (!serverCall.done) {
-            serverCall.stallTimer = tellLater(STREAM_STALL_TIMEOUT, new StallCheck(serverCall));
-        }
-    }
-
-    /**
-     * Ends a stream that stalls while its connection stays open, as when the server miscounts the bytes of a chunk; its
-     * client would wait forever. A stream that pauses because its client doesn't read (flow control) is not a stall.
-     */
-    private void checkStall(ServerCall serverCall) {
-        if (serverCall.done) {
-            return;
-        }
-        Duration silentFor = silenceOf(serverCall);
-        if (serverCall.connection != null && serverCall.connection.isReceiveWindowFull()) {
-            serverCall.lastEventAt = setup.clock().instant();
-            serverCall.stallTimer = tellLater(STREAM_STALL_TIMEOUT, new StallCheck(serverCall));
-        } else if (silentFor.compareTo(STREAM_STALL_TIMEOUT) < 0) {
-            serverCall.stallTimer = tellLater(STREAM_STALL_TIMEOUT.minus(silentFor), new StallCheck(serverCall));
-        } else {
-            terminate(serverCall, Outcome.RESET);
-        }
-    }
-
-    /** How long neither an event nor a byte of one has come; an event may be long, and its server slow. */
-    private Duration silenceOf(ServerCall serverCall) {
-        Duration withoutEvent =
-                Duration.between(serverCall.lastEventAt, setup.clock().instant());
-        Duration withoutByte = serverCall.connection == null ? withoutEvent : serverCall.connection.inputSilence();
-        return withoutByte.compareTo(withoutEvent) < 0 ? withoutByte : withoutEvent;
+        serverCall.answerDeadline.streamAccepted();
+        scheduleAnswerCheck(serverCall);
     }
 
     private void forwardEvent(ServerCall serverCall, byte[] eventBytes) {
@@ -662,10 +629,6 @@
         if (serverCall.done || serverCall.firstEventReported) {
             return;
         }
-        if (isAnswerComing(serverCall)) {
-            limitSilence(serverCall, SHORT_ANSWER_TIMEOUT.minus(serverCall.connection.inputSilence()));
-            return;
-        }
         // without a connection, nothing can have run
         Outcome noAnswerOutcome = serverCall.connection == null ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT;
         terminate(
@@ -690,7 +653,7 @@
             return;
         }
         serverCall.done = true;
-        serverCall.expiryTimer.cancel(false);
+        serverCall.answerTimer.cancel(false);
         serverCall.endedAt = setup.clock().instant();
         serverCall.connection.abort();
         awaitReset(serverCall, outcome, 0);
--- a/src/main/java/copperbeam/routing/ServerCall.java
+++ b/src/main/java/copperbeam/routing/ServerCall.java
@@ -14,12 +14,9 @@
 final class ServerCall {
     volatile PeerActor.Message command; // null once the call has ended; also read by the transport
     final Instant startedAt;
-    Instant expiresAt;
-    Future<?> expiryTimer;
-    boolean expiresBySilence; // the rest of its answer is due: expiryTimer limits pauses in it
+    final AnswerDeadline answerDeadline;
+    Future<?> answerTimer; // for the next look at answerDeadline
     Future<?> connectTimer; // null before the first connect
-    Future<?> stallTimer; // null before the stream was accepted
-    Instant lastEventAt; // when the last event of the stream arrived
     Instant endedAt; // when the answer ended or the connection broke or was reset; null before, and after an ordinary
     // close here
     Connector.Connection connection;
@@ -37,9 +34,10 @@
     final Deque<byte[]> pendingEvents =
             new ArrayDeque<>(); // events after the first, until the ModuleActor accepts that
 
-    ServerCall(PeerActor.Message command, Instant startedAt) {
+    ServerCall(PeerActor.Message command, Instant startedAt, Instant expiresAt) {
         this.command = command;
         this.startedAt = startedAt;
+        answerDeadline = new AnswerDeadline(expiresAt);
     }
 
     /**
@@ -49,13 +47,10 @@
     void end() {
         done = true;
         pendingEvents.clear();
-        expiryTimer.cancel(false);
+        answerTimer.cancel(false);
         if (connectTimer != null) {
             connectTimer.cancel(false);
         }
-        if (stallTimer != null) {
-            stallTimer.cancel(false);
-        }
         command = null;
     }
 
--- a/src/main/java/copperbeam/transport/Chunks.java
+++ b/src/main/java/copperbeam/transport/Chunks.java
@@ -1,9 +1,11 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.AnswerProgress.Part;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.List;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -18,14 +20,14 @@
     /** For bodies without a limit on the bytes of their framing. */
     static final long UNLIMITED_FRAMING = Long.MAX_VALUE;
 
-    private static final int MAX_SIZE_DIGITS = 15; // of a hexadecimal size that fits a long
-    private static final int HEXADECIMAL = 16;
+    private static final int TYPICAL_LINE_LENGTH = 16;
 
     private Chunks() {}
 
     /**
      * {@code maxChunkBytes}: a larger chunk is an error. {@code maxFramingBytes}: more bytes of sizes, extensions, trailers and
-     * line ends are an error; a body of tiny chunks takes many times its length to transfer and to decode.
+     * line ends are an error; a body of tiny chunks takes many times its length to transfer and to decode. {@code progress} is told what
+     * the last byte of framing belongs to that was read in one go.
      */
     static Decoder decoder(
             ReadableByteChannel channel,
@@ -34,8 +36,10 @@
             BasicHttpTransportMetrics metrics,
             int maxChunkBytes,
             long maxFramingBytes,
-            ReadBudget readBudget) {
-        SessionInputBuffer checkingBuffer = new SizeCheckingBuffer(buffer, maxChunkBytes, maxFramingBytes, readBudget);
+            ReadBudget readBudget,
+            Consumer<Part> progress) {
+        ChunkFraming framing = new ChunkFraming(maxChunkBytes, config.getMaxLineLength());
+        SessionInputBuffer checkingBuffer = new CheckingBuffer(buffer, framing, maxFramingBytes, readBudget, progress);
         return new Decoder(new ChunkDecoder(channel, checkingBuffer, config, metrics));
     }
 
@@ -64,21 +68,28 @@
     }
 
     /**
-     * Checks each chunk-size line. Rejects sizes with a sign, with which HttpCore would read its buffer backwards, and chunks
-     * of gigabytes.
+     * Reads the lines between chunks as far as they have come, and checks each byte: HttpCore would wait for a whole line, and would read
+     * its buffer backwards after a size with a sign.
      */
-    private static final class SizeCheckingBuffer extends ForwardingInputBuffer {
-        private final int maxChunkBytes;
+    private static final class CheckingBuffer extends ForwardingInputBuffer {
+        private final ChunkFraming framing;
         private final long maxFramingBytes;
-        private long framingBytes;
         private final ReadBudget readBudget;
-        private boolean lastChunkSeen;
+        private final Consumer<Part> progress;
+        private final CharArrayBuffer partialLine = new CharArrayBuffer(TYPICAL_LINE_LENGTH);
+        private long framingBytes;
 
-        SizeCheckingBuffer(SessionInputBuffer buffer, int maxChunkBytes, long maxFramingBytes, ReadBudget readBudget) {
+        CheckingBuffer(
+                SessionInputBuffer buffer,
+                ChunkFraming framing,
+                long maxFramingBytes,
+                ReadBudget readBudget,
+                Consumer<Part> progress) {
             super(buffer);
-            this.maxChunkBytes = maxChunkBytes;
+            this.framing = framing;
             this.maxFramingBytes = maxFramingBytes;
             this.readBudget = readBudget;
+            this.progress = progress;
         }
 
         @Override
@@ -93,48 +104,37 @@
 
         @Override
         public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
-            int lengthBefore = length();
-            boolean lineComplete = super.readLine(line, endOfStream);
-            framingBytes += Math.max(0, lengthBefore - length());
-            if (framingBytes > maxFramingBytes) {
-                throw new MalformedChunkCodingException("too many bytes of chunk framing");
-            }
-            if (lineComplete && !lastChunkSeen && !line.isEmpty()) {
-                lastChunkSeen = parseSize(line) == 0;
-            }
-            return lineComplete;
-        }
-
-        /** Without regular expressions and copies, as there is one size for each event of a stream. */
-        private long parseSize(CharArrayBuffer line) throws IOException {
-            int extension = line.indexOf(';');
-            int end = extension < 0 ? line.length() : extension;
-            int start = 0;
-            while (start < end && Character.isWhitespace(line.charAt(start))) {
-                start++;
-            }
-            while (end > start && Character.isWhitespace(line.charAt(end - 1))) {
-                end--;
+            Part lastPart = null;
+            boolean lineComplete = false;
+            while (hasData() && !lineComplete) {
+                int next = read();
+                if (++framingBytes > maxFramingBytes) {
+                    throw new MalformedChunkCodingException("too many bytes of chunk framing");
+                }
+                lastPart = framing.accept(next);
+                lineComplete = next == '\n';
+                if (!lineComplete) {
+                    partialLine.append((char) next);
+                }
             }
-            if (start == end || end - start > MAX_SIZE_DIGITS) {
-                throw new MalformedChunkCodingException("malformed chunk size");
+            if (lastPart != null) {
+                progress.accept(lastPart);
             }
-            long size = 0;
-            for (int i = start; i < end; i++) {
-                size = size * HEXADECIMAL + hexadecimalDigit(line.charAt(i));
+            if (!lineComplete && endOfStream && !partialLine.isEmpty()) {
+                framing.endLine();
+                lineComplete = true;
             }
-            if (size > maxChunkBytes) {
-                throw new MalformedChunkCodingException("chunk too large: " + size + " bytes");
+            if (lineComplete) {
+                takeLine(line);
             }
-            return size;
+            return lineComplete;
         }
 
-        private static int hexadecimalDigit(char character) throws IOException {
-            int digit = character < 128 ? Character.digit(character, HEXADECIMAL) : -1;
-            if (digit < 0) {
-                throw new MalformedChunkCodingException("malformed chunk size");
-            }
-            return digit;
+        private void takeLine(CharArrayBuffer line) {
+            int length = partialLine.length();
+            boolean endsWithCarriageReturn = length > 0 && partialLine.charAt(length - 1) == '\r';
+            line.append(partialLine, 0, endsWithCarriageReturn ? length - 1 : length);
+            partialLine.clear();
         }
     }
 
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -1,5 +1,6 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.AnswerProgress;
 import copperbeam.protocol.RequestBody;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -54,8 +55,7 @@
     private volatile boolean lastByteWritten; // HttpCore has the last byte, and may still buffer it
     private boolean lastByteSent; // the operating system has taken it
     private BooleanSupplier hasBufferedOutput = () -> false;
-    private volatile long lastInputNanos = System.nanoTime();
-    private long receivedBytes; // of the response, its head and its framing included
+    private final AnswerProgress progress = new AnswerProgress(System.nanoTime());
     private boolean progressReported;
     private long progressReportedNanos;
     private int informationalHeads;
@@ -128,7 +128,10 @@
     void lastByteHeld() {}
 
     /** Bytes of the response have come, and it isn't complete; called at most once in each {@link #PROGRESS_INTERVAL}. */
-    void progress() {}
+    void reportProgress() {}
+
+    /** Called after each turn in which bytes of the response were read that didn't complete it. Throws to end the exchange. */
+    void checkProgress() throws IOException {}
 
     /**
      * Attaches the exchange to a connection. {@code hasBufferedOutput}: whether HttpCore buffers output that the operating
@@ -192,26 +195,34 @@
         }
     }
 
-    /** Called after each turn in which {@code count} bytes were read; they may be a part of the response's head only. */
-    final void bytesRead(long count) {
+    /** Called after each turn in which bytes were read; they may be a part of the response's head only. */
+    final void bytesRead() throws IOException {
         long now = System.nanoTime();
-        lastInputNanos = now;
-        receivedBytes += count;
-        if (!ended && (!progressReported || now - progressReportedNanos > PROGRESS_INTERVAL.toNanos())) {
+        progress.bytesRead(now);
+        if (ended) {
+            return;
+        }
+        checkProgress();
+        if (!progressReported || now - progressReportedNanos > PROGRESS_INTERVAL.toNanos()) {
             progressReported = true;
             progressReportedNanos = now;
-            progress();
+            reportProgress();
         }
     }
 
-    /** Bytes of the response that were read before the turn under way. */
-    final long receivedBytes() {
-        return receivedBytes;
+    /** What has come of the response; for any thread to ask, for the reactor's to report. */
+    final AnswerProgress progress() {
+        return progress;
     }
 
     /** How long no byte of the response has come, since the exchange began at the earliest. */
     final Duration inputSilence() {
-        return Duration.ofNanos(System.nanoTime() - lastInputNanos);
+        return progress.silence(System.nanoTime());
+    }
+
+    /** How long nothing has come that brings the answer nearer to its end; none while the server is stopped by flow control. */
+    final Duration withoutProgress() {
+        return isWindowUsed() ? Duration.ZERO : progress.withoutProgress(System.nanoTime());
     }
 
     /** Whether the receive window is about used up, because the receiver of the data is slow. */
@@ -234,6 +245,15 @@
         }
     }
 
+    /** As {@link #grant}, as the client has taken the bytes. */
+    final void grantTaken(int bytes) {
+        boolean wasStopped = isWindowUsed();
+        grant(bytes);
+        if (wasStopped && !isWindowUsed()) {
+            progress.windowFreed(System.nanoTime());
+        }
+    }
+
     @Override
     public final void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
         if (!maySendHead() || hasBody && !usesContent.get()) {
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -1,5 +1,6 @@
 package copperbeam.transport;
 
+import copperbeam.protocol.AnswerProgress;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -198,6 +199,7 @@
         private final ResponseLimits limits;
         private Chunks.Decoder chunkDecoder;
         private SessionOutputBuffer outputBuffer;
+        private volatile ClientExchange exchange; // the current one; null before the first
 
         Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser, ResponseLimits limits) {
             super(
@@ -222,7 +224,14 @@
                 return super.createContentDecoder(length, channel, buffer, metrics);
             }
             chunkDecoder = Chunks.decoder(
-                    channel, buffer, CONFIG, metrics, limits.maxChunkBytes(), Chunks.UNLIMITED_FRAMING, readBudget);
+                    channel,
+                    buffer,
+                    CONFIG,
+                    metrics,
+                    limits.maxChunkBytes(),
+                    Chunks.UNLIMITED_FRAMING,
+                    readBudget,
+                    this::framingRead);
             return chunkDecoder;
         }
 
@@ -242,6 +251,10 @@
             return outputBuffer != null && outputBuffer.hasData();
         }
 
+        private void framingRead(AnswerProgress.Part part) {
+            exchange.progress().received(part, System.nanoTime());
+        }
+
         IOException deferredError() {
             return chunkDecoder == null ? null : chunkDecoder.deferredError();
         }
@@ -283,6 +296,7 @@
         void startExchange(ClientExchange next) {
             next.attach(duplexer::hasBufferedOutput, reused);
             reused = true;
+            duplexer.exchange = next;
             exchange = next;
         }
 
@@ -345,7 +359,7 @@
                 }
                 ClientExchange current = exchange;
                 if (current != null && receivedBytes() != bytesBefore) {
-                    current.bytesRead(receivedBytes() - bytesBefore);
+                    current.bytesRead();
                 }
                 if (parser.isPartial() && (current == null || current.isEnded())) {
                     failUnsolicitedHead(ioSession);
--- a/src/main/java/copperbeam/transport/RequestDuplexer.java
+++ b/src/main/java/copperbeam/transport/RequestDuplexer.java
@@ -95,7 +95,8 @@
                                 metrics,
                                 HttpCall.MAX_BODY_BYTES,
                                 HttpCall.MAX_BODY_BYTES,
-                                readBudget),
+                                readBudget,
+                                part -> {}),
                         super.createContentDecoder(Long.MAX_VALUE, channel, buffer, metrics))
                 : super.createContentDecoder(length, channel, buffer, metrics);
     }
--- a/src/main/java/copperbeam/transport/ServerConnector.java
+++ b/src/main/java/copperbeam/transport/ServerConnector.java
@@ -1,15 +1,18 @@
 package copperbeam.transport;
 
 import copperbeam.Api.Report;
+import copperbeam.protocol.AnswerProgress.Part;
 import copperbeam.protocol.EventSplitter;
 import copperbeam.protocol.HttpCall;
 import copperbeam.protocol.RequestBody;
 import copperbeam.protocol.SseData;
 import copperbeam.protocol.platform.PlatformHeaders;
 import copperbeam.protocol.platform.PlatformStatus;
+import copperbeam.routing.AnswerDeadline;
 import copperbeam.routing.Connector;
 import copperbeam.routing.ModuleTime;
 import copperbeam.routing.RequestLog;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -128,20 +131,20 @@
         public void grant(int bytes) {
             ClientExchange current = exchange;
             if (current != null) {
-                current.grant(bytes + AttemptExchange.EVENT_OVERHEAD_BYTES);
+                current.grantTaken(bytes + AttemptExchange.EVENT_OVERHEAD_BYTES);
             }
         }
 
         @Override
-        public boolean isReceiveWindowFull() {
+        public Duration inputSilence() {
             ClientExchange current = exchange;
-            return current != null && current.isWindowUsed();
+            return current == null ? Connection.super.inputSilence() : current.inputSilence();
         }
 
         @Override
-        public Duration inputSilence() {
+        public Duration withoutProgress() {
             ClientExchange current = exchange;
-            return current == null ? Connection.super.inputSilence() : current.inputSilence();
+            return current == null ? Duration.ZERO : current.withoutProgress();
         }
 
         @Override
@@ -211,6 +214,8 @@
         /** What an event on its way to its client takes of the heap beside its bytes, counted against the receive window. */
         static final int EVENT_OVERHEAD_BYTES = 256;
 
+        private static final int MAX_OPENING_BYTES = 32 * 1024; // of comments before the first event
+
         private final CallListener listener;
         private final AttemptCall call;
         private final RequestLog requestLog;
@@ -218,9 +223,8 @@
         private Duration timeoutSent = Duration.ZERO;
         private boolean isStream;
         private AnswerKind answerKind;
+        private final ByteArrayOutputStream openingComments = new ByteArrayOutputStream(0);
         private boolean eventForwarded;
-        private long lastEventNanos; // System.nanoTime when the last event was complete
-        private long bytesAtLastEvent; // receivedBytes() at that time
         private boolean lastEventSeen;
         private int forwardedBytes; // of the events in the part that is being split, with their overhead
 
@@ -279,20 +283,54 @@
          */
         private void accept(ByteBuffer bytes) throws IOException {
             int received = bytes.remaining();
+            long textBytesBefore = events.textBytes();
             forwardedBytes = 0;
             if (!events.accept(bytes, this::forward)) {
                 throw new IOException("not a stream of server-sent events");
             }
+            if (openingComments.size() > MAX_OPENING_BYTES) {
+                throw new IOException("too many comments before the first event");
+            }
+            noteProgress(events.textBytes() > textBytesBefore ? Part.EVENT_TEXT : Part.PADDING);
             grant(received - forwardedBytes);
         }
 
+        private void noteProgress(Part part) {
+            progress().received(part, System.nanoTime());
+        }
+
+        /** Comments before the first event wait for it: its client's deadline holds until then. */
         private void forward(byte[] eventBytes) {
-            forwardedBytes += eventBytes.length + EVENT_OVERHEAD_BYTES;
-            lastEventSeen |= SseData.isLastEvent(eventBytes);
+            boolean hasData = SseData.hasData(eventBytes);
+            if (!hasData && !eventForwarded) {
+                openingComments.writeBytes(eventBytes);
+                return;
+            }
+            if (hasData && !lastEventSeen) {
+                noteProgress(Part.EVENT);
+            }
+            if (SseData.isLastEvent(eventBytes)) {
+                lastEventSeen = true;
+                events.expectOnlyComment();
+            }
+            byte[] forwarded = openingComments.size() == 0 ? eventBytes : withOpeningComments(eventBytes);
+            forwardedBytes += forwarded.length + EVENT_OVERHEAD_BYTES;
             eventForwarded = true;
-            lastEventNanos = System.nanoTime();
-            bytesAtLastEvent = receivedBytes();
-            listener.event(eventBytes);
+            listener.event(forwarded);
+        }
+
+        private byte[] withOpeningComments(byte[] eventBytes) {
+            openingComments.writeBytes(eventBytes);
+            byte[] joined = openingComments.toByteArray();
+            openingComments.reset();
+            return joined;
+        }
+
+        @Override
+        void checkProgress() throws IOException {
+            if (isStream && progress().isStreaming() && AnswerDeadline.isStreamStalled(withoutProgress())) {
+                throw new IOException("stream without progress");
+            }
         }
 
         /**
@@ -325,25 +363,21 @@
                 requestLog.note(call.spec().id(), "the connection of its attempt broke: " + cause());
             }
             if (eventForwarded) {
-                requestLog.note(call.spec().id(), describeUnfinishedStream());
+                requestLog.note(
+                        call.spec().id(),
+                        "its stream isn't whole: " + progress().describe(System.nanoTime())
+                                + (lastEventSeen ? ", the closing event has come" : ""));
             }
             listener.broken(mayHaveRun);
         }
 
-        private String describeUnfinishedStream() {
-            long silentMs = Duration.ofNanos(System.nanoTime() - lastEventNanos).toMillis();
-            return "its stream isn't whole: last event " + silentMs + " ms ago"
-                    + (lastEventSeen ? ", the closing one" : "") + ", "
-                    + (receivedBytes() - bytesAtLastEvent) + " bytes read since its turn began";
-        }
-
         @Override
         void lastByteHeld() {
             listener.lastByteHeld();
         }
 
         @Override
-        void progress() {
+        void reportProgress() {
             if (!eventForwarded) {
                 listener.answerProgress();
             }
--- a/src/test/java/copperbeam/model/Exchange.java
+++ b/src/test/java/copperbeam/model/Exchange.java
@@ -10,6 +10,7 @@
 
 /** One call on a simulated connection ({@link Link}), and its answer. */
 final class Exchange {
+    private static final int WINDOW_BYTES = 32_767;
     private static final long RETRANSMIT_INTERVAL_NS = 20 * VirtualTime.NANOS_PER_MS;
 
     private final World world;
@@ -24,6 +25,7 @@
     private long closeNoticedAt = Long.MAX_VALUE; // when the server notices that the connection was closed
     private boolean aborted; // closed with a TCP reset, so that a last byte still on its way is lost
     private long announcedDeadline = Long.MAX_VALUE; // end of the timeout that the server was told
+    private long progressAt; // when the last event was received, or the window was extended that had been full
     private int unreadBytes; // received bytes for which the process has not yet extended the receive window again
 
     Exchange(Link link, Call call, CallListener listener) {
@@ -174,6 +176,7 @@
         link.sendToProcess(() -> {
             if (!listenerDone) {
                 unreadBytes += eventBytes.length;
+                progressAt = world.time.now();
                 listener.event(eventBytes);
             }
         });
@@ -231,10 +234,11 @@
     }
 
     void onWindowGranted(int bytes) {
+        progressAt = unreadBytes > WINDOW_BYTES ? world.time.now() : progressAt;
         unreadBytes -= bytes;
     }
 
-    boolean isReceiveWindowFull() {
-        return unreadBytes > 32_767;
+    Duration withoutProgress() {
+        return Duration.ofNanos(unreadBytes > WINDOW_BYTES ? 0 : world.time.now() - progressAt);
     }
 }
--- a/src/test/java/copperbeam/model/Link.java
+++ b/src/test/java/copperbeam/model/Link.java
@@ -4,6 +4,7 @@
 import copperbeam.routing.Connector.CallListener;
 import copperbeam.routing.Connector.Connection;
 import copperbeam.routing.Connector.ConnectionListener;
+import java.time.Duration;
 
 /** One simulated connection from a process to a server: either end may close it before the other end notices. */
 final class Link implements Connection {
@@ -154,8 +155,8 @@
     }
 
     @Override
-    public boolean isReceiveWindowFull() {
-        return currentExchange != null && currentExchange.isReceiveWindowFull();
+    public Duration withoutProgress() {
+        return currentExchange == null ? Duration.ZERO : currentExchange.withoutProgress();
     }
 
     @Override
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -171,7 +171,11 @@
             {"events: 1\n"},
             {"data: " + "x".repeat(40_000)},
             {" data: 1\n"},
-            {"dat"}
+            {"dat"},
+            {"datx"},
+            {"data: 1\nz"},
+            {"data\rx"},
+            {"\rx"},
         };
     }
 
@@ -185,6 +189,35 @@
         assertEquals(events.size(), 0);
     }
 
+    @DataProvider
+    public Object[][] progressOfText() {
+        return new Object[][] {
+            {"data: {\"a\":1}\n\n", 14},
+            {"data:[DONE]\r\n\r\n", 13},
+            {"data: [DONE] ", 12},
+            {"data: [DATA", 8},
+            {"data:  {", 6},
+            {"data: xx\ndata: x\n", 6},
+            {"data: {\ndata: x\n", 16},
+            {": note\n\n", 7},
+            {"\n\r\n\n", 0},
+            {"id: 7\n", 0},
+            {"data: [DONE]\n\n: a\n: b\ndata: {}\n", 13 + 4},
+        };
+    }
+
+    /** Only what may belong to a completion's event, or to a comment, is counted. */
+    @Test(dataProvider = "progressOfText")
+    public void textThatMayBecomeAnEventIsCounted(String text, long expected) {
+        EventSplitter splitter = new EventSplitter();
+        splitter.accept(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), event -> {
+            if (SseData.isLastEvent(event)) {
+                splitter.expectOnlyComment();
+            }
+        });
+        assertEquals(splitter.textBytes(), expected);
+    }
+
     @DataProvider
     public Object[][] faultyLists() {
         String server = "{\"version\":1,\"servers\":[%s]}";
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -415,8 +415,8 @@
             public void grant(int bytes) {}
 
             @Override
-            public boolean isReceiveWindowFull() {
-                return false;
+            public Duration withoutProgress() {
+                return Duration.ZERO;
             }
 
             @Override
--- a/src/test/java/copperbeam/routing/UnwantedTest.java
+++ b/src/test/java/copperbeam/routing/UnwantedTest.java
@@ -70,8 +70,8 @@
         public void grant(int bytes) {}
 
         @Override
-        public boolean isReceiveWindowFull() {
-            return false;
+        public Duration withoutProgress() {
+            return Duration.ZERO;
         }
 
         @Override
--- a/src/test/java/copperbeam/sockets/HeldBackTest.java
+++ b/src/test/java/copperbeam/sockets/HeldBackTest.java
@@ -256,8 +256,8 @@
         }
 
         @Override
-        public boolean isReceiveWindowFull() {
-            return delegate.isReceiveWindowFull();
+        public Duration withoutProgress() {
+            return delegate.withoutProgress();
         }
 
         @Override
