The soak has spoilt and slow streams, and a rule on clients left waiting

Change: writers may go on without end with what is no event (eight forms and trailers, at four paces, before and after the first event), or write one event in pieces over 4.5 s; both are drawn as moods of one server, and in every third seed one stream in twelve each. Clients note when the last byte came; a stream that isn't whole and ends more than 5 s after it is LEFT_WAITING. OracleTest has a history that breaks the rule and one that keeps it.

--- a/src/soak/java/copperbeam/soak/AttemptEnd.java
+++ b/src/soak/java/copperbeam/soak/AttemptEnd.java
@@ -8,6 +8,8 @@
     TURNED_AWAY,
     /** An error, a reset, or an incomplete answer. */
     FAILED,
+    /** The server went on with what belongs to no answer, until the connection was closed. */
+    SPOILT,
     /** The conductor closed the connection first. */
     GIVEN_UP
 }
--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -251,7 +251,12 @@
             return handleClose(connection, id);
         }
         history.add(new Observation.Answered(
-                System.nanoTime(), id, Integer.parseInt(answer.word(1)), answer.complete(), answer.body()));
+                System.nanoTime(),
+                id,
+                Integer.parseInt(answer.word(1)),
+                answer.complete(),
+                answer.body(),
+                connection.lastReadAt()));
         boolean closes = !answer.complete() || "close".equalsIgnoreCase(answer.header("Connection"));
         return closes ? Next.NEW_CONNECTION : Next.SAME_CONNECTION;
     }
--- a/src/soak/java/copperbeam/soak/HttpConnection.java
+++ b/src/soak/java/copperbeam/soak/HttpConnection.java
@@ -2,10 +2,13 @@
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
@@ -29,11 +32,19 @@
 
     final Socket socket;
     private final InputStream in;
+    private long lastReadAt = System.nanoTime();
 
     HttpConnection(Socket socket) throws IOException {
         this.socket = socket;
         socket.setTcpNoDelay(true);
-        in = new BufferedInputStream(socket.getInputStream());
+        in = new BufferedInputStream(new FilterInputStream(socket.getInputStream()) {
+            @Override
+            public int read(byte[] bytes, int offset, int length) throws IOException {
+                int count = super.read(bytes, offset, length);
+                lastReadAt = count > 0 ? System.nanoTime() : lastReadAt;
+                return count;
+            }
+        });
     }
 
     static HttpConnection connect(InetSocketAddress address, int timeoutMs) throws IOException {
@@ -50,6 +61,11 @@
         return new HttpConnection(socket);
     }
 
+    /** When the last byte was read, by {@link System#nanoTime}. */
+    long lastReadAt() {
+        return lastReadAt;
+    }
+
     void setReadTimeout(int ms) throws IOException {
         socket.setSoTimeout(ms);
     }
@@ -62,8 +78,13 @@
         send("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
+    /** The text as a chunk of a body. */
+    static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
     void sendChunk(String data) throws IOException {
-        send(Integer.toHexString(data.length()) + "\r\n" + data + "\r\n");
+        send(chunk(data));
     }
 
     /** Waits for the first byte of a message; returns false at the end of the connection. */
@@ -120,7 +141,7 @@
         return bytes.length == length;
     }
 
-    /** Reads a chunked body; returns whether it is complete. A reset counts as the end of the stream; the bytes before it are kept. */
+    /** Reads a chunked body; returns whether it is complete. A reset and the end of the reader's patience count as the end; the bytes before it are kept. */
     private boolean readChunks(ByteArrayOutputStream body) throws IOException {
         try {
             for (String size = readLine(); size != null; size = readLine()) {
@@ -132,7 +153,7 @@
                     return false;
                 }
             }
-        } catch (java.net.SocketException e) {
+        } catch (SocketException | SocketTimeoutException e) {
             return false;
         }
         return false;
--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -10,8 +10,12 @@
     /** A client has sent the last byte of a request. */
     record Sent(long at, String id, RequestKind kind, String conductor, long deadlineMs) implements Observation {}
 
-    /** A client has read an answer to its end. {@code complete}: up to its last chunk or its Content-Length. */
-    record Answered(long at, String id, int status, boolean complete, String body) implements Observation {}
+    /**
+     * A client has read an answer to its end, or until it lost patience. {@code complete}: up to its last chunk or its Content-Length;
+     * {@code lastByteAt}: when its last byte came.
+     */
+    record Answered(long at, String id, int status, boolean complete, String body, long lastByteAt)
+            implements Observation {}
 
     /** The conductor closed the connection without an answer; {@code wasRead}: no reset shows that the request was left unread. */
     record ClosedUnanswered(long at, String id, boolean wasRead) implements Observation {}
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -58,6 +58,7 @@
             350; // how much later than the settings' release time a release may come
     // the time announced to a server may exceed the client's remaining time by this
     private static final long DEADLINE_GRACE_MS = 150;
+    private static final long MAX_WAIT_MS = 5000; // from the last byte of a stream to its end
     private static final long KILL_NOTICE_MS = 300; // how long a client may take to notice a kill
     // what the kill finds unanswered is lost if it was sent later in the stop than this
     private static final long STOP_ACCEPT_MS = 700;
@@ -306,6 +307,10 @@
                 .anyMatch(a -> complete
                         ? a.streamed.complete() && a.streamed.body().equals(receivedBody)
                         : a.streamed.body().startsWith(receivedBody));
+        long waitedNs = request.answered.at() - request.answered.lastByteAt();
+        if (!complete && waitedNs > (MAX_WAIT_MS + terms.slackMs()) * NANOS_PER_MS) {
+            addViolation(Rule.LEFT_WAITING, id, formatMs(waitedNs) + " after the last byte of its stream");
+        }
         boolean cutWhileWriting = !complete
                 && !terms.streamsResume()
                 && request.attempts.stream()
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -28,6 +28,10 @@
         RESETS,
         BREAKS_STREAMS,
         GARBLES,
+        /** Goes on without end with what is no further event, after some events of a stream or before the first. */
+        SPOILS_STREAMS,
+        /** Writes one event of each stream in pieces, for longer than a pause may be. */
+        WRITES_SLOWLY,
         /** Has writes wait for longer than usual before they fetch their states. */
         QUEUES,
         /** Has writes wait as long, then refuses them or resets their connections. */
@@ -46,6 +50,10 @@
 
     private static final int MIN_LONG_EVENTS = 30; // twice as many at most, each with PADDING
     private static final String PADDING = ",\"padding\":\"" + "p".repeat(3000) + "\"";
+    private static final int SLOW_EVENT_MS = 4500;
+    private static final int SLOW_EVENT_PIECES = 15;
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String LAST_EVENT = "data: [DONE]\n\n";
     private static final AtomicLong ATTEMPT_COUNTER = new AtomicLong();
 
@@ -60,6 +68,9 @@
 
     volatile Behavior behavior;
 
+    /** Of so many streams that would be sound, one is spoilt and one is written slowly; none at 0. */
+    volatile int oddStreamInterval;
+
     ServerStandIn(String id, Role role, Behavior usualBehavior, History history, ReadStates readStates, long seed)
             throws IOException {
         this.id = id;
@@ -155,7 +166,7 @@
             end = respond(connection, link, request, attempt);
             link.awaitDelivery(); // the conductor can't see the end of the attempt before
         } finally {
-            if (end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED) {
+            if (end != AttemptEnd.TURNED_AWAY && end != AttemptEnd.SERVED && end != AttemptEnd.SPOILT) {
                 // FAILED also if the network ended the connection
                 end = link.wasGivenUp() ? AttemptEnd.GIVEN_UP : AttemptEnd.FAILED;
             }
@@ -169,6 +180,7 @@
             throws IOException, InterruptedException {
         String requestId = request.header("X-Request-ID");
         Behavior behaviorNow = draw(3) == 0 ? Behavior.HEALTHY : behavior;
+        behaviorNow = behaviorNow == Behavior.HEALTHY ? drawStreamBehavior() : behaviorNow;
         switch (behaviorNow) {
             case REFUSES:
                 connection.sendAnswer(503, "X-Not-Processed: 1\r\n", "");
@@ -196,6 +208,17 @@
         }
     }
 
+    private Behavior drawStreamBehavior() {
+        if (oddStreamInterval == 0) {
+            return Behavior.HEALTHY;
+        }
+        return switch (draw(oddStreamInterval)) {
+            case 0 -> Behavior.SPOILS_STREAMS;
+            case 1 -> Behavior.WRITES_SLOWLY;
+            default -> Behavior.HEALTHY;
+        };
+    }
+
     /** Waits, but not beyond the end of the connection; returns whether the connection still exists. */
     private static boolean pause(ProxiedConnection link, long ms) throws InterruptedException {
         long deadlineNs = System.nanoTime() + ms * 1_000_000;
@@ -272,7 +295,9 @@
             }
             boolean isLong = request.body().contains(LONG_ANSWER_MARK);
             int events = isLong ? MIN_LONG_EVENTS + draw(MIN_LONG_EVENTS) : 2 + draw(6);
-            int eventsToSend = behaviorNow == Behavior.BREAKS_STREAMS ? draw(events) : events;
+            boolean breaksOff = behaviorNow == Behavior.BREAKS_STREAMS || behaviorNow == Behavior.SPOILS_STREAMS;
+            // a spoilt stream may have its last event
+            int eventsToSend = breaksOff ? draw(behaviorNow == Behavior.SPOILS_STREAMS ? events + 1 : events) : events;
             for (int event = 0; event < eventsToSend; event++) {
                 String text = event == events - 1
                         ? LAST_EVENT
@@ -280,14 +305,21 @@
                                 + (isLong ? PADDING : "") + "}\n\n";
                 streamed.append(text);
                 if (event == 0) {
-                    connection.send(
-                            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    connection.send(STREAM_HEAD);
+                }
+                boolean inPieces = behaviorNow == Behavior.WRITES_SLOWLY && event == 1;
+                if (!inPieces) {
+                    connection.sendChunk(text);
+                } else if (!sendInPieces(connection, link, HttpConnection.chunk(text))) {
+                    return AttemptEnd.GIVEN_UP;
                 }
-                connection.sendChunk(text);
                 if (!isLong && !pause(link, behaviorNow == Behavior.SLOW ? draw(300) : draw(25))) {
                     return AttemptEnd.GIVEN_UP;
                 }
             }
+            if (behaviorNow == Behavior.SPOILS_STREAMS) {
+                return spoilStream(connection, link, eventsToSend, events);
+            }
             if (eventsToSend < events) {
                 breakStream(connection, eventsToSend > 0);
                 return AttemptEnd.FAILED;
@@ -300,6 +332,37 @@
         }
     }
 
+    /** Sends the text over {@link #SLOW_EVENT_MS}; returns whether the connection still exists. */
+    private static boolean sendInPieces(HttpConnection connection, ProxiedConnection link, String text)
+            throws IOException, InterruptedException {
+        int pieceLength = text.length() / SLOW_EVENT_PIECES + 1;
+        for (int start = 0; start < text.length(); start += pieceLength) {
+            connection.send(text.substring(start, Math.min(text.length(), start + pieceLength)));
+            if (!pause(link, SLOW_EVENT_MS / SLOW_EVENT_PIECES)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Goes on with a drawn {@link SpoiltPart} until the connection ends. */
+    private AttemptEnd spoilStream(HttpConnection connection, ProxiedConnection link, int eventsSent, int events)
+            throws InterruptedException {
+        SpoiltPart part;
+        synchronized (random) {
+            part = SpoiltPart.draw(random, eventsSent == events);
+        }
+        try {
+            connection.send((eventsSent == 0 ? STREAM_HEAD : "") + part.opening());
+            do {
+                connection.send(part.repeated());
+            } while (pause(link, part.pauseMs()));
+        } catch (IOException e) {
+            // the connection was closed
+        }
+        return AttemptEnd.SPOILT;
+    }
+
     /** Resets the connection or, once a stream has begun, ends it at times with a last chunk before its last event. */
     private void breakStream(HttpConnection connection, boolean begun) throws IOException {
         if (begun && draw(2) == 0) {
--- a/src/soak/java/copperbeam/soak/SoakRun.java
+++ b/src/soak/java/copperbeam/soak/SoakRun.java
@@ -72,6 +72,9 @@
     private static final int UNEVEN_SEED_REMAINDER = 2;
     // in every 4th seed writers have writes wait, and connections to some servers are lossy
     private static final int SLOW_WRITERS_SEED_INTERVAL = 4;
+    // in every 3rd seed writers spoil some of their streams and write some slowly
+    private static final int ODD_STREAMS_SEED_INTERVAL = 3;
+    private static final int ODD_STREAM_INTERVAL = 12;
     // idle clients per conductor: more than it has file descriptors for
     private static final int IDLE_CLIENTS = 400;
     private static final long EVIDENCE_MARGIN_NS =
@@ -105,6 +108,9 @@
                 size.defect() != null
                         ? size.defect().writerBehavior
                         : slowWriters ? Behavior.QUEUES : Behavior.HEALTHY);
+        if (seed % ODD_STREAMS_SEED_INTERVAL == 0 && size.defect() == null) {
+            site.setOddStreamInterval(ODD_STREAM_INTERVAL);
+        }
         for (int i = 0; i < size.readers() + size.writers(); i++) {
             site.addServer(i < size.readers() ? Role.READER : Role.WRITER, 0);
         }
--- a/src/soak/java/copperbeam/soak/SoakSite.java
+++ b/src/soak/java/copperbeam/soak/SoakSite.java
@@ -33,6 +33,7 @@
     private final Random random;
     private final UnaryOperator<String> requestChange;
     private volatile ServerStandIn.Behavior writerBehavior = ServerStandIn.Behavior.HEALTHY;
+    private volatile int oddStreamInterval;
     private volatile long clockOffsetMs;
 
     /** {@code requestChange}: a deliberate defect, applied to what conductors send to servers; or null. */
@@ -55,6 +56,11 @@
         writerBehavior = behavior;
     }
 
+    /** See {@link ServerStandIn#oddStreamInterval}; for writers that are added from now on. */
+    void setOddStreamInterval(int interval) {
+        oddStreamInterval = interval;
+    }
+
     ServerStandIn addServer(Role role, long startedMs) throws IOException {
         String id = "s-" + serverCounter.incrementAndGet();
         ServerStandIn server = new ServerStandIn(
@@ -64,6 +70,7 @@
                 history,
                 readStates,
                 random.nextLong());
+        server.oddStreamInterval = role == Role.WRITER ? oddStreamInterval : 0;
         resources.add(server);
         for (ConductorProcess conductor : conductors) {
             FaultProxy proxy = new FaultProxy(conductor.name, server.address());
--- a/src/soak/java/copperbeam/soak/Violation.java
+++ b/src/soak/java/copperbeam/soak/Violation.java
@@ -6,6 +6,8 @@
     enum Rule {
         /** A request that the conductor had read got no final answer, or got it more than 0.5 s after its deadline. */
         LOST,
+        /** A stream that isn't whole was left open for more than 5 s after the last byte that its client got. */
+        LEFT_WAITING,
         /** A 200 whose body isn't what one server produced for the request. */
         WRONG_ANSWER,
         /** Two attempts of a request were in flight at once. */
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -48,7 +48,7 @@
                 new StateFreed(25 * NANOS_PER_MS, "r"),
                 new Streamed(110 * NANOS_PER_MS, "r", 2, true, "abc"),
                 new AttemptEnded(110 * NANOS_PER_MS, "r", 2, AttemptEnd.SERVED),
-                new Answered(120 * NANOS_PER_MS, "r", 200, true, "abc"));
+                new Answered(120 * NANOS_PER_MS, "r", 200, true, "abc", 120 * NANOS_PER_MS));
     }
 
     private static Observation sentAt(long ms, RequestKind kind) {
@@ -64,7 +64,7 @@
     }
 
     private static Observation answered(long ms, int status) {
-        return new Answered(ms * NANOS_PER_MS, "r", status, true, "");
+        return new Answered(ms * NANOS_PER_MS, "r", status, true, "", ms * NANOS_PER_MS);
     }
 
     @DataProvider
@@ -122,22 +122,39 @@
                     attemptArrives(5, Role.WRITER, 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(9, 1, AttemptEnd.GIVEN_UP),
-                    new Answered(10 * NANOS_PER_MS, "r", 200, false, "a")),
+                    new Answered(10 * NANOS_PER_MS, "r", 200, false, "a", 10 * NANOS_PER_MS)),
             row(
                     Rule.LOST,
                     sentAt(0, safe),
                     attemptArrives(5, Role.WRITER, 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, true, "ab"),
                     attemptEnds(9, 1, AttemptEnd.SERVED),
-                    new Answered(10 * NANOS_PER_MS, "r", 200, false, "a")),
+                    new Answered(10 * NANOS_PER_MS, "r", 200, false, "a", 10 * NANOS_PER_MS)),
+            row(
+                    null,
+                    sentAt(0, safe),
+                    attemptArrives(5, Role.WRITER, 1),
+                    new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
+                    attemptEnds(4900, 1, AttemptEnd.SPOILT),
+                    new Answered(5050 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
+            row(
+                    Rule.LEFT_WAITING,
+                    sentAt(0, safe),
+                    attemptArrives(5, Role.WRITER, 1),
+                    new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
+                    attemptEnds(5100, 1, AttemptEnd.SPOILT),
+                    new Answered(5100 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
             row(
                     Rule.WRONG_ANSWER,
                     sentAt(0, safe),
                     attemptArrives(5, Role.WRITER, 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(9, 1, AttemptEnd.FAILED),
-                    new Answered(10 * NANOS_PER_MS, "r", 200, true, "ab")),
-            row(Rule.WRONG_ANSWER, sentAt(0, safe), new Answered(10 * NANOS_PER_MS, "r", 200, true, "ab")),
+                    new Answered(10 * NANOS_PER_MS, "r", 200, true, "ab", 10 * NANOS_PER_MS)),
+            row(
+                    Rule.WRONG_ANSWER,
+                    sentAt(0, safe),
+                    new Answered(10 * NANOS_PER_MS, "r", 200, true, "ab", 10 * NANOS_PER_MS)),
             row(Rule.WRONG_ANSWER, attemptArrives(5, Role.READER, 1)),
             row(
                     Rule.TWO_AT_ONCE,
@@ -305,7 +322,8 @@
                     "r" + i,
                     served[classIndex]-- > 0 ? 200 : 429,
                     true,
-                    ""));
+                    "",
+                    50 * i * NANOS_PER_MS + 40 * NANOS_PER_MS));
         }
         for (int i = 0; i < sentAtOnce; i++) {
             String id = "r" + (4 * i + 3) % 80;
--- a/src/test/java/copperbeam/soak/QueuedRequestTest.java
+++ b/src/test/java/copperbeam/soak/QueuedRequestTest.java
@@ -45,8 +45,8 @@
                 conductor.shim.fail(Fault.ACCEPT, 0, 0);
                 Message answer = connection.read();
                 assertEquals(answer.word(1), "200");
-                site.history.add(
-                        new Observation.Answered(System.nanoTime(), "queued", 200, answer.complete(), answer.body()));
+                site.history.add(new Observation.Answered(
+                        System.nanoTime(), "queued", 200, answer.complete(), answer.body(), connection.lastReadAt()));
             }
             List<Observation> seen = site.history.inOrder();
             assertTrue(
--- a/src/test/java/copperbeam/soak/SingleConductor.java
+++ b/src/test/java/copperbeam/soak/SingleConductor.java
@@ -58,7 +58,12 @@
             connection.send(ClientDriver.requestText(id, kind, RequestKind.USUAL_TOKENS, id, DEADLINE_MS, "{}"));
             Message answer = connection.read();
             site.history.add(new Observation.Answered(
-                    System.nanoTime(), id, Integer.parseInt(answer.word(1)), answer.complete(), answer.body()));
+                    System.nanoTime(),
+                    id,
+                    Integer.parseInt(answer.word(1)),
+                    answer.complete(),
+                    answer.body(),
+                    connection.lastReadAt()));
         }
     }
 
