Membership: what a store answers is a type of its own

Need: RevisionedMembers and StreamWatchPlan imported each other, as the records of a store's answers stood in the plan. Change: StoreAnswer has Listing, WatchResponse and ServerUpdate; the plan uses the members, and not the other way round. No behaviour changes.

--- a/src/main/java/copperbeam/membership/RevisionedMembers.java
+++ b/src/main/java/copperbeam/membership/RevisionedMembers.java
@@ -1,9 +1,9 @@
 package copperbeam.membership;
 
 import copperbeam.Api.ServerState;
-import copperbeam.membership.StreamWatchPlan.Listing;
-import copperbeam.membership.StreamWatchPlan.ServerUpdate;
-import copperbeam.membership.StreamWatchPlan.WatchResponse;
+import copperbeam.membership.StoreAnswer.Listing;
+import copperbeam.membership.StoreAnswer.ServerUpdate;
+import copperbeam.membership.StoreAnswer.WatchResponse;
 import copperbeam.routing.MembershipSource.Change;
 import copperbeam.routing.MembershipSource.Entry;
 import java.time.Instant;
--- a/src/main/java/copperbeam/membership/StreamWatchPlan.java
+++ b/src/main/java/copperbeam/membership/StreamWatchPlan.java
@@ -1,8 +1,9 @@
 package copperbeam.membership;
 
 import copperbeam.membership.RevisionedMembers.ListOutcome;
+import copperbeam.membership.StoreAnswer.Listing;
+import copperbeam.membership.StoreAnswer.WatchResponse;
 import copperbeam.routing.MembershipSource.Change;
-import copperbeam.routing.MembershipSource.Entry;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -37,20 +38,6 @@
     /** Publishes a change of the list. */
     public record Publish(Change change) implements Action {}
 
-    /**
-     * The state of one server in the store.
-     *
-     * @param entry null if it can't be read
-     * @param revision of the change; 0 if unknown
-     */
-    public record ServerUpdate(String server, Entry entry, long revision) {}
-
-    /** All servers at a revision of the store. */
-    public record Listing(long revision, List<ServerUpdate> servers) {}
-
-    /** One response of a watch. {@code storeRevision}: of the whole store when it was sent; 0 if unknown. */
-    public record WatchResponse(long storeRevision, List<ServerUpdate> updates) {}
-
     /** From one call of a kind to the next. Half of it, an answer and local delays fit into {@link WatchPlan#INFORMED_AFTER}. */
     static final Duration CALL_INTERVAL = Duration.ofSeconds(2);
     /** A call without an answer is given up after this time; far longer than a store in use takes. */
--- a/src/main/java/copperbeam/protocol/etcd/EtcdResponse.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdResponse.java
@@ -1,7 +1,7 @@
 package copperbeam.protocol.etcd;
 
-import copperbeam.membership.StreamWatchPlan.Listing;
-import copperbeam.membership.StreamWatchPlan.WatchResponse;
+import copperbeam.membership.StoreAnswer.Listing;
+import copperbeam.membership.StoreAnswer.WatchResponse;
 import java.util.List;
 
 /** What a call to etcd has brought. */
--- a/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
+++ b/src/main/java/copperbeam/protocol/etcd/EtcdWire.java
@@ -3,7 +3,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
-import copperbeam.membership.StreamWatchPlan.ServerUpdate;
+import copperbeam.membership.StoreAnswer.ServerUpdate;
 import copperbeam.protocol.Json;
 import copperbeam.protocol.discovery.ServerList;
 import copperbeam.routing.MembershipSource.Entry;
--- a/src/main/java/copperbeam/protocol/etcd/ResponseReader.java
+++ b/src/main/java/copperbeam/protocol/etcd/ResponseReader.java
@@ -2,9 +2,9 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import copperbeam.membership.StreamWatchPlan.Listing;
-import copperbeam.membership.StreamWatchPlan.ServerUpdate;
-import copperbeam.membership.StreamWatchPlan.WatchResponse;
+import copperbeam.membership.StoreAnswer.Listing;
+import copperbeam.membership.StoreAnswer.ServerUpdate;
+import copperbeam.membership.StoreAnswer.WatchResponse;
 import copperbeam.protocol.HttpClient;
 import copperbeam.protocol.etcd.EtcdWire.ParsedKey;
 import java.io.IOException;
--- a/src/main/java/copperbeam/transport/ClientReactor.java
+++ b/src/main/java/copperbeam/transport/ClientReactor.java
@@ -1,13 +1,9 @@
 package copperbeam.transport;
 
-import copperbeam.protocol.AnswerProgress;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.channels.CancelledKeyException;
-import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
-import java.nio.channels.WritableByteChannel;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Queue;
@@ -18,29 +14,12 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.ContentLengthStrategy;
-import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
-import org.apache.hc.core5.http.nio.ContentDecoder;
-import org.apache.hc.core5.http.nio.ContentEncoder;
-import org.apache.hc.core5.http.nio.SessionInputBuffer;
-import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.apache.hc.core5.http.protocol.HttpProcessor;
-import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
-import org.apache.hc.core5.http.protocol.RequestConnControl;
-import org.apache.hc.core5.http.protocol.RequestContent;
-import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.NamedEndpoint;
 import org.apache.hc.core5.reactor.Command;
@@ -115,20 +94,7 @@
         }
     }
 
-    private static final int BUFFER_BYTES = 4096;
-    private static final int MAX_READ_BYTES_PER_TURN = BUFFER_BYTES; // per connection; exceeds the window at most
-    private static final int MAX_TURNS_TO_READ_ALL =
-            64; // of MAX_READ_BYTES_PER_TURN each, before the task of runAfterReading runs
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024; // of the kernel, for each connection
-    private static final Http1Config CONFIG = Http1Config.custom()
-            .setBufferSize(BUFFER_BYTES)
-            .setInitialWindowSize(ClientExchange.WINDOW_BYTES)
-            .setMaxLineLength(8 * 1024)
-            .setMaxHeaderCount(100)
-            .build();
-    private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create()
-            .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl())
-            .build();
 
     // How long after its timeout a connect is cancelled here. HttpCore ends it at its timeout unless the clock steps.
     private static final Duration CONNECT_CANCEL_DELAY = Duration.ofMillis(500);
@@ -187,328 +153,11 @@
         return new ActiveReactor(reactor, new AtomicInteger(), ConcurrentHashMap.newKeySet());
     }
 
-    static Handler newHandler(ProtocolIOSession session, SessionListener listener) {
+    static ResponseHandler newHandler(ProtocolIOSession session, SessionListener listener) {
         BoundedParser<HttpResponse> parser =
-                new BoundedParser<>(new DefaultHttpResponseParserFactory(CONFIG).create(), false);
+                new BoundedParser<>(new DefaultHttpResponseParserFactory(ResponseDuplexer.CONFIG).create(), false);
         ResponseLimits limits = listener.limits();
-        return new Handler(new Duplexer(session, parser, limits), parser, session, listener, limits);
-    }
-
-    private static final class Duplexer extends ClientHttp1StreamDuplexer {
-        private final Chunks.ReadBudget readBudget = new Chunks.ReadBudget(MAX_READ_BYTES_PER_TURN);
-        private final ResponseLimits limits;
-        private Chunks.Decoder chunkDecoder;
-        private SessionOutputBuffer outputBuffer;
-        private volatile ClientExchange exchange; // the current one; null before the first
-
-        Duplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser, ResponseLimits limits) {
-            super(
-                    session,
-                    PROCESSOR,
-                    CONFIG,
-                    BoundedParser.HEAD_CODING,
-                    null,
-                    parser,
-                    DefaultHttpRequestWriterFactory.INSTANCE.create(),
-                    null,
-                    null,
-                    null);
-            this.limits = limits;
-        }
-
-        @Override
-        protected ContentDecoder createContentDecoder(
-                long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
-                throws HttpException {
-            if (length != ContentLengthStrategy.CHUNKED) {
-                return super.createContentDecoder(length, channel, buffer, metrics);
-            }
-            chunkDecoder = Chunks.decoder(
-                    channel,
-                    buffer,
-                    CONFIG,
-                    metrics,
-                    limits.maxChunkBytes(),
-                    Chunks.UNLIMITED_FRAMING,
-                    readBudget,
-                    this::framingRead);
-            return chunkDecoder;
-        }
-
-        @Override
-        protected ContentEncoder createContentEncoder(
-                long length, WritableByteChannel channel, SessionOutputBuffer buffer, BasicHttpTransportMetrics metrics)
-                throws HttpException {
-            outputBuffer = buffer;
-            return super.createContentEncoder(length, channel, buffer, metrics);
-        }
-
-        /**
-         * Whether HttpCore still buffers output. It buffers small bodies and the ends of large ones, and writes them to the
-         * socket on a later turn. The buffer is emptied from its front, and a failed write removes nothing from it.
-         */
-        boolean hasBufferedOutput() {
-            return outputBuffer != null && outputBuffer.hasData();
-        }
-
-        private void framingRead(AnswerProgress.Part part) {
-            exchange.progress().received(part, System.nanoTime());
-        }
-
-        IOException deferredError() {
-            return chunkDecoder == null ? null : chunkDecoder.deferredError();
-        }
-    }
-
-    /**
-     * Handles one connection's events on the reactor's thread. Only {@link #startExchange} and {@link #runAfterReading} are
-     * called from other threads.
-     */
-    static final class Handler extends ClientHttp1IOEventHandler {
-        private final Duplexer duplexer;
-        private final BoundedParser<HttpResponse> parser;
-        private final ProtocolIOSession session;
-        private final SessionListener listener;
-        private final Duration headTimeout;
-        private volatile ClientExchange exchange;
-        private final AtomicReference<Runnable> afterReading = new AtomicReference<>();
-        private final Queue<Runnable> outputTasks = new ConcurrentLinkedQueue<>();
-        private Long headProgressNanos; // System.nanoTime when a partial head last grew; null if there is none
-        private long headProgressBytes; // receivedBytes() at that time
-        private Timeout usualTimeout;
-        private boolean closeReported;
-        private boolean reused; // the connection has carried a call before
-
-        Handler(
-                Duplexer duplexer,
-                BoundedParser<HttpResponse> parser,
-                ProtocolIOSession session,
-                SessionListener listener,
-                ResponseLimits limits) {
-            super(duplexer);
-            this.duplexer = duplexer;
-            this.parser = parser;
-            this.session = session;
-            this.listener = listener;
-            headTimeout = limits.headTimeout();
-        }
-
-        void startExchange(ClientExchange next) {
-            next.attach(duplexer::hasBufferedOutput, reused);
-            reused = true;
-            duplexer.exchange = next;
-            exchange = next;
-        }
-
-        /** Runs the task as {@link ClientReactor#runAfterReading} says; callable from any thread. */
-        void runAfterReading(Runnable task) {
-            afterReading.set(task);
-            session.setEvent(SelectionKey.OP_WRITE); // the reactor handles it after pending input
-            if (!session.isOpen()) {
-                runAfterReadingTask();
-            }
-        }
-
-        /** Runs the task when the connection is next found writable, or has closed; callable from any thread. */
-        void runAtOutput(Runnable task) {
-            outputTasks.add(task);
-            session.setEvent(SelectionKey.OP_WRITE);
-            if (!session.isOpen()) {
-                runOutputTasks();
-            }
-        }
-
-        private void runOutputTasks() {
-            for (int tasksLeft = outputTasks.size(); tasksLeft > 0; tasksLeft--) {
-                Runnable task = outputTasks.poll();
-                if (task != null) {
-                    task.run();
-                }
-            }
-        }
-
-        private void runAfterReadingTask() {
-            Runnable task = afterReading.getAndSet(null);
-            if (task != null) {
-                task.run();
-            }
-        }
-
-        private void readAvailable(IOSession ioSession) throws IOException {
-            long bytesBefore = -1;
-            for (int turn = 0;
-                    turn < MAX_TURNS_TO_READ_ALL && ioSession.isOpen() && bytesBefore != receivedBytes();
-                    turn++) {
-                bytesBefore = receivedBytes();
-                inputReady(ioSession, null);
-            }
-        }
-
-        private long receivedBytes() {
-            return duplexer.getEndpointDetails().getReceivedBytesCount();
-        }
-
-        @Override
-        public void inputReady(IOSession ioSession, ByteBuffer bytes) throws IOException {
-            duplexer.readBudget.reset();
-            try {
-                long bytesBefore = receivedBytes();
-                super.inputReady(ioSession, bytes);
-                if (duplexer.deferredError() != null) {
-                    throw duplexer.deferredError();
-                }
-                ClientExchange current = exchange;
-                if (current != null && receivedBytes() != bytesBefore) {
-                    current.bytesRead();
-                }
-                if (parser.isPartial() && (current == null || current.isEnded())) {
-                    failUnsolicitedHead(ioSession);
-                }
-                checkHeadTimeout();
-            } catch (Error e) {
-                throw ReactorErrors.logAndWrap(e);
-            } finally {
-                reportEnded();
-            }
-        }
-
-        @Override
-        public void outputReady(IOSession ioSession) throws IOException {
-            try {
-                writeOutput(ioSession);
-            } finally {
-                runOutputTasks(); // last, as HttpCore stops waiting for output once it has none
-            }
-        }
-
-        private void writeOutput(IOSession ioSession) throws IOException {
-            if (afterReading.get() != null) {
-                try {
-                    readAvailable(ioSession);
-                } finally {
-                    runAfterReadingTask();
-                }
-            }
-            ClientExchange current = exchange;
-            if (current != null && current.mustWithholdLastByte()) {
-                exception(ioSession, new IOException("the last byte of the request may no longer be sent"));
-                return;
-            }
-            if (current != null && current.isHeldByteNext()) {
-                // Reads what has arrived since the select: if the server has closed the connection, the held byte must
-                // not be sent.
-                inputReady(ioSession, null);
-                if (ioSession.isOpen() && parser.isPartial()) {
-                    failUnsolicitedHead(ioSession);
-                }
-                if (!ioSession.isOpen()) {
-                    return;
-                }
-            }
-            if (current != null && current.answeredEarly()) {
-                ioSession.clearEvent(SelectionKey.OP_WRITE);
-                return;
-            }
-            try {
-                super.outputReady(ioSession);
-                ClientExchange last = exchange;
-                if (last != null) {
-                    last.afterOutput();
-                }
-            } catch (Error e) {
-                throw ReactorErrors.logAndWrap(e);
-            } finally {
-                reportEnded();
-            }
-        }
-
-        @Override
-        public void timeout(IOSession ioSession, Timeout timeout) throws IOException {
-            if (headProgressNanos != null && !isHeadOverdue()) {
-                return; // HttpCore uses the wall clock, which may have stepped
-            }
-            try {
-                super.timeout(ioSession, timeout);
-            } catch (Error e) {
-                throw ReactorErrors.logAndWrap(e);
-            } finally {
-                reportEnded();
-            }
-        }
-
-        @Override
-        public void exception(IOSession ioSession, Exception cause) {
-            ReactorErrors.contain(ioSession, () -> super.exception(ioSession, cause));
-            ReactorErrors.contain(ioSession, this::reportEnded);
-        }
-
-        @Override
-        public void disconnected(IOSession ioSession) {
-            ReactorErrors.contain(ioSession, () -> super.disconnected(ioSession));
-            ReactorErrors.contain(ioSession, this::reportEnded);
-        }
-
-        /**
-         * Closes a connection on which a partial head arrived while no response is due. The next response on it would be read
-         * as the rest of that head, and its attempt would fail.
-         */
-        private void failUnsolicitedHead(IOSession ioSession) {
-            exception(ioSession, new IOException("partial response head without a request"));
-        }
-
-        /**
-         * Enforces the time limit on pauses within a response head. Without it an attempt would wait until its client gives up. A head
-         * that comes slowly is limited by its attempt's own time.
-         */
-        private void checkHeadTimeout() {
-            if (!parser.isPartial()) {
-                if (headProgressNanos != null) {
-                    headProgressNanos = null;
-                    session.setSocketTimeout(usualTimeout);
-                }
-            } else if (headProgressNanos == null) {
-                noteHeadProgress();
-                usualTimeout = session.getSocketTimeout();
-                session.setSocketTimeout(Timeout.of(headTimeout));
-            } else if (headProgressBytes != receivedBytes()) {
-                noteHeadProgress();
-            } else if (isHeadOverdue()) {
-                exception(session, new IOException("response head not complete in time"));
-            }
-        }
-
-        private void noteHeadProgress() {
-            headProgressNanos = System.nanoTime();
-            headProgressBytes = receivedBytes();
-        }
-
-        private boolean isHeadOverdue() {
-            return headProgressNanos != null && System.nanoTime() - headProgressNanos > headTimeout.toNanos();
-        }
-
-        /**
-         * Reports an exchange or a connection that has ended. Called only after all available input was read, because HttpCore
-         * closes the connection if anything follows the response, and such a connection must not be used again. HttpCore
-         * doesn't report a connection that was closed by a reset, so this is checked here.
-         */
-        private void reportEnded() {
-            boolean connectionOpen = session.isOpen();
-            ClientExchange last = exchange;
-            if (last != null && last.isEnded()) {
-                exchange = null;
-                if (last.answeredEarly()) {
-                    session.close(CloseMode.IMMEDIATE); // now, as the next turn would send the rest of the request
-                    connectionOpen = false;
-                }
-                last.reportCompletion(connectionOpen && !duplexer.readBudget.isSpent());
-            }
-            if (!connectionOpen && !closeReported) {
-                closeReported = true;
-                listener.closed();
-                runAfterReadingTask();
-                runOutputTasks();
-            }
-        }
+        return new ResponseHandler(new ResponseDuplexer(session, parser, limits), parser, session, listener, limits);
     }
 
     /**
@@ -583,7 +232,7 @@
         Optional<IOSession> writable =
                 active.openSessions.stream().filter(ClientReactor::hasNoOutput).findAny();
         if (writable.isPresent()) {
-            Handler handler = (Handler) writable.get().getHandler();
+            ResponseHandler handler = (ResponseHandler) writable.get().getHandler();
             handler.runAtOutput(() -> handler.runAtOutput(() -> atEndOfTurn(task)));
         } else {
             atEndOfTurn(task);
@@ -630,13 +279,13 @@
     }
 
     static void execute(IOSession session, ClientExchange exchange) {
-        ((Handler) session.getHandler()).startExchange(exchange);
+        ((ResponseHandler) session.getHandler()).startExchange(exchange);
         session.enqueue(new RequestExecutionCommand(exchange, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
     /** Runs {@code task} once everything received on this connection by now was read, or the connection has closed. */
     static void runAfterReading(IOSession session, Runnable task) {
-        ((Handler) session.getHandler()).runAfterReading(task);
+        ((ResponseHandler) session.getHandler()).runAfterReading(task);
     }
 
     /**
--- a/src/test/java/copperbeam/membership/StreamWatchPlanTest.java
+++ b/src/test/java/copperbeam/membership/StreamWatchPlanTest.java
@@ -6,14 +6,14 @@
 import static org.testng.Assert.fail;
 
 import copperbeam.Api.ServerState;
+import copperbeam.membership.StoreAnswer.Listing;
+import copperbeam.membership.StoreAnswer.ServerUpdate;
+import copperbeam.membership.StoreAnswer.WatchResponse;
 import copperbeam.membership.StreamWatchPlan.Action;
 import copperbeam.membership.StreamWatchPlan.CancelCall;
-import copperbeam.membership.StreamWatchPlan.Listing;
 import copperbeam.membership.StreamWatchPlan.Publish;
-import copperbeam.membership.StreamWatchPlan.ServerUpdate;
 import copperbeam.membership.StreamWatchPlan.StartList;
 import copperbeam.membership.StreamWatchPlan.StartWatch;
-import copperbeam.membership.StreamWatchPlan.WatchResponse;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
