--- a/src/test/java/copperbeam/sockets/RawConnection.java
+++ b/src/test/java/copperbeam/sockets/RawConnection.java
@@ -147,6 +147,13 @@
         return new Message(head.startLine, head.headers, body.toByteArray(), complete);
     }
 
+    /** Reads and drops what comes, {@code bytes} at a time with a pause after each, until the peer closes the connection. */
+    void readSlowly(int bytes, int pauseMs) throws IOException, InterruptedException {
+        while (input.readNBytes(bytes).length == bytes) {
+            Thread.sleep(pauseMs);
+        }
+    }
+
     /** Waits until the peer has closed the connection; false if the read times out or data arrives. */
     boolean awaitClosed() throws IOException {
         try {
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -234,6 +234,40 @@
         }
     }
 
+    @DataProvider
+    public Object[][] endlessBodies() {
+        return new Object[][] {
+            {"503 x\r\nX-Not-Processed: 1", 200, 2},
+            {"410 x\r\nX-Not-Processed: 1", 200, 2},
+            {"500 x", 502, 1},
+        };
+    }
+
+    /** Guards against waiting for the end of a body that tells nothing: its head has told the outcome. */
+    @Test(dataProvider = "endlessBodies")
+    public void aRefusalOrErrorWhoseBodyGoesOnIsOverSoon(String head, int status, int attempts) throws Exception {
+        AtomicInteger attemptCount = new AtomicInteger();
+        try (Site site = new Site(1, 2);
+                RawConnection client = site.client()) {
+            StandIn.Script script = forAttempts((request, connection) -> {
+                if (attemptCount.getAndIncrement() > 0) {
+                    Site.answerAsWriter(request, connection);
+                    return;
+                }
+                connection.send("HTTP/1.1 " + head + "\r\nContent-Length: 9999\r\n\r\n");
+                while (true) {
+                    connection.send(" ");
+                    Thread.sleep(100);
+                }
+            });
+            site.writers.forEach(writer -> writer.script = script);
+            long sentNs = System.nanoTime();
+            assertEquals(client.send(request("send", 8000)).read().status(), status);
+            assertTrue(System.nanoTime() - sentNs < Duration.ofMillis(3000).toNanos());
+            assertEquals(attemptCount.get(), attempts);
+        }
+    }
+
     /**
      * Guards against waiting for the rest of an error body until the client's deadline. An attempt that was answered with
      * any error but a refusal may have run.
--- a/src/test/java/copperbeam/sockets/StreamWithoutProgressTest.java
+++ b/src/test/java/copperbeam/sockets/StreamWithoutProgressTest.java
@@ -56,7 +56,7 @@
     }
 
     /** All clients' answers, which they wait for at the same time, but not longer than {@code maxWait}. */
-    private static List<RawConnection.Message> answers(Site site, Duration maxWait) throws Exception {
+    private static List<RawConnection.Message> answers(Site site, Duration maxWait) {
         ExecutorService threads = Executors.newFixedThreadPool(CLIENTS.size());
         try {
             List<CompletableFuture<RawConnection.Message>> pending = CLIENTS.stream()
@@ -105,6 +105,33 @@
         return numberedRows.iterator();
     }
 
+    /** Rows with and without resume: the stop waits for these streams no longer than their clients. */
+    @Test(dataProvider = "stops")
+    public void aStopEndsAStreamThatMakesNoProgress(int row, String name, String before, String repeated, int pauseMs)
+            throws Exception {
+        AtomicLong lastEventNs = new AtomicLong();
+        try (Site site = site(row)) {
+            site.writers.get(0).script = endless(before, repeated, pauseMs, lastEventNs);
+            CompletableFuture<List<RawConnection.Message>> pending =
+                    CompletableFuture.supplyAsync(() -> answers(site, MAX_WAIT.multipliedBy(2)));
+            Site.await("streams begun", () -> site.countAttempts(site.writers) == CLIENTS.size());
+            Thread stop = site.beginStop();
+            pending.get().forEach(answer -> assertFalse(answer.complete()));
+            Duration waited = Duration.ofNanos(System.nanoTime() - lastEventNs.get());
+            assertTrue(waited.compareTo(MAX_WAIT) <= 0, waited.toString());
+            stop.join(MAX_WAIT.toMillis());
+            assertFalse(stop.isAlive());
+        }
+    }
+
+    @DataProvider(parallel = true) // each row waits most of the time
+    public Iterator<Object[]> stops() {
+        return numbered(new Object[][] {
+            {"an extension of a chunk", BEGUN + "4;", "x", 300},
+            {"an extension of a chunk", BEGUN + "4;", "x", 300},
+        });
+    }
+
     @DataProvider(parallel = true) // each row waits most of the time
     public Iterator<Object[]> endlessParts() {
         return numbered(new Object[][] {
