--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -245,7 +245,9 @@
             received.serverCall()
                     .answerDeadline
                     .answerClassified(received.kind(), setup.clock().instant());
-            scheduleAnswerCheck(received.serverCall());
+            if (received.kind() != AnswerKind.STREAM) { // a stream's own time goes on until its first event
+                scheduleAnswerCheck(received.serverCall());
+            }
         } else if (message instanceof StreamEvent received) {
             onEvent(received.serverCall(), received.eventBytes());
         } else if (message instanceof CallCompleted received) {
