QueuedRequestTest judges once the stand-ins have noted what they sent

Cause: a stand-in notes its stream after it has sent the last chunk; the test could read the history in between. Change: the test waits for the ends of both attempts; what it judges is the same.

--- a/src/test/java/copperbeam/soak/QueuedRequestTest.java
+++ b/src/test/java/copperbeam/soak/QueuedRequestTest.java
@@ -18,6 +18,20 @@
     private static final int EMFILE = 24;
     private static final long DEADLINE_MS = 3000;
     private static final int ANSWER_TIMEOUT_MS = 5000;
+    private static final int ATTEMPTS = 2; // the read and the write
+    private static final int POLL_MS = 5;
+
+    /** The stand-ins note what they sent only after it, when the client may have its answer already. */
+    private static void awaitEndsOfAttempts(History history) throws InterruptedException {
+        long deadlineNs = System.nanoTime() + ANSWER_TIMEOUT_MS * 1_000_000L;
+        while (System.nanoTime() < deadlineNs
+                && history.inOrder().stream()
+                                .filter(Observation.AttemptEnded.class::isInstance)
+                                .count()
+                        < ATTEMPTS) {
+            Thread.sleep(POLL_MS);
+        }
+    }
 
     @DataProvider
     public Object[][] waits() {
@@ -48,6 +62,7 @@
                 site.history.add(new Observation.Answered(
                         System.nanoTime(), "queued", 200, answer.complete(), answer.body(), connection.lastReadAt()));
             }
+            awaitEndsOfAttempts(site.history);
             List<Observation> seen = site.history.inOrder();
             assertTrue(
                     seen.stream().anyMatch(Observation.AttemptArrived.class::isInstance),
