Soak: a stop whose writer still spoils or slowly writes a stream has not overstayed

Change: writers note such streams (OddStreamBegun); a process that waits for one of them, sent no later than 0.7 s after SIGTERM, is not reported, as one whose client has stopped reading isn't.

--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -55,6 +55,9 @@
     /** The attempt is over: the server has finished it, the conductor closed the connection, or the network reset it. */
     record AttemptEnded(long at, String id, long attempt, AttemptEnd end) implements Observation {}
 
+    /** A writer begins a stream that it spoils or writes slowly, and that may last longer than a stop. */
+    record OddStreamBegun(long at, String id, long attempt) implements Observation {}
+
     /** What a writer streamed in an attempt, up to its end or to where it broke off. */
     record Streamed(long at, String id, long attempt, boolean complete, String body) implements Observation {}
 
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -13,6 +13,7 @@
 import copperbeam.soak.Observation.Killed;
 import copperbeam.soak.Observation.NeverAnswered;
 import copperbeam.soak.Observation.NotReady;
+import copperbeam.soak.Observation.OddStreamBegun;
 import copperbeam.soak.Observation.Overstayed;
 import copperbeam.soak.Observation.ReadingPaused;
 import copperbeam.soak.Observation.ReadingResumed;
@@ -67,6 +68,7 @@
         final AttemptArrived arrived;
         AttemptEnded ended;
         Streamed streamed;
+        boolean oddStream; // spoilt or written slowly
 
         Attempt(AttemptArrived arrived) {
             this.arrived = arrived;
@@ -159,6 +161,8 @@
             request(o.id()).attempts.add(attempt);
         } else if (observation instanceof AttemptEnded o) {
             attempts.get(o.attempt()).ended = o;
+        } else if (observation instanceof OddStreamBegun o) {
+            attempts.get(o.attempt()).oddStream = true;
         } else if (observation instanceof Streamed o) {
             attempts.get(o.attempt()).streamed = o;
         } else if (observation instanceof StateHeld o) {
@@ -187,7 +191,7 @@
                     Rule.CRASHED,
                     o.conductor(),
                     "exit code " + o.code() + (o.requested() ? " after SIGTERM" : ", not asked to"));
-        } else if (observation instanceof Overstayed o && !owesUnreadAnswer(o)) {
+        } else if (observation instanceof Overstayed o && !owesUnreadAnswer(o) && !owesOddStream(o)) {
             addViolation(Rule.OVERSTAYED, o.conductor(), "had not exited when it was killed after SIGTERM");
         } else if (observation instanceof NotReady o) {
             addViolation(Rule.NOT_READY, o.conductor(), "not ready after " + o.afterMs() + " ms");
@@ -206,6 +210,17 @@
                         && request.sent.at() < lastSentAt);
     }
 
+    /** Whether a writer still spoils or slowly writes a stream for the process, which loses no request that was sent early in the stop. */
+    private boolean owesOddStream(Overstayed overstayed) {
+        long lastSentAt = overstayed.signaledAt() + STOP_ACCEPT_MS * NANOS_PER_MS;
+        return requests.values().stream()
+                .filter(request -> request.sent != null && request.sent.at() < lastSentAt)
+                .flatMap(request -> request.attempts.stream())
+                .anyMatch(attempt -> attempt.oddStream
+                        && attempt.ended == null
+                        && attempt.arrived.conductor().equals(overstayed.conductor()));
+    }
+
     private void observeOpened(AttemptOpened opened) {
         request(opened.id()).opened.add(opened);
         Long announcedAt = drainAnnouncedAt.get(opened.conductor() + " " + opened.server());
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -287,6 +287,9 @@
             connection.sendAnswer(410, "X-Not-Processed: 1\r\n", "");
             return AttemptEnd.TURNED_AWAY;
         }
+        if (behaviorNow == Behavior.SPOILS_STREAMS || behaviorNow == Behavior.WRITES_SLOWLY) {
+            history.add(new Observation.OddStreamBegun(System.nanoTime(), requestId, attempt));
+        }
         StringBuilder streamed = new StringBuilder();
         boolean complete = false;
         try {
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -14,6 +14,7 @@
 import copperbeam.soak.Observation.Killed;
 import copperbeam.soak.Observation.NeverAnswered;
 import copperbeam.soak.Observation.NotReady;
+import copperbeam.soak.Observation.OddStreamBegun;
 import copperbeam.soak.Observation.Overstayed;
 import copperbeam.soak.Observation.ReadingPaused;
 import copperbeam.soak.Observation.ReadingResumed;
@@ -137,6 +138,24 @@
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(4900, 1, AttemptEnd.SPOILT),
                     new Answered(5050 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
+            row(
+                    null,
+                    sentAt(0, safe),
+                    attemptArrives(5, Role.WRITER, 1),
+                    new OddStreamBegun(6 * NANOS_PER_MS, "r", 1),
+                    new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
+                    new Overstayed(4000 * NANOS_PER_MS, "n0", 100 * NANOS_PER_MS),
+                    attemptEnds(4900, 1, AttemptEnd.SPOILT),
+                    new Answered(5050 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
+            row(
+                    Rule.OVERSTAYED,
+                    sentAt(0, safe),
+                    attemptArrives(5, Role.WRITER, 1),
+                    new OddStreamBegun(6 * NANOS_PER_MS, "r", 1),
+                    new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
+                    attemptEnds(3900, 1, AttemptEnd.SPOILT),
+                    new Answered(3950 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS),
+                    new Overstayed(4000 * NANOS_PER_MS, "n0", 100 * NANOS_PER_MS)),
             row(
                     Rule.LEFT_WAITING,
                     sentAt(0, safe),
