--- a/src/main/java/copperbeam/protocol/AnswerProgress.java
+++ b/src/main/java/copperbeam/protocol/AnswerProgress.java
@@ -51,11 +51,11 @@
         switch (part) {
             case FRAMING -> framingAt = nowNanos;
             case EVENT_TEXT -> textAt = nowNanos;
-            case EVENT -> {
+            case PADDING -> framingAt = beganAt; // what came before it was no framing of a further event
+            default -> { // EVENT
                 eventAt = nowNanos;
                 streaming = true;
             }
-            case PADDING -> framingAt = beganAt; // what came before it was no framing of a further event
         }
     }
 
