--- a/src/soak/java/copperbeam/soak/HttpConnection.java
+++ b/src/soak/java/copperbeam/soak/HttpConnection.java
@@ -141,7 +141,10 @@
         return bytes.length == length;
     }
 
-    /** Reads a chunked body; returns whether it is complete. A reset and the end of the reader's patience count as the end; the bytes before it are kept. */
+    /**
+     * Reads a chunked body; returns whether it is complete. A reset and the end of the reader's patience count as the end of the stream;
+     * the bytes before it are kept.
+     */
     private boolean readChunks(ByteArrayOutputStream body) throws IOException {
         try {
             for (String size = readLine(); size != null; size = readLine()) {
