Reread: a pause of the client ends before its server may go on

Need: the time from which progress counts anew was set after the window had been granted, so that a check in between could have ended a sound stream whose client had paused for over 4 s. Found by reading; no test shows it. AnswerDeadline had an accessor without a caller, and a question that ServerCall answers. Change: the time is set before the grant; the accessor and the question are gone. Nothing else changes. Result: StreamWithoutProgressTest (30 rows), AnswerDeadlineTest, AnswerProgressTest and CutTest pass; format and lint too.

--- a/src/main/java/copperbeam/routing/AnswerDeadline.java
+++ b/src/main/java/copperbeam/routing/AnswerDeadline.java
@@ -44,10 +44,6 @@
         return withoutProgress.compareTo(STREAM_STALL_TIMEOUT) >= 0;
     }
 
-    Instant expiresAt() {
-        return expiresAt;
-    }
-
     /** The head of the answer has come. */
     void answerClassified(Connector.AnswerKind kind, Instant now) {
         classifiedAt = now;
@@ -66,11 +62,6 @@
         phase = Phase.STREAM;
     }
 
-    /** Whether the client has begun to receive a stream. */
-    boolean isStream() {
-        return phase == Phase.STREAM;
-    }
-
     /**
      * The time after which the call is to be ended unless more of its answer comes; not positive if that is due now.
      *
--- a/src/main/java/copperbeam/routing/PeerActor.java
+++ b/src/main/java/copperbeam/routing/PeerActor.java
@@ -325,7 +325,7 @@
         }
         if (remainingTime(serverCall).compareTo(Duration.ZERO) > 0) {
             scheduleAnswerCheck(serverCall);
-        } else if (serverCall.answerDeadline.isStream()) {
+        } else if (serverCall.streamAccepted) {
             terminate(serverCall, Outcome.RESET);
         } else {
             onExpired(serverCall);
--- a/src/main/java/copperbeam/transport/ClientExchange.java
+++ b/src/main/java/copperbeam/transport/ClientExchange.java
@@ -247,11 +247,10 @@
 
     /** As {@link #grant}, as the client has taken the bytes. */
     final void grantTaken(int bytes) {
-        boolean wasStopped = isWindowUsed();
-        grant(bytes);
-        if (wasStopped && !isWindowUsed()) {
-            progress.windowFreed(System.nanoTime());
+        if (isWindowUsed()) {
+            progress.windowFreed(System.nanoTime()); // first: once granted, the time without progress counts
         }
+        grant(bytes);
     }
 
     @Override
