--- a/src/main/java/copperbeam/protocol/CompletionData.java
+++ b/src/main/java/copperbeam/protocol/CompletionData.java
@@ -36,6 +36,15 @@
         return !unsound;
     }
 
+    /** Takes the next bytes behind the field's colon; returns how many of them, from the first on, may be sound. */
+    int acceptAll(byte[] input, int from, int to) {
+        int index = from;
+        while (index < to && !isObject && accept(input[index])) {
+            index++;
+        }
+        return isObject ? to - from : index - from;
+    }
+
     /** Whether all data so far may be sound. */
     boolean isSound() {
         return !unsound;
--- a/src/main/java/copperbeam/protocol/SseData.java
+++ b/src/main/java/copperbeam/protocol/SseData.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 
 /** Extracts the data of a server-sent event. */
 public final class SseData {
@@ -21,8 +22,14 @@
     /** A quick check that rules out most events, as it is made for each event of each stream. */
     private static boolean containsLastEventBytes(byte[] eventBytes) {
         for (int start = 0; start <= eventBytes.length - LAST_EVENT_BYTES.length; start++) {
-            if (Arrays.equals(
-                    eventBytes, start, start + LAST_EVENT_BYTES.length, LAST_EVENT_BYTES, 0, LAST_EVENT_BYTES.length)) {
+            if (eventBytes[start] == LAST_EVENT_BYTES[0]
+                    && Arrays.equals(
+                            eventBytes,
+                            start,
+                            start + LAST_EVENT_BYTES.length,
+                            LAST_EVENT_BYTES,
+                            0,
+                            LAST_EVENT_BYTES.length)) {
                 return true;
             }
         }
@@ -44,7 +51,9 @@
     /** Returns the data lines of an event joined by line feeds, or null if it has none, for example in a comment. */
     public static String dataOf(byte[] eventBytes) {
         StringBuilder data = null;
-        for (String line : new String(eventBytes, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
+        List<String> lines =
+                new String(eventBytes, StandardCharsets.UTF_8).lines().toList();
+        for (String line : lines) {
             if (line.equals("data") || line.startsWith("data:")) {
                 String value = line.length() > 5 ? line.substring(5) : "";
                 value = value.startsWith(" ") ? value.substring(1) : value;
