Soak: a slowly written event that is cut off is judged from its last piece

The client had the first event at 63 ms. The proxied connection fell silent at 3.93 s, within the event. The conductor's log: "its stream isn't whole: last event 6433 ms ago, last byte 2744 ms ago in EVENT_TEXT", so its last byte had come at 3.75 s, and it would have ended the stream 4 s later. The client's patience, deadline and 5 s, was over before.

The check was wrong: until 3.75 s the answer was a sound one that came slowly, which must not be cut, and no part of an event is passed on. It now runs from the last byte of such an event that the proxy delivered to the conductor; bytes that are stuck in the proxy, and all bytes of spoilt streams, count no more than before. The bound of 5 s is the same.

OracleTest: a stream that ends 4 s after such a byte breaks no rule (it did before), one that ends 5.1 s after it does.

--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -58,6 +58,9 @@
     /** A writer begins a stream that it spoils or writes slowly, and that may last longer than a stop. */
     record OddStreamBegun(long at, String id, long attempt) implements Observation {}
 
+    /** When the conductor last got bytes of a sound stream that its writer wrote slowly. */
+    record SlowStreamDelivered(long at, String id, long attempt) implements Observation {}
+
     /** What a writer streamed in an attempt, up to its end or to where it broke off. */
     record Streamed(long at, String id, long attempt, boolean complete, String body) implements Observation {}
 
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -18,6 +18,7 @@
 import copperbeam.soak.Observation.ReadingPaused;
 import copperbeam.soak.Observation.ReadingResumed;
 import copperbeam.soak.Observation.Sent;
+import copperbeam.soak.Observation.SlowStreamDelivered;
 import copperbeam.soak.Observation.StateFreed;
 import copperbeam.soak.Observation.StateHeld;
 import copperbeam.soak.Observation.Streamed;
@@ -69,6 +70,7 @@
         AttemptEnded ended;
         Streamed streamed;
         boolean oddStream; // spoilt or written slowly
+        SlowStreamDelivered slowStreamDelivered; // null unless its stream was written slowly
 
         Attempt(AttemptArrived arrived) {
             this.arrived = arrived;
@@ -163,6 +165,8 @@
             attempts.get(o.attempt()).ended = o;
         } else if (observation instanceof OddStreamBegun o) {
             attempts.get(o.attempt()).oddStream = true;
+        } else if (observation instanceof SlowStreamDelivered o) {
+            attempts.get(o.attempt()).slowStreamDelivered = o;
         } else if (observation instanceof Streamed o) {
             attempts.get(o.attempt()).streamed = o;
         } else if (observation instanceof StateHeld o) {
@@ -314,6 +318,14 @@
                                 && end.at() < request.sent.at()));
     }
 
+    /** When its client, or the conductor from a server that wrote an event slowly, last got a byte of the stream. */
+    private static long lastProgressAt(Request request) {
+        return request.attempts.stream()
+                .filter(a -> a.slowStreamDelivered != null)
+                .mapToLong(a -> a.slowStreamDelivered.at())
+                .reduce(request.answered.lastByteAt(), Math::max);
+    }
+
     private void judgeStream(String id, Request request) {
         String receivedBody = request.answered.body();
         boolean complete = request.answered.complete();
@@ -322,7 +334,7 @@
                 .anyMatch(a -> complete
                         ? a.streamed.complete() && a.streamed.body().equals(receivedBody)
                         : a.streamed.body().startsWith(receivedBody));
-        long waitedNs = request.answered.at() - request.answered.lastByteAt();
+        long waitedNs = request.answered.at() - lastProgressAt(request);
         if (!complete && waitedNs > (MAX_WAIT_MS + terms.slackMs()) * NANOS_PER_MS) {
             addViolation(Rule.LEFT_WAITING, id, formatMs(waitedNs) + " after the last byte of its stream");
         }
--- a/src/soak/java/copperbeam/soak/ProxiedConnection.java
+++ b/src/soak/java/copperbeam/soak/ProxiedConnection.java
@@ -35,6 +35,7 @@
     private volatile long resetAt = Long.MAX_VALUE; // when the simulated network reset it at both ends
     private volatile long sentAt;
     private volatile long readSince;
+    private volatile long deliveredAt;
 
     /** {@code establishedAt}: the conductor's end was established at this time or later. */
     ProxiedConnection(String conductor, FaultProxy network, Socket conductorSide, long establishedAt) {
@@ -72,6 +73,11 @@
         return readSince;
     }
 
+    /** When bytes of the server were last delivered to the conductor. */
+    long deliveredAt() {
+        return deliveredAt;
+    }
+
     /** Waits while the network holds back what the server has written, unless the connection ends. */
     void awaitDelivery() throws InterruptedException {
         awaitForwarding(() -> endedAt() != Long.MAX_VALUE);
@@ -191,8 +197,9 @@
         try {
             InputStream in = serverSide.getInputStream();
             for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
-                awaitForwarding(this::isAbandoned);
+                boolean mayForward = awaitForwarding(this::isAbandoned);
                 network.write(conductorSide, Arrays.copyOf(bytes, count));
+                deliveredAt = mayForward ? System.nanoTime() : deliveredAt;
             }
             closedCleanly = true;
         } catch (IOException e) {
--- a/src/soak/java/copperbeam/soak/ServerStandIn.java
+++ b/src/soak/java/copperbeam/soak/ServerStandIn.java
@@ -287,8 +287,9 @@
             connection.sendAnswer(410, "X-Not-Processed: 1\r\n", "");
             return AttemptEnd.TURNED_AWAY;
         }
+        long begunAt = System.nanoTime();
         if (behaviorNow == Behavior.SPOILS_STREAMS || behaviorNow == Behavior.WRITES_SLOWLY) {
-            history.add(new Observation.OddStreamBegun(System.nanoTime(), requestId, attempt));
+            history.add(new Observation.OddStreamBegun(begunAt, requestId, attempt));
         }
         StringBuilder streamed = new StringBuilder();
         boolean complete = false;
@@ -332,6 +333,11 @@
             return AttemptEnd.SERVED;
         } finally {
             history.add(new Observation.Streamed(System.nanoTime(), requestId, attempt, complete, streamed.toString()));
+            if (behaviorNow == Behavior.WRITES_SLOWLY) {
+                link.awaitDelivery();
+                long deliveredAt = Math.max(begunAt, link.deliveredAt());
+                history.add(new Observation.SlowStreamDelivered(deliveredAt, requestId, attempt));
+            }
         }
     }
 
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -20,6 +20,7 @@
 import copperbeam.soak.Observation.ReadingResumed;
 import copperbeam.soak.Observation.Sent;
 import copperbeam.soak.Observation.ServerStarted;
+import copperbeam.soak.Observation.SlowStreamDelivered;
 import copperbeam.soak.Observation.StateFreed;
 import copperbeam.soak.Observation.StateHeld;
 import copperbeam.soak.Observation.Streamed;
@@ -68,6 +69,19 @@
         return new Answered(ms * NANOS_PER_MS, "r", status, true, "", ms * NANOS_PER_MS);
     }
 
+    /** An event comes slowly until {@code deliveredMs}, the rest never does, and the stream ends at {@code endedMs}. */
+    private static Observation[] slowStream(long deliveredMs, long endedMs) {
+        return new Observation[] {
+            sentAt(0, RequestKind.SAFE),
+            attemptArrives(5, Role.WRITER, 1),
+            new OddStreamBegun(6 * NANOS_PER_MS, "r", 1),
+            new SlowStreamDelivered(deliveredMs * NANOS_PER_MS, "r", 1),
+            new Streamed(4500 * NANOS_PER_MS, "r", 1, false, "ab"),
+            attemptEnds(endedMs, 1, AttemptEnd.FAILED),
+            new Answered(endedMs * NANOS_PER_MS, "r", 200, false, "a", 10 * NANOS_PER_MS)
+        };
+    }
+
     @DataProvider
     public Object[][] histories() {
         RequestKind safe = RequestKind.SAFE;
@@ -163,6 +177,8 @@
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(5100, 1, AttemptEnd.SPOILT),
                     new Answered(5100 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
+            row(null, slowStream(4000, 8000)),
+            row(Rule.LEFT_WAITING, slowStream(4000, 9100)),
             row(
                     Rule.WRONG_ANSWER,
                     sentAt(0, safe),
