Data behind a whole object, or foreign to one, is no progress of a stream

What callers saw (by our own test, real sockets): a writer that goes on within a sound chunk with sound-looking events without line ends, or without blank lines, kept its client waiting for 10 s and more; at the usual pace it would have been a minute.

Cause: CompletionData looked at the beginning of an event's data only. Whatever followed "{" counted as a part of the event.

The opposite was there too: an event's end in single bytes, 2.2 s apart, with CR LF, was cut (one row), as the blank line's bytes didn't count.

Mend: CompletionData follows the object's strings and its depth. Behind its end only one line end counts, and outside of strings only characters that JSON has. The blank line behind lines that count counts. Nothing of this rejects a byte or an event; it tells whether the time goes on.

ParsersTest's counts change with it: 14, 13, 7 and 17 each have the bytes of blank lines now, and 16 is 14, as the x of its second line is foreign to JSON. Eleven rows are new.

--- a/src/main/java/copperbeam/protocol/EventSplitter.java
+++ b/src/main/java/copperbeam/protocol/EventSplitter.java
@@ -16,7 +16,7 @@
     private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private final EventLine line = new EventLine(); // the current one
     private boolean hasField; // the current event has a field or a comment
-    private boolean dataBegun; // the current event has a complete line of data
+    private boolean blankLineDue; // the current event has a line that counts
     private final CompletionData data = new CompletionData();
     private boolean onlyCommentDue; // the last event has come
     private boolean closed; // a line has followed the last event
@@ -64,7 +64,7 @@
             index++;
         }
         if (index < to && isProgress()) {
-            textBytes += isFirstValue() ? data.acceptAll(input, index, to) : to - index;
+            textBytes += line.isData() ? data.accept(input, index, to) : to - index;
         }
         return true;
     }
@@ -73,10 +73,11 @@
         if (!line.isBlank() && !line.isFieldOrComment()) {
             return false;
         }
+        boolean isProgress = isProgress() && (!line.isData() || data.endLine());
+        textBytes += isProgress ? 1 : 0;
         if (!line.isBlank()) {
             hasField = true;
-            textBytes += isProgress() ? 1 : 0;
-            dataBegun |= line.isData();
+            blankLineDue |= isProgress;
             closed |= onlyCommentDue;
         } else if (hasField) {
             // blank lines alone are no event; they are passed on as part of the next one
@@ -88,12 +89,10 @@
 
     /** Whether the current line so far brings a further event nearer. */
     private boolean isProgress() {
-        return line.kind() == EventLine.Kind.COMMENT ? !closed : line.isData() && data.isSound() && !onlyCommentDue;
-    }
-
-    /** Whether the current line's value tells what the event's data is; only the first line of it does. */
-    private boolean isFirstValue() {
-        return line.kind() == EventLine.Kind.DATA && !dataBegun;
+        if (line.isBlank()) {
+            return blankLineDue;
+        }
+        return line.kind() == EventLine.Kind.COMMENT ? !closed : line.isData() && data.isOpen() && !onlyCommentDue;
     }
 
     /** The last event has come: of what follows it, only one comment counts, which may hold a load report. */
@@ -101,7 +100,7 @@
         onlyCommentDue = true;
     }
 
-    /** How many bytes so far belong to comments or to data that may be a completion's. */
+    /** How many bytes so far belong to comments, to data that may be a completion's, or to the blank lines behind them. */
     public long textBytes() {
         return textBytes;
     }
@@ -124,7 +123,7 @@
                 pending.reset();
             }
             hasField = false;
-            dataBegun = false;
+            blankLineDue = false;
             data.reset();
             eventSink.accept(event);
         }
--- a/src/test/java/copperbeam/protocol/ParsersTest.java
+++ b/src/test/java/copperbeam/protocol/ParsersTest.java
@@ -192,17 +192,28 @@
     @DataProvider
     public Object[][] progressOfText() {
         return new Object[][] {
-            {"data: {\"a\":1}\n\n", 14},
-            {"data:[DONE]\r\n\r\n", 13},
+            {"data: {\"a\":1}\n\n", 15},
+            {"data:[DONE]\r\n\r\n", 15},
             {"data: [DONE] ", 12},
             {"data: [DATA", 8},
             {"data:  {", 6},
             {"data: xx\ndata: x\n", 6},
-            {"data: {\ndata: x\n", 16},
-            {": note\n\n", 7},
+            {"data: {\ndata: x\n", 14},
+            {": note\n\n", 8},
             {"\n\r\n\n", 0},
             {"id: 7\n", 0},
-            {"data: [DONE]\n\n: a\n: b\ndata: {}\n", 13 + 4},
+            {"data: [DONE]\n\n: a\n: b\ndata: {}\n", 14 + 4},
+            {"data: {}\ndata: {}\n", 9},
+            {"data: {}data: {}", 8},
+            {"data: {}\r\r", 9},
+            {"data:[DONE]\r\r", 12},
+            {"data:\ndata:\n", 5},
+            {"data: {\n\r", 9},
+            {"data: {\"a\":[\"}\\\"\",1.5e-7]}x", 26},
+            {"data: {\"a\ndata: \"}", 9},
+            {"data: {x}", 7},
+            {"data: {\"\u00e4\":null}", 17},
+            {"id: 7\n\r\n", 0},
         };
     }
 
--- a/src/test/java/copperbeam/sockets/StreamWithoutProgressTest.java
+++ b/src/test/java/copperbeam/sockets/StreamWithoutProgressTest.java
@@ -146,6 +146,12 @@
             {"blank lines in chunks", BEGUN, chunk("\r\n"), 1500},
             {"data that is no completion", BEGUN + "ffff\r\ndata: ", "x", 300},
             {"lines of such data", BEGUN + "ffff\r\n", "data: x\n", 300},
+            {"noise in an object", BEGUN + "ffff\r\ndata: {", "x", 300},
+            {"events without line ends", BEGUN + "ffff\r\n", EVENT.strip(), 300},
+            {"events without blank lines", BEGUN + "ffff\r\n", EVENT.strip() + "\n", 300},
+            {"such events in chunks", BEGUN, chunk(EVENT.strip() + "\n"), 300},
+            {"lines of empty data", BEGUN + "ffff\r\n", "data:\n", 300},
+            {"carriage returns behind data", BEGUN + "ffff\r\n" + EVENT.strip(), "\r", 300},
             {"another field", BEGUN + "ffff\r\nid: ", "7", 300},
             {"trailers", CLOSING + "0\r\n", "X: y\r\n", 300},
             {"a trailer without an end", CLOSING + "0\r\n", "X", 300},
@@ -196,6 +202,7 @@
 
     @DataProvider(parallel = true)
     public Iterator<Object[]> pieces() {
+        String eventHead = Integer.toHexString(EVENT.length() + 2) + "\r\n" + EVENT.strip();
         String paddedEnd = END.replaceAll("(?m)^([0-9a-f]+)\r$", "00$1;a=b\r");
         return numbered(new Object[][] {
             {"single bytes", BEGUN, END, 1, 15, ""},
@@ -205,6 +212,7 @@
             {"a piece each 3 s", BEGUN, END, 120, 3000, ""},
             {"a size line in single bytes", BEGUN, END.substring(0, 5), 1, 1500, END.substring(5)},
             {"comments between events", BEGUN, chunk(": ping\n\n").repeat(30) + END, 13, 150, ""},
+            {"an event's end in single bytes", BEGUN + eventHead, "\r\n\r\n", 1, 2200, "\r\n" + END},
             {"the last chunk", CLOSING, "0\r\n\r\n", 1, 1500, ""},
         });
     }
