--- a/src/test/java/copperbeam/membership/StreamWatchPlanTest.java
+++ b/src/test/java/copperbeam/membership/StreamWatchPlanTest.java
@@ -337,7 +337,7 @@
                         new Lateness(l[0], l[1], l[2], l[3], false), new Lateness(l[0], l[1], l[2], l[3], true)));
     }
 
-    @DataProvider
+    @DataProvider(parallel = true) // each row takes seconds of processor time, and shares nothing with the others
     public Object[][] kinds() {
         return Stream.of(Kind.values()).map(kind -> new Object[] {kind}).toArray(Object[][]::new);
     }
--- a/src/test/java/copperbeam/routing/HeldStateTest.java
+++ b/src/test/java/copperbeam/routing/HeldStateTest.java
@@ -597,7 +597,7 @@
         ROUTING_LOG.setLevel(null);
     }
 
-    @DataProvider
+    @DataProvider(parallel = true) // each row simulates minutes, and shares nothing with the others
     public Object[][] settings() {
         return new Object[][] {
             {1.0, Api.Repeats.SAFE, 0, Slowness.NONE},
@@ -707,7 +707,7 @@
         assertEquals(world.fault, null);
     }
 
-    @DataProvider
+    @DataProvider(parallel = true) // each row simulates minutes, and shares nothing with the others
     public Object[][] times() {
         return new Object[][] {{1.0}, {0.5}, {0.35}};
     }
@@ -750,7 +750,7 @@
     }
 
     /** {@code readMayEndUntil}: null, or the time until which an interrupted read may still succeed. */
-    @DataProvider
+    @DataProvider(parallel = true) // each row simulates minutes, and shares nothing with the others
     public Object[][] cuts() {
         Instant soon = Instant.EPOCH.plusSeconds(1);
         return new Object[][] {{false, null}, {true, null}, {false, soon}, {true, soon}};
