--- a/src/soak/java/copperbeam/soak/SpoiltPart.java
+++ b/src/soak/java/copperbeam/soak/SpoiltPart.java
@@ -22,6 +22,7 @@
             new SpoiltPart("4", " ", 0),
             new SpoiltPart("ffff\r\n", "\r\n", 0),
             new SpoiltPart("ffff\r\ndata: ", "x", 0),
+            new SpoiltPart("ffff\r\n", EVENT.strip(), 0),
             new SpoiltPart("ffff\r\n", "what", 0));
 
     /** What may follow the last event as well. */
