Reread: what stands twice in the streams' progress and in the soak stands once

No behaviour changes. Whether an event was forwarded was kept beside AnswerProgress, which knows it; the kinds of lines that nobody tells apart are one; the soak's answered observation, its requests sent early in a stop and the cut streams of OracleTest are built in one place each, as are the scripts of SpoiltAnswersTest that spoil a first attempt.

--- a/src/main/java/copperbeam/protocol/AnswerProgress.java
+++ b/src/main/java/copperbeam/protocol/AnswerProgress.java
@@ -89,7 +89,7 @@
 
     /** For the log: the times since the last event and since the last byte, and what that belonged to. */
     public String describe(long nowNanos) {
-        return "last event " + (nowNanos - eventAt) / 1_000_000 + " ms ago, last byte "
+        return "last event " + Duration.ofNanos(nowNanos - eventAt).toMillis() + " ms ago, last byte "
                 + silence(nowNanos).toMillis() + " ms ago in " + lastPart;
     }
 }
--- a/src/main/java/copperbeam/protocol/EventLine.java
+++ b/src/main/java/copperbeam/protocol/EventLine.java
@@ -9,8 +9,7 @@
         /** Empty, or a part of a field's name. */
         UNDECIDED,
         COMMENT,
-        DATA,
-        OTHER_FIELD
+        FIELD
     }
 
     private static final String DATA_NAME = "data";
@@ -77,7 +76,7 @@
             kind = Kind.COMMENT;
             return true;
         }
-        kind = isData() ? Kind.DATA : Kind.OTHER_FIELD;
+        kind = Kind.FIELD;
         return isNameWhole();
     }
 
--- a/src/main/java/copperbeam/transport/AttemptExchange.java
+++ b/src/main/java/copperbeam/transport/AttemptExchange.java
@@ -44,7 +44,6 @@
     private boolean isStream;
     private AnswerKind answerKind;
     private final ByteArrayOutputStream openingComments = new ByteArrayOutputStream(0);
-    private boolean eventForwarded;
     private boolean lastEventSeen;
     private int forwardedBytes; // of the events in the part that is being split, with their overhead
 
@@ -120,7 +119,7 @@
     /** Comments before the first event wait for it: its client's deadline holds until then. */
     private void forward(byte[] eventBytes) {
         boolean hasData = SseData.hasData(eventBytes);
-        if (!hasData && !eventForwarded) {
+        if (!hasData && !progress().isStreaming()) {
             openingComments.writeBytes(eventBytes);
             return;
         }
@@ -133,7 +132,6 @@
         }
         byte[] forwarded = openingComments.size() == 0 ? eventBytes : withOpeningComments(eventBytes);
         forwardedBytes += forwarded.length + EVENT_OVERHEAD_BYTES;
-        eventForwarded = true;
         listener.event(forwarded);
     }
 
@@ -146,7 +144,7 @@
 
     @Override
     void checkProgress() throws IOException {
-        if (isStream && progress().isStreaming() && AnswerDeadline.isStreamStalled(withoutProgress())) {
+        if (progress().isStreaming() && AnswerDeadline.isStreamStalled(withoutProgress())) {
             throw new IOException("stream without progress");
         }
     }
@@ -180,7 +178,7 @@
         if (cause() != null) {
             requestLog.note(call.spec().id(), "the connection of its attempt broke: " + cause());
         }
-        if (eventForwarded) {
+        if (progress().isStreaming()) {
             requestLog.note(
                     call.spec().id(),
                     "its stream isn't whole: " + progress().describe(System.nanoTime())
@@ -196,7 +194,7 @@
 
     @Override
     void reportProgress() {
-        if (!eventForwarded) {
+        if (!progress().isStreaming()) {
             listener.answerProgress();
         }
     }
--- a/src/soak/java/copperbeam/soak/ClientDriver.java
+++ b/src/soak/java/copperbeam/soak/ClientDriver.java
@@ -250,13 +250,7 @@
         if (answer == null) {
             return handleClose(connection, id);
         }
-        history.add(new Observation.Answered(
-                System.nanoTime(),
-                id,
-                Integer.parseInt(answer.word(1)),
-                answer.complete(),
-                answer.body(),
-                connection.lastReadAt()));
+        history.add(Observation.Answered.now(id, answer, connection));
         boolean closes = !answer.complete() || "close".equalsIgnoreCase(answer.header("Connection"));
         return closes ? Next.NEW_CONNECTION : Next.SAME_CONNECTION;
     }
--- a/src/soak/java/copperbeam/soak/Observation.java
+++ b/src/soak/java/copperbeam/soak/Observation.java
@@ -15,7 +15,18 @@
      * {@code lastByteAt}: when its last byte came.
      */
     record Answered(long at, String id, int status, boolean complete, String body, long lastByteAt)
-            implements Observation {}
+            implements Observation {
+        /** The answer that the client has just read from this connection. */
+        static Answered now(String id, HttpConnection.Message answer, HttpConnection connection) {
+            return new Answered(
+                    System.nanoTime(),
+                    id,
+                    Integer.parseInt(answer.word(1)),
+                    answer.complete(),
+                    answer.body(),
+                    connection.lastReadAt());
+        }
+    }
 
     /** The conductor closed the connection without an answer; {@code wasRead}: no reset shows that the request was left unread. */
     record ClosedUnanswered(long at, String id, boolean wasRead) implements Observation {}
--- a/src/soak/java/copperbeam/soak/Oracle.java
+++ b/src/soak/java/copperbeam/soak/Oracle.java
@@ -31,6 +31,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /** Checks the protocol's rules against what the stand-ins observed. A pure function from a history to the broken rules. */
 final class Oracle {
@@ -207,24 +208,25 @@
      * was sent early in the stop.
      */
     private boolean owesUnreadAnswer(Overstayed overstayed) {
-        long lastSentAt = overstayed.signaledAt() + STOP_ACCEPT_MS * NANOS_PER_MS;
-        return requests.values().stream()
+        return requestsSentEarly(overstayed)
                 .anyMatch(request -> request.readingPaused != null
-                        && request.readingPaused.conductor().equals(overstayed.conductor())
-                        && request.sent.at() < lastSentAt);
+                        && request.readingPaused.conductor().equals(overstayed.conductor()));
     }
 
     /** Whether a writer still spoils or slowly writes a stream for the process, which loses no request that was sent early in the stop. */
     private boolean owesOddStream(Overstayed overstayed) {
-        long lastSentAt = overstayed.signaledAt() + STOP_ACCEPT_MS * NANOS_PER_MS;
-        return requests.values().stream()
-                .filter(request -> request.sent != null && request.sent.at() < lastSentAt)
+        return requestsSentEarly(overstayed)
                 .flatMap(request -> request.attempts.stream())
                 .anyMatch(attempt -> attempt.oddStream
                         && attempt.ended == null
                         && attempt.arrived.conductor().equals(overstayed.conductor()));
     }
 
+    private Stream<Request> requestsSentEarly(Overstayed overstayed) {
+        long lastSentAt = overstayed.signaledAt() + STOP_ACCEPT_MS * NANOS_PER_MS;
+        return requests.values().stream().filter(request -> request.sent != null && request.sent.at() < lastSentAt);
+    }
+
     private void observeOpened(AttemptOpened opened) {
         request(opened.id()).opened.add(opened);
         Long announcedAt = drainAnnouncedAt.get(opened.conductor() + " " + opened.server());
--- a/src/test/java/copperbeam/soak/OracleTest.java
+++ b/src/test/java/copperbeam/soak/OracleTest.java
@@ -69,6 +69,11 @@
         return new Answered(ms * NANOS_PER_MS, "r", status, true, "", ms * NANOS_PER_MS);
     }
 
+    /** A stream whose last byte came at 10 ms. */
+    private static Observation cutOff(long ms, String body) {
+        return new Answered(ms * NANOS_PER_MS, "r", 200, false, body, 10 * NANOS_PER_MS);
+    }
+
     /** An event comes slowly until {@code deliveredMs}, the rest never does, and the stream ends at {@code endedMs}. */
     private static Observation[] slowStream(long deliveredMs, long endedMs) {
         return new Observation[] {
@@ -78,7 +83,7 @@
             new SlowStreamDelivered(deliveredMs * NANOS_PER_MS, "r", 1),
             new Streamed(4500 * NANOS_PER_MS, "r", 1, false, "ab"),
             attemptEnds(endedMs, 1, AttemptEnd.FAILED),
-            new Answered(endedMs * NANOS_PER_MS, "r", 200, false, "a", 10 * NANOS_PER_MS)
+            cutOff(endedMs, "a")
         };
     }
 
@@ -137,21 +142,21 @@
                     attemptArrives(5, Role.WRITER, 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(9, 1, AttemptEnd.GIVEN_UP),
-                    new Answered(10 * NANOS_PER_MS, "r", 200, false, "a", 10 * NANOS_PER_MS)),
+                    cutOff(10, "a")),
             row(
                     Rule.LOST,
                     sentAt(0, safe),
                     attemptArrives(5, Role.WRITER, 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, true, "ab"),
                     attemptEnds(9, 1, AttemptEnd.SERVED),
-                    new Answered(10 * NANOS_PER_MS, "r", 200, false, "a", 10 * NANOS_PER_MS)),
+                    cutOff(10, "a")),
             row(
                     null,
                     sentAt(0, safe),
                     attemptArrives(5, Role.WRITER, 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(4900, 1, AttemptEnd.SPOILT),
-                    new Answered(5050 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
+                    cutOff(5050, "ab")),
             row(
                     null,
                     sentAt(0, safe),
@@ -160,7 +165,7 @@
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     new Overstayed(4000 * NANOS_PER_MS, "n0", 100 * NANOS_PER_MS),
                     attemptEnds(4900, 1, AttemptEnd.SPOILT),
-                    new Answered(5050 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
+                    cutOff(5050, "ab")),
             row(
                     Rule.OVERSTAYED,
                     sentAt(0, safe),
@@ -168,7 +173,7 @@
                     new OddStreamBegun(6 * NANOS_PER_MS, "r", 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(3900, 1, AttemptEnd.SPOILT),
-                    new Answered(3950 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS),
+                    cutOff(3950, "ab"),
                     new Overstayed(4000 * NANOS_PER_MS, "n0", 100 * NANOS_PER_MS)),
             row(
                     Rule.LEFT_WAITING,
@@ -176,7 +181,7 @@
                     attemptArrives(5, Role.WRITER, 1),
                     new Streamed(9 * NANOS_PER_MS, "r", 1, false, "ab"),
                     attemptEnds(5100, 1, AttemptEnd.SPOILT),
-                    new Answered(5100 * NANOS_PER_MS, "r", 200, false, "ab", 10 * NANOS_PER_MS)),
+                    cutOff(5100, "ab")),
             row(null, slowStream(4000, 8000)),
             row(Rule.LEFT_WAITING, slowStream(4000, 9100)),
             row(
--- a/src/test/java/copperbeam/soak/SingleConductor.java
+++ b/src/test/java/copperbeam/soak/SingleConductor.java
@@ -57,13 +57,7 @@
             site.history.add(new Observation.Sent(System.nanoTime(), id, kind, conductor.name, DEADLINE_MS));
             connection.send(ClientDriver.requestText(id, kind, RequestKind.USUAL_TOKENS, id, DEADLINE_MS, "{}"));
             Message answer = connection.read();
-            site.history.add(new Observation.Answered(
-                    System.nanoTime(),
-                    id,
-                    Integer.parseInt(answer.word(1)),
-                    answer.complete(),
-                    answer.body(),
-                    connection.lastReadAt()));
+            site.history.add(Observation.Answered.now(id, answer, connection));
         }
     }
 
--- a/src/test/java/copperbeam/soak/SoakTest.java
+++ b/src/test/java/copperbeam/soak/SoakTest.java
@@ -44,9 +44,7 @@
     @DataProvider
     public Object[][] seeds() {
         // 41 and 45: a crowd of idle clients; 42: streams resume; 42, 45 and 48: spoilt and slow streams; 43: slow
-        // writers and lossy connections; 44: a heavy
-        // class while
-        // all servers are cold
+        // writers and lossy connections; 44: a heavy class while all servers are cold
         return new Object[][] {
             {41, ListSource.DISCOVERY},
             {42, ListSource.DISCOVERY},
--- a/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
+++ b/src/test/java/copperbeam/sockets/SpoiltAnswersTest.java
@@ -207,6 +207,17 @@
         });
     }
 
+    /** Counts all attempts; only the first one is answered by the script. */
+    private static StandIn.Script spoilFirst(AtomicInteger attemptCount, StandIn.Script spoilt) {
+        return forAttempts((request, connection) -> {
+            if (attemptCount.getAndIncrement() == 0) {
+                spoilt.run(request, connection);
+            } else {
+                Site.answerAsWriter(request, connection);
+            }
+        });
+    }
+
     @DataProvider
     public Object[][] refusals() {
         return new Object[][] {{503, true}, {503, false}, {504, true}, {504, false}, {410, true}, {410, false}};
@@ -218,11 +229,7 @@
         AtomicInteger attemptCount = new AtomicInteger();
         try (Site site = new Site(1, 2);
                 RawConnection client = site.client()) {
-            StandIn.Script script = forAttempts((request, connection) -> {
-                if (attemptCount.getAndIncrement() > 0) {
-                    Site.answerAsWriter(request, connection);
-                    return;
-                }
+            StandIn.Script script = spoilFirst(attemptCount, (request, connection) -> {
                 connection.send("HTTP/1.1 " + status + " x\r\nX-Not-Processed: 1\r\nContent-Length: 9\r\n\r\nno");
                 if (closesConnection) {
                     connection.close();
@@ -249,11 +256,7 @@
         AtomicInteger attemptCount = new AtomicInteger();
         try (Site site = new Site(1, 2);
                 RawConnection client = site.client()) {
-            StandIn.Script script = forAttempts((request, connection) -> {
-                if (attemptCount.getAndIncrement() > 0) {
-                    Site.answerAsWriter(request, connection);
-                    return;
-                }
+            StandIn.Script script = spoilFirst(attemptCount, (request, connection) -> {
                 connection.send("HTTP/1.1 " + head + "\r\nContent-Length: 9999\r\n\r\n");
                 while (true) {
                     connection.send(" ");
--- a/src/test/java/copperbeam/sockets/StreamWithoutProgressTest.java
+++ b/src/test/java/copperbeam/sockets/StreamWithoutProgressTest.java
@@ -93,6 +93,11 @@
         });
     }
 
+    private static void assertEndedInTime(long lastEventNs) {
+        Duration waited = Duration.ofNanos(System.nanoTime() - lastEventNs);
+        assertTrue(waited.compareTo(MAX_WAIT) <= 0, waited.toString());
+    }
+
     /** Numbers the rows, so that each second one has other settings. */
     private static Iterator<Object[]> numbered(Object[]... rows) {
         List<Object[]> numberedRows = new ArrayList<>();
@@ -117,8 +122,7 @@
             Site.await("streams begun", () -> site.countAttempts(site.writers) == CLIENTS.size());
             Thread stop = site.beginStop();
             pending.get().forEach(answer -> assertFalse(answer.complete()));
-            Duration waited = Duration.ofNanos(System.nanoTime() - lastEventNs.get());
-            assertTrue(waited.compareTo(MAX_WAIT) <= 0, waited.toString());
+            assertEndedInTime(lastEventNs.get());
             stop.join(MAX_WAIT.toMillis());
             assertFalse(stop.isAlive());
         }
@@ -172,8 +176,7 @@
                 assertFalse(answer.complete());
                 assertTrue(answer.text().startsWith("data: "), answer.text());
             }
-            Duration waited = Duration.ofNanos(System.nanoTime() - lastEventNs.get());
-            assertTrue(waited.compareTo(MAX_WAIT) <= 0, waited.toString());
+            assertEndedInTime(lastEventNs.get());
             assertEquals(site.countAttempts(site.writers), CLIENTS.size());
         }
     }
