Reread: a connection's current exchange is kept in one place

ResponseHandler and ResponseDuplexer each kept it, and the second, new with the progress of streams, was never cleared: an idle connection kept its last exchange, with what that holds of its request, until the next call. Only the duplexer keeps it now, and it is cleared with the exchange's end. Found by reading; callers saw nothing of it, and no test shows the memory.

--- a/src/main/java/copperbeam/transport/ResponseDuplexer.java
+++ b/src/main/java/copperbeam/transport/ResponseDuplexer.java
@@ -40,7 +40,7 @@
     private final ResponseLimits limits;
     private Chunks.Decoder chunkDecoder;
     private SessionOutputBuffer outputBuffer;
-    volatile ClientExchange exchange; // the current one; null before the first
+    volatile ClientExchange exchange; // the current one, or null
 
     ResponseDuplexer(ProtocolIOSession session, BoundedParser<HttpResponse> parser, ResponseLimits limits) {
         super(
@@ -93,7 +93,10 @@
     }
 
     private void framingRead(AnswerProgress.Part part) {
-        exchange.progress().received(part, System.nanoTime());
+        ClientExchange current = exchange;
+        if (current != null) {
+            current.progress().received(part, System.nanoTime());
+        }
     }
 
     IOException deferredError() {
--- a/src/main/java/copperbeam/transport/ResponseHandler.java
+++ b/src/main/java/copperbeam/transport/ResponseHandler.java
@@ -27,7 +27,6 @@
     private final ProtocolIOSession session;
     private final ClientReactor.SessionListener listener;
     private final Duration headTimeout;
-    private volatile ClientExchange exchange;
     private final AtomicReference<Runnable> afterReading = new AtomicReference<>();
     private final Queue<Runnable> outputTasks = new ConcurrentLinkedQueue<>();
     private Long headProgressNanos; // System.nanoTime when a partial head last grew; null if there is none
@@ -54,7 +53,6 @@
         next.attach(duplexer::hasBufferedOutput, reused);
         reused = true;
         duplexer.exchange = next;
-        exchange = next;
     }
 
     /** Runs the task as {@link ClientReactor#runAfterReading} says; callable from any thread. */
@@ -114,7 +112,7 @@
             if (duplexer.deferredError() != null) {
                 throw duplexer.deferredError();
             }
-            ClientExchange current = exchange;
+            ClientExchange current = duplexer.exchange;
             if (current != null && receivedBytes() != bytesBefore) {
                 current.bytesRead();
             }
@@ -146,7 +144,7 @@
                 runAfterReadingTask();
             }
         }
-        ClientExchange current = exchange;
+        ClientExchange current = duplexer.exchange;
         if (current != null && current.mustWithholdLastByte()) {
             exception(ioSession, new IOException("the last byte of the request may no longer be sent"));
             return;
@@ -168,7 +166,7 @@
         }
         try {
             super.outputReady(ioSession);
-            ClientExchange last = exchange;
+            ClientExchange last = duplexer.exchange;
             if (last != null) {
                 last.afterOutput();
             }
@@ -250,9 +248,9 @@
      */
     private void reportEnded() {
         boolean connectionOpen = session.isOpen();
-        ClientExchange last = exchange;
+        ClientExchange last = duplexer.exchange;
         if (last != null && last.isEnded()) {
-            exchange = null;
+            duplexer.exchange = null; // an idle connection keeps nothing of it
             if (last.answeredEarly()) {
                 session.close(CloseMode.IMMEDIATE); // now, as the next turn would send the rest of the request
                 connectionOpen = false;
